feat: add the workspace, result codes, configuration and design

Cause: the repository was empty. Ruled out: stopping at the first fault of a settings file; operators would need one run per mistake, so the field reader collects all of them.

--- /dev/null
+++ b/crates/lw-bench/src/lib.rs
@@ -0,0 +1,4 @@
+//! Measures the routing decisions under load in virtual time with seeded arrivals.
+
+pub mod cases;
+pub mod summary;
--- /dev/null
+++ b/crates/lw-config/src/fields.rs
@@ -0,0 +1,285 @@
+//! Reads typed fields from a parsed document and collects every fault instead of stopping at the first.
+
+use std::{fmt, time::Duration};
+
+use derive_more::{Display, Error};
+use serde_json::{Map, Value};
+
+/// One fault of a document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Path of the key, for instance `limits.body_max`.
+    pub key: String,
+    /// The value found, or `(missing)`.
+    pub value: String,
+    /// What is allowed there.
+    pub allowed: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: got {}, allowed: {}", self.key, self.value, self.allowed)
+    }
+}
+
+/// All faults of a document.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{}", join(faults))]
+pub struct Error {
+    /// The faults, in the order in which they were found.
+    pub faults: Vec<Fault>,
+}
+
+fn join(faults: &[Fault]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+}
+
+impl Error {
+    /// An error with a single fault.
+    #[must_use]
+    pub fn single(key: &str, value: &str, allowed: &str) -> Self {
+        let fault = Fault { key: key.into(), value: value.into(), allowed: allowed.into() };
+        Self { faults: vec![fault] }
+    }
+}
+
+/// A reader over one mapping. Keys that are never asked for are faults.
+#[derive(Debug)]
+pub struct Fields<'a> {
+    path: String,
+    map: Option<&'a Map<String, Value>>,
+    known: Vec<&'static str>,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Fields<'a> {
+    /// Starts reading `value`, which stands at `path` in the document.
+    #[must_use]
+    pub fn new(path: &str, value: &'a Value) -> Self {
+        let mut fields = Self {
+            path: path.to_owned(),
+            map: value.as_object(),
+            known: Vec::new(),
+            faults: Vec::new(),
+        };
+        if fields.map.is_none() {
+            fields.faults.push(Fault {
+                key: if path.is_empty() { "(document)".into() } else { path.into() },
+                value: show(value),
+                allowed: "a mapping".into(),
+            });
+        }
+        fields
+    }
+
+    /// Records a fault at `key`.
+    pub fn fault(&mut self, key: &str, allowed: &str) {
+        let value = self.map.and_then(|map| map.get(key)).map_or("(missing)".into(), show);
+        let key = self.join(key);
+        self.faults.push(Fault { key, value, allowed: allowed.to_owned() });
+    }
+
+    /// Adds the faults of a nested reader.
+    pub fn absorb(&mut self, faults: Vec<Fault>) {
+        self.faults.extend(faults);
+    }
+
+    /// The raw value of `key`, if present and not null.
+    pub fn get(&mut self, key: &'static str) -> Option<&'a Value> {
+        self.known.push(key);
+        self.map.and_then(|map| map.get(key)).filter(|value| !value.is_null())
+    }
+
+    /// A text, or `default`; without a default a missing key is a fault.
+    pub fn text(&mut self, key: &'static str, default: Option<&str>) -> String {
+        match (self.get(key), default) {
+            (Some(Value::String(s)), _) if !s.is_empty() => s.clone(),
+            (None, Some(default)) => default.to_owned(),
+            _ => {
+                self.fault(key, "a non-empty text");
+                String::new()
+            }
+        }
+    }
+
+    /// An optional text.
+    pub fn optional_text(&mut self, key: &'static str) -> Option<String> {
+        self.get(key)?;
+        Some(self.text(key, None))
+    }
+
+    /// A value parsed from a text by `FromStr`, or `default`.
+    pub fn parsed<T: std::str::FromStr>(
+        &mut self,
+        key: &'static str,
+        default: Option<T>,
+        allowed: &str,
+    ) -> Option<T> {
+        match self.get(key) {
+            None if default.is_some() => default,
+            Some(Value::String(s)) => s.parse().map_err(|_| self.fault(key, allowed)).ok(),
+            _ => {
+                self.fault(key, allowed);
+                None
+            }
+        }
+    }
+
+    /// A whole number within `range`.
+    pub fn uint(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        range: std::ops::RangeInclusive<u64>,
+    ) -> u64 {
+        let Some(value) = self.get(key) else { return default };
+        match value.as_u64() {
+            Some(n) if range.contains(&n) => n,
+            _ => {
+                let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+                self.fault(key, &allowed);
+                default
+            }
+        }
+    }
+
+    /// A boolean.
+    pub fn flag(&mut self, key: &'static str, default: bool) -> bool {
+        let Some(value) = self.get(key) else { return default };
+        value.as_bool().unwrap_or_else(|| {
+            self.fault(key, "true or false");
+            default
+        })
+    }
+
+    /// A time with a unit (`250ms`, `2s`, `5m`) within `range`.
+    pub fn time(
+        &mut self,
+        key: &'static str,
+        default: Duration,
+        range: std::ops::RangeInclusive<Duration>,
+    ) -> Duration {
+        let Some(value) = self.get(key) else { return default };
+        match value.as_str().and_then(parse_time) {
+            Some(time) if range.contains(&time) => time,
+            _ => {
+                let allowed = format!(
+                    "a time with unit ms, s or m, from {:?} to {:?}",
+                    range.start(),
+                    range.end()
+                );
+                self.fault(key, &allowed);
+                default
+            }
+        }
+    }
+
+    /// A size in bytes with a unit (`16KiB`, `2MiB`) within `range`.
+    pub fn size(
+        &mut self,
+        key: &'static str,
+        default: usize,
+        range: std::ops::RangeInclusive<usize>,
+    ) -> usize {
+        let Some(value) = self.get(key) else { return default };
+        match value.as_str().and_then(parse_size) {
+            Some(size) if range.contains(&size) => size,
+            _ => {
+                let allowed = format!(
+                    "a size with unit B, KiB or MiB, from {} B to {} B",
+                    range.start(),
+                    range.end()
+                );
+                self.fault(key, &allowed);
+                default
+            }
+        }
+    }
+
+    /// A list of texts.
+    pub fn texts(&mut self, key: &'static str) -> Vec<String> {
+        let Some(value) = self.get(key) else { return Vec::new() };
+        let texts = value.as_array().and_then(|list| {
+            list.iter().map(|item| item.as_str().map(str::to_owned)).collect::<Option<Vec<_>>>()
+        });
+        texts.unwrap_or_else(|| {
+            self.fault(key, "a list of texts");
+            Vec::new()
+        })
+    }
+
+    /// The entries of a nested mapping, each with its full path.
+    pub fn entries(&mut self, key: &'static str) -> Vec<(String, String, &'a Value)> {
+        let Some(value) = self.get(key) else { return Vec::new() };
+        let Some(map) = value.as_object() else {
+            self.fault(key, "a mapping");
+            return Vec::new();
+        };
+        let base = self.join(key);
+        map.iter().map(|(name, item)| (name.clone(), format!("{base}.{name}"), item)).collect()
+    }
+
+    /// Ends reading: every key that was not asked for is a fault.
+    #[must_use]
+    pub fn finish(mut self) -> Vec<Fault> {
+        let known = std::mem::take(&mut self.known);
+        if let Some(map) = self.map {
+            for key in map.keys().filter(|key| !known.contains(&key.as_str())) {
+                let allowed = format!("one of the keys {}", known.join(", "));
+                self.fault(key, &allowed);
+            }
+        }
+        self.faults
+    }
+
+    fn join(&self, key: &str) -> String {
+        if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) }
+    }
+}
+
+fn show(value: &Value) -> String {
+    const SHOWN_CHARS: usize = 60;
+    value.to_string().chars().take(SHOWN_CHARS).collect()
+}
+
+/// Parses a time with unit `ms`, `s` or `m`.
+///
+/// ```
+/// use std::time::Duration;
+/// use lw_config::fields::parse_time;
+/// assert_eq!(parse_time("250ms"), Some(Duration::from_millis(250)));
+/// assert_eq!(parse_time("250"), None);
+/// ```
+#[must_use]
+pub fn parse_time(s: &str) -> Option<Duration> {
+    let (number, unit) = split_unit(s)?;
+    match unit {
+        "ms" => Some(Duration::from_millis(number)),
+        "s" => Some(Duration::from_secs(number)),
+        "m" => Some(Duration::from_secs(number.checked_mul(60)?)),
+        _ => None,
+    }
+}
+
+/// Parses a size with unit `B`, `KiB` or `MiB` to bytes.
+///
+/// ```
+/// assert_eq!(lw_config::fields::parse_size("2KiB"), Some(2048));
+/// ```
+#[must_use]
+pub fn parse_size(s: &str) -> Option<usize> {
+    let (number, unit) = split_unit(s)?;
+    let factor = match unit {
+        "B" => 1,
+        "KiB" => 1 << 10,
+        "MiB" => 1 << 20,
+        _ => return None,
+    };
+    usize::try_from(number).ok()?.checked_mul(factor)
+}
+
+fn split_unit(s: &str) -> Option<(u64, &str)> {
+    let end = s.find(|c: char| !c.is_ascii_digit())?;
+    let (number, unit) = s.split_at(end);
+    Some((number.parse().ok()?, unit.trim_start()))
+}
--- /dev/null
+++ b/crates/lw-config/src/settings/mod.rs
@@ -0,0 +1,233 @@
+//! Settings of one daemon, read from YAML at start.
+
+use std::{net::SocketAddr, time::Duration};
+
+use lw_types::prelude::*;
+use serde_json::Value;
+
+use crate::fields::{Error, Fault, Fields};
+
+/// Settings of one VM.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of this VM, unique in the fleet.
+    pub vm: VmId,
+    /// Failure domain of this VM.
+    pub failure_domain: Domain,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Address of the platform's services.
+    pub platform: SocketAddr,
+    /// Peer addresses for the first contact.
+    pub peers: Vec<SocketAddr>,
+    /// Key that authenticates calls between peers.
+    pub peer_key: Secret,
+    /// Bearer token of the operator interface.
+    pub operator_token: Secret,
+    /// File with a configuration document to serve from while neither store nor peers answer.
+    pub bootstrap: Option<String>,
+    /// Address that receives statsd metrics over UDP.
+    pub statsd: Option<SocketAddr>,
+    /// Bounds on callers' requests.
+    pub limits: Limits,
+    /// Time bounds of connections.
+    pub timeouts: Timeouts,
+}
+
+/// Listening addresses.
+#[derive(Debug, Clone)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For peers.
+    pub peers: SocketAddr,
+}
+
+/// Bounds on callers' requests.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Largest request body in bytes.
+    pub body_max: usize,
+    /// Most headers of a request.
+    pub headers_max: usize,
+    /// Entries of the decision log that `explain` reads.
+    pub decision_log: usize,
+}
+
+/// Time bounds of connections.
+#[derive(Debug, Clone)]
+pub struct Timeouts {
+    /// To establish a connection to an upstream, the platform or a peer.
+    pub connect: Duration,
+    /// For the whole of one call to the platform.
+    pub platform: Duration,
+    /// For the whole of one call to a peer.
+    pub peer: Duration,
+    /// For a caller to send its body.
+    pub body: Duration,
+    /// Between two events of an engine's stream.
+    pub stream_silence: Duration,
+    /// Age at which an idle pooled connection is closed.
+    pub pool_idle: Duration,
+}
+
+/// A text that is never shown in logs.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps a secret.
+    #[must_use]
+    pub fn new(secret: String) -> Self {
+        Self(secret)
+    }
+
+    /// The secret itself, for comparison and signing only.
+    #[must_use]
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("(secret)")
+    }
+}
+
+impl Settings {
+    /// Reads settings from YAML text.
+    ///
+    /// # Errors
+    ///
+    /// Names every wrong key, type, unit and range at once.
+    ///
+    /// ```
+    /// let error = lw_config::settings::Settings::from_yaml("vm: a\ncolour: red").unwrap_err();
+    /// assert!(error.faults.iter().any(|fault| fault.key == "colour"));
+    /// assert!(error.faults.iter().any(|fault| fault.key == "failure_domain"));
+    /// ```
+    pub fn from_yaml(text: &str) -> Result<Self, Error> {
+        let value: Value = serde_saphyr::from_str(text)
+            .map_err(|e| Error::single("(document)", &e.to_string(), "valid YAML"))?;
+        let mut fields = Fields::new("", &value);
+        let settings = Self::read(&mut fields);
+        let faults = fields.finish();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(Error { faults }),
+        }
+    }
+
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let vm = fields.text("vm", None);
+        let failure_domain = fields.text("failure_domain", None);
+        let listen = nested(fields, "listen", Listen::read);
+        let platform = address(fields, "platform");
+        let peers = addresses(fields, "peers");
+        let peer_key = secret(fields, "peer_key");
+        let operator_token = secret(fields, "operator_token");
+        let bootstrap = fields.optional_text("bootstrap");
+        let statsd = fields.get("statsd").is_some().then(|| address(fields, "statsd")).flatten();
+        let limits = nested(fields, "limits", Limits::read);
+        let timeouts = nested(fields, "timeouts", Timeouts::read);
+        Some(Self {
+            vm,
+            failure_domain,
+            listen: listen?,
+            platform: platform?,
+            peers,
+            peer_key,
+            operator_token,
+            bootstrap,
+            statsd,
+            limits,
+            timeouts,
+        })
+    }
+}
+
+const ADDRESS: &str = "an IP address with port, for instance 10.0.0.1:8080";
+const SECRET_MIN_CHARS: usize = 16;
+
+fn address(fields: &mut Fields<'_>, key: &'static str) -> Option<SocketAddr> {
+    fields.parsed(key, None, ADDRESS)
+}
+
+fn addresses(fields: &mut Fields<'_>, key: &'static str) -> Vec<SocketAddr> {
+    let texts = fields.texts(key);
+    let parsed: Vec<_> = texts.iter().filter_map(|text| text.parse().ok()).collect();
+    if parsed.len() < texts.len() {
+        fields.fault(key, "a list of IP addresses with port");
+    }
+    parsed
+}
+
+fn secret(fields: &mut Fields<'_>, key: &'static str) -> Secret {
+    let text = match fields.get(key) {
+        Some(Value::String(text)) => text.clone(),
+        _ => String::new(),
+    };
+    if text.len() < SECRET_MIN_CHARS {
+        // The fault must not show the value, since faults are logged.
+        let fault = Fault {
+            key: key.to_owned(),
+            value: "(hidden)".to_owned(),
+            allowed: format!("a text of at least {SECRET_MIN_CHARS} characters"),
+        };
+        fields.absorb(vec![fault]);
+    }
+    Secret::new(text)
+}
+
+fn nested<'a, T>(
+    fields: &mut Fields<'a>,
+    key: &'static str,
+    read: impl FnOnce(&mut Fields<'a>) -> T,
+) -> T {
+    static EMPTY: std::sync::LazyLock<Value> =
+        std::sync::LazyLock::new(|| Value::Object(serde_json::Map::new()));
+    let value = fields.get(key).unwrap_or(&EMPTY);
+    let mut inner = Fields::new(key, value);
+    let out = read(&mut inner);
+    fields.absorb(inner.finish());
+    out
+}
+
+impl Listen {
+    fn read(fields: &mut Fields<'_>) -> Option<Self> {
+        let callers = address(fields, "callers");
+        let operators = address(fields, "operators");
+        let peers = address(fields, "peers");
+        Some(Self { callers: callers?, operators: operators?, peers: peers? })
+    }
+}
+
+impl Limits {
+    fn read(fields: &mut Fields<'_>) -> Self {
+        const KIB: usize = 1 << 10;
+        const MIB: usize = 1 << 20;
+        Self {
+            body_max: fields.size("body_max", 2 * MIB, KIB..=64 * MIB),
+            headers_max: usize::try_from(fields.uint("headers_max", 64, 16..=1000)).unwrap_or(64),
+            decision_log: usize::try_from(fields.uint("decision_log", 4096, 16..=65_536))
+                .unwrap_or(4096),
+        }
+    }
+}
+
+impl Timeouts {
+    fn read(fields: &mut Fields<'_>) -> Self {
+        const MS: fn(u64) -> Duration = Duration::from_millis;
+        Self {
+            connect: fields.time("connect", MS(300), MS(10)..=MS(10_000)),
+            platform: fields.time("platform", MS(1000), MS(10)..=MS(30_000)),
+            peer: fields.time("peer", MS(500), MS(10)..=MS(10_000)),
+            body: fields.time("body", MS(10_000), MS(100)..=MS(300_000)),
+            stream_silence: fields.time("stream_silence", MS(2000), MS(100)..=MS(60_000)),
+            pool_idle: fields.time("pool_idle", MS(5000), MS(100)..=MS(60_000)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lw-types/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The common types, for `use lw_types::prelude::*`.
+
+pub use crate::code::{Ran, ResultCode};
+pub use crate::ids::{
+    Attempt, BlockHash, Class, ConfigVersion, Domain, Incarnation, ModelId, Now, RequestId,
+    Revision, TokenIndex, UpstreamId, VmId, WorkspaceId,
+};
--- /dev/null
+++ b/crates/lw-types/tests/code.rs
@@ -0,0 +1,37 @@
+//! Guards against result codes that change number or drift from the documented table.
+
+use lw_types::prelude::*;
+
+fn documented_row(code: ResultCode) -> String {
+    let retry = if code.may_retry() { "yes" } else { "no" };
+    format!(
+        "| {} | `{}` | {} | {} | {retry} |",
+        code.number(),
+        code.name(),
+        code.http_status(),
+        code.ran()
+    )
+}
+
+#[test]
+fn table_in_docs_matches_code() {
+    let page = include_str!("../../../docs/result-codes.md");
+    for &code in ResultCode::ALL {
+        let row = documented_row(code);
+        assert!(page.contains(&row), "docs/result-codes.md lacks: {row}");
+    }
+    let rows = page.lines().filter(|line| line.starts_with("| ") && line.contains('`')).count();
+    assert_eq!(rows, ResultCode::ALL.len(), "docs/result-codes.md has extra rows");
+}
+
+#[test]
+fn numbers_are_unique_and_ascending() {
+    assert!(ResultCode::ALL.windows(2).all(|w| w[0].number() < w[1].number()));
+}
+
+#[test]
+fn codes_below_4000_never_claim_that_work_ran() {
+    for code in ResultCode::ALL.iter().filter(|c| (2000..4000).contains(&c.number())) {
+        assert_ne!(code.ran(), Ran::Yes, "{code:?}");
+    }
+}
