--- a/crates/lw-bench/src/summary.rs
+++ b/crates/lw-bench/src/summary.rs
@@ -72,10 +72,8 @@
         };
         let verdict = if row.is_ok() { "ok" } else { "short" };
         let (case, measure, unit, value) = (row.case, &row.measure, row.unit, row.value);
-        let _ = writeln!(
-            out,
-            "{case}\t{measure}\t{unit}\t{baseline}\t{value:.4}\t{bound}\t{verdict}"
-        );
+        let _ =
+            writeln!(out, "{case}\t{measure}\t{unit}\t{baseline}\t{value:.4}\t{bound}\t{verdict}");
     }
     out
 }
