--- /dev/null
+++ b/crates/lw-protocol/src/sse.rs
@@ -0,0 +1,84 @@
+//! Server-sent events: a writer for one event and an incremental parser of `data:` fields.
+
+use derive_more::{Display, Error};
+
+/// Why a stream of events could not be parsed.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum Error {
+    /// An event is longer than the limit.
+    #[display("event longer than {limit} bytes")]
+    TooLong {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// An event is not valid UTF-8.
+    #[display("event is not valid UTF-8")]
+    Utf8,
+}
+
+/// Formats one event with the given data, which must not contain line breaks.
+///
+/// ```
+/// assert_eq!(lw_protocol::sse::event("{}"), "data: {}\n\n");
+/// ```
+#[must_use]
+pub fn event(data: &str) -> String {
+    format!("data: {data}\n\n")
+}
+
+/// Splits a byte stream into the data of its events, whatever the chunk borders.
+///
+/// ```
+/// use lw_protocol::sse::Parser;
+/// let mut parser = Parser::new(1024);
+/// assert!(parser.push(b"data: a").unwrap().is_empty());
+/// assert_eq!(parser.push(b"b\n\n: comment\n\n").unwrap(), ["ab"]);
+/// ```
+#[derive(Debug)]
+pub struct Parser {
+    buf: Vec<u8>,
+    data: String,
+    has_data: bool,
+    limit: usize,
+}
+
+impl Parser {
+    /// A parser that refuses events longer than `limit` bytes.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self { buf: Vec::new(), data: String::new(), has_data: false, limit }
+    }
+
+    /// Adds bytes and returns the data of each event that they complete.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::TooLong`] or [`Error::Utf8`]; the stream cannot be used after that.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<String>, Error> {
+        self.buf.extend_from_slice(bytes);
+        let mut out = Vec::new();
+        let mut start = 0;
+        while let Some(len) = self.buf[start..].iter().position(|&b| b == b'\n') {
+            let line =
+                std::str::from_utf8(&self.buf[start..start + len]).map_err(|_| Error::Utf8)?;
+            let line = line.strip_suffix('\r').unwrap_or(line);
+            if line.is_empty() {
+                if std::mem::take(&mut self.has_data) {
+                    out.push(std::mem::take(&mut self.data));
+                }
+            } else if let Some(data) = line.strip_prefix("data:") {
+                if self.has_data {
+                    self.data.push('\n');
+                }
+                self.data.push_str(data.strip_prefix(' ').unwrap_or(data));
+                self.has_data = true;
+            }
+            start += len + 1;
+        }
+        self.buf.drain(..start);
+        if self.buf.len() + self.data.len() > self.limit {
+            return Err(Error::TooLong { limit: self.limit });
+        }
+        Ok(out)
+    }
+}
