--- /dev/null
+++ b/crates/lw-transport/src/client/mod.rs
@@ -0,0 +1,255 @@
+//! HTTP client with one connection pool per address and explicit time-outs.
+
+use std::{
+    collections::HashMap,
+    fmt, io,
+    net::SocketAddr,
+    sync::{Arc, PoisonError, RwLock},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{HeaderMap, Method, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use serde::{Serialize, de::DeserializeOwned};
+use volo_http::{body::Body, error::ClientError, response::Response};
+
+/// Largest body that [`Clients::json`] and [`Clients::packed`] read, in bytes.
+///
+/// Twice the largest value of the store, which travels in JSON with escapes.
+pub const ANSWER_MAX_BYTES: usize = 2 << 20;
+
+/// Bounds of connections.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Time to establish a connection.
+    pub connect: Duration,
+    /// Age at which an idle pooled connection is closed.
+    pub pool_idle: Duration,
+}
+
+/// Which connections a call may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// An idle pooled connection or a new one.
+    Pooled,
+    /// Only a new connection, since a pooled one may have gone silent.
+    Fresh,
+}
+
+/// One call.
+#[derive(Debug)]
+pub struct Call<'a> {
+    /// Method.
+    pub method: Method,
+    /// Target address.
+    pub addr: SocketAddr,
+    /// Path with query.
+    pub path: &'a str,
+    /// Headers besides the ones that the client sets.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Time until the headers of the answer.
+    pub timeout: Duration,
+    /// Which connections may be used.
+    pub reuse: Reuse,
+}
+
+impl<'a> Call<'a> {
+    /// A call without body and headers on a pooled connection.
+    #[must_use]
+    pub fn new(method: Method, addr: SocketAddr, path: &'a str, timeout: Duration) -> Self {
+        Self {
+            method,
+            addr,
+            path,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            timeout,
+            reuse: Reuse::Pooled,
+        }
+    }
+}
+
+/// Why a call failed.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// No connection was made, so the target did not receive the call.
+    #[display("not sent: {_0}")]
+    NotSent(#[error(not(source))] String),
+    /// No answer came in time; the target may have received the call.
+    #[display("no answer within {_0:?}")]
+    Timeout(#[error(not(source))] Duration),
+    /// The connection broke; the target may have received the call.
+    #[display("connection broke: {_0}")]
+    Broken(#[error(not(source))] String),
+    /// The answer has an error status.
+    #[display("status {status}: {body}")]
+    Status {
+        /// The status.
+        status: StatusCode,
+        /// The first part of the body.
+        body: String,
+    },
+    /// The body of the answer could not be read.
+    #[display("unreadable answer: {_0}")]
+    Unreadable(#[error(not(source))] String),
+}
+
+impl Error {
+    /// Whether the target certainly did not receive the call.
+    #[must_use]
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, Self::NotSent(_))
+    }
+}
+
+type HttpClient = volo_http::client::Client;
+
+struct Pair {
+    pooled: HttpClient,
+    fresh: HttpClient,
+}
+
+/// The clients of a process, one pool per address.
+pub struct Clients {
+    options: Options,
+    by_addr: RwLock<HashMap<SocketAddr, Arc<Pair>>>,
+}
+
+impl fmt::Debug for Clients {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Clients").field("options", &self.options).finish_non_exhaustive()
+    }
+}
+
+impl Clients {
+    /// No connections yet.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        Self { options, by_addr: RwLock::default() }
+    }
+
+    /// Forgets the pools of addresses that are not in use any more.
+    pub fn retain(&self, in_use: impl Fn(&SocketAddr) -> bool) {
+        let mut map = self.by_addr.write().unwrap_or_else(PoisonError::into_inner);
+        map.retain(|addr, _| in_use(addr));
+    }
+
+    fn pair(&self, addr: SocketAddr) -> Result<Arc<Pair>, Error> {
+        if let Some(pair) = self.by_addr.read().unwrap_or_else(PoisonError::into_inner).get(&addr) {
+            return Ok(Arc::clone(pair));
+        }
+        let pair = Arc::new(Pair { pooled: self.build(None)?, fresh: self.build(Some(0))? });
+        let mut map = self.by_addr.write().unwrap_or_else(PoisonError::into_inner);
+        Ok(Arc::clone(map.entry(addr).or_insert(pair)))
+    }
+
+    fn build(&self, max_idle: Option<usize>) -> Result<HttpClient, Error> {
+        let mut builder = volo_http::client::ClientBuilder::new();
+        builder.set_connect_timeout(self.options.connect);
+        builder.set_pool_idle_timeout(self.options.pool_idle);
+        if let Some(max_idle) = max_idle {
+            builder.set_max_idle_per_host(max_idle);
+        }
+        builder.build().map_err(|e| Error::NotSent(e.to_string()))
+    }
+
+    /// Sends a call and returns the answer as soon as its headers are there, whatever its status.
+    ///
+    /// Dropping the body of the answer closes the connection, which cancels the call at the target.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`], [`Error::Timeout`] or [`Error::Broken`].
+    pub async fn send(&self, call: Call<'_>) -> Result<Response, Error> {
+        let pair = self.pair(call.addr)?;
+        let client = match call.reuse {
+            Reuse::Pooled => &pair.pooled,
+            Reuse::Fresh => &pair.fresh,
+        };
+        let uri = format!("http://{}{}", call.addr, call.path);
+        let mut req = client.request(call.method, uri.as_str()).address(call.addr);
+        req.headers_mut().extend(call.headers);
+        let sent = tokio::time::timeout(call.timeout, req.data(Body::from(call.body)).send());
+        match sent.await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(e)) => Err(classify(&e)),
+            Err(_) => Err(Error::Timeout(call.timeout)),
+        }
+    }
+
+    /// Sends a JSON body and decodes a JSON answer of a success status.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn json<R: DeserializeOwned>(
+        &self,
+        mut call: Call<'_>,
+        body: Option<&impl Serialize>,
+    ) -> Result<R, Error> {
+        if let Some(body) = body {
+            call.body = serde_json::to_vec(body).map_err(not_encoded)?.into();
+            let json = http::HeaderValue::from_static("application/json");
+            call.headers.insert(http::header::CONTENT_TYPE, json);
+        }
+        let bytes = self.whole(call).await?;
+        serde_json::from_slice(&bytes).map_err(|e| Error::Unreadable(e.to_string()))
+    }
+
+    /// Sends a `MessagePack` body and decodes a `MessagePack` answer of a success status.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn packed<R: DeserializeOwned>(
+        &self,
+        mut call: Call<'_>,
+        body: &impl Serialize,
+    ) -> Result<R, Error> {
+        call.body = rmp_serde::to_vec(body).map_err(not_encoded)?.into();
+        let bytes = self.whole(call).await?;
+        rmp_serde::from_slice(&bytes).map_err(|e| Error::Unreadable(e.to_string()))
+    }
+
+    async fn whole(&self, call: Call<'_>) -> Result<Bytes, Error> {
+        let timeout = call.timeout;
+        let read = async {
+            let response = self.send(call).await?;
+            let status = response.status();
+            let bytes = read_body(response.into_body(), ANSWER_MAX_BYTES).await?;
+            if status.is_success() {
+                return Ok(bytes);
+            }
+            Err(Error::Status { status, body: String::from_utf8_lossy(&bytes).into_owned() })
+        };
+        tokio::time::timeout(timeout, read).await.unwrap_or(Err(Error::Timeout(timeout)))
+    }
+}
+
+/// Reads a whole body of at most `max` bytes.
+///
+/// # Errors
+///
+/// [`Error::Unreadable`] when the body breaks or is longer.
+pub async fn read_body(body: Body, max: usize) -> Result<Bytes, Error> {
+    let collected = Limited::new(body, max).collect().await;
+    collected.map(http_body_util::Collected::to_bytes).map_err(|e| Error::Unreadable(e.to_string()))
+}
+
+fn not_encoded(e: impl fmt::Display) -> Error {
+    Error::NotSent(e.to_string())
+}
+
+/// Only a failed connect has an I/O error as its direct source; all later ones come from the HTTP library.
+fn classify(e: &ClientError) -> Error {
+    let source = std::error::Error::source(e);
+    if source.is_some_and(<dyn std::error::Error>::is::<io::Error>) {
+        Error::NotSent(e.to_string())
+    } else {
+        Error::Broken(e.to_string())
+    }
+}
--- /dev/null
+++ b/crates/lw-transport/src/lib.rs
@@ -0,0 +1,7 @@
+//! HTTP clients and servers, the store client, authentication and the timer service.
+
+pub mod auth;
+pub mod client;
+pub mod server;
+pub mod store;
+pub mod timer;
--- /dev/null
+++ b/crates/lw-transport/src/timer/mod.rs
@@ -0,0 +1,49 @@
+//! The timer service: one epoch for the process and periodic ticks to subscribe to.
+
+use std::time::Duration;
+
+use lw_types::prelude::*;
+use tokio::time::{Instant, Interval, MissedTickBehavior};
+
+/// Gives the time since the start of the process and hands out subscriptions.
+#[derive(Debug, Clone, Copy)]
+pub struct Timer {
+    epoch: Instant,
+}
+
+/// Ticks at a fixed period; ticks missed while busy are skipped, not made up for.
+#[derive(Debug)]
+pub struct Subscription {
+    timer: Timer,
+    interval: Interval,
+}
+
+impl Default for Timer {
+    fn default() -> Self {
+        Self { epoch: Instant::now() }
+    }
+}
+
+impl Timer {
+    /// Time since the epoch.
+    #[must_use]
+    pub fn now(&self) -> Now {
+        self.epoch.elapsed()
+    }
+
+    /// Subscribes to ticks every `period`, the first after one period. Needs a running tokio runtime.
+    #[must_use]
+    pub fn subscribe(&self, period: Duration) -> Subscription {
+        let mut interval = tokio::time::interval_at(Instant::now() + period, period);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        Subscription { timer: *self, interval }
+    }
+}
+
+impl Subscription {
+    /// Waits for the next tick and returns its time.
+    pub async fn tick(&mut self) -> Now {
+        self.interval.tick().await;
+        self.timer.now()
+    }
+}
