feat(lw-route): add the router's public API in a simple working form

What it does: chained xxh3 fingerprints by cache scope, rendezvous candidates, expected time to first token from reports and sent work, refusal with a spread retry time, digests for peers, hedges in budget.

--- /dev/null
+++ b/crates/lw-route/src/digest.rs
@@ -0,0 +1,43 @@
+//! What VMs tell each other about their own work at the engines.
+
+use std::time::Duration;
+
+use lw_types::prelude::*;
+
+/// Work that one VM sent since its last digest.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Digest {
+    /// VM that sent it.
+    pub vm: VmId,
+    /// Grows with each digest of the VM; older ones are dropped.
+    pub seq: u64,
+    /// One entry for each engine with a change.
+    pub entries: Vec<DigestEntry>,
+}
+
+/// Work at one engine.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct DigestEntry {
+    /// [`engine_key`] of the engine.
+    pub engine: u64,
+    /// Prefill tokens sent since the last digest, without [`Class::Bulk`].
+    pub urgent_tokens: u32,
+    /// Prefill tokens of [`Class::Bulk`] sent since the last digest.
+    pub bulk_tokens: u32,
+    /// Mean age of that work when the digest was made.
+    pub age: Duration,
+    /// Measured against expected time to first token, in percent.
+    pub slowness_percent: u16,
+    /// Whether the VM knows that the engine is leaving.
+    pub leaving: bool,
+}
+
+/// Short name of an engine in digests.
+///
+/// ```
+/// assert_ne!(lw_route::digest::engine_key("a"), lw_route::digest::engine_key("b"));
+/// ```
+#[must_use]
+pub fn engine_key(id: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
+}
--- /dev/null
+++ b/crates/lw-route/src/lib.rs
@@ -0,0 +1,20 @@
+//! Placement of requests on engines: prompt fingerprints, prefix index, engine health, hedges.
+//!
+//! [`router::Router`] holds no socket, clock, thread or random source. Callers pass the time.
+
+pub mod digest;
+pub mod engine;
+pub mod fingerprint;
+pub mod health;
+pub mod index;
+pub mod load;
+pub mod options;
+pub mod request;
+pub mod router;
+
+pub use digest::{Digest, DigestEntry};
+pub use engine::{CacheChange, CacheEvent, Engine, LoadReport, Loaded};
+pub use fingerprint::{Fingerprint, Scope};
+pub use options::Options;
+pub use request::{Candidate, Decision, Placement, Refusal, Rejected, Request, Why};
+pub use router::{Event, Router};
--- /dev/null
+++ b/crates/lw-route/src/options.rs
@@ -0,0 +1,50 @@
+//! Settings of the placement policy.
+
+use std::time::Duration;
+
+use lw_types::prelude::*;
+
+/// Settings of a [`crate::Router`].
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name of this VM, sent in digests.
+    pub vm: VmId,
+    /// Failure domain of this VM.
+    pub failure_domain: Domain,
+    /// Pieces of the prompt that decide its home engine.
+    pub home_depth: usize,
+    /// Engines in rendezvous order that a request may go to without pressure.
+    pub candidates: usize,
+    /// Weight of recomputation against waiting, per second of mean wait (F in section 2.1 of the design).
+    pub spill_weight: f64,
+    /// Prefill speed assumed of an engine before timings are known, in tokens a second.
+    pub prefill_tokens_per_second: f64,
+    /// Time from sending to the first token of a fully cached prompt at an idle engine.
+    pub first_token_base: Duration,
+    /// Age assumed for load reports that do not tell theirs.
+    pub report_age: Duration,
+    /// Part of requests that may be hedged.
+    pub hedge_budget: f64,
+    /// Most prefix entries held for one engine; the oldest go first.
+    pub index_entries_max: usize,
+    /// Seed of the tie breaks and of the spread of retry times.
+    pub seed: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            vm: VmId::new(),
+            failure_domain: Domain::new(),
+            home_depth: 4,
+            candidates: 2,
+            spill_weight: 2.0,
+            prefill_tokens_per_second: 8000.0,
+            first_token_base: Duration::from_millis(60),
+            report_age: Duration::from_millis(700),
+            hedge_budget: 0.05,
+            index_entries_max: 32_768,
+            seed: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lw-route/src/request.rs
@@ -0,0 +1,119 @@
+//! Requests to place and the answers.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use lw_types::prelude::*;
+
+use crate::{Fingerprint, Scope};
+
+/// A request to place.
+#[derive(Debug, Clone, Default)]
+pub struct Request {
+    /// Id of the caller's request.
+    pub id: RequestId,
+    /// Role of the engines that may serve it.
+    pub role: String,
+    /// Scope of its cache use; its versions must be loaded at the engine.
+    pub scope: Scope,
+    /// Fingerprint of the prompt in `scope`.
+    pub fingerprint: Fingerprint,
+    /// Service class.
+    pub class: Class,
+    /// Time left for the first token.
+    pub deadline: Duration,
+    /// Engines that were tried already.
+    pub avoid: Vec<UpstreamId>,
+}
+
+/// Why an engine was or was not chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Why {
+    /// First in rendezvous order of the prefix.
+    #[display("home engine of the prefix")]
+    Home,
+    /// Another engine of the prefix, expected to be faster than the home engine.
+    #[display("faster than the home engine")]
+    Spill,
+    /// A recovering engine gets a small amount of work to measure it.
+    #[display("probe of a slow engine")]
+    Probe,
+    /// A usable alternative, expected to cost more than the choice.
+    #[display("costs more")]
+    Costlier,
+    /// The first token would come after the deadline.
+    #[display("first token after the deadline")]
+    TooLate,
+    /// The engine is leaving.
+    #[display("leaving")]
+    Leaving,
+    /// The request was tried there already.
+    #[display("tried already")]
+    Tried,
+    /// A needed version is not loaded.
+    #[display("version not loaded")]
+    NotLoaded,
+    /// Attempts failed there a moment ago.
+    #[display("failed a moment ago")]
+    Failed,
+    /// The engine is much slower than others with the same work.
+    #[display("slow")]
+    Slow,
+}
+
+/// A usable engine for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The engine.
+    pub engine: UpstreamId,
+    /// The incarnation the router knows; the engine must refuse the request in another one.
+    pub incarnation: Option<Incarnation>,
+    /// Expected time to first token.
+    pub expected: Duration,
+    /// Prompt tokens expected to be cached there.
+    pub cached_tokens: u64,
+    /// Why it has its place in the order.
+    pub why: Why,
+}
+
+/// An engine that was considered and is not usable for the request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rejected {
+    /// The engine.
+    pub engine: UpstreamId,
+    /// Why it is not usable.
+    pub why: Why,
+}
+
+/// Where to send a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// Usable engines, best first; never empty.
+    pub candidates: Vec<Candidate>,
+    /// Engines that were considered and are not usable.
+    pub rejected: Vec<Rejected>,
+    /// When to ask [`crate::Router::hedge_due`] if there is no first token by then.
+    pub hedge_after: Duration,
+}
+
+/// Why a request cannot be placed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Refusal {
+    /// [`ResultCode::Overloaded`] or [`ResultCode::NoUpstream`].
+    pub code: ResultCode,
+    /// When to come back.
+    pub retry_after: Duration,
+    /// Least expected time to first token, if any engine is usable.
+    pub expected: Option<Duration>,
+    /// Engines that were considered.
+    pub rejected: Vec<Rejected>,
+}
+
+/// The answer for one request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Decision {
+    /// Send it.
+    Send(Placement),
+    /// Refuse it at once; nothing has run.
+    Refuse(Refusal),
+}
--- /dev/null
+++ b/crates/lw-route/src/router/decide.rs
@@ -0,0 +1,155 @@
+//! The decision for one request.
+
+use std::time::Duration;
+
+use lw_types::prelude::*;
+
+use super::{Router, state::State};
+use crate::{Candidate, Decision, Placement, Refusal, Rejected, Request, Why, load::to_f64};
+
+/// Bounds of the time that a refusal tells the caller to wait.
+const RETRY_MIN: Duration = Duration::from_millis(500);
+const RETRY_MAX: Duration = Duration::from_secs(30);
+/// Answer to a request without any usable engine.
+const RETRY_NO_UPSTREAM: Duration = Duration::from_secs(2);
+/// A first token later than this multiple of the expected time calls for a hedge.
+const HEDGE_FACTOR: f64 = 3.0;
+/// Earliest hedge, above the usual variation of an idle engine.
+const HEDGE_MIN: Duration = Duration::from_millis(400);
+
+struct Scored {
+    candidate: Candidate,
+    cost: f64,
+}
+
+impl Router {
+    /// Decides where to send `request`, or refuses it.
+    ///
+    /// The decision is not recorded; record [`crate::Event::Sent`] when the request leaves.
+    pub fn decide(&mut self, now: Now, request: &Request) -> Decision {
+        let mut rejected = Vec::new();
+        let ranked = self.ranked(now, request, &mut rejected);
+        let home = ranked.first().copied();
+        let mean_wait = self.mean_wait(now, request);
+        let mut scored: Vec<Scored> = ranked
+            .iter()
+            .take(self.options.candidates)
+            .map(|&place| {
+                self.score(now, request, &self.engines[place], mean_wait, Some(place) == home)
+            })
+            .collect();
+        scored.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let least = scored.iter().map(|s| s.candidate.expected).min();
+        let is_late = |s: &Scored| s.candidate.expected > request.deadline;
+        let (late, usable): (Vec<_>, Vec<_>) = scored.into_iter().partition(is_late);
+        rejected.extend(
+            late.into_iter().map(|s| Rejected { engine: s.candidate.engine, why: Why::TooLate }),
+        );
+        let candidates: Vec<Candidate> = usable.into_iter().map(|s| s.candidate).collect();
+        match candidates.first() {
+            Some(first) => {
+                let hedge_after = first.expected.mul_f64(HEDGE_FACTOR).max(HEDGE_MIN);
+                Decision::Send(Placement { candidates, rejected, hedge_after })
+            }
+            None => Decision::Refuse(self.refusal(request, least, rejected)),
+        }
+    }
+
+    /// Usable engines in rendezvous order of the request's prefix.
+    fn ranked(&self, now: Now, request: &Request, rejected: &mut Vec<Rejected>) -> Vec<usize> {
+        let spread = xxhash_rust::xxh3::xxh3_64(request.id.as_bytes());
+        let key = request.fingerprint.home_key(self.options.home_depth, spread);
+        let mut ranked: Vec<(u64, usize)> = Vec::with_capacity(self.engines.len());
+        for (place, state) in self.engines.iter().enumerate() {
+            if state.engine.role != request.role {
+                continue;
+            }
+            match unusable(now, request, state) {
+                Some(why) => rejected.push(Rejected { engine: state.engine.id.clone(), why }),
+                None => ranked.push((mix(key, state.key), place)),
+            }
+        }
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.into_iter().map(|(_, place)| place).collect()
+    }
+
+    fn score(
+        &self,
+        now: Now,
+        request: &Request,
+        state: &State,
+        mean_wait: f64,
+        home: bool,
+    ) -> Scored {
+        let rate = state.rate(now);
+        let cached_tokens = Self::cached_tokens(request, state);
+        let uncached = to_f64(request.fingerprint.tokens - cached_tokens);
+        let wait = state.load.ahead(now, request.class, rate) / rate;
+        let base = self.options.first_token_base.as_secs_f64();
+        let expected = base + wait + uncached / rate;
+        let pressure = if home { 1.0 } else { 1.0 + self.options.spill_weight * mean_wait };
+        let cost = base + wait + uncached / rate * pressure;
+        let candidate = Candidate {
+            engine: state.engine.id.clone(),
+            incarnation: state.index.incarnation(),
+            expected: Duration::from_secs_f64(expected),
+            cached_tokens,
+            why: if home { Why::Home } else { Why::Spill },
+        };
+        Scored { candidate, cost }
+    }
+
+    /// Mean wait over the engines of the role, in seconds.
+    fn mean_wait(&self, now: Now, request: &Request) -> f64 {
+        let (mut sum, mut count) = (0.0, 0_u32);
+        for state in self.engines.iter().filter(|s| s.engine.role == request.role) {
+            let rate = state.rate(now);
+            sum += state.load.ahead(now, request.class, rate) / rate;
+            count += 1;
+        }
+        if count == 0 { 0.0 } else { sum / f64::from(count) }
+    }
+
+    fn refusal(
+        &self,
+        request: &Request,
+        least: Option<Duration>,
+        rejected: Vec<Rejected>,
+    ) -> Refusal {
+        let (code, wait) = match least {
+            Some(least) => (ResultCode::Overloaded, least.saturating_sub(request.deadline)),
+            None => (ResultCode::NoUpstream, RETRY_NO_UPSTREAM),
+        };
+        // Callers refused together must not come back together, so up to the same time again is added.
+        let spread = mix(xxhash_rust::xxh3::xxh3_64(request.id.as_bytes()), self.options.seed);
+        let part = f64::from(u16::try_from(spread & 0xffff).unwrap_or(0)) / 65_536.0;
+        let wait = wait.clamp(RETRY_MIN, RETRY_MAX);
+        Refusal { code, retry_after: wait.mul_f64(1.0 + part), expected: least, rejected }
+    }
+}
+
+fn unusable(now: Now, request: &Request, state: &State) -> Option<Why> {
+    let scope = &request.scope;
+    let adapter = scope.adapter.as_deref().zip(scope.adapter_version.as_deref());
+    if state.is_leaving() {
+        Some(Why::Leaving)
+    } else if request.avoid.contains(&state.engine.id) {
+        Some(Why::Tried)
+    } else if state.has_failed(now) {
+        Some(Why::Failed)
+    } else if !state.has_loaded(&scope.model, &scope.model_version)
+        || adapter.is_some_and(|(name, version)| !state.has_loaded(name, version))
+    {
+        Some(Why::NotLoaded)
+    } else {
+        None
+    }
+}
+
+/// Mixes two hashes (the finaliser of splitmix64).
+fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.rotate_left(32) ^ 0x9e37_79b9_7f4a_7c15;
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/lw-route/src/router/state.rs
@@ -0,0 +1,159 @@
+//! What the router knows of one engine.
+
+use std::time::Duration;
+
+use lw_types::prelude::*;
+
+use crate::{
+    CacheEvent, DigestEntry, Engine, LoadReport, Loaded, Options, Request, digest::engine_key,
+    health::Health, index::Index, load::Load,
+};
+
+/// First exclusion after a failure; it doubles with each further failure in a row.
+const FAILED_MIN: Duration = Duration::from_millis(250);
+/// Longest exclusion after failures, so a returned engine is found again.
+const FAILED_MAX: Duration = Duration::from_secs(4);
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) engine: Engine,
+    pub(super) key: u64,
+    pub(super) index: Index,
+    pub(super) load: Load,
+    pub(super) health: Health,
+    loaded: Vec<Loaded>,
+    /// Own report and peers' digests may say so before the configuration does.
+    reported_leaving: bool,
+    failures: u32,
+    failed_until: Now,
+    rate: f64,
+    unsent_urgent: f64,
+    unsent_bulk: f64,
+    unsent_since: Option<Now>,
+}
+
+impl State {
+    pub(super) fn new(engine: Engine, options: &Options) -> Self {
+        Self {
+            key: engine_key(&engine.id),
+            engine,
+            index: Index::new(options.index_entries_max),
+            load: Load::default(),
+            health: Health::default(),
+            loaded: Vec::new(),
+            reported_leaving: false,
+            failures: 0,
+            failed_until: Duration::ZERO,
+            rate: options.prefill_tokens_per_second,
+            unsent_urgent: 0.0,
+            unsent_bulk: 0.0,
+            unsent_since: None,
+        }
+    }
+
+    pub(super) fn describe(&mut self, now: Now, engine: &Engine) {
+        self.engine = engine.clone();
+        if let Some(incarnation) = engine.incarnation {
+            self.advance(now, incarnation);
+        }
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.engine.leaving || self.reported_leaving
+    }
+
+    pub(super) fn has_failed(&self, now: Now) -> bool {
+        now < self.failed_until
+    }
+
+    pub(super) fn has_loaded(&self, name: &str, version: &str) -> bool {
+        self.loaded.is_empty() || self.loaded.iter().any(|l| l.name == name && l.version == version)
+    }
+
+    /// Prefill speed with the slowness seen, in tokens a second.
+    pub(super) fn rate(&self, now: Now) -> f64 {
+        self.rate / self.health.slowness(now).max(0.5)
+    }
+
+    pub(super) fn sent(&mut self, now: Now, request: &Request, uncached: f64) {
+        let rate = self.rate(now);
+        self.load.add(now, now, uncached, request.class, rate);
+        self.index.touch(now, &request.fingerprint.blocks);
+        if request.class == Class::Bulk {
+            self.unsent_bulk += uncached;
+        } else {
+            self.unsent_urgent += uncached;
+        }
+        self.unsent_since.get_or_insert(now);
+    }
+
+    pub(super) fn first_token(&mut self, now: Now, measured: Duration, expected: Duration) {
+        self.failures = 0;
+        self.health.timing(now, measured, expected);
+    }
+
+    pub(super) fn failed(&mut self, now: Now) {
+        let pause = FAILED_MIN * 2_u32.pow(self.failures.min(8));
+        self.failures += 1;
+        self.failed_until = now + pause.min(FAILED_MAX);
+    }
+
+    pub(super) fn load_report(&mut self, now: Now, measured: Now, report: &LoadReport) {
+        if !self.advance(now, report.incarnation) {
+            return;
+        }
+        self.loaded.clone_from(&report.loaded);
+        self.reported_leaving = report.leaving;
+        let rate = self.rate(now);
+        self.load.report(now, measured, report, rate);
+    }
+
+    pub(super) fn cache_event(&mut self, now: Now, event: CacheEvent) {
+        if self.advance(now, event.incarnation) {
+            self.index.apply(now, event);
+        }
+    }
+
+    pub(super) fn peer(&mut self, now: Now, entry: &DigestEntry) {
+        let rate = self.rate(now);
+        let at = now.saturating_sub(entry.age);
+        self.load.add(now, at, f64::from(entry.urgent_tokens), Class::Standard, rate);
+        if entry.bulk_tokens > 0 {
+            self.load.add(now, at, f64::from(entry.bulk_tokens), Class::Bulk, rate);
+        }
+        self.reported_leaving |= entry.leaving;
+    }
+
+    pub(super) fn digest_entry(&mut self, now: Now) -> Option<DigestEntry> {
+        let since = self.unsent_since.take()?;
+        Some(DigestEntry {
+            engine: self.key,
+            urgent_tokens: to_u32(std::mem::take(&mut self.unsent_urgent)),
+            bulk_tokens: to_u32(std::mem::take(&mut self.unsent_bulk)),
+            age: now.saturating_sub(since) / 2,
+            slowness_percent: u16::try_from(to_u32(self.health.slowness(now) * 100.0))
+                .unwrap_or(u16::MAX),
+            leaving: self.is_leaving(),
+        })
+    }
+
+    /// Moves to a newer incarnation; returns whether `incarnation` is the current one.
+    fn advance(&mut self, now: Now, incarnation: Incarnation) -> bool {
+        let known = self.index.incarnation();
+        let is_current = self.index.advance(incarnation);
+        if is_current && known != Some(incarnation) && known.is_some() {
+            self.load.clear(now);
+            self.health = Health::default();
+            self.loaded.clear();
+            self.reported_leaving = false;
+            (self.failures, self.failed_until) = (0, Duration::ZERO);
+        }
+        is_current
+    }
+}
+
+/// Values are token counts and percentages, far inside the range.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn to_u32(value: f64) -> u32 {
+    value.round() as u32
+}
