feat(lw-daemon): serve completions and plain services from end to end

Ruled out: relaying engine bytes unread; the assembler has to see each event to resume a stream. Conclusion: configuration is followed by a watch, engines' loads and cache events are polled, and a drain waits for requests in flight inside the server's shutdown hook.

--- /dev/null
+++ b/crates/lw-daemon/src/callers/mod.rs
@@ -0,0 +1,190 @@
+//! The interface towards callers.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use lw_config::document::Workspace;
+use lw_protocol::caller::{CLASS_HEADER, DEADLINE_HEADER, Endpoint, Failure, REQUEST_ID_HEADER};
+use lw_transport::{auth, server};
+use lw_types::prelude::*;
+use serde_json::json;
+use volo_http::{body::Body, request::Request, response::Response};
+
+use crate::{
+    services,
+    tables::{Active, Tables},
+};
+
+mod completion;
+
+const DEADLINE_MAX_MS: u64 = 600_000;
+const SERVICES_PREFIX: &str = "/v1/services/";
+
+/// Who calls, and how the request is to be treated.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    /// Request id.
+    pub request: RequestId,
+    /// Configuration that the whole request uses.
+    pub active: Arc<Active>,
+    /// Workspace of the key.
+    pub workspace: WorkspaceId,
+    /// Class from the header or the workspace.
+    pub class: Class,
+    /// Time to first token allowed.
+    pub deadline: Duration,
+    /// When the request arrived.
+    pub arrived: Now,
+}
+
+impl Caller {
+    /// The workspace's part of the configuration.
+    #[must_use]
+    pub fn rules(&self) -> &Workspace {
+        &self.active.document.workspaces[&self.workspace]
+    }
+
+    /// Whether the workspace may use this model or service.
+    #[must_use]
+    pub fn may_use(&self, name: &str) -> bool {
+        let allowed = &self.rules().allowed;
+        allowed.is_empty() || allowed.iter().any(|item| item == name)
+    }
+}
+
+/// Answers one request of a caller.
+pub async fn serve(tables: Arc<Tables>, req: Request) -> Response {
+    match (req.method().as_str(), req.uri().path()) {
+        ("GET", "/healthz") => return text(StatusCode::OK, "ok"),
+        ("GET", "/readyz") => return ready(&tables),
+        _ => {}
+    }
+    let guard = tables.enter();
+    let id = tables.next_request_id();
+    let mut response = match route(&tables, req, &id, guard).await {
+        Ok(response) => response,
+        Err(failure) => {
+            let (number, name) = (failure.code.number(), failure.code.name());
+            tables.note("http", &id, &format!("answered {number} {name}: {}", failure.message));
+            tables.statsd.result(failure.code);
+            server::failure(&failure)
+        }
+    };
+    if let Ok(value) = HeaderValue::from_str(&id) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    response
+}
+
+async fn route(
+    tables: &Arc<Tables>,
+    req: Request,
+    id: &str,
+    guard: crate::tables::InFlight,
+) -> Result<Response, Failure> {
+    let (parts, body) = req.into_parts();
+    let caller = identify(tables, &parts.headers, id)?;
+    let path = parts.uri.path();
+    match (&parts.method, path) {
+        (&Method::POST, "/v1/chat/completions") => {
+            completion::serve(tables, caller, Endpoint::Chat, body, guard).await
+        }
+        (&Method::POST, "/v1/completions") => {
+            completion::serve(tables, caller, Endpoint::Text, body, guard).await
+        }
+        (&Method::GET, "/v1/models") => Ok(models(&caller)),
+        _ => {
+            if let Some(rest) = path.strip_prefix(SERVICES_PREFIX) {
+                let rest = parts.uri.query().map_or(rest.to_owned(), |q| format!("{rest}?{q}"));
+                let call = services::Incoming {
+                    method: parts.method,
+                    target: rest,
+                    headers: parts.headers,
+                    body,
+                };
+                services::serve(tables, &caller, call).await
+            } else {
+                let text = format!("no such path: {} {path}", parts.method);
+                Err(Failure::new(ResultCode::UnknownPath, text))
+            }
+        }
+    }
+}
+
+fn identify(tables: &Arc<Tables>, headers: &HeaderMap, id: &str) -> Result<Caller, Failure> {
+    let active = tables.active().ok_or_else(|| {
+        Failure::new(ResultCode::NotReady, "no configuration has been received yet")
+    })?;
+    let unknown = || Failure::new(ResultCode::UnknownKey, "the API key is missing or unknown");
+    let key = auth::bearer(headers).ok_or_else(unknown)?;
+    let workspace = active.workspace_of(key).ok_or_else(unknown)?.clone();
+    let rules = &active.document.workspaces[&workspace];
+    let class = match header(headers, CLASS_HEADER)? {
+        Some(text) => {
+            text.parse().map_err(|e: String| Failure::new(ResultCode::InvalidField, e))?
+        }
+        None => rules.class,
+    };
+    let deadline = match header(headers, DEADLINE_HEADER)? {
+        Some(text) => deadline(text)?,
+        None => rules.deadline,
+    };
+    Ok(Caller {
+        request: id.to_owned(),
+        workspace,
+        class,
+        deadline,
+        arrived: tables.timer.now(),
+        active,
+    })
+}
+
+/// The value of a header as text.
+pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Failure> {
+    headers
+        .get(name)
+        .map(|value| {
+            value.to_str().map_err(|_| {
+                Failure::new(ResultCode::InvalidField, format!("header {name} is not ASCII text"))
+            })
+        })
+        .transpose()
+}
+
+fn deadline(text: &str) -> Result<Duration, Failure> {
+    if let Ok(ms @ 1..=DEADLINE_MAX_MS) = text.parse() {
+        Ok(Duration::from_millis(ms))
+    } else {
+        let text = format!("{DEADLINE_HEADER} is {text:?}, allowed: 1 to {DEADLINE_MAX_MS}");
+        Err(Failure::new(ResultCode::InvalidField, text))
+    }
+}
+
+fn ready(tables: &Tables) -> Response {
+    if tables.is_leaving() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "leaving");
+    }
+    match tables.active() {
+        Some(_) => text(StatusCode::OK, "ready"),
+        None => text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
+    }
+}
+
+fn models(caller: &Caller) -> Response {
+    let mut data = Vec::new();
+    for (name, model) in &caller.active.document.models {
+        if !caller.may_use(name) {
+            continue;
+        }
+        data.push(json!({ "id": name, "object": "model", "owned_by": "lavenderwood" }));
+        for adapter in model.adapters.keys() {
+            let id = format!("{name}:{adapter}");
+            data.push(json!({ "id": id, "object": "model", "owned_by": "lavenderwood" }));
+        }
+    }
+    server::json(StatusCode::OK, &json!({ "object": "list", "data": data }))
+}
+
+fn text(status: StatusCode, body: &'static str) -> Response {
+    server::respond(status, "text/plain", Body::from(body))
+}
--- /dev/null
+++ b/crates/lw-daemon/src/main.rs
@@ -0,0 +1,60 @@
+//! Entry point of `lavenderwoodd`.
+
+use std::{path::Path, process::ExitCode};
+
+use lw_config::settings::Settings;
+use lw_daemon::{
+    args::{self, Command},
+    run,
+};
+
+const USAGE_STATUS: u8 = 2;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match args::parse(std::env::args_os().skip(1).collect()) {
+        Ok(Command::Help) => print(args::HELP),
+        Ok(Command::Version) => print(concat!("lavenderwoodd ", env!("CARGO_PKG_VERSION"), "\n")),
+        Ok(Command::Check(path)) => match load(&path) {
+            Ok(_) => print("the settings are valid\n"),
+            Err(e) => usage(&e),
+        },
+        Ok(Command::Run(path)) => match load(&path) {
+            Ok(settings) => serve(settings),
+            Err(e) => usage(&e),
+        },
+        Err(e) => usage(&format!("{e}\n\n{}", args::HELP)),
+    }
+}
+
+fn print(text: &str) -> ExitCode {
+    print!("{text}");
+    ExitCode::SUCCESS
+}
+
+fn usage(text: &str) -> ExitCode {
+    eprintln!("{text}");
+    ExitCode::from(USAGE_STATUS)
+}
+
+fn load(path: &Path) -> Result<Settings, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Settings::from_yaml(&text).map_err(|e| e.to_string())
+}
+
+fn serve(settings: Settings) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            log::error!("run: cannot start the worker threads: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run::run(settings)) {
+        Ok(_) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("run: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lw-daemon/src/operators/mod.rs
@@ -0,0 +1,176 @@
+//! The interface towards operators.
+
+use std::sync::Arc;
+
+use http::{Method, StatusCode};
+use lw_config::document::{PatchError, UpstreamKind};
+use lw_protocol::{
+    caller::Failure,
+    operator::{ConfigAnswer, Histogram, PatchRefusal, Status, UpstreamStatus},
+};
+use lw_transport::{auth, server};
+use lw_types::prelude::*;
+use serde_json::Value;
+use volo_http::{request::Request, response::Response};
+
+use crate::{
+    config_sync::{self, ApplyError},
+    tables::{Active, Tables},
+};
+
+const EXPLAIN_PREFIX: &str = "/op/explain/";
+
+/// Answers one request of an operator.
+pub async fn serve(tables: Arc<Tables>, req: Request) -> Response {
+    let token = auth::bearer(req.headers()).unwrap_or_default();
+    if !auth::is_equal(token, tables.settings.operator_token.expose()) {
+        let text = "the operator token is missing or wrong";
+        return server::failure(&Failure::new(ResultCode::OperatorDenied, text));
+    }
+    route(&tables, req).await.unwrap_or_else(|failure| server::failure(&failure))
+}
+
+async fn route(tables: &Arc<Tables>, req: Request) -> Result<Response, Failure> {
+    let (parts, body) = req.into_parts();
+    let path = parts.uri.path();
+    match (&parts.method, path) {
+        (&Method::GET, "/op/config") => Ok(server::json(StatusCode::OK, &config(tables)?)),
+        (&Method::PATCH, "/op/config") => {
+            let base = base_version(parts.uri.query())?;
+            let limits = &tables.settings.limits;
+            let timeout = tables.settings.timeouts.body;
+            let bytes = server::read_body(body, limits.body_max, timeout).await?;
+            let change: Value = serde_json::from_slice(&bytes)
+                .map_err(|e| Failure::new(ResultCode::MalformedBody, e.to_string()))?;
+            apply(tables, base, &change).await
+        }
+        (&Method::GET, "/op/history") => {
+            let history = config_sync::history(tables).await?;
+            Ok(server::json(StatusCode::OK, &history))
+        }
+        (&Method::GET, "/op/status") => Ok(server::json(StatusCode::OK, &status(tables))),
+        (&Method::GET, "/op/histograms") => Ok(server::json(StatusCode::OK, &histograms(tables))),
+        (&Method::POST, "/op/drain") => {
+            tables.leave();
+            Ok(server::json(StatusCode::OK, &status(tables)))
+        }
+        (&Method::GET, _) if path.starts_with(EXPLAIN_PREFIX) => {
+            let request = &path[EXPLAIN_PREFIX.len()..];
+            let explanation = tables.journal().explain(request).ok_or_else(|| {
+                let text = format!("no decisions of request {request} are kept at this VM");
+                Failure::new(ResultCode::UnknownRequest, text)
+            })?;
+            Ok(server::json(StatusCode::OK, &explanation))
+        }
+        _ => {
+            let text = format!("no such path: {} {path}", parts.method);
+            Err(Failure::new(ResultCode::UnknownPath, text))
+        }
+    }
+}
+
+fn base_version(query: Option<&str>) -> Result<ConfigVersion, Failure> {
+    query
+        .into_iter()
+        .flat_map(|query| query.split('&'))
+        .find_map(|pair| pair.strip_prefix("base="))
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| Failure::new(ResultCode::InvalidField, "base must be a version number"))
+}
+
+fn config(tables: &Tables) -> Result<ConfigAnswer, Failure> {
+    let active = tables.active().ok_or_else(|| {
+        Failure::new(ResultCode::NotReady, "no configuration has been received yet")
+    })?;
+    Ok(ConfigAnswer {
+        version: accepted_version(&active),
+        provisional: active.provisional,
+        document: active.document.raw().clone(),
+    })
+}
+
+/// The version that operators accepted; a provisional document has none.
+fn accepted_version(active: &Active) -> ConfigVersion {
+    if active.provisional { 0 } else { active.document.version }
+}
+
+async fn apply(
+    tables: &Arc<Tables>,
+    base: ConfigVersion,
+    patch: &Value,
+) -> Result<Response, Failure> {
+    let refuse = |code: ResultCode, version, faults| {
+        let status = StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::BAD_REQUEST);
+        let body =
+            PatchRefusal { number: code.number(), code: code.name().into(), version, faults };
+        Ok(server::json(status, &body))
+    };
+    match config_sync::apply(tables, base, patch).await {
+        Ok(_) => Ok(server::json(StatusCode::OK, &config(tables)?)),
+        Err(ApplyError::Patch(e @ PatchError::Stale { current, .. })) => {
+            refuse(ResultCode::StaleVersion, current, vec![e.to_string()])
+        }
+        Err(ApplyError::Patch(PatchError::Invalid(e))) => {
+            let faults = e.faults.iter().map(ToString::to_string).collect();
+            refuse(ResultCode::InvalidConfig, base, faults)
+        }
+        Err(ApplyError::Unavailable(text)) => Err(Failure::new(ResultCode::StoreUnavailable, text)),
+        Err(ApplyError::Unknown(text)) => Err(Failure::new(ResultCode::StoreUnknown, text)),
+    }
+}
+
+fn status(tables: &Tables) -> Status {
+    let active = tables.active();
+    let state = match (&active, tables.is_leaving()) {
+        (_, true) => "leaving",
+        (None, false) => "starting",
+        (Some(_), false) => "serving",
+    };
+    Status {
+        vm: tables.settings.vm.clone(),
+        failure_domain: tables.settings.failure_domain.clone(),
+        state: state.to_owned(),
+        version: active.as_deref().map_or(0, accepted_version),
+        provisional: active.as_ref().is_some_and(|active| active.provisional),
+        in_flight: tables.in_flight(),
+        peers: Vec::new(),
+        upstreams: active.as_deref().map(upstreams).unwrap_or_default(),
+        histograms: histograms(tables),
+    }
+}
+
+fn upstreams(active: &Active) -> Vec<UpstreamStatus> {
+    let describe = |(id, upstream): (&UpstreamId, &lw_config::document::Upstream)| {
+        let kind = match upstream.kind {
+            UpstreamKind::Engine { .. } => "engine",
+            UpstreamKind::Service { .. } => "service",
+        };
+        let why = if upstream.leaving { "leaving by configuration" } else { "configured" };
+        UpstreamStatus {
+            id: id.clone(),
+            kind: kind.to_owned(),
+            address: upstream.address.to_string(),
+            chosen: !upstream.leaving,
+            why: why.to_owned(),
+            in_flight: 0,
+        }
+    };
+    active.document.upstreams.iter().map(describe).collect()
+}
+
+fn histograms(tables: &Tables) -> Vec<Histogram> {
+    const MILLIS: f64 = 1000.0;
+    let summaries = tables.histograms.summaries().into_iter();
+    summaries
+        .map(|summary| Histogram {
+            workspace: summary.workspace,
+            class: summary.class.name().to_owned(),
+            measure: summary.measure.name().to_owned(),
+            count: summary.count,
+            p50_ms: summary.p50.as_secs_f64() * MILLIS,
+            p95_ms: summary.p95.as_secs_f64() * MILLIS,
+            p99_ms: summary.p99.as_secs_f64() * MILLIS,
+            max_ms: summary.max.as_secs_f64() * MILLIS,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/lw-daemon/src/run/mod.rs
@@ -0,0 +1,159 @@
+//! Starts the servers and background tasks and ends them after a drain.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use derive_more::{Display, Error, From};
+use futures::FutureExt;
+use lw_config::{document::Document, settings::Settings};
+use lw_metrics::statsd::Statsd;
+use lw_transport::client::{self, Clients};
+use tokio::{net::TcpListener, task::JoinHandle};
+use volo::net::incoming::DefaultIncoming;
+use volo_http::{context::ServerContext, request::Request, response::Response, server::Server};
+
+use crate::{callers, config_sync, observe, operators, tables::Tables};
+
+/// Time that store and peers get before the bootstrap document is used.
+const BOOTSTRAP_AFTER: Duration = Duration::from_secs(1);
+/// Time after the mark as leaving in which the balancer still sends new requests.
+const BALANCER_LAG: Duration = Duration::from_millis(500);
+
+/// Why the daemon stopped.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// An address could not be bound.
+    #[display("cannot listen on {addr}: {source}")]
+    #[from(skip)]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The bootstrap document could not be used.
+    #[display("bootstrap document: {_0}")]
+    #[from(skip)]
+    Bootstrap(#[error(not(source))] String),
+    /// The statsd sink could not be opened.
+    Statsd(lw_metrics::statsd::Error),
+}
+
+/// How a run ended.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Requests that were still in flight at the end; 0 after a complete drain.
+    pub in_flight: u64,
+}
+
+/// Runs one VM until it is drained by a signal or an operator.
+///
+/// # Errors
+///
+/// When an address, the bootstrap document or the statsd sink cannot be used.
+pub async fn run(settings: Settings) -> Result<Outcome, Error> {
+    let bootstrap = settings.bootstrap.as_deref().map(load_bootstrap).transpose()?;
+    let clients = Arc::new(Clients::new(client::Options {
+        connect: settings.timeouts.connect,
+        pool_idle: settings.timeouts.pool_idle,
+    }));
+    let statsd = Statsd::open(settings.statsd)?;
+    let listen = settings.listen.clone();
+    let tables = Arc::new(Tables::new(settings, clients, statsd));
+
+    let callers = listener(listen.callers).await?;
+    let operators = listener(listen.operators).await?;
+    tokio::spawn(config_sync::follow(Arc::clone(&tables)));
+    tokio::spawn(observe::follow(Arc::clone(&tables)));
+    if let Some(document) = bootstrap {
+        tokio::spawn(use_bootstrap(Arc::clone(&tables), document));
+    }
+    log::info!("run: {} serves callers on {}", tables.settings.vm, listen.callers);
+    let servers = [
+        serve(&tables, callers, |tables, req| callers::serve(tables, req).boxed()),
+        serve(&tables, operators, |tables, req| operators::serve(tables, req).boxed()),
+    ];
+    drained(&tables).await;
+    for server in servers {
+        server.abort();
+    }
+    log::info!("run: drained");
+    Ok(Outcome { in_flight: tables.in_flight() })
+}
+
+fn load_bootstrap(path: &str) -> Result<Document, Error> {
+    let text =
+        std::fs::read_to_string(path).map_err(|e| Error::Bootstrap(format!("{path}: {e}")))?;
+    Document::from_json(&text).map_err(|e| Error::Bootstrap(e.to_string()))
+}
+
+async fn use_bootstrap(tables: Arc<Tables>, document: Document) {
+    tokio::time::sleep(BOOTSTRAP_AFTER).await;
+    if tables.install(document, true) {
+        log::warn!("config: neither store nor peers answered, using the bootstrap document");
+    }
+}
+
+async fn listener(addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).await.map_err(|source| Error::Listen { addr, source })
+}
+
+type Answer = futures::future::BoxFuture<'static, Response>;
+
+fn serve(
+    tables: &Arc<Tables>,
+    listener: TcpListener,
+    handler: fn(Arc<Tables>, Request) -> Answer,
+) -> JoinHandle<()> {
+    let headers_max = tables.settings.limits.headers_max;
+    let hook_tables = Arc::clone(tables);
+    let service = Handler { tables: Arc::clone(tables), handler };
+    let mut server = Server::new(service).register_shutdown_hook(move || {
+        // The library closes connections 28 s after its hooks, so the drain has to happen in here.
+        async move {
+            hook_tables.leave();
+            drained(&hook_tables).await;
+        }
+        .boxed()
+    });
+    server.http1_config().set_max_headers(headers_max);
+    tokio::spawn(async move {
+        if let Err(e) = server.run(DefaultIncoming::from(listener)).await {
+            log::error!("run: server ended: {e}");
+        }
+    })
+}
+
+#[derive(Clone)]
+struct Handler {
+    tables: Arc<Tables>,
+    handler: fn(Arc<Tables>, Request) -> Answer,
+}
+
+impl motore::service::Service<ServerContext, Request> for Handler {
+    type Response = Response;
+    type Error = std::convert::Infallible;
+
+    async fn call(
+        &self,
+        _cx: &mut ServerContext,
+        req: Request,
+    ) -> Result<Self::Response, Self::Error> {
+        Ok((self.handler)(Arc::clone(&self.tables), req).await)
+    }
+}
+
+/// Returns when this VM is leaving and no request is in flight any more.
+async fn drained(tables: &Tables) {
+    let mut left_at = None;
+    loop {
+        let changed = tables.drain_changed.notified();
+        let now = tables.timer.now();
+        if tables.is_leaving() {
+            let since = *left_at.get_or_insert(now);
+            if tables.in_flight() == 0 && now >= since + BALANCER_LAG {
+                return;
+            }
+        }
+        let _ = tokio::time::timeout(BALANCER_LAG, changed).await;
+    }
+}
--- /dev/null
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -0,0 +1,159 @@
+//! Calls to plain services.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Method, header};
+use lw_config::document::UpstreamKind;
+use lw_protocol::caller::{Failure, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER};
+use lw_transport::{
+    client::{Call, Error, Reuse},
+    server,
+};
+use lw_types::prelude::*;
+use volo_http::{body::Body, response::Response};
+
+use crate::{callers::Caller, tables::Tables};
+
+/// Time for a service to answer with its headers.
+const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A caller's request to a service.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Method.
+    pub method: Method,
+    /// Service name, path and query, without a leading slash.
+    pub target: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Body,
+}
+
+struct Prepared {
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Sends a call to an instance of the service and returns its answer.
+///
+/// # Errors
+///
+/// A [`Failure`] whose code says whether the call may have run.
+pub async fn serve(
+    tables: &Arc<Tables>,
+    caller: &Caller,
+    incoming: Incoming,
+) -> Result<Response, Failure> {
+    let (name, path) = match incoming.target.split_once('/') {
+        Some((name, rest)) => (name.to_owned(), format!("/{rest}")),
+        None => (incoming.target.clone(), "/".to_owned()),
+    };
+    let document = &caller.active.document;
+    let service = document.services.get(&name).ok_or_else(|| {
+        Failure::new(ResultCode::UnknownService, format!("no such service: {name}"))
+    })?;
+    if !caller.may_use(&name) {
+        let text = format!("the workspace may not use service {name}");
+        return Err(Failure::new(ResultCode::NotAllowed, text));
+    }
+    let may_repeat = service.may_repeat(incoming.method.as_str(), &path);
+    let limits = &tables.settings.limits;
+    let body =
+        server::read_body(incoming.body, limits.body_max, tables.settings.timeouts.body).await?;
+    let headers = forwarded(&incoming.headers, caller);
+    let call = Prepared { method: incoming.method, path, headers, body };
+    if may_repeat {
+        repeatable(tables, caller, &name, &call).await
+    } else {
+        Err(Failure::new(ResultCode::ClaimUnavailable, "claims are not available"))
+    }
+}
+
+/// Headers that a service gets: content headers, the idempotency key and the request id.
+fn forwarded(headers: &HeaderMap, caller: &Caller) -> HeaderMap {
+    let mut out = HeaderMap::new();
+    let passed: [HeaderName; 3] =
+        [header::CONTENT_TYPE, header::ACCEPT, HeaderName::from_static(IDEMPOTENCY_HEADER)];
+    for name in passed {
+        if let Some(value) = headers.get(&name) {
+            out.insert(name, value.clone());
+        }
+    }
+    if let Ok(value) = caller.request.parse() {
+        out.insert(HeaderName::from_static(REQUEST_ID_HEADER), value);
+    }
+    out
+}
+
+async fn repeatable(
+    tables: &Tables,
+    caller: &Caller,
+    name: &str,
+    call: &Prepared,
+) -> Result<Response, Failure> {
+    let mut last = Failure::new(ResultCode::NoUpstream, "no instance of the service is available");
+    for (i, (id, addr)) in instances(tables, caller, name).into_iter().enumerate() {
+        tables.note("http", &caller.request, &format!("service call at {id}"));
+        let reuse = if i == 0 { Reuse::Pooled } else { Reuse::Fresh };
+        match send(tables, addr, call, reuse).await {
+            Ok(response) => return Ok(response),
+            Err(e) => {
+                log::warn!("http: {} service call at {id} failed: {e}", caller.request);
+                last = failure(&e);
+            }
+        }
+    }
+    Err(last)
+}
+
+/// Instances to try in this order: those of the own failure domain first.
+fn instances(tables: &Tables, caller: &Caller, name: &str) -> Vec<(UpstreamId, SocketAddr)> {
+    let mut found: Vec<_> = caller
+        .active
+        .document
+        .upstreams
+        .iter()
+        .filter(|(_, upstream)| {
+            !upstream.leaving
+                && matches!(&upstream.kind, UpstreamKind::Service { service } if service == name)
+        })
+        .collect();
+    found.sort_by_key(|(_, upstream)| upstream.failure_domain != tables.settings.failure_domain);
+    found.into_iter().map(|(id, upstream)| (id.clone(), upstream.address)).collect()
+}
+
+async fn send(
+    tables: &Tables,
+    addr: SocketAddr,
+    call: &Prepared,
+    reuse: Reuse,
+) -> Result<Response, Error> {
+    let out = Call {
+        method: call.method.clone(),
+        addr,
+        path: &call.path,
+        headers: call.headers.clone(),
+        body: call.body.clone(),
+        timeout: SERVICE_TIMEOUT,
+        reuse,
+    };
+    let response = tables.clients.send(out).await?;
+    let (parts, body) = response.into_parts();
+    let mut answer = Response::new(Body::from_body(body));
+    *answer.status_mut() = parts.status;
+    if let Some(value) = parts.headers.get(header::CONTENT_TYPE) {
+        answer.headers_mut().insert(header::CONTENT_TYPE, value.clone());
+    }
+    Ok(answer)
+}
+
+fn failure(e: &Error) -> Failure {
+    match e {
+        Error::NotSent(_) => Failure::new(ResultCode::NotSent, "the service could not be reached"),
+        _ => Failure::new(ResultCode::OutcomeUnknown, "the service did not answer"),
+    }
+}
--- a/crates/lw-protocol/src/upstream/mod.rs
+++ b/crates/lw-protocol/src/upstream/mod.rs
@@ -5,6 +5,8 @@
 use lw_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+mod convert;
+
 /// Body of `POST /generate`.
 ///
 /// The engine refuses with status 409 and an [`EngineRefusal`], before it does any work, when its incarnation or
@@ -156,6 +158,9 @@
     pub loading: bool,
     /// Whether the engine is leaving.
     pub leaving: bool,
+    /// Milliseconds since the figures were measured, if the engine knows.
+    #[serde(default)]
+    pub age_ms: Option<u64>,
 }
 
 /// Body of the answer to `GET /cache-events?after=SEQ`, which waits until there are events.
