feat(lw-standin): add stand-ins for engine, service and platform

Cause: the daemon needs the three outside systems to be tested against, in the test's process and as programs.

Ruled out: stopping a server through its shutdown path, since volo waits up to 30 s for open connections; each stand-in runs on a runtime of its own, and dropping that runtime closes all sockets as a crash does.

Before: no stand-ins. After: standin-engine, standin-service and standin-platform with fault switches. KvBlocks names the scope of its blocks, because an import could not keep scopes apart without it.

--- a/crates/lw-protocol/src/upstream/mod.rs
+++ b/crates/lw-protocol/src/upstream/mod.rs
@@ -234,6 +234,8 @@
     pub model: ModelId,
     /// Version of the weights that computed it; an engine with another version refuses it.
     pub version: String,
+    /// Cache salt of the blocks; an import keeps them apart from those of other scopes.
+    pub scope: String,
     /// The blocks that the exporting engine held.
     pub blocks: Vec<BlockHash>,
 }
--- /dev/null
+++ b/crates/lw-standin/src/engine/generate.rs
@@ -0,0 +1,210 @@
+//! `POST /generate`: admission, prefill and tokens of one request.
+
+use std::{io, sync::Arc, time::Instant};
+
+use futures::stream::poll_fn;
+use http::StatusCode;
+use lw_protocol::upstream::{EngineRefusal, GenerateEvent, GenerateRequest, RefusalReason};
+use lw_types::prelude::*;
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{
+    Engine, LogEntry,
+    cache::Owner,
+    emitter::{Closed, Emitter},
+    options::scaled,
+    state::Ticket,
+};
+use crate::serve::{Response, status_json, stream};
+
+/// Bytes of a prompt that make one token.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Events that wait for a slow reader before the generation waits.
+const EVENTS_BUFFERED: usize = 16;
+
+/// Text of one token: a function of the prompt and the position only, the same at each engine.
+///
+/// ```
+/// use lw_standin::engine::token_text;
+/// assert_eq!(token_text("a prompt", 3), token_text("a prompt", 3));
+/// assert_ne!(token_text("a prompt", 3), token_text("a prompt", 4));
+/// ```
+#[must_use]
+pub fn token_text(prompt: &str, index: TokenIndex) -> String {
+    let hash = xxh3_64_with_seed(prompt.as_bytes(), index);
+    format!(" t{index}-{:04x}", hash & 0xffff)
+}
+
+/// Text of an undisturbed answer with this many tokens.
+#[must_use]
+pub fn answer_text(prompt: &str, tokens: TokenIndex) -> String {
+    (0..tokens).map(|index| token_text(prompt, index)).collect()
+}
+
+/// Tokens of a prompt.
+#[must_use]
+pub fn prompt_tokens(prompt: &str) -> u64 {
+    (prompt.len() as u64).div_ceil(BYTES_PER_TOKEN)
+}
+
+impl Engine {
+    pub(super) fn generate(self: Arc<Self>, req: GenerateRequest) -> Response {
+        let tokens = prompt_tokens(&req.prompt);
+        if let Err(reason) = self.admit(&req) {
+            let outcome = format!("refused: {reason:?}").to_lowercase();
+            self.state.lock().add_log(LogEntry::new(&req, tokens, &outcome));
+            return self.refusal(reason);
+        }
+        let ticket = Ticket::new(&self.state, LogEntry::new(&req, tokens, "waiting"));
+        let (tx, mut rx) = mpsc::channel(EVENTS_BUFFERED);
+        tokio::spawn(async move {
+            tokio::select! {
+                // The caller has closed the connection; dropping the generation frees its slot.
+                () = tx.closed() => {}
+                _ = self.run(&req, ticket, &tx) => {}
+            }
+        });
+        stream(poll_fn(move |cx| rx.poll_recv(cx)))
+    }
+
+    pub(super) fn refusal(&self, reason: RefusalReason) -> Response {
+        let refusal = EngineRefusal { reason, incarnation: self.incarnation };
+        status_json(StatusCode::CONFLICT, &refusal)
+    }
+
+    fn admit(&self, req: &GenerateRequest) -> Result<(), RefusalReason> {
+        let faults = self.switches.get();
+        if let Some(reason) = faults.refuse {
+            return Err(reason);
+        }
+        if faults.leaving {
+            return Err(RefusalReason::Leaving);
+        }
+        if req.incarnation.is_some_and(|expected| expected != self.incarnation) {
+            return Err(RefusalReason::Incarnation);
+        }
+        if !self.is_loaded(req) {
+            return Err(RefusalReason::Version);
+        }
+        let queued = self.state.lock().report.queued as usize;
+        if queued >= self.options.queue_max { Err(RefusalReason::Busy) } else { Ok(()) }
+    }
+
+    /// Whether the expected weights are loaded and stay so.
+    fn is_loaded(&self, req: &GenerateRequest) -> bool {
+        let state = self.state.lock();
+        let model = state.report.models.get(&req.model) == Some(&req.version)
+            && !state.loading_models.contains_key(&req.model);
+        let adapter = req.adapter.as_ref().is_none_or(|adapter| {
+            state.report.adapters.get(&adapter.name) == Some(&adapter.version)
+                && !state.loading_adapters.contains_key(&adapter.name)
+        });
+        model && adapter
+    }
+
+    async fn run(
+        &self,
+        req: &GenerateRequest,
+        mut ticket: Ticket,
+        tx: &mpsc::Sender<io::Result<String>>,
+    ) -> Result<(), Closed> {
+        let faults = self.switches.update(super::Faults::next_stream);
+        let mut out = Emitter::new(tx, faults);
+        let _slot = self.slots.take(req.priority).await;
+        if !self.is_loaded(req) {
+            return fail(&mut out, req, &ticket, "the weights changed while the request waited")
+                .await;
+        }
+        let from = req.resume.as_ref().map_or(0, |resume| resume.from);
+        if req.resume.as_ref().is_some_and(|r| r.text != answer_text(&req.prompt, from)) {
+            return fail(&mut out, req, &ticket, "the text to resume is not this answer's").await;
+        }
+        let cached_tokens = self.prefill(req, &mut ticket).await;
+        let total = u64::from(req.max_tokens.min(self.options.answer_max));
+        for index in from..total {
+            let slow = self.switches.get().slow_percent;
+            tokio::time::sleep(scaled(self.options.token_time, slow)).await;
+            ticket.note(|entry| entry.tokens += 1);
+            out.emit(self.token(req, index)).await?;
+        }
+        ticket.note(|entry| "complete".clone_into(&mut entry.outcome));
+        drop(ticket);
+        let load = self.state.lock().report.clone();
+        let finish = if total < u64::from(req.max_tokens) { "stop" } else { "length" };
+        out.emit(GenerateEvent::End {
+            request: req.request.clone(),
+            attempt: req.attempt,
+            incarnation: self.incarnation,
+            version: req.version.clone(),
+            tokens: total.max(from),
+            finish: finish.to_owned(),
+            prompt_tokens: prompt_tokens(&req.prompt),
+            cached_tokens,
+            load,
+        })
+        .await
+    }
+
+    fn token(&self, req: &GenerateRequest, index: TokenIndex) -> GenerateEvent {
+        GenerateEvent::Token {
+            request: req.request.clone(),
+            attempt: req.attempt,
+            incarnation: self.incarnation,
+            version: req.version.clone(),
+            index,
+            text: token_text(&req.prompt, index),
+        }
+    }
+
+    /// Computes the blocks that are not cached, one at a time, and returns the cached tokens.
+    async fn prefill(&self, req: &GenerateRequest, ticket: &mut Ticket) -> u64 {
+        let block_tokens = self.options.block_tokens;
+        let tokens = prompt_tokens(&req.prompt);
+        let owner = Owner {
+            scope: req.scope.clone(),
+            model: req.model.clone(),
+            version: req.version.clone(),
+        };
+        let hits = self.state.lock().cache.hit(&owner, &req.blocks);
+        let cached = (hits as u64 * block_tokens).min(tokens);
+        ticket.begin(cached);
+        for &block in &req.blocks[hits..] {
+            self.compute(req.priority, block_tokens).await;
+            ticket.prefilled(block_tokens);
+            let gap = self.switches.get().event_gap_every;
+            self.state.lock().cache.store(Instant::now(), &owner, block, gap);
+            self.cache_changed.notify_waiters();
+        }
+        let rest = tokens.saturating_sub(req.blocks.len() as u64 * block_tokens);
+        if rest > 0 {
+            self.compute(req.priority, rest).await;
+            ticket.prefilled(rest);
+        }
+        cached
+    }
+
+    async fn compute(&self, priority: u8, tokens: u64) {
+        let _lane = self.prefill_lane.take(priority).await;
+        let slow = self.switches.get().slow_percent;
+        let block = scaled(self.options.prefill_per_block, slow).as_nanos();
+        let nanos = block * u128::from(tokens) / u128::from(self.options.block_tokens.max(1));
+        let time = std::time::Duration::from_nanos(nanos.try_into().unwrap_or(u64::MAX));
+        tokio::time::sleep(time).await;
+    }
+}
+
+async fn fail(
+    out: &mut Emitter<'_>,
+    req: &GenerateRequest,
+    ticket: &Ticket,
+    message: &str,
+) -> Result<(), Closed> {
+    ticket.note(|entry| "failed".clone_into(&mut entry.outcome));
+    out.emit(GenerateEvent::Error {
+        request: req.request.clone(),
+        attempt: req.attempt,
+        message: message.to_owned(),
+    })
+    .await
+}
--- /dev/null
+++ b/crates/lw-standin/src/engine/slots.rs
@@ -0,0 +1,90 @@
+//! A semaphore whose waiters are served by priority, then by arrival.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use tokio::sync::oneshot;
+
+type Rank = (u8, u64);
+
+#[derive(Debug)]
+struct State {
+    free: usize,
+    arrivals: u64,
+    waiters: BTreeMap<Rank, oneshot::Sender<Slot>>,
+}
+
+/// A bounded number of slots.
+#[derive(Debug, Clone)]
+pub(super) struct Slots(Arc<Mutex<State>>);
+
+/// One slot; it is free again when this is dropped.
+#[derive(Debug)]
+pub(super) struct Slot(Slots);
+
+/// Takes the waiter out of the queue when its future is dropped.
+struct Waiting<'a> {
+    slots: &'a Slots,
+    rank: Rank,
+}
+
+impl Slots {
+    pub(super) fn new(slots: usize) -> Self {
+        let state = State { free: slots, arrivals: 0, waiters: BTreeMap::new() };
+        Self(Arc::new(Mutex::new(state)))
+    }
+
+    /// Waits for a slot; 0 is the most urgent priority.
+    pub(super) async fn take(&self, priority: u8) -> Slot {
+        let (rx, rank) = {
+            let mut state = self.lock();
+            if state.free > 0 && state.waiters.is_empty() {
+                state.free -= 1;
+                return Slot(self.clone());
+            }
+            let (tx, rx) = oneshot::channel();
+            state.arrivals += 1;
+            let rank = (priority, state.arrivals);
+            state.waiters.insert(rank, tx);
+            (rx, rank)
+        };
+        let _waiting = Waiting { slots: self, rank };
+        match rx.await {
+            Ok(slot) => slot,
+            // Only `pass_on` removes the sender of a waiter that still waits, and it sends a slot.
+            Err(_) => unreachable!("a waiter lost its place"),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives a free slot to the first waiter.
+    fn pass_on(&self) {
+        let mut state = self.lock();
+        match state.waiters.pop_first() {
+            None => state.free += 1,
+            Some((_, tx)) => {
+                drop(state);
+                // A waiter that has gone returns the slot, whose drop serves the next one.
+                drop(tx.send(Slot(self.clone())));
+            }
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.pass_on();
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        // The entry is dropped after the lock is released.
+        let _gone = self.slots.lock().waiters.remove(&self.rank);
+    }
+}
--- /dev/null
+++ b/crates/lw-standin/src/serve/answer.rs
@@ -0,0 +1,122 @@
+//! Requests and answers in the form that the stand-ins use.
+
+use std::{io, time::Duration};
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt as _, stream as streams};
+use http::{HeaderMap, Method, StatusCode, header};
+use http_body_util::BodyExt as _;
+use serde::{Serialize, de::DeserializeOwned};
+use volo_http::body::Body;
+
+/// The answer of a stand-in.
+pub type Response = volo_http::response::Response;
+
+/// The time that bytes before a cut get to leave; hyper drops what it has not flushed yet.
+const CUT_DELAY: Duration = Duration::from_millis(2);
+
+/// One request with its whole body.
+#[derive(Debug)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Query, empty when there is none.
+    pub query: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Call {
+    pub(super) async fn read(req: volo_http::request::Request) -> Option<Self> {
+        let (parts, body) = req.into_parts();
+        Some(Self {
+            method: parts.method,
+            path: parts.uri.path().to_owned(),
+            query: parts.uri.query().unwrap_or_default().to_owned(),
+            headers: parts.headers,
+            body: body.collect().await.ok()?.to_bytes(),
+        })
+    }
+
+    /// A number of the query.
+    #[must_use]
+    pub fn number(&self, name: &str) -> Option<u64> {
+        let mut pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+    }
+
+    /// A header as text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<String> {
+        self.headers.get(name)?.to_str().ok().map(str::to_owned)
+    }
+
+    /// The body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// When the body is not JSON of this type.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+/// An answer with status 200 and a JSON body.
+pub fn json<T: Serialize>(value: &T) -> Response {
+    status_json(StatusCode::OK, value)
+}
+
+/// An answer with a JSON body.
+pub fn status_json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    let (status, text) = match serde_json::to_string(value) {
+        Ok(text) => (status, text),
+        Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+    };
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    let kind = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// An answer with status 400 that says what is wrong with the body.
+#[must_use]
+pub fn bad_request(e: &serde_json::Error) -> Response {
+    status_json(StatusCode::BAD_REQUEST, &serde_json::json!({ "error": e.to_string() }))
+}
+
+/// An answer without a body.
+#[must_use]
+pub fn empty(status: StatusCode) -> Response {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer that closes the connection before any byte of it is sent.
+#[must_use]
+pub fn cut() -> Response {
+    let broken = streams::once(async { Err(io::Error::other("connection cut by a fault").into()) });
+    Response::new(Body::from_stream(broken))
+}
+
+/// An answer with server-sent events; an item `Err` closes the connection.
+pub fn stream(events: impl Stream<Item = io::Result<String>> + Send + Sync + 'static) -> Response {
+    let frames = events.then(|event| async {
+        match event {
+            Ok(text) => Ok(http_body::Frame::data(Bytes::from(text))),
+            Err(e) => {
+                tokio::time::sleep(CUT_DELAY).await;
+                Err(e.into())
+            }
+        }
+    });
+    let mut response = Response::new(Body::from_stream(frames));
+    let kind = header::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
