feat(lw-member): add membership and configuration dissemination

Cause: the daemon needs the interface of membership and configuration to be wired. Ruled out: one trait per side (transport, store); actions out and results in need none and keep the crate free of sockets and clocks. Before and after: nothing to compare yet; no property has been tested, only the doc examples run.

--- /dev/null
+++ b/crates/lw-member/src/config/mod.rs
@@ -0,0 +1,246 @@
+//! The configuration in force, its dissemination among peers, and its store.
+//!
+//! A patch is accepted by exactly one write: the compare-and-swap on `config/current` whose `prev` is the
+//! revision at which the base version was read. Every copy at a VM comes from a document or patch that
+//! such a write has stored, and a VM installs only higher versions.
+
+use std::collections::VecDeque;
+
+use lw_config::document::Document;
+use lw_types::prelude::*;
+
+use crate::{
+    action::Action,
+    member::Member,
+    message::{Body, Message, PatchTo},
+};
+
+mod patch;
+mod store;
+pub mod stored;
+
+/// Largest patch that is pushed. A larger one is announced by its version and fetched once by each VM
+/// instead of arriving several times.
+const PUSH_BYTES_MAX: usize = 4 * 1024;
+/// Patches kept in memory for peers that are behind.
+const KEPT_MAX: usize = 512;
+/// Bytes of those patches.
+const KEPT_BYTES_MAX: usize = 256 * 1024;
+/// Patches sent at once; beyond this the whole document is cheaper.
+const ANSWER_BYTES_MAX: usize = 64 * 1024;
+
+/// The configuration in force at a VM.
+#[derive(Debug, Clone, Copy)]
+pub enum InForce<'a> {
+    /// None yet.
+    None,
+    /// The bootstrap document of the settings. It counts as no version: no claims and no orders may be
+    /// based on it, and it is not disseminated.
+    Provisional(&'a Document),
+    /// The accepted document.
+    Accepted(&'a Document),
+}
+
+impl<'a> InForce<'a> {
+    /// The document to serve from.
+    #[must_use]
+    pub fn document(self) -> Option<&'a Document> {
+        match self {
+            Self::None => None,
+            Self::Provisional(doc) | Self::Accepted(doc) => Some(doc),
+        }
+    }
+
+    /// The accepted version; `None` without an accepted document.
+    #[must_use]
+    pub fn accepted_version(self) -> Option<ConfigVersion> {
+        match self {
+            Self::Accepted(doc) => Some(doc.version),
+            _ => None,
+        }
+    }
+}
+
+/// Configuration state of one member.
+#[derive(Debug)]
+pub(crate) struct Config {
+    started: Now,
+    accepted: Option<Document>,
+    bootstrap: Option<Document>,
+    is_provisional: bool,
+    kept: VecDeque<PatchTo>,
+    kept_bytes: usize,
+    fetch: Option<(VmId, Now)>,
+    pub(crate) store: store::Store,
+}
+
+impl Config {
+    pub(crate) fn new(now: Now, bootstrap: Option<Document>) -> Self {
+        Self {
+            started: now,
+            accepted: None,
+            bootstrap,
+            is_provisional: false,
+            kept: VecDeque::new(),
+            kept_bytes: 0,
+            fetch: None,
+            store: store::Store::default(),
+        }
+    }
+
+    /// The accepted version; 0 if there is none.
+    pub(crate) fn version(&self) -> ConfigVersion {
+        self.accepted.as_ref().map_or(0, |doc| doc.version)
+    }
+
+    fn in_force(&self) -> InForce<'_> {
+        match (&self.accepted, &self.bootstrap) {
+            (Some(doc), _) => InForce::Accepted(doc),
+            (None, Some(doc)) if self.is_provisional => InForce::Provisional(doc),
+            _ => InForce::None,
+        }
+    }
+
+    /// Installs an accepted document if it is newer; returns whether it was.
+    fn install(&mut self, document: Document) -> bool {
+        let is_newer = document.version > self.version();
+        if is_newer {
+            self.accepted = Some(document);
+            self.fetch = None;
+        }
+        is_newer
+    }
+
+    /// Keeps the patch that led to the accepted version, for peers that are behind.
+    fn keep(&mut self, patch: PatchTo) {
+        let follows = self.kept.back().is_none_or(|last| last.version + 1 == patch.version);
+        if !follows {
+            self.kept.clear();
+            self.kept_bytes = 0;
+        }
+        self.kept_bytes += patch.patch.len();
+        self.kept.push_back(patch);
+        while self.kept.len() > KEPT_MAX || self.kept_bytes > KEPT_BYTES_MAX {
+            let Some(dropped) = self.kept.pop_front() else { break };
+            self.kept_bytes -= dropped.patch.len();
+        }
+    }
+
+    fn latest_patch(&self) -> Option<&PatchTo> {
+        self.kept.back().filter(|patch| patch.version == self.version())
+    }
+
+    /// Body of a push: the latest patch, or only the version in the header.
+    pub(crate) fn push_body(&self) -> Body {
+        match self.latest_patch() {
+            Some(patch) if patch.patch.len() <= PUSH_BYTES_MAX => {
+                Body::Patches(vec![patch.clone()])
+            }
+            _ => Body::Gossip,
+        }
+    }
+
+    /// Answer to a peer that has version `have`: the missing patches, or the whole document.
+    pub(crate) fn answer(&self, have: ConfigVersion) -> Body {
+        let Some(document) = self.accepted.as_ref().filter(|doc| doc.version > have) else {
+            return Body::Gossip;
+        };
+        let missing: Vec<_> = self.kept.iter().filter(|p| p.version > have).cloned().collect();
+        let reaches = have > 0 && missing.first().is_some_and(|p| p.version == have + 1);
+        let is_current = missing.last().is_some_and(|p| p.version == document.version);
+        let bytes: usize = missing.iter().map(|p| p.patch.len()).sum();
+        if reaches && is_current && bytes <= ANSWER_BYTES_MAX {
+            Body::Patches(missing)
+        } else {
+            Body::Whole(document.raw().to_string())
+        }
+    }
+
+    /// Applies patches that follow the accepted version; returns how many did.
+    fn apply(&mut self, patches: &[PatchTo]) -> usize {
+        let mut applied = 0;
+        for patch in patches {
+            let Some(base) = self.accepted.as_ref().filter(|doc| doc.version + 1 == patch.version)
+            else {
+                continue;
+            };
+            let Ok(value) = serde_json::from_str(&patch.patch) else { break };
+            let Ok(next) = base.patched(base.version, &value) else { break };
+            if self.install(next) {
+                self.keep(patch.clone());
+                applied += 1;
+            }
+        }
+        applied
+    }
+}
+
+impl Member {
+    /// The configuration in force here.
+    ///
+    /// ```
+    /// use lw_member::{Member, Options, config::InForce};
+    /// let now = std::time::Duration::ZERO;
+    /// let options = Options::new("vm-1", "10.0.0.1:7400".parse().unwrap(), "kochi-1", 1);
+    /// assert!(matches!(Member::new(now, options).config(), InForce::None));
+    /// ```
+    #[must_use]
+    pub fn config(&self) -> InForce<'_> {
+        self.config.in_force()
+    }
+
+    /// The last patches known here, oldest first.
+    pub fn history(&self) -> impl Iterator<Item = &PatchTo> {
+        self.config.kept.iter()
+    }
+
+    pub(crate) fn tick_config(&mut self, now: Now, out: &mut Vec<Action>) {
+        let config = &mut self.config;
+        let waited = now >= config.started + self.options.timings.bootstrap_after;
+        let is_due = waited && config.accepted.is_none() && config.bootstrap.is_some();
+        if is_due && !config.is_provisional {
+            config.is_provisional = true;
+            out.push(Action::ConfigChanged);
+        }
+        self.tick_store(now, out);
+        self.tick_patches(now, out);
+    }
+
+    pub(crate) fn absorb_config(&mut self, now: Now, message: &Message, out: &mut Vec<Action>) {
+        match &message.body {
+            Body::Patches(patches) if self.config.apply(patches) > 0 => {
+                out.push(Action::ConfigChanged);
+                self.push_config(now, out);
+            }
+            Body::Whole(text) => {
+                if let Ok(document) = Document::from_json(text) {
+                    self.install(document, out);
+                }
+            }
+            _ => {}
+        }
+        if message.version > self.config.version() {
+            self.fetch_from(now, &message.from, out);
+        }
+    }
+
+    fn fetch_from(&mut self, now: Now, from: &VmId, out: &mut Vec<Action>) {
+        let timeout = self.options.timings.call_timeout;
+        if self.config.fetch.as_ref().is_some_and(|(_, at)| now < *at + timeout) {
+            return;
+        }
+        if self.view.get(from).is_some() {
+            self.config.fetch = Some((from.clone(), now));
+            let have = self.config.version();
+            self.send_to(now, from, Body::Fetch(have), out);
+        }
+    }
+
+    fn install(&mut self, document: Document, out: &mut Vec<Action>) -> bool {
+        let installed = self.config.install(document);
+        if installed {
+            out.push(Action::ConfigChanged);
+        }
+        installed
+    }
+}
--- /dev/null
+++ b/crates/lw-member/src/member/detect.rs
@@ -0,0 +1,221 @@
+//! Failure detection: heartbeats, probes, suspicion and removal.
+
+use std::collections::BTreeMap;
+
+use lw_types::prelude::*;
+
+use super::Member;
+use crate::{
+    action::Action,
+    message::{Body, Message, News},
+    view::{State, ring, ring::Neighbours},
+};
+
+/// Members asked to probe a silent one.
+const HELPERS: usize = 2;
+/// Time between two direct probes of a silent member.
+const PROBE_EVERY: std::time::Duration = std::time::Duration::from_millis(200);
+/// A longer time between two ticks means that this process did not run, so silence proves nothing.
+const PAUSE: std::time::Duration = std::time::Duration::from_millis(600);
+/// Time between two looks for expired suspicions and removals.
+const EXPIRE_EVERY: std::time::Duration = std::time::Duration::from_secs(1);
+/// Disputed members probed at the same time.
+const DISPUTED_MAX: usize = 4;
+/// Probes for others that wait for a reply; older ones are dropped first.
+const ASKED_MAX: usize = 64;
+
+#[derive(Debug)]
+struct Watch {
+    since: Now,
+    probes: u32,
+    disputed: bool,
+}
+
+/// State of the failure detector.
+#[derive(Debug, Default)]
+pub(super) struct Detect {
+    neighbours: Neighbours,
+    generation: u64,
+    watches: BTreeMap<VmId, Watch>,
+    asked: Vec<(VmId, VmId)>,
+    raised: Vec<(VmId, Now)>,
+    last_heard: Now,
+    last_tick: Now,
+    next_heartbeat: Now,
+    next_expiry: Now,
+}
+
+impl Detect {
+    pub(super) fn new(now: Now, first_heartbeat: Now) -> Self {
+        Self {
+            generation: u64::MAX,
+            last_heard: now,
+            last_tick: now,
+            next_heartbeat: first_heartbeat,
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn is_neighbour(&self, id: &str) -> bool {
+        let Neighbours { successors, watched } = &self.neighbours;
+        successors.iter().chain(watched).any(|other| other == id)
+    }
+}
+
+impl Member {
+    pub(super) fn detect(&mut self, now: Now, out: &mut Vec<Action>) {
+        self.refresh_neighbours(now);
+        if now > self.detect.last_tick + PAUSE {
+            self.detect.watches.values_mut().for_each(|w| (w.since, w.probes) = (now, 0));
+        }
+        self.detect.last_tick = now;
+        let last_heard = self.detect.last_heard;
+        self.detect.raised.retain(|(_, at)| *at > last_heard);
+        if now >= self.detect.next_heartbeat {
+            self.detect.next_heartbeat = now + self.options.timings.heartbeat;
+            for id in self.detect.neighbours.successors.clone() {
+                self.send_to(now, &id, Body::Heartbeat, out);
+            }
+        }
+        self.watch(now, out);
+        if now >= self.detect.next_expiry {
+            self.detect.next_expiry = now + EXPIRE_EVERY;
+            self.expire(now, out);
+        }
+    }
+
+    fn refresh_neighbours(&mut self, now: Now) {
+        if self.detect.generation == self.view.generation() {
+            return;
+        }
+        self.detect.generation = self.view.generation();
+        self.detect.neighbours = ring::neighbours(&self.view, &self.options.id);
+        let Detect { neighbours, watches, .. } = &mut self.detect;
+        watches.retain(|id, watch| watch.disputed || neighbours.watched.contains(id));
+        for id in &neighbours.watched {
+            let fresh = Watch { since: now, probes: 0, disputed: false };
+            watches.entry(id.clone()).or_insert(fresh).disputed = false;
+        }
+    }
+
+    fn watch(&mut self, now: Now, out: &mut Vec<Action>) {
+        let timings = self.options.timings.clone();
+        let mut probes = Vec::new();
+        let mut silent = Vec::new();
+        let view = &self.view;
+        self.detect.watches.retain(|id, watch| {
+            let Some(peer) = view.get(id).filter(|p| p.is_member()) else { return false };
+            let heard = peer.heard.unwrap_or_default().max(watch.since);
+            let silence = now.saturating_sub(heard);
+            if watch.disputed && heard > watch.since {
+                return false;
+            }
+            let patience = if watch.disputed { PROBE_EVERY / 2 } else { timings.probe_after };
+            if silence < patience {
+                watch.probes = 0;
+            } else if silence >= timings.suspect_after {
+                silent.push((id.clone(), peer.incarnation));
+            } else if silence >= patience + PROBE_EVERY * watch.probes {
+                probes.push((id.clone(), watch.probes == 0));
+                watch.probes += 1;
+            }
+            true
+        });
+        for (id, first) in probes {
+            self.send_to(now, &id, Body::Probe, out);
+            let Some(address) = self.view.get(&id).filter(|_| first).map(|p| p.address) else {
+                continue;
+            };
+            for helper in self.random_members(HELPERS, &id) {
+                self.send_to(now, &helper, Body::ProbeFor(id.clone(), address), out);
+            }
+        }
+        for (id, incarnation) in silent {
+            self.suspect(now, &id, incarnation, out);
+        }
+    }
+
+    fn suspect(&mut self, now: Now, id: &VmId, incarnation: Incarnation, out: &mut Vec<Action>) {
+        self.detect.raised.push((id.clone(), now));
+        self.learn(now, News::Suspect(id.clone(), incarnation), out);
+        // The suspect is told directly: it refutes at once if it lives.
+        if let Some(to) = self.view.get(id).map(|p| p.address) {
+            let mut message = self.message(now, Body::Gossip);
+            message.news.push(News::Suspect(id.clone(), incarnation));
+            out.push(Action::Send { to, message });
+        }
+    }
+
+    fn expire(&mut self, now: Now, out: &mut Vec<Action>) {
+        let timings = &self.options.timings;
+        let mut removed = Vec::new();
+        let mut forgotten = Vec::new();
+        for peer in self.view.iter() {
+            let age = now.saturating_sub(peer.changed);
+            if peer.state == State::Suspect && age >= timings.remove_after {
+                removed.push((peer.id.clone(), peer.incarnation));
+            } else if peer.state == State::Removed && age >= timings.forget_after {
+                forgotten.push(peer.id.clone());
+            }
+        }
+        for (id, incarnation) in removed {
+            self.view.set(now, &id, incarnation, State::Removed);
+            out.push(Action::Changed { id, state: State::Removed });
+        }
+        for id in &forgotten {
+            self.view.forget(id);
+        }
+    }
+
+    /// Records the sender's sign of life.
+    pub(super) fn sign_of_life(&mut self, now: Now, message: &Message, out: &mut Vec<Action>) {
+        let cut_off = now.saturating_sub(self.detect.last_heard);
+        if cut_off >= self.options.timings.suspect_after {
+            self.reconnected(now, out);
+        }
+        self.detect.last_heard = now;
+        self.view.heard(now, &message.from, message.incarnation);
+        self.view.names_version(&message.from, message.version);
+    }
+
+    /// This VM heard nobody for as long as a suspicion takes, so it was cut off itself: what it
+    /// suspected meanwhile is taken back and not told to the others.
+    fn reconnected(&mut self, now: Now, out: &mut Vec<Action>) {
+        self.gossip.drop_suspicions();
+        for (id, at) in std::mem::take(&mut self.detect.raised) {
+            let is_suspect = self.view.get(&id).is_some_and(|p| p.state == State::Suspect);
+            if at > self.detect.last_heard && is_suspect {
+                self.view.withdraw(now, &id);
+                out.push(Action::Changed { id, state: State::Alive });
+            }
+        }
+        self.detect.watches.values_mut().for_each(|w| (w.since, w.probes) = (now, 0));
+    }
+
+    /// Probes a member that another view does not hold as alive, unless too many are probed already.
+    pub(super) fn dispute(&mut self, now: Now, id: &VmId) {
+        let disputed = self.detect.watches.values().filter(|w| w.disputed).count();
+        if disputed < DISPUTED_MAX && !self.detect.watches.contains_key(id) {
+            let watch = Watch { since: now, probes: 0, disputed: true };
+            self.detect.watches.insert(id.clone(), watch);
+        }
+    }
+
+    pub(super) fn probe_for(&mut self, from: VmId, target: VmId) {
+        if self.detect.asked.len() == ASKED_MAX {
+            self.detect.asked.remove(0);
+        }
+        self.detect.asked.push((target, from));
+    }
+
+    /// Tells those who asked for a probe of the sender that it lives.
+    pub(super) fn vouch(&mut self, now: Now, message: &Message, out: &mut Vec<Action>) {
+        let asked = std::mem::take(&mut self.detect.asked);
+        let (vouched, waiting) = asked.into_iter().partition(|(id, _)| *id == message.from);
+        self.detect.asked = waiting;
+        let vouched: Vec<(VmId, VmId)> = vouched;
+        for (id, asker) in vouched {
+            self.send_to(now, &asker, Body::Vouch(id, message.incarnation), out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lw-member/src/member/gossip.rs
@@ -0,0 +1,134 @@
+//! News on its way: what is still to be told, to whom, and how much at once.
+
+use std::collections::VecDeque;
+
+use lw_types::prelude::*;
+
+use crate::{message::News, options::Timings, view::View};
+
+/// Times that one member tells a piece of news. Ten heartbeat neighbours and repeats aside, the share of
+/// members missed is e^-8 with all told at random; comparison of digests covers the rest.
+const TELLS: u8 = 8;
+/// Members told at once by a member that has just learnt urgent news.
+pub(super) const BURST: usize = 3;
+/// Members told in each later round.
+pub(super) const FANOUT: usize = 2;
+/// Most bytes of news in one message.
+const MESSAGE_BYTES: u64 = 600;
+/// Bytes of news a second that a member sends on average, a third of the control budget of 6 KB a second.
+const RATE: u64 = 2_000;
+/// Bytes of news that a member may send at once, enough for the loss of a failure domain of 30 VMs.
+const BURST_BYTES: u64 = 8_000;
+/// Time for which a change is repeated to ring neighbours whose view differs.
+const RECENT: std::time::Duration = std::time::Duration::from_secs(4);
+
+#[derive(Debug)]
+struct Rumour {
+    news: News,
+    left: u8,
+}
+
+/// The queue of news.
+#[derive(Debug, Default)]
+pub(super) struct Gossip {
+    queue: Vec<Rumour>,
+    recent: VecDeque<(Now, VmId)>,
+    tokens: u64,
+    refilled: Now,
+    pub(super) next_round: Now,
+    pub(super) patch_tells: u8,
+}
+
+impl Gossip {
+    pub(super) fn new(now: Now) -> Self {
+        Self { tokens: BURST_BYTES, refilled: now, ..Self::default() }
+    }
+
+    /// Whether there is anything to tell.
+    pub(super) fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.patch_tells == 0
+    }
+
+    /// Queues news in place of older news about the same member.
+    pub(super) fn add(&mut self, now: Now, news: News) {
+        let id = news.about().0.clone();
+        self.queue.retain(|rumour| *rumour.news.about().0 != id);
+        self.recent.retain(|(at, other)| *other != id && *at + RECENT > now);
+        self.recent.push_back((now, id));
+        self.queue.push(Rumour { news, left: TELLS });
+    }
+
+    /// Queues the latest patch.
+    pub(super) fn add_patch(&mut self) {
+        self.patch_tells = TELLS;
+    }
+
+    /// Drops queued suspicions.
+    pub(super) fn drop_suspicions(&mut self) {
+        self.queue.retain(|rumour| !matches!(rumour.news, News::Suspect(..)));
+    }
+
+    /// The news for one message, suspicions first, within the byte limits.
+    pub(super) fn take(&mut self, now: Now) -> Vec<News> {
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        let elapsed =
+            u64::try_from(now.saturating_sub(self.refilled).as_millis()).unwrap_or(u64::MAX);
+        if elapsed > 0 {
+            let refill = elapsed.saturating_mul(RATE) / 1000;
+            self.tokens = self.tokens.saturating_add(refill).min(BURST_BYTES);
+            self.refilled = now;
+        }
+        let urgency = |news: &News| match news {
+            News::Suspect(..) => 0,
+            News::Leaving(_) => 1,
+            News::Alive(_) => 2,
+        };
+        self.queue.sort_by_key(|rumour| (urgency(&rumour.news), u8::MAX - rumour.left));
+        let mut bytes = 0;
+        let mut taken = Vec::new();
+        for rumour in &mut self.queue {
+            let size = size(&rumour.news);
+            if bytes + size > MESSAGE_BYTES.min(self.tokens) {
+                break;
+            }
+            bytes += size;
+            rumour.left -= 1;
+            taken.push(rumour.news.clone());
+        }
+        self.tokens -= bytes;
+        self.queue.retain(|rumour| rumour.left > 0);
+        taken
+    }
+
+    /// Adds recent changes for a neighbour whose view differs.
+    pub(super) fn repeat(&self, now: Now, view: &View, news: &mut Vec<News>) {
+        let mut bytes: u64 = news.iter().map(size).sum();
+        for (at, id) in self.recent.iter().rev() {
+            let Some(peer) = view.get(id).filter(|_| *at + RECENT > now) else { continue };
+            let item = peer.news();
+            bytes += size(&item);
+            if bytes > MESSAGE_BYTES {
+                break;
+            }
+            if !news.contains(&item) {
+                news.push(item);
+            }
+        }
+    }
+
+    /// Time of the next round, if there is anything to tell.
+    pub(super) fn schedule(&mut self, now: Now, timings: &Timings) {
+        self.next_round = now + timings.gossip;
+    }
+}
+
+/// Encoded size, estimated: names, address and numbers.
+fn size(news: &News) -> u64 {
+    let bytes = match news {
+        News::Alive(card) | News::Leaving(card) => card.id.len() + card.domain.len() + 30,
+        News::Suspect(id, _) => id.len() + 15,
+    };
+    bytes as u64
+}
--- /dev/null
+++ b/crates/lw-member/src/member/mod.rs
@@ -0,0 +1,353 @@
+//! One member: messages, ticks, the platform's list and store results in, actions out.
+
+use std::time::Duration;
+
+use lw_types::prelude::*;
+
+use crate::{
+    action::Action,
+    config::Config,
+    message::{Body, Card, Message, News},
+    options::Options,
+    view::{Peer, State, View},
+};
+
+mod contact;
+mod detect;
+mod gossip;
+
+/// Result of a tick.
+#[derive(Debug)]
+pub struct Tick {
+    /// What to do now.
+    pub actions: Vec<Action>,
+    /// Time of the next tick. Ticks may come earlier; late ones delay the detection of failures.
+    pub next: Now,
+}
+
+/// Membership and configuration of one VM.
+#[derive(Debug)]
+pub struct Member {
+    pub(crate) options: Options,
+    pub(crate) rng: fastrand::Rng,
+    incarnation: Incarnation,
+    leaving: bool,
+    pub(crate) view: View,
+    gossip: gossip::Gossip,
+    detect: detect::Detect,
+    contact: contact::Contact,
+    pub(crate) config: Config,
+}
+
+impl Member {
+    /// A member that starts at `now`. It sends nothing before the first tick.
+    ///
+    /// ```
+    /// use lw_member::{Member, Options};
+    /// let now = std::time::Duration::ZERO;
+    /// let options = Options::new("vm-1", "10.0.0.1:7400".parse().unwrap(), "kochi-1", 1);
+    /// let mut member = Member::new(now, options);
+    /// let tick = member.tick(now);
+    /// assert!(tick.next > now);
+    /// ```
+    #[must_use]
+    pub fn new(now: Now, options: Options) -> Self {
+        let mut rng = fastrand::Rng::with_seed(options.seed);
+        let phase = options.timings.heartbeat.mul_f64(rng.f64());
+        let config = Config::new(now, options.bootstrap.clone());
+        let mut member = Self {
+            incarnation: options.incarnation,
+            leaving: false,
+            view: View::default(),
+            gossip: gossip::Gossip::new(now),
+            detect: detect::Detect::new(now, now + phase),
+            contact: contact::Contact::default(),
+            config,
+            rng,
+            options,
+        };
+        let own = member.own_news();
+        member.view.apply(now, &own);
+        member.gossip.add(now, own);
+        member
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Now) -> Tick {
+        let mut out = Vec::new();
+        self.detect(now, &mut out);
+        self.contact(now, &mut out);
+        self.tick_config(now, &mut out);
+        if now >= self.gossip.next_round && !self.gossip.is_idle() {
+            self.tell(now, gossip::FANOUT, &mut out);
+        }
+        Tick { actions: out, next: now + self.options.timings.gossip }
+    }
+
+    /// Handles a request of a peer and returns the reply.
+    pub fn receive(&mut self, now: Now, message: &Message) -> (Message, Vec<Action>) {
+        let mut out = Vec::new();
+        if message.from == self.options.id {
+            return (self.message(now, Body::Gossip), out);
+        }
+        self.absorb(now, message, &mut out);
+        let mut news = Vec::new();
+        let known = self.view.get(&message.from).map(|p| p.incarnation);
+        let body = match &message.body {
+            Body::Fetch(have) => self.config.answer(*have),
+            Body::Sync(buckets) => self.members_for(buckets, &mut news),
+            Body::ProbeFor(id, address) => {
+                self.probe_for(message.from.clone(), id.clone());
+                let probe = self.message(now, Body::Probe);
+                out.push(Action::Send { to: *address, message: probe });
+                Body::Gossip
+            }
+            Body::Introduce => {
+                news.push(self.own_news());
+                Body::Gossip
+            }
+            _ if known.is_none_or(|known| known < message.incarnation) => Body::Introduce,
+            _ => Body::Gossip,
+        };
+        let differs = message.digest != self.view.digest();
+        if differs && matches!(message.body, Body::Heartbeat) {
+            self.gossip.repeat(now, &self.view, &mut news);
+        }
+        news.extend(self.notice_for(now, message));
+        let mut reply = self.message(now, body);
+        news.retain(|item| !reply.news.contains(item));
+        reply.news.append(&mut news);
+        (reply, out)
+    }
+
+    /// Handles the reply to a request that this member sent. Late and duplicate replies are harmless.
+    pub fn reply(&mut self, now: Now, message: &Message) -> Vec<Action> {
+        let mut out = Vec::new();
+        if message.from == self.options.id {
+            return out;
+        }
+        self.absorb(now, message, &mut out);
+        self.vouch(now, message, &mut out);
+        self.repeat_to(now, message, &mut out);
+        let known = self.view.get(&message.from).map(|p| (p.incarnation, p.address));
+        if let Some((incarnation, to)) = known {
+            if matches!(message.body, Body::Introduce) {
+                let mut answer = self.message(now, Body::Gossip);
+                answer.news.push(self.own_news());
+                out.push(Action::Send { to, message: answer });
+            } else if incarnation < message.incarnation {
+                let question = self.message(now, Body::Introduce);
+                out.push(Action::Send { to, message: question });
+            }
+        }
+        out
+    }
+
+    /// Marks this VM as leaving and tells the others. There is no way back within this incarnation.
+    ///
+    /// ```
+    /// use lw_member::{Member, Options, State};
+    /// let now = std::time::Duration::ZERO;
+    /// let options = Options::new("vm-1", "10.0.0.1:7400".parse().unwrap(), "kochi-1", 1);
+    /// let mut member = Member::new(now, options);
+    /// member.leave(now);
+    /// assert_eq!(member.this().state, State::Leaving);
+    /// assert!(member.owners(b"key", 1).is_empty());
+    /// ```
+    pub fn leave(&mut self, now: Now) -> Vec<Action> {
+        let mut out = Vec::new();
+        if !self.leaving {
+            self.leaving = true;
+            self.announce(now, &mut out);
+        }
+        out
+    }
+
+    /// All known peers, this VM included, in the order of their names.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.view.iter()
+    }
+
+    /// The peer of this name.
+    #[must_use]
+    pub fn peer(&self, id: &str) -> Option<&Peer> {
+        self.view.get(id)
+    }
+
+    /// This VM as the others see it.
+    ///
+    /// # Panics
+    ///
+    /// Never: a member is always in its own view.
+    #[must_use]
+    pub fn this(&self) -> &Peer {
+        self.view.get(&self.options.id).unwrap_or_else(|| unreachable!("not in its own view"))
+    }
+
+    /// The `count` alive members that own `key`, best first, by rendezvous hashing. All members with the
+    /// same view agree, and a change of one member moves only its own keys.
+    ///
+    /// ```
+    /// use lw_member::{Member, Options};
+    /// let now = std::time::Duration::ZERO;
+    /// let options = Options::new("vm-1", "10.0.0.1:7400".parse().unwrap(), "kochi-1", 1);
+    /// let member = Member::new(now, options);
+    /// assert_eq!(member.owners(b"workspace/station", 1)[0].id, "vm-1");
+    /// ```
+    #[must_use]
+    pub fn owners(&self, key: &[u8], count: usize) -> Vec<&Peer> {
+        self.view.owners(key, count)
+    }
+
+    fn own_card(&self) -> Card {
+        Card {
+            id: self.options.id.clone(),
+            incarnation: self.incarnation,
+            address: self.options.address,
+            domain: self.options.domain.clone(),
+        }
+    }
+
+    fn own_news(&self) -> News {
+        let card = self.own_card();
+        if self.leaving { News::Leaving(card) } else { News::Alive(card) }
+    }
+
+    fn announce(&mut self, now: Now, out: &mut Vec<Action>) {
+        let own = self.own_news();
+        self.view.apply(now, &own);
+        self.gossip.add(now, own);
+        self.tell(now, gossip::BURST, out);
+    }
+
+    /// Takes what every message carries.
+    fn absorb(&mut self, now: Now, message: &Message, out: &mut Vec<Action>) {
+        self.sign_of_life(now, message, out);
+        let mut urgent = false;
+        if let Body::Members(full) = &message.body {
+            self.take_members(now, message, full, out);
+        } else {
+            for news in &message.news {
+                if self.merge(now, news, out) {
+                    self.gossip.add(now, news.clone());
+                    urgent |= !matches!(news, News::Alive(_));
+                }
+            }
+        }
+        // The first message of a new incarnation may bring the card that makes it known.
+        self.view.heard(now, &message.from, message.incarnation);
+        self.view.names_version(&message.from, message.version);
+        if let Body::Vouch(id, incarnation) = &message.body {
+            self.view.heard(now, id, *incarnation);
+        }
+        if urgent {
+            self.tell(now, gossip::BURST, out);
+        }
+        self.compare(now, message);
+        self.absorb_config(now, message, out);
+    }
+
+    /// Applies one piece of news; returns whether it changed the view of another member.
+    fn merge(&mut self, now: Now, news: &News, out: &mut Vec<Action>) -> bool {
+        let (id, incarnation) = news.about();
+        if *id == self.options.id {
+            self.refute(now, news, incarnation, out);
+            return false;
+        }
+        let changed = self.view.apply(now, news);
+        if let Some(peer) = self.view.get(id).filter(|_| changed) {
+            out.push(Action::Changed { id: id.clone(), state: peer.state });
+        }
+        changed
+    }
+
+    /// Applies news that this member found out itself and tells it.
+    fn learn(&mut self, now: Now, news: News, out: &mut Vec<Action>) {
+        if self.merge(now, &news, out) {
+            self.gossip.add(now, news);
+            self.tell(now, gossip::BURST, out);
+        }
+    }
+
+    /// Answers wrong news about this VM with a higher incarnation.
+    fn refute(&mut self, now: Now, news: &News, incarnation: Incarnation, out: &mut Vec<Action>) {
+        let own = self.own_news();
+        let wrong = match news {
+            News::Suspect(..) => incarnation >= self.incarnation,
+            _ => {
+                incarnation > self.incarnation || (incarnation == self.incarnation && *news != own)
+            }
+        };
+        // Its own older announcement, made before it began to leave, is not wrong.
+        let outdated =
+            self.leaving && matches!(news, News::Alive(card) if *card == self.own_card());
+        if wrong && !outdated {
+            self.incarnation = incarnation + 1;
+            self.announce(now, out);
+        }
+    }
+
+    /// What the sender should know about itself: it is held as silent, or with a higher incarnation.
+    fn notice_for(&self, now: Now, message: &Message) -> Option<News> {
+        let peer = self.view.get(&message.from)?;
+        let silent = matches!(peer.state, State::Suspect | State::Removed)
+            && peer.incarnation >= message.incarnation;
+        // A message of the former incarnation may still arrive for a while after a change.
+        let outdated = peer.incarnation > message.incarnation
+            && now >= peer.changed + self.options.timings.suspect_after;
+        (silent || outdated).then(|| News::Suspect(peer.id.clone(), peer.incarnation))
+    }
+
+    /// Sends one round of gossip to random members.
+    pub(crate) fn tell(&mut self, now: Now, count: usize, out: &mut Vec<Action>) {
+        self.gossip.schedule(now, &self.options.timings);
+        let own = self.options.id.clone();
+        for id in self.random_members(count, &own) {
+            let body = self.push_body();
+            self.send_to(now, &id, body, out);
+        }
+    }
+
+    fn push_body(&mut self) -> Body {
+        if self.gossip.patch_tells == 0 {
+            return Body::Gossip;
+        }
+        self.gossip.patch_tells -= 1;
+        self.config.push_body()
+    }
+
+    /// Queues the latest patch for dissemination.
+    pub(crate) fn push_config(&mut self, now: Now, out: &mut Vec<Action>) {
+        self.gossip.add_patch();
+        self.tell(now, gossip::BURST, out);
+    }
+
+    /// Up to `count` random members other than this VM and `except`.
+    pub(crate) fn random_members(&mut self, count: usize, except: &str) -> Vec<VmId> {
+        let own = &self.options.id;
+        let others = self.view.iter().filter(|p| p.is_member() && p.id != *own && p.id != except);
+        let chosen = self.rng.choose_multiple(others, count);
+        chosen.into_iter().map(|p| p.id.clone()).collect()
+    }
+
+    pub(crate) fn send_to(&mut self, now: Now, id: &str, body: Body, out: &mut Vec<Action>) {
+        let Some(to) = self.view.get(id).map(|p| p.address) else { return };
+        let message = self.message(now, body);
+        out.push(Action::Send { to, message });
+    }
+
+    pub(crate) fn message(&mut self, now: Now, body: Body) -> Message {
+        Message {
+            from: self.options.id.clone(),
+            incarnation: self.incarnation,
+            version: self.config.version(),
+            digest: self.view.digest(),
+            news: self.gossip.take(now),
+            body,
+        }
+    }
+
+    pub(crate) fn jitter(&mut self, upto: Duration) -> Duration {
+        upto.mul_f64(self.rng.f64())
+    }
+}
--- /dev/null
+++ b/crates/lw-member/src/view/mod.rs
@@ -0,0 +1,271 @@
+//! The view that one member has of all members.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use lw_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::message::{Card, News};
+
+pub mod ring;
+
+/// Buckets in which two views are compared.
+pub const BUCKETS: usize = 32;
+
+/// State of a member. Of two states of one incarnation the later in this order is right.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum State {
+    /// Takes part and may be selected.
+    Alive,
+    /// Drains its work and is not selected.
+    Leaving,
+    /// Silent; not selected, and refutes this with a higher incarnation if it lives.
+    Suspect,
+    /// Silent for long; not selected.
+    Removed,
+}
+
+/// One member as this VM sees it.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Name of the VM.
+    pub id: VmId,
+    /// Address of its peer interface.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Its highest known incarnation.
+    pub incarnation: Incarnation,
+    /// Its state.
+    pub state: State,
+    /// Accepted configuration version that it named last; 0 if none.
+    pub version: ConfigVersion,
+    /// Time of the last change of incarnation or state.
+    pub changed: Now,
+    /// Time of the last sign of life of the current incarnation, if there was one.
+    pub heard: Option<Now>,
+    hash: u64,
+}
+
+impl Peer {
+    /// Whether it may be selected for new work.
+    #[must_use]
+    pub fn is_selectable(&self) -> bool {
+        self.state == State::Alive
+    }
+
+    /// Whether it takes part in the protocol: alive or leaving.
+    #[must_use]
+    pub fn is_member(&self) -> bool {
+        matches!(self.state, State::Alive | State::Leaving)
+    }
+
+    /// The news that describes it; a removed member is described as suspect.
+    #[must_use]
+    pub fn news(&self) -> News {
+        match self.state {
+            State::Alive => News::Alive(self.card()),
+            State::Leaving => News::Leaving(self.card()),
+            State::Suspect | State::Removed => News::Suspect(self.id.clone(), self.incarnation),
+        }
+    }
+
+    /// Its card.
+    #[must_use]
+    pub fn card(&self) -> Card {
+        Card {
+            id: self.id.clone(),
+            incarnation: self.incarnation,
+            address: self.address,
+            domain: self.domain.clone(),
+        }
+    }
+
+    fn bucket(&self) -> usize {
+        bucket_of(self.hash)
+    }
+
+    fn digest(&self) -> u32 {
+        if !self.is_member() {
+            return 0;
+        }
+        let mixed = mix(self.hash ^ mix(self.incarnation << 1 | u64::from(self.is_selectable())));
+        u32::try_from(mixed >> 32).unwrap_or_default()
+    }
+}
+
+/// All known members, with digests that are kept up to date at each change.
+#[derive(Debug, Default)]
+pub struct View {
+    peers: BTreeMap<VmId, Peer>,
+    buckets: [u32; BUCKETS],
+    generation: u64,
+}
+
+impl View {
+    /// The peer of this name.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Peer> {
+        self.peers.get(id)
+    }
+
+    /// All peers in the order of their names, removed ones included.
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Number of known peers, removed ones included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether no peer is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Number that grows with each change of a state or incarnation.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Digest of the names, incarnations and states of the alive and leaving members.
+    #[must_use]
+    pub fn digest(&self) -> u32 {
+        self.buckets.iter().fold(0, |all, bucket| all ^ bucket)
+    }
+
+    /// Digests of the buckets.
+    #[must_use]
+    pub fn buckets(&self) -> &[u32; BUCKETS] {
+        &self.buckets
+    }
+
+    /// Alive and leaving members of one bucket.
+    pub fn bucket(&self, index: usize) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |p| p.is_member() && p.bucket() == index)
+    }
+
+    /// Applies news; returns whether anything changed. Older news changes nothing.
+    pub fn apply(&mut self, now: Now, news: &News) -> bool {
+        let (state, card) = match news {
+            News::Alive(card) => (State::Alive, card),
+            News::Leaving(card) => (State::Leaving, card),
+            News::Suspect(id, incarnation) => {
+                return self.set(now, id, *incarnation, State::Suspect);
+            }
+        };
+        let known = self.peers.get(&card.id);
+        if known.is_some_and(|p| (p.incarnation, p.state) >= (card.incarnation, state)) {
+            return false;
+        }
+        let kept = known.filter(|p| p.incarnation == card.incarnation).and_then(|p| p.heard);
+        let peer = Peer {
+            id: card.id.clone(),
+            address: card.address,
+            domain: card.domain.clone(),
+            incarnation: card.incarnation,
+            state,
+            version: known.map_or(0, |p| p.version),
+            changed: now,
+            heard: kept,
+            hash: xxh3_64(card.id.as_bytes()),
+        };
+        self.toggle(&card.id);
+        self.peers.insert(card.id.clone(), peer);
+        self.toggle(&card.id);
+        self.generation += 1;
+        true
+    }
+
+    /// Moves a known member to a later state of this incarnation; returns whether anything changed.
+    pub fn set(&mut self, now: Now, id: &str, incarnation: Incarnation, state: State) -> bool {
+        let newer = |p: &&Peer| (p.incarnation, p.state) < (incarnation, state);
+        if !self.peers.get(id).as_ref().is_some_and(newer) {
+            return false;
+        }
+        self.toggle(id);
+        if let Some(peer) = self.peers.get_mut(id) {
+            (peer.incarnation, peer.state, peer.changed) = (incarnation, state, now);
+        }
+        self.toggle(id);
+        self.generation += 1;
+        true
+    }
+
+    /// Takes back the suspicion of a member that this VM raised while it was cut off itself.
+    pub fn withdraw(&mut self, now: Now, id: &str) {
+        self.toggle(id);
+        if let Some(peer) = self.peers.get_mut(id).filter(|p| p.state == State::Suspect) {
+            (peer.state, peer.changed, peer.heard) = (State::Alive, now, None);
+        }
+        self.toggle(id);
+        self.generation += 1;
+    }
+
+    /// Records a sign of life; returns whether the incarnation is the known one.
+    pub fn heard(&mut self, now: Now, id: &str, incarnation: Incarnation) -> bool {
+        let Some(peer) = self.peers.get_mut(id).filter(|p| p.incarnation == incarnation) else {
+            return false;
+        };
+        peer.heard = Some(now);
+        true
+    }
+
+    /// Records the configuration version that a member named.
+    pub fn names_version(&mut self, id: &str, version: ConfigVersion) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.version = peer.version.max(version);
+        }
+    }
+
+    /// Drops a peer.
+    pub fn forget(&mut self, id: &str) {
+        self.toggle(id);
+        self.peers.remove(id);
+        self.generation += 1;
+    }
+
+    fn toggle(&mut self, id: &str) {
+        if let Some(peer) = self.peers.get(id) {
+            self.buckets[peer.bucket()] ^= peer.digest();
+        }
+    }
+
+    /// The `count` highest-ranked selectable members for `key` by rendezvous hashing.
+    pub fn owners(&self, key: &[u8], count: usize) -> Vec<&Peer> {
+        self.ranked(key, count, Peer::is_selectable)
+    }
+
+    /// The `count` highest-ranked members for `key` among those that `allowed` accepts.
+    pub fn ranked(&self, key: &[u8], count: usize, allowed: impl Fn(&Peer) -> bool) -> Vec<&Peer> {
+        let key = xxh3_64_with_seed(key, RANK_SEED);
+        let mut ranks: Vec<_> =
+            self.peers.values().filter(|p| allowed(p)).map(|p| (mix(p.hash ^ key), p)).collect();
+        let descending = |a: &(u64, &Peer), b: &(u64, &Peer)| b.0.cmp(&a.0);
+        if count < ranks.len() && count > 0 {
+            ranks.select_nth_unstable_by(count - 1, descending);
+        }
+        ranks.truncate(count);
+        ranks.sort_unstable_by(descending);
+        ranks.into_iter().map(|(_, p)| p).collect()
+    }
+}
+
+/// Separates ranks from positions on the ring, which use the unseeded hash.
+const RANK_SEED: u64 = 0x7261_6e6b;
+
+fn bucket_of(hash: u64) -> usize {
+    usize::try_from(hash % BUCKETS as u64).unwrap_or_default()
+}
+
+/// Finalizer of `SplitMix64`.
+fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
