feat(lw-daemon): run membership and configuration over peer messages

Cause: each VM followed the store on its own, which costs one watch per VM and gives a restarted VM nothing while the store is down. Ruled out: keeping the own store loop beside the membership; two paths could install out of order. Conclusion: the daemon only performs the actions of lw-member and reports their results.

--- a/crates/lw-daemon/src/lib.rs
+++ b/crates/lw-daemon/src/lib.rs
@@ -2,10 +2,11 @@
 
 pub mod args;
 pub mod callers;
-pub mod config_sync;
 pub mod generate;
+pub mod members;
 pub mod observe;
 pub mod operators;
+pub mod peers;
 pub mod run;
 pub mod services;
 pub mod tables;
--- a/crates/lw-daemon/src/operators/mod.rs
+++ b/crates/lw-daemon/src/operators/mod.rs
@@ -3,10 +3,14 @@
 use std::sync::Arc;
 
 use http::{Method, StatusCode};
-use lw_config::document::{PatchError, UpstreamKind};
+use lw_config::document::UpstreamKind;
+use lw_member::PatchOutcome;
 use lw_protocol::{
     caller::Failure,
-    operator::{ConfigAnswer, Histogram, PatchRefusal, Status, UpstreamStatus},
+    operator::{
+        AcceptedPatch, ConfigAnswer, Histogram, History, PatchRefusal, PeerStatus, Status,
+        UpstreamStatus,
+    },
 };
 use lw_transport::{auth, server};
 use lw_types::prelude::*;
@@ -14,7 +18,7 @@
 use volo_http::{request::Request, response::Response};
 
 use crate::{
-    config_sync::{self, ApplyError},
+    members, run,
     tables::{Active, Tables},
 };
 
@@ -44,14 +48,11 @@
                 .map_err(|e| Failure::new(ResultCode::MalformedBody, e.to_string()))?;
             apply(tables, base, &change).await
         }
-        (&Method::GET, "/op/history") => {
-            let history = config_sync::history(tables).await?;
-            Ok(server::json(StatusCode::OK, &history))
-        }
+        (&Method::GET, "/op/history") => Ok(server::json(StatusCode::OK, &history(tables))),
         (&Method::GET, "/op/status") => Ok(server::json(StatusCode::OK, &status(tables))),
         (&Method::GET, "/op/histograms") => Ok(server::json(StatusCode::OK, &histograms(tables))),
         (&Method::POST, "/op/drain") => {
-            tables.leave();
+            run::leave(tables);
             Ok(server::json(StatusCode::OK, &status(tables)))
         }
         (&Method::GET, _) if path.starts_with(EXPLAIN_PREFIX) => {
@@ -99,24 +100,55 @@
     base: ConfigVersion,
     patch: &Value,
 ) -> Result<Response, Failure> {
-    let refuse = |code: ResultCode, version, faults| {
-        let status = StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::BAD_REQUEST);
-        let body =
-            PatchRefusal { number: code.number(), code: code.name().into(), version, faults };
-        Ok(server::json(status, &body))
-    };
-    match config_sync::apply(tables, base, patch).await {
-        Ok(_) => Ok(server::json(StatusCode::OK, &config(tables)?)),
-        Err(ApplyError::Patch(e @ PatchError::Stale { current, .. })) => {
-            refuse(ResultCode::StaleVersion, current, vec![e.to_string()])
+    let outcome = members::apply(tables, base, patch).await;
+    let code = outcome.code();
+    let (version, faults) = match outcome {
+        PatchOutcome::Accepted(_) => {
+            return Ok(server::json(StatusCode::OK, &config(tables)?));
         }
-        Err(ApplyError::Patch(PatchError::Invalid(e))) => {
-            let faults = e.faults.iter().map(ToString::to_string).collect();
-            refuse(ResultCode::InvalidConfig, base, faults)
+        PatchOutcome::Stale { current } => {
+            (current, vec![format!("the patch is against version {base}, not {current}")])
         }
-        Err(ApplyError::Unavailable(text)) => Err(Failure::new(ResultCode::StoreUnavailable, text)),
-        Err(ApplyError::Unknown(text)) => Err(Failure::new(ResultCode::StoreUnknown, text)),
-    }
+        PatchOutcome::Invalid(faults) => (base, faults.lines().map(str::to_owned).collect()),
+        PatchOutcome::Unavailable => {
+            return Err(Failure::new(code, "the store is not available; nothing changed"));
+        }
+        PatchOutcome::Unknown => {
+            return Err(Failure::new(code, "the store did not confirm the change"));
+        }
+    };
+    let status = StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::BAD_REQUEST);
+    let name = code.name().to_owned();
+    let refusal = PatchRefusal { number: code.number(), code: name, version, faults };
+    Ok(server::json(status, &refusal))
+}
+
+fn history(tables: &Tables) -> History {
+    let members = tables.members();
+    let mut patches: Vec<_> = members
+        .member
+        .history()
+        .map(|patch| AcceptedPatch {
+            version: patch.version,
+            patch: serde_json::from_str(&patch.patch).unwrap_or_default(),
+        })
+        .collect();
+    patches.reverse();
+    History { patches }
+}
+
+fn peers(tables: &Tables) -> Vec<PeerStatus> {
+    let members = tables.members();
+    members
+        .member
+        .peers()
+        .map(|peer| PeerStatus {
+            vm: peer.id.clone(),
+            failure_domain: peer.domain.clone(),
+            state: format!("{:?}", peer.state).to_lowercase(),
+            version: peer.version,
+        })
+        .collect()
 }
 
 fn status(tables: &Tables) -> Status {
@@ -133,7 +165,7 @@
         version: active.as_deref().map_or(0, accepted_version),
         provisional: active.as_ref().is_some_and(|active| active.provisional),
         in_flight: tables.in_flight(),
-        peers: Vec::new(),
+        peers: peers(tables),
         upstreams: active.as_deref().map(upstreams).unwrap_or_default(),
         histograms: histograms(tables),
     }
--- /dev/null
+++ b/crates/lw-daemon/src/peers/mod.rs
@@ -0,0 +1,41 @@
+//! The interface between the VMs of the router.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use lw_protocol::caller::Failure;
+use lw_transport::{auth, server};
+use lw_types::prelude::*;
+use serde::de::DeserializeOwned;
+use volo_http::{request::Request, response::Response};
+
+use crate::{members, tables::Tables};
+
+/// Largest message of a peer: a whole configuration document and its envelope, in bytes.
+const MESSAGE_MAX_BYTES: usize = 2 << 20;
+
+/// Answers one message of a peer.
+pub async fn serve(tables: Arc<Tables>, req: Request) -> Response {
+    let key = auth::bearer(req.headers()).unwrap_or_default();
+    if !auth::is_equal(key, tables.settings.peer_key.expose()) {
+        let text = "the peer key is missing or wrong";
+        return server::failure(&Failure::new(ResultCode::OperatorDenied, text));
+    }
+    route(&tables, req).await.unwrap_or_else(|failure| server::failure(&failure))
+}
+
+async fn route(tables: &Arc<Tables>, req: Request) -> Result<Response, Failure> {
+    let (parts, body) = req.into_parts();
+    let bytes = server::read_body(body, MESSAGE_MAX_BYTES, tables.settings.timeouts.body).await?;
+    match parts.uri.path() {
+        members::PEER_PATH => {
+            let reply = members::receive(tables, &decode(&bytes)?);
+            Ok(server::packed(&reply))
+        }
+        path => Err(Failure::new(ResultCode::UnknownPath, format!("no such path: {path}"))),
+    }
+}
+
+fn decode<T: DeserializeOwned>(bytes: &Bytes) -> Result<T, Failure> {
+    rmp_serde::from_slice(bytes).map_err(|e| Failure::new(ResultCode::MalformedBody, e.to_string()))
+}
--- a/crates/lw-daemon/src/run/mod.rs
+++ b/crates/lw-daemon/src/run/mod.rs
@@ -11,10 +11,8 @@
 use volo::net::incoming::DefaultIncoming;
 use volo_http::{context::ServerContext, request::Request, response::Response, server::Server};
 
-use crate::{callers, config_sync, observe, operators, tables::Tables};
+use crate::{callers, members, observe, operators, peers, tables::Tables};
 
-/// Time that store and peers get before the bootstrap document is used.
-const BOOTSTRAP_AFTER: Duration = Duration::from_secs(1);
 /// Time after the mark as leaving in which the balancer still sends new requests.
 const BALANCER_LAG: Duration = Duration::from_millis(500);
 
@@ -58,18 +56,18 @@
     }));
     let statsd = Statsd::open(settings.statsd)?;
     let listen = settings.listen.clone();
-    let tables = Arc::new(Tables::new(settings, clients, statsd));
+    let tables = Arc::new(Tables::new(settings, bootstrap, clients, statsd));
 
     let callers = listener(listen.callers).await?;
     let operators = listener(listen.operators).await?;
-    tokio::spawn(config_sync::follow(Arc::clone(&tables)));
+    let peer_listener = listener(listen.peers).await?;
+    tokio::spawn(members::run(Arc::clone(&tables)));
+    tokio::spawn(members::follow_list(Arc::clone(&tables)));
     tokio::spawn(observe::follow(Arc::clone(&tables)));
-    if let Some(document) = bootstrap {
-        tokio::spawn(use_bootstrap(Arc::clone(&tables), document));
-    }
     log::info!("run: {} serves callers on {}", tables.settings.vm, listen.callers);
     let servers = [
         serve(&tables, callers, |tables, req| callers::serve(tables, req).boxed()),
+        serve(&tables, peer_listener, |tables, req| peers::serve(tables, req).boxed()),
         serve(&tables, operators, |tables, req| operators::serve(tables, req).boxed()),
     ];
     drained(&tables).await;
@@ -86,13 +84,6 @@
     Document::from_json(&text).map_err(|e| Error::Bootstrap(e.to_string()))
 }
 
-async fn use_bootstrap(tables: Arc<Tables>, document: Document) {
-    tokio::time::sleep(BOOTSTRAP_AFTER).await;
-    if tables.install(document, true) {
-        log::warn!("config: neither store nor peers answered, using the bootstrap document");
-    }
-}
-
 async fn listener(addr: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(addr).await.map_err(|source| Error::Listen { addr, source })
 }
@@ -110,7 +101,7 @@
     let mut server = Server::new(service).register_shutdown_hook(move || {
         // The library closes connections 28 s after its hooks, so the drain has to happen in here.
         async move {
-            hook_tables.leave();
+            leave(&hook_tables);
             drained(&hook_tables).await;
         }
         .boxed()
@@ -142,6 +133,14 @@
     }
 }
 
+/// Marks this VM as leaving, here and at the peers.
+pub fn leave(tables: &Arc<Tables>) {
+    if !tables.is_leaving() {
+        tables.leave();
+        members::leave(tables);
+    }
+}
+
 /// Returns when this VM is leaving and no request is in flight any more.
 async fn drained(tables: &Tables) {
     let mut left_at = None;
--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -117,8 +117,9 @@
         .document
         .upstreams
         .iter()
-        .filter(|(_, upstream)| {
+        .filter(|(id, upstream)| {
             !upstream.leaving
+                && !tables.is_listed_leaving(id)
                 && matches!(&upstream.kind, UpstreamKind::Service { service } if service == name)
         })
         .collect();
--- a/crates/lw-daemon/src/tables/mod.rs
+++ b/crates/lw-daemon/src/tables/mod.rs
@@ -4,7 +4,7 @@
 //! holds one across an await.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fmt::Write as _,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
@@ -15,11 +15,14 @@
 
 use lw_config::{document::Document, settings::Settings};
 use lw_metrics::{histograms::Histograms, statsd::Statsd};
+use lw_protocol::platform::VmList;
 use lw_route::Router;
 use lw_transport::{client::Clients, store::Store, timer::Timer};
 use lw_types::prelude::*;
 use tokio::sync::Notify;
 
+use crate::members::Members;
+
 pub mod journal;
 
 use journal::Journal;
@@ -78,7 +81,9 @@
     /// Wakes the tasks that wait for the drain.
     pub drain_changed: Notify,
     config: RwLock<Option<Arc<Active>>>,
+    members: Mutex<Members>,
     router: Mutex<Router>,
+    listed_leaving: RwLock<HashSet<UpstreamId>>,
     journal: Mutex<Journal>,
     leaving: AtomicBool,
     in_flight: AtomicU64,
@@ -88,7 +93,15 @@
 impl Tables {
     /// Empty tables for one VM.
     #[must_use]
-    pub fn new(settings: Settings, clients: Arc<Clients>, statsd: Statsd) -> Self {
+    pub fn new(
+        settings: Settings,
+        bootstrap: Option<Document>,
+        clients: Arc<Clients>,
+        statsd: Statsd,
+    ) -> Self {
+        let timer = Timer::default();
+        let incarnation = start_incarnation();
+        let members = Members::new(&settings, incarnation, bootstrap, timer.now());
         let options = lw_route::Options {
             vm: settings.vm.clone(),
             failure_domain: settings.failure_domain.clone(),
@@ -96,8 +109,8 @@
         };
         let store = Store::new(Arc::clone(&clients), settings.platform, settings.timeouts.platform);
         Self {
-            incarnation: start_incarnation(),
-            timer: Timer::default(),
+            incarnation,
+            timer,
             clients,
             store,
             histograms: Histograms::default(),
@@ -105,7 +118,9 @@
             config_changed: Notify::new(),
             drain_changed: Notify::new(),
             config: RwLock::default(),
+            members: Mutex::new(members),
             router: Mutex::new(Router::new(options)),
+            listed_leaving: RwLock::default(),
             journal: Mutex::new(Journal::new(settings.limits.decision_log)),
             leaving: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
@@ -134,13 +149,44 @@
             return false;
         }
         log::info!("config: version {} in force, provisional: {provisional}", document.version);
-        self.router().set_engines(self.timer.now(), &engines(&document));
+        self.set_engines(&document);
         *config = Some(Arc::new(Active::new(document, provisional)));
         drop(config);
         self.config_changed.notify_waiters();
         true
     }
 
+    fn set_engines(&self, document: &Document) {
+        let leaving = self.listed_leaving.read().unwrap_or_else(PoisonError::into_inner).clone();
+        self.router().set_engines(self.timer.now(), &engines(document, &leaving));
+    }
+
+    /// Takes the upstreams that the platform's list names as leaving.
+    pub fn set_leaving_upstreams(&self, list: &VmList) {
+        let leaving: HashSet<_> =
+            list.vms.iter().filter(|vm| vm.leaving).map(|vm| vm.id.clone()).collect();
+        let mut known = self.listed_leaving.write().unwrap_or_else(PoisonError::into_inner);
+        if *known == leaving {
+            return;
+        }
+        *known = leaving;
+        drop(known);
+        if let Some(active) = self.active() {
+            self.set_engines(&active.document);
+        }
+    }
+
+    /// Whether the platform's list names this upstream as leaving.
+    #[must_use]
+    pub fn is_listed_leaving(&self, id: &str) -> bool {
+        self.listed_leaving.read().unwrap_or_else(PoisonError::into_inner).contains(id)
+    }
+
+    /// The membership of this VM.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        crate::members::lock(&self.members)
+    }
+
     /// The router.
     pub fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
@@ -212,7 +258,7 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn engines(document: &Document) -> Vec<lw_route::Engine> {
+fn engines(document: &Document, leaving: &HashSet<UpstreamId>) -> Vec<lw_route::Engine> {
     use lw_config::document::UpstreamKind;
     document
         .upstreams
@@ -222,7 +268,7 @@
                 id: id.clone(),
                 failure_domain: upstream.failure_domain.clone(),
                 role: role.clone(),
-                leaving: upstream.leaving,
+                leaving: upstream.leaving || leaving.contains(id),
                 incarnation: None,
             }),
             UpstreamKind::Service { .. } => None,
--- a/crates/lw-transport/src/client/mod.rs
+++ b/crates/lw-transport/src/client/mod.rs
@@ -185,7 +185,7 @@
     ///
     /// # Errors
     ///
-    /// Any [`Error`].
+    /// Any [`enum@Error`].
     pub async fn json<R: DeserializeOwned>(
         &self,
         mut call: Call<'_>,
@@ -204,7 +204,7 @@
     ///
     /// # Errors
     ///
-    /// Any [`Error`].
+    /// Any [`enum@Error`].
     pub async fn packed<R: DeserializeOwned>(
         &self,
         mut call: Call<'_>,
--- a/crates/lw-transport/src/store/mod.rs
+++ b/crates/lw-transport/src/store/mod.rs
@@ -21,6 +21,9 @@
     /// The key or lease does not exist.
     #[display("no such key or lease")]
     Absent,
+    /// Nothing changed while a watch waited.
+    #[display("no change")]
+    Unchanged,
     /// The store did not take the call; nothing was written.
     #[display("store unavailable: {_0}")]
     Unavailable(client::Error),
@@ -70,7 +73,7 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Unknown`] with a time-out when nothing changed.
+    /// [`Error::Unchanged`] when nothing changed, and failures of the store.
     pub async fn watch(
         &self,
         key: &str,
@@ -79,7 +82,18 @@
     ) -> Result<KeyValue, Error> {
         let path = format!("/watch/{key}?after={after}");
         let call = Call::new(Method::GET, self.addr, &path, wait);
-        self.clients.json(call, None::<&()>).await.map_err(map)
+        let response = self.clients.send(call).await.map_err(map)?;
+        match response.status() {
+            StatusCode::NO_CONTENT => return Err(Error::Unchanged),
+            StatusCode::OK => {}
+            status => {
+                let body = String::new();
+                return Err(map(client::Error::Status { status, body }));
+            }
+        }
+        let bytes = client::read_body(response.into_body(), client::ANSWER_MAX_BYTES);
+        let bytes = bytes.await.map_err(map)?;
+        serde_json::from_slice(&bytes).map_err(|e| map(client::Error::Unreadable(e.to_string())))
     }
 
     /// Takes a lease.
