test(lw-daemon): prove configuration, drain and streams under faults with processes

Cause: the promises on configuration, shutdown and streams had no test at the level of processes. Ruled out: fixed waits; each test waits on a condition and bounds only a failed run.

--- a/crates/lw-daemon/tests/common/mod.rs
+++ b/crates/lw-daemon/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the fleet")]
 
 use std::{
+    fmt::Write as _,
     fs,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
@@ -242,6 +243,17 @@
         })
     }
 
+    /// Gives all VMs a bootstrap document from their next start on.
+    pub fn use_bootstrap(&self, document: &Value) {
+        let path = self.dir.join("bootstrap.json");
+        fs::write(&path, document.to_string()).expect("bootstrap document");
+        for vm in &self.vms {
+            let mut text = fs::read_to_string(&vm.settings).expect("settings");
+            let _ = writeln!(text, "\nbootstrap: {}", path.display());
+            fs::write(&vm.settings, text).expect("settings");
+        }
+    }
+
     pub async fn wait(&self, what: &str, condition: impl AsyncFn() -> bool) {
         let started = Instant::now();
         while !condition().await {
--- /dev/null
+++ b/crates/lw-daemon/tests/shutdown.rs
@@ -0,0 +1,73 @@
+//! Guards against requests that a graceful shutdown cuts.
+
+use std::time::{Duration, Instant};
+
+use http::Method;
+use lw_standin::engine::{self, answer_text};
+use serde_json::Value;
+
+mod common;
+
+use common::{Ask, Fleet, Options};
+
+/// Beyond the 28 s after which the HTTP library closes connections on its own.
+const LONG_STREAM: Duration = Duration::from_secs(33);
+const TOKENS: u64 = 66;
+
+fn slow_engine() -> engine::Options {
+    let token_time = LONG_STREAM / u32::try_from(TOKENS).expect("small");
+    engine::Options { token_time, ..engine::Options::default() }
+}
+
+#[tokio::test]
+async fn stream_longer_than_the_librarys_limit_survives_a_signal() {
+    let options = Options { engine: slow_engine(), ..Options::default() };
+    let mut fleet = Fleet::start("drain", options).await;
+    let prompt = "a long reading";
+    let signalled = async {
+        fleet.wait("the stream runs", async || in_flight(&fleet).await == 1).await;
+        fleet.vms[0].signal("-TERM");
+        // Until the balancer follows the readiness, new requests still arrive and must be served.
+        fleet.ask(Ask::new(0, "a late request", 1)).await
+    };
+    let started = Instant::now();
+    let (answer, late) = tokio::join!(fleet.ask(Ask::new(0, prompt, TOKENS)), signalled);
+    assert!(started.elapsed() + Duration::from_secs(1) >= LONG_STREAM);
+    assert!(answer.is_done, "cut after {:?}: {:?}", started.elapsed(), answer.error);
+    assert_eq!(answer.text, answer_text(prompt, TOKENS));
+    assert!(late.is_done, "{late:?}");
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !fleet.vms[0].has_exited() {
+        assert!(Instant::now() < deadline, "the daemon did not exit after its last request");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn drain_by_an_operator_shows_in_readiness_and_at_the_peers() {
+    let mut fleet = Fleet::start("drain-op", Options { vms: 2, ..Options::default() }).await;
+    let long = fleet.ask(Ask::new(0, "a reading", 400));
+    let drained = async {
+        fleet.wait("the stream runs", async || in_flight(&fleet).await == 1).await;
+        let (status, _) = fleet.operator(0, Method::POST, "/op/drain", &Value::Null).await;
+        assert_eq!(status, 200);
+        fleet
+            .wait("the peer knows", async || {
+                let status = fleet.status(1).await.unwrap_or_default();
+                let peers = status["peers"].as_array().cloned().unwrap_or_default();
+                peers.iter().any(|p| p["vm"] == "vm-0" && p["state"] == "leaving")
+            })
+            .await;
+    };
+    let (answer, ()) = tokio::join!(long, drained);
+    assert!(answer.is_done, "{:?}", answer.error);
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !fleet.vms[0].has_exited() {
+        assert!(Instant::now() < deadline, "the daemon did not exit after its last request");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn in_flight(fleet: &Fleet) -> u64 {
+    fleet.status(0).await.and_then(|s| s["in_flight"].as_u64()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/lw-daemon/tests/streams.rs
@@ -0,0 +1,97 @@
+//! Guards against streams that reach the caller cut, crossed, doubled or reordered.
+
+use lw_standin::{
+    engine::{self, Faults, StreamFaults, answer_text},
+    serve::HttpFaults,
+};
+
+mod common;
+
+use common::{Ask, Fleet, Options};
+
+const TOKENS: u64 = 40;
+
+/// One row a case: the faults that every engine shows in its next streams.
+fn cases() -> Vec<(&'static str, StreamFaults)> {
+    let none = StreamFaults::default();
+    vec![
+        ("duplicated", StreamFaults { duplicate_every: 3, ..none.clone() }),
+        ("reordered", StreamFaults { reorder_every: 4, ..none.clone() }),
+        ("crossed", StreamFaults { cross_every: 5, ..none.clone() }),
+        (
+            "duplicated, reordered and crossed",
+            StreamFaults { duplicate_every: 3, reorder_every: 4, cross_every: 5, ..none.clone() },
+        ),
+        ("cut", StreamFaults { drop_after: Some(9), times: Some(1), ..none.clone() }),
+        (
+            "cut before the first token",
+            StreamFaults { drop_after: Some(0), times: Some(1), ..none.clone() },
+        ),
+        ("lost token", StreamFaults { lose_every: 11, times: Some(1), ..none.clone() }),
+        ("silent", StreamFaults { silent_after: Some(6), times: Some(1), ..none.clone() }),
+        (
+            "reordered, then cut",
+            StreamFaults { reorder_every: 2, drop_after: Some(9), times: Some(1), ..none },
+        ),
+    ]
+}
+
+#[tokio::test]
+async fn callers_bytes_equal_those_of_an_undisturbed_run() {
+    let settings = "timeouts:\n  stream_silence: 300ms\n".to_owned();
+    let fleet =
+        Fleet::start("streams", Options { engines: 5, settings, ..Options::default() }).await;
+    for (name, stream) in cases() {
+        // Two of five engines show the fault, so that a fault met twice still leaves engines to go on.
+        let faults = Faults { stream, ..Faults::default() };
+        for engine in &fleet.engines[..2] {
+            fleet.set_faults(engine.address(), &faults).await;
+        }
+        for round in 0..4 {
+            let prompt = format!("{name} {round}");
+            let answer = fleet.ask(Ask::new(0, &prompt, TOKENS)).await;
+            assert_eq!(answer.text, answer_text(&prompt, TOKENS), "{prompt}: {:?}", answer.error);
+            assert!(answer.is_done, "{prompt}");
+        }
+        for engine in &fleet.engines {
+            fleet.set_faults(engine.address(), &Faults::default()).await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn stream_that_no_engine_completes_ends_with_an_error() {
+    let fleet = Fleet::start("broken", Options { engines: 2, ..Options::default() }).await;
+    let stream = StreamFaults { drop_after: Some(5), ..StreamFaults::default() };
+    for engine in &fleet.engines {
+        fleet
+            .set_faults(engine.address(), &Faults { stream: stream.clone(), ..Faults::default() })
+            .await;
+    }
+    let answer = fleet.ask(Ask::new(0, "a prompt", TOKENS)).await;
+    assert!(!answer.is_done, "an incomplete answer looks complete");
+    assert!(!answer.error.is_null(), "no explicit error: {answer:?}");
+    assert!(answer_text("a prompt", TOKENS).starts_with(&answer.text));
+}
+
+#[tokio::test]
+async fn connections_that_go_silent_cost_at_most_the_first_token_budget() {
+    let engine = engine::Options::default();
+    let fleet = Fleet::start("silent", Options { engines: 3, engine, ..Options::default() }).await;
+    for round in 0..3 {
+        let prompt = format!("prompt {round}");
+        // The first request leaves idle pooled connections behind, which then go silent.
+        assert!(fleet.ask(Ask::new(0, &prompt, 2)).await.is_done);
+        let http = HttpFaults { silence_open: true, ..HttpFaults::default() };
+        for engine in &fleet.engines {
+            fleet
+                .set_faults(engine.address(), &Faults { http: http.clone(), ..Faults::default() })
+                .await;
+        }
+        let started = std::time::Instant::now();
+        let headers = [("x-lavenderwood-deadline-ms", "1700")];
+        let answer = fleet.ask(Ask { headers: &headers, ..Ask::new(0, &prompt, 2) }).await;
+        assert!(answer.is_done, "round {round}: {answer:?}\n{}", fleet.vms[0].log());
+        assert!(started.elapsed().as_millis() < 2000, "round {round}: {:?}", started.elapsed());
+    }
+}
