--- /dev/null
+++ b/crates/lw-claim/src/bucket.rs
@@ -0,0 +1,41 @@
+//! Which bucket a key is in, and which VM owns a bucket.
+
+use lw_types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::record::ClaimKey;
+
+/// The bucket of a key.
+///
+/// ```
+/// use lw_claim::{bucket::bucket_of, record::ClaimKey};
+/// assert!(bucket_of(&ClaimKey::new("station", "desk", "k1"), 16) < 16);
+/// ```
+#[must_use]
+pub fn bucket_of(key: &ClaimKey, buckets: u32) -> u32 {
+    let hash = xxh3_64_with_seed(&key.0, 0) % u64::from(buckets.max(1));
+    u32::try_from(hash).unwrap_or(0)
+}
+
+/// The owner of a bucket by rendezvous hashing over the members. VMs with different views may disagree;
+/// this costs refused swaps and never safety.
+///
+/// ```
+/// let vms = ["a".to_owned(), "b".to_owned()];
+/// assert!(lw_claim::bucket::owner_of(3, &vms).is_some());
+/// assert!(lw_claim::bucket::owner_of(3, &[] as &[String]).is_none());
+/// ```
+#[must_use]
+pub fn owner_of<'a>(bucket: u32, vms: impl IntoIterator<Item = &'a VmId>) -> Option<&'a VmId> {
+    vms.into_iter().max_by_key(|vm| (xxh3_64_with_seed(vm.as_bytes(), u64::from(bucket)), *vm))
+}
+
+/// The store's key of a bucket.
+///
+/// ```
+/// assert_eq!(lw_claim::bucket::store_key(3), "claims/3");
+/// ```
+#[must_use]
+pub fn store_key(bucket: u32) -> String {
+    format!("claims/{bucket}")
+}
--- /dev/null
+++ b/crates/lw-claim/src/options.rs
@@ -0,0 +1,56 @@
+//! Time and size bounds of claims.
+
+use std::time::Duration;
+
+/// Time and size bounds of claims. All VMs must use the same `buckets`.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Number of buckets. A VM with another number would look for a key in another bucket, so a change
+    /// needs a pause of one `retention` without claims.
+    pub buckets: u32,
+    /// Shortest time between two writes of one bucket.
+    pub batch_interval: Duration,
+    /// Longest time an outcome waits for a claim to share its write.
+    pub outcome_delay: Duration,
+    /// Time after which the executing VM gives up on its claim and answers "not run".
+    pub claim_timeout: Duration,
+    /// Time after which a claim request or outcome without a reply is sent again.
+    pub resend_after: Duration,
+    /// Time in which a granted call must be started.
+    pub start_window: Duration,
+    /// Time after which a store call without a result counts as lost.
+    pub store_timeout: Duration,
+    /// Time between two probes of a store that failed.
+    pub probe_interval: Duration,
+    /// Age up to which an answer that needs no write is given from the cached value.
+    pub cache_age: Duration,
+    /// Time a record is kept; a key may be used again after it. It must be far above `claim_timeout`
+    /// plus `start_window` plus the clock difference between VMs.
+    pub retention: Duration,
+    /// Time the copy of an answer is kept.
+    pub answer_retention: Duration,
+    /// Largest copy of an answer in bytes; a longer answer is not copied.
+    pub answer_max: usize,
+    /// Largest encoded bucket value in bytes. The store takes 1 MB, and base64 in JSON adds a third.
+    pub value_max: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            buckets: 16,
+            batch_interval: Duration::from_millis(100),
+            outcome_delay: Duration::from_secs(1),
+            claim_timeout: Duration::from_secs(1),
+            resend_after: Duration::from_millis(300),
+            start_window: Duration::from_secs(1),
+            store_timeout: Duration::from_millis(150),
+            probe_interval: Duration::from_millis(200),
+            cache_age: Duration::from_secs(1),
+            retention: Duration::from_secs(600),
+            answer_retention: Duration::from_secs(30),
+            answer_max: 512,
+            value_max: 700_000,
+        }
+    }
+}
