feat(lw-daemon): claim calls that may not be repeated before they leave

Cause: such calls were refused, since nothing kept a retry at another VM from running them twice. Ruled out: answering only after the outcome is durable; a VM that dies after the answer leaves an unknown outcome, which is reported as such, so the wait would buy nothing. Conclusion: claims travel as one-way peer messages, the executing call lives in a task of its own, and a drain waits for outcomes to be recorded.

--- a/crates/lw-config/src/settings/mod.rs
+++ b/crates/lw-config/src/settings/mod.rs
@@ -32,6 +32,8 @@
     pub limits: Limits,
     /// Time bounds of connections.
     pub timeouts: Timeouts,
+    /// Claims of calls that may not be repeated.
+    pub claims: ClaimSettings,
 }
 
 /// Listening addresses.
@@ -73,6 +75,13 @@
     pub pool_idle: Duration,
 }
 
+/// Claims of calls that may not be repeated.
+#[derive(Debug, Clone)]
+pub struct ClaimSettings {
+    /// Time for which an idempotency key is remembered.
+    pub retention: Duration,
+}
+
 /// A text that is never shown in logs.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Secret(String);
@@ -133,6 +142,7 @@
         let statsd = fields.get("statsd").is_some().then(|| address(fields, "statsd")).flatten();
         let limits = nested(fields, "limits", Limits::read);
         let timeouts = nested(fields, "timeouts", Timeouts::read);
+        let claims = nested(fields, "claims", ClaimSettings::read);
         Some(Self {
             vm,
             failure_domain,
@@ -145,6 +155,7 @@
             statsd,
             limits,
             timeouts,
+            claims,
         })
     }
 }
@@ -218,6 +229,14 @@
     }
 }
 
+impl ClaimSettings {
+    fn read(fields: &mut Fields<'_>) -> Self {
+        const MINUTES: fn(u64) -> Duration = |minutes| Duration::from_secs(60 * minutes);
+        let retention = fields.time("retention", MINUTES(1440), MINUTES(10)..=MINUTES(10_080));
+        Self { retention }
+    }
+}
+
 impl Timeouts {
     fn read(fields: &mut Fields<'_>) -> Self {
         const MS: fn(u64) -> Duration = Duration::from_millis;
--- a/crates/lw-daemon/src/lib.rs
+++ b/crates/lw-daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod args;
 pub mod callers;
+pub mod claims;
 pub mod generate;
 pub mod members;
 pub mod observe;
--- a/crates/lw-daemon/src/members/mod.rs
+++ b/crates/lw-daemon/src/members/mod.rs
@@ -26,6 +26,10 @@
 /// The platform ends a watch without a change before this time.
 const WATCH_WAIT: Duration = Duration::from_secs(50);
 
+/// Low bits of a member's incarnation, which it raises to refute a suspicion. The bits above are the
+/// incarnation of the process.
+const REFUTATION_BITS: u32 = 10;
+
 /// The member of this VM and the operators that wait for an answer.
 #[derive(Debug)]
 pub struct Members {
@@ -48,7 +52,7 @@
             &settings.vm,
             settings.listen.peers,
             &settings.failure_domain,
-            incarnation,
+            incarnation << REFUTATION_BITS,
         );
         options.seeds.clone_from(&settings.peers);
         options.bootstrap = bootstrap;
@@ -93,6 +97,13 @@
         .collect()
 }
 
+/// The VMs that run, leaving ones included, with the incarnations of their processes.
+pub fn incarnations(tables: &Tables) -> Vec<(VmId, Incarnation)> {
+    let members = tables.members();
+    let running = members.member.peers().filter(|peer| peer.is_member());
+    running.map(|peer| (peer.id.clone(), peer.incarnation >> REFUTATION_BITS)).collect()
+}
+
 /// Tells the peers that this VM is leaving.
 pub fn leave(tables: &Arc<Tables>) {
     let actions = tables.members().member.leave(tables.timer.now());
--- a/crates/lw-daemon/src/peers/mod.rs
+++ b/crates/lw-daemon/src/peers/mod.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use volo_http::{request::Request, response::Response};
 
-use crate::{members, tables::Tables};
+use crate::{claims, members, tables::Tables};
 
 /// Largest message of a peer: a whole configuration document and its envelope, in bytes.
 const MESSAGE_MAX_BYTES: usize = 2 << 20;
@@ -32,6 +32,10 @@
             let reply = members::receive(tables, &decode(&bytes)?);
             Ok(server::packed(&reply))
         }
+        claims::PEER_PATH => {
+            claims::receive(tables, decode(&bytes)?);
+            Ok(server::packed(&()))
+        }
         path => Err(Failure::new(ResultCode::UnknownPath, format!("no such path: {path}"))),
     }
 }
--- a/crates/lw-daemon/src/run/mod.rs
+++ b/crates/lw-daemon/src/run/mod.rs
@@ -11,11 +11,15 @@
 use volo::net::incoming::DefaultIncoming;
 use volo_http::{context::ServerContext, request::Request, response::Response, server::Server};
 
-use crate::{callers, members, observe, operators, peers, tables::Tables};
+use crate::{callers, claims, members, observe, operators, peers, tables::Tables};
 
 /// Time after the mark as leaving in which the balancer still sends new requests.
 const BALANCER_LAG: Duration = Duration::from_millis(500);
 
+/// Longest wait for the outcomes of claimed calls at the end of a drain.
+const RECORD_WAIT: Duration = Duration::from_secs(5);
+const RECORD_POLL: Duration = Duration::from_millis(25);
+
 /// Why the daemon stopped.
 #[derive(Debug, Display, Error, From)]
 pub enum Error {
@@ -62,6 +66,7 @@
     let operators = listener(listen.operators).await?;
     let peer_listener = listener(listen.peers).await?;
     tokio::spawn(members::run(Arc::clone(&tables)));
+    tokio::spawn(claims::run(Arc::clone(&tables)));
     tokio::spawn(members::follow_list(Arc::clone(&tables)));
     tokio::spawn(observe::follow(Arc::clone(&tables)));
     log::info!("run: {} serves callers on {}", tables.settings.vm, listen.callers);
@@ -141,6 +146,15 @@
     }
 }
 
+/// Waits until the outcomes of all claimed calls are recorded. An outage of the store bounds the wait: an outcome
+/// that is not recorded is later reported as unknown, never as "not run".
+async fn record_claims(tables: &Tables) {
+    let until = tables.timer.now() + RECORD_WAIT;
+    while tables.claims().open() > 0 && tables.timer.now() < until {
+        tokio::time::sleep(RECORD_POLL).await;
+    }
+}
+
 /// Returns when this VM is leaving and no request is in flight any more.
 async fn drained(tables: &Tables) {
     let mut left_at = None;
@@ -150,6 +164,7 @@
         if tables.is_leaving() {
             let since = *left_at.get_or_insert(now);
             if tables.in_flight() == 0 && now >= since + BALANCER_LAG {
+                record_claims(tables).await;
                 return;
             }
         }
--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -15,6 +15,8 @@
 
 use crate::{callers::Caller, tables::Tables};
 
+mod once;
+
 /// Time for a service to answer with its headers.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -69,7 +71,7 @@
     if may_repeat {
         repeatable(tables, caller, &name, &call).await
     } else {
-        Err(Failure::new(ResultCode::ClaimUnavailable, "claims are not available"))
+        once::serve(tables, caller, &name, call).await
     }
 }
 
--- /dev/null
+++ b/crates/lw-daemon/src/services/once.rs
@@ -0,0 +1,148 @@
+//! Calls that may not be repeated: claimed before they leave and sent at most once.
+
+use std::sync::Arc;
+
+use http::{HeaderName, HeaderValue, StatusCode};
+use lw_claim::{
+    executor::Verdict,
+    record::{BodyDigest, ClaimKey, Outcome},
+};
+use lw_protocol::caller::{Failure, IDEMPOTENCY_HEADER};
+use lw_transport::{
+    client::{self, Error, Reuse},
+    server,
+};
+use lw_types::prelude::*;
+use volo_http::{body::Body, response::Response};
+
+use super::{Prepared, failure, instances, send};
+use crate::{
+    callers::Caller,
+    claims::{self, Claim},
+    tables::Tables,
+};
+
+/// Longest idempotency key in bytes.
+const KEY_MAX_BYTES: usize = 255;
+/// Largest answer of a call that may not be repeated, in bytes.
+const ANSWER_MAX_BYTES: usize = 4 << 20;
+/// Marks an answer that was recorded by an earlier attempt.
+const REPLAYED_HEADER: &str = "idempotency-replayed";
+
+/// Runs a call at most once for its idempotency key.
+pub(super) async fn serve(
+    tables: &Arc<Tables>,
+    caller: &Caller,
+    name: &str,
+    call: Prepared,
+) -> Result<Response, Failure> {
+    let key = call.headers.get(IDEMPOTENCY_HEADER).filter(|key| !key.is_empty());
+    let key = key.ok_or_else(|| {
+        let text = format!("a call that may not be repeated needs the header {IDEMPOTENCY_HEADER}");
+        Failure::new(ResultCode::KeyMissing, text)
+    })?;
+    if key.len() > KEY_MAX_BYTES {
+        let text = format!("{IDEMPOTENCY_HEADER} is longer than {KEY_MAX_BYTES} bytes");
+        return Err(Failure::new(ResultCode::InvalidField, text));
+    }
+    if caller.active.provisional {
+        let text = "only the bootstrap configuration is in force";
+        return Err(Failure::new(ResultCode::ClaimUnavailable, text));
+    }
+    let text = String::from_utf8_lossy(key.as_bytes());
+    let key = ClaimKey::new(&caller.workspace, name, &text);
+    let digest = BodyDigest::new(call.method.as_str(), &call.path, &call.body);
+    let tables = Arc::clone(tables);
+    let (caller, name) = (caller.clone(), name.to_owned());
+    // A caller that leaves must not keep the outcome from being recorded, so the call runs in its own task.
+    let task = tokio::spawn(async move {
+        let guard = tables.enter();
+        let answer = run(&tables, &caller, &name, call, key, digest).await;
+        drop(guard);
+        answer
+    });
+    task.await.unwrap_or_else(|e| Err(Failure::new(ResultCode::OutcomeUnknown, e.to_string())))
+}
+
+async fn run(
+    tables: &Arc<Tables>,
+    caller: &Caller,
+    name: &str,
+    call: Prepared,
+    key: ClaimKey,
+    digest: BodyDigest,
+) -> Result<Response, Failure> {
+    let (claim, verdict) = claims::ask(tables, key, digest).await;
+    let what = match &verdict {
+        Verdict::Run => "claim granted".to_owned(),
+        Verdict::Replay { status, .. } => format!("answer of an earlier call, status {status}"),
+        other => format!("claim not granted: {other:?}"),
+    };
+    tables.note("claim", &caller.request, &what);
+    match verdict {
+        Verdict::Run => send_once(tables, caller, name, &call, claim).await,
+        Verdict::Replay { status, body } => Ok(replay(status, body)),
+        other => Err(refusal(&other)),
+    }
+}
+
+fn refusal(verdict: &Verdict) -> Failure {
+    let text = match verdict {
+        Verdict::InProgress => "a call with this idempotency key is still running",
+        Verdict::Unknown => "a call with this idempotency key was sent and its outcome is unknown",
+        Verdict::KeyReused => "the idempotency key was used with another request",
+        _ => "the call was not run, since it could not be claimed",
+    };
+    Failure::new(verdict.code().unwrap_or(ResultCode::Internal), text)
+}
+
+fn replay(status: u16, body: Option<Vec<u8>>) -> Response {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    let mut response =
+        server::respond(status, "application/json", Body::from(body.unwrap_or_default()));
+    let name = HeaderName::from_static(REPLAYED_HEADER);
+    response.headers_mut().insert(name, HeaderValue::from_static("true"));
+    response
+}
+
+async fn send_once(
+    tables: &Tables,
+    caller: &Caller,
+    name: &str,
+    call: &Prepared,
+    claim: Claim,
+) -> Result<Response, Failure> {
+    if !claim.start() {
+        return Err(refusal(&Verdict::NotRun));
+    }
+    let mut last = Failure::new(ResultCode::NoUpstream, "no instance of the service is available");
+    for (id, addr) in instances(tables, caller, name) {
+        tables.note("claim", &caller.request, &format!("call sent to {id}"));
+        match send(tables, addr, call, Reuse::Fresh).await {
+            Ok(response) => return record(response, claim).await,
+            // Only a failed connect proves that the call did not leave, so only then another instance is tried.
+            Err(e @ Error::NotSent(_)) => last = failure(&e),
+            Err(e) => {
+                log::warn!("claim: {} call at {id} has no known outcome: {e}", caller.request);
+                claim.finish(Outcome::Unknown);
+                return Err(failure(&e));
+            }
+        }
+    }
+    claim.finish(Outcome::NotRun);
+    Err(last)
+}
+
+async fn record(response: Response, claim: Claim) -> Result<Response, Failure> {
+    let (parts, body) = response.into_parts();
+    match client::read_body(body, ANSWER_MAX_BYTES).await {
+        Ok(bytes) => {
+            claim.finish(claims::answered(parts.status.as_u16(), &bytes));
+            Ok(Response::from_parts(parts, Body::from(bytes)))
+        }
+        Err(e) => {
+            claim.finish(Outcome::Unknown);
+            Err(failure(&e))
+        }
+    }
+}
--- a/crates/lw-daemon/src/tables/mod.rs
+++ b/crates/lw-daemon/src/tables/mod.rs
@@ -21,7 +21,7 @@
 use lw_types::prelude::*;
 use tokio::sync::Notify;
 
-use crate::members::Members;
+use crate::{claims::Claims, members::Members};
 
 pub mod journal;
 
@@ -84,6 +84,7 @@
     members: Mutex<Members>,
     router: Mutex<Router>,
     listed_leaving: RwLock<HashSet<UpstreamId>>,
+    claims: Mutex<Claims>,
     journal: Mutex<Journal>,
     leaving: AtomicBool,
     in_flight: AtomicU64,
@@ -121,6 +122,11 @@
             members: Mutex::new(members),
             router: Mutex::new(Router::new(options)),
             listed_leaving: RwLock::default(),
+            claims: Mutex::new(Claims::new(
+                settings.vm.clone(),
+                incarnation,
+                settings.claims.retention,
+            )),
             journal: Mutex::new(Journal::new(settings.limits.decision_log)),
             leaving: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
@@ -192,6 +198,11 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The claims.
+    pub fn claims(&self) -> MutexGuard<'_, Claims> {
+        self.claims.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The decision log.
     pub fn journal(&self) -> MutexGuard<'_, Journal> {
         self.journal.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/lw-transport/src/store/mod.rs
+++ b/crates/lw-transport/src/store/mod.rs
@@ -137,9 +137,10 @@
         }
         client::Error::Status { status: StatusCode::NOT_FOUND, .. } => Error::Absent,
         client::Error::NotSent(_)
-        | client::Error::Status { status: StatusCode::SERVICE_UNAVAILABLE, .. } => {
-            Error::Unavailable(e)
-        }
+        | client::Error::Status {
+            status: StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS,
+            ..
+        } => Error::Unavailable(e),
         _ => Error::Unknown(e),
     }
 }
