feat(lw-limit): add admission, workspace grants and the retry budget

Cause: nothing kept a workspace within its limit, shared capacity under pressure, or bounded retries. Ruled out: a retry balance with a fixed reserve, which allows bursts above 1.1 after a calm time; a window of 10 s bounds each window and the whole run. Granting a share without counting what other VMs may still use; lost replies then add up to more than the limit. Conclusion: the interfaces are ready for the daemon.

--- /dev/null
+++ b/crates/lw-limit/src/grant/coordinator.rs
@@ -0,0 +1,183 @@
+//! The coordinator's side: division of a limit among VMs.
+
+use std::collections::BTreeMap;
+
+use lw_types::prelude::*;
+
+use super::{Grant, Limits, Members, Options, Rates, Report};
+
+/// What the coordinator knows about one VM and workspace.
+#[derive(Debug, Default)]
+struct Account {
+    heard_at: Now,
+    number: u64,
+    arrived: Rates,
+    in_use: Rates,
+    /// Grants that the VM may use or adopt: number, rate and expiry.
+    outstanding: Vec<(u64, Rates, Now)>,
+}
+
+impl Account {
+    /// Highest rate that the VM may be using.
+    fn committed(&self, now: Now) -> Rates {
+        let valid = self.outstanding.iter().filter(|grant| grant.2 > now);
+        valid.fold(self.in_use, |sum, grant| sum.combine(grant.1, f64::max))
+    }
+}
+
+/// Grants of one VM for the workspaces that it coordinates.
+///
+/// ```
+/// use std::time::Duration;
+/// use lw_limit::grant::{Demand, Limits, Members, Options, Rates, Report, coordinator::Coordinator};
+/// let limit = Rates { requests: 10.0, tokens: 0.0 };
+/// let mut coordinator = Coordinator::new("a".into(), Options::default());
+/// coordinator.set_members(Members { alive: vec!["a".into()], unreachable: vec![] });
+/// coordinator.set_limits(Limits::from([("station".into(), limit)]));
+/// let arrived = Rates { requests: 50.0, tokens: 0.0 };
+/// let entry = Demand { workspace: "station".into(), arrived, in_use: limit, grant: 0 };
+/// let report = Report { vm: "a".into(), number: 1, entries: vec![entry] };
+/// let grant = coordinator.report(Duration::ZERO, &report);
+/// assert_eq!(grant.rates[0].1.requests, 10.0);
+/// ```
+#[derive(Debug)]
+pub struct Coordinator {
+    me: VmId,
+    options: Options,
+    members: Members,
+    limits: Limits,
+    accounts: BTreeMap<WorkspaceId, BTreeMap<VmId, Account>>,
+}
+
+/// Rates that are fixed while one VM's share is computed.
+struct Others {
+    committed: Rates,
+    arrived: Rates,
+    silent: usize,
+}
+
+impl Coordinator {
+    /// A coordinator without members and limits.
+    #[must_use]
+    pub fn new(me: VmId, options: Options) -> Self {
+        let members = Members { alive: vec![me.clone()], unreachable: Vec::new() };
+        Self { me, options, members, limits: Limits::new(), accounts: BTreeMap::new() }
+    }
+
+    /// Sets the VMs that share the limits.
+    pub fn set_members(&mut self, members: Members) {
+        self.members = members;
+    }
+
+    /// Sets the limits of all workspaces.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.accounts.retain(|workspace, _| limits.contains_key(workspace));
+        self.limits = limits;
+    }
+
+    /// Takes the report of a VM and grants it rates, whether or not this VM coordinates the workspaces in its own
+    /// view. Two coordinators with different views reserve each other's VMs as silent.
+    pub fn report(&mut self, now: Now, report: &Report) -> Grant {
+        let mut rates = Vec::with_capacity(report.entries.len());
+        for entry in &report.entries {
+            let Some(&limit) = self.limits.get(&entry.workspace) else { continue };
+            let accounts = self.accounts.entry(entry.workspace.clone()).or_default();
+            let account = accounts.entry(report.vm.clone()).or_default();
+            if report.number <= account.number {
+                continue;
+            }
+            account.heard_at = now;
+            account.number = report.number;
+            account.arrived = entry.arrived;
+            account.in_use = entry.in_use;
+            account.outstanding.retain(|grant| grant.0 >= entry.grant && grant.2 > now);
+            let rate = self.share(now, &entry.workspace, &report.vm, limit);
+            let expiry = now + self.options.validity;
+            if let Some(account) = self.account(&entry.workspace, &report.vm) {
+                account.outstanding.push((report.number, rate, expiry));
+            }
+            rates.push((entry.workspace.clone(), rate));
+        }
+        Grant { from: self.me.clone(), number: report.number, rates }
+    }
+
+    fn account(&mut self, workspace: &str, vm: &str) -> Option<&mut Account> {
+        self.accounts.get_mut(workspace)?.get_mut(vm)
+    }
+
+    /// Sums what all VMs but `vm` may be using.
+    fn others(&mut self, now: Now, workspace: &str, vm: &str, limit: Rates) -> Others {
+        let fallback = self.members.fallback(limit);
+        let silent_after = self.options.silent_after;
+        let mut others =
+            Others { committed: Rates::default(), arrived: Rates::default(), silent: 0 };
+        let Some(accounts) = self.accounts.get_mut(workspace) else { return others };
+        let members = &self.members;
+        let is_member =
+            |name: &VmId| members.alive.contains(name) || members.unreachable.contains(name);
+        // A VM that left may still admit until its last grant lapses.
+        accounts.retain(|name, account| {
+            is_member(name) || account.heard_at + self.options.validity > now
+        });
+        for (name, account) in accounts.iter().filter(|(name, _)| *name != vm) {
+            let is_silent = account.heard_at + silent_after <= now;
+            let mut committed = account.committed(now);
+            if is_silent && is_member(name) {
+                others.silent += 1;
+                committed = committed.combine(fallback, f64::max);
+            } else {
+                others.arrived = others.arrived.combine(account.arrived, |a, b| a + b);
+            }
+            others.committed = others.committed.combine(committed, |a, b| a + b);
+        }
+        let unheard = members.alive.iter().chain(&members.unreachable);
+        for _ in unheard.filter(|name| *name != vm && !accounts.contains_key(*name)) {
+            others.silent += 1;
+            others.committed = others.committed.combine(fallback, |a, b| a + b);
+        }
+        others
+    }
+
+    /// Share of one VM: in proportion to its demand, bounded by what the others may be using.
+    #[expect(clippy::cast_precision_loss, reason = "a fleet has far fewer than 2^52 VMs")]
+    fn share(&mut self, now: Now, workspace: &str, vm: &str, limit: Rates) -> Rates {
+        let others = self.others(now, workspace, vm, limit);
+        let members = self.members.count() as f64;
+        let silent = others.silent as f64;
+        let arrived =
+            self.account(workspace, vm).map(|account| account.arrived).unwrap_or_default();
+        let (floor, overcommit) = (self.options.floor, self.options.overcommit);
+        let one = |limit: f64, mine: f64, others_arrived: f64, committed: f64| {
+            if limit <= 0.0 {
+                return 0.0;
+            }
+            // Half of the silent share at most, so that the error is the same whether they serve or not.
+            let extra = limit * overcommit.min(silent / members / 2.0);
+            let available = limit * (1.0 - silent / members) + extra;
+            let heard = (members - silent).max(1.0);
+            let demand = mine + others_arrived;
+            let target = if demand < available {
+                // A tenth of the slack stays free for a VM that joins or whose demand grows.
+                mine + (available - demand) * 0.9 / heard
+            } else {
+                available * (floor / heard + (1.0 - floor) * mine / demand)
+            };
+            let free = limit + extra - committed;
+            target.min(free).max(limit * floor / members)
+        };
+        Rates {
+            requests: one(
+                limit.requests,
+                arrived.requests,
+                others.arrived.requests,
+                others.committed.requests,
+            ),
+            tokens: one(
+                limit.tokens,
+                arrived.tokens,
+                others.arrived.tokens,
+                others.committed.tokens,
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lw-limit/src/grant/mod.rs
@@ -0,0 +1,164 @@
+//! Workspace limits over all VMs by rate grants of one coordinator VM for each workspace.
+//!
+//! Each VM reports its demand to the coordinator of the workspace and gets the rate it may admit. The coordinator
+//! counts for each VM the highest rate that it may be using: its unexpired grants, or the fallback share when it
+//! is silent. It grants only what remains, so that lost messages do not add up to more than the limit.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use lw_config::document::Document;
+use lw_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+pub mod coordinator;
+pub mod limiter;
+
+/// Timing and tolerances of the grants.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Time between two reports of one VM.
+    pub report_interval: Duration,
+    /// Validity of a grant, from the sending of the report that it answers.
+    pub validity: Duration,
+    /// Time without a report after which the coordinator reserves the fallback share of a VM. The other VMs then
+    /// have two reports to give it up before its grant lapses.
+    pub silent_after: Duration,
+    /// Time after its start in which a VM uses at least half of its fallback share, as the coordinator does not
+    /// know it yet.
+    pub start_time: Duration,
+    /// Burst, as time at the granted rate.
+    pub burst: Duration,
+    /// Part of the limit that is granted to all VMs equally, so that a VM with new demand can start.
+    pub floor: f64,
+    /// Part of the limit that is granted twice while members are silent. They may be dead, and then their share
+    /// is unused: with 7 VMs this keeps the error on both sides of the limit under 10 %.
+    pub overcommit: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            report_interval: Duration::from_millis(500),
+            validity: Duration::from_secs(2),
+            silent_after: Duration::from_millis(1_100),
+            start_time: Duration::from_secs(2),
+            burst: Duration::from_millis(250),
+            floor: 0.05,
+            overcommit: 0.05,
+        }
+    }
+}
+
+/// Rates of one workspace.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Rates {
+    /// Requests a second.
+    pub requests: f64,
+    /// Prompt tokens a second.
+    pub tokens: f64,
+}
+
+impl Rates {
+    /// Applies `f` to the two kinds of rate.
+    pub(crate) fn combine(self, other: Self, f: impl Fn(f64, f64) -> f64) -> Self {
+        Self { requests: f(self.requests, other.requests), tokens: f(self.tokens, other.tokens) }
+    }
+
+    pub(crate) fn scaled(self, factor: f64) -> Self {
+        Self { requests: self.requests * factor, tokens: self.tokens * factor }
+    }
+}
+
+/// Limits by workspace; a rate of 0 means no limit.
+pub type Limits = BTreeMap<WorkspaceId, Rates>;
+
+/// The limits of a configuration. Workspaces without any limit are left out.
+///
+/// ```
+/// use lw_config::document::Document;
+/// let text = r#"{ "version": 1, "workspaces": { "station": { "requests_per_second": 20 } } }"#;
+/// let document = Document::from_json(text).unwrap();
+/// assert_eq!(lw_limit::grant::limits_of(&document)["station"].requests, 20.0);
+/// ```
+#[must_use]
+#[expect(clippy::cast_precision_loss, reason = "limits are far below 2^52")]
+pub fn limits_of(document: &Document) -> Limits {
+    let rates = document.workspaces.iter().map(|(name, workspace)| {
+        let requests = workspace.requests_per_second as f64;
+        (name.clone(), Rates { requests, tokens: workspace.tokens_per_second as f64 })
+    });
+    rates.filter(|(_, rates)| rates.requests > 0.0 || rates.tokens > 0.0).collect()
+}
+
+/// The VMs that share the limits, as one VM sees them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Members {
+    /// VMs that are reachable, including this one.
+    pub alive: Vec<VmId>,
+    /// VMs that do not answer but that the platform's list still names. They may be cut off and still serve, so
+    /// they keep their fallback share. VMs that announced their leave are not listed.
+    pub unreachable: Vec<VmId>,
+}
+
+impl Members {
+    /// VMs that the limit is divided by.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        (self.alive.len() + self.unreachable.len()).max(1)
+    }
+
+    /// The coordinator of a workspace: the reachable VM that ranks first by rendezvous hashing.
+    ///
+    /// ```
+    /// use lw_limit::grant::Members;
+    /// let members = Members { alive: vec!["a".into(), "b".into()], unreachable: vec![] };
+    /// assert!(members.coordinator("station").is_some());
+    /// ```
+    #[must_use]
+    pub fn coordinator(&self, workspace: &str) -> Option<&VmId> {
+        self.alive.iter().max_by_key(|vm| {
+            (xxh3_64(format!("{vm}\0{workspace}").as_bytes()), std::cmp::Reverse(vm.as_str()))
+        })
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "a fleet has far fewer than 2^52 VMs")]
+    pub(crate) fn fallback(&self, limit: Rates) -> Rates {
+        limit.scaled(1.0 / self.count() as f64)
+    }
+}
+
+/// Demand of one VM for the workspaces of one coordinator.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The reporting VM.
+    pub vm: VmId,
+    /// Number of the report; it only grows.
+    pub number: u64,
+    /// Demand by workspace, including zero demand.
+    pub entries: Vec<Demand>,
+}
+
+/// Demand of one VM for one workspace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// What arrived, admitted or not.
+    pub arrived: Rates,
+    /// The rate in use.
+    pub in_use: Rates,
+    /// Number of the report whose grant is in use, or 0 for the fallback.
+    pub grant: u64,
+}
+
+/// Answer to a [`Report`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The coordinator.
+    pub from: VmId,
+    /// Number of the report.
+    pub number: u64,
+    /// Granted rates by workspace.
+    pub rates: Vec<(WorkspaceId, Rates)>,
+}
--- /dev/null
+++ b/crates/lw-limit/src/lib.rs
@@ -0,0 +1,6 @@
+//! Admission under pressure, workspace limits over all VMs, and the retry budget.
+
+pub mod admission;
+pub mod bucket;
+pub mod grant;
+pub mod retry;
