test(lw-standin): add contract tests of the three stand-ins

Cause: router tests rely on the stand-ins' rules and fault switches.

Ruled out: evicting the plain least recently used block, which takes the start of a prefix before its end and makes the rest useless; the end of a prefix now counts as used first. A rate below five a second refused every call, because the first one already exceeded the burst.

Before: rules seen by hand only.

Conclusion: no change of the wire types was needed.

--- a/crates/lw-standin/src/engine/cache.rs
+++ b/crates/lw-standin/src/engine/cache.rs
@@ -50,15 +50,13 @@
     }
 
     /// How many of the blocks are cached from the first on; marks them as used.
+    ///
+    /// The end of a prefix counts as used before its start, so that a prefix is evicted from its end: a block is
+    /// of no use without those before it.
     pub fn hit(&mut self, owner: &Owner, blocks: &[BlockHash]) -> usize {
-        let mut hits = 0;
-        for &block in blocks {
-            let key = (block, owner.clone());
-            if !self.used.contains_key(&key) {
-                break;
-            }
-            self.touch(key);
-            hits += 1;
+        let hits = blocks.iter().take_while(|&&block| self.holds(owner, block)).count();
+        for &block in blocks[..hits].iter().rev() {
+            self.touch((block, owner.clone()));
         }
         hits
     }
--- a/crates/lw-standin/src/engine/generate.rs
+++ b/crates/lw-standin/src/engine/generate.rs
@@ -176,6 +176,7 @@
             self.state.lock().cache.store(Instant::now(), &owner, block, gap);
             self.cache_changed.notify_waiters();
         }
+        self.state.lock().cache.hit(&owner, &req.blocks);
         let rest = tokens.saturating_sub(req.blocks.len() as u64 * block_tokens);
         if rest > 0 {
             self.compute(req.priority, rest).await;
--- a/crates/lw-standin/src/lib.rs
+++ b/crates/lw-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! programs `standin-engine`, `standin-service` and `standin-platform` are thin wrappers.
 
 pub mod args;
+pub mod client;
 pub mod engine;
 pub mod platform;
 pub mod serve;
--- a/crates/lw-standin/src/platform/rate.rs
+++ b/crates/lw-standin/src/platform/rate.rs
@@ -23,11 +23,10 @@
         if self.per_second == 0 {
             return true;
         }
-        let used = self.used.max(now) + Duration::from_secs(1) / self.per_second;
-        if used > now + BURST {
+        if self.used > now + BURST {
             return false;
         }
-        self.used = used;
+        self.used = self.used.max(now) + Duration::from_secs(1) / self.per_second;
         true
     }
 }
--- /dev/null
+++ b/crates/lw-standin/tests/engine_faults.rs
@@ -0,0 +1,148 @@
+//! Fault switches of the engine.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use lw_protocol::upstream::{CacheEvents, GenerateEvent, LoadReport};
+use lw_standin::{
+    client::Error,
+    engine::{Faults, Options, StreamFaults, start},
+    serve::HttpFaults,
+};
+use support::{client, complete, faults, generate, get, hasty_client, open, request, until};
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+fn quick() -> Options {
+    Options { incarnation: Some(7), token_time: MS(1), ..Options::default() }
+}
+
+/// Short form of events: the index of a token, `x` for one of another request, `E` for the end.
+fn short(events: &[GenerateEvent]) -> String {
+    let one = |event: &GenerateEvent| match event {
+        GenerateEvent::Token { request, .. } if request != "r" => "x".to_owned(),
+        GenerateEvent::Token { index, .. } => index.to_string(),
+        GenerateEvent::End { request, .. } => if request == "r" { "E" } else { "x" }.to_owned(),
+        GenerateEvent::Error { message, .. } => message.clone(),
+    };
+    events.iter().map(one).collect()
+}
+
+/// Guards against fault switches that do not show the fault which a router test relies on.
+#[tokio::test]
+async fn stream_faults_show() {
+    let none = StreamFaults::default();
+    let cases = [
+        ("none", none.clone(), "0123E", "whole"),
+        ("drop", StreamFaults { drop_after: Some(2), ..none.clone() }, "01", "broken"),
+        ("drop at once", StreamFaults { drop_after: Some(0), ..none.clone() }, "", "broken"),
+        ("silence", StreamFaults { silent_after: Some(3), ..none.clone() }, "012", "silent"),
+        ("duplicates", StreamFaults { duplicate_every: 2, ..none.clone() }, "011233E", "whole"),
+        ("other order", StreamFaults { reorder_every: 2, ..none.clone() }, "021E3", "whole"),
+        ("crossed", StreamFaults { cross_every: 2, ..none.clone() }, "0x12x3E", "whole"),
+        ("lost", StreamFaults { lose_every: 2, ..none.clone() }, "02E", "whole"),
+        (
+            "duplicates, then drop",
+            StreamFaults { duplicate_every: 1, drop_after: Some(3), ..none },
+            "001",
+            "broken",
+        ),
+    ];
+    for (name, stream, expected, end) in cases {
+        let faults = Faults { stream, ..Faults::default() };
+        let engine = start(Options { faults, ..quick() }).expect("engine");
+        let (events, result) = generate(&hasty_client(), engine.address(), &request("r")).await;
+        let ended = match result {
+            Ok(()) => "whole",
+            Err(Error::Silence(_)) => "silent",
+            Err(_) => "broken",
+        };
+        assert_eq!((short(&events).as_str(), ended), (expected, end), "{name}");
+    }
+}
+
+/// Guards against a fault that stays on when it was meant for one stream.
+#[tokio::test]
+async fn counted_faults_end() {
+    let stream = StreamFaults { times: Some(1), drop_after: Some(1), ..StreamFaults::default() };
+    let faults = Faults { stream, ..Faults::default() };
+    let engine = start(Options { faults, ..quick() }).expect("engine");
+    for expected in ["0", "0123E"] {
+        let (events, _) = generate(&client(), engine.address(), &request("r")).await;
+        assert_eq!(short(&events), expected);
+    }
+}
+
+/// Guards against a crash that keeps cache or incarnation, also when it happens again during recovery.
+#[tokio::test]
+async fn crash_empties_the_engine() {
+    let engine = start(quick()).expect("engine");
+    let at = engine.address();
+    let mut req = request("r");
+    (req.prompt, req.blocks, req.max_tokens) = ("p".repeat(4096), vec![1], 1);
+    for incarnation in [7, 8] {
+        assert_eq!(complete(&client(), at, &req).await.1, 0, "empty cache");
+        assert_eq!(complete(&client(), at, &req).await.1, 1024, "warm cache");
+        let mut long = request("long");
+        long.max_tokens = 10_000;
+        let mut running = open(&client(), at, &long).await;
+        running.next().await.expect("first token");
+        let http = HttpFaults { down_ms: Some(500), ..HttpFaults::default() };
+        faults(at, &Faults { http, ..Faults::default() }).await;
+        let broken = loop {
+            match running.next().await {
+                Ok(Some(_)) => {}
+                other => break other,
+            }
+        };
+        assert!(matches!(broken, Err(Error::Connection(_))), "{broken:?}");
+        until("refused", || async { client().get(at, "/load").await.is_err() }).await;
+        until("back", || async { client().get(at, "/load").await.is_ok() }).await;
+        let report: LoadReport = get(&client(), at, "/load").await;
+        assert_eq!(report.incarnation, incarnation + 1);
+        let events: CacheEvents = get(&client(), at, "/cache-events?after=2").await;
+        assert_eq!(events.events, [], "numbers start again");
+    }
+}
+
+/// Guards against open connections that go silent together with new ones.
+#[tokio::test]
+async fn open_connections_go_silent_and_new_ones_work() {
+    let engine = start(quick()).expect("engine");
+    let at = engine.address();
+    let old = hasty_client();
+    let mut long = request("long");
+    long.max_tokens = 10_000;
+    let mut running = open(&old, at, &long).await;
+    running.next().await.expect("first token");
+    let http = HttpFaults { silence_open: true, ..HttpFaults::default() };
+    faults(at, &Faults { http, ..Faults::default() }).await;
+    let end = loop {
+        match running.next().await {
+            Ok(Some(_)) => {}
+            other => break other,
+        }
+    };
+    assert!(matches!(end, Err(Error::Silence(_))), "{end:?}");
+    complete(&client(), at, &request("r")).await;
+}
+
+/// Guards against requests that are answered in spite of a fault of whole requests, and switches out of reach.
+#[tokio::test]
+async fn whole_request_faults_show() {
+    let engine = start(quick()).expect("engine");
+    let at = engine.address();
+    let set = |http| async move { faults(at, &Faults { http, ..Faults::default() }).await };
+    set(HttpFaults { silent: true, ..HttpFaults::default() }).await;
+    assert!(matches!(hasty_client().get(at, "/load").await, Err(Error::Silence(_))));
+    set(HttpFaults { unavailable: true, ..HttpFaults::default() }).await;
+    assert_eq!(client().get(at, "/load").await.expect("answer").status, 503);
+    set(HttpFaults { delay_ms: 50, ..HttpFaults::default() }).await;
+    let before = Instant::now();
+    assert_eq!(client().get(at, "/load").await.expect("answer").status, 200);
+    assert!(before.elapsed() >= MS(50));
+    set(HttpFaults::default()).await;
+    let wrong = client().post(at, "/faults", &serde_json::json!({ "dealy_ms": 1 })).await;
+    assert_eq!(wrong.expect("answer").status, 400, "a misspelt switch is refused");
+}
--- /dev/null
+++ b/crates/lw-standin/tests/support/mod.rs
@@ -0,0 +1,117 @@
+//! Helpers of the contract tests.
+#![allow(dead_code, reason = "each test program uses a part of them")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::Method;
+use lw_protocol::upstream::{GenerateEvent, GenerateRequest};
+use lw_standin::client::{Answer, Error, Http, Opened};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Bound on waits that must end; far above any time that a test needs.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Silence after which a connection counts as silent.
+const SILENCE: Duration = Duration::from_millis(600);
+
+/// A client that waits as long as a test may.
+pub fn client() -> Http {
+    Http::new(PATIENCE).expect("client")
+}
+
+/// A client that soon gives up on a silent connection.
+pub fn hasty_client() -> Http {
+    Http::new(SILENCE).expect("client")
+}
+
+/// Waits until the condition holds.
+pub async fn until<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let ends = tokio::time::Instant::now() + PATIENCE;
+    while !condition().await {
+        assert!(tokio::time::Instant::now() < ends, "never came true: {what}");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// `GET` with a JSON answer.
+pub async fn get<T: DeserializeOwned>(http: &Http, address: SocketAddr, path: &str) -> T {
+    let answer = http.get(address, path).await.expect(path);
+    assert_eq!(answer.status, 200, "GET {path}");
+    answer.json().expect(path)
+}
+
+/// `POST` that must succeed.
+pub async fn post<T: Serialize>(
+    http: &Http,
+    address: SocketAddr,
+    path: &str,
+    body: &T,
+    status: u16,
+) -> Answer {
+    let answer = http.post(address, path, body).await.expect(path);
+    assert_eq!(answer.status, status, "POST {path}");
+    answer
+}
+
+/// Sets the fault switches.
+pub async fn faults<T: Serialize>(address: SocketAddr, faults: &T) {
+    post(&client(), address, "/faults", faults, 200).await;
+}
+
+/// A request for 4 tokens of model `m`, version 1.
+pub fn request(id: &str) -> GenerateRequest {
+    GenerateRequest {
+        request: id.to_owned(),
+        attempt: 0,
+        model: "m".to_owned(),
+        version: "1".to_owned(),
+        adapter: None,
+        scope: "scope".to_owned(),
+        prompt: "the gasket of batch 7".to_owned(),
+        blocks: Vec::new(),
+        max_tokens: 4,
+        resume: None,
+        priority: 1,
+        incarnation: None,
+        deadline_ms: 1000,
+    }
+}
+
+/// Begins a generation.
+pub async fn open(http: &Http, address: SocketAddr, req: &GenerateRequest) -> Opened {
+    let body = serde_json::to_vec(req).expect("JSON");
+    let opened = http.open(Method::POST, address, "/generate", &[], body).await;
+    opened.expect("answer of the engine")
+}
+
+/// Runs a generation and returns its events up to its end or the error that ended it.
+pub async fn generate(
+    http: &Http,
+    address: SocketAddr,
+    req: &GenerateRequest,
+) -> (Vec<GenerateEvent>, Result<(), Error>) {
+    let mut opened = open(http, address, req).await;
+    assert_eq!(opened.status, 200);
+    let mut events = Vec::new();
+    loop {
+        match opened.next().await {
+            Ok(Some(data)) => events.push(serde_json::from_str(&data).expect("event")),
+            Ok(None) => return (events, Ok(())),
+            Err(e) => return (events, Err(e)),
+        }
+    }
+}
+
+/// Runs a generation that must complete; returns its text and its cached tokens.
+pub async fn complete(http: &Http, address: SocketAddr, req: &GenerateRequest) -> (String, u64) {
+    let (events, end) = generate(http, address, req).await;
+    end.expect("whole answer");
+    let mut text = String::new();
+    for event in events {
+        match event {
+            GenerateEvent::Token { text: token, .. } => text.push_str(&token),
+            GenerateEvent::End { cached_tokens, .. } => return (text, cached_tokens),
+            GenerateEvent::Error { message, .. } => panic!("{message}"),
+        }
+    }
+    panic!("no end mark")
+}
