--- /dev/null
+++ b/crates/lw-standin/tests/load.rs
@@ -0,0 +1,161 @@
+//! The load tool against a router that answers rightly or wrongly.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use http::StatusCode;
+use lw_protocol::{
+    caller::{Answer, Completion, DONE, Endpoint, Failure, Usage},
+    sse,
+};
+use lw_standin::{
+    engine::token_text,
+    load::{Options, Outcome, planned, run},
+    serve::{self, App, Call, Handle, HttpFaults, Response, Switches},
+};
+use lw_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// What the router does wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+enum Mode {
+    #[default]
+    Right,
+    Refuses,
+    ErrorInStream,
+    Truncates,
+    LosesToken,
+    SwapsTokens,
+    NoFinish,
+    OtherAnswer,
+    Cuts,
+}
+
+struct Router(Switches<Mode>);
+
+impl App for Router {
+    type Faults = Mode;
+
+    fn switches(&self) -> &Switches<Mode> {
+        &self.0
+    }
+
+    fn http_faults(_: &Mode) -> &HttpFaults {
+        const NONE: &HttpFaults = &HttpFaults {
+            delay_ms: 0,
+            silent: false,
+            silence_open: false,
+            unavailable: false,
+            down_ms: None,
+        };
+        NONE
+    }
+
+    fn is_probe(_: &str) -> bool {
+        false
+    }
+
+    async fn call(self: Arc<Self>, call: Call) -> Response {
+        let mode = self.0.get();
+        let req = Completion::parse(Endpoint::Chat, &call.body).expect("valid request");
+        let failure = Failure::new(ResultCode::Overloaded, "full").body();
+        if mode == Mode::Refuses {
+            return serve::status_json(StatusCode::SERVICE_UNAVAILABLE, &failure);
+        }
+        let answer =
+            Answer { endpoint: Endpoint::Chat, id: "r".into(), model: "m".into(), created: 0 };
+        let prompt = if mode == Mode::OtherAnswer { "other" } else { &req.prompt };
+        let mut texts: Vec<String> =
+            (0..u64::from(req.max_tokens)).map(|i| token_text(prompt, i)).collect();
+        match mode {
+            Mode::LosesToken => drop(texts.remove(1)),
+            Mode::SwapsTokens => texts.swap(0, 1),
+            _ => {}
+        }
+        let mut data: Vec<String> = texts.iter().map(|t| answer.chunk(t).to_string()).collect();
+        let usage = Usage {
+            prompt_tokens: 100,
+            cached_tokens: 25,
+            completion_tokens: u64::from(req.max_tokens),
+        };
+        if mode != Mode::NoFinish {
+            data.push(answer.last_chunk("length", &usage).to_string());
+        }
+        data.push(DONE.to_owned());
+        match mode {
+            Mode::ErrorInStream => data[2] = failure.to_string(),
+            Mode::Truncates => data.truncate(2),
+            _ => {}
+        }
+        let mut events: Vec<_> = data.iter().map(|data| Ok(sse::event(data))).collect();
+        if mode == Mode::Cuts {
+            events[2] = Err(std::io::Error::other("cut"));
+        }
+        serve::stream(futures::stream::iter(events))
+    }
+}
+
+fn router(mode: Mode) -> Handle {
+    let listen = "127.0.0.1:0".parse().expect("address");
+    serve::start(listen, move |_, _| Arc::new(Router(Switches::new(mode)))).expect("router")
+}
+
+async fn load(vms: &[&Handle], retries: u32) -> Outcome {
+    let options = Options {
+        vms: vms.iter().map(|vm| vm.address()).collect(),
+        requests: 6,
+        callers: 3,
+        max_tokens: 5,
+        level_bytes: 200,
+        silence: Duration::from_secs(10),
+        retries,
+        ..Options::default()
+    };
+    run(options).await.expect("load")
+}
+
+/// Guards against a load tool that takes a wrong answer for a whole one.
+#[tokio::test]
+async fn wrong_answers_are_found() {
+    type Count = fn(&Outcome) -> u64;
+    let wrong: Count = |o| o.wrong.values().sum();
+    let cases: [(Mode, Count); 9] = [
+        (Mode::Right, |o| o.complete),
+        (Mode::Refuses, |o| o.refused.get("503 overloaded").copied().unwrap_or(0)),
+        (Mode::ErrorInStream, |o| o.failed.get("overloaded").copied().unwrap_or(0)),
+        (Mode::Truncates, |o| o.truncated),
+        (Mode::LosesToken, wrong),
+        (Mode::SwapsTokens, wrong),
+        (Mode::NoFinish, wrong),
+        (Mode::OtherAnswer, wrong),
+        (Mode::Cuts, |o| o.broken.values().sum()),
+    ];
+    for (mode, count) in cases {
+        let outcome = load(&[&router(mode)], 0).await;
+        assert_eq!((outcome.requests, count(&outcome)), (6, 6), "{mode:?}: {outcome}");
+        assert_eq!(outcome.is_whole(), mode == Mode::Right, "{mode:?}");
+    }
+}
+
+/// Guards against retries at the VM that failed, and against retries that are not counted.
+#[tokio::test]
+async fn retries_go_to_the_next_vm() {
+    let (bad, good) = (router(Mode::Truncates), router(Mode::Right));
+    let outcome = load(&[&bad, &good], 1).await;
+    assert_eq!((outcome.complete, outcome.retries), (6, 3), "{outcome}");
+    assert!((outcome.cached_share() - 0.25).abs() < 1e-9);
+}
+
+/// Guards against requests that share no prefix or are no longer reproducible.
+#[test]
+fn prompts_share_nested_prefixes() {
+    let options = Options { stations: 1, programmes: 2, ..Options::default() };
+    let prompts: Vec<_> = (0..20).map(|number| planned(&options, number).prompt).collect();
+    let shared = |a: &str, b: &str| a.bytes().zip(b.bytes()).take_while(|(x, y)| x == y).count();
+    let lens: Vec<_> = prompts[1..].iter().map(|p| shared(&prompts[0], p)).collect();
+    let two_levels = lens.iter().filter(|&&len| len > 2 * options.level_bytes).count();
+    let one_level = lens.iter().filter(|&&len| len > options.level_bytes).count();
+    assert!(two_levels > 0 && two_levels < one_level && one_level == 19, "{lens:?}");
+    assert_eq!(planned(&options, 0).prompt, prompts[0], "the same seed gives the same request");
+}
