--- a/crates/lw-standin/src/lib.rs
+++ b/crates/lw-standin/src/lib.rs
@@ -4,7 +4,9 @@
 //! programs `standin-engine`, `standin-service` and `standin-platform` are thin wrappers.
 
 pub mod args;
+pub mod client;
 pub mod engine;
+pub mod load;
 pub mod platform;
 pub mod serve;
 pub mod service;
