--- a/crates/lw-bench/src/lib.rs
+++ b/crates/lw-bench/src/lib.rs
@@ -1,4 +1,6 @@
 //! Measures the routing decisions under load in virtual time with seeded arrivals.
 
 pub mod cases;
+pub mod scenario;
+pub mod sim;
 pub mod summary;
