--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -2,8 +2,16 @@
 
 use crate::summary::Row;
 
+pub mod dossiers;
+pub mod hits;
+pub mod overload;
+pub mod slow;
+pub mod tail;
+
 /// Runs all cases.
 #[must_use]
 pub fn all() -> Vec<Row> {
-    Vec::new()
+    let groups: Vec<fn() -> Vec<Row>> =
+        vec![hits::rows, tail::rows, overload::rows, dossiers::rows, slow::rows];
+    groups.into_iter().flat_map(|rows| rows()).collect()
 }
--- a/crates/lw-bench/src/scenario.rs
+++ b/crates/lw-bench/src/scenario.rs
@@ -81,3 +81,29 @@
     }
     low
 }
+
+/// Runs `measure` for each seed, in parallel; the results come in the order of [`SEEDS`].
+///
+/// # Panics
+///
+/// If a measurement panics.
+pub fn each_seed<T: Send>(measure: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    std::thread::scope(|scope| {
+        let measure = &measure;
+        let threads: Vec<_> =
+            SEEDS.iter().map(|&seed| scope.spawn(move || measure(seed))).collect();
+        threads.into_iter().map(|t| t.join().expect("a measurement panicked")).collect()
+    })
+}
+
+/// The largest of the seeds' figures.
+#[must_use]
+pub fn largest<T>(all: &[T], figure: impl Fn(&T) -> f64) -> f64 {
+    all.iter().map(figure).fold(f64::MIN, f64::max)
+}
+
+/// The smallest of the seeds' figures.
+#[must_use]
+pub fn smallest<T>(all: &[T], figure: impl Fn(&T) -> f64) -> f64 {
+    all.iter().map(figure).fold(f64::MAX, f64::min)
+}
--- a/crates/lw-bench/src/sim/outcome.rs
+++ b/crates/lw-bench/src/sim/outcome.rs
@@ -63,6 +63,8 @@
     pub gaps: Vec<usize>,
     /// Seconds of engine time for blocks that another engine held.
     pub wasted: f64,
+    /// Seconds of engine time spent on steps.
+    pub busy: f64,
     /// Seconds of engine time offered.
     pub engine_seconds: f64,
     /// Payload bytes of digests sent.
@@ -71,6 +73,8 @@
     pub moved_blocks: usize,
     /// Blocks computed.
     pub computed_blocks: usize,
+    /// Refusals: time, and the wait that was told.
+    pub refusals: Vec<(Micros, Micros)>,
     /// Attempts sent to each engine, with their time.
     pub sent: Vec<(Micros, usize)>,
 }
@@ -96,6 +100,15 @@
         quantile(self.between(from, until).map(Served::first_token).collect(), q)
     }
 
+    /// Quantiles of the time to first token up to 0.99, for plots.
+    #[must_use]
+    pub fn first_token_curve(&self, from: Micros, until: Micros) -> Vec<(f64, f64)> {
+        let mut values: Vec<f64> = self.between(from, until).map(Served::first_token).collect();
+        values.sort_by(f64::total_cmp);
+        let at = |percent: usize| values.get(values.len() * percent / 100).copied();
+        (1..100).filter_map(|percent| Some((count(percent) / 100.0, at(percent)?))).collect()
+    }
+
     /// As [`Run::first_token`] for one class.
     #[must_use]
     pub fn first_token_of(&self, class: Class, q: f64, from: Micros, until: Micros) -> f64 {
--- a/crates/lw-bench/src/sim/policy.rs
+++ b/crates/lw-bench/src/sim/policy.rs
@@ -21,6 +21,8 @@
     LeastInFlight,
     /// Baseline: rendezvous hash of the prefix, without load.
     PrefixHash,
+    /// Reference: [`Policy::PrefixHash`] that sees caches and queues without lag and refuses what would be late.
+    HashRefusing,
     /// Reference: least time to first token, with caches and queues seen without lag.
     Greedy,
 }
@@ -115,16 +117,16 @@
                 let order = (0..n).map(|i| (start + i) % n);
                 Pick::Send(order.min_by_key(|&e| self.in_flight[e]).unwrap_or(0), None)
             }
-            Policy::PrefixHash => {
-                let key = request.fingerprint.home_key(Options::default().home_depth, 0);
-                let rank = |e: &usize| {
-                    let mixed =
-                        (key ^ engine_key(&engine_id(*e))).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-                    mixed ^ (mixed >> 29)
-                };
-                Pick::Send((0..n).max_by_key(rank).unwrap_or(0), None)
+            Policy::PrefixHash => Pick::Send(home(request, n), None),
+            Policy::HashRefusing => {
+                let home = home(request, n);
+                best_of(request, engines, &mut self.rng, [home].into_iter())
+            }
+            Policy::Greedy => {
+                let start = self.rng.usize(0..n);
+                let all = (0..n).map(|i| (start + i) % n);
+                best_of(request, engines, &mut self.rng, all)
             }
-            Policy::Greedy => greedy(request, engines, &mut self.rng),
         }
     }
 
@@ -158,9 +160,24 @@
     }
 }
 
-fn greedy(request: &Request, engines: &[EngineFake], rng: &mut Rng) -> Pick {
+/// First engine in rendezvous order of the prefix.
+fn home(request: &Request, engines: usize) -> usize {
+    let key = request.fingerprint.home_key(Options::default().home_depth, 0);
+    let rank = |e: &usize| {
+        let mixed = (key ^ engine_key(&engine_id(*e))).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        mixed ^ (mixed >> 29)
+    };
+    (0..engines).max_by_key(rank).unwrap_or(0)
+}
+
+/// The engine with the least time to first token among `places`, with full sight.
+fn best_of(
+    request: &Request,
+    engines: &[EngineFake],
+    rng: &mut Rng,
+    places: impl Iterator<Item = usize>,
+) -> Pick {
     let blocks = &request.fingerprint.blocks;
-    let start = rng.usize(0..engines.len());
     let time = |e: usize| {
         let engine = &engines[e];
         let cached = count(engine.held(blocks)) * 1000.0;
@@ -168,8 +185,7 @@
         let queued = count(usize::try_from(engine.queued_tokens(request.class)).unwrap_or(0));
         (queued + prompt - cached) / engine.prefill_rate()
     };
-    let order = (0..engines.len()).map(|i| (start + i) % engines.len());
-    let best = order.map(|e| (time(e), e)).min_by(|a, b| a.0.total_cmp(&b.0));
+    let best = places.map(|e| (time(e), e)).min_by(|a, b| a.0.total_cmp(&b.0));
     let Some((least, engine)) = best else { return Pick::Refuse(Duration::from_secs(1)) };
     let late = least - request.deadline.as_secs_f64();
     if late > 0.0 {
--- a/crates/lw-bench/src/sim/workload.rs
+++ b/crates/lw-bench/src/sim/workload.rs
@@ -36,10 +36,13 @@
     pub from: Micros,
     /// Requests a second from then on.
     pub rate: f64,
-    /// Adding 1 makes other prefixes the popular ones.
+    /// Another number makes other prefixes of the largest workspace the popular ones.
     pub era: u64,
 }
 
+/// The workspace whose prefixes a new era replaces; it has the largest demand.
+const SHIFTING: usize = 0;
+
 /// Shape of the requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Shape {
@@ -58,7 +61,7 @@
 /// Deadline of dossiers.
 const DOSSIER_DEADLINE: Micros = 60 * SECOND;
 /// Demand of the 8 workspaces: a few large.
-const DEMAND: [f64; 8] = [0.30, 0.22, 0.16, 0.10, 0.08, 0.06, 0.05, 0.03];
+pub const DEMAND: [f64; 8] = [0.30, 0.22, 0.16, 0.10, 0.08, 0.06, 0.05, 0.03];
 
 /// Arrivals of `shape` through `phases` until `until`.
 #[must_use]
@@ -84,6 +87,7 @@
 fn arrival(shape: Shape, at: Micros, era: u64, rng: &mut Rng) -> Arrival {
     let workspace = pick(&DEMAND, rng);
     let vm = rng.usize(0..VMS);
+    let era = if workspace == SHIFTING { era } else { 0 };
     let mut prompt = Prompt::new(shape, workspace);
     let (class, output, deadline) = match shape {
         Shape::Malabar => {
--- /dev/null
+++ b/crates/lw-bench/src/sim/world/feeds.rs
@@ -0,0 +1,67 @@
+//! What reaches the VMs besides requests: load reports, cache events, digests; and faults.
+
+use std::rc::Rc;
+
+use super::{Ev, Fault, LOSS, Vm, World};
+use crate::sim::{MILLI, Micros, workload::VMS};
+
+/// Load reports and batches of cache events leave engines this often.
+pub(super) const REPORT_EVERY: Micros = 500 * MILLI;
+/// They arrive this late, up to half as much again.
+const REPORT_DELAY: Micros = 500 * MILLI;
+/// Bytes of a digest without entries, and of one entry, as encoded for peers.
+const DIGEST_BYTES: usize = 16;
+const DIGEST_ENTRY_BYTES: usize = 20;
+
+impl World {
+    pub(super) fn poll(&mut self, engine: usize) {
+        let report = Rc::new(self.engines[engine].report());
+        let events = Rc::new(self.engines[engine].take_events());
+        for vm in 0..VMS {
+            let delay = REPORT_DELAY + self.rng.u64(0..REPORT_DELAY / 2);
+            if self.rng.f64() >= LOSS {
+                self.after(delay, Ev::Report(vm, engine, report.clone()));
+            }
+            self.after(delay, Ev::Cache(vm, engine, events.clone()));
+        }
+        self.after(REPORT_EVERY, Ev::Poll(engine));
+    }
+
+    pub(super) fn digest(&mut self, vm: usize) {
+        let now = self.time();
+        if let (Some(router), Some(every)) = (&mut self.vms[vm].router, self.setup.digest_every) {
+            let digest = Rc::new(router.digest(now));
+            if !digest.entries.is_empty() {
+                for peer in (0..VMS).filter(|peer| *peer != vm) {
+                    self.run.digest_bytes +=
+                        DIGEST_BYTES + DIGEST_ENTRY_BYTES * digest.entries.len();
+                    if self.rng.f64() >= LOSS {
+                        let delay = self.delay(vm, peer);
+                        self.after(delay, Ev::Digest(peer, digest.clone()));
+                    }
+                }
+            }
+            self.after(every, Ev::DigestTick(vm));
+        }
+    }
+
+    pub(super) fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Slow(engine, factor) => self.engines[engine].slowness = factor,
+            Fault::Restart(engine) => {
+                self.epochs[engine] += 1;
+                for attempt in self.engines[engine].restart() {
+                    let delay = self.delay(self.attempts[attempt].vm, engine);
+                    self.after(delay, Ev::Lost(attempt));
+                }
+                self.engines[engine].is_stepping = false;
+            }
+            Fault::RestartRouters => {
+                for vm in 0..VMS {
+                    let (engines, seed) = (self.engines.len(), self.setup.seed);
+                    self.vms[vm].router = Vm::new(&self.setup.policy, vm, engines, seed).router;
+                }
+            }
+        }
+    }
+}
--- a/crates/lw-bench/src/sim/world.rs
+++ b/crates/lw-bench/src/sim/world/mod.rs
@@ -5,6 +5,8 @@
 use fastrand::Rng;
 use lw_route::{CacheEvent, Candidate, Digest, Event, Fingerprint, LoadReport, Request};
 
+mod feeds;
+
 use super::{
     MILLI, Micros, SECOND,
     engine::{EngineFake, Job},
@@ -14,10 +16,6 @@
     workload::{Arrival, VMS},
 };
 
-/// Load reports and batches of cache events leave engines this often.
-const REPORT_EVERY: Micros = 500 * MILLI;
-/// They arrive this late, up to half as much again.
-const REPORT_DELAY: Micros = 500 * MILLI;
 /// Part of reports, cache events and digests that is lost.
 const LOSS: f64 = 0.02;
 /// Times a refused caller comes back.
@@ -117,6 +115,7 @@
             world.handle(event);
         }
     }
+    world.run.busy = world.engines.iter().map(|engine| engine.busy).sum();
     world.run
 }
 
@@ -155,7 +154,7 @@
             self.at(self.setup.faults[i].0, Ev::Fault(i));
         }
         for engine in 0..self.engines.len() {
-            let offset = self.rng.u64(0..REPORT_EVERY);
+            let offset = self.rng.u64(0..feeds::REPORT_EVERY);
             self.at(offset, Ev::Poll(engine));
         }
         if let Some(every) = self.setup.digest_every {
@@ -232,7 +231,10 @@
         match self.vms[vm].pick(&self.setup.policy, now, request, &self.engines) {
             Pick::Send(engine, choice) => {
                 let tried = self.run.served[number].attempts;
-                if matches!(self.setup.policy, Policy::Router(_) | Policy::Greedy) {
+                if matches!(
+                    self.setup.policy,
+                    Policy::Router(_) | Policy::Greedy | Policy::HashRefusing
+                ) {
                     let deadline = self.setup.arrivals[number].deadline;
                     self.after(deadline, Ev::Deadline(number, self.run.served[number].refused));
                 }
@@ -243,6 +245,7 @@
             }
             Pick::Refuse(wait) => {
                 self.run.served[number].refused += 1;
+                self.run.refusals.push((self.now, micros(wait)));
                 if self.run.served[number].refused <= CALLER_RETRIES {
                     self.after(micros(wait) + 2 * self.setup.client_link, Ev::Arrive(number));
                 }
@@ -436,56 +439,6 @@
             self.after(delay, Ev::CancelAtEngine(attempt));
         }
     }
-
-    fn poll(&mut self, engine: usize) {
-        let report = Rc::new(self.engines[engine].report());
-        let events = Rc::new(self.engines[engine].take_events());
-        for vm in 0..VMS {
-            let delay = REPORT_DELAY + self.rng.u64(0..REPORT_DELAY / 2);
-            if self.rng.f64() >= LOSS {
-                self.after(delay, Ev::Report(vm, engine, report.clone()));
-            }
-            self.after(delay, Ev::Cache(vm, engine, events.clone()));
-        }
-        self.after(REPORT_EVERY, Ev::Poll(engine));
-    }
-
-    fn digest(&mut self, vm: usize) {
-        let now = self.time();
-        if let (Some(router), Some(every)) = (&mut self.vms[vm].router, self.setup.digest_every) {
-            let digest = Rc::new(router.digest(now));
-            if !digest.entries.is_empty() {
-                for peer in (0..VMS).filter(|peer| *peer != vm) {
-                    self.run.digest_bytes += 16 + 20 * digest.entries.len();
-                    if self.rng.f64() >= LOSS {
-                        let delay = self.delay(vm, peer);
-                        self.after(delay, Ev::Digest(peer, digest.clone()));
-                    }
-                }
-            }
-            self.after(every, Ev::DigestTick(vm));
-        }
-    }
-
-    fn fault(&mut self, fault: Fault) {
-        match fault {
-            Fault::Slow(engine, factor) => self.engines[engine].slowness = factor,
-            Fault::Restart(engine) => {
-                self.epochs[engine] += 1;
-                for attempt in self.engines[engine].restart() {
-                    let delay = self.delay(self.attempts[attempt].vm, engine);
-                    self.after(delay, Ev::Lost(attempt));
-                }
-                self.engines[engine].is_stepping = false;
-            }
-            Fault::RestartRouters => {
-                for vm in 0..VMS {
-                    let (engines, seed) = (self.engines.len(), self.setup.seed);
-                    self.vms[vm].router = Vm::new(&self.setup.policy, vm, engines, seed).router;
-                }
-            }
-        }
-    }
 }
 
 fn micros(time: Duration) -> Micros {
