feat(lw-bench): measure the wall-clock cost of decisions

Cause: the target of 50 us for a decision had no figure. Kept out of summary.tsv, since wall-clock figures vary; written to target/bench/cost.tsv.

--- /dev/null
+++ b/crates/lw-bench/src/cost.rs
@@ -0,0 +1,87 @@
+//! Wall-clock cost of decisions. The figures vary between runs, so they are kept out of the summary.
+
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use lw_route::{CacheChange, CacheEvent, Engine, Event, Fingerprint, Options, Request, Router};
+
+use crate::{
+    sim::{count, outcome::quantile, policy::engine_id},
+    summary::{Bound, Row},
+};
+
+const WORKSPACES: usize = 1_500;
+const ENTRIES: usize = 400_000;
+const DECISIONS: usize = 20_000;
+/// Whole pieces of a prompt.
+const BLOCKS: usize = 16;
+/// Target for one decision, in microseconds.
+const BOUND_US: f64 = 50.0;
+
+/// Measures decisions with the engines of one node and with those of a failure domain in two years.
+#[must_use]
+pub fn rows() -> Vec<Row> {
+    [16, 500].into_iter().flat_map(measure).collect()
+}
+
+fn measure(engines: usize) -> Vec<Row> {
+    let mut rng = Rng::with_seed(5);
+    let prompts: Vec<Request> = (0..ENTRIES / BLOCKS).map(|n| request(n, &mut rng)).collect();
+    let mut router = warm_router(engines, &prompts);
+    let mut times = Vec::with_capacity(DECISIONS);
+    for n in 0..DECISIONS {
+        let now = Duration::from_secs(10) + Duration::from_micros(n as u64 * 15_000);
+        let request = &prompts[rng.usize(0..prompts.len())];
+        let start = Instant::now();
+        std::hint::black_box(router.decide(now, request));
+        times.push(start.elapsed().as_secs_f64() * 1e6);
+    }
+    let mean = times.iter().sum::<f64>() / count(times.len());
+    let row = |measure: String, value, bound| Row {
+        case: "decision cost",
+        measure,
+        unit: "us",
+        baseline: None,
+        value,
+        bound,
+    };
+    let entries = router.index_entries();
+    vec![
+        row(format!("mean, {engines} engines, {entries} entries"), mean, Bound::AtMost(BOUND_US)),
+        row(
+            format!("99 in 100, {engines} engines, {entries} entries"),
+            quantile(times, 0.99),
+            Bound::AtMost(BOUND_US),
+        ),
+    ]
+}
+
+fn request(n: usize, rng: &mut Rng) -> Request {
+    let mut request = Request { id: format!("r{n}"), ..Request::default() };
+    request.role = "assistant".into();
+    request.scope.workspace = format!("workspace-{}", n % WORKSPACES);
+    request.deadline = Duration::from_millis(1700);
+    let blocks = (0..BLOCKS).map(|_| rng.u64(..)).collect();
+    request.fingerprint = Fingerprint { salt: 0, blocks, tokens: 16_500 };
+    request
+}
+
+/// A router that holds all blocks of `prompts`, spread over the engines.
+fn warm_router(engines: usize, prompts: &[Request]) -> Router {
+    let mut router = Router::new(Options::default());
+    let list: Vec<Engine> = (0..engines)
+        .map(|n| Engine { id: engine_id(n), role: "assistant".into(), ..Engine::default() })
+        .collect();
+    router.set_engines(Duration::ZERO, &list);
+    let mut seqs = vec![0; engines];
+    for (n, prompt) in prompts.iter().enumerate() {
+        for &block in &prompt.fingerprint.blocks {
+            let engine = n % engines;
+            seqs[engine] += 1;
+            let change = CacheChange::Stored(block);
+            let event = CacheEvent { incarnation: 1, seq: seqs[engine], change };
+            router.record(Duration::ZERO, Event::Cache { engine: &engine_id(engine), event });
+        }
+    }
+    router
+}
--- a/crates/lw-bench/src/main.rs
+++ b/crates/lw-bench/src/main.rs
@@ -1,13 +1,17 @@
 //! Runs all cases, prints the table and writes `target/bench/summary.tsv`.
+//!
+//! Wall-clock figures vary between runs and go to `target/bench/cost.tsv`.
 
 use std::{fs, io, path::Path};
 
 fn main() -> io::Result<()> {
-    let rows = lw_bench::cases::all();
-    let table = lw_bench::summary::to_tsv(&rows);
-    let dir = Path::new("target/bench");
+    let dir = Path::new(lw_bench::plot::DIR);
     fs::create_dir_all(dir)?;
+    let table = lw_bench::summary::to_tsv(&lw_bench::cases::all());
     fs::write(dir.join("summary.tsv"), &table)?;
     print!("{table}");
+    let costs = lw_bench::summary::to_tsv(&lw_bench::cost::rows());
+    fs::write(dir.join("cost.tsv"), &costs)?;
+    eprint!("{costs}");
     Ok(())
 }
