--- a/crates/lw-route/src/digest.rs
+++ b/crates/lw-route/src/digest.rs
@@ -4,6 +4,8 @@
 
 use lw_types::prelude::*;
 
+use crate::health::Speed;
+
 /// Work that one VM sent since its last digest.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Digest {
@@ -28,10 +30,8 @@
     pub age: Duration,
     /// Whether the VM got a first token from it since the last digest.
     pub first_token: bool,
-    /// Whether the VM saw since the last digest that the engine is slow.
-    pub slow: bool,
-    /// Whether the VM saw since the last digest that the engine has recovered.
-    pub recovered: bool,
+    /// New evidence of the VM since the last digest: slow, or normal again.
+    pub speed: Option<Speed>,
     /// Whether the VM knows that the engine is leaving.
     pub leaving: bool,
 }
--- a/crates/lw-route/src/health.rs
+++ b/crates/lw-route/src/health.rs
@@ -36,15 +36,14 @@
 pub struct Health {
     slow_seen: Option<Now>,
     probed: Option<Now>,
-    new_slow: bool,
-    new_normal: bool,
+    new: Option<Speed>,
 }
 
 impl Health {
     /// Records a stream without a token for longer than [`crate::Options::stall_after`].
     pub fn stalled(&mut self, now: Now) {
         self.slow_seen = Some(now);
-        (self.new_slow, self.new_normal) = (true, false);
+        self.new = Some(Speed::Slow);
     }
 
     /// Records the time to first token of one request that was sent at `sent`.
@@ -56,16 +55,16 @@
             && self.slow_seen.is_some_and(|seen| sent > seen)
         {
             self.slow_seen = None;
-            (self.new_slow, self.new_normal) = (false, true);
+            self.new = Some(Speed::Normal);
         }
     }
 
     /// Records what a peer saw. It is not passed on, so evidence cannot circulate.
-    pub fn peer_saw(&mut self, now: Now, slow: bool, normal: bool) {
-        if slow {
-            self.slow_seen = Some(now);
-        } else if normal && self.speed(now) == Speed::Suspect {
-            self.slow_seen = None;
+    pub fn peer_saw(&mut self, now: Now, speed: Speed) {
+        match speed {
+            Speed::Slow => self.slow_seen = Some(now),
+            Speed::Normal if self.speed(now) == Speed::Suspect => self.slow_seen = None,
+            Speed::Normal | Speed::Suspect => {}
         }
     }
 
@@ -93,8 +92,8 @@
         }
     }
 
-    /// Own evidence since the last call, for digests: slow, normal again.
-    pub fn take_new(&mut self) -> (bool, bool) {
-        (std::mem::take(&mut self.new_slow), std::mem::take(&mut self.new_normal))
+    /// Own evidence since the last call, for digests.
+    pub fn take_new(&mut self) -> Option<Speed> {
+        self.new.take()
     }
 }
--- a/crates/lw-route/src/router/state.rs
+++ b/crates/lw-route/src/router/state.rs
@@ -129,13 +129,15 @@
         if entry.first_token {
             self.last_first_token = now;
         }
-        self.health.peer_saw(now, entry.slow, entry.recovered);
+        if let Some(speed) = entry.speed {
+            self.health.peer_saw(now, speed);
+        }
     }
 
     pub(super) fn digest_entry(&mut self, now: Now) -> Option<DigestEntry> {
-        let (slow, recovered) = self.health.take_new();
+        let speed = self.health.take_new();
         let first_token = std::mem::take(&mut self.unsent_first_token);
-        if self.unsent_since.is_none() && !first_token && !slow && !recovered {
+        if self.unsent_since.is_none() && !first_token && speed.is_none() {
             return None;
         }
         let since = self.unsent_since.take().unwrap_or(now);
@@ -145,8 +147,7 @@
             bulk_tokens: to_u32(std::mem::take(&mut self.unsent_bulk)),
             age: now.saturating_sub(since) / 2,
             first_token,
-            slow,
-            recovered,
+            speed,
             leaving: self.is_leaving(),
         })
     }
