--- a/crates/lw-route/src/digest.rs
+++ b/crates/lw-route/src/digest.rs
@@ -4,6 +4,8 @@
 
 use lw_types::prelude::*;
 
+use crate::health::Speed;
+
 /// Work that one VM sent since its last digest.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Digest {
@@ -26,8 +28,10 @@
     pub bulk_tokens: u32,
     /// Mean age of that work when the digest was made.
     pub age: Duration,
-    /// Measured against expected time to first token, in percent.
-    pub slowness_percent: u16,
+    /// Whether the VM got a first token from it since the last digest.
+    pub first_token: bool,
+    /// New evidence of the VM since the last digest: slow, or normal again.
+    pub speed: Option<Speed>,
     /// Whether the VM knows that the engine is leaving.
     pub leaving: bool,
 }
