feat(lw-daemon): share limits, shares and sent work between VMs; add a retry floor

In the daemon, retries were unbounded. Ruled out: a budget that must be earned first; a VM with little traffic would cut the streams of a crashed engine, so 10 retries in 10 s are always allowed. From 90 requests/s over 9 VMs on, the 10 % of requests is the larger bound. Conclusion: shares are checked before the placement, since work above its share must not fill the queues first.

--- a/crates/lw-config/src/settings/mod.rs
+++ b/crates/lw-config/src/settings/mod.rs
@@ -56,6 +56,8 @@
     pub headers_max: usize,
     /// Entries of the decision log that `explain` reads.
     pub decision_log: usize,
+    /// Retries and resumes allowed in 10 s whatever the number of requests; above it, a tenth of the requests.
+    pub min_retries: u64,
 }
 
 /// Time bounds of connections.
@@ -225,6 +227,7 @@
             headers_max: usize::try_from(fields.uint("headers_max", 64, 16..=1000)).unwrap_or(64),
             decision_log: usize::try_from(fields.uint("decision_log", 4096, 16..=65_536))
                 .unwrap_or(4096),
+            min_retries: fields.uint("min_retries", 10, 0..=100_000),
         }
     }
 }
--- a/crates/lw-daemon/src/callers/completion.rs
+++ b/crates/lw-daemon/src/callers/completion.rs
@@ -24,6 +24,7 @@
 use super::Caller;
 use crate::{
     generate::{self, Job, Piece},
+    limits,
     tables::{InFlight, Tables},
 };
 
@@ -41,6 +42,9 @@
     let bytes = server::read_body(body, settings.limits.body_max, settings.timeouts.body).await?;
     let completion = Completion::parse(endpoint, &bytes)?;
     let request = describe(&caller, &completion)?;
+    limits::check_workspace(tables, &caller, request.fingerprint.tokens)?;
+    // Shares come before the placement: above-share work must not fill the queues that the rest needs.
+    limits::check_share(tables, &caller, &request)?;
     let placement = decide(tables, &request)?;
 
     let answer = Answer {
--- a/crates/lw-daemon/src/generate/mod.rs
+++ b/crates/lw-daemon/src/generate/mod.rs
@@ -2,12 +2,13 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use lw_limit::retry::{Carried, Kind};
 use lw_metrics::histograms::Measure;
 use lw_protocol::{
     caller::{Completion, Failure},
     upstream::{GenerateEvent, Resume},
 };
-use lw_route::{Candidate, Decision, Placement};
+use lw_route::{Candidate, Decision, Hedge, Placement};
 use lw_stream::{
     assembler::{Assembler, Options},
     event::{Action, Cause, End, Event, Origin, Usage},
@@ -27,6 +28,8 @@
 const FIRST_EVENT_PART: f64 = 0.6;
 /// Time within which an interrupted answer must go on at another engine.
 const RESUME_DEADLINE: Duration = Duration::from_secs(10);
+/// Time without a token after which an engine counts as stalled: a few of its steps.
+const STALL_AFTER: Duration = Duration::from_millis(150);
 /// Longest sleep of the driver when nothing is due.
 const IDLE: Duration = Duration::from_secs(3600);
 
@@ -68,7 +71,10 @@
     running: HashMap<Attempt, Running>,
     tried: Vec<UpstreamId>,
     text: String,
+    carried: Carried,
     hedge_at: Option<Now>,
+    hedge: Option<Candidate>,
+    stall_at: Option<Now>,
     last_token: Option<Now>,
     longest_gap: Duration,
     denied: Vec<(Attempt, ResultCode, Option<Duration>)>,
@@ -87,7 +93,10 @@
     let (assembler, actions) = Assembler::start(job.request.id.clone(), version, options, now);
     let (events, incoming) = mpsc::channel(EVENTS_QUEUED);
     let driver = Driver {
+        carried: Carried::received(now, 0, deadline),
         hedge_at: Some(now + job.placement.hedge_after),
+        hedge: None,
+        stall_at: None,
         tables,
         job,
         out,
@@ -135,7 +144,8 @@
     fn next_wake(&self, assembler: &Assembler, due: Now, now: Now) -> Duration {
         let first_token = (assembler.delivered() == 0).then_some(due);
         let hedge = self.hedge_at.filter(|_| assembler.delivered() == 0);
-        let next = [assembler.next_tick(), first_token, hedge].into_iter().flatten().min();
+        let next =
+            [assembler.next_tick(), first_token, hedge, self.stall_at].into_iter().flatten().min();
         next.map_or(IDLE, |at| at.saturating_sub(now))
     }
 
@@ -144,8 +154,13 @@
         if assembler.delivered() == 0 && now >= due {
             return assembler.step(now, Event::Abort { code: ResultCode::DeadlineExceeded });
         }
-        if self.hedge_at.is_some_and(|at| at <= now) && assembler.delivered() == 0 {
-            self.hedge_at = None;
+        if self.stall_at.take_if(|at| *at <= now).is_some() {
+            self.stalled(now);
+        }
+        if self.hedge_at.is_some_and(|at| at <= now)
+            && assembler.delivered() == 0
+            && self.is_hedge_due(now)
+        {
             return assembler.step(now, Event::Hedge);
         }
         assembler.step(now, Event::Tick)
@@ -246,6 +261,7 @@
             }
             Some(before) => self.longest_gap = self.longest_gap.max(now.saturating_sub(before)),
         }
+        self.stall_at = Some(now + STALL_AFTER);
         self.text.push_str(&text);
         let _ = self.out.send(Piece::Text(text)).await;
     }
@@ -320,11 +336,27 @@
         cause: Cause,
         resume_from: TokenIndex,
     ) -> Result<Candidate, (ResultCode, Option<Duration>)> {
-        if cause == Cause::First {
-            let first = self.job.placement.candidates.first().cloned();
-            return first.ok_or((ResultCode::NoUpstream, None));
-        }
         let now = self.tables.timer.now();
+        match cause {
+            Cause::First => {
+                self.tables.limits().budget.earn(now, self.carried);
+                let first = self.job.placement.candidates.first().cloned();
+                return first.ok_or((ResultCode::NoUpstream, None));
+            }
+            Cause::Hedge => return self.hedge.take().ok_or((ResultCode::Overloaded, None)),
+            _ => {}
+        }
+        if resume_from > 0 {
+            self.carried.deadline = now + RESUME_DEADLINE;
+        }
+        let spent = self.tables.limits().budget.spend(now, Kind::Retry, self.carried);
+        match spent {
+            Ok(carried) => self.carried = carried,
+            Err(e) => {
+                self.tables.note("limit", &self.job.request.id, &format!("no retry: {e}"));
+                return Err((ResultCode::StreamBroken, None));
+            }
+        }
         let mut request = self.job.request.clone();
         request.avoid.clone_from(&self.tried);
         request.deadline = if resume_from > 0 {
@@ -333,9 +365,6 @@
             (self.job.caller.arrived + self.job.caller.deadline).saturating_sub(now)
         };
         let mut router = self.tables.router();
-        if cause == Cause::Hedge {
-            return router.hedge_due(now, &request).ok_or((ResultCode::Overloaded, None));
-        }
         match router.decide(now, &request) {
             Decision::Send(placement) => {
                 placement.candidates.into_iter().next().ok_or((ResultCode::NoUpstream, None))
@@ -344,6 +373,45 @@
         }
     }
 
+    /// Asks the router whether a second attempt is worth it and keeps the engine for it.
+    fn is_hedge_due(&mut self, now: Now) -> bool {
+        self.hedge_at = None;
+        let Some(&attempt) = self.running.keys().next().filter(|_| self.running.len() == 1) else {
+            return false;
+        };
+        let mut request = self.job.request.clone();
+        request.avoid.clone_from(&self.tried);
+        request.deadline = (self.job.caller.arrived + self.job.caller.deadline).saturating_sub(now);
+        let due = self.tables.router().hedge_due(now, &request, attempt);
+        match due {
+            Some(Hedge::Later(time)) => {
+                self.hedge_at = Some(now + time);
+                false
+            }
+            Some(Hedge::Send(candidate)) => {
+                let spent = self.tables.limits().budget.spend(now, Kind::Hedge, self.carried);
+                match spent {
+                    Ok(carried) => {
+                        self.carried = carried;
+                        self.hedge = Some(candidate);
+                        true
+                    }
+                    Err(_) => false,
+                }
+            }
+            None => false,
+        }
+    }
+
+    /// Tells the router that the engines of the running attempts have stopped giving tokens.
+    fn stalled(&self, now: Now) {
+        for &attempt in self.running.keys() {
+            let request = &self.job.request.id;
+            let event = lw_route::router::Event::Stalled { request, attempt };
+            self.tables.router().record(now, event);
+        }
+    }
+
     fn first_token(&mut self, now: Now, attempt: Attempt) {
         let Some(running) = self.running.get_mut(&attempt) else { return };
         if !std::mem::replace(&mut running.has_token, true) {
--- a/crates/lw-daemon/src/peers/mod.rs
+++ b/crates/lw-daemon/src/peers/mod.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use volo_http::{request::Request, response::Response};
 
-use crate::{claims, members, tables::Tables};
+use crate::{claims, limits, members, tables::Tables};
 
 /// Largest message of a peer: a whole configuration document and its envelope, in bytes.
 const MESSAGE_MAX_BYTES: usize = 2 << 20;
@@ -36,6 +36,14 @@
             claims::receive(tables, decode(&bytes)?);
             Ok(server::packed(&()))
         }
+        limits::LOAD_PATH => {
+            limits::receive_load(tables, decode(&bytes)?);
+            Ok(server::packed(&()))
+        }
+        limits::GRANT_PATH => {
+            let grant = limits::receive_report(tables, &decode(&bytes)?);
+            Ok(server::packed(&grant))
+        }
         path => Err(Failure::new(ResultCode::UnknownPath, format!("no such path: {path}"))),
     }
 }
--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -13,7 +13,7 @@
 use lw_types::prelude::*;
 use volo_http::{body::Body, response::Response};
 
-use crate::{callers::Caller, tables::Tables};
+use crate::{callers::Caller, limits, tables::Tables};
 
 mod once;
 
@@ -62,6 +62,7 @@
         let text = format!("the workspace may not use service {name}");
         return Err(Failure::new(ResultCode::NotAllowed, text));
     }
+    limits::check_workspace(tables, caller, 0)?;
     let may_repeat = service.may_repeat(incoming.method.as_str(), &path);
     let limits = &tables.settings.limits;
     let body =
--- a/crates/lw-daemon/src/tables/mod.rs
+++ b/crates/lw-daemon/src/tables/mod.rs
@@ -21,7 +21,7 @@
 use lw_types::prelude::*;
 use tokio::sync::Notify;
 
-use crate::{claims::Claims, members::Members};
+use crate::{claims::Claims, limits::Limits, members::Members};
 
 pub mod journal;
 
@@ -84,6 +84,7 @@
     members: Mutex<Members>,
     router: Mutex<Router>,
     listed_leaving: RwLock<HashSet<UpstreamId>>,
+    limits: Mutex<Limits>,
     claims: Mutex<Claims>,
     journal: Mutex<Journal>,
     leaving: AtomicBool,
@@ -104,7 +105,8 @@
         let incarnation = start_incarnation();
         let members = Members::new(&settings, incarnation, bootstrap, timer.now());
         let options = lw_route::Options {
-            vm: settings.vm.clone(),
+            // Numbers of digests start anew with each process, so the incarnation is part of the name.
+            vm: format!("{}/{incarnation}", settings.vm),
             failure_domain: settings.failure_domain.clone(),
             ..lw_route::Options::default()
         };
@@ -122,6 +124,7 @@
             members: Mutex::new(members),
             router: Mutex::new(Router::new(options)),
             listed_leaving: RwLock::default(),
+            limits: Mutex::new(Limits::new(&settings.vm, settings.limits.min_retries, timer.now())),
             claims: Mutex::new(Claims::new(
                 settings.vm.clone(),
                 incarnation,
@@ -198,6 +201,11 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Admission, workspace limits and the retry budget.
+    pub fn limits(&self) -> MutexGuard<'_, Limits> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The claims.
     pub fn claims(&self) -> MutexGuard<'_, Claims> {
         self.claims.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/lw-daemon/tests/common/mod.rs
+++ b/crates/lw-daemon/tests/common/mod.rs
@@ -4,10 +4,13 @@
 use std::{
     fmt::Write as _,
     fs,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU16, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -148,9 +151,13 @@
     }
 }
 
+/// An address of this test process alone: connections of other tests take ports of 127.0.0.1, so a port there could be
+/// taken between the choice and the start of the daemon.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
-    listener.local_addr().expect("bound address")
+    static NEXT: AtomicU16 = AtomicU16::new(20_000);
+    let [.., b, a] = std::process::id().to_be_bytes();
+    let port = NEXT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, b.max(1), a, 1], port))
 }
 
 impl Fleet {
--- a/crates/lw-daemon/tests/streams.rs
+++ b/crates/lw-daemon/tests/streams.rs
@@ -38,7 +38,7 @@
 
 #[tokio::test]
 async fn callers_bytes_equal_those_of_an_undisturbed_run() {
-    let settings = "timeouts:\n  stream_silence: 300ms\n".to_owned();
+    let settings = "timeouts:\n  stream_silence: 300ms\nlimits:\n  min_retries: 1000\n".to_owned();
     let fleet =
         Fleet::start("streams", Options { engines: 5, settings, ..Options::default() }).await;
     for (name, stream) in cases() {
--- a/crates/lw-limit/src/retry.rs
+++ b/crates/lw-limit/src/retry.rs
@@ -10,6 +10,9 @@
 pub struct Options {
     /// Retries, resumes and hedges allowed for each first attempt.
     pub ratio: f64,
+    /// Retries allowed in each window whatever the number of first attempts, so that the streams of a VM with little
+    /// traffic survive an engine's crash. With 9 VMs the ratio is the larger bound from 90 requests/s on.
+    pub min_retries: u64,
     /// Hedges allowed for each first attempt, within `ratio`.
     pub hedge_ratio: f64,
     /// Seconds over which both ratios hold. 10 s of first attempts pay for the streams of one crashed engine at
@@ -25,6 +28,7 @@
     fn default() -> Self {
         Self {
             ratio: 0.1,
+            min_retries: 10,
             hedge_ratio: 0.05,
             window_seconds: 10,
             max_attempts: 4,
@@ -114,7 +118,7 @@
 /// use lw_limit::retry::{Budget, Carried, Error, Kind, Options};
 /// let now = Duration::ZERO;
 /// let request = Carried::received(now, 0, Duration::from_secs(1));
-/// let mut budget = Budget::new(Options::default());
+/// let mut budget = Budget::new(Options { min_retries: 0, ..Options::default() });
 /// assert_eq!(budget.spend(now, Kind::Retry, request), Err(Error::Budget));
 /// (0..10).for_each(|_| budget.earn(now, request));
 /// assert_eq!(budget.spend(now, Kind::Retry, request).unwrap().attempt, 1);
@@ -159,7 +163,8 @@
         self.current(now);
         let (firsts, spent) = (self.sum.firsts, self.sum.retries + self.sum.hedges);
         let is_over = |spent: u64, ratio: f64| as_f64(spent + 1) > as_f64(firsts) * ratio + 1e-9;
-        if is_over(spent, self.options.ratio)
+        let has_floor = kind == Kind::Retry && spent < self.options.min_retries;
+        if (is_over(spent, self.options.ratio) && !has_floor)
             || (kind == Kind::Hedge && is_over(self.sum.hedges, self.options.hedge_ratio))
         {
             return Err(Error::Budget);
--- a/crates/lw-protocol/src/lib.rs
+++ b/crates/lw-protocol/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod operator;
+pub mod peer;
 pub mod platform;
 pub mod sse;
 pub mod upstream;
--- /dev/null
+++ b/crates/lw-protocol/src/peer/mod.rs
@@ -0,0 +1,99 @@
+//! Wire types between the VMs of the router, encoded with `rmp-serde`.
+//!
+//! The messages of `lw_member`, `lw_claim` and the grants of `lw_limit` carry their own encoding.
+
+use std::time::Duration;
+
+use lw_route::health::Speed;
+use lw_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// What a VM sent to engines and admitted since its last message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadMessage {
+    /// Sender with its incarnation, so that the numbers of a restarted VM start anew.
+    pub sender: String,
+    /// Number of the message.
+    pub seq: u64,
+    /// Work by engine.
+    pub engines: Vec<EngineWork>,
+    /// Admission figures, in every few messages.
+    pub admission: Option<lw_limit::admission::Digest>,
+}
+
+/// Work that a VM sent to one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineWork {
+    /// Short name of the engine.
+    pub engine: u64,
+    /// Prefill tokens sent, without bulk.
+    pub urgent_tokens: u32,
+    /// Prefill tokens of bulk work sent.
+    pub bulk_tokens: u32,
+    /// Mean age of that work in milliseconds.
+    pub age_ms: u32,
+    /// Whether a first token came from it.
+    pub first_token: bool,
+    /// New evidence on its speed: 0 normal, 1 suspect, 2 slow.
+    pub speed: Option<u8>,
+    /// Whether it is known to be leaving.
+    pub leaving: bool,
+}
+
+impl From<&lw_route::DigestEntry> for EngineWork {
+    fn from(entry: &lw_route::DigestEntry) -> Self {
+        Self {
+            engine: entry.engine,
+            urgent_tokens: entry.urgent_tokens,
+            bulk_tokens: entry.bulk_tokens,
+            age_ms: u32::try_from(entry.age.as_millis()).unwrap_or(u32::MAX),
+            first_token: entry.first_token,
+            speed: entry.speed.map(|speed| match speed {
+                Speed::Normal => 0,
+                Speed::Suspect => 1,
+                Speed::Slow => 2,
+            }),
+            leaving: entry.leaving,
+        }
+    }
+}
+
+impl From<&EngineWork> for lw_route::DigestEntry {
+    fn from(work: &EngineWork) -> Self {
+        Self {
+            engine: work.engine,
+            urgent_tokens: work.urgent_tokens,
+            bulk_tokens: work.bulk_tokens,
+            age: Duration::from_millis(work.age_ms.into()),
+            first_token: work.first_token,
+            speed: match work.speed {
+                Some(0) => Some(Speed::Normal),
+                Some(1) => Some(Speed::Suspect),
+                Some(2) => Some(Speed::Slow),
+                _ => None,
+            },
+            leaving: work.leaving,
+        }
+    }
+}
+
+impl From<&LoadMessage> for lw_route::Digest {
+    fn from(message: &LoadMessage) -> Self {
+        Self {
+            vm: VmId::from(message.sender.as_str()),
+            seq: message.seq,
+            entries: message.engines.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<&lw_route::Digest> for LoadMessage {
+    fn from(digest: &lw_route::Digest) -> Self {
+        Self {
+            sender: digest.vm.clone(),
+            seq: digest.seq,
+            engines: digest.entries.iter().map(Into::into).collect(),
+            admission: None,
+        }
+    }
+}
--- a/crates/lw-route/src/router/mod.rs
+++ b/crates/lw-route/src/router/mod.rs
@@ -11,6 +11,7 @@
 
 mod decide;
 mod hedge;
+pub mod pressure;
 mod state;
 
 use state::State;
