feat(lw-standin): name other weights in events, bound the load reports

Cause: the router must discard answers of other weights, and no fault showed one; a busy engine kept one load report for every computed block.

Ruled out: a shorter history of reports, which a long lag would outrun.

Before: no such fault; reports without a bound on their rate.

--- a/crates/lw-standin/src/engine/emitter.rs
+++ b/crates/lw-standin/src/engine/emitter.rs
@@ -24,8 +24,9 @@
         Self { tx, faults, count: 0, sent: 0, held: None }
     }
 
-    pub(super) async fn emit(&mut self, event: GenerateEvent) -> Result<(), Closed> {
+    pub(super) async fn emit(&mut self, mut event: GenerateEvent) -> Result<(), Closed> {
         self.count += 1;
+        self.rename(&mut event);
         let is_token = matches!(event, GenerateEvent::Token { .. });
         if is_token && self.applies(self.faults.lose_every) {
             return Ok(());
@@ -47,6 +48,20 @@
         }
     }
 
+    fn rename(&self, event: &mut GenerateEvent) {
+        let (GenerateEvent::Token { version, incarnation, .. }
+        | GenerateEvent::End { version, incarnation, .. }) = event
+        else {
+            return;
+        };
+        if let Some(other) = &self.faults.as_version {
+            version.clone_from(other);
+        }
+        if let Some(other) = self.faults.as_incarnation {
+            *incarnation = other;
+        }
+    }
+
     fn applies(&self, every: u64) -> bool {
         every > 0 && self.count.is_multiple_of(every)
     }
--- a/crates/lw-standin/src/engine/options.rs
+++ b/crates/lw-standin/src/engine/options.rs
@@ -116,6 +116,10 @@
     pub cross_every: u64,
     /// Every so many-th token is lost.
     pub lose_every: u64,
+    /// All events name this version of the weights, as those of an engine that took a late order do.
+    pub as_version: Option<String>,
+    /// All events name this incarnation.
+    pub as_incarnation: Option<Incarnation>,
 }
 
 impl Faults {
--- a/crates/lw-standin/src/engine/state.rs
+++ b/crates/lw-standin/src/engine/state.rs
@@ -14,6 +14,8 @@
 
 /// How long load reports are kept; a longer lag shows the oldest one kept.
 const REPORTS_KEPT: Duration = Duration::from_secs(30);
+/// Reports closer together than this are kept as one, which bounds the memory of a busy engine.
+const REPORT_SPACING: Duration = Duration::from_millis(1);
 const LOG_MAX: usize = 100_000;
 
 /// One entry of `GET /log`.
@@ -94,7 +96,14 @@
         change(&mut self.report);
         self.report.seq += 1;
         self.report.loading = !(self.loading_models.is_empty() && self.loading_adapters.is_empty());
-        self.reports.push_back((now, self.report.clone()));
+        // The first report stays, since it is the one that a longer lag than the engine's age shows.
+        let is_first = self.reports.len() == 1;
+        match self.reports.back_mut() {
+            Some((at, report)) if !is_first && now < *at + REPORT_SPACING => {
+                report.clone_from(&self.report);
+            }
+            _ => self.reports.push_back((now, self.report.clone())),
+        }
         while self.reports.get(1).is_some_and(|(at, _)| *at + REPORTS_KEPT < now) {
             self.reports.pop_front();
         }
--- a/crates/lw-standin/tests/engine_faults.rs
+++ b/crates/lw-standin/tests/engine_faults.rs
@@ -74,6 +74,28 @@
     }
 }
 
+/// Guards against router tests of answers by other weights that never see one.
+#[tokio::test]
+async fn events_of_other_weights_show() {
+    let stream = StreamFaults {
+        as_version: Some("old".to_owned()),
+        as_incarnation: Some(3),
+        ..StreamFaults::default()
+    };
+    let faults = Faults { stream, ..Faults::default() };
+    let engine = start(Options { faults, ..quick() }).expect("engine");
+    let (events, _) = generate(&client(), engine.address(), &request("r")).await;
+    assert_eq!(events.len(), 5);
+    for event in events {
+        let (GenerateEvent::Token { version, incarnation, .. }
+        | GenerateEvent::End { version, incarnation, .. }) = event
+        else {
+            panic!("{event:?}")
+        };
+        assert_eq!((version.as_str(), incarnation), ("old", 3));
+    }
+}
+
 /// Guards against a crash that keeps cache or incarnation, also when it happens again during recovery.
 #[tokio::test]
 async fn crash_empties_the_engine() {
