feat(lw-standin): let lw-load wait as refusals state

Ruled out: more retries at once, 512 of which only repeated the refusal.

Before: retries ignore Retry-After. After: a refused request returns after the stated time at the next VM, and retries are counted by cause.

Conclusion: the refusals come from the daemon's admission, which calls the engines saturated while both report no queued tokens; reported to its owner.

--- a/crates/lw-standin/src/load/call.rs
+++ b/crates/lw-standin/src/load/call.rs
@@ -45,6 +45,8 @@
     pub prompt_tokens: u64,
     /// Prompt tokens from the prefix cache, as the answer says.
     pub cached_tokens: u64,
+    /// Time after which a refused request may come back.
+    pub retry_after: Option<Duration>,
 }
 
 #[derive(Default)]
@@ -55,6 +57,7 @@
     first: Option<Duration>,
     last: Option<Instant>,
     gaps: Vec<Duration>,
+    retry_after: Option<Duration>,
 }
 
 /// Sends a request to one VM and checks the answer.
@@ -72,6 +75,7 @@
         prompt_tokens: tokens("/prompt_tokens"),
         cached_tokens: tokens("/prompt_tokens_details/cached_tokens"),
         gaps: seen.gaps,
+        retry_after: seen.retry_after,
     }
 }
 
@@ -92,6 +96,8 @@
     let path = "/v1/chat/completions";
     let mut opened = http.open(Method::POST, vm, path, &headers, planned.body.clone()).await?;
     if opened.status != 200 {
+        let secs = opened.headers.get(http::header::RETRY_AFTER).and_then(|v| v.to_str().ok());
+        seen.retry_after = secs.and_then(|secs| secs.parse().ok()).map(Duration::from_secs);
         return refusal(opened).await;
     }
     while let Some(data) = opened.next().await? {
@@ -118,6 +124,21 @@
     body.pointer("/error/code").and_then(Value::as_str).unwrap_or("(no code)").to_owned()
 }
 
+impl Ended {
+    /// The way of ending in one or two words.
+    #[must_use]
+    pub fn name(&self) -> String {
+        match self {
+            Self::Complete => "complete".to_owned(),
+            Self::Refused(code) => format!("refused {code}"),
+            Self::Failed(code) => format!("failed {code}"),
+            Self::Truncated => "truncated".to_owned(),
+            Self::Wrong(_) => "wrong".to_owned(),
+            Self::Broken(_) => "broken".to_owned(),
+        }
+    }
+}
+
 impl Seen {
     fn add(&mut self, chunk: &Value, began: Instant) {
         if let Some(text) = chunk.pointer("/choices/0/delta/content").and_then(Value::as_str)
--- a/crates/lw-standin/src/load/mod.rs
+++ b/crates/lw-standin/src/load/mod.rs
@@ -49,7 +49,8 @@
     pub time: Duration,
     /// Silence after which a caller gives up.
     pub silence: Duration,
-    /// Times that a broken or refused request is sent again, each time to the next VM.
+    /// Times that a request without a whole answer is sent again, each time to the next VM; a refused one waits for
+    /// the time that the refusal states.
     pub retries: u32,
     /// Prefixes of the first level.
     pub stations: u32,
@@ -87,8 +88,8 @@
 pub struct Outcome {
     /// Requests sent, without retries.
     pub requests: u64,
-    /// Retries sent.
-    pub retries: u64,
+    /// Retries sent, by how the attempt before ended.
+    pub retries: BTreeMap<String, u64>,
     /// Requests whose answer was whole and in order.
     pub complete: u64,
     /// Last refusals by status and code.
@@ -209,7 +210,14 @@
             }
             retries += 1;
             turn += 1;
-            self.sums.lock().unwrap_or_else(PoisonError::into_inner).outcome.retries += 1;
+            let name = answered.ended.name();
+            {
+                let mut sums = self.sums.lock().unwrap_or_else(PoisonError::into_inner);
+                *sums.outcome.retries.entry(name).or_default() += 1;
+            }
+            if let Some(time) = answered.retry_after {
+                tokio::time::sleep(time).await;
+            }
         }
     }
 }
@@ -271,10 +279,10 @@
 impl fmt::Display for Outcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "requests      {}", self.requests)?;
-        writeln!(f, "retries       {}", self.retries)?;
         writeln!(f, "complete      {}", self.complete)?;
         writeln!(f, "truncated     {}", self.truncated)?;
         let maps = [
+            ("retries", &self.retries),
             ("refused", &self.refused),
             ("failed", &self.failed),
             ("broken", &self.broken),
--- a/crates/lw-standin/tests/load.rs
+++ b/crates/lw-standin/tests/load.rs
@@ -61,7 +61,10 @@
         let req = Completion::parse(Endpoint::Chat, &call.body).expect("valid request");
         let failure = Failure::new(ResultCode::Overloaded, "full").body();
         if mode == Mode::Refuses {
-            return serve::status_json(StatusCode::SERVICE_UNAVAILABLE, &failure);
+            let mut refusal = serve::status_json(StatusCode::SERVICE_UNAVAILABLE, &failure);
+            let wait = http::HeaderValue::from_static("1");
+            refusal.headers_mut().insert(http::header::RETRY_AFTER, wait);
+            return refusal;
         }
         let answer =
             Answer { endpoint: Endpoint::Chat, id: "r".into(), model: "m".into(), created: 0 };
@@ -138,13 +141,21 @@
     }
 }
 
-/// Guards against retries at the VM that failed, and against retries that are not counted.
+/// Guards against retries at the VM that failed, before the stated time, or that are not counted.
 #[tokio::test]
-async fn retries_go_to_the_next_vm() {
-    let (bad, good) = (router(Mode::Truncates), router(Mode::Right));
-    let outcome = load(&[&bad, &good], 1).await;
-    assert_eq!((outcome.complete, outcome.retries), (6, 3), "{outcome}");
-    assert!((outcome.cached_share() - 0.25).abs() < 1e-9);
+async fn retries_go_to_the_next_vm_in_time() {
+    let cases = [
+        (Mode::Truncates, "truncated", Duration::ZERO),
+        (Mode::Refuses, "refused 503 overloaded", Duration::from_secs(1)),
+    ];
+    for (mode, cause, wait) in cases {
+        let (bad, good) = (router(mode), router(Mode::Right));
+        let before = std::time::Instant::now();
+        let outcome = load(&[&bad, &good], 1).await;
+        assert!(before.elapsed() >= wait, "{mode:?}");
+        assert_eq!((outcome.complete, outcome.retries[cause]), (6, 3), "{outcome}");
+        assert!((outcome.cached_share() - 0.25).abs() < 1e-9);
+    }
 }
 
 /// Guards against requests that share no prefix or are no longer reproducible.
