feat(lw-standin): state the age of load reports

Cause: LoadReport got age_ms, which no stand-in set.

Ruled out: counting the age from the last change, since an unchanged figure is still measured anew; the age is the lag.

Before: age_ms absent. After: the age of GET /load is the lag, that of the report at the end of an answer 0; --no-age leaves it out. The report at the end of an answer now also says that the engine is leaving.

--- a/crates/lw-standin/src/bin/standin-engine.rs
+++ b/crates/lw-standin/src/bin/standin-engine.rs
@@ -24,6 +24,7 @@
   --token-ms MS           time from token to token [2]
   --answer-max N          longest answer in tokens
   --load-lag-ms MS        age of load reports [0]
+  --no-age                load reports do not state their age
   --events-lag-ms MS      age at which cache events become visible [0]
   --load-ms MS            time to load weights [200]
   --ignore-fencing        take orders with an old fencing number
@@ -50,6 +51,7 @@
         token_time: args::millis(args, "--token-ms", base.token_time)?,
         answer_max: args::value(args, "--answer-max", base.answer_max)?,
         load_lag: args::millis(args, "--load-lag-ms", base.load_lag)?,
+        tells_age: !args.contains("--no-age"),
         events_lag: args::millis(args, "--events-lag-ms", base.events_lag)?,
         load_time: args::millis(args, "--load-ms", base.load_time)?,
         checks_fencing: !args.contains("--ignore-fencing"),
--- a/crates/lw-standin/src/engine/generate.rs
+++ b/crates/lw-standin/src/engine/generate.rs
@@ -1,6 +1,10 @@
 //! `POST /generate`: admission, prefill and tokens of one request.
 
-use std::{io, sync::Arc, time::Instant};
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures::stream::poll_fn;
 use http::StatusCode;
@@ -130,7 +134,7 @@
         }
         ticket.note(|entry| "complete".clone_into(&mut entry.outcome));
         drop(ticket);
-        let load = self.state.lock().report.clone();
+        let load = self.load_report(Duration::ZERO);
         let finish = if total < u64::from(req.max_tokens) { "stop" } else { "length" };
         out.emit(GenerateEvent::End {
             request: req.request.clone(),
@@ -190,7 +194,7 @@
         let slow = self.switches.get().slow_percent;
         let block = scaled(self.options.prefill_per_block, slow).as_nanos();
         let nanos = block * u128::from(tokens) / u128::from(self.options.block_tokens.max(1));
-        let time = std::time::Duration::from_nanos(nanos.try_into().unwrap_or(u64::MAX));
+        let time = Duration::from_nanos(nanos.try_into().unwrap_or(u64::MAX));
         tokio::time::sleep(time).await;
     }
 }
--- a/crates/lw-standin/src/engine/mod.rs
+++ b/crates/lw-standin/src/engine/mod.rs
@@ -12,7 +12,7 @@
 };
 
 use http::{Method, StatusCode};
-use lw_protocol::upstream::CacheEvents;
+use lw_protocol::upstream::{CacheEvents, LoadReport};
 use lw_types::prelude::*;
 use tokio::sync::Notify;
 
@@ -89,12 +89,18 @@
         }
     }
 
-    fn load_report(&self) -> Response {
-        let faults = self.switches.get();
-        let lag = faults.load_lag_ms.map_or(self.options.load_lag, Duration::from_millis);
+    /// The load as it was the given time ago.
+    fn load_report(&self, lag: Duration) -> LoadReport {
         let mut report = self.state.lock().report_before(Instant::now(), lag);
-        report.leaving = faults.leaving;
-        json(&report)
+        let age = lag.as_millis().try_into().unwrap_or(u64::MAX);
+        report.age_ms = self.options.tells_age.then_some(age);
+        report.leaving = self.switches.get().leaving;
+        report
+    }
+
+    fn load_lag(&self) -> Duration {
+        let switch = self.switches.get().load_lag_ms;
+        switch.map_or(self.options.load_lag, Duration::from_millis)
     }
 
     async fn cache_events(&self, after: u64) -> Response {
@@ -143,7 +149,7 @@
             (&Method::POST, "/generate") => {
                 call.json().map_or_else(|e| bad_request(&e), |req| self.generate(req))
             }
-            (&Method::GET, "/load") => self.load_report(),
+            (&Method::GET, "/load") => json(&self.load_report(self.load_lag())),
             (&Method::GET, "/cache-events") => {
                 self.cache_events(call.number("after").unwrap_or(0)).await
             }
--- a/crates/lw-standin/src/engine/options.rs
+++ b/crates/lw-standin/src/engine/options.rs
@@ -37,6 +37,8 @@
     pub answer_max: u32,
     /// Age of the load report that `GET /load` gives.
     pub load_lag: Duration,
+    /// Whether load reports state their age.
+    pub tells_age: bool,
     /// Age at which cache events become visible.
     pub events_lag: Duration,
     /// Longest wait of `GET /cache-events`.
@@ -65,6 +67,7 @@
             token_time: Duration::from_millis(2),
             answer_max: u32::MAX,
             load_lag: Duration::ZERO,
+            tells_age: true,
             events_lag: Duration::ZERO,
             events_wait: Duration::from_secs(20),
             load_time: Duration::from_millis(200),
--- a/crates/lw-standin/src/engine/orders.rs
+++ b/crates/lw-standin/src/engine/orders.rs
@@ -1,6 +1,9 @@
 //! `POST /orders`, `POST /kv/export` and `POST /kv/import`.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http::StatusCode;
 use lw_protocol::upstream::{EngineOrder, KvBlocks, KvExport, OrderRequest, RefusalReason};
@@ -28,7 +31,7 @@
                 self.clone().load_adapter(adapter.name, adapter.version);
             }
         }
-        json(&self.state.lock().report)
+        json(&self.load_report(Duration::ZERO))
     }
 
     fn load_model(self: Arc<Self>, model: String, version: String) {
--- a/crates/lw-standin/tests/engine.rs
+++ b/crates/lw-standin/tests/engine.rs
@@ -242,14 +242,15 @@
     post(&client(), b.address(), "/kv/export", &KvExport { blocks: vec![77] }, 404).await;
 }
 
-/// Guards against load reports that are fresher than the stated lag.
+/// Guards against load reports that are fresher than the stated lag or name another age.
 #[tokio::test]
 async fn load_reports_lag() {
     let engine = engine(quick());
     let lag = |ms| Faults { load_lag_ms: Some(ms), ..Faults::default() };
     faults(engine.address(), &lag(60_000)).await;
     complete(&client(), engine.address(), &request("r")).await;
-    assert_eq!(load(&engine).await.seq, 0);
+    let report = load(&engine).await;
+    assert_eq!((report.seq, report.age_ms), (0, Some(60_000)));
     faults(engine.address(), &lag(20)).await;
     until("the report is old enough", || async { load(&engine).await.seq > 0 }).await;
 }
