--- a/crates/lw-standin/src/engine/options.rs
+++ b/crates/lw-standin/src/engine/options.rs
@@ -37,6 +37,8 @@
     pub answer_max: u32,
     /// Age of the load report that `GET /load` gives.
     pub load_lag: Duration,
+    /// Whether load reports state their age.
+    pub tells_age: bool,
     /// Age at which cache events become visible.
     pub events_lag: Duration,
     /// Longest wait of `GET /cache-events`.
@@ -65,6 +67,7 @@
             token_time: Duration::from_millis(2),
             answer_max: u32::MAX,
             load_lag: Duration::ZERO,
+            tells_age: true,
             events_lag: Duration::ZERO,
             events_wait: Duration::from_secs(20),
             load_time: Duration::from_millis(200),
@@ -116,6 +119,10 @@
     pub cross_every: u64,
     /// Every so many-th token is lost.
     pub lose_every: u64,
+    /// All events name this version of the weights, as those of an engine that took a late order do.
+    pub as_version: Option<String>,
+    /// All events name this incarnation.
+    pub as_incarnation: Option<Incarnation>,
 }
 
 impl Faults {
