--- /dev/null
+++ b/crates/lw-order/src/issuer/fleet.rs
@@ -0,0 +1,174 @@
+//! What the issuer knows about the engines, and which one is loaded next.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use lw_types::prelude::*;
+
+use crate::{
+    message::{EngineState, Report},
+    options::Options,
+    plan::Plan,
+};
+
+#[derive(Debug)]
+struct Engine {
+    report: Report,
+    seen: Now,
+}
+
+/// An order whose effect is not yet known; the engine may be loading.
+#[derive(Debug)]
+struct Flight {
+    state: EngineState,
+    sent: Now,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    engines: BTreeMap<UpstreamId, Engine>,
+    flights: BTreeMap<UpstreamId, Flight>,
+    /// Times of the orders that may have started a load in the weight store's window.
+    sent: VecDeque<Now>,
+}
+
+impl Fleet {
+    pub fn on_report(&mut self, now: Now, report: Report) {
+        let number = |report: &Report| (report.incarnation, report.seq);
+        if let Some(known) = self.engines.get(&report.engine)
+            && number(&known.report) >= number(&report)
+        {
+            return;
+        }
+        self.engines.insert(report.engine.clone(), Engine { report, seen: now });
+    }
+
+    /// Starts a new term. An engine that went silent, or has sent no report to this VM, may have an order
+    /// of the former issuer and counts as loading until that must be over.
+    pub fn take_over(&mut self, now: Now, plan: &Plan, options: &Options) {
+        self.flights.clear();
+        self.sent.clear();
+        for id in plan.targets.keys().filter(|id| !self.engines.contains_key(*id)) {
+            let flight = Flight { state: EngineState::default(), sent: now };
+            self.flights.insert(id.clone(), flight);
+        }
+        for (id, engine) in &self.engines {
+            let last_order = engine.seen + options.silence;
+            if now >= last_order && now < last_order + options.arrival() + options.load_max {
+                let flight = Flight { state: EngineState::default(), sent: last_order };
+                self.flights.insert(id.clone(), flight);
+            }
+        }
+    }
+
+    /// Engines that are loading or may be.
+    pub fn loading(&self, now: Now, options: &Options) -> usize {
+        let reported = self.engines.iter().filter(|(id, engine)| {
+            let may_load = engine.report.loading && now < engine.seen + options.load_max;
+            may_load && !self.flights.contains_key(*id)
+        });
+        self.flights.len() + reported.count()
+    }
+
+    /// Engines that are not in their desired state, with the reason.
+    pub fn remaining<'a>(
+        &'a self,
+        now: Now,
+        plan: &'a Plan,
+        options: &'a Options,
+    ) -> impl Iterator<Item = (&'a UpstreamId, &'static str)> {
+        plan.targets.iter().filter_map(move |(id, target)| {
+            let reason = match self.engines.get(id) {
+                None => "no report",
+                Some(engine) if now >= engine.seen + options.silence => "silent",
+                Some(engine) if engine.report.loading => "loading",
+                Some(_) if self.flights.contains_key(id) => "ordered",
+                Some(engine) if engine.report.state != *target => "waiting",
+                Some(_) => return None,
+            };
+            Some((id, reason))
+        })
+    }
+
+    /// The engines to be ordered now, with their states.
+    pub fn next(
+        &mut self,
+        now: Now,
+        plan: &Plan,
+        options: &Options,
+    ) -> Vec<(UpstreamId, EngineState)> {
+        self.settle(now, options);
+        let window = options.store_window + options.arrival();
+        while self.sent.front().is_some_and(|sent| now >= *sent + window) {
+            self.sent.pop_front();
+        }
+        let mut orders = Vec::new();
+        while self.sent.len() < options.store_loads {
+            let Some(id) = self.choose(now, plan, options) else { break };
+            let state = plan.targets[&id].clone();
+            self.flights.insert(id.clone(), Flight { state: state.clone(), sent: now });
+            self.sent.push_back(now);
+            orders.push((id, state));
+        }
+        orders
+    }
+
+    /// Ends the flights whose effect is known.
+    fn settle(&mut self, now: Now, options: &Options) {
+        let engines = &self.engines;
+        self.flights.retain(|id, flight| {
+            let arrived = flight.sent + options.arrival();
+            let Some(engine) = engines.get(id) else { return now < arrived + options.load_max };
+            if now >= engine.seen + options.silence {
+                return now < arrived + options.load_max;
+            }
+            if engine.report.loading {
+                return true;
+            }
+            // An earlier report may show the state before the order came.
+            let is_done = engine.report.state == flight.state;
+            !is_done && engine.seen < arrived + options.report_lag
+        });
+    }
+
+    /// The next engine to load: first one that serves nothing, then one that its role can spare.
+    fn choose(&self, now: Now, plan: &Plan, options: &Options) -> Option<UpstreamId> {
+        if self.loading(now, options) >= options.loading_max {
+            return None;
+        }
+        let is_wrong = |(id, target): &(&UpstreamId, &EngineState)| {
+            self.engines.get(*id).is_some_and(|engine| {
+                let idle = !engine.report.loading && !self.flights.contains_key(*id);
+                idle && now < engine.seen + options.silence && engine.report.state != **target
+            })
+        };
+        let wrong: Vec<_> = plan.targets.iter().filter(is_wrong).map(|(id, _)| id).collect();
+        let spare = self.spare(now, plan, options);
+        let may_load = |id: &&&UpstreamId| {
+            let state = &self.engines[**id].report.state;
+            // Engines of a role without a minimum may always be taken.
+            state.models.is_empty() || spare.get(state.role.as_str()).is_none_or(|n| *n > 0)
+        };
+        let is_empty = |id: &&&UpstreamId| self.engines[**id].report.state.models.is_empty();
+        let first = wrong.iter().find(is_empty).or_else(|| wrong.iter().find(may_load));
+        first.map(|id| (*id).clone())
+    }
+
+    /// Serving engines of each role above its minimum.
+    fn spare<'a>(&self, now: Now, plan: &'a Plan, options: &Options) -> BTreeMap<&'a str, usize> {
+        let mut serving: BTreeMap<&str, usize> = BTreeMap::new();
+        for (id, engine) in &self.engines {
+            let state = &engine.report.state;
+            let serves = !engine.report.loading && !state.models.is_empty();
+            let known = now < engine.seen + options.silence && !self.flights.contains_key(id);
+            // A leaving engine has no target and is about to stop serving.
+            if serves && known && plan.targets.contains_key(id) {
+                *serving.entry(state.role.as_str()).or_default() += 1;
+            }
+        }
+        let above = |(role, minimum): (&'a String, &usize)| {
+            let count = serving.get(role.as_str()).copied().unwrap_or(0);
+            (role.as_str(), count.saturating_sub(*minimum))
+        };
+        plan.minimums.iter().map(above).collect()
+    }
+}
--- /dev/null
+++ b/crates/lw-order/src/options.rs
@@ -0,0 +1,72 @@
+//! Bounds of the issuer.
+
+use std::time::Duration;
+
+/// Bounds of the issuer.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Lifetime of the lease in the store.
+    pub lease_ttl: Duration,
+    /// Time before the end of the lease at which the issuer stops; it covers the clock drift within one
+    /// lease.
+    pub lease_margin: Duration,
+    /// Time between two renewals, and between two tries to get the lease.
+    pub lease_interval: Duration,
+    /// Time after which a store call without a result counts as lost.
+    pub store_timeout: Duration,
+    /// Time after its decision in which an order must be sent. An order that is sent after a pause would
+    /// start a load that the issuer no longer counts.
+    pub send_window: Duration,
+    /// Longest time between sending an order and its arrival: the timeout of the call.
+    pub order_delay: Duration,
+    /// Longest age of the state in a load report when it arrives.
+    pub report_lag: Duration,
+    /// Time without a report after which an engine counts as silent.
+    pub silence: Duration,
+    /// Longest time a load takes. A silent engine may be loading for this long.
+    pub load_max: Duration,
+    /// Engines that load at once. More than two slow each other down.
+    pub loading_max: usize,
+    /// Loads that the weight store serves in one `store_window`.
+    pub store_loads: usize,
+    /// Window of the weight store's rate limit.
+    pub store_window: Duration,
+}
+
+impl Options {
+    /// Time a new issuer waits before its first order. Until then all orders of the former issuer have
+    /// arrived and show in load reports, and its loads are out of the weight store's window.
+    ///
+    /// ```
+    /// let options = lw_order::options::Options::default();
+    /// assert!(options.takeover_wait() > options.order_delay);
+    /// ```
+    #[must_use]
+    pub fn takeover_wait(&self) -> Duration {
+        self.order_delay + self.report_lag.max(self.store_window)
+    }
+
+    /// Longest time between the decision for an order and its arrival.
+    pub(crate) fn arrival(&self) -> Duration {
+        self.send_window + self.order_delay
+    }
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            lease_ttl: Duration::from_secs(6),
+            lease_margin: Duration::from_secs(1),
+            lease_interval: Duration::from_secs(2),
+            store_timeout: Duration::from_millis(500),
+            send_window: Duration::from_millis(200),
+            order_delay: Duration::from_millis(500),
+            report_lag: Duration::from_secs(1),
+            silence: Duration::from_secs(3),
+            load_max: Duration::from_secs(30),
+            loading_max: 2,
+            store_loads: 2,
+            store_window: Duration::from_secs(1),
+        }
+    }
+}
