--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 use crate::summary::Row;
 
+pub mod claims;
 pub mod dossiers;
 pub mod hits;
 pub mod overload;
@@ -12,6 +13,6 @@
 #[must_use]
 pub fn all() -> Vec<Row> {
     let groups: Vec<fn() -> Vec<Row>> =
-        vec![hits::rows, tail::rows, overload::rows, dossiers::rows, slow::rows];
+        vec![hits::rows, tail::rows, overload::rows, dossiers::rows, slow::rows, claims::rows];
     groups.into_iter().flat_map(|rows| rows()).collect()
 }
