--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -2,6 +2,8 @@
 
 use crate::summary::Row;
 
+pub mod member;
+
 /// Runs all cases.
 #[must_use]
 pub fn all() -> Vec<Row> {
--- a/crates/lw-member/src/config/mod.rs
+++ b/crates/lw-member/src/config/mod.rs
@@ -4,7 +4,7 @@
 //! revision at which the base version was read. Every copy at a VM comes from a document or patch that
 //! such a write has stored, and a VM installs only higher versions.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use lw_config::document::Document;
 use lw_types::prelude::*;
@@ -28,6 +28,8 @@
 const KEPT_BYTES_MAX: usize = 256 * 1024;
 /// Patches sent at once; beyond this the whole document is cheaper.
 const ANSWER_BYTES_MAX: usize = 64 * 1024;
+/// Longest pause before another fetch, for documents that take long to arrive.
+const FETCH_PAUSE_MAX: Duration = Duration::from_secs(5);
 
 /// The configuration in force at a VM.
 #[derive(Debug, Clone, Copy)]
@@ -70,7 +72,8 @@
     is_provisional: bool,
     kept: VecDeque<PatchTo>,
     kept_bytes: usize,
-    fetch: Option<(VmId, Now)>,
+    /// Time of the last fetch and the pause until the next one.
+    fetch: Option<(Now, Duration)>,
     pub(crate) store: store::Store,
 }
 
@@ -140,13 +143,29 @@
         }
     }
 
+    /// Reply to a peer that named an older version: the missing patches if they are few, so that it need
+    /// not ask. A whole document is sent only on request, because the peer may be receiving it already.
+    pub(crate) fn help(&self, have: ConfigVersion) -> Body {
+        if have >= self.version() {
+            return Body::Gossip;
+        }
+        match self.answer(have) {
+            Body::Patches(list)
+                if list.iter().map(|p| p.patch.len()).sum::<usize>() <= PUSH_BYTES_MAX =>
+            {
+                Body::Patches(list)
+            }
+            _ => Body::Gossip,
+        }
+    }
+
     /// Answer to a peer that has version `have`: the missing patches, or the whole document.
     pub(crate) fn answer(&self, have: ConfigVersion) -> Body {
         let Some(document) = self.accepted.as_ref().filter(|doc| doc.version > have) else {
             return Body::Gossip;
         };
         let missing: Vec<_> = self.kept.iter().filter(|p| p.version > have).cloned().collect();
-        let reaches = have > 0 && missing.first().is_some_and(|p| p.version == have + 1);
+        let reaches = missing.first().is_some_and(|p| p.version == have + 1);
         let is_current = missing.last().is_some_and(|p| p.version == document.version);
         let bytes: usize = missing.iter().map(|p| p.patch.len()).sum();
         if reaches && is_current && bytes <= ANSWER_BYTES_MAX {
@@ -160,12 +179,15 @@
     fn apply(&mut self, patches: &[PatchTo]) -> usize {
         let mut applied = 0;
         for patch in patches {
-            let Some(base) = self.accepted.as_ref().filter(|doc| doc.version + 1 == patch.version)
-            else {
+            if patch.version != self.version() + 1 {
                 continue;
-            };
+            }
             let Ok(value) = serde_json::from_str(&patch.patch) else { break };
-            let Ok(next) = base.patched(base.version, &value) else { break };
+            let next = match &self.accepted {
+                Some(base) => base.patched(base.version, &value),
+                None => Document::empty().patched(0, &value),
+            };
+            let Ok(next) = next else { break };
             if self.install(next) {
                 self.keep(patch.clone());
                 applied += 1;
@@ -213,8 +235,9 @@
                 self.push_config(now, out);
             }
             Body::Whole(text) => {
-                if let Ok(document) = Document::from_json(text) {
-                    self.install(document, out);
+                let document = Document::from_json(text).ok();
+                if document.is_some_and(|document| self.install(document, out)) {
+                    self.push_config(now, out);
                 }
             }
             _ => {}
@@ -225,12 +248,14 @@
     }
 
     fn fetch_from(&mut self, now: Now, from: &VmId, out: &mut Vec<Action>) {
-        let timeout = self.options.timings.call_timeout;
-        if self.config.fetch.as_ref().is_some_and(|(_, at)| now < *at + timeout) {
-            return;
-        }
+        let first = self.options.timings.fetch_retry;
+        let pause = match self.config.fetch {
+            Some((at, pause)) if now < at + pause => return,
+            Some((_, pause)) => (pause * 2).min(FETCH_PAUSE_MAX),
+            None => first,
+        };
         if self.view.get(from).is_some() {
-            self.config.fetch = Some((from.clone(), now));
+            self.config.fetch = Some((now, pause));
             let have = self.config.version();
             self.send_to(now, from, Body::Fetch(have), out);
         }
--- a/crates/lw-member/src/config/patch.rs
+++ b/crates/lw-member/src/config/patch.rs
@@ -117,7 +117,7 @@
                 let Some(stored) = swap else { return };
                 self.saw_revision(*revision);
                 let version = stored.document.version;
-                self.accepted(now, &stored, out);
+                self.take_stored(now, &stored, out);
                 self.answer(request, PatchOutcome::Accepted(version), out);
             }
             StoreOutcome::Conflict => job.again = Some(now),
@@ -149,15 +149,6 @@
         }
     }
 
-    /// Installs what the own swap has stored and tells peers at once.
-    fn accepted(&mut self, now: Now, stored: &Stored, out: &mut Vec<Action>) {
-        let is_first = self.config.version() == 0;
-        self.take_stored(now, stored, out);
-        if is_first {
-            self.push_config(now, out);
-        }
-    }
-
     /// Decides on the value just read: accepted before, stale, invalid, or to be swapped.
     fn swap(
         &mut self,
--- a/crates/lw-member/src/config/store.rs
+++ b/crates/lw-member/src/config/store.rs
@@ -101,9 +101,7 @@
         for patch in stored.patches().filter(|patch| patch.version > before) {
             self.config.keep(patch);
         }
-        if before > 0 {
-            self.push_config(now, out);
-        }
+        self.push_config(now, out);
     }
 
     fn after_read(&mut self, now: Now, outcome: &StoreOutcome) {
--- a/crates/lw-member/src/member/contact.rs
+++ b/crates/lw-member/src/member/contact.rs
@@ -22,6 +22,9 @@
 const SYNC_EVERY: Duration = Duration::from_secs(5);
 /// Time for which a neighbour's digest must differ before views are compared.
 const DISAGREE: Duration = Duration::from_secs(2);
+/// Age up to which a member compares views more often, because after a restart of the whole fleet all
+/// views are incomplete.
+const YOUNG: Duration = Duration::from_secs(60);
 /// Members in one reply to a comparison; about 2.5 KB.
 const SYNC_MEMBERS: usize = 64;
 /// Change younger than this may not have reached the other view yet.
@@ -37,12 +40,19 @@
 pub(super) struct Contact {
     listed: Vec<Listed>,
     joined: bool,
+    started: Now,
     next_sync: Now,
     next_reach: Now,
     disagree: Option<(VmId, Now)>,
     told: Option<(VmId, Now)>,
 }
 
+impl Contact {
+    pub(super) fn new(now: Now) -> Self {
+        Self { started: now, ..Self::default() }
+    }
+}
+
 impl Member {
     /// Takes the platform's list of VMs. It lags: it serves for first contact, and its `leaving` entries
     /// exclude a member only until that member itself says otherwise.
@@ -73,12 +83,15 @@
                 self.send_sync(now, to, out);
             }
         }
-        let due = self.contact.disagree.as_ref().filter(|(_, since)| now >= *since + DISAGREE);
+        let is_young = now < self.contact.started + YOUNG;
+        let (patience, pause) =
+            if is_young { (SYNC_AGAIN, SYNC_AGAIN) } else { (DISAGREE, SYNC_EVERY) };
+        let due = self.contact.disagree.as_ref().filter(|(_, since)| now >= *since + patience);
         if let Some((id, _)) = due.filter(|_| self.contact.joined && now >= self.contact.next_sync)
         {
             let to = self.view.get(id).map(|p| p.address);
             self.contact.disagree = None;
-            self.contact.next_sync = now + SYNC_EVERY + self.jitter(SYNC_EVERY);
+            self.contact.next_sync = now + pause / 2 + self.jitter(pause);
             if let Some(to) = to {
                 self.send_sync(now, to, out);
             }
--- a/crates/lw-member/src/member/detect.rs
+++ b/crates/lw-member/src/member/detect.rs
@@ -1,6 +1,6 @@
 //! Failure detection: heartbeats, probes, suspicion and removal.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use lw_types::prelude::*;
 
@@ -12,13 +12,16 @@
 };
 
 /// Members asked to probe a silent one.
-const HELPERS: usize = 2;
+const HELPERS: usize = 3;
+/// Direct probes sent before others are asked. Most silences are one lost heartbeat, which the first probe
+/// settles without the twenty messages that the help of others takes.
+const HELP_FROM: u32 = 1;
 /// Time between two direct probes of a silent member.
-const PROBE_EVERY: std::time::Duration = std::time::Duration::from_millis(200);
+const PROBE_EVERY: Duration = Duration::from_millis(250);
 /// A longer time between two ticks means that this process did not run, so silence proves nothing.
-const PAUSE: std::time::Duration = std::time::Duration::from_millis(600);
+const PAUSE: Duration = Duration::from_millis(600);
 /// Time between two looks for expired suspicions and removals.
-const EXPIRE_EVERY: std::time::Duration = std::time::Duration::from_secs(1);
+const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 /// Disputed members probed at the same time.
 const DISPUTED_MAX: usize = 4;
 /// Probes for others that wait for a reply; older ones are dropped first.
@@ -105,8 +108,9 @@
         let view = &self.view;
         self.detect.watches.retain(|id, watch| {
             let Some(peer) = view.get(id).filter(|p| p.is_member()) else { return false };
-            let heard = peer.heard.unwrap_or_default().max(watch.since);
-            let silence = now.saturating_sub(heard);
+            let heard = peer.heard.unwrap_or_default();
+            // A new incarnation starts with a full period, whatever was heard of the former one.
+            let silence = now.saturating_sub(heard.max(watch.since).max(peer.changed));
             if watch.disputed && heard > watch.since {
                 return false;
             }
@@ -116,14 +120,14 @@
             } else if silence >= timings.suspect_after {
                 silent.push((id.clone(), peer.incarnation));
             } else if silence >= patience + PROBE_EVERY * watch.probes {
-                probes.push((id.clone(), watch.probes == 0));
+                probes.push((id.clone(), watch.probes == HELP_FROM));
                 watch.probes += 1;
             }
             true
         });
-        for (id, first) in probes {
+        for (id, needs_help) in probes {
             self.send_to(now, &id, Body::Probe, out);
-            let Some(address) = self.view.get(&id).filter(|_| first).map(|p| p.address) else {
+            let Some(address) = self.view.get(&id).filter(|_| needs_help).map(|p| p.address) else {
                 continue;
             };
             for helper in self.random_members(HELPERS, &id) {
@@ -174,8 +178,7 @@
             self.reconnected(now, out);
         }
         self.detect.last_heard = now;
-        self.view.heard(now, &message.from, message.incarnation);
-        self.view.names_version(&message.from, message.version);
+        self.view.heard(now, &message.from, message.incarnation, message.version);
     }
 
     /// This VM heard nobody for as long as a suspicion takes, so it was cut off itself: what it
--- a/crates/lw-member/src/member/gossip.rs
+++ b/crates/lw-member/src/member/gossip.rs
@@ -6,9 +6,10 @@
 
 use crate::{message::News, options::Timings, view::View};
 
-/// Times that one member tells a piece of news. Ten heartbeat neighbours and repeats aside, the share of
-/// members missed is e^-8 with all told at random; comparison of digests covers the rest.
-const TELLS: u8 = 8;
+/// Fewest and most times that one member tells a piece of news; between them it is the binary logarithm of
+/// the number of members. Told 9 times at random by each, e^-9 of the members are missed; heartbeats with
+/// another digest or version cover the rest.
+const TELLS: std::ops::RangeInclusive<u32> = 4..=9;
 /// Members told at once by a member that has just learnt urgent news.
 pub(super) const BURST: usize = 3;
 /// Members told in each later round.
@@ -25,7 +26,7 @@
 #[derive(Debug)]
 struct Rumour {
     news: News,
-    left: u8,
+    left: u32,
 }
 
 /// The queue of news.
@@ -36,7 +37,7 @@
     tokens: u64,
     refilled: Now,
     pub(super) next_round: Now,
-    pub(super) patch_tells: u8,
+    pub(super) patch_tells: u32,
 }
 
 impl Gossip {
@@ -50,17 +51,17 @@
     }
 
     /// Queues news in place of older news about the same member.
-    pub(super) fn add(&mut self, now: Now, news: News) {
+    pub(super) fn add(&mut self, now: Now, news: News, members: usize) {
         let id = news.about().0.clone();
         self.queue.retain(|rumour| *rumour.news.about().0 != id);
         self.recent.retain(|(at, other)| *other != id && *at + RECENT > now);
         self.recent.push_back((now, id));
-        self.queue.push(Rumour { news, left: TELLS });
+        self.queue.push(Rumour { news, left: tells(members) });
     }
 
     /// Queues the latest patch.
-    pub(super) fn add_patch(&mut self) {
-        self.patch_tells = TELLS;
+    pub(super) fn add_patch(&mut self, members: usize) {
+        self.patch_tells = tells(members);
     }
 
     /// Drops queued suspicions.
@@ -85,7 +86,7 @@
             News::Leaving(_) => 1,
             News::Alive(_) => 2,
         };
-        self.queue.sort_by_key(|rumour| (urgency(&rumour.news), u8::MAX - rumour.left));
+        self.queue.sort_by_key(|rumour| (urgency(&rumour.news), u32::MAX - rumour.left));
         let mut bytes = 0;
         let mut taken = Vec::new();
         for rumour in &mut self.queue {
@@ -102,11 +103,15 @@
         taken
     }
 
-    /// Adds recent changes for a neighbour whose view differs.
+    /// Adds recent exclusions for a neighbour whose view differs. Members that are alive can wait for the
+    /// comparison of views; repeating them too took half of the traffic after a partition.
     pub(super) fn repeat(&self, now: Now, view: &View, news: &mut Vec<News>) {
         let mut bytes: u64 = news.iter().map(size).sum();
         for (at, id) in self.recent.iter().rev() {
             let Some(peer) = view.get(id).filter(|_| *at + RECENT > now) else { continue };
+            if peer.is_selectable() {
+                continue;
+            }
             let item = peer.news();
             bytes += size(&item);
             if bytes > MESSAGE_BYTES {
@@ -124,6 +129,10 @@
     }
 }
 
+fn tells(members: usize) -> u32 {
+    members.max(1).ilog2().clamp(*TELLS.start(), *TELLS.end())
+}
+
 /// Encoded size, estimated: names, address and numbers.
 fn size(news: &News) -> u64 {
     let bytes = match news {
--- a/crates/lw-member/src/member/mod.rs
+++ b/crates/lw-member/src/member/mod.rs
@@ -16,6 +16,9 @@
 mod detect;
 mod gossip;
 
+/// Draws for each random member wanted; small fleets or many dead members make some draws fail.
+const DRAWS: usize = 8;
+
 /// Result of a tick.
 #[derive(Debug)]
 pub struct Tick {
@@ -61,14 +64,14 @@
             view: View::default(),
             gossip: gossip::Gossip::new(now),
             detect: detect::Detect::new(now, now + phase),
-            contact: contact::Contact::default(),
+            contact: contact::Contact::new(now),
             config,
             rng,
             options,
         };
         let own = member.own_news();
         member.view.apply(now, &own);
-        member.gossip.add(now, own);
+        member.gossip.add(now, own, 1);
         member
     }
 
@@ -107,7 +110,7 @@
                 Body::Gossip
             }
             _ if known.is_none_or(|known| known < message.incarnation) => Body::Introduce,
-            _ => Body::Gossip,
+            _ => self.config.help(message.version),
         };
         let differs = message.digest != self.view.digest();
         if differs && matches!(message.body, Body::Heartbeat) {
@@ -163,7 +166,7 @@
         out
     }
 
-    /// All known peers, this VM included, in the order of their names.
+    /// All known peers, this VM included, in the order of the ring.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.view.iter()
     }
@@ -216,7 +219,7 @@
     fn announce(&mut self, now: Now, out: &mut Vec<Action>) {
         let own = self.own_news();
         self.view.apply(now, &own);
-        self.gossip.add(now, own);
+        self.gossip.add(now, own, self.view.len());
         self.tell(now, gossip::BURST, out);
     }
 
@@ -229,16 +232,17 @@
         } else {
             for news in &message.news {
                 if self.merge(now, news, out) {
-                    self.gossip.add(now, news.clone());
+                    self.gossip.add(now, news.clone(), self.view.len());
                     urgent |= !matches!(news, News::Alive(_));
                 }
             }
         }
-        // The first message of a new incarnation may bring the card that makes it known.
-        self.view.heard(now, &message.from, message.incarnation);
-        self.view.names_version(&message.from, message.version);
+        if !message.news.is_empty() {
+            // The first message of a new incarnation may bring the card that makes it known.
+            self.view.heard(now, &message.from, message.incarnation, message.version);
+        }
         if let Body::Vouch(id, incarnation) = &message.body {
-            self.view.heard(now, id, *incarnation);
+            self.view.heard(now, id, *incarnation, 0);
         }
         if urgent {
             self.tell(now, gossip::BURST, out);
@@ -264,7 +268,7 @@
     /// Applies news that this member found out itself and tells it.
     fn learn(&mut self, now: Now, news: News, out: &mut Vec<Action>) {
         if self.merge(now, &news, out) {
-            self.gossip.add(now, news);
+            self.gossip.add(now, news, self.view.len());
             self.tell(now, gossip::BURST, out);
         }
     }
@@ -318,16 +322,22 @@
 
     /// Queues the latest patch for dissemination.
     pub(crate) fn push_config(&mut self, now: Now, out: &mut Vec<Action>) {
-        self.gossip.add_patch();
+        self.gossip.add_patch(self.view.len());
         self.tell(now, gossip::BURST, out);
     }
 
     /// Up to `count` random members other than this VM and `except`.
     pub(crate) fn random_members(&mut self, count: usize, except: &str) -> Vec<VmId> {
         let own = &self.options.id;
-        let others = self.view.iter().filter(|p| p.is_member() && p.id != *own && p.id != except);
-        let chosen = self.rng.choose_multiple(others, count);
-        chosen.into_iter().map(|p| p.id.clone()).collect()
+        let mut chosen: Vec<VmId> = Vec::with_capacity(count);
+        for _ in 0..count * DRAWS {
+            let peer = self.view.at(self.rng.usize(..self.view.len()));
+            let is_new = peer.id != *own && peer.id != except && !chosen.contains(&peer.id);
+            if chosen.len() < count && peer.is_member() && is_new {
+                chosen.push(peer.id.clone());
+            }
+        }
+        chosen
     }
 
     pub(crate) fn send_to(&mut self, now: Now, id: &str, body: Body, out: &mut Vec<Action>) {
--- a/crates/lw-member/src/options.rs
+++ b/crates/lw-member/src/options.rs
@@ -64,8 +64,10 @@
     pub remove_after: Duration,
     /// Time a removed peer is remembered, so that old news cannot bring it back.
     pub forget_after: Duration,
-    /// Time after which the answer to a fetch or a store call counts as lost.
+    /// Time after which the answer to a store call counts as lost.
     pub call_timeout: Duration,
+    /// Time after which a configuration fetch without an answer is repeated; doubles with each repeat.
+    pub fetch_retry: Duration,
     /// Time after which a watch without a result counts as lost. Longer than the platform's long poll.
     pub watch_timeout: Duration,
     /// Time without any accepted document after which the bootstrap document is in force.
@@ -79,11 +81,12 @@
         Self {
             heartbeat: Duration::from_millis(500),
             gossip: Duration::from_millis(100),
-            probe_after: Duration::from_millis(800),
-            suspect_after: Duration::from_millis(1400),
+            probe_after: Duration::from_millis(700),
+            suspect_after: Duration::from_millis(1500),
             remove_after: Duration::from_secs(60),
             forget_after: Duration::from_secs(2 * 3600),
             call_timeout: Duration::from_secs(1),
+            fetch_retry: Duration::from_millis(600),
             watch_timeout: Duration::from_secs(60),
             bootstrap_after: Duration::from_millis(500),
             patch_deadline: Duration::from_secs(5),
--- a/crates/lw-member/src/view/mod.rs
+++ b/crates/lw-member/src/view/mod.rs
@@ -1,6 +1,6 @@
 //! The view that one member has of all members.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::net::SocketAddr;
 
 use lw_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -98,7 +98,10 @@
 /// All known members, with digests that are kept up to date at each change.
 #[derive(Debug, Default)]
 pub struct View {
-    peers: BTreeMap<VmId, Peer>,
+    /// Sorted by hash and name, the order of the ring.
+    peers: Vec<Peer>,
+    /// Hashes of `peers`, apart from them so that a search touches little memory.
+    hashes: Vec<u64>,
     buckets: [u32; BUCKETS],
     generation: u64,
 }
@@ -107,12 +110,30 @@
     /// The peer of this name.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Peer> {
-        self.peers.get(id)
+        self.find(id).ok().map(|at| &self.peers[at])
     }
 
-    /// All peers in the order of their names, removed ones included.
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        let hash = xxh3_64(id.as_bytes());
+        let first = self.hashes.partition_point(|other| *other < hash);
+        let same = self.hashes[first..].iter().take_while(|other| **other == hash).count();
+        let found = self.peers[first..first + same].binary_search_by(|p| p.id.as_str().cmp(id));
+        found.map(|at| first + at).map_err(|at| first + at)
+    }
+
+    fn get_mut(&mut self, id: &str) -> Option<&mut Peer> {
+        self.find(id).ok().map(|at| &mut self.peers[at])
+    }
+
+    /// The peer at this position on the ring.
+    #[must_use]
+    pub fn at(&self, position: usize) -> &Peer {
+        &self.peers[position]
+    }
+
+    /// All peers in the order of the ring, removed ones included.
     pub fn iter(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.values()
+        self.peers.iter()
     }
 
     /// Number of known peers, removed ones included.
@@ -147,7 +168,7 @@
 
     /// Alive and leaving members of one bucket.
     pub fn bucket(&self, index: usize) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(move |p| p.is_member() && p.bucket() == index)
+        self.peers.iter().filter(move |p| p.is_member() && p.bucket() == index)
     }
 
     /// Applies news; returns whether anything changed. Older news changes nothing.
@@ -159,7 +180,8 @@
                 return self.set(now, id, *incarnation, State::Suspect);
             }
         };
-        let known = self.peers.get(&card.id);
+        let position = self.find(&card.id);
+        let known = position.ok().map(|at| &self.peers[at]);
         if known.is_some_and(|p| (p.incarnation, p.state) >= (card.incarnation, state)) {
             return false;
         }
@@ -170,13 +192,19 @@
             domain: card.domain.clone(),
             incarnation: card.incarnation,
             state,
-            version: known.map_or(0, |p| p.version),
+            version: known.filter(|p| p.incarnation == card.incarnation).map_or(0, |p| p.version),
             changed: now,
             heard: kept,
             hash: xxh3_64(card.id.as_bytes()),
         };
         self.toggle(&card.id);
-        self.peers.insert(card.id.clone(), peer);
+        match position {
+            Ok(at) => self.peers[at] = peer,
+            Err(at) => {
+                self.hashes.insert(at, peer.hash);
+                self.peers.insert(at, peer);
+            }
+        }
         self.toggle(&card.id);
         self.generation += 1;
         true
@@ -185,11 +213,11 @@
     /// Moves a known member to a later state of this incarnation; returns whether anything changed.
     pub fn set(&mut self, now: Now, id: &str, incarnation: Incarnation, state: State) -> bool {
         let newer = |p: &&Peer| (p.incarnation, p.state) < (incarnation, state);
-        if !self.peers.get(id).as_ref().is_some_and(newer) {
+        if !self.get(id).as_ref().is_some_and(newer) {
             return false;
         }
         self.toggle(id);
-        if let Some(peer) = self.peers.get_mut(id) {
+        if let Some(peer) = self.get_mut(id) {
             (peer.incarnation, peer.state, peer.changed) = (incarnation, state, now);
         }
         self.toggle(id);
@@ -200,25 +228,17 @@
     /// Takes back the suspicion of a member that this VM raised while it was cut off itself.
     pub fn withdraw(&mut self, now: Now, id: &str) {
         self.toggle(id);
-        if let Some(peer) = self.peers.get_mut(id).filter(|p| p.state == State::Suspect) {
+        if let Some(peer) = self.get_mut(id).filter(|p| p.state == State::Suspect) {
             (peer.state, peer.changed, peer.heard) = (State::Alive, now, None);
         }
         self.toggle(id);
         self.generation += 1;
     }
 
-    /// Records a sign of life; returns whether the incarnation is the known one.
-    pub fn heard(&mut self, now: Now, id: &str, incarnation: Incarnation) -> bool {
-        let Some(peer) = self.peers.get_mut(id).filter(|p| p.incarnation == incarnation) else {
-            return false;
-        };
-        peer.heard = Some(now);
-        true
-    }
-
-    /// Records the configuration version that a member named.
-    pub fn names_version(&mut self, id: &str, version: ConfigVersion) {
-        if let Some(peer) = self.peers.get_mut(id) {
+    /// Records a sign of life of the known incarnation and the configuration version that it named.
+    pub fn heard(&mut self, now: Now, id: &str, incarnation: Incarnation, version: ConfigVersion) {
+        if let Some(peer) = self.get_mut(id).filter(|p| p.incarnation == incarnation) {
+            peer.heard = Some(now);
             peer.version = peer.version.max(version);
         }
     }
@@ -226,13 +246,16 @@
     /// Drops a peer.
     pub fn forget(&mut self, id: &str) {
         self.toggle(id);
-        self.peers.remove(id);
+        if let Ok(at) = self.find(id) {
+            self.peers.remove(at);
+            self.hashes.remove(at);
+        }
         self.generation += 1;
     }
 
     fn toggle(&mut self, id: &str) {
-        if let Some(peer) = self.peers.get(id) {
-            self.buckets[peer.bucket()] ^= peer.digest();
+        if let Some((bucket, digest)) = self.get(id).map(|p| (p.bucket(), p.digest())) {
+            self.buckets[bucket] ^= digest;
         }
     }
 
@@ -245,7 +268,7 @@
     pub fn ranked(&self, key: &[u8], count: usize, allowed: impl Fn(&Peer) -> bool) -> Vec<&Peer> {
         let key = xxh3_64_with_seed(key, RANK_SEED);
         let mut ranks: Vec<_> =
-            self.peers.values().filter(|p| allowed(p)).map(|p| (mix(p.hash ^ key), p)).collect();
+            self.peers.iter().filter(|p| allowed(p)).map(|p| (mix(p.hash ^ key), p)).collect();
         let descending = |a: &(u64, &Peer), b: &(u64, &Peer)| b.0.cmp(&a.0);
         if count < ranks.len() && count > 0 {
             ranks.select_nth_unstable_by(count - 1, descending);
--- a/crates/lw-member/src/view/ring.rs
+++ b/crates/lw-member/src/view/ring.rs
@@ -23,8 +23,7 @@
 /// The neighbours of `id` among the alive and leaving members.
 #[must_use]
 pub fn neighbours(view: &View, id: &str) -> Neighbours {
-    let mut ring: Vec<&Peer> = view.iter().filter(|p| p.is_member()).collect();
-    ring.sort_unstable_by(|a, b| (a.hash, &a.id).cmp(&(b.hash, &b.id)));
+    let ring: Vec<&Peer> = view.iter().filter(|p| p.is_member()).collect();
     let mut found = Neighbours::default();
     for (at, peer) in ring.iter().enumerate() {
         let successors = successors(&ring, at);
