--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 pub mod dossiers;
 pub mod hits;
+pub mod member;
 pub mod overload;
 pub mod slow;
 pub mod tail;
@@ -12,7 +13,14 @@
 /// Runs all cases.
 #[must_use]
 pub fn all() -> Vec<Row> {
-    let groups: Vec<fn() -> Vec<Row>> =
-        vec![hits::rows, tail::rows, overload::rows, dossiers::rows, slow::rows, claims::rows];
+    let groups: Vec<fn() -> Vec<Row>> = vec![
+        hits::rows,
+        tail::rows,
+        overload::rows,
+        dossiers::rows,
+        slow::rows,
+        member::rows,
+        claims::rows,
+    ];
     groups.into_iter().flat_map(|rows| rows()).collect()
 }
