--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 pub mod dossiers;
 pub mod hits;
+pub mod limits;
 pub mod member;
 pub mod overload;
 pub mod slow;
@@ -19,7 +20,7 @@
         overload::rows,
         dossiers::rows,
         slow::rows,
-        member::rows,
+        limits::rows,
         claims::rows,
     ];
     groups.into_iter().flat_map(|rows| rows()).collect()
--- a/crates/lw-daemon/src/generate/choice.rs
+++ b/crates/lw-daemon/src/generate/choice.rs
@@ -25,7 +25,8 @@
         let now = self.tables.timer.now();
         match cause {
             Cause::First => {
-                self.tables.limits().budget.earn(now, self.carried);
+                // A first attempt of a caller's request always arrives; only repeated ones are paid for.
+                let _ = self.tables.limits().budget.arrive(now, self.carried);
                 let first = self.job.placement.candidates.first().cloned();
                 first.ok_or((ResultCode::NoUpstream, None))
             }
