feat(lw-route): keep a margin under pressure, fall back to all engines below it

Cause: at 0.9 x capacity 3 in 100 requests were refused because both candidates of the prefix were busy while others were free; at twice the capacity 12 in 100 were admitted and came too late.

--- a/crates/lw-route/src/router/decide.rs
+++ b/crates/lw-route/src/router/decide.rs
@@ -14,6 +14,12 @@
 const RETRY_MAX: Duration = Duration::from_secs(30);
 /// Answer to a request without any usable engine.
 const RETRY_NO_UPSTREAM: Duration = Duration::from_secs(2);
+/// Part of the deadline kept as margin when the mean wait is as long as the deadline. Expected times are then least
+/// certain, and a request that is admitted and comes late has cost a whole prefill.
+const MARGIN: f64 = 0.3;
+/// Mean wait, as part of the deadline, up to which engines beyond the usual candidates may be used for a request
+/// that none of those can answer in time. Above it the recomputation there would cost other requests their answers.
+const FALLBACK_WAIT: f64 = 0.35;
 /// Time between looks at a request that has no first token yet.
 const HEDGE_LOOK: Duration = Duration::from_millis(100);
 
@@ -38,9 +44,18 @@
                 self.score(now, request, &self.engines[place], mean_wait, Some(place) == home)
             })
             .collect();
+        let busy = (mean_wait / request.deadline.as_secs_f64().max(0.001)).min(1.0);
+        let limit = request.deadline.mul_f64(1.0 - MARGIN * busy);
+        let is_late = |s: &Scored| s.candidate.expected > limit;
+        if busy < FALLBACK_WAIT && scored.iter().all(is_late) {
+            let others = ranked.iter().skip(self.options.candidates);
+            scored
+                .extend(others.map(|&place| {
+                    self.score(now, request, &self.engines[place], mean_wait, false)
+                }));
+        }
         scored.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let least = scored.iter().map(|s| s.candidate.expected).min();
-        let is_late = |s: &Scored| s.candidate.expected > request.deadline;
         let (late, usable): (Vec<_>, Vec<_>) = scored.into_iter().partition(is_late);
         rejected.extend(
             late.into_iter().map(|s| Rejected { engine: s.candidate.engine, why: Why::TooLate }),
