fix(lw-daemon): follow the new digests and report times

Cause: digests now name the blocks of sent requests, and reports may be due earlier. Ruled out: leaving the blocks out of the message; peers then predict misses for prefixes that others have just sent. Conclusion: wire types follow the decision crates field by field.

--- a/crates/lw-bench/src/cases/claims.rs
+++ b/crates/lw-bench/src/cases/claims.rs
@@ -352,6 +352,7 @@
 }
 
 /// The rows of this case.
+#[must_use]
 pub fn rows() -> Vec<Row> {
     let mut rows = Vec::new();
     rows.extend(load_rows(8, 8, 20.0, f64::INFINITY));
--- a/crates/lw-daemon/src/limits/mod.rs
+++ b/crates/lw-daemon/src/limits/mod.rs
@@ -116,7 +116,7 @@
         let now = ticks.tick().await;
         refresh(&tables, now);
         send_load(&tables, now);
-        if now >= tables.limits().limiter.next_report() {
+        if now >= tables.limits().limiter.next_report(now) {
             let reports = tables.limits().limiter.reports(now);
             for (vm, report) in reports {
                 deliver(&tables, &vm, report);
--- a/crates/lw-protocol/src/peer/mod.rs
+++ b/crates/lw-protocol/src/peer/mod.rs
@@ -22,7 +22,7 @@
 }
 
 /// Work that a VM sent to one engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineWork {
     /// Short name of the engine.
     pub engine: u64,
@@ -30,6 +30,8 @@
     pub urgent_tokens: u32,
     /// Prefill tokens of bulk work sent.
     pub bulk_tokens: u32,
+    /// Deepest block of each request sent.
+    pub blocks: Vec<BlockHash>,
     /// Mean age of that work in milliseconds.
     pub age_ms: u32,
     /// Whether a first token came from it.
@@ -46,6 +48,7 @@
             engine: entry.engine,
             urgent_tokens: entry.urgent_tokens,
             bulk_tokens: entry.bulk_tokens,
+            blocks: entry.blocks.clone(),
             age_ms: u32::try_from(entry.age.as_millis()).unwrap_or(u32::MAX),
             first_token: entry.first_token,
             speed: entry.speed.map(|speed| match speed {
@@ -64,6 +67,7 @@
             engine: work.engine,
             urgent_tokens: work.urgent_tokens,
             bulk_tokens: work.bulk_tokens,
+            blocks: work.blocks.clone(),
             age: Duration::from_millis(work.age_ms.into()),
             first_token: work.first_token,
             speed: match work.speed {
