feat(lw-daemon): issue orders to engines and serve through a rollout

Cause: nothing issued the orders of lw-order, and a new model version stopped all requests until the first engines had loaded it. A leaving upstream in the platform's list was followed after 5 s only. Ruled out: sending all requests to the new version at once, which puts the load of all engines on the first two; spending retry budget on refusals, since nothing ran there. Conclusion: requests are divided between the versions in proportion to the engines that have each, and an engine that failed a moment ago is used when there is no other.

--- a/crates/lw-daemon/src/callers/completion.rs
+++ b/crates/lw-daemon/src/callers/completion.rs
@@ -9,7 +9,6 @@
 use futures::stream;
 use http::StatusCode;
 use http_body::Frame;
-use lw_config::document::Model;
 use lw_protocol::{
     caller::{Answer, ChunkWriter, Completion, DONE, Endpoint, Failure, Usage},
     sse,
@@ -21,7 +20,10 @@
 use sync_wrapper::SyncStream;
 use volo_http::{body::Body, response::Response};
 
-use super::Caller;
+use super::{
+    Caller,
+    rollout::{self, Versions},
+};
 use crate::{
     generate::{Driver, Job, Piece},
     limits,
@@ -38,30 +40,65 @@
     let settings = &tables.settings;
     let bytes = server::read_body(body, settings.limits.body_max, settings.timeouts.body).await?;
     let completion = Completion::parse(endpoint, &bytes)?;
-    let request = describe(&caller, &completion)?;
-    limits::check_workspace(tables, &caller, request.fingerprint.tokens)?;
-    // Shares come before the placement: above-share work must not fill the queues that the rest needs.
-    limits::check_share(tables, &caller, &request)?;
+    let mut last = None;
+    for versions in versions(tables, &caller, &completion)? {
+        let request = describe(&caller, &completion, versions)?;
+        if last.is_none() {
+            limits::check_workspace(tables, &caller, request.fingerprint.tokens)?;
+            // Shares come before the placement: work above its share must not fill the queues that the rest needs.
+            limits::check_share(tables, &caller, &request)?;
+        }
+        match begin(tables, &caller, &completion, request).await {
+            Ok((first, driver)) => return answer(&caller, &completion, first, driver, guard).await,
+            Err(failure) if failure.code.ran() == Ran::No => last = Some(failure),
+            Err(failure) => return Err(failure),
+        }
+    }
+    Err(last.unwrap_or_else(no_result))
+}
+
+/// Decides and drives a request up to its first piece, on which the status of the answer depends.
+async fn begin(
+    tables: &Arc<Tables>,
+    caller: &Caller,
+    completion: &Completion,
+    request: lw_route::Request,
+) -> Result<(Piece, Driver), Failure> {
     let placement = decide(tables, &request)?;
+    let (caller, completion) = (caller.clone(), completion.clone());
+    let job = Job { caller, completion, request, placement };
+    let mut driver = Driver::start(Arc::clone(tables), job);
+    match driver.next().await {
+        None => Err(no_result()),
+        Some(Piece::Fail(failure)) => Err(failure),
+        Some(first) => Ok((first, driver)),
+    }
+}
 
+async fn answer(
+    caller: &Caller,
+    completion: &Completion,
+    first: Piece,
+    driver: Driver,
+    guard: InFlight,
+) -> Result<Response, Failure> {
     let answer = Answer {
-        endpoint,
+        endpoint: completion.endpoint,
         id: caller.request.clone(),
-        model: full_name(&completion),
+        model: full_name(completion),
         created: unix_seconds(),
     };
-    let streamed = completion.stream;
-    let job = Job { caller, completion, request, placement };
-    let mut driver = Driver::start(Arc::clone(tables), job);
-    // The status depends on the first piece: a failure before it is an ordinary error answer.
-    match driver.next().await {
-        None => Err(Failure::new(ResultCode::Internal, "the answer ended without a result")),
-        Some(Piece::Fail(failure)) => Err(failure),
-        Some(first) if streamed => Ok(stream_answer(&answer, first, driver, guard)),
-        Some(first) => whole_answer(&answer, first, driver).await,
+    if completion.stream {
+        Ok(stream_answer(&answer, first, driver, guard))
+    } else {
+        whole_answer(&answer, first, driver).await
     }
 }
 
+fn no_result() -> Failure {
+    Failure::new(ResultCode::Internal, "the answer ended without a result")
+}
+
 fn full_name(completion: &Completion) -> String {
     match &completion.adapter {
         Some(adapter) => format!("{}:{adapter}", completion.model),
@@ -73,8 +110,14 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
 }
 
-fn describe(caller: &Caller, completion: &Completion) -> Result<lw_route::Request, Failure> {
+/// The versions to try for a request, best first; more than one only during a rollout.
+fn versions(
+    tables: &Tables,
+    caller: &Caller,
+    completion: &Completion,
+) -> Result<Vec<Versions>, Failure> {
     let name = &completion.model;
+    let adapter = completion.adapter.as_deref();
     let document = &caller.active.document;
     let model = document
         .models
@@ -84,19 +127,49 @@
         let text = format!("the workspace may not use model {name}");
         return Err(Failure::new(ResultCode::NotAllowed, text));
     }
-    let scope = scope(caller, completion, model)?;
+    let wanted = rollout::named(model, adapter).ok_or_else(|| {
+        let adapter = adapter.unwrap_or_default();
+        let text = format!("no such adapter of model {name}: {adapter}");
+        Failure::new(ResultCode::UnknownAdapter, text)
+    })?;
+    let previous = caller.active.previous.get(name);
+    let previous = previous.and_then(|previous| rollout::named(previous, adapter));
+    let loaded = match previous {
+        None => Vec::new(),
+        Some(_) => tables.router().loaded_versions(role(caller, name), name, adapter),
+    };
+    Ok(rollout::choose(wanted, previous, &loaded, &completion.prompt))
+}
+
+fn role<'a>(caller: &'a Caller, model: &str) -> &'a str {
+    let document = &caller.active.document;
+    document.role_for(&caller.workspace, caller.class, model).unwrap_or_default()
+}
+
+fn describe(
+    caller: &Caller,
+    completion: &Completion,
+    versions: Versions,
+) -> Result<lw_route::Request, Failure> {
+    let name = &completion.model;
+    let scope = Scope {
+        workspace: caller.workspace.clone(),
+        model: name.clone(),
+        model_version: versions.model,
+        adapter: completion.adapter.clone(),
+        adapter_version: versions.adapter,
+    };
     let fingerprint = Fingerprint::of(&scope, completion.prompt.as_bytes());
-    if fingerprint.tokens > model.max_prompt_tokens {
-        let text = format!(
-            "the prompt has about {} tokens, allowed: {}",
-            fingerprint.tokens, model.max_prompt_tokens
-        );
+    let model = caller.active.document.models.get(name);
+    let max_tokens = model.map_or(0, |model| model.max_prompt_tokens);
+    if fingerprint.tokens > max_tokens {
+        let text =
+            format!("the prompt has about {} tokens, allowed: {max_tokens}", fingerprint.tokens);
         return Err(Failure::new(ResultCode::PromptTooLong, text));
     }
-    let role = document.role_for(&caller.workspace, caller.class, name).unwrap_or_default();
     Ok(lw_route::Request {
         id: caller.request.clone(),
-        role: role.to_owned(),
+        role: role(caller, name).to_owned(),
         scope,
         fingerprint,
         class: caller.class,
@@ -105,23 +178,6 @@
     })
 }
 
-fn scope(caller: &Caller, completion: &Completion, model: &Model) -> Result<Scope, Failure> {
-    let adapter_version = match &completion.adapter {
-        None => None,
-        Some(name) => Some(model.adapters.get(name).cloned().ok_or_else(|| {
-            let text = format!("no such adapter of model {}: {name}", completion.model);
-            Failure::new(ResultCode::UnknownAdapter, text)
-        })?),
-    };
-    Ok(Scope {
-        workspace: caller.workspace.clone(),
-        model: completion.model.clone(),
-        model_version: model.version.clone(),
-        adapter: completion.adapter.clone(),
-        adapter_version,
-    })
-}
-
 fn decide(tables: &Tables, request: &lw_route::Request) -> Result<Placement, Failure> {
     let decision = tables.router().decide(tables.timer.now(), request);
     match decision {
@@ -214,10 +270,7 @@
                 return Ok(server::json(StatusCode::OK, &body));
             }
             Some(Piece::Fail(failure)) => return Err(failure),
-            None => {
-                let text = "the answer ended without a result";
-                return Err(Failure::new(ResultCode::Internal, text));
-            }
+            None => return Err(no_result()),
         }
         next = driver.next().await;
     }
--- a/crates/lw-daemon/src/callers/mod.rs
+++ b/crates/lw-daemon/src/callers/mod.rs
@@ -16,6 +16,7 @@
 };
 
 mod completion;
+pub mod rollout;
 
 const DEADLINE_MAX_MS: u64 = 600_000;
 const SERVICES_PREFIX: &str = "/v1/services/";
--- a/crates/lw-daemon/src/generate/choice.rs
+++ b/crates/lw-daemon/src/generate/choice.rs
@@ -31,11 +31,17 @@
                 first.ok_or((ResultCode::NoUpstream, None))
             }
             Cause::Hedge => self.hedge.take().ok_or((ResultCode::Overloaded, None)),
-            _ => self.choose_again(now, resume_from),
+            // Nothing ran at an engine that refused or was not reached, so another attempt repeats no work.
+            Cause::Failed(code) if code.ran() == Ran::No => self.choose_again(now),
+            _ => self.choose_within_budget(now, resume_from),
         }
     }
 
-    fn choose_again(&mut self, now: Now, resume_from: TokenIndex) -> Result<Candidate, Denied> {
+    fn choose_within_budget(
+        &mut self,
+        now: Now,
+        resume_from: TokenIndex,
+    ) -> Result<Candidate, Denied> {
         if resume_from > 0 {
             self.carried.deadline = now + RESUME_DEADLINE;
         }
@@ -47,6 +53,10 @@
                 return Err((ResultCode::StreamBroken, None));
             }
         }
+        self.choose_again(now)
+    }
+
+    fn choose_again(&mut self, now: Now) -> Result<Candidate, Denied> {
         let mut request = self.untried(now);
         request.deadline = self.carried.remaining(now);
         let mut router = self.tables.router();
--- a/crates/lw-daemon/src/lib.rs
+++ b/crates/lw-daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod members;
 pub mod observe;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod run;
 pub mod services;
--- a/crates/lw-daemon/src/members/mod.rs
+++ b/crates/lw-daemon/src/members/mod.rs
@@ -19,8 +19,10 @@
 
 /// Path of membership messages at the peer interface.
 pub const PEER_PATH: &str = "/peer/member";
-/// Period of reading the platform's VM list, which itself lags.
-const LIST_PERIOD: Duration = Duration::from_secs(5);
+/// Period of reading the platform's VM list, which itself lags. A leaving upstream must get no new work after 3 s.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Number of VMs from which on each reads the list less often, so that all together stay at this many calls a second.
+const LIST_READS_PER_SECOND: u32 = 32;
 /// Kind of router VMs in the platform's list.
 const ROUTER_KIND: &str = "router";
 /// The platform ends a watch without a change before this time.
@@ -83,7 +85,8 @@
             }
             Err(e) => log::debug!("member: no VM list: {e}"),
         }
-        tokio::time::sleep(LIST_PERIOD).await;
+        let vms = u32::try_from(incarnations(&tables).len()).unwrap_or(u32::MAX);
+        tokio::time::sleep(LIST_PERIOD * vms.div_ceil(LIST_READS_PER_SECOND).max(1)).await;
     }
 }
 
--- a/crates/lw-daemon/src/observe/mod.rs
+++ b/crates/lw-daemon/src/observe/mod.rs
@@ -60,6 +60,10 @@
         let answer: Result<LoadReport, Error> = tables.clients.json(call, None::<&()>).await;
         match answer {
             Ok(report) => {
+                if let Some(active) = tables.active() {
+                    let now = tables.timer.now();
+                    tables.orders().report(now, &id, &report, &active.document);
+                }
                 let report = lw_route::LoadReport::from(&report);
                 let event = Event::Load { engine: &id, report: &report };
                 tables.router().record(tables.timer.now(), event);
--- a/crates/lw-daemon/src/run/mod.rs
+++ b/crates/lw-daemon/src/run/mod.rs
@@ -11,7 +11,7 @@
 use volo::net::incoming::DefaultIncoming;
 use volo_http::{context::ServerContext, request::Request, response::Response, server::Server};
 
-use crate::{callers, claims, limits, members, observe, operators, peers, tables::Tables};
+use crate::{callers, claims, limits, members, observe, operators, orders, peers, tables::Tables};
 
 /// Time after the mark as leaving in which the balancer still sends new requests.
 const BALANCER_LAG: Duration = Duration::from_millis(500);
@@ -67,6 +67,7 @@
     let peer_listener = listener(listen.peers).await?;
     tokio::spawn(members::run(Arc::clone(&tables)));
     tokio::spawn(limits::run(Arc::clone(&tables)));
+    tokio::spawn(orders::run(Arc::clone(&tables)));
     tokio::spawn(claims::run(Arc::clone(&tables)));
     tokio::spawn(members::follow_list(Arc::clone(&tables)));
     tokio::spawn(observe::follow(Arc::clone(&tables)));
--- a/crates/lw-daemon/src/tables/mod.rs
+++ b/crates/lw-daemon/src/tables/mod.rs
@@ -4,7 +4,7 @@
 //! holds one across an await.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     fmt::Write as _,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
@@ -13,7 +13,10 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use lw_config::{document::Document, settings::Settings};
+use lw_config::{
+    document::{Document, Model},
+    settings::Settings,
+};
 use lw_metrics::{histograms::Histograms, statsd::Statsd};
 use lw_protocol::platform::VmList;
 use lw_route::Router;
@@ -21,7 +24,7 @@
 use lw_types::prelude::*;
 use tokio::sync::Notify;
 
-use crate::{claims::Claims, limits::Limits, members::Members};
+use crate::{claims::Claims, limits::Limits, members::Members, orders::Orders};
 
 pub mod journal;
 
@@ -34,13 +37,16 @@
     pub document: Document,
     /// Whether it is the bootstrap document, which no operator's patch has accepted.
     pub provisional: bool,
+    /// Models of the configuration before, with the versions that a rollout replaces.
+    pub previous: BTreeMap<ModelId, Model>,
     by_digest: HashMap<String, WorkspaceId>,
 }
 
 impl Active {
     /// Prepares the lookups of a document.
     #[must_use]
-    pub fn new(document: Document, provisional: bool) -> Self {
+    pub fn new(document: Document, provisional: bool, before: Option<&Self>) -> Self {
+        let previous = before.map(|before| replaced(before, &document)).unwrap_or_default();
         let by_digest = document
             .workspaces
             .iter()
@@ -48,7 +54,7 @@
                 workspace.key_digests.iter().map(|d| (d.clone(), id.clone()))
             })
             .collect();
-        Self { document, provisional, by_digest }
+        Self { document, provisional, previous, by_digest }
     }
 
     /// The workspace of an API key.
@@ -60,6 +66,18 @@
     }
 }
 
+/// The models whose versions differ from those of the configuration before. A model that does not differ keeps the
+/// versions that its last rollout replaced, since that rollout may still go on.
+fn replaced(before: &Active, document: &Document) -> BTreeMap<ModelId, Model> {
+    let models = document.models.iter().filter_map(|(name, model)| {
+        let old = before.document.models.get(name)?;
+        let is_same = old.version == model.version && old.adapters == model.adapters;
+        let old = if is_same { before.previous.get(name)? } else { old };
+        Some((name.clone(), old.clone()))
+    });
+    models.collect()
+}
+
 /// Everything that requests share.
 pub struct Tables {
     /// Settings of this VM.
@@ -86,6 +104,7 @@
     listed_leaving: RwLock<HashSet<UpstreamId>>,
     limits: Mutex<Limits>,
     claims: Mutex<Claims>,
+    orders: Mutex<Orders>,
     journal: Mutex<Journal>,
     leaving: AtomicBool,
     in_flight: AtomicU64,
@@ -130,6 +149,7 @@
                 incarnation,
                 settings.claims.retention,
             )),
+            orders: Mutex::default(),
             journal: Mutex::new(Journal::new(settings.limits.decision_log)),
             leaving: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
@@ -159,7 +179,8 @@
         }
         log::info!("config: version {} in force, provisional: {provisional}", document.version);
         self.set_engines(&document);
-        *config = Some(Arc::new(Active::new(document, provisional)));
+        let active = Active::new(document, provisional, config.as_deref());
+        *config = Some(Arc::new(active));
         drop(config);
         self.config_changed.notify_waiters();
         true
@@ -211,6 +232,11 @@
         self.claims.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The orders to engines.
+    pub fn orders(&self) -> MutexGuard<'_, Orders> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The decision log.
     pub fn journal(&self) -> MutexGuard<'_, Journal> {
         self.journal.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/lw-route/src/router/decide.rs
+++ b/crates/lw-route/src/router/decide.rs
@@ -72,15 +72,24 @@
         let spread = xxhash_rust::xxh3::xxh3_64(request.id.as_bytes());
         let key = request.fingerprint.home_key(self.options.home_depth, spread);
         let mut ranked: Vec<(u64, usize)> = Vec::with_capacity(self.engines.len());
+        let mut failed: Vec<(u64, usize)> = Vec::new();
         for (place, state) in self.engines.iter().enumerate() {
             if state.engine.role != request.role {
                 continue;
             }
             match unusable(now, request, state) {
+                Some(Why::Failed) => failed.push((mix(key, state.key), place)),
                 Some(why) => rejected.push(Rejected { engine: state.engine.id.clone(), why }),
                 None => ranked.push((mix(key, state.key), place)),
             }
         }
+        // An engine that failed a moment ago may work again; without any other it is better than a refusal.
+        if ranked.is_empty() {
+            std::mem::swap(&mut ranked, &mut failed);
+        }
+        let id = |place: usize| self.engines[place].engine.id.clone();
+        rejected
+            .extend(failed.into_iter().map(|(_, p)| Rejected { engine: id(p), why: Why::Failed }));
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         let ranked: Vec<usize> = ranked.into_iter().map(|(_, place)| place).collect();
         let health = |place: usize| &self.engines[place].health;
@@ -95,7 +104,6 @@
         if normal.is_empty() {
             return slow;
         }
-        let id = |place: usize| self.engines[place].engine.id.clone();
         rejected.extend(slow.into_iter().map(|p| Rejected { engine: id(p), why: Why::Slow }));
         normal
     }
--- a/crates/lw-route/src/router/state.rs
+++ b/crates/lw-route/src/router/state.rs
@@ -74,6 +74,10 @@
         now < self.failed_until
     }
 
+    pub(super) fn loaded(&self) -> &[Loaded] {
+        &self.loaded
+    }
+
     pub(super) fn has_loaded(&self, name: &str, version: &str) -> bool {
         self.loaded.is_empty() || self.loaded.iter().any(|l| l.name == name && l.version == version)
     }
