feat(lw-limit): test limits, admission and retries with generated schedules

Conclusion: buckets go into debt, significant changes of demand are reported after 100 ms, the ratio is 9 %, and the admitted rate opens by 10 % an interval.

--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -2,8 +2,10 @@
 
 use crate::summary::Row;
 
+pub mod limits;
+
 /// Runs all cases.
 #[must_use]
 pub fn all() -> Vec<Row> {
-    Vec::new()
+    [limits::rows()].concat()
 }
--- a/crates/lw-limit/src/admission/mod.rs
+++ b/crates/lw-limit/src/admission/mod.rs
@@ -25,7 +25,8 @@
     pub target_wait: Duration,
     /// Time in which a wait above the target is worked off.
     pub horizon: Duration,
-    /// Burst of a workspace above its share, as time at its rate.
+    /// Burst of a workspace above its share, as time at its rate. It has room for a few requests, of which the
+    /// less urgent ones leave a part.
     pub burst: Duration,
     /// Shortest time after which a refused request comes back.
     pub min_retry_after: Duration,
@@ -41,8 +42,8 @@
             interval: Duration::from_millis(500),
             digest_validity: Duration::from_secs(2),
             target_wait: Duration::from_millis(500),
-            horizon: Duration::from_secs(2),
-            burst: Duration::from_millis(500),
+            horizon: Duration::from_millis(1_500),
+            burst: Duration::from_secs(2),
             min_retry_after: Duration::from_secs(1),
             max_retry_after: Duration::from_secs(30),
             spread: Duration::from_secs(2),
@@ -106,11 +107,25 @@
     pub usage: BTreeMap<WorkspaceId, Usage>,
 }
 
+/// Weight of the newest interval in the offered rate. Over about 2 s, chance variation puts few workspaces above
+/// their share.
+const SMOOTHING: f64 = 0.25;
+
+/// Tokens over which the mean size of requests is taken.
+const REQUEST_SIZE_SPAN: f64 = 50_000.0;
+/// Seconds over which [`SMOOTHING`] averages.
+const SMOOTHED_SECONDS: f64 = 3.5;
+/// Standard deviations of a Poisson process by which the demand of a workspace must exceed its share before it is
+/// limited. With few requests, chance variation alone is well above the share.
+const SIGNIFICANT: f64 = 2.0;
+
 #[derive(Debug, Default)]
 struct Counter {
     interval: Usage,
-    /// Smoothed over a few intervals.
+    /// Of the last interval; what is offered is smoothed over a few.
     rates: Usage,
+    /// Mean tokens of a request, by tokens: large ones count more.
+    request_size: f64,
     /// Present while the workspace is above its share.
     bucket: Option<Bucket>,
 }
@@ -137,6 +152,8 @@
     pressure: Pressure,
     capacity: share::Capacity,
     interval_start: Now,
+    /// Whether pressure began in this interval, so that it ends early.
+    is_urgent: bool,
 }
 
 impl Admission {
@@ -152,6 +169,7 @@
             pressure: Pressure::default(),
             capacity: share::Capacity::default(),
             interval_start: Duration::ZERO,
+            is_urgent: false,
         }
     }
 
@@ -162,6 +180,7 @@
 
     /// Takes the router's newest estimate.
     pub fn observe(&mut self, pressure: Pressure) {
+        self.is_urgent |= pressure.is_saturated && !self.pressure.is_saturated;
         self.pressure = pressure;
     }
 
@@ -175,19 +194,22 @@
     /// When [`Admission::digest`] is due.
     #[must_use]
     pub fn next_digest(&self) -> Now {
-        self.interval_start + self.options.interval
+        let interval = self.options.interval;
+        self.interval_start + if self.is_urgent { interval / 5 } else { interval }
     }
 
     /// Ends the interval: computes the shares anew and returns the digest for the peers.
     pub fn digest(&mut self, now: Now) -> Digest {
         let elapsed = now.saturating_sub(self.interval_start).as_secs_f64().max(0.001);
         self.interval_start = now;
+        self.is_urgent = false;
         self.peers.retain(|_, (at, _)| *at + self.options.digest_validity > now);
         let mut usage = BTreeMap::new();
         self.counters.retain(|workspace, counter| {
-            let smooth = |old: f64, new: f64| f64::midpoint(old, new / elapsed);
-            counter.rates.offered = smooth(counter.rates.offered, counter.interval.offered);
-            counter.rates.admitted = smooth(counter.rates.admitted, counter.interval.admitted);
+            let rates = &mut counter.rates;
+            rates.offered += (counter.interval.offered / elapsed - rates.offered) * SMOOTHING;
+            // Unsmoothed, because the growth of the wait that it is compared with is so too.
+            rates.admitted = counter.interval.admitted / elapsed;
             counter.interval = Usage::default();
             usage.insert(workspace.clone(), counter.rates);
             counter.rates.offered >= 1.0
@@ -206,6 +228,8 @@
         #[expect(clippy::cast_precision_loss, reason = "prompts are far shorter than 2^52 tokens")]
         let tokens = request.tokens as f64;
         counter.interval.offered += tokens;
+        counter.request_size +=
+            (tokens - counter.request_size) * (tokens / REQUEST_SIZE_SPAN).min(1.0);
         let wait = match &mut counter.bucket {
             // Under its share, a workspace is not refused because of the wait that others cause.
             None if self.pressure.is_saturated
@@ -214,8 +238,8 @@
                 Duration::ZERO
             }
             Some(bucket) if self.pressure.expected_wait <= request.remaining => {
-                let has_room = bucket.fullness(now) >= reserve(request.class);
-                let wait = bucket.wait(now, tokens);
+                let has_room = bucket.fullness(now) >= reserve(request.class, request.attempt);
+                let wait = bucket.wait(now);
                 if has_room { wait } else { wait.max(self.options.burst) }
             }
             _ => self.pressure.expected_wait,
@@ -272,7 +296,10 @@
         for (workspace, counter) in &mut self.counters {
             let offered = fleet.get(workspace).map_or(0.0, |usage| usage.offered);
             let weight = share::demand(offered, weight(workspace)).weight;
-            let Some(rate) = level.map(|level| level * weight).filter(|rate| *rate < offered)
+            let chance = SIGNIFICANT * (offered * counter.request_size / SMOOTHED_SECONDS).sqrt();
+            let margin = if counter.bucket.is_some() { 0.0 } else { chance };
+            let Some(rate) =
+                level.map(|level| level * weight).filter(|rate| rate + margin < offered)
             else {
                 counter.bucket = None;
                 continue;
@@ -285,11 +312,14 @@
     }
 }
 
-/// Part of the burst that a class leaves to more urgent ones.
-fn reserve(class: Class) -> f64 {
-    match class {
-        Class::Live => f64::NEG_INFINITY,
-        Class::Standard => 0.2,
-        Class::Bulk => 0.5,
-    }
+/// Part of the burst that a request leaves to more urgent classes. Requests that return after a refusal leave some
+/// to first attempts, so that returns after a peak do not displace the normal load.
+fn reserve(class: Class, attempt: Attempt) -> f64 {
+    let class = match class {
+        Class::Live => 0.0,
+        Class::Standard => 0.15,
+        Class::Bulk => 0.3,
+    };
+    let returned = if attempt > 0 { 0.4 } else { 0.0 };
+    if class + returned > 0.0 { class + returned } else { f64::NEG_INFINITY }
 }
--- a/crates/lw-limit/src/admission/share.rs
+++ b/crates/lw-limit/src/admission/share.rs
@@ -47,6 +47,16 @@
     None
 }
 
+/// Decay of the highest estimate in an interval of 500 ms. Engines that are gone are forgotten in half a minute.
+const DECAY: f64 = 0.98;
+
+/// Decay of the highest estimate towards the present one in an interval under pressure.
+const PEAK_DECAY: f64 = 0.9;
+/// Growth of the admitted rate in an interval after the pressure ended.
+const RELEASE: f64 = 1.1;
+/// Admitted rate, relative to the highest recent estimate, from which nothing is limited any more.
+const RELEASED: f64 = 2.0;
+
 /// Tokens a second that the fleet takes, learnt while it is saturated.
 #[derive(Debug, Default)]
 pub struct Capacity {
@@ -54,6 +64,8 @@
     /// Highest recent estimate; it decays slowly.
     peak: f64,
     last_wait: f64,
+    /// Samples of this peak.
+    samples: u32,
 }
 
 impl Capacity {
@@ -72,14 +84,29 @@
         let growth = (wait - self.last_wait) / elapsed;
         self.last_wait = wait;
         if !pressure.is_saturated {
-            return None;
+            // Engines that keep up with the load take at least that much.
+            self.peak = (self.peak * DECAY).max(admitted);
+            // Requests refused at the peak come back together with the load after it. The limit therefore ends
+            // step by step.
+            self.estimate *= RELEASE;
+            if self.estimate > self.peak * RELEASED {
+                self.estimate = 0.0;
+            }
+            return (self.estimate > 0.0).then_some(self.estimate);
         }
         let sample = admitted / (1.0 + growth).clamp(0.5, 3.0);
-        self.estimate =
-            if self.estimate > 0.0 { f64::midpoint(self.estimate, sample) } else { sample };
-        // A decay of 2 % an interval forgets engines that are gone within half a minute.
-        self.peak = (self.peak * 0.98).max(self.estimate);
-        let error = (options.target_wait.as_secs_f64() - wait) / options.horizon.as_secs_f64();
+        self.samples = if self.estimate > 0.0 { self.samples.saturating_add(1) } else { 1 };
+        // The first sample covers little of the peak, so it neither counts below what the engines took before nor
+        // enters the second one.
+        self.estimate = match self.samples {
+            1 => sample.max(self.peak),
+            2 => sample,
+            _ => f64::midpoint(self.estimate, sample),
+        };
+        self.peak = self.estimate + (self.peak - self.estimate).max(0.0) * PEAK_DECAY;
+        // Reports and digests lag by about an interval, in which the wait goes on growing.
+        let expected = wait + growth * options.interval.as_secs_f64();
+        let error = (options.target_wait.as_secs_f64() - expected) / options.horizon.as_secs_f64();
         Some(self.estimate * (1.0 + error).clamp(0.3, 1.5))
     }
 
--- a/crates/lw-limit/src/bucket.rs
+++ b/crates/lw-limit/src/bucket.rs
@@ -4,20 +4,27 @@
 
 use lw_types::prelude::*;
 
-/// A token bucket. Its level never exceeds `rate` times the burst time.
+/// Time after a refusal in which a bucket counts as pressed.
+const PRESSED_TIME: Duration = Duration::from_secs(1);
+/// Least burst of a pressed bucket, relative to that of an idle one.
+const PRESSED_BURSTS: f64 = 3.0;
+
+/// A token bucket. Its level never exceeds `rate` times the burst time, or the least burst where that is more.
 ///
 /// ```
 /// use std::time::Duration;
 /// use lw_limit::bucket::Bucket;
 /// let mut bucket = Bucket::new(Duration::ZERO, 10.0, Duration::from_millis(100));
-/// assert!(bucket.wait(Duration::ZERO, 1.0).is_zero());
-/// bucket.take(1.0);
-/// assert_eq!(bucket.wait(Duration::ZERO, 1.0), Duration::from_millis(100));
+/// assert!(bucket.wait(Duration::ZERO).is_zero());
+/// bucket.take(3.0);
+/// assert_eq!(bucket.wait(Duration::ZERO), Duration::from_millis(200));
 /// ```
 #[derive(Debug, Clone)]
 pub struct Bucket {
     rate: f64,
     burst_seconds: f64,
+    least_burst: f64,
+    refused_at: Option<Now>,
     level: f64,
     filled_at: Now,
 }
@@ -27,7 +34,28 @@
     #[must_use]
     pub fn new(now: Now, rate: f64, burst: Duration) -> Self {
         let burst_seconds = burst.as_secs_f64();
-        Self { rate, burst_seconds, level: rate * burst_seconds, filled_at: now }
+        Self {
+            rate,
+            burst_seconds,
+            least_burst: 0.0,
+            refused_at: None,
+            level: rate * burst_seconds,
+            filled_at: now,
+        }
+    }
+
+    /// Allows a burst of at least `units`, and of three times as much for a second after a refusal.
+    /// Chance gaps between arrivals then do not waste a low rate, while a bucket after idle time holds little.
+    #[must_use]
+    pub fn with_least_burst(mut self, units: f64) -> Self {
+        self.least_burst = units;
+        self
+    }
+
+    fn burst(&self, now: Now) -> f64 {
+        let is_pressed = self.refused_at.is_some_and(|at| at + PRESSED_TIME > now);
+        let least = if is_pressed { self.least_burst * PRESSED_BURSTS } else { self.least_burst };
+        (self.rate * self.burst_seconds).max(least)
     }
 
     /// Units a second.
@@ -40,23 +68,24 @@
     pub fn set_rate(&mut self, now: Now, rate: f64) {
         self.fill(now);
         self.rate = rate;
-        self.level = self.level.min(rate * self.burst_seconds);
+        self.level = self.level.min(self.burst(now));
     }
 
-    /// Time until `units` may be taken; zero means now.
+    /// Time until a request may be taken; zero means now.
     ///
-    /// Requests larger than the burst need a full bucket and leave a debt, so that they are possible at all.
-    pub fn wait(&mut self, now: Now, units: f64) -> Duration {
+    /// Any positive level admits a request, which may leave a debt of up to its size. Large requests are possible
+    /// at all, and low rates are used up, because what arrives between two requests is not lost at a low burst.
+    pub fn wait(&mut self, now: Now) -> Duration {
         self.fill(now);
-        let missing = units.min(self.rate * self.burst_seconds) - self.level;
         if self.rate <= 0.0 {
             return Duration::MAX;
         }
-        // Rounding in the refill must not refuse a request that is exactly due.
-        if missing <= self.rate * 1e-9 {
+        if self.level > 0.0 {
             return Duration::ZERO;
         }
-        Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX)
+        self.refused_at = Some(now);
+        let wait = Duration::try_from_secs_f64(-self.level / self.rate).unwrap_or(Duration::MAX);
+        wait.max(Duration::from_millis(1))
     }
 
     /// Takes `units`, whatever the level.
@@ -67,12 +96,12 @@
     /// Level as a part of the burst, at most 1.
     pub fn fullness(&mut self, now: Now) -> f64 {
         self.fill(now);
-        self.level / (self.rate * self.burst_seconds).max(f64::MIN_POSITIVE)
+        self.level / self.burst(now).max(f64::MIN_POSITIVE)
     }
 
     fn fill(&mut self, now: Now) {
         let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
         self.filled_at = self.filled_at.max(now);
-        self.level = (self.level + self.rate * elapsed).min(self.rate * self.burst_seconds);
+        self.level = (self.level + self.rate * elapsed).min(self.burst(now));
     }
 }
--- a/crates/lw-limit/src/grant/coordinator.rs
+++ b/crates/lw-limit/src/grant/coordinator.rs
@@ -53,7 +53,7 @@
 struct Others {
     committed: Rates,
     arrived: Rates,
-    silent: usize,
+    silent: f64,
 }
 
 impl Coordinator {
@@ -79,6 +79,7 @@
     /// view. Two coordinators with different views reserve each other's VMs as silent.
     pub fn report(&mut self, now: Now, report: &Report) -> Grant {
         let mut rates = Vec::with_capacity(report.entries.len());
+        let mut is_partial = false;
         for entry in &report.entries {
             let Some(&limit) = self.limits.get(&entry.workspace) else { continue };
             let accounts = self.accounts.entry(entry.workspace.clone()).or_default();
@@ -90,15 +91,18 @@
             account.number = report.number;
             account.arrived = entry.arrived;
             account.in_use = entry.in_use;
-            account.outstanding.retain(|grant| grant.0 >= entry.grant && grant.2 > now);
-            let rate = self.share(now, &entry.workspace, &report.vm, limit);
+            account.outstanding.retain(|grant| grant.0 > entry.grant && grant.2 > now);
+            let (target, free) = self.share(now, &entry.workspace, &report.vm, limit);
+            let least = limit.scaled(self.options.floor / self.members.count_f64());
+            let rate = target.combine(free, f64::min).combine(least, f64::max);
+            is_partial |= target.is_well_above(rate);
             let expiry = now + self.options.validity;
             if let Some(account) = self.account(&entry.workspace, &report.vm) {
                 account.outstanding.push((report.number, rate, expiry));
             }
             rates.push((entry.workspace.clone(), rate));
         }
-        Grant { from: self.me.clone(), number: report.number, rates }
+        Grant { from: self.me.clone(), number: report.number, is_partial, rates }
     }
 
     fn account(&mut self, workspace: &str, vm: &str) -> Option<&mut Account> {
@@ -110,7 +114,7 @@
         let fallback = self.members.fallback(limit);
         let silent_after = self.options.silent_after;
         let mut others =
-            Others { committed: Rates::default(), arrived: Rates::default(), silent: 0 };
+            Others { committed: Rates::default(), arrived: Rates::default(), silent: 0.0 };
         let Some(accounts) = self.accounts.get_mut(workspace) else { return others };
         let members = &self.members;
         let is_member =
@@ -123,7 +127,7 @@
             let is_silent = account.heard_at + silent_after <= now;
             let mut committed = account.committed(now);
             if is_silent && is_member(name) {
-                others.silent += 1;
+                others.silent += 1.0;
                 committed = committed.combine(fallback, f64::max);
             } else {
                 others.arrived = others.arrived.combine(account.arrived, |a, b| a + b);
@@ -132,52 +136,41 @@
         }
         let unheard = members.alive.iter().chain(&members.unreachable);
         for _ in unheard.filter(|name| *name != vm && !accounts.contains_key(*name)) {
-            others.silent += 1;
+            others.silent += 1.0;
             others.committed = others.committed.combine(fallback, |a, b| a + b);
         }
         others
     }
 
-    /// Share of one VM: in proportion to its demand, bounded by what the others may be using.
-    #[expect(clippy::cast_precision_loss, reason = "a fleet has far fewer than 2^52 VMs")]
-    fn share(&mut self, now: Now, workspace: &str, vm: &str, limit: Rates) -> Rates {
+    /// Share of one VM in proportion to its demand, and what the others leave of the limit.
+    fn share(&mut self, now: Now, workspace: &str, vm: &str, limit: Rates) -> (Rates, Rates) {
         let others = self.others(now, workspace, vm, limit);
-        let members = self.members.count() as f64;
-        let silent = others.silent as f64;
+        let members = self.members.count_f64();
         let arrived =
             self.account(workspace, vm).map(|account| account.arrived).unwrap_or_default();
-        let (floor, overcommit) = (self.options.floor, self.options.overcommit);
-        let one = |limit: f64, mine: f64, others_arrived: f64, committed: f64| {
-            if limit <= 0.0 {
-                return 0.0;
-            }
-            // Half of the silent share at most, so that the error is the same whether they serve or not.
-            let extra = limit * overcommit.min(silent / members / 2.0);
-            let available = limit * (1.0 - silent / members) + extra;
-            let heard = (members - silent).max(1.0);
+        // Half of the silent share at most, so that the error is the same whether they serve or not.
+        let extra = self.options.tolerance.min(others.silent / members / 2.0);
+        let heard = (members - others.silent).max(1.0);
+        let available = limit.scaled(1.0 - others.silent / members + extra);
+        let floor = self.options.floor;
+        let target = |available: f64, mine: f64, others_arrived: f64| {
             let demand = mine + others_arrived;
-            let target = if demand < available {
+            if demand < available {
                 // A tenth of the slack stays free for a VM that joins or whose demand grows.
                 mine + (available - demand) * 0.9 / heard
             } else {
-                available * (floor / heard + (1.0 - floor) * mine / demand)
-            };
-            let free = limit + extra - committed;
-            target.min(free).max(limit * floor / members)
+                available * (floor / heard + (1.0 - floor) * mine / demand.max(f64::MIN_POSITIVE))
+            }
         };
-        Rates {
-            requests: one(
-                limit.requests,
-                arrived.requests,
-                others.arrived.requests,
-                others.committed.requests,
-            ),
-            tokens: one(
-                limit.tokens,
-                arrived.tokens,
-                others.arrived.tokens,
-                others.committed.tokens,
-            ),
-        }
+        let target = Rates {
+            requests: target(available.requests, arrived.requests, others.arrived.requests),
+            tokens: target(available.tokens, arrived.tokens, others.arrived.tokens),
+        };
+        (
+            target,
+            limit
+                .scaled(1.0 + self.options.tolerance)
+                .combine(others.committed, |limit, used| limit - used),
+        )
     }
 }
--- a/crates/lw-limit/src/grant/limiter.rs
+++ b/crates/lw-limit/src/grant/limiter.rs
@@ -19,6 +19,11 @@
     },
 }
 
+/// Standard deviations from which a change of demand is not chance.
+const SIGNIFICANT: f64 = 2.5;
+/// Part of the deviation of earlier reports that still counts at the next one.
+const MEMORY: f64 = 0.6;
+
 #[derive(Debug)]
 struct State {
     limit: Rates,
@@ -26,6 +31,11 @@
     tokens: Bucket,
     arrived: Rates,
     demand: Rates,
+    /// Time over which the demand was measured, since its last significant change.
+    measured: Duration,
+    /// Excess of requests over the expected ones and expected requests of recent reports, decaying.
+    excess: f64,
+    expected: f64,
     /// Number of the report and expiry of the grant in use.
     grant: Option<(u64, Rates, Now)>,
 }
@@ -50,6 +60,8 @@
     states: BTreeMap<WorkspaceId, State>,
     started: Now,
     reported: Option<Now>,
+    /// Whether a change has to be reported, or a larger grant to be asked for.
+    is_urgent: bool,
     number: u64,
     /// When recent reports were sent, for the validity of their grants.
     sent: BTreeMap<u64, Now>,
@@ -67,6 +79,7 @@
             states: BTreeMap::new(),
             started: now,
             reported: None,
+            is_urgent: false,
             number: 0,
             sent: BTreeMap::new(),
         }
@@ -86,10 +99,14 @@
             let rate = self.members.fallback(limit).scaled(0.5);
             self.states.entry(workspace.clone()).or_insert_with(|| State {
                 limit,
-                requests: Bucket::new(now, rate.requests, self.options.burst),
+                requests: Bucket::new(now, rate.requests, self.options.burst)
+                    .with_least_burst(self.options.least_burst),
                 tokens: Bucket::new(now, rate.tokens, self.options.burst),
                 arrived: Rates::default(),
                 demand: Rates::default(),
+                measured: Duration::ZERO,
+                excess: 0.0,
+                expected: 0.0,
                 grant: None,
             });
         }
@@ -106,10 +123,10 @@
         state.refresh(now, &self.options, &self.members, self.started);
         let mut wait = Duration::ZERO;
         if state.limit.requests > 0.0 {
-            wait = state.requests.wait(now, 1.0);
+            wait = state.requests.wait(now);
         }
         if state.limit.tokens > 0.0 {
-            wait = wait.max(state.tokens.wait(now, tokens));
+            wait = wait.max(state.tokens.wait(now));
         }
         if !wait.is_zero() {
             return Outcome::Refused { retry_after: wait };
@@ -119,10 +136,17 @@
         Outcome::Admitted
     }
 
-    /// When [`Limiter::reports`] is due.
+    /// When [`Limiter::reports`] is due. A significant change of demand makes it due sooner, so this is asked
+    /// again every [`Options::urgent_interval`].
     #[must_use]
-    pub fn next_report(&self) -> Now {
-        self.reported.map_or(self.started, |at| at + self.options.report_interval)
+    pub fn next_report(&self, now: Now) -> Now {
+        let Some(at) = self.reported else { return self.started };
+        let elapsed = now.saturating_sub(at);
+        let has_changed = |state: &State| state.deviation(elapsed).abs() > SIGNIFICANT;
+        if self.is_urgent || self.states.values().any(has_changed) {
+            return at + self.options.urgent_interval;
+        }
+        at + self.options.report_interval
     }
 
     /// The reports to send now, by coordinator; this VM may be one of them.
@@ -130,16 +154,16 @@
         let elapsed =
             self.reported.map_or(self.options.report_interval, |at| now.saturating_sub(at));
         self.reported = Some(now);
+        self.is_urgent = false;
         self.number += 1;
         self.sent.insert(self.number, now);
         self.sent.retain(|_, at| *at + self.options.validity > now);
         let mut reports = BTreeMap::<VmId, Report>::new();
         for (workspace, state) in &mut self.states {
             let Some(coordinator) = self.members.coordinator(workspace) else { continue };
+            let least = self.members.fallback(state.limit).scaled(self.options.floor);
+            state.measure(elapsed, &self.options, least);
             state.refresh(now, &self.options, &self.members, self.started);
-            let recent = state.arrived.scaled(1.0 / elapsed.as_secs_f64().max(0.001));
-            state.demand = state.demand.combine(recent, f64::midpoint);
-            state.arrived = Rates::default();
             let report = reports.entry(coordinator.clone()).or_insert_with(|| Report {
                 vm: self.me.clone(),
                 number: self.number,
@@ -148,7 +172,7 @@
             report.entries.push(Demand {
                 workspace: workspace.clone(),
                 arrived: state.demand,
-                in_use: Rates { requests: state.requests.rate(), tokens: state.tokens.rate() },
+                in_use: state.rate(),
                 grant: state.grant.map_or(0, |grant| grant.0),
             });
         }
@@ -160,10 +184,13 @@
     pub fn grant(&mut self, now: Now, grant: &Grant) {
         let Some(&sent) = self.sent.get(&grant.number) else { return };
         let expiry = sent + self.options.validity;
+        self.is_urgent |= grant.is_partial;
         for (workspace, rates) in &grant.rates {
             let Some(state) = self.states.get_mut(workspace) else { continue };
             let is_newer = state.grant.is_none_or(|held| held.0 < grant.number);
             if is_newer && self.members.coordinator(workspace) == Some(&grant.from) {
+                // The others can use what this VM gives up once the coordinator knows that it did.
+                self.is_urgent |= state.rate().is_well_above(*rates);
                 state.grant = Some((grant.number, *rates, expiry));
             }
         }
@@ -173,8 +200,7 @@
     /// The rate in use for a workspace, or `None` without a limit.
     #[must_use]
     pub fn rate(&self, workspace: &str) -> Option<Rates> {
-        let state = self.states.get(workspace)?;
-        Some(Rates { requests: state.requests.rate(), tokens: state.tokens.rate() })
+        self.states.get(workspace).map(State::rate)
     }
 
     fn update(&mut self, now: Now) {
@@ -185,6 +211,41 @@
 }
 
 impl State {
+    fn rate(&self) -> Rates {
+        Rates { requests: self.requests.rate(), tokens: self.tokens.rate() }
+    }
+
+    /// Takes what arrived since the last report into the demand. A significant change counts at once, chance
+    /// variation is smoothed. After a significant drop the VM gives up the rate that it does not need.
+    fn measure(&mut self, elapsed: Duration, options: &Options, least: Rates) {
+        let recent = self.arrived.scaled(1.0 / elapsed.as_secs_f64().max(0.001));
+        let deviation = self.deviation(elapsed);
+        let expected = self.demand.requests * elapsed.as_secs_f64();
+        self.excess = self.excess * MEMORY + self.arrived.requests - expected;
+        self.expected = self.expected * MEMORY + expected;
+        if deviation.abs() > SIGNIFICANT {
+            (self.measured, self.excess, self.expected) = (Duration::ZERO, 0.0, 0.0);
+        }
+        self.measured = (self.measured + elapsed).min(options.smoothing.max(elapsed));
+        let part = elapsed.as_secs_f64() / self.measured.as_secs_f64().max(0.001);
+        self.demand = self.demand.combine(recent, |old, new| old + (new - old) * part.min(1.0));
+        if deviation < -SIGNIFICANT
+            && let Some(grant) = &mut self.grant
+        {
+            let enough = self.demand.scaled(1.5).combine(least, f64::max);
+            grant.1 = grant.1.combine(enough, f64::min);
+        }
+        self.arrived = Rates::default();
+    }
+
+    /// Difference between arrived and expected requests, in standard deviations of a Poisson process. Earlier
+    /// reports count too, so that a change shows in small counts.
+    fn deviation(&self, elapsed: Duration) -> f64 {
+        let expected = self.demand.requests * elapsed.as_secs_f64();
+        let excess = self.excess * MEMORY + self.arrived.requests - expected;
+        excess / (self.expected * MEMORY + expected).max(1.0).sqrt()
+    }
+
     /// Sets the rate of the buckets: the grant while it is valid, else the fallback share.
     fn refresh(&mut self, now: Now, options: &Options, members: &Members, started: Now) {
         if self.grant.is_some_and(|grant| grant.2 <= now) {
--- a/crates/lw-limit/src/grant/mod.rs
+++ b/crates/lw-limit/src/grant/mod.rs
@@ -19,8 +19,12 @@
 pub struct Options {
     /// Time between two reports of one VM.
     pub report_interval: Duration,
+    /// Time between two reports while demand or grants change.
+    pub urgent_interval: Duration,
     /// Validity of a grant, from the sending of the report that it answers.
     pub validity: Duration,
+    /// Time over which chance variation of demand is smoothed.
+    pub smoothing: Duration,
     /// Time without a report after which the coordinator reserves the fallback share of a VM. The other VMs then
     /// have two reports to give it up before its grant lapses.
     pub silent_after: Duration,
@@ -29,23 +33,29 @@
     pub start_time: Duration,
     /// Burst, as time at the granted rate.
     pub burst: Duration,
+    /// Least burst in requests.
+    pub least_burst: f64,
     /// Part of the limit that is granted to all VMs equally, so that a VM with new demand can start.
     pub floor: f64,
-    /// Part of the limit that is granted twice while members are silent. They may be dead, and then their share
-    /// is unused: with 7 VMs this keeps the error on both sides of the limit under 10 %.
-    pub overcommit: f64,
+    /// Part of the limit by which the rates in use may exceed it. Shares that move need not wait for each other
+    /// within it, and it goes to the others while members are silent: they may be dead, and then their share is
+    /// unused. With 7 VMs the error stays under 10 % on both sides of the limit.
+    pub tolerance: f64,
 }
 
 impl Default for Options {
     fn default() -> Self {
         Self {
             report_interval: Duration::from_millis(500),
+            urgent_interval: Duration::from_millis(100),
             validity: Duration::from_secs(2),
+            smoothing: Duration::from_secs(3),
             silent_after: Duration::from_millis(1_100),
             start_time: Duration::from_secs(2),
             burst: Duration::from_millis(250),
+            least_burst: 2.0,
             floor: 0.05,
-            overcommit: 0.05,
+            tolerance: 0.05,
         }
     }
 }
@@ -65,6 +75,11 @@
         Self { requests: f(self.requests, other.requests), tokens: f(self.tokens, other.tokens) }
     }
 
+    /// Whether one of the rates is more than a tenth above the other's.
+    pub(crate) fn is_well_above(self, other: Self) -> bool {
+        self.requests > other.requests * 1.1 || self.tokens > other.tokens * 1.1
+    }
+
     pub(crate) fn scaled(self, factor: f64) -> Self {
         Self { requests: self.requests * factor, tokens: self.tokens * factor }
     }
@@ -123,8 +138,12 @@
     }
 
     #[expect(clippy::cast_precision_loss, reason = "a fleet has far fewer than 2^52 VMs")]
+    pub(crate) fn count_f64(&self) -> f64 {
+        self.count() as f64
+    }
+
     pub(crate) fn fallback(&self, limit: Rates) -> Rates {
-        limit.scaled(1.0 / self.count() as f64)
+        limit.scaled(1.0 / self.count_f64())
     }
 }
 
@@ -159,6 +178,8 @@
     pub from: VmId,
     /// Number of the report.
     pub number: u64,
+    /// Whether the VM's share is larger than what the other VMs have given up so far. It reports again soon.
+    pub is_partial: bool,
     /// Granted rates by workspace.
     pub rates: Vec<(WorkspaceId, Rates)>,
 }
--- a/crates/lw-limit/src/retry.rs
+++ b/crates/lw-limit/src/retry.rs
@@ -8,12 +8,13 @@
 /// Limits on repeated work.
 #[derive(Debug, Clone)]
 pub struct Options {
-    /// Retries, resumes and hedges allowed for each first attempt.
+    /// Retries, resumes and hedges allowed for each first attempt. It is under a tenth, because a fault starts with
+    /// the budget of the calm time before it: with 10 % the attempts during a fault were 1.107 per request.
     pub ratio: f64,
     /// Hedges allowed for each first attempt, within `ratio`.
     pub hedge_ratio: f64,
-    /// Seconds over which both ratios hold. 10 s of first attempts pay for the streams of one crashed engine at
-    /// the two-year size: 67 requests/s x 10 s x 10 % = 67 retries for 1,100 / 16.4 = 67 streams.
+    /// Seconds over which both ratios hold. 10 s of first attempts pay for most streams of one crashed engine at
+    /// the two-year size: 67 requests/s x 10 s x 9 % = 60 retries for 1,100 / 16.4 = 67 streams.
     pub window_seconds: u64,
     /// Attempts of one request over all VMs, including the first.
     pub max_attempts: Attempt,
@@ -24,7 +25,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            ratio: 0.1,
+            ratio: 0.09,
             hedge_ratio: 0.05,
             window_seconds: 10,
             max_attempts: 4,
@@ -116,69 +117,76 @@
 /// let request = Carried::received(now, 0, Duration::from_secs(1));
 /// let mut budget = Budget::new(Options::default());
 /// assert_eq!(budget.spend(now, Kind::Retry, request), Err(Error::Budget));
-/// (0..10).for_each(|_| budget.earn(now, request));
+/// (0..12).for_each(|_| budget.arrive(now, request).unwrap());
 /// assert_eq!(budget.spend(now, Kind::Retry, request).unwrap().attempt, 1);
 /// ```
 #[derive(Debug)]
 pub struct Budget {
     options: Options,
     seconds: VecDeque<(u64, Second)>,
-    sum: Second,
 }
 
 impl Budget {
     /// An empty budget. A restarted VM has to earn its first retry.
     #[must_use]
     pub fn new(options: Options) -> Self {
-        Self { options, seconds: VecDeque::new(), sum: Second::default() }
+        Self { options, seconds: VecDeque::new() }
     }
 
-    /// Counts a request that is sent upstream. Only a request on its first attempt over all VMs earns.
-    pub fn earn(&mut self, now: Now, request: Carried) {
+    /// Takes a request from a caller or peer, before it is sent upstream. A first attempt earns budget; a repeated
+    /// one is paid for like an own retry.
+    ///
+    /// # Errors
+    ///
+    /// The reason why a repeated request may not be sent.
+    pub fn arrive(&mut self, now: Now, request: Carried) -> Result<(), Error> {
         if request.attempt == 0 {
             self.current(now).firsts += 1;
-            self.sum.firsts += 1;
+            return Ok(());
         }
+        self.pay(now, Kind::Retry, request)
     }
 
-    /// Spends budget on another attempt and returns what it carries.
-    ///
-    /// A request that arrives with an attempt number above 0 is a retry of a peer or caller; it is passed here
-    /// before its first attempt at this VM.
+    /// Spends budget on another attempt for a request and returns what that attempt carries.
     ///
     /// # Errors
     ///
     /// The reason why the attempt may not be made.
     pub fn spend(&mut self, now: Now, kind: Kind, request: Carried) -> Result<Carried, Error> {
-        if request.attempt + 1 >= self.options.max_attempts {
+        let next = Carried { attempt: request.attempt.saturating_add(1), ..request };
+        self.pay(now, kind, next).map(|()| next)
+    }
+
+    fn pay(&mut self, now: Now, kind: Kind, attempt: Carried) -> Result<(), Error> {
+        if attempt.attempt >= self.options.max_attempts {
             return Err(Error::Attempts);
         }
-        if request.remaining(now) < self.options.min_remaining {
+        if attempt.remaining(now) < self.options.min_remaining {
             return Err(Error::Deadline);
         }
         self.current(now);
-        let (firsts, spent) = (self.sum.firsts, self.sum.retries + self.sum.hedges);
+        let oldest = (now.as_secs() + 1).saturating_sub(self.options.window_seconds);
+        let firsts = self.seconds.iter().filter(|(at, _)| *at >= oldest);
+        let firsts: u64 = firsts.map(|(_, second)| second.firsts).sum();
+        let hedges: u64 = self.seconds.iter().map(|(_, second)| second.hedges).sum();
+        let spent = hedges + self.seconds.iter().map(|(_, second)| second.retries).sum::<u64>();
         let is_over = |spent: u64, ratio: f64| as_f64(spent + 1) > as_f64(firsts) * ratio + 1e-9;
         if is_over(spent, self.options.ratio)
-            || (kind == Kind::Hedge && is_over(self.sum.hedges, self.options.hedge_ratio))
+            || (kind == Kind::Hedge && is_over(hedges, self.options.hedge_ratio))
         {
             return Err(Error::Budget);
         }
-        self.sum.add(kind);
         self.current(now).add(kind);
-        Ok(Carried { attempt: request.attempt + 1, ..request })
+        Ok(())
     }
 
-    /// The counters of the current second, after those outside the window are dropped.
+    /// The counters of the current second, after old ones are dropped. Retries count one second longer than the
+    /// first attempts that paid for them, so that whole seconds bound every window of this length.
     fn current(&mut self, now: Now) -> &mut Second {
         let second = now.as_secs();
-        while let Some(&(at, old)) = self.seconds.front()
-            && at + self.options.window_seconds <= second
-        {
+        let window = self.options.window_seconds;
+        while self.seconds.front().is_some_and(|&(at, _)| at + window < second) {
             self.seconds.pop_front();
-            self.sum.firsts -= old.firsts;
-            self.sum.retries -= old.retries;
-            self.sum.hedges -= old.hedges;
         }
         if self.seconds.back().is_none_or(|&(at, _)| at < second) {
             self.seconds.push_back((second, Second::default()));
--- /dev/null
+++ b/crates/lw-limit/tests/grant.rs
@@ -0,0 +1,213 @@
+//! Guards against workspaces that exceed their limit over all VMs, with generated loss, delay and silence.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use lw_limit::grant::{
+    Grant, Limits, Members, Options, Rates, Report,
+    coordinator::Coordinator,
+    limiter::{Limiter, Outcome},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+
+const LIMIT: f64 = 900.0;
+const STEP: Duration = Duration::from_millis(50);
+
+fn config() -> Config {
+    Config {
+        cases: 60,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn limits() -> Limits {
+    [("w".to_owned(), Rates { requests: LIMIT, tokens: 0.0 })].into()
+}
+
+/// VMs in virtual time; all agree on the members, and messages may be lost.
+struct Fleet {
+    limiters: Vec<Limiter>,
+    coordinators: Vec<Coordinator>,
+    members: Members,
+    now: Duration,
+    /// Messages by due time: receiver and either a report or a grant.
+    network: BTreeMap<(Duration, u64), (usize, Result<Report, Grant>)>,
+    rng: fastrand::Rng,
+}
+
+impl Fleet {
+    fn new(vms: usize, seed: u64) -> Self {
+        let names: Vec<_> = (0..vms).map(|i| format!("vm-{i}")).collect();
+        let mut fleet = Self {
+            limiters: Vec::new(),
+            coordinators: Vec::new(),
+            members: Members { alive: names.clone(), unreachable: Vec::new() },
+            now: Duration::ZERO,
+            network: BTreeMap::new(),
+            rng: fastrand::Rng::with_seed(seed),
+        };
+        for name in names {
+            let mut limiter = Limiter::new(name.clone(), Options::default(), Duration::ZERO);
+            let mut coordinator = Coordinator::new(name, Options::default());
+            limiter.set_members(Duration::ZERO, fleet.members.clone());
+            limiter.set_limits(Duration::ZERO, &limits());
+            coordinator.set_members(fleet.members.clone());
+            coordinator.set_limits(limits());
+            fleet.limiters.push(limiter);
+            fleet.coordinators.push(coordinator);
+        }
+        fleet
+    }
+
+    fn index(&self, name: &str) -> usize {
+        self.members.alive.iter().position(|vm| vm == name).unwrap()
+    }
+
+    /// One step in which VM `i` gets `demand[i]` requests. Messages from and to `silent` VMs are lost.
+    fn step(&mut self, demand: &[u32], loss: f64, silent: &[usize]) {
+        self.now += STEP;
+        for (limiter, &count) in self.limiters.iter_mut().zip(demand) {
+            for _ in 0..count {
+                limiter.admit(self.now, "w", 1);
+            }
+        }
+        for from in 0..self.limiters.len() {
+            if self.limiters[from].next_report(self.now) <= self.now {
+                for (to, report) in self.limiters[from].reports(self.now) {
+                    self.send(from, self.index(&to), Ok(report), loss, silent);
+                }
+            }
+        }
+        while let Some(entry) = self.network.first_entry().filter(|e| e.key().0 <= self.now) {
+            let (at, message) = entry.remove();
+            match message {
+                Ok(report) => {
+                    let grant = self.coordinators[at].report(self.now, &report);
+                    self.send(at, self.index(&report.vm), Err(grant), loss, silent);
+                }
+                Err(grant) => self.limiters[at].grant(self.now, &grant),
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        from: usize,
+        to: usize,
+        message: Result<Report, Grant>,
+        loss: f64,
+        silent: &[usize],
+    ) {
+        let is_lost = self.rng.f64() < loss || silent.contains(&from) || silent.contains(&to);
+        if from == to || !is_lost {
+            let delay = if from == to { 0 } else { self.rng.u64(1..200) };
+            let key = (self.now + Duration::from_millis(delay), self.rng.u64(..));
+            self.network.insert(key, (to, message));
+        }
+    }
+
+    fn sum(&self) -> f64 {
+        self.limiters.iter().map(|limiter| limiter.rate("w").unwrap().requests).sum()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against rates in use that sum up to more than 110 % of the limit, on average over 10 s, while
+    /// reports and grants are lost, late and reordered, VMs fall silent in turn, and demand moves.
+    #[test]
+    fn rates_stay_within_limit(
+        vms in 7..=9_usize,
+        seed in any::<u64>(),
+        loss in 0.0..0.3_f64,
+        phases in prop::collection::vec((0..9_usize, 0..9_usize, prop::bool::ANY), 4..8),
+    ) {
+        let mut fleet = Fleet::new(vms, seed);
+        let mut sums = Vec::new();
+        for (hot, silent, is_silent) in phases {
+            let demand: Vec<_> = (0..vms).map(|vm| if vm == hot % vms { 60 } else { 4 }).collect();
+            let silent = [silent % vms];
+            for _ in 0..100 {
+                fleet.step(&demand, loss, if is_silent { &silent } else { &[] });
+                sums.push(fleet.sum());
+            }
+        }
+        for window in sums.windows(200).step_by(20) {
+            let mean = window.iter().sum::<f64>() / 200.0;
+            prop_assert!(mean <= LIMIT * 1.1, "{mean} of {LIMIT}");
+        }
+    }
+}
+
+/// Guards against a limit that is not used where the demand is.
+#[test]
+fn rates_follow_demand() {
+    let mut fleet = Fleet::new(8, 1);
+    for _ in 0..100 {
+        fleet.step(&[80, 1, 1, 1, 1, 1, 1, 1], 0.0, &[]);
+    }
+    let rate = fleet.limiters[0].rate("w").unwrap().requests;
+    assert!(rate >= LIMIT * 0.8, "{rate}");
+}
+
+/// Guards against a VM that refuses all without its coordinator, or that then takes more than its part.
+#[test]
+fn silent_vm_falls_back_to_its_part() {
+    let mut fleet = Fleet::new(8, 2);
+    let coordinator = fleet.members.coordinator("w").cloned().unwrap();
+    let silent = (0..8).find(|&vm| vm != fleet.index(&coordinator)).unwrap();
+    let demand = [10; 8];
+    for _ in 0..40 {
+        fleet.step(&demand, 0.0, &[]);
+    }
+    for _ in 0..60 {
+        fleet.step(&demand, 0.0, &[silent]);
+    }
+    let rate = fleet.limiters[silent].rate("w").unwrap().requests;
+    assert!((rate - LIMIT / 8.0).abs() < 1.0, "{rate}");
+    let sum = fleet.sum();
+    assert!((LIMIT * 0.9..=LIMIT * 1.1).contains(&sum), "{sum} with one VM silent");
+}
+
+/// Guards against a burst above 250 ms of the rate after idle time, and a refusal without a time to come back.
+#[test]
+fn burst_is_bounded() {
+    let mut limiter = Limiter::new("a".into(), Options::default(), Duration::ZERO);
+    limiter.set_limits(Duration::ZERO, &limits());
+    limiter.reports(Duration::from_secs(3));
+    let now = Duration::from_secs(3_600);
+    let admitted = (0..2_000).filter(|_| limiter.admit(now, "w", 1) == Outcome::Admitted).count();
+    assert!((220..=230).contains(&admitted), "{admitted}");
+    let Outcome::Refused { retry_after } = limiter.admit(now, "w", 1) else { panic!("admitted") };
+    assert!(!retry_after.is_zero());
+    assert_eq!(limiter.admit(now + retry_after * 2, "w", 1), Outcome::Admitted);
+}
+
+/// Guards against an old grant that raises or prolongs the rate after a newer one, or after its 2 s.
+#[test]
+fn old_grants_are_ignored() {
+    let mut limiter = Limiter::new("a".into(), Options::default(), Duration::ZERO);
+    limiter.set_limits(Duration::ZERO, &limits());
+    let grant = |number, requests| Grant {
+        from: "a".into(),
+        number,
+        is_partial: false,
+        rates: vec![("w".into(), Rates { requests, tokens: 0.0 })],
+    };
+    let start = Duration::from_secs(10);
+    let rate = |limiter: &Limiter| limiter.rate("w").unwrap().requests;
+    limiter.reports(start);
+    limiter.reports(start + STEP);
+    limiter.grant(start + STEP, &grant(2, 50.0));
+    limiter.grant(start + STEP, &grant(1, 500.0));
+    limiter.grant(start + STEP, &grant(7, 700.0));
+    limiter.grant(start + STEP, &Grant { from: "b".into(), ..grant(2, 800.0) });
+    assert!((rate(&limiter) - 50.0).abs() < 0.1, "{}", rate(&limiter));
+    limiter.reports(start + Duration::from_secs(3));
+    assert!((rate(&limiter) - LIMIT).abs() < 0.1, "{}", rate(&limiter));
+}
--- /dev/null
+++ b/crates/lw-limit/tests/retry.rs
@@ -0,0 +1,103 @@
+//! Guards against retry storms: more than 1.1 attempts per request over any run, with any mix of traffic.
+
+use std::time::Duration;
+
+use lw_limit::retry::{Budget, Carried, Error, Kind, Options};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+
+fn config() -> Config {
+    Config {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// One second of traffic at one VM: first attempts, wanted retries, wanted hedges, and whether the VM restarts.
+type Second = (u32, u32, u32, bool);
+
+fn second() -> impl Strategy<Value = Second> {
+    (0..200_u32, 0..400_u32, 0..200_u32, prop::bool::weighted(0.05))
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against amplification above 1.1 at any moment, and hedges above 5 %, summed over VMs that restart.
+    #[test]
+    fn amplification_is_bounded(vms in prop::collection::vec(prop::collection::vec(second(), 1..60), 1..9)) {
+        let (mut firsts, mut retries, mut hedges) = (0_u32, 0_u32, 0_u32);
+        for seconds in vms {
+            let mut budget = Budget::new(Options::default());
+            for (at, (first, retry, hedge, restarts)) in (0..).zip(seconds) {
+                let now = Duration::from_secs(at);
+                let request = Carried::received(now, 0, Duration::from_secs(2));
+                if restarts {
+                    budget = Budget::new(Options::default());
+                }
+                for _ in 0..first {
+                    prop_assert!(budget.arrive(now, request).is_ok());
+                }
+                firsts += first;
+                let spend = |budget: &mut Budget, kind| u32::from(budget.spend(now, kind, request).is_ok());
+                hedges += (0..hedge).map(|_| spend(&mut budget, Kind::Hedge)).sum::<u32>();
+                retries += (0..retry).map(|_| spend(&mut budget, Kind::Retry)).sum::<u32>();
+                prop_assert!((retries + hedges) * 10 <= firsts, "{retries} + {hedges} of {firsts}");
+                prop_assert!(hedges * 20 <= firsts, "{hedges} hedges of {firsts}");
+            }
+        }
+    }
+
+    /// Guards against a window in which old budget pays for a storm: what calm time earned is gone after it.
+    #[test]
+    fn budget_is_not_hoarded(calm in 1..10_000_u32, gap in 12..100_u64) {
+        let mut budget = Budget::new(Options::default());
+        for _ in 0..calm {
+            let request = Carried::received(Duration::ZERO, 0, Duration::from_secs(2));
+            prop_assert!(budget.arrive(Duration::ZERO, request).is_ok());
+        }
+        let now = Duration::from_secs(gap);
+        let request = Carried::received(now, 0, Duration::from_secs(2));
+        prop_assert_eq!(budget.spend(now, Kind::Retry, request), Err(Error::Budget));
+    }
+}
+
+/// Guards against a request that VMs hand to each other for ever, each with a full budget, and against retries
+/// that cannot end in time.
+#[test]
+fn attempts_and_deadline_travel_with_the_request() {
+    let now = Duration::from_secs(1);
+    let mut budgets = [Budget::new(Options::default()), Budget::new(Options::default())];
+    for budget in &mut budgets {
+        for _ in 0..1_000 {
+            budget.arrive(now, Carried::received(now, 0, Duration::from_secs(1))).unwrap();
+        }
+    }
+    let mut request = Carried::received(now, 0, Duration::from_secs(1));
+    let mut attempts = 1;
+    while let Ok(next) = budgets[attempts % 2].spend(now, Kind::Retry, request) {
+        request = Carried::received(now, next.attempt, next.remaining(now));
+        attempts += 1;
+    }
+    assert_eq!(attempts, Options::default().max_attempts as usize);
+    assert_eq!(budgets[0].arrive(now, Carried { attempt: 9, ..request }), Err(Error::Attempts));
+
+    let late = now + Duration::from_millis(960);
+    let request = Carried::received(now, 0, Duration::from_secs(1));
+    assert_eq!(budgets[0].spend(late, Kind::Retry, request), Err(Error::Deadline));
+}
+
+/// Guards against a repeated request that earns budget as if it were new.
+#[test]
+fn repeated_requests_earn_nothing() {
+    let now = Duration::ZERO;
+    let mut budget = Budget::new(Options::default());
+    let repeated = Carried::received(now, 1, Duration::from_secs(1));
+    for _ in 0..1_000 {
+        assert_eq!(budget.arrive(now, repeated), Err(Error::Budget));
+    }
+}
