fix(lw-limit): let the reported rate of a silent VM lapse

Cause: the coordinator counted the rate that a VM had last reported for as long as it was a member. A silent VM that had held a large grant took that part of the limit from all others, although the grant had lapsed and only the fallback share was left. Ruled out: the expiry of the grants; they lapsed correctly.

--- a/crates/lw-limit/src/grant/coordinator.rs
+++ b/crates/lw-limit/src/grant/coordinator.rs
@@ -1,6 +1,9 @@
 //! The coordinator's side: division of a limit among VMs.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use lw_types::prelude::*;
 
@@ -18,10 +21,13 @@
 }
 
 impl Account {
-    /// Highest rate that the VM may be using.
-    fn committed(&self, now: Now) -> Rates {
+    /// Highest rate that the VM may be using. The rate that it reported was granted before, so it has lapsed when
+    /// the VM was silent for the validity of a grant.
+    fn committed(&self, now: Now, validity: Duration) -> Rates {
+        let is_valid = self.heard_at + validity > now;
+        let reported = if is_valid { self.in_use } else { Rates::default() };
         let valid = self.outstanding.iter().filter(|grant| grant.2 > now);
-        valid.fold(self.in_use, |sum, grant| sum.combine(grant.1, f64::max))
+        valid.fold(reported, |highest, grant| highest.combine(grant.1, f64::max))
     }
 }
 
@@ -127,7 +133,7 @@
         });
         for (name, account) in accounts.iter().filter(|(name, _)| *name != vm) {
             let is_silent = account.heard_at + silent_after <= now;
-            let mut committed = account.committed(now);
+            let mut committed = account.committed(now, self.options.validity);
             if is_silent && is_member(name) {
                 others.silent += 1.0;
                 committed = committed.combine(fallback, f64::max);
