fix(lw-daemon): bind each attempt to the incarnation that was chosen

Cause: the assembler learnt the incarnation from the first event, so an engine that restarted between decision and answer was not noticed by engines that do not check it. Ruled out: relying on the engine's refusal alone. Before and after: the path and stream tests pass before and after. Conclusion: the incarnation of the decision is passed when the attempt starts.

--- a/crates/lw-daemon/src/generate/mod.rs
+++ b/crates/lw-daemon/src/generate/mod.rs
@@ -59,6 +59,7 @@
 struct Running {
     attempt: Attempt,
     engine: UpstreamId,
+    incarnation: Option<Incarnation>,
     io: Attempting,
     has_token: bool,
 }
@@ -166,7 +167,8 @@
         let now = self.tables.timer.now();
         match received {
             Received::Started => {
-                self.assembler.step(now, Event::Started { attempt, incarnation: None })
+                let incarnation = self.running(attempt).and_then(|running| running.incarnation);
+                self.assembler.step(now, Event::Started { attempt, incarnation })
             }
             Received::Data(data) => match EventRef::parse(&data) {
                 Ok(EventRef::Token(token)) => {
@@ -326,7 +328,8 @@
         let reuse = if cause == Cause::First { Reuse::Pooled } else { Reuse::Fresh };
         let io = Attempting::new(&self.tables.clients, addr, &body, reuse);
         self.tried.push(candidate.engine.clone());
-        self.running.push(Running { attempt, engine: candidate.engine, io, has_token: false });
+        let Candidate { engine, incarnation, .. } = candidate;
+        self.running.push(Running { attempt, engine, incarnation, io, has_token: false });
         Ok(())
     }
 
