fix(lw-standin): keep the port while down, end on early signals

Cause: in 80 runs of all tests, ten at a time, data_outlives_an_outage failed four times: another stand-in got the port of one that was down. In 30 such runs a program once died of a signal that came before its handlers were in place.

Ruled out: longer waits in the tests, since the port was gone for good.

Before: the port was free while down, handlers came after the address was printed, and a stand-in that was down ended only after its time. After: a bound socket that does not listen holds the port, handlers come first, and the end is immediate.

--- a/crates/lw-cli/tests/ask.rs
+++ b/crates/lw-cli/tests/ask.rs
@@ -25,7 +25,7 @@
 /// Guards against a request that lacks what the caller asked for, and against an answer without its usage.
 #[test]
 fn whole_answer_is_shown_with_its_usage() {
-    let vm = Fake::start(Prepared::Stream { data: whole(), cut: false });
+    let vm = Fake::start(Prepared::Stream { data: whole(), aborted: false });
     let ran = vm.ask(&["--key", "key-1", "--class", "live", "--max-tokens", "9"]);
     assert_eq!(ran.status, 0, "{ran:?}");
     assert!(ran.out.starts_with("one two\n"), "{}", ran.out);
@@ -52,16 +52,16 @@
     let in_stream = vec![answer().chunk("one").to_string(), failure.to_string()];
     let cases = [
         ("whole", with(|_| {}), false, 0, ""),
-        ("whole, then cut", with(|_| {}), true, 0, ""),
+        ("whole, then aborted", with(|_| {}), true, 0, ""),
         ("no end mark", with(|data| drop(data.pop())), false, 5, "end mark"),
         ("end mark only", with(|data| drop(data.drain(..3))), false, 5, "finish reason"),
-        ("cut", with(|data| data.truncate(2)), true, 5, "not complete"),
+        ("aborted", with(|data| data.truncate(2)), true, 5, "not complete"),
         ("error in the stream", in_stream, false, 5, "stream_broken (4001)"),
         ("not JSON", vec!["{".to_owned()], false, 5, "not complete"),
         ("nothing", Vec::new(), false, 5, "end mark"),
     ];
-    for (name, data, cut, exit, message) in cases {
-        let vm = Fake::start(Prepared::Stream { data, cut });
+    for (name, data, aborted, exit, message) in cases {
+        let vm = Fake::start(Prepared::Stream { data, aborted });
         let ran = vm.ask(&["--key", "k"]);
         assert_eq!(ran.status, exit, "{name}: {ran:?}");
         assert!(ran.err.contains(message), "{name}: {ran:?}");
--- a/crates/lw-cli/tests/support/mod.rs
+++ b/crates/lw-cli/tests/support/mod.rs
@@ -21,8 +21,8 @@
 pub enum Prepared {
     /// A status and a JSON body.
     Json(u16, Value),
-    /// A stream with these data fields; `cut` breaks the connection at the end.
-    Stream { data: Vec<String>, cut: bool },
+    /// A stream with these data fields; `aborted` aborts the connection at the end.
+    Stream { data: Vec<String>, aborted: bool },
 }
 
 struct Vm {
@@ -52,10 +52,10 @@
             Prepared::Json(status, body) => {
                 serve::status_json(StatusCode::from_u16(*status).expect("status"), body)
             }
-            Prepared::Stream { data, cut } => {
+            Prepared::Stream { data, aborted } => {
                 let mut events: Vec<_> = data.iter().map(|data| Ok(sse::event(data))).collect();
-                if *cut {
-                    events.push(Err(std::io::Error::other("cut")));
+                if *aborted {
+                    events.push(Err(std::io::Error::other("aborted")));
                 }
                 let mut response = serve::stream(stream::iter(events));
                 let id = http::HeaderValue::from_static("req-1");
--- a/crates/lw-standin/src/engine/emitter.rs
+++ b/crates/lw-standin/src/engine/emitter.rs
@@ -71,8 +71,8 @@
             return pending().await;
         }
         if self.faults.drop_after.is_some_and(|n| self.sent >= n) {
-            let cut = io::Error::other("connection cut by a fault");
-            self.tx.send(Err(cut)).await.map_err(|_| Closed)?;
+            let aborted = io::Error::other("connection aborted by a fault");
+            self.tx.send(Err(aborted)).await.map_err(|_| Closed)?;
             return Err(Closed);
         }
         self.sent += 1;
--- a/crates/lw-standin/src/engine/generate.rs
+++ b/crates/lw-standin/src/engine/generate.rs
@@ -18,7 +18,7 @@
     cache::Owner,
     emitter::{Closed, Emitter},
     options::scaled,
-    state::Ticket,
+    state::InFlight,
 };
 use crate::serve::{Response, status_json, stream};
 
@@ -60,13 +60,13 @@
             self.state.lock().add_log(LogEntry::new(&req, tokens, &outcome));
             return self.refusal(reason);
         }
-        let ticket = Ticket::new(&self.state, LogEntry::new(&req, tokens, "waiting"));
+        let in_flight = InFlight::new(&self.state, LogEntry::new(&req, tokens, "waiting"));
         let (tx, mut rx) = mpsc::channel(EVENTS_BUFFERED);
         tokio::spawn(async move {
             tokio::select! {
                 // The caller has closed the connection; dropping the generation frees its slot.
                 () = tx.closed() => {}
-                _ = self.run(&req, ticket, &tx) => {}
+                _ = self.run(&req, in_flight, &tx) => {}
             }
         });
         stream(poll_fn(move |cx| rx.poll_recv(cx)))
@@ -110,30 +110,31 @@
     async fn run(
         &self,
         req: &GenerateRequest,
-        mut ticket: Ticket,
+        mut in_flight: InFlight,
         tx: &mpsc::Sender<io::Result<String>>,
     ) -> Result<(), Closed> {
         let faults = self.switches.update(super::Faults::next_stream);
         let mut out = Emitter::new(tx, faults);
         let _slot = self.slots.take(req.priority).await;
         if !self.is_loaded(req) {
-            return fail(&mut out, req, &ticket, "the weights changed while the request waited")
+            return fail(&mut out, req, &in_flight, "the weights changed while the request waited")
                 .await;
         }
         let from = req.resume.as_ref().map_or(0, |resume| resume.from);
         if req.resume.as_ref().is_some_and(|r| r.text != answer_text(&req.prompt, from)) {
-            return fail(&mut out, req, &ticket, "the text to resume is not this answer's").await;
+            return fail(&mut out, req, &in_flight, "the text to resume is not this answer's")
+                .await;
         }
-        let cached_tokens = self.prefill(req, &mut ticket).await;
+        let cached_tokens = self.prefill(req, &mut in_flight).await;
         let total = u64::from(req.max_tokens.min(self.options.answer_max));
         for index in from..total {
             let slow = self.switches.get().slow_percent;
             tokio::time::sleep(scaled(self.options.token_time, slow)).await;
-            ticket.note(|entry| entry.tokens += 1);
+            in_flight.note(|entry| entry.tokens += 1);
             out.emit(self.token(req, index)).await?;
         }
-        ticket.note(|entry| "complete".clone_into(&mut entry.outcome));
-        drop(ticket);
+        in_flight.note(|entry| "complete".clone_into(&mut entry.outcome));
+        drop(in_flight);
         let load = self.load_report(Duration::ZERO);
         let finish = if total < u64::from(req.max_tokens) { "stop" } else { "length" };
         out.emit(GenerateEvent::End {
@@ -162,7 +163,7 @@
     }
 
     /// Computes the blocks that are not cached, one at a time, and returns the cached tokens.
-    async fn prefill(&self, req: &GenerateRequest, ticket: &mut Ticket) -> u64 {
+    async fn prefill(&self, req: &GenerateRequest, in_flight: &mut InFlight) -> u64 {
         let block_tokens = self.options.block_tokens;
         let tokens = prompt_tokens(&req.prompt);
         let owner = Owner {
@@ -172,10 +173,10 @@
         };
         let hits = self.state.lock().cache.hit(&owner, &req.blocks);
         let cached = (hits as u64 * block_tokens).min(tokens);
-        ticket.begin(cached);
+        in_flight.begin(cached);
         for &block in &req.blocks[hits..] {
             self.compute(req.priority, block_tokens).await;
-            ticket.prefilled(block_tokens);
+            in_flight.prefilled(block_tokens);
             let gap = self.switches.get().event_gap_every;
             self.state.lock().cache.store(Instant::now(), &owner, block, gap);
             self.cache_changed.notify_waiters();
@@ -184,13 +185,13 @@
         let rest = tokens.saturating_sub(req.blocks.len() as u64 * block_tokens);
         if rest > 0 {
             self.compute(req.priority, rest).await;
-            ticket.prefilled(rest);
+            in_flight.prefilled(rest);
         }
         cached
     }
 
     async fn compute(&self, priority: u8, tokens: u64) {
-        let _lane = self.prefill_lane.take(priority).await;
+        let _slot = self.prefill_slot.take(priority).await;
         let slow = self.switches.get().slow_percent;
         let block = scaled(self.options.prefill_per_block, slow).as_nanos();
         let nanos = block * u128::from(tokens) / u128::from(self.options.block_tokens.max(1));
@@ -202,10 +203,10 @@
 async fn fail(
     out: &mut Emitter<'_>,
     req: &GenerateRequest,
-    ticket: &Ticket,
+    in_flight: &InFlight,
     message: &str,
 ) -> Result<(), Closed> {
-    ticket.note(|entry| "failed".clone_into(&mut entry.outcome));
+    in_flight.note(|entry| "failed".clone_into(&mut entry.outcome));
     out.emit(GenerateEvent::Error {
         request: req.request.clone(),
         attempt: req.attempt,
--- a/crates/lw-standin/src/engine/mod.rs
+++ b/crates/lw-standin/src/engine/mod.rs
@@ -47,7 +47,7 @@
     /// Running requests.
     slots: Slots,
     /// Prefill computes one block at a time, the most urgent request's first.
-    prefill_lane: Slots,
+    prefill_slot: Slots,
     cache_changed: Notify,
 }
 
@@ -83,7 +83,7 @@
             switches: Switches::new(options.faults.clone()),
             state: Shared::new(State::new(&options, incarnation)),
             slots: Slots::new(options.running_max),
-            prefill_lane: Slots::new(1),
+            prefill_slot: Slots::new(1),
             cache_changed: Notify::new(),
             options,
         }
--- a/crates/lw-standin/src/engine/state.rs
+++ b/crates/lw-standin/src/engine/state.rs
@@ -140,14 +140,14 @@
 
 /// One admitted request's part of the load and of the log; both are settled when this is dropped.
 #[derive(Debug)]
-pub(super) struct Ticket {
+pub(super) struct InFlight {
     state: Shared,
     waiting_tokens: u64,
     is_running: bool,
     log: Option<usize>,
 }
 
-impl Ticket {
+impl InFlight {
     pub(super) fn new(state: &Shared, entry: LogEntry) -> Self {
         let waiting_tokens = entry.prompt_tokens;
         let mut locked = state.lock();
@@ -194,7 +194,7 @@
     }
 }
 
-impl Drop for Ticket {
+impl Drop for InFlight {
     fn drop(&mut self) {
         self.note(|entry| {
             if matches!(entry.outcome.as_str(), "waiting" | "running") {
--- a/crates/lw-standin/src/platform/mod.rs
+++ b/crates/lw-standin/src/platform/mod.rs
@@ -21,7 +21,7 @@
 use tokio::sync::Notify;
 
 use crate::serve::{
-    self, App, Call, Handle, HttpFaults, Response, Switches, bad_request, count_down, cut, empty,
+    self, App, Call, Handle, HttpFaults, Response, Switches, abort, bad_request, count_down, empty,
     json, status_json,
 };
 
@@ -223,7 +223,7 @@
 
     fn write(&self, write: impl FnOnce(&mut Store) -> Result<Revision, Conflict>) -> Response {
         if self.switches.update(|faults| count_down(&mut faults.lose_writes)) {
-            return cut();
+            return abort();
         }
         let mut state = self.lock();
         if !state.writes.take(Instant::now()) {
@@ -245,7 +245,7 @@
         drop(state);
         self.changed.notify_waiters();
         if self.switches.update(|faults| count_down(&mut faults.lose_replies)) {
-            return cut();
+            return abort();
         }
         response
     }
--- a/crates/lw-standin/src/serve/answer.rs
+++ b/crates/lw-standin/src/serve/answer.rs
@@ -12,8 +12,8 @@
 /// The answer of a stand-in.
 pub type Response = volo_http::response::Response;
 
-/// The time that bytes before a cut get to leave; hyper drops what it has not flushed yet.
-const CUT_DELAY: Duration = Duration::from_millis(2);
+/// Time for the bytes before an abort to be sent; hyper drops what it has not flushed yet.
+const ABORT_DELAY: Duration = Duration::from_millis(2);
 
 /// One request with its whole body.
 #[derive(Debug)]
@@ -97,20 +97,21 @@
     response
 }
 
-/// An answer that closes the connection before any byte of it is sent.
+/// An answer that aborts the connection before any byte of it is sent.
 #[must_use]
-pub fn cut() -> Response {
-    let broken = streams::once(async { Err(io::Error::other("connection cut by a fault").into()) });
+pub fn abort() -> Response {
+    let broken =
+        streams::once(async { Err(io::Error::other("connection aborted by a fault").into()) });
     Response::new(Body::from_stream(broken))
 }
 
-/// An answer with server-sent events; an item `Err` closes the connection.
+/// An answer with server-sent events; an item `Err` aborts the connection.
 pub fn stream(events: impl Stream<Item = io::Result<String>> + Send + Sync + 'static) -> Response {
     let frames = events.then(|event| async {
         match event {
             Ok(text) => Ok(http_body::Frame::data(Bytes::from(text))),
             Err(e) => {
-                tokio::time::sleep(CUT_DELAY).await;
+                tokio::time::sleep(ABORT_DELAY).await;
                 Err(e.into())
             }
         }
--- a/crates/lw-standin/src/serve/conns.rs
+++ b/crates/lw-standin/src/serve/conns.rs
@@ -48,18 +48,18 @@
 
 /// Registers each accepted connection.
 #[derive(Debug)]
-pub(super) struct Counted {
+pub(super) struct RegisteredIncoming {
     inner: DefaultIncoming,
     conns: Arc<Conns>,
 }
 
-impl Counted {
+impl RegisteredIncoming {
     pub(super) fn new(inner: DefaultIncoming, conns: Arc<Conns>) -> Self {
         Self { inner, conns }
     }
 }
 
-impl MakeIncoming for Counted {
+impl MakeIncoming for RegisteredIncoming {
     type Incoming = Self;
 
     async fn make_incoming(self) -> io::Result<Self> {
@@ -67,7 +67,7 @@
     }
 }
 
-impl Incoming for Counted {
+impl Incoming for RegisteredIncoming {
     async fn accept(&mut self) -> io::Result<Option<Conn>> {
         let conn = self.inner.accept().await?;
         if let Some(peer) = conn.as_ref().and_then(|conn| conn.info.peer_addr.as_ref()) {
--- a/crates/lw-standin/src/serve/front.rs
+++ b/crates/lw-standin/src/serve/fault_service.rs
@@ -23,13 +23,13 @@
 /// Path of the fault switches.
 const FAULTS_PATH: &str = "/faults";
 
-pub(super) struct Front<A> {
+pub(super) struct FaultService<A> {
     app: Arc<A>,
     conns: Arc<Conns>,
     control: Control,
 }
 
-impl<A: App> Front<A> {
+impl<A: App> FaultService<A> {
     pub(super) fn new(app: Arc<A>, conns: Arc<Conns>, control: Control) -> Self {
         Self { app, conns, control }
     }
@@ -80,12 +80,13 @@
         if self.conns.is_silent(peer) {
             return pending().await;
         }
-        let gate = |inner| Gate { inner, peer: peer.to_owned(), conns: self.conns.clone() };
-        response.map(|body| Body::from_body(gate(body)))
+        let wrap =
+            |inner| ConnectionBody { inner, peer: peer.to_owned(), conns: self.conns.clone() };
+        response.map(|body| Body::from_body(wrap(body)))
     }
 }
 
-impl<A: App> Service<ServerContext, Request> for Front<A> {
+impl<A: App> Service<ServerContext, Request> for FaultService<A> {
     type Response = Response;
     type Error = Infallible;
 
@@ -96,13 +97,13 @@
 }
 
 /// Passes a body on until its connection goes silent.
-struct Gate {
+struct ConnectionBody {
     inner: Body,
     peer: String,
     conns: Arc<Conns>,
 }
 
-impl http_body::Body for Gate {
+impl http_body::Body for ConnectionBody {
     type Data = Bytes;
     type Error = BoxError;
 
--- a/crates/lw-standin/src/serve/mod.rs
+++ b/crates/lw-standin/src/serve/mod.rs
@@ -9,27 +9,33 @@
 };
 
 use lw_types::prelude::*;
-use tokio::{net::TcpListener, runtime, sync::mpsc as commands};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    runtime,
+    signal::unix::{Signal, SignalKind, signal},
+    sync::mpsc as commands,
+};
 use volo::net::incoming::DefaultIncoming;
 use volo_http::server::Server;
 
 mod answer;
 mod conns;
+mod fault_service;
 mod faults;
-mod front;
 
 pub use self::{
-    answer::{Call, Response, bad_request, cut, empty, json, status_json, stream},
+    answer::{Call, Response, abort, bad_request, empty, json, status_json, stream},
     faults::{HttpFaults, Switches, count_down},
 };
 use self::{
-    conns::{Conns, Counted},
-    front::Front,
+    conns::{Conns, RegisteredIncoming},
+    fault_service::FaultService,
 };
 
-/// The time that the answer to the command itself gets to leave before the server goes down.
+/// Time for the answer to the command itself to be sent before the server goes down.
 const DOWN_GRACE: Duration = Duration::from_millis(20);
-const BIND_RETRY: Duration = Duration::from_millis(10);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
 
 /// A stand-in's request handling.
 pub trait App: Send + Sync + 'static {
@@ -123,66 +129,88 @@
     let (ready_tx, ready_rx) = mpsc::channel();
     let control = Control(tx);
     let inner = control.clone();
+    // Held until the end, so that no other socket gets the port while the stand-in is down.
+    let reserved = bound(listen)?;
+    let address = reserved.local_addr()?;
     let thread = thread::Builder::new().name("standin".to_owned()).spawn(move || {
-        let first = serve_once(listen, make(0, &inner), &inner, &mut rx, Some(&ready_tx));
-        let Some((address, mut down)) = first else { return };
-        for starts in 1.. {
-            let Some(time) = down else { return };
-            thread::sleep(time);
-            let next = serve_once(address, make(starts, &inner), &inner, &mut rx, None);
-            down = next.and_then(|(_, down)| down);
+        let _reserved = reserved;
+        let mut down = Some(Duration::ZERO);
+        for starts in 0.. {
+            let Some(delay) = down else { return };
+            let ready = (starts == 0).then_some(&ready_tx);
+            down = serve_once(address, delay, || make(starts, &inner), &inner, &mut rx, ready);
         }
     })?;
-    let address = ready_rx.recv().map_err(io::Error::other)??;
+    ready_rx.recv().map_err(io::Error::other)??;
     Ok(Handle { address, control, thread: Some(thread) })
 }
 
-/// Serves until a command; returns the bound address and how long to stay down, or none to end.
+/// Serves after a delay until a command; returns how long to stay down, or none to end.
 fn serve_once<A: App>(
-    listen: SocketAddr,
-    app: Arc<A>,
+    address: SocketAddr,
+    delay: Duration,
+    make: impl FnOnce() -> Arc<A>,
     control: &Control,
     rx: &mut commands::UnboundedReceiver<Command>,
-    ready: Option<&mpsc::Sender<io::Result<SocketAddr>>>,
-) -> Option<(SocketAddr, Option<Duration>)> {
+    ready: Option<&mpsc::Sender<io::Result<()>>>,
+) -> Option<Duration> {
+    let tell = |result: io::Result<()>| match (ready, result) {
+        (Some(tx), result) => drop(tx.send(result)),
+        (None, Ok(())) => {}
+        (None, Err(e)) => log::error!("standin: {address}: {e}"),
+    };
     // Dropping the runtime drops its tasks and with them all sockets, as the end of a process does.
     let rt = match runtime::Builder::new_current_thread().enable_all().build() {
         Ok(rt) => rt,
         Err(e) => {
-            ready.map(|tx| tx.send(Err(e)));
+            tell(Err(e));
             return None;
         }
     };
-    rt.block_on(async {
-        let listener = match (bind(listen, ready.is_some()).await, ready) {
-            (Ok(listener), _) => listener,
-            (Err(e), Some(tx)) => {
-                let _ = tx.send(Err(e));
-                return None;
+    let served = async {
+        // Handlers are in place before the address is known, so that an early signal ends the program as a later one.
+        let signals = [SignalKind::terminate(), SignalKind::interrupt()];
+        let [Ok(term), Ok(int)] = signals.map(signal) else { return None };
+        let until_down = async {
+            tokio::select! {
+                () = tokio::time::sleep(delay) => {}
+                () = stopped(rx) => return None,
             }
-            (Err(_), None) => return None,
+            let listener = bound(address).and_then(|socket| socket.listen(BACKLOG));
+            tell(listener.as_ref().map(|_| ()).map_err(|e| e.kind().into()));
+            run(listener.ok()?, make(), control, rx).await
         };
-        let address = listener.local_addr().ok()?;
-        if let Some(tx) = ready {
-            let _ = tx.send(Ok(address));
+        tokio::select! {
+            down = until_down => down,
+            () = signalled(term, int) => None,
         }
-        let down = run(listener, app, control, rx).await;
-        Some((address, down))
-    })
+    };
+    rt.block_on(served)
 }
 
-/// A restart waits until the address is free again; a first start fails at once.
-async fn bind(listen: SocketAddr, first: bool) -> io::Result<TcpListener> {
-    loop {
-        match TcpListener::bind(listen).await {
-            Err(e) if !first && e.kind() == io::ErrorKind::AddrInUse => {
-                tokio::time::sleep(BIND_RETRY).await;
-            }
-            result => return result,
-        }
+/// Ends on the command to stop; a stand-in that is down already takes no other.
+async fn stopped(rx: &mut commands::UnboundedReceiver<Command>) {
+    while let Some(Command::Down(_)) = rx.recv().await {}
+}
+
+/// Ends on the first signal. volo itself waits up to 30 s for open connections then; a stand-in ends at once.
+async fn signalled(mut term: Signal, mut int: Signal) {
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
     }
 }
 
+/// A socket that is bound and does not listen; connections to it are refused.
+///
+/// With the option to reuse addresses, it and a listening socket can share the address.
+fn bound(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 async fn run<A: App>(
     listener: TcpListener,
     app: Arc<A>,
@@ -190,14 +218,8 @@
     rx: &mut commands::UnboundedReceiver<Command>,
 ) -> Option<Duration> {
     let conns = Arc::new(Conns::default());
-    let incoming = Counted::new(DefaultIncoming::from(listener), conns.clone());
-    let front = Front::new(app, conns, control.clone());
-    let on_signal = control.clone();
-    let server = Server::new(front).register_shutdown_hook(move || {
-        // volo waits up to 30 s for open connections after a signal; a stand-in ends at once.
-        on_signal.stop();
-        Box::pin(std::future::ready(()))
-    });
+    let incoming = RegisteredIncoming::new(DefaultIncoming::from(listener), conns.clone());
+    let server = Server::new(FaultService::new(app, conns, control.clone()));
     tokio::select! {
         command = rx.recv() => match command {
             Some(Command::Down(time)) => {
--- a/crates/lw-standin/src/service/mod.rs
+++ b/crates/lw-standin/src/service/mod.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::serve::{
-    self, App, Call, Handle, HttpFaults, Response, Switches, count_down, cut, json,
+    self, App, Call, Handle, HttpFaults, Response, Switches, abort, count_down, json,
 };
 
 /// Options of a service.
@@ -126,12 +126,12 @@
             return json(&*self.runs.lock().unwrap_or_else(PoisonError::into_inner));
         }
         if self.switches.update(|faults| count_down(&mut faults.lose_calls)) {
-            return cut();
+            return abort();
         }
         let run = self.run(&call);
         tokio::time::sleep(self.options.work_time).await;
         if self.switches.update(|faults| count_down(&mut faults.lose_replies)) {
-            return cut();
+            return abort();
         }
         json(&run)
     }
--- a/crates/lw-standin/tests/engine_faults.rs
+++ b/crates/lw-standin/tests/engine_faults.rs
@@ -10,7 +10,9 @@
     engine::{Faults, Options, StreamFaults, start},
     serve::HttpFaults,
 };
-use support::{client, complete, faults, generate, get, hasty_client, open, request, until};
+use support::{
+    client, complete, faults, generate, get, open, request, short_timeout_client, until,
+};
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -52,7 +54,8 @@
     for (name, stream, expected, end) in cases {
         let faults = Faults { stream, ..Faults::default() };
         let engine = start(Options { faults, ..quick() }).expect("engine");
-        let (events, result) = generate(&hasty_client(), engine.address(), &request("r")).await;
+        let (events, result) =
+            generate(&short_timeout_client(), engine.address(), &request("r")).await;
         let ended = match result {
             Ok(()) => "whole",
             Err(Error::Silence(_)) => "silent",
@@ -133,7 +136,7 @@
 async fn open_connections_go_silent_and_new_ones_work() {
     let engine = start(quick()).expect("engine");
     let at = engine.address();
-    let old = hasty_client();
+    let old = short_timeout_client();
     let mut long = request("long");
     long.max_tokens = 10_000;
     let mut running = open(&old, at, &long).await;
@@ -157,7 +160,7 @@
     let at = engine.address();
     let set = |http| async move { faults(at, &Faults { http, ..Faults::default() }).await };
     set(HttpFaults { silent: true, ..HttpFaults::default() }).await;
-    assert!(matches!(hasty_client().get(at, "/load").await, Err(Error::Silence(_))));
+    assert!(matches!(short_timeout_client().get(at, "/load").await, Err(Error::Silence(_))));
     set(HttpFaults { unavailable: true, ..HttpFaults::default() }).await;
     assert_eq!(client().get(at, "/load").await.expect("answer").status, 503);
     set(HttpFaults { delay_ms: 50, ..HttpFaults::default() }).await;
--- a/crates/lw-standin/tests/load.rs
+++ b/crates/lw-standin/tests/load.rs
@@ -29,7 +29,7 @@
     SwapsTokens,
     NoFinish,
     OtherAnswer,
-    Cuts,
+    Aborts,
 }
 
 struct Router(Switches<Mode>);
@@ -92,8 +92,8 @@
             _ => {}
         }
         let mut events: Vec<_> = data.iter().map(|data| Ok(sse::event(data))).collect();
-        if mode == Mode::Cuts {
-            events[2] = Err(std::io::Error::other("cut"));
+        if mode == Mode::Aborts {
+            events[2] = Err(std::io::Error::other("aborted"));
         }
         serve::stream(futures::stream::iter(events))
     }
@@ -132,7 +132,7 @@
         (Mode::SwapsTokens, wrong),
         (Mode::NoFinish, wrong),
         (Mode::OtherAnswer, wrong),
-        (Mode::Cuts, |o| o.broken.values().sum()),
+        (Mode::Aborts, |o| o.broken.values().sum()),
     ];
     for (mode, count) in cases {
         let outcome = load(&[&router(mode)], 0).await;
--- a/crates/lw-standin/tests/service.rs
+++ b/crates/lw-standin/tests/service.rs
@@ -9,12 +9,14 @@
     serve::{Handle, HttpFaults},
     service::{Faults, Options, Run, body_digest, start},
 };
-use support::{client, faults, get, hasty_client};
+use support::{client, faults, get, short_timeout_client};
 
 async fn book(service: &Handle, key: &str) -> Result<Answer, Error> {
     let headers = [(IDEMPOTENCY_HEADER, key), (REQUEST_ID_HEADER, "r1")];
     let body = b"seat 4".to_vec();
-    hasty_client().call(Method::POST, service.address(), "/bookings?day=1", &headers, body).await
+    short_timeout_client()
+        .call(Method::POST, service.address(), "/bookings?day=1", &headers, body)
+        .await
 }
 
 /// Guards against calls that the service changes on the way or does not log.
@@ -72,3 +74,13 @@
     let log: Vec<Run> = get(&client(), service.address(), "/log").await;
     assert_eq!(log.len(), 1);
 }
+
+/// Guards against a stand-in that is down and holds up the end of its test.
+#[tokio::test]
+async fn stand_in_that_is_down_can_be_ended() {
+    let service = start(Options::default()).expect("service");
+    let address = service.address();
+    service.down(std::time::Duration::from_secs(3600));
+    support::until("down", || async { client().get(address, "/log").await.is_err() }).await;
+    drop(service);
+}
--- a/crates/lw-standin/tests/support/mod.rs
+++ b/crates/lw-standin/tests/support/mod.rs
@@ -9,23 +9,23 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Bound on waits that must end; far above any time that a test needs.
-const PATIENCE: Duration = Duration::from_secs(10);
+const WAIT_MAX: Duration = Duration::from_secs(10);
 /// Silence after which a connection counts as silent.
 const SILENCE: Duration = Duration::from_millis(600);
 
 /// A client that waits as long as a test may.
 pub fn client() -> Http {
-    Http::new(PATIENCE).expect("client")
+    Http::new(WAIT_MAX).expect("client")
 }
 
 /// A client that soon gives up on a silent connection.
-pub fn hasty_client() -> Http {
+pub fn short_timeout_client() -> Http {
     Http::new(SILENCE).expect("client")
 }
 
 /// Waits until the condition holds.
 pub async fn until<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
-    let ends = tokio::time::Instant::now() + PATIENCE;
+    let ends = tokio::time::Instant::now() + WAIT_MAX;
     while !condition().await {
         assert!(tokio::time::Instant::now() < ends, "never came true: {what}");
         tokio::time::sleep(Duration::from_millis(2)).await;
