--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -3,9 +3,10 @@
 use crate::summary::Row;
 
 mod claims;
+mod orders;
 
 /// Runs all cases.
 #[must_use]
 pub fn all() -> Vec<Row> {
-    [claims::rows()].concat()
+    [claims::rows(), orders::rows()].concat()
 }
