fix(lw-order): search the fleet only when an engine needs a load

Cause: a tick walked all engines; at 12,000 settled engines it took 7.7 ms (measured, 10 times a second that is 7.7 % of a core; the control budget is 1.8 %). Ruled out: ticking less often, since that would also delay renewals and orders.

--- a/crates/lw-order/src/issuer/fleet.rs
+++ b/crates/lw-order/src/issuer/fleet.rs
@@ -1,6 +1,9 @@
 //! What the issuer knows about the engines, and which one is loaded next.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
 
 use lw_types::prelude::*;
 
@@ -10,6 +13,10 @@
     plan::Plan,
 };
 
+/// Time between two searches for an engine to load when the last one found none. A search counts the
+/// serving engines of the whole fleet.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(300);
+
 #[derive(Debug)]
 struct Engine {
     report: Report,
@@ -26,20 +33,36 @@
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
     engines: BTreeMap<UpstreamId, Engine>,
+    /// Engines that report another state than the desired one.
+    wrong: BTreeSet<UpstreamId>,
+    /// Engines that report a load.
+    loading: BTreeSet<UpstreamId>,
     flights: BTreeMap<UpstreamId, Flight>,
     /// Times of the orders that may have started a load in the weight store's window.
     sent: VecDeque<Now>,
+    next_search: Now,
 }
 
 impl Fleet {
-    pub fn on_report(&mut self, now: Now, report: Report) {
+    pub fn set_plan(&mut self, plan: &Plan) {
+        let is_wrong = |(id, engine): &(&UpstreamId, &Engine)| {
+            plan.targets.get(*id).is_some_and(|target| *target != engine.report.state)
+        };
+        self.wrong = self.engines.iter().filter(is_wrong).map(|(id, _)| id.clone()).collect();
+    }
+
+    pub fn on_report(&mut self, now: Now, report: Report, plan: &Plan) {
         let number = |report: &Report| (report.incarnation, report.seq);
         if let Some(known) = self.engines.get(&report.engine)
             && number(&known.report) >= number(&report)
         {
             return;
         }
-        self.engines.insert(report.engine.clone(), Engine { report, seen: now });
+        let id = &report.engine;
+        let is_wrong = plan.targets.get(id).is_some_and(|target| *target != report.state);
+        set_member(&mut self.wrong, id, is_wrong);
+        set_member(&mut self.loading, id, report.loading);
+        self.engines.insert(id.clone(), Engine { report, seen: now });
     }
 
     /// Starts a new term. An engine that went silent, or has sent no report to this VM, may have an order
@@ -62,8 +85,8 @@
 
     /// Engines that are loading or may be.
     pub fn loading(&self, now: Now, options: &Options) -> usize {
-        let reported = self.engines.iter().filter(|(id, engine)| {
-            let may_load = engine.report.loading && now < engine.seen + options.load_max;
+        let reported = self.loading.iter().filter(|id| {
+            let may_load = now < self.engines[*id].seen + options.load_max;
             may_load && !self.flights.contains_key(*id)
         });
         self.flights.len() + reported.count()
@@ -102,8 +125,14 @@
             self.sent.pop_front();
         }
         let mut orders = Vec::new();
-        while self.sent.len() < options.store_loads {
-            let Some(id) = self.choose(now, plan, options) else { break };
+        while self.sent.len() < options.store_loads
+            && self.loading(now, options) < options.loading_max
+            && now >= self.next_search
+        {
+            let Some(id) = self.choose(now, plan, options) else {
+                self.next_search = now + SEARCH_INTERVAL;
+                break;
+            };
             let state = plan.targets[&id].clone();
             self.flights.insert(id.clone(), Flight { state: state.clone(), sent: now });
             self.sent.push_back(now);
@@ -132,16 +161,15 @@
 
     /// The next engine to load: first one that serves nothing, then one that its role can spare.
     fn choose(&self, now: Now, plan: &Plan, options: &Options) -> Option<UpstreamId> {
-        if self.loading(now, options) >= options.loading_max {
+        let is_free = |id: &&UpstreamId| {
+            let engine = &self.engines[*id];
+            let idle = !engine.report.loading && !self.flights.contains_key(*id);
+            idle && now < engine.seen + options.silence
+        };
+        let wrong: Vec<_> = self.wrong.iter().filter(is_free).collect();
+        if wrong.is_empty() {
             return None;
         }
-        let is_wrong = |(id, target): &(&UpstreamId, &EngineState)| {
-            self.engines.get(*id).is_some_and(|engine| {
-                let idle = !engine.report.loading && !self.flights.contains_key(*id);
-                idle && now < engine.seen + options.silence && engine.report.state != **target
-            })
-        };
-        let wrong: Vec<_> = plan.targets.iter().filter(is_wrong).map(|(id, _)| id).collect();
         let spare = self.spare(now, plan, options);
         let may_load = |id: &&&UpstreamId| {
             let state = &self.engines[**id].report.state;
@@ -172,3 +200,11 @@
         plan.minimums.iter().map(above).collect()
     }
 }
+
+fn set_member(set: &mut BTreeSet<UpstreamId>, id: &UpstreamId, is_member: bool) {
+    if !is_member {
+        set.remove(id);
+    } else if !set.contains(id) {
+        set.insert(id.clone());
+    }
+}
--- a/crates/lw-order/src/issuer/mod.rs
+++ b/crates/lw-order/src/issuer/mod.rs
@@ -94,12 +94,13 @@
     pub fn set_plan(&mut self, plan: Plan) {
         if plan.version > self.plan.version {
             self.plan = plan;
+            self.fleet.set_plan(&self.plan);
         }
     }
 
     /// Takes a load report.
     pub fn on_report(&mut self, now: Now, report: Report) {
-        self.fleet.on_report(now, report);
+        self.fleet.on_report(now, report, &self.plan);
     }
 
     /// Takes the result of a lease call.
