--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -7,6 +7,7 @@
 pub mod hits;
 pub mod limits;
 pub mod member;
+pub mod orders;
 pub mod overload;
 pub mod slow;
 pub mod tail;
@@ -22,6 +23,7 @@
         slow::rows,
         limits::rows,
         claims::rows,
+        orders::rows,
     ];
     groups.into_iter().flat_map(|rows| rows()).collect()
 }
