--- a/crates/lw-bench/src/cases/member/fleet.rs
+++ b/crates/lw-bench/src/cases/member/fleet.rs
@@ -19,7 +19,10 @@
 use lw_types::prelude::*;
 use serde_json::Value;
 
-use super::store::{LONG_POLL, Store, Waiting};
+use super::{
+    net::{Event, Net, Node, Request, Timed},
+    store::{LONG_POLL, Store, Waiting},
+};
 
 /// Time of a store call one way.
 const STORE_DELAY: Duration = Duration::from_millis(3);
@@ -28,77 +31,6 @@
 /// Longest extra delay of a late swap.
 const LATE_MAX: Duration = Duration::from_secs(3);
 
-/// Faults of the network.
-#[derive(Debug, Clone)]
-pub struct Net {
-    /// Share of messages lost, one way.
-    pub loss: f64,
-    /// Shortest delay one way.
-    pub delay_min: Duration,
-    /// Longest delay one way.
-    pub delay_max: Duration,
-    /// Share of requests delivered twice.
-    pub duplicates: f64,
-}
-
-impl Default for Net {
-    /// 5 % loss and up to 200 ms of delay.
-    fn default() -> Self {
-        let (delay_min, delay_max) = (Duration::from_millis(1), Duration::from_millis(200));
-        Self { loss: 0.05, delay_min, delay_max, duplicates: 0.0 }
-    }
-}
-
-/// One VM.
-#[derive(Debug)]
-pub struct Node {
-    /// The running process, if it runs.
-    pub member: Option<Member>,
-    /// Name of the VM.
-    pub id: VmId,
-    /// Failure domain.
-    pub domain: Domain,
-    /// Network group; only VMs of one group reach each other. The store is in group 0.
-    pub group: u32,
-    /// Starts so far; also the incarnation.
-    pub start: u64,
-    /// Bytes sent, requests and replies.
-    pub bytes: u64,
-    /// Messages sent, requests and replies.
-    pub messages: u64,
-    shown: ConfigVersion,
-}
-
-#[derive(Debug)]
-enum Event {
-    Tick(usize, u64),
-    Request { from: usize, start: u64, to: usize, message: Message },
-    Reply { to: usize, start: u64, message: Message },
-    StoreRuns { node: usize, start: u64, call: u64, op: StoreCall },
-    StoreResult { node: usize, start: u64, call: u64, outcome: StoreOutcome },
-    PollEnds { node: usize, start: u64, call: u64 },
-}
-
-#[derive(Debug)]
-struct Timed(Reverse<(Now, u64)>, Box<Event>);
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        self.0 == other.0
-    }
-}
-impl Eq for Timed {}
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.cmp(&other.0)
-    }
-}
-
 /// The fleet.
 #[derive(Debug)]
 pub struct Fleet {
@@ -112,8 +44,8 @@
     pub store: Store,
     /// Random source of schedules and faults.
     pub rng: fastrand::Rng,
-    /// Operators' patches by request number, with the VM and its start number.
-    pub requests: Vec<(usize, u64)>,
+    /// Operators' patches in the order of their request numbers, from 1.
+    pub requests: Vec<Request>,
     /// Answers to operators by request number.
     pub answers: BTreeMap<u64, PatchOutcome>,
     /// Times that a living VM was held as suspect by another one, counted at each VM.
@@ -230,7 +162,7 @@
 
     /// Sends an operator's patch to a VM; returns its request number.
     pub fn patch(&mut self, node: usize, base: ConfigVersion, patch: Value) -> u64 {
-        self.requests.push((node, self.nodes[node].start));
+        self.requests.push(Request { node, start: self.nodes[node].start, base });
         let request = self.requests.len() as u64;
         self.with(node, |member, now| member.patch(now, request, base, patch));
         request
@@ -326,8 +258,11 @@
                 let Some(member) = self.nodes[to].member.as_mut() else { return };
                 let (reply, actions) = member.receive(now, &message);
                 self.count(to, &reply);
-                if let Some(at) = self.arrival(to, from) {
-                    self.push(at, Event::Reply { to: from, start, message: reply });
+                for _ in 0..self.copies() {
+                    if let Some(at) = self.arrival(to, from) {
+                        let message = reply.clone();
+                        self.push(at, Event::Reply { to: from, start, message });
+                    }
                 }
                 self.perform(to, actions);
             }
@@ -376,8 +311,7 @@
                 Action::Send { to, message } => {
                     self.count(node, &message);
                     let Some(to) = self.by_address.get(&to).copied() else { continue };
-                    let copies = if self.rng.f64() < self.net.duplicates { 2 } else { 1 };
-                    for _ in 0..copies {
+                    for _ in 0..self.copies() {
                         if let Some(at) = self.arrival(node, to) {
                             let message = message.clone();
                             self.push(at, Event::Request { from: node, start, to, message });
@@ -411,6 +345,10 @@
         self.nodes[node].messages += 1;
     }
 
+    fn copies(&mut self) -> u32 {
+        if self.rng.f64() < self.net.duplicates { 2 } else { 1 }
+    }
+
     /// Time of arrival, unless the message is lost.
     fn arrival(&mut self, from: usize, to: usize) -> Option<Now> {
         let is_lost = self.rng.f64() < self.net.loss;
--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -7,5 +7,5 @@
 /// Runs all cases.
 #[must_use]
 pub fn all() -> Vec<Row> {
-    Vec::new()
+    member::rows()
 }
--- a/crates/lw-member/src/member/contact.rs
+++ b/crates/lw-member/src/member/contact.rs
@@ -213,8 +213,12 @@
             if self.contact.disagree.as_ref().is_some_and(|(id, _)| *id == message.from) {
                 self.contact.disagree = None;
             }
-        } else if self.contact.disagree.is_none() && self.detect.is_neighbour(&message.from) {
-            self.contact.disagree = Some((message.from.clone(), now));
+        } else if self.contact.disagree.is_none() {
+            // Who sends these holds this VM for its neighbour, even if the own view says otherwise.
+            let is_direct = matches!(message.body, Body::Heartbeat | Body::Probe);
+            if is_direct || self.detect.is_neighbour(&message.from) {
+                self.contact.disagree = Some((message.from.clone(), now));
+            }
         }
     }
 
--- a/crates/lw-member/src/member/detect.rs
+++ b/crates/lw-member/src/member/detect.rs
@@ -1,6 +1,9 @@
 //! Failure detection: heartbeats, probes, suspicion and removal.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use lw_types::prelude::*;
 
@@ -8,7 +11,7 @@
 use crate::{
     action::Action,
     message::{Body, Message, News},
-    view::{State, ring, ring::Neighbours},
+    view::{Peer, State, ring, ring::Neighbours},
 };
 
 /// Members asked to probe a silent one.
@@ -22,8 +25,15 @@
 const PAUSE: Duration = Duration::from_millis(600);
 /// Time between two looks for expired suspicions and removals.
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
-/// Disputed members probed at the same time.
-const DISPUTED_MAX: usize = 4;
+/// Disputed members probed at the same time. A small side of a partition has too few ring neighbours on the
+/// other side: 3 of 12 VMs took up to 8 s to notice the silence of 9 with ring neighbours alone.
+const DISPUTED_MAX: usize = 16;
+/// Ring neighbours told at once by a member that has just learnt urgent news.
+const NEAR_MAX: usize = 2;
+/// One in this many members has become suspect lately when a partition is likely.
+const MASS: usize = 10;
+/// Time for which suspicions count towards that.
+const LATELY: Duration = Duration::from_secs(5);
 /// Probes for others that wait for a reply; older ones are dropped first.
 const ASKED_MAX: usize = 64;
 
@@ -76,8 +86,15 @@
         self.detect.raised.retain(|(_, at)| *at > last_heard);
         if now >= self.detect.next_heartbeat {
             self.detect.next_heartbeat = now + self.options.timings.heartbeat;
+            let silent_since = now.saturating_sub(self.options.timings.suspect_after);
             for id in self.detect.neighbours.successors.clone() {
                 self.send_to(now, &id, Body::Heartbeat, out);
+                let peer = self.view.get(&id);
+                let heard = peer.map(|p| p.heard.unwrap_or_default().max(p.changed));
+                // Without this, a VM whose view has only unreachable successors would never learn of it.
+                if heard.is_some_and(|at| at < silent_since) {
+                    self.dispute(now, &id);
+                }
             }
         }
         self.watch(now, out);
@@ -99,6 +116,28 @@
             let fresh = Watch { since: now, probes: 0, disputed: false };
             watches.entry(id.clone()).or_insert(fresh).disputed = false;
         }
+        self.doubt_domains(now);
+    }
+
+    /// After many suspicions, probes random members of the failure domains that they are in.
+    fn doubt_domains(&mut self, now: Now) {
+        let is_recent = |p: &&Peer| p.state == State::Suspect && now < p.changed + LATELY;
+        let domains: BTreeSet<&Domain> =
+            self.view.iter().filter(is_recent).map(|p| &p.domain).collect();
+        let suspects = self.view.iter().filter(is_recent).count();
+        if suspects < 2 || suspects * MASS < self.view.len() {
+            return;
+        }
+        let quiet_since = now.saturating_sub(self.options.timings.probe_after);
+        let doubted = self.view.iter().filter(|p| {
+            let is_quiet = p.heard.is_none_or(|at| at < quiet_since);
+            p.is_member() && p.id != self.options.id && is_quiet && domains.contains(&p.domain)
+        });
+        let doubted = self.rng.choose_multiple(doubted, DISPUTED_MAX);
+        let doubted: Vec<VmId> = doubted.into_iter().map(|p| p.id.clone()).collect();
+        for id in doubted {
+            self.dispute(now, &id);
+        }
     }
 
     fn watch(&mut self, now: Now, out: &mut Vec<Action>) {
@@ -120,7 +159,7 @@
             } else if silence >= timings.suspect_after {
                 silent.push((id.clone(), peer.incarnation));
             } else if silence >= patience + PROBE_EVERY * watch.probes {
-                probes.push((id.clone(), watch.probes == HELP_FROM));
+                probes.push((id.clone(), !watch.disputed && watch.probes == HELP_FROM));
                 watch.probes += 1;
             }
             true
@@ -171,6 +210,21 @@
         }
     }
 
+    /// Ring neighbours heard lately. Random members alone are no safe targets for news: after a partition
+    /// most of them may be out of reach.
+    pub(super) fn near_members(&self, now: Now) -> Vec<VmId> {
+        let Neighbours { successors, watched } = &self.detect.neighbours;
+        let patience = self.options.timings.probe_after;
+        let is_near = |id: &&VmId| {
+            let heard = self.view.get(id).filter(|p| p.is_member()).and_then(|p| p.heard);
+            heard.is_some_and(|at| now < at + patience)
+        };
+        let mut near: Vec<VmId> =
+            successors.iter().chain(watched).filter(is_near).cloned().collect();
+        near.truncate(NEAR_MAX);
+        near
+    }
+
     /// Records the sender's sign of life.
     pub(super) fn sign_of_life(&mut self, now: Now, message: &Message, out: &mut Vec<Action>) {
         let cut_off = now.saturating_sub(self.detect.last_heard);
--- a/crates/lw-member/src/member/gossip.rs
+++ b/crates/lw-member/src/member/gossip.rs
@@ -16,10 +16,14 @@
 pub(super) const FANOUT: usize = 2;
 /// Most bytes of news in one message.
 const MESSAGE_BYTES: u64 = 600;
-/// Bytes of news a second that a member sends on average, a third of the control budget of 6 KB a second.
-const RATE: u64 = 2_000;
+/// Bytes of news a second that a member sends on average, a quarter of the control budget of 6 KB a second.
+const RATE: u64 = 1_500;
 /// Bytes of news that a member may send at once, enough for the loss of a failure domain of 30 VMs.
-const BURST_BYTES: u64 = 8_000;
+const BURST_BYTES: u64 = 6_000;
+/// Part of them kept for exclusions. When a partition ends, all members refute their removal at once.
+const RESERVED_BYTES: u64 = 5_000;
+/// Gossip rounds between two rounds while there is only news of living members.
+const RELAXED_ROUNDS: u32 = 5;
 /// Time for which a change is repeated to ring neighbours whose view differs.
 const RECENT: std::time::Duration = std::time::Duration::from_secs(4);
 
@@ -91,7 +95,8 @@
         let mut taken = Vec::new();
         for rumour in &mut self.queue {
             let size = size(&rumour.news);
-            if bytes + size > MESSAGE_BYTES.min(self.tokens) {
+            let reserved = if is_alive(&rumour.news) { RESERVED_BYTES } else { 0 };
+            if bytes + size > MESSAGE_BYTES.min(self.tokens.saturating_sub(reserved)) {
                 break;
             }
             bytes += size;
@@ -125,10 +130,15 @@
 
     /// Time of the next round, if there is anything to tell.
     pub(super) fn schedule(&mut self, now: Now, timings: &Timings) {
-        self.next_round = now + timings.gossip;
+        let is_relaxed = self.patch_tells == 0 && self.queue.iter().all(|r| is_alive(&r.news));
+        self.next_round = now + timings.gossip * if is_relaxed { RELAXED_ROUNDS } else { 1 };
     }
 }
 
+fn is_alive(news: &News) -> bool {
+    matches!(news, News::Alive(_))
+}
+
 fn tells(members: usize) -> u32 {
     members.max(1).ilog2().clamp(*TELLS.start(), *TELLS.end())
 }
--- a/crates/lw-member/src/member/mod.rs
+++ b/crates/lw-member/src/member/mod.rs
@@ -245,7 +245,7 @@
             self.view.heard(now, id, *incarnation, 0);
         }
         if urgent {
-            self.tell(now, gossip::BURST, out);
+            self.burst(now, out);
         }
         self.compare(now, message);
         self.absorb_config(now, message, out);
@@ -269,7 +269,7 @@
     fn learn(&mut self, now: Now, news: News, out: &mut Vec<Action>) {
         if self.merge(now, &news, out) {
             self.gossip.add(now, news, self.view.len());
-            self.tell(now, gossip::BURST, out);
+            self.burst(now, out);
         }
     }
 
@@ -302,6 +302,14 @@
         (silent || outdated).then(|| News::Suspect(peer.id.clone(), peer.incarnation))
     }
 
+    /// Tells urgent news at once, to random members and ring neighbours.
+    fn burst(&mut self, now: Now, out: &mut Vec<Action>) {
+        self.tell(now, gossip::BURST, out);
+        for id in self.near_members(now) {
+            self.send_to(now, &id, Body::Gossip, out);
+        }
+    }
+
     /// Sends one round of gossip to random members.
     pub(crate) fn tell(&mut self, now: Now, count: usize, out: &mut Vec<Action>) {
         self.gossip.schedule(now, &self.options.timings);
--- a/crates/lw-member/tests/config.rs
+++ b/crates/lw-member/tests/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lw_bench::cases::member::fleet::{Fleet, Net};
+use lw_bench::cases::member::{fleet::Fleet, net::Net};
 use lw_config::document::Document;
 use lw_member::{
     Action, InForce, Member, Message, Options, PatchOutcome, StoreCall, StoreOutcome,
--- a/crates/lw-member/tests/membership.rs
+++ b/crates/lw-member/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lw_bench::cases::member::fleet::{Fleet, Net};
+use lw_bench::cases::member::{fleet::Fleet, net::Net};
 use lw_member::{Listed, State};
 
 /// Target 8: excluded from selection.
@@ -191,6 +191,22 @@
     assert!(fleet.is_converged(), "seed {seed}");
 }
 
+/// Guards against VMs on the small side of a partition that go on selecting the other side, because they have
+/// no reachable ring neighbour that would tell them. No target covers this; the bound is four detections.
+#[test]
+fn small_side_of_a_partition_notices_the_other() {
+    for (size, domains, cut, seed) in
+        [(8, 3, 1, 3), (64, 24, 3, 3), (64, 24, 3, 6), (64, 24, 3, 7), (64, 24, 12, 8)]
+    {
+        let mut fleet = running(size, domains, seed);
+        for node in (0..size).filter(|node| node % domains < cut) {
+            fleet.nodes[node].group = 1;
+        }
+        let split = fleet.run_until(secs(60), Fleet::is_converged);
+        assert!(split.is_some_and(|t| t <= EXCLUDED * 4), "seed {seed}: {split:?}");
+    }
+}
+
 /// Guards against a paused process that takes its own pause for the silence of others.
 #[test]
 fn paused_process_suspects_nobody() {
--- a/crates/lw-member/tests/schedule.rs
+++ b/crates/lw-member/tests/schedule.rs
@@ -7,7 +7,8 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use lw_bench::cases::member::{
-    fleet::{Fleet, Net},
+    fleet::Fleet,
+    net::Net,
     store::{Accepted, StoreFaults},
 };
 use lw_member::PatchOutcome;
@@ -47,7 +48,7 @@
         1 => node.clone().prop_map(Step::Leave),
         1 => (1..(1_u32 << SIZE)).prop_map(Step::Split),
         1 => Just(Step::Heal),
-        1 => (0.0..0.4, 0.0..0.3, 1..400_u64)
+        1 => (0.0..0.4, 0.0..0.5, 1..1_500_u64)
             .prop_map(|(loss, duplicates, delay_ms)| Step::Network { loss, duplicates, delay_ms }),
         1 => Just(Step::StoreDown),
         1 => (0.0..0.7, 0.0..0.5)
@@ -106,7 +107,8 @@
     workspaces.keys().cloned().collect()
 }
 
-/// Each accepted version adds the marker of exactly one request, and each answer is true.
+/// Each accepted version adds the marker of exactly one request, whose base is the version before, and each
+/// answer is true.
 fn check_answers(fleet: &Fleet) -> Result<(), TestCaseError> {
     let mut before = BTreeSet::new();
     let mut winners = std::collections::BTreeMap::new();
@@ -116,6 +118,9 @@
         prop_assert_eq!(added.len(), 1, "version {} adds {:?}", version, added);
         let earlier = winners.insert(added[0].clone(), *version);
         prop_assert!(earlier.is_none() && before.is_subset(&after), "version {}", version);
+        let sent = fleet.requests.iter().zip(1..).find(|(_, n)| marker(*n) == added[0]);
+        let base = sent.map(|(request, _)| request.base + 1);
+        prop_assert_eq!(base, Some(*version), "two winners of one base");
         before = after;
     }
     for (request, outcome) in &fleet.answers {
@@ -156,8 +161,8 @@
     prop_assert!(fleet.store.version() > 0, "the first patch was not accepted");
     // An operator waits for at most the deadline of a patch.
     fleet.run(Duration::from_secs(6));
-    for (index, (node, start)) in fleet.requests.iter().enumerate() {
-        let is_gone = fleet.nodes[*node].start != *start;
+    for (index, request) in fleet.requests.iter().enumerate() {
+        let is_gone = fleet.nodes[request.node].start != request.start;
         let is_answered = fleet.answers.contains_key(&(index as u64 + 1));
         prop_assert!(is_gone || is_answered, "request {} has no answer", index + 1);
     }
