--- a/crates/lw-member/src/member/contact.rs
+++ b/crates/lw-member/src/member/contact.rs
@@ -9,7 +9,7 @@
     action::Action,
     message::{Body, Message, News},
     options::Listed,
-    view::{BUCKETS, State},
+    view::{BUCKETS, Peer, State},
 };
 
 /// Contacts tried at once on a join.
@@ -22,6 +22,9 @@
 const SYNC_EVERY: Duration = Duration::from_secs(5);
 /// Time for which a neighbour's digest must differ before views are compared.
 const DISAGREE: Duration = Duration::from_secs(2);
+/// Time by which the platform's list may lag, assumed. Without it each reader of an old `leaving` entry would
+/// make the member refute again.
+const LIST_LAG: Duration = Duration::from_secs(60);
 /// Age up to which a member compares views more often, because after a restart of the whole fleet all
 /// views are incomplete.
 const YOUNG: Duration = Duration::from_secs(60);
@@ -55,7 +58,8 @@
 
 impl Member {
     /// Takes the platform's list of VMs. It lags: it serves for first contact, and its `leaving` entries
-    /// exclude a member only until that member itself says otherwise.
+    /// exclude a member only until that member itself says otherwise. An entry about a member that has
+    /// started or refuted within the last minute is taken for an old one.
     pub fn platform_list(&mut self, now: Now, list: &[Listed]) -> Vec<Action> {
         let mut out = Vec::new();
         let newly_leaving = |entry: &&Listed| {
@@ -64,7 +68,8 @@
         };
         let leaving: Vec<_> = list.iter().filter(newly_leaving).map(|e| e.id.clone()).collect();
         for id in leaving {
-            let Some(peer) = self.view.get(&id).filter(|p| p.is_selectable()) else { continue };
+            let is_settled = |p: &&Peer| p.is_selectable() && now >= p.changed + LIST_LAG;
+            let Some(peer) = self.view.get(&id).filter(is_settled) else { continue };
             if id != self.options.id {
                 let card = peer.card();
                 self.learn(now, News::Leaving(card), &mut out);
@@ -131,7 +136,7 @@
         let mut lost: Vec<_> = lost.chain(self.contact_addresses()).collect();
         lost.retain(|address| !members.contains(address) && *address != self.options.address);
         let Some(to) = self.rng.choice(lost) else { return };
-        let suspicion = self.view.iter().find(|p| p.address == to).map(crate::view::Peer::news);
+        let suspicion = self.view.iter().find(|p| p.address == to).map(Peer::news);
         let mut message = self.message(now, Body::Probe);
         message.news.extend(suspicion);
         message.news.push(self.own_news());
@@ -150,7 +155,7 @@
             if news.len() >= SYNC_MEMBERS {
                 break;
             }
-            news.extend(self.view.bucket(index).map(crate::view::Peer::news));
+            news.extend(self.view.bucket(index).map(Peer::news));
             full.extend(u8::try_from(index));
         }
         Body::Members(full)
--- a/crates/lw-member/tests/membership.rs
+++ b/crates/lw-member/tests/membership.rs
@@ -84,6 +84,7 @@
         let mut fleet = running(24, 3, seed);
         let leaver = fleet.any_living();
         if by_list {
+            fleet.run(secs(60));
             let node = &fleet.nodes[leaver];
             let address = node.member.as_ref().map(|m| m.this().address).expect("it runs");
             let list = [Listed { id: node.id.clone(), address, leaving: true }];
@@ -108,11 +109,14 @@
     let node = &fleet.nodes[4];
     let address = node.member.as_ref().map(|m| m.this().address).expect("it runs");
     let list = [Listed { id: node.id.clone(), address, leaving: true }];
-    for _ in 0..3 {
-        fleet.give_list(2, &list);
+    fleet.run(secs(60));
+    for reader in [2, 2, 3, 5] {
+        fleet.give_list(reader, &list);
         let healed = fleet.run_until(secs(10), Fleet::is_converged);
         assert!(healed.is_some_and(|t| t <= secs(4)), "seed {seed}: {healed:?}");
     }
+    let incarnation = fleet.nodes[4].member.as_ref().map(|m| m.this().incarnation);
+    assert_eq!(incarnation, Some(2), "seed {seed}: one refutation for all readers");
 }
 
 /// Guards against a restarted VM that stays unknown, and against news of its former process that excludes
