--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -22,6 +22,7 @@
         dossiers::rows,
         slow::rows,
         limits::rows,
+        member::rows,
         claims::rows,
         orders::rows,
     ];
