--- a/crates/lw-bench/src/cases/mod.rs
+++ b/crates/lw-bench/src/cases/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod dossiers;
 pub mod hits;
+pub mod kv_moves;
 pub mod overload;
 pub mod slow;
 pub mod tail;
@@ -12,6 +13,6 @@
 #[must_use]
 pub fn all() -> Vec<Row> {
     let groups: Vec<fn() -> Vec<Row>> =
-        vec![hits::rows, tail::rows, overload::rows, dossiers::rows, slow::rows];
+        vec![hits::rows, tail::rows, overload::rows, dossiers::rows, slow::rows, kv_moves::rows];
     groups.into_iter().flat_map(|rows| rows()).collect()
 }
--- a/crates/lw-bench/src/sim/outcome.rs
+++ b/crates/lw-bench/src/sim/outcome.rs
@@ -71,6 +71,8 @@
     pub digest_bytes: usize,
     /// Blocks moved between engines.
     pub moved_blocks: usize,
+    /// Moves that took longer than recomputing.
+    pub dear_moves: usize,
     /// Blocks computed.
     pub computed_blocks: usize,
     /// Refusals: time, and the wait that was told.
--- a/crates/lw-bench/src/sim/world/feeds.rs
+++ b/crates/lw-bench/src/sim/world/feeds.rs
@@ -2,7 +2,9 @@
 
 use std::rc::Rc;
 
-use super::{Ev, Fault, LOSS, Vm, World};
+use lw_route::Event;
+
+use super::{Attempt, Ev, Fault, LOSS, Vm, World};
 use crate::sim::{MILLI, Micros, workload::VMS};
 
 /// Load reports and batches of cache events leave engines this often.
@@ -14,6 +16,14 @@
 const DIGEST_ENTRY_BYTES: usize = 20;
 
 impl World {
+    pub(super) fn stalled(&mut self, attempt: usize) {
+        let Attempt { request, number, vm, ended, .. } = self.attempts[attempt];
+        if !ended {
+            let id = self.requests[request].id.clone();
+            self.record(vm, Event::Stalled { request: &id, attempt: number });
+        }
+    }
+
     pub(super) fn poll(&mut self, engine: usize) {
         let report = Rc::new(self.engines[engine].report());
         let events = Rc::new(self.engines[engine].take_events());
--- a/crates/lw-bench/src/sim/world/mod.rs
+++ b/crates/lw-bench/src/sim/world/mod.rs
@@ -6,6 +6,7 @@
 use lw_route::{CacheEvent, Candidate, Digest, Event, Fingerprint, Hedge, LoadReport, Request};
 
 mod feeds;
+mod kv;
 
 use super::{
     MILLI, Micros, SECOND,
@@ -65,6 +66,7 @@
 enum Ev {
     Arrive(usize),
     AtEngine(usize),
+    Imported(usize, usize),
     StepEnd(usize, u64),
     First(usize, usize),
     Finished(usize),
@@ -87,6 +89,8 @@
     vm: usize,
     engine: usize,
     ended: bool,
+    /// Engine to import from.
+    import: Option<usize>,
 }
 
 struct World {
@@ -97,6 +101,8 @@
     order: u64,
     engines: Vec<EngineFake>,
     epochs: Vec<u64>,
+    /// When the last move to each engine ends.
+    moving_until: Vec<Micros>,
     vms: Vec<Vm>,
     requests: Vec<Request>,
     attempts: Vec<Attempt>,
@@ -136,6 +142,7 @@
             events: Vec::new(),
             order: 0,
             epochs: vec![0; engines.len()],
+            moving_until: vec![0; engines.len()],
             engines,
             vms,
             requests: setup.arrivals.iter().enumerate().map(request).collect(),
@@ -182,6 +189,7 @@
         match event {
             Ev::Arrive(request) => self.arrive(request),
             Ev::AtEngine(attempt) => self.at_engine(attempt),
+            Ev::Imported(attempt, blocks) => self.imported(attempt, blocks),
             Ev::StepEnd(engine, epoch) => self.step_end(engine, epoch),
             Ev::First(attempt, hits) => self.first(attempt, hits),
             Ev::Finished(attempt) => self.finished(attempt),
@@ -262,6 +270,8 @@
         self.run.served[request].attempts += 1;
         self.vms[vm].in_flight[engine] += 1;
         self.run.sent.push((self.now, engine));
+        let import = candidate.as_ref().and_then(|c| c.import.as_ref());
+        let import = import.map(|import| super::policy::engine_number(&import.from));
         if let Some(candidate) = candidate {
             let now = self.time();
             let event = Event::Sent {
@@ -274,16 +284,19 @@
             }
         }
         self.attempts_of[request].push(self.attempts.len());
-        self.attempts.push(Attempt { request, number, vm, engine, ended: false });
+        self.attempts.push(Attempt { request, number, vm, engine, ended: false, import });
         let delay = self.delay(vm, engine);
         self.after(delay, Ev::AtEngine(self.attempts.len() - 1));
     }
 
     fn at_engine(&mut self, attempt: usize) {
         let Attempt { request, engine, ended, .. } = self.attempts[attempt];
-        if ended {
-            return;
+        if !ended && !self.start_import(attempt) {
+            self.enqueue(attempt, request, engine);
         }
+    }
+
+    fn enqueue(&mut self, attempt: usize, request: usize, engine: usize) {
         let arrival = &self.setup.arrivals[request];
         let job = Job::new(
             attempt,
@@ -404,7 +417,7 @@
     }
 
     fn hedge(&mut self, attempt: usize) {
-        let Attempt { request, number, vm, engine, ended } = self.attempts[attempt];
+        let Attempt { request, number, vm, engine, ended, .. } = self.attempts[attempt];
         let served = &self.run.served[request];
         if ended || served.first.is_some() {
             return;
@@ -426,14 +439,6 @@
         }
     }
 
-    fn stalled(&mut self, attempt: usize) {
-        let Attempt { request, number, vm, ended, .. } = self.attempts[attempt];
-        if !ended {
-            let id = self.requests[request].id.clone();
-            self.record(vm, Event::Stalled { request: &id, attempt: number });
-        }
-    }
-
     fn open_attempts(&self, request: usize) -> Vec<usize> {
         let all = self.attempts_of[request].iter().copied();
         all.filter(|&attempt| !self.attempts[attempt].ended).collect()
--- a/crates/lw-route/src/lib.rs
+++ b/crates/lw-route/src/lib.rs
@@ -15,6 +15,6 @@
 pub use digest::{Digest, DigestEntry};
 pub use engine::{CacheChange, CacheEvent, Engine, LoadReport, Loaded};
 pub use fingerprint::{Fingerprint, Scope};
-pub use options::Options;
-pub use request::{Candidate, Decision, Hedge, Placement, Refusal, Rejected, Request, Why};
+pub use options::{KvMove, Options};
+pub use request::{Candidate, Decision, Hedge, Import, Placement, Refusal, Rejected, Request, Why};
 pub use router::{Event, Router};
--- a/crates/lw-route/src/options.rs
+++ b/crates/lw-route/src/options.rs
@@ -4,6 +4,33 @@
 
 use lw_types::prelude::*;
 
+/// Cost of moving KV cache between engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct KvMove {
+    /// Bytes of KV cache for one token.
+    pub bytes_per_token: f64,
+    /// Speed of one move.
+    pub bytes_per_second: f64,
+    /// Time of a move without any data.
+    pub setup: Duration,
+}
+
+impl KvMove {
+    /// Time to move the cache of `tokens` tokens.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let setup = Duration::from_millis(10);
+    /// let link = lw_route::KvMove { bytes_per_token: 1e5, bytes_per_second: 1e9, setup };
+    /// assert_eq!(link.time(1000), Duration::from_millis(110));
+    /// ```
+    #[must_use]
+    pub fn time(&self, tokens: u64) -> Duration {
+        let bytes = crate::load::to_f64(tokens) * self.bytes_per_token;
+        self.setup + Duration::from_secs_f64(bytes / self.bytes_per_second)
+    }
+}
+
 /// Settings of a [`crate::Router`].
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -28,6 +55,8 @@
     pub stall_after: Duration,
     /// Part of requests that may be hedged.
     pub hedge_budget: f64,
+    /// Cost of KV moves between engines; `None` if the engines cannot import.
+    pub kv_move: Option<KvMove>,
     /// Most prefix entries held for one engine; the oldest go first.
     pub index_entries_max: usize,
     /// Seed of the tie breaks and of the spread of retry times.
@@ -47,6 +76,7 @@
             report_age: Duration::from_millis(700),
             stall_after: Duration::from_millis(150),
             hedge_budget: 0.05,
+            kv_move: None,
             index_entries_max: 32_768,
             seed: 0,
         }
--- a/crates/lw-route/src/request.rs
+++ b/crates/lw-route/src/request.rs
@@ -61,6 +61,21 @@
     Slow,
 }
 
+/// KV cache to move to an engine before it gets the request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Import {
+    /// The engine that is believed to hold the blocks.
+    pub from: UpstreamId,
+    /// The incarnation of that engine that the belief is about.
+    pub incarnation: Option<Incarnation>,
+    /// Leading blocks of the prompt to hold at the target afterwards.
+    pub blocks: usize,
+    /// Tokens that are moved and not recomputed.
+    pub tokens: u64,
+    /// Expected time of the move; it is shorter than recomputing.
+    pub expected: Duration,
+}
+
 /// A usable engine for a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
@@ -72,6 +87,8 @@
     pub expected: Duration,
     /// Prompt tokens expected to be cached there.
     pub cached_tokens: u64,
+    /// A move that makes the first token earlier, if there is one. The request is right without it.
+    pub import: Option<Import>,
     /// Why it has its place in the order.
     pub why: Why,
 }
--- a/crates/lw-route/src/router/decide.rs
+++ b/crates/lw-route/src/router/decide.rs
@@ -6,7 +6,8 @@
 
 use super::{Router, state::State};
 use crate::{
-    Candidate, Decision, Placement, Refusal, Rejected, Request, Why, health::Speed, load::to_f64,
+    Candidate, Decision, Import, Placement, Refusal, Rejected, Request, Why, health::Speed,
+    load::to_f64,
 };
 
 /// Bounds of the time that a refusal tells the caller to wait.
@@ -20,6 +21,9 @@
 /// Mean wait, as part of the deadline, up to which engines beyond the usual candidates may be used for a request
 /// that none of those can answer in time. Above it the recomputation there would cost other requests their answers.
 const FALLBACK_WAIT: f64 = 0.35;
+/// Engines in rendezvous order that are looked at as sources of a move. Upper levels of a prefix are held at engines
+/// far down the order; more than these would cost time on the request path.
+const IMPORT_SOURCES: usize = 32;
 /// Time between looks at a request that has no first token yet.
 const HEDGE_LOOK: Duration = Duration::from_millis(100);
 
@@ -40,19 +44,16 @@
         let mut scored: Vec<Scored> = ranked
             .iter()
             .take(self.options.candidates)
-            .map(|&place| {
-                self.score(now, request, &self.engines[place], mean_wait, Some(place) == home)
-            })
+            .map(|&place| self.score(now, request, &ranked, place, mean_wait, Some(place) == home))
             .collect();
         let busy = (mean_wait / request.deadline.as_secs_f64().max(0.001)).min(1.0);
         let limit = request.deadline.mul_f64(1.0 - MARGIN * busy);
         let is_late = |s: &Scored| s.candidate.expected > limit;
         if busy < FALLBACK_WAIT && scored.iter().all(is_late) {
             let others = ranked.iter().skip(self.options.candidates);
-            scored
-                .extend(others.map(|&place| {
-                    self.score(now, request, &self.engines[place], mean_wait, false)
-                }));
+            scored.extend(
+                others.map(|&place| self.score(now, request, &ranked, place, mean_wait, false)),
+            );
         }
         scored.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let least = scored.iter().map(|s| s.candidate.expected).min();
@@ -104,14 +105,20 @@
         &self,
         now: Now,
         request: &Request,
-        state: &State,
+        ranked: &[usize],
+        place: usize,
         mean_wait: f64,
         home: bool,
     ) -> Scored {
+        let state = &self.engines[place];
         let rate = state.rate;
         let cached_tokens = Self::cached_tokens(request, state);
-        let uncached = to_f64(request.fingerprint.tokens - cached_tokens);
+        let import = self.import(request, ranked, state, cached_tokens);
+        let moved = import.as_ref().map_or(0, |import| import.tokens);
+        let uncached = to_f64(request.fingerprint.tokens - cached_tokens - moved);
         let wait = state.load.ahead(now, request.class, rate) / rate;
+        // The request joins the queue after the move, behind what arrives meanwhile.
+        let wait = wait + import.as_ref().map_or(0.0, |import| import.expected.as_secs_f64());
         let base = self.options.first_token_base.as_secs_f64();
         let expected = base + wait + uncached / rate;
         let pressure = if home { 1.0 } else { 1.0 + self.options.spill_weight * mean_wait };
@@ -121,6 +128,7 @@
             incarnation: state.index.incarnation(),
             expected: Duration::from_secs_f64(expected),
             cached_tokens,
+            import,
             why: match state.health.speed(now) {
                 Speed::Normal if home => Why::Home,
                 Speed::Normal => Why::Spill,
@@ -130,6 +138,31 @@
         Scored { candidate, cost }
     }
 
+    /// The move to `target` that saves the most time, from one of the first [`IMPORT_SOURCES`] engines in rendezvous order.
+    fn import(
+        &self,
+        request: &Request,
+        ranked: &[usize],
+        target: &State,
+        cached_tokens: u64,
+    ) -> Option<Import> {
+        let link = self.options.kv_move?;
+        let sources = ranked.iter().take(IMPORT_SOURCES).map(|&p| &self.engines[p]);
+        let best = sources
+            .filter(|source| source.key != target.key)
+            .max_by_key(|source| source.index.held(&request.fingerprint.blocks))?;
+        let tokens = Self::cached_tokens(request, best).checked_sub(cached_tokens)?;
+        let expected = link.time(tokens);
+        let recompute = to_f64(tokens) / target.rate;
+        (tokens > 0 && expected.as_secs_f64() < recompute).then(|| Import {
+            from: best.engine.id.clone(),
+            incarnation: best.index.incarnation(),
+            blocks: best.index.held(&request.fingerprint.blocks),
+            tokens,
+            expected,
+        })
+    }
+
     /// Mean wait over the engines of the role, in seconds.
     fn mean_wait(&self, now: Now, request: &Request) -> f64 {
         let (mut sum, mut count) = (0.0, 0_u32);
--- a/crates/lw-route/src/router/mod.rs
+++ b/crates/lw-route/src/router/mod.rs
@@ -214,7 +214,8 @@
         self.hedges = (self.hedges + self.options.hedge_budget).min(hedge::HEDGES_MAX);
         let engine = engine_key(&candidate.engine);
         let Some(state) = self.state(engine) else { return };
-        let uncached = request.fingerprint.tokens.saturating_sub(candidate.cached_tokens);
+        let moved = candidate.import.as_ref().map_or(0, |import| import.tokens);
+        let uncached = request.fingerprint.tokens.saturating_sub(candidate.cached_tokens + moved);
         state.sent(now, request, to_f64(uncached));
         let expected = candidate.expected;
         let entry = InFlight { engine, sent: now, expected, has_first_token: false };
