fix(lw-route): drop peers' cache hints of another incarnation, keep leaving until a restart

Cause: tests of cache isolation and of leaving engines. A digest of a peer that did not know of a crash brought back blocks of the dead incarnation, and a digest did not say that an engine leaves when nothing was sent there; a late load report could take leaving back.

--- a/crates/lw-route/src/digest.rs
+++ b/crates/lw-route/src/digest.rs
@@ -22,6 +22,9 @@
 pub struct DigestEntry {
     /// [`engine_key`] of the engine.
     pub engine: u64,
+    /// Incarnation of the engine that the VM knows. Entries about another one than the receiver knows say nothing of
+    /// the cache.
+    pub incarnation: Option<Incarnation>,
     /// Prefill tokens sent since the last digest, without [`Class::Bulk`].
     pub urgent_tokens: u32,
     /// Prefill tokens of [`Class::Bulk`] sent since the last digest.
--- a/crates/lw-route/src/router/mod.rs
+++ b/crates/lw-route/src/router/mod.rs
@@ -216,7 +216,7 @@
         let Some(state) = self.state(engine) else { return };
         let moved = candidate.import.as_ref().map_or(0, |import| import.tokens);
         let uncached = request.fingerprint.tokens.saturating_sub(candidate.cached_tokens + moved);
-        state.sent(now, request, to_f64(uncached));
+        state.sent(now, request, candidate.incarnation, to_f64(uncached));
         let expected = candidate.expected;
         let entry = InFlight { engine, sent: now, expected, has_first_token: false };
         self.in_flight.insert((request.id.clone(), attempt), entry);
--- a/crates/lw-route/src/router/state.rs
+++ b/crates/lw-route/src/router/state.rs
@@ -24,6 +24,7 @@
     loaded: Vec<Loaded>,
     /// Own report and peers' digests may say so before the configuration does.
     reported_leaving: bool,
+    unsent_leaving: bool,
     /// When this VM or a peer last got a first token from it.
     pub(super) last_first_token: Now,
     unsent_first_token: bool,
@@ -47,6 +48,7 @@
             health: Health::default(),
             loaded: Vec::new(),
             reported_leaving: false,
+            unsent_leaving: false,
             last_first_token: Duration::ZERO,
             unsent_first_token: false,
             failures: 0,
@@ -78,17 +80,26 @@
         self.loaded.is_empty() || self.loaded.iter().any(|l| l.name == name && l.version == version)
     }
 
-    pub(super) fn sent(&mut self, now: Now, request: &Request, uncached: f64) {
+    pub(super) fn sent(
+        &mut self,
+        now: Now,
+        request: &Request,
+        incarnation: Option<Incarnation>,
+        uncached: f64,
+    ) {
         let rate = self.rate;
         self.load.add(now, now, uncached, request.class, rate);
-        self.index.touch(now, &request.fingerprint.blocks);
+        // The engine refuses a request that names another incarnation, so nothing of it is cached there.
+        if incarnation == self.index.incarnation() {
+            self.index.touch(now, &request.fingerprint.blocks);
+            self.unsent_blocks.extend(request.fingerprint.blocks.last());
+        }
         if request.class == Class::Bulk {
             self.unsent_bulk += uncached;
         } else {
             self.unsent_urgent += uncached;
         }
         self.unsent_since.get_or_insert(now);
-        self.unsent_blocks.extend(request.fingerprint.blocks.last());
         self.health.sent(now);
     }
 
@@ -110,7 +121,9 @@
             return;
         }
         self.loaded.clone_from(&report.loaded);
-        self.reported_leaving = report.leaving;
+        // A report may be older than what a peer said, so only a new incarnation takes it back.
+        self.unsent_leaving |= report.leaving && !self.reported_leaving;
+        self.reported_leaving |= report.leaving;
         let rate = self.rate;
         self.load.report(now, measured, report, rate);
     }
@@ -128,7 +141,9 @@
         if entry.bulk_tokens > 0 {
             self.load.add(now, at, f64::from(entry.bulk_tokens), Class::Bulk, rate);
         }
-        self.index.touch(now, &entry.blocks);
+        if entry.incarnation == self.index.incarnation() {
+            self.index.touch(now, &entry.blocks);
+        }
         self.reported_leaving |= entry.leaving;
         if entry.first_token {
             self.last_first_token = now;
@@ -141,12 +156,14 @@
     pub(super) fn digest_entry(&mut self, now: Now) -> Option<DigestEntry> {
         let speed = self.health.take_new();
         let first_token = std::mem::take(&mut self.unsent_first_token);
-        if self.unsent_since.is_none() && !first_token && speed.is_none() {
+        let leaving = std::mem::take(&mut self.unsent_leaving);
+        if self.unsent_since.is_none() && !first_token && speed.is_none() && !leaving {
             return None;
         }
         let since = self.unsent_since.take().unwrap_or(now);
         Some(DigestEntry {
             engine: self.key,
+            incarnation: self.index.incarnation(),
             urgent_tokens: to_u32(std::mem::take(&mut self.unsent_urgent)),
             bulk_tokens: to_u32(std::mem::take(&mut self.unsent_bulk)),
             blocks: std::mem::take(&mut self.unsent_blocks),
@@ -163,6 +180,7 @@
         let is_current = self.index.advance(incarnation);
         if is_current && known != Some(incarnation) && known.is_some() {
             self.load.clear(now);
+            self.unsent_blocks.clear();
             self.health = Health::default();
             self.loaded.clear();
             self.reported_leaving = false;
--- /dev/null
+++ b/crates/lw-route/tests/fingerprint.rs
@@ -0,0 +1,53 @@
+//! Guards against cache hits across scopes and against fingerprints that depend on how a prompt ends.
+
+mod common;
+
+use common::scope;
+use lw_route::{Fingerprint, Scope, fingerprint::BLOCK_BYTES};
+use proptest::prelude::*;
+
+fn any_scope() -> impl Strategy<Value = Scope> {
+    let name = "[ab]{0,2}";
+    (name, name, name, proptest::option::of(name), proptest::option::of(name)).prop_map(
+        |(workspace, model, model_version, adapter, adapter_version)| Scope {
+            workspace,
+            model,
+            model_version,
+            adapter,
+            adapter_version,
+        },
+    )
+}
+
+proptest! {
+    // Failure: one caller's cached prompt is counted, or reused, for another scope. Short names from two letters
+    // make fields that only differ in where one ends and the next begins.
+    #[test]
+    fn different_scopes_share_no_block(a in any_scope(), b in any_scope(), len in 1_usize..3) {
+        prop_assume!(a != b);
+        let prompt = vec![7; len * BLOCK_BYTES];
+        let (a, b) = (Fingerprint::of(&a, &prompt), Fingerprint::of(&b, &prompt));
+        prop_assert!(a.blocks.iter().all(|block| !b.blocks.contains(block)));
+    }
+
+    // Failure: a longer prompt is not seen as an extension of a shorter one, so shared work is recomputed.
+    #[test]
+    fn a_longer_prompt_extends_the_blocks(prompt in proptest::collection::vec(any::<u8>(), 0..20_000), cut in 0_usize..20_000) {
+        let scope = scope("w", "1", "1");
+        let cut = cut.min(prompt.len());
+        let long = Fingerprint::of(&scope, &prompt).blocks;
+        let short = Fingerprint::of(&scope, &prompt[..cut]).blocks;
+        prop_assert_eq!(&long[..short.len()], &short[..]);
+    }
+}
+
+// Failure: a change early in a prompt leaves later block hashes equal, so a hit is counted for another prefix.
+#[test]
+fn a_changed_first_piece_changes_all_hashes() {
+    let scope = scope("w", "1", "1");
+    let mut prompt = vec![1; 3 * BLOCK_BYTES];
+    let before = Fingerprint::of(&scope, &prompt).blocks;
+    prompt[0] = 2;
+    let after = Fingerprint::of(&scope, &prompt).blocks;
+    assert!(before.iter().zip(&after).all(|(a, b)| a != b));
+}
