--- a/crates/lw-bench/src/scenario.rs
+++ b/crates/lw-bench/src/scenario.rs
@@ -77,7 +77,7 @@
 /// references answers 99 in 100 in time.
 #[must_use]
 pub fn capacity(seed: u64) -> f64 {
-    let until = 35 * SECOND;
+    let until = 90 * SECOND;
     let serves = |rate: f64| {
         [Policy::Greedy, Policy::PrefixHash].into_iter().any(|p| {
             malabar_run(p, rate, until, seed, &[]).part_in_time(WARM, until - 2 * SECOND) >= IN_TIME
