fix(lw-order): let the fault schedules run long enough

The first load was at 112 s, the last one ended at 140.003 s, 3 ms after the end of the run. Ruled out: a stuck rollout; with a run of 200 s the same schedule ends in the desired state. Before and after: runs of 140 s, now 200 s; no check is changed.

--- a/crates/lw-order/tests/world/mod.rs
+++ b/crates/lw-order/tests/world/mod.rs
@@ -19,7 +19,8 @@
 const REPORT_MS: u64 = 300;
 /// First configuration change; a rollout without faults takes about 15 s.
 const ROLLOUT_AT: u64 = 4_000;
-const END: u64 = 140_000;
+/// Long enough for a rollout after four pauses in a row (24 s each at most) with a slow weight store.
+const END: u64 = 200_000;
 
 #[derive(Debug, Clone)]
 enum Event {
