--- a/crates/lw-member/src/config/store.rs
+++ b/crates/lw-member/src/config/store.rs
@@ -55,6 +55,15 @@
 
 impl Member {
     /// Whether this VM holds a watch on the configuration.
+    ///
+    /// ```
+    /// use lw_member::{Member, Options};
+    /// let now = std::time::Duration::ZERO;
+    /// let options = Options::new("vm-1", "10.0.0.1:7400".parse().unwrap(), "kochi-1", 1);
+    /// let mut member = Member::new(now, options);
+    /// member.tick(now);
+    /// assert!(member.is_watcher());
+    /// ```
     #[must_use]
     pub fn is_watcher(&self) -> bool {
         self.config.store.is_watcher
--- a/crates/lw-member/src/member/contact.rs
+++ b/crates/lw-member/src/member/contact.rs
@@ -60,6 +60,16 @@
     /// Takes the platform's list of VMs. It lags: it serves for first contact, and its `leaving` entries
     /// exclude a member only until that member itself says otherwise. An entry about a member that has
     /// started or refuted within the last minute is taken for an old one.
+    ///
+    /// ```
+    /// use lw_member::{Listed, Member, Options};
+    /// let now = std::time::Duration::ZERO;
+    /// let options = Options::new("vm-1", "10.0.0.1:7400".parse().unwrap(), "kochi-1", 1);
+    /// let mut member = Member::new(now, options);
+    /// let address = "10.0.0.2:7400".parse().unwrap();
+    /// member.platform_list(now, &[Listed { id: "vm-2".into(), address, leaving: false }]);
+    /// assert!(!member.tick(now).actions.is_empty());
+    /// ```
     pub fn platform_list(&mut self, now: Now, list: &[Listed]) -> Vec<Action> {
         let mut out = Vec::new();
         let newly_leaving = |entry: &&Listed| {
--- a/crates/lw-member/src/member/mod.rs
+++ b/crates/lw-member/src/member/mod.rs
@@ -88,6 +88,25 @@
     }
 
     /// Handles a request of a peer and returns the reply.
+    ///
+    /// ```
+    /// use lw_member::{Action, Member, Options};
+    /// let now = std::time::Duration::ZERO;
+    /// let address = |n: u8| std::net::SocketAddr::from(([10, 0, 0, n], 7400));
+    /// let mut first = Member::new(now, Options::new("vm-1", address(1), "kochi-1", 1));
+    /// let mut options = Options::new("vm-2", address(2), "kochi-2", 1);
+    /// options.seeds = vec![address(1)];
+    /// let mut second = Member::new(now, options);
+    /// let actions = second.tick(now).actions;
+    /// let Some(Action::Send { message, .. }) =
+    ///     actions.iter().find(|action| matches!(action, Action::Send { to, .. } if *to == address(1)))
+    /// else {
+    ///     panic!("no first contact")
+    /// };
+    /// let (reply, _) = first.receive(now, message);
+    /// second.reply(now, &reply);
+    /// assert!(first.peer("vm-2").is_some() && second.peer("vm-1").is_some());
+    /// ```
     pub fn receive(&mut self, now: Now, message: &Message) -> (Message, Vec<Action>) {
         let mut out = Vec::new();
         if message.from == self.options.id {
