feat(lw-member): test late replies of the store and a death between swap and reply

Cause: the generated schedules had no late store replies, and the test of an accepting VM that dies killed it after it had told its peers. Ruled out: nothing. Before and after: the VM now dies between its swap and the reply, so only the watchers know the version.

--- a/crates/lw-bench/src/cases/member/fleet.rs
+++ b/crates/lw-bench/src/cases/member/fleet.rs
@@ -28,7 +28,7 @@
 const STORE_DELAY: Duration = Duration::from_millis(3);
 /// Time after which a caller reports a store call without a reply, if it reports at all.
 const STORE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Longest extra delay of a late swap.
+/// Longest extra delay of a late swap or reply.
 const LATE_MAX: Duration = Duration::from_secs(3);
 
 /// The fleet.
@@ -397,8 +397,10 @@
     fn store_reply(&mut self, node: usize, start: u64, call: u64, outcome: StoreOutcome) {
         let is_lost = self.rng.f64() < self.store.faults.reply_loss;
         let is_cut = !self.store.faults.up || self.nodes[node].group != 0;
+        let is_late = self.rng.f64() < self.store.faults.late_replies;
+        let late = if is_late { LATE_MAX.mul_f64(self.rng.f64()) } else { Duration::ZERO };
         let (after, outcome) = match is_lost || is_cut {
-            false => (STORE_DELAY, outcome),
+            false => (STORE_DELAY + late, outcome),
             true if self.rng.bool() => (STORE_TIMEOUT, StoreOutcome::Unknown),
             true => return,
         };
--- a/crates/lw-bench/src/cases/member/store.rs
+++ b/crates/lw-bench/src/cases/member/store.rs
@@ -17,11 +17,13 @@
     pub reply_loss: f64,
     /// Share of swaps that take effect only after a delay of up to 3 s.
     pub late_swaps: f64,
+    /// Share of replies that arrive only after up to 3 s.
+    pub late_replies: f64,
 }
 
 impl Default for StoreFaults {
     fn default() -> Self {
-        Self { up: true, reply_loss: 0.0, late_swaps: 0.0 }
+        Self { up: true, reply_loss: 0.0, late_swaps: 0.0, late_replies: 0.0 }
     }
 }
 
--- a/crates/lw-member/tests/config.rs
+++ b/crates/lw-member/tests/config.rs
@@ -69,10 +69,13 @@
         let mut fleet = configured(24, 3, seed);
         fleet.store.faults.reply_loss = if dies { 0.0 } else { 0.5 };
         fleet.patch(5, 1, share(9));
-        fleet.run_until(secs(6), |f| f.store.version() == 2).expect("accepted");
         if dies {
+            // The swap runs 9 ms after the start, and its reply arrives 3 ms later.
+            fleet.run(Duration::from_millis(10));
+            assert_eq!(fleet.store.version(), 2, "seed {seed}");
             fleet.kill(5);
         }
+        fleet.run_until(secs(6), |f| f.store.version() == 2).expect("accepted");
         let took = fleet.run_until(secs(10), Fleet::is_configured);
         assert!(took.is_some_and(|t| t <= IN_FORCE), "seed {seed}: {took:?}");
     }
--- a/crates/lw-member/tests/schedule.rs
+++ b/crates/lw-member/tests/schedule.rs
@@ -33,7 +33,7 @@
     Heal,
     Network { loss: f64, duplicates: f64, delay_ms: u64 },
     StoreDown,
-    StoreUp { reply_loss: f64, late_swaps: f64 },
+    StoreUp { reply_loss: f64, late_swaps: f64, late_replies: f64 },
     Patch(usize),
     Race(usize, usize),
     StalePatch(usize),
@@ -51,8 +51,9 @@
         1 => (0.0..0.4, 0.0..0.5, 1..1_500_u64)
             .prop_map(|(loss, duplicates, delay_ms)| Step::Network { loss, duplicates, delay_ms }),
         1 => Just(Step::StoreDown),
-        1 => (0.0..0.7, 0.0..0.5)
-            .prop_map(|(reply_loss, late_swaps)| Step::StoreUp { reply_loss, late_swaps }),
+        1 => (0.0..0.7, 0.0..0.5, 0.0..0.5).prop_map(|(reply_loss, late_swaps, late_replies)| {
+            Step::StoreUp { reply_loss, late_swaps, late_replies }
+        }),
         3 => node.clone().prop_map(Step::Patch),
         2 => (node.clone(), node.clone()).prop_map(|(a, b)| Step::Race(a, b)),
         1 => node.prop_map(Step::StalePatch),
@@ -77,9 +78,9 @@
             fleet.net = Net { loss: *loss, delay_min, delay_max, duplicates: *duplicates };
         }
         Step::StoreDown => fleet.store_down(),
-        Step::StoreUp { reply_loss, late_swaps } => {
-            let (reply_loss, late_swaps) = (*reply_loss, *late_swaps);
-            fleet.store.faults = StoreFaults { up: true, reply_loss, late_swaps };
+        Step::StoreUp { reply_loss, late_swaps, late_replies } => {
+            let (reply_loss, late_swaps, late_replies) = (*reply_loss, *late_swaps, *late_replies);
+            fleet.store.faults = StoreFaults { up: true, reply_loss, late_swaps, late_replies };
         }
         Step::Patch(node) => patch(fleet, *node, 0),
         Step::Race(a, b) => {
