--- /dev/null
+++ b/crates/lw-bench/examples/member_capacity.rs
@@ -0,0 +1,169 @@
+//! Prints the slopes of membership and configuration for `docs/CAPACITY.md`.
+//!
+//! `cargo run --release -p lw-bench --example member_capacity [steady|restart|partition|document]`. Processor
+//! times are wall-clock times of one thread and vary from run to run.
+
+use std::{
+    fs,
+    time::{Duration, Instant},
+};
+
+use lw_bench::cases::member::{HTTP_BYTES, SIZES, fleet::Fleet};
+use lw_config::document::Document;
+use lw_member::config::stored::{Stored, VALUE_BYTES_MAX};
+use serde_json::{Value, json};
+
+fn main() {
+    let wanted = std::env::args().nth(1);
+    let is_wanted = |name: &str| wanted.as_deref().is_none_or(|wanted| wanted == name);
+    if is_wanted("steady") {
+        steady();
+    }
+    if is_wanted("restart") {
+        restart();
+    }
+    if is_wanted("partition") {
+        partition();
+    }
+    if is_wanted("document") {
+        document();
+    }
+}
+
+fn resident_bytes() -> usize {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1).and_then(|n| n.parse().ok());
+    pages.unwrap_or(0_usize) * 4096
+}
+
+fn sent(fleet: &Fleet) -> (u64, u64) {
+    fleet.nodes.iter().fold((0, 0), |sum, node| (sum.0 + node.bytes, sum.1 + node.messages))
+}
+
+/// Traffic, processor time and state without any change.
+fn steady() {
+    println!("members\tpayload B/s\tmessages/s\twith HTTP B/s\tprocessor us/s\tstate bytes");
+    for (size, domains) in SIZES {
+        let before = resident_bytes();
+        let mut fleet = Fleet::new(size, domains, 1);
+        fleet.start_converged();
+        fleet.run(Duration::from_secs(5));
+        let state = resident_bytes().saturating_sub(before) / size;
+        let (bytes, messages) = sent(&fleet);
+        let clock = Instant::now();
+        let seconds = 40;
+        fleet.run(Duration::from_secs(seconds));
+        let node_seconds = size as u64 * seconds;
+        let busy = clock.elapsed().as_nanos() / 1000 / u128::from(node_seconds);
+        let (bytes, messages) = (sent(&fleet).0 - bytes, sent(&fleet).1 - messages);
+        println!(
+            "{size}\t{}\t{}.{}\t{}\t{busy}\t{state}",
+            bytes / node_seconds,
+            messages / node_seconds,
+            messages * 10 / node_seconds % 10,
+            (bytes + messages * HTTP_BYTES) / node_seconds,
+        );
+    }
+}
+
+/// All processes restart together and know three seeds each.
+fn restart() {
+    println!("members\trestart: converged after s\tpayload bytes a node\tmost at one node");
+    for (size, domains) in SIZES {
+        let mut fleet = Fleet::new(size, domains, 1);
+        for node in 0..size {
+            fleet.start(node);
+        }
+        let seconds = (1..=120).find(|_| {
+            fleet.run(Duration::from_secs(1));
+            fleet.is_converged()
+        });
+        let most = fleet.nodes.iter().map(|node| node.bytes).max().unwrap_or(0);
+        println!("{size}\t{seconds:?}\t{}\t{most}", sent(&fleet).0 / size as u64);
+    }
+}
+
+/// One region of seven (an eighth of the failure domains, one of three at 8 members) is cut off until all
+/// its members are removed, as after an hour, and comes back.
+fn partition() {
+    println!("members\tsplit noticed s\thealed s\tworst second B/s a node, mean\tat one node");
+    for (size, domains) in SIZES {
+        let mut fleet = Fleet::new(size, domains, 1);
+        fleet.start_converged();
+        fleet.run(Duration::from_secs(3));
+        let cut = domains.div_ceil(8);
+        for node in (0..size).filter(|node| node % domains < cut) {
+            fleet.nodes[node].group = 1;
+        }
+        let split = seconds_until_converged(&mut fleet, 60, |_| {});
+        fleet.run(Duration::from_secs(75));
+        for node in 0..size {
+            fleet.nodes[node].group = 0;
+        }
+        let (mut mean, mut most) = (0, 0);
+        let mut before: Vec<u64> = fleet.nodes.iter().map(|node| node.bytes).collect();
+        let healed = seconds_until_converged(&mut fleet, 200, |fleet| {
+            let after: Vec<u64> = fleet.nodes.iter().map(|node| node.bytes).collect();
+            let sent: Vec<u64> = after.iter().zip(&before).map(|(a, b)| a - b).collect();
+            mean = mean.max(sent.iter().sum::<u64>() / size as u64);
+            most = most.max(sent.iter().copied().max().unwrap_or(0));
+            before = after;
+        });
+        println!("{size}\t{split:?}\t{healed:?}\t{mean}\t{most}");
+    }
+}
+
+fn seconds_until_converged(
+    fleet: &mut Fleet,
+    limit: u32,
+    mut each: impl FnMut(&Fleet),
+) -> Option<u32> {
+    (1..=limit).find(|_| {
+        fleet.run(Duration::from_secs(1));
+        each(fleet);
+        fleet.is_converged()
+    })
+}
+
+/// Size of the document of the two-year size and the time to apply one patch to it.
+fn document() {
+    println!("engines\tworkspaces\tdocument bytes\tfits the store\tpatch us\tread value us");
+    for (engines, workspaces) in [(32, 8), (3_000, 400), (6_000, 800), (12_000, 1_500)] {
+        let document = Document::from_value(sized(engines, workspaces)).expect("valid");
+        let stored = Stored { document, history: Vec::new() };
+        let patch = json!({ "workspaces": { "workspace-0": { "share": 3 } } });
+        let clock = Instant::now();
+        for _ in 0..10 {
+            let patched = stored.document.patched(1, &patch);
+            assert!(patched.is_ok(), "the patch is valid");
+        }
+        let apply = clock.elapsed().as_micros() / 10;
+        let text = json!({ "document": stored.document.raw(), "history": [] }).to_string();
+        let clock = Instant::now();
+        let read = Stored::parse(&text);
+        let read = (clock.elapsed().as_micros(), read.is_ok()).0;
+        let fits = text.len() <= VALUE_BYTES_MAX;
+        println!("{engines}\t{workspaces}\t{}\t{fits}\t{apply}\t{read}", text.len());
+    }
+}
+
+fn sized(engines: usize, workspaces: usize) -> Value {
+    let upstreams: serde_json::Map<String, Value> = (0..engines)
+        .map(|n| {
+            let address = format!("10.{}.{}.{}:8000", n >> 16, n >> 8 & 255, n & 255);
+            let domain = format!("region-{}/zone-{}", n % 7, n % 24);
+            let engine =
+                json!({ "role": "assistant", "address": address, "failure_domain": domain });
+            (format!("engine-{n}"), engine)
+        })
+        .collect();
+    let workspaces: serde_json::Map<String, Value> = (0..workspaces)
+        .map(|n| {
+            let digest = format!("{n:064x}");
+            let limits =
+                json!({ "key_digests": [digest], "share": 2, "tokens_per_second": 90_000 });
+            (format!("workspace-{n}"), limits)
+        })
+        .collect();
+    json!({ "version": 1, "workspaces": workspaces, "upstreams": upstreams })
+}
