feat(lw-route): probe slow engines with cheap requests, look at 64 engines at most

Cause: probes with long uncached prompts at a slow engine missed their deadline; a decision sorted all engines of a role and followed a pointer for each.

--- a/crates/lw-bench/src/sim/world/feeds.rs
+++ b/crates/lw-bench/src/sim/world/feeds.rs
@@ -1,10 +1,10 @@
-//! What reaches the VMs besides requests: load reports, cache events, digests; and faults.
+//! What reaches the VMs besides requests: load reports, cache events, digests; refusals and faults.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use lw_route::Event;
 
-use super::{Attempt, Ev, Fault, LOSS, Vm, World};
+use super::{Attempt, CALLER_RETRIES, Ev, Fault, LOSS, Vm, World, micros};
 use crate::sim::{MILLI, Micros, workload::VMS};
 
 /// Load reports and batches of cache events leave engines this often.
@@ -16,6 +16,21 @@
 const DIGEST_ENTRY_BYTES: usize = 20;
 
 impl World {
+    /// The wait for a workspace that is above its share of a busy fleet. Shares are decided in `lw-limit`, which is to
+    /// be asked here; until then only the deadline decides, in the router.
+    #[allow(clippy::unused_self)]
+    pub(super) fn over_share(&self, _request: usize) -> Option<Duration> {
+        None
+    }
+
+    pub(super) fn refuse(&mut self, request: usize, wait: Duration) {
+        self.run.served[request].refused += 1;
+        self.run.refusals.push((self.now, micros(wait)));
+        if self.run.served[request].refused <= CALLER_RETRIES {
+            self.after(micros(wait) + 2 * self.setup.client_link, Ev::Arrive(request));
+        }
+    }
+
     pub(super) fn stalled(&mut self, attempt: usize) {
         let Attempt { request, number, vm, ended, .. } = self.attempts[attempt];
         if !ended {
--- a/crates/lw-bench/src/sim/world/mod.rs
+++ b/crates/lw-bench/src/sim/world/mod.rs
@@ -239,6 +239,9 @@
         let vm = self.setup.arrivals[number].vm;
         let now = self.time();
         self.requests[number].avoid.clear();
+        if let Some(wait) = self.over_share(number) {
+            return self.refuse(number, wait);
+        }
         let request = &self.requests[number];
         match self.vms[vm].pick(&self.setup.policy, now, request, &self.engines) {
             Pick::Send(engine, choice) => {
@@ -254,13 +257,7 @@
                 }
                 self.send(number, engine, choice.map(|(candidate, _)| candidate));
             }
-            Pick::Refuse(wait) => {
-                self.run.served[number].refused += 1;
-                self.run.refusals.push((self.now, micros(wait)));
-                if self.run.served[number].refused <= CALLER_RETRIES {
-                    self.after(micros(wait) + 2 * self.setup.client_link, Ev::Arrive(number));
-                }
-            }
+            Pick::Refuse(wait) => self.refuse(number, wait),
         }
     }
 
--- a/crates/lw-route/src/router/decide.rs
+++ b/crates/lw-route/src/router/decide.rs
@@ -6,8 +6,8 @@
 
 use super::{Router, state::State};
 use crate::{
-    Candidate, Decision, Import, Placement, Refusal, Rejected, Request, Why, health::Speed,
-    load::to_f64,
+    Candidate, Decision, Import, Placement, Refusal, Rejected, Request, Why, digest::engine_key,
+    health::Speed, load::to_f64,
 };
 
 /// Bounds of the time that a refusal tells the caller to wait.
@@ -24,6 +24,11 @@
 /// Engines in rendezvous order that are looked at as sources of a move. Upper levels of a prefix are held at engines
 /// far down the order; more than these would cost time on the request path.
 const IMPORT_SOURCES: usize = 32;
+/// Most uncached tokens of a probe of a slow engine. A longer prefill would use up the deadline before it tells
+/// anything.
+const PROBE_TOKENS_MAX: u64 = 2000;
+/// Engines in rendezvous order that a decision looks at. Sorting all of 500 engines took a decision above 50 us.
+const RANKED_MAX: usize = 64;
 /// Time between looks at a request that has no first token yet.
 const HEDGE_LOOK: Duration = Duration::from_millis(100);
 
@@ -38,9 +43,8 @@
     /// The decision is not recorded; record [`crate::Event::Sent`] when the request leaves.
     pub fn decide(&mut self, now: Now, request: &Request) -> Decision {
         let mut rejected = Vec::new();
-        let ranked = self.ranked(now, request, &mut rejected);
+        let (ranked, mean_wait) = self.ranked(now, request, &mut rejected);
         let home = ranked.first().copied();
-        let mean_wait = self.mean_wait(now, request);
         let mut scored: Vec<Scored> = ranked
             .iter()
             .take(self.options.candidates)
@@ -68,13 +72,20 @@
         }
     }
 
-    /// Usable engines in rendezvous order of the request's prefix.
-    fn ranked(&self, now: Now, request: &Request, rejected: &mut Vec<Rejected>) -> Vec<usize> {
+    /// Usable engines in rendezvous order of the request's prefix, and the mean wait in seconds. The mean counts slow
+    /// engines too: without them spills look cheap just when capacity is missing.
+    fn ranked(
+        &self,
+        now: Now,
+        request: &Request,
+        rejected: &mut Vec<Rejected>,
+    ) -> (Vec<usize>, f64) {
         let spread = xxhash_rust::xxh3::xxh3_64(request.id.as_bytes());
         let key = request.fingerprint.home_key(self.options.home_depth, spread);
+        let role = engine_key(&request.role);
         let mut ranked: Vec<(u64, usize)> = Vec::with_capacity(self.engines.len());
         for (place, state) in self.engines.iter().enumerate() {
-            if state.engine.role != request.role {
+            if state.role != role {
                 continue;
             }
             match unusable(now, request, state) {
@@ -82,23 +93,33 @@
                 None => ranked.push((mix(key, state.key), place)),
             }
         }
+        if ranked.len() > RANKED_MAX {
+            ranked.select_nth_unstable_by(RANKED_MAX, |a, b| b.cmp(a));
+            ranked.truncate(RANKED_MAX);
+        }
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         let ranked: Vec<usize> = ranked.into_iter().map(|(_, place)| place).collect();
+        let mean_wait = self.mean_wait(now, request.class, &ranked);
         let health = |place: usize| &self.engines[place].health;
+        let is_cheap = |state: &State| {
+            let cached = Self::cached_tokens(request, state);
+            request.fingerprint.tokens - cached <= PROBE_TOKENS_MAX
+        };
         let is_probe = |place: usize| {
             ranked.first() == Some(&place)
                 && request.avoid.is_empty()
                 && health(place).may_probe(now)
+                && is_cheap(&self.engines[place])
         };
         let (normal, slow): (Vec<_>, Vec<_>) = ranked
             .iter()
             .partition(|&&place| health(place).speed(now) == Speed::Normal || is_probe(place));
         if normal.is_empty() {
-            return slow;
+            return (slow, mean_wait);
         }
         let id = |place: usize| self.engines[place].engine.id.clone();
         rejected.extend(slow.into_iter().map(|p| Rejected { engine: id(p), why: Why::Slow }));
-        normal
+        (normal, mean_wait)
     }
 
     fn score(
@@ -163,15 +184,13 @@
         })
     }
 
-    /// Mean wait over the engines of the role, in seconds.
-    fn mean_wait(&self, now: Now, request: &Request) -> f64 {
-        let (mut sum, mut count) = (0.0, 0_u32);
-        for state in self.engines.iter().filter(|s| s.engine.role == request.role) {
-            let rate = state.rate;
-            sum += state.load.ahead(now, request.class, rate) / rate;
-            count += 1;
-        }
-        if count == 0 { 0.0 } else { sum / f64::from(count) }
+    /// Mean wait in seconds over the ranked engines, which are a fair sample of a larger fleet.
+    fn mean_wait(&self, now: Now, class: Class, ranked: &[usize]) -> f64 {
+        let wait = |&place: &usize| {
+            let state = &self.engines[place];
+            state.load.ahead(now, class, state.rate) / state.rate
+        };
+        ranked.iter().map(wait).sum::<f64>() / to_f64(ranked.len().max(1) as u64)
     }
 
     fn refusal(
--- a/crates/lw-route/src/router/state.rs
+++ b/crates/lw-route/src/router/state.rs
@@ -18,6 +18,8 @@
 pub(super) struct State {
     pub(super) engine: Engine,
     pub(super) key: u64,
+    /// Hash of the role, so a decision does not follow a pointer for each engine.
+    pub(super) role: u64,
     pub(super) index: Index,
     pub(super) load: Load,
     pub(super) health: Health,
@@ -42,6 +44,7 @@
     pub(super) fn new(engine: Engine, options: &Options) -> Self {
         Self {
             key: engine_key(&engine.id),
+            role: engine_key(&engine.role),
             engine,
             index: Index::new(options.index_entries_max),
             load: Load::default(),
@@ -63,6 +66,7 @@
 
     pub(super) fn describe(&mut self, now: Now, engine: &Engine) {
         self.engine = engine.clone();
+        self.role = engine_key(&engine.role);
         if let Some(incarnation) = engine.incarnation {
             self.advance(now, incarnation);
         }
