fix(lw-route): test that field boundaries are part of the cache scope

Cause: leaving the field lengths out of the salt made no test fail, since the names in the test could not contain the salt's presence marker.

--- a/crates/lw-route/tests/fingerprint.rs
+++ b/crates/lw-route/tests/fingerprint.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 
 fn any_scope() -> impl Strategy<Value = Scope> {
-    let name = "[ab]{0,2}";
+    let name = "[a\\x01]{0,2}";
     (name, name, name, proptest::option::of(name), proptest::option::of(name)).prop_map(
         |(workspace, model, model_version, adapter, adapter_version)| Scope {
             workspace,
@@ -20,8 +20,8 @@
 }
 
 proptest! {
-    // Failure: one caller's cached prompt is counted, or reused, for another scope. Short names from two letters
-    // make fields that only differ in where one ends and the next begins.
+    // Failure: one caller's cached prompt is counted, or reused, for another scope. Short names from two
+    // characters make fields that only differ in where one ends and the next begins; \x01 is also a marker in the salt.
     #[test]
     fn different_scopes_share_no_block(a in any_scope(), b in any_scope(), len in 1_usize..3) {
         prop_assume!(a != b);
@@ -51,3 +51,15 @@
     let after = Fingerprint::of(&scope, &prompt).blocks;
     assert!(before.iter().zip(&after).all(|(a, b)| a != b));
 }
+
+// Failure: a workspace name that contains the salt's own marker reads as the fields of another scope.
+#[test]
+fn field_boundaries_are_part_of_the_salt() {
+    let of = |workspace: &str, model: &str, model_version: &str| Scope {
+        workspace: workspace.into(),
+        model: model.into(),
+        model_version: model_version.into(),
+        ..Scope::default()
+    };
+    assert_ne!(of("a\x01b", "c", "d").salt(), of("a", "b", "c\x01d").salt());
+}
