feat(lw-daemon): answer every bad request with its code and request id

Cause: refusals were only tested on the parser. Over real sockets a body that is a JSON list was taken as the fields in their order and run (status 200), health answers had no x-request-id, and a caller that still sent its body when it was refused could not finish. The scheme of `Authorization` was compared with its case.

Ruled out: refusing without reading. The rest of a refused body is now read within 500 ms and 64 MiB, and a stated length above the limit is refused before anything is read.

Conclusion: a caller learns the code of its refusal even while it is still sending.

--- a/crates/lw-daemon/src/callers/mod.rs
+++ b/crates/lw-daemon/src/callers/mod.rs
@@ -55,21 +55,11 @@
 
 /// Answers one request of a caller.
 pub async fn serve(tables: Arc<Tables>, req: Request) -> Response {
-    match (req.method().as_str(), req.uri().path()) {
-        ("GET", "/healthz") => return text(StatusCode::OK, "ok"),
-        ("GET", "/readyz") => return ready(&tables),
-        _ => {}
-    }
-    let guard = tables.enter();
     let id = tables.next_request_id();
-    let mut response = match route(&tables, req, &id, guard).await {
-        Ok(response) => response,
-        Err(failure) => {
-            let (number, name) = (failure.code.number(), failure.code.name());
-            tables.note("http", &id, &format!("answered {number} {name}: {}", failure.message));
-            tables.statsd.result(failure.code);
-            server::failure(&failure)
-        }
+    let mut response = match (req.method().as_str(), req.uri().path()) {
+        ("GET", "/healthz") => text(StatusCode::OK, "ok"),
+        ("GET", "/readyz") => ready(&tables),
+        _ => answer(&tables, req, &id).await,
     };
     if let Ok(value) = HeaderValue::from_str(&id) {
         response.headers_mut().insert(REQUEST_ID_HEADER, value);
@@ -77,6 +67,16 @@
     response
 }
 
+async fn answer(tables: &Arc<Tables>, req: Request, id: &str) -> Response {
+    let guard = tables.enter();
+    route(tables, req, id, guard).await.unwrap_or_else(|failure| {
+        let (number, name) = (failure.code.number(), failure.code.name());
+        tables.note("http", id, &format!("answered {number} {name}: {}", failure.message));
+        tables.statsd.result(failure.code);
+        server::failure(&failure)
+    })
+}
+
 async fn route(
     tables: &Arc<Tables>,
     req: Request,
@@ -84,7 +84,13 @@
     guard: crate::tables::InFlight,
 ) -> Result<Response, Failure> {
     let (parts, body) = req.into_parts();
-    let caller = identify(tables, &parts.headers, id)?;
+    let caller = match identify(tables, &parts.headers, id) {
+        Ok(caller) => caller,
+        Err(failure) => {
+            server::discard(body).await;
+            return Err(failure);
+        }
+    };
     let path = parts.uri.path();
     match (&parts.method, path) {
         (&Method::POST, "/v1/chat/completions") => {
@@ -105,6 +111,7 @@
                 };
                 services::serve(tables, &caller, call).await
             } else {
+                server::discard(body).await;
                 let text = format!("no such path: {} {path}", parts.method);
                 Err(Failure::new(ResultCode::UnknownPath, text))
             }
--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -54,16 +54,13 @@
         Some((name, rest)) => (name.to_owned(), format!("/{rest}")),
         None => (incoming.target.clone(), "/".to_owned()),
     };
-    let document = &caller.active.document;
-    let service = document.services.get(&name).ok_or_else(|| {
-        Failure::new(ResultCode::UnknownService, format!("no such service: {name}"))
-    })?;
-    if !caller.may_use(&name) {
-        let text = format!("the workspace may not use service {name}");
-        return Err(Failure::new(ResultCode::NotAllowed, text));
-    }
-    limits::check_workspace(tables, caller, 0)?;
-    let may_repeat = service.may_repeat(incoming.method.as_str(), &path);
+    let may_repeat = match check(tables, caller, &name, incoming.method.as_str(), &path) {
+        Ok(may_repeat) => may_repeat,
+        Err(failure) => {
+            server::discard(incoming.body).await;
+            return Err(failure);
+        }
+    };
     let limits = &tables.settings.limits;
     let body =
         server::read_body(incoming.body, limits.body_max, tables.settings.timeouts.body).await?;
@@ -76,6 +73,25 @@
     }
 }
 
+/// Whether the call may be repeated, when the caller may make it at all.
+fn check(
+    tables: &Arc<Tables>,
+    caller: &Caller,
+    name: &str,
+    method: &str,
+    path: &str,
+) -> Result<bool, Failure> {
+    let service = caller.active.document.services.get(name).ok_or_else(|| {
+        Failure::new(ResultCode::UnknownService, format!("no such service: {name}"))
+    })?;
+    if !caller.may_use(name) {
+        let text = format!("the workspace may not use service {name}");
+        return Err(Failure::new(ResultCode::NotAllowed, text));
+    }
+    limits::check_workspace(tables, caller, 0)?;
+    Ok(service.may_repeat(method, path))
+}
+
 /// Headers that a service gets: content headers, the idempotency key and the request id.
 fn forwarded(headers: &HeaderMap, caller: &Caller) -> HeaderMap {
     let mut out = HeaderMap::new();
--- a/crates/lw-daemon/tests/common/mod.rs
+++ b/crates/lw-daemon/tests/common/mod.rs
@@ -21,6 +21,8 @@
 use lw_transport::client::{self, Call, Clients, Reuse};
 use serde_json::{Value, json};
 
+pub mod raw;
+
 pub const KEY: &str = "key-of-the-station";
 pub const OTHER_KEY: &str = "key-of-the-other-workspace";
 pub const TOKEN: &str = "operator-token-for-tests";
--- a/crates/lw-protocol/src/caller/mod.rs
+++ b/crates/lw-protocol/src/caller/mod.rs
@@ -144,6 +144,10 @@
             |e: &dyn std::fmt::Display| Failure::new(ResultCode::MalformedBody, e.to_string());
         let text = std::str::from_utf8(body).map_err(|e| malformed(&e))?;
         let value: Value = serde_json::from_str(text).map_err(|e| malformed(&e))?;
+        // Deserializing a struct would also take a list, as its fields in their order.
+        if !value.is_object() {
+            return Err(invalid(&"the body is not a mapping"));
+        }
         let wire: CompletionWire = serde_json::from_value(value).map_err(|e| invalid(&e))?;
         (endpoint, wire).try_into()
     }
--- a/crates/lw-transport/src/auth.rs
+++ b/crates/lw-transport/src/auth.rs
@@ -14,7 +14,7 @@
     a.as_bytes().ct_eq(b.as_bytes()).into()
 }
 
-/// The token of an `Authorization: Bearer` header.
+/// The token of an `Authorization: Bearer` header; the case of the scheme does not matter.
 ///
 /// ```
 /// let mut headers = http::HeaderMap::new();
@@ -23,5 +23,7 @@
 /// ```
 #[must_use]
 pub fn bearer(headers: &HeaderMap) -> Option<&str> {
-    headers.get(http::header::AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ").map(str::trim)
+    let (scheme, token) =
+        headers.get(http::header::AUTHORIZATION)?.to_str().ok()?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then_some(token.trim())
 }
--- a/crates/lw-transport/src/server/mod.rs
+++ b/crates/lw-transport/src/server/mod.rs
@@ -4,25 +4,41 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
+use http_body::Body as _;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
 use serde::Serialize;
 use volo_http::{body::Body, response::Response};
 
+/// Longest time to read the rest of a refused body.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+/// Most bytes of a refused body that are read.
+const DISCARD_MAX_BYTES: usize = 64 << 20;
+
 /// Reads a caller's body within a size and a time.
 ///
 /// # Errors
 ///
 /// [`ResultCode::BodyTooLarge`], [`ResultCode::BodyTimeout`] or [`ResultCode::MalformedBody`].
-pub async fn read_body(body: Body, max: usize, timeout: Duration) -> Result<Bytes, Failure> {
-    match tokio::time::timeout(timeout, Limited::new(body, max).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            let text = format!("the body is larger than {max} bytes");
-            Err(Failure::new(ResultCode::BodyTooLarge, text))
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+/// use lw_transport::server::read_body;
+/// use lw_types::prelude::*;
+/// let second = std::time::Duration::from_secs(1);
+/// assert_eq!(read_body("abc".into(), 3, second).await.unwrap(), "abc");
+/// let failure = read_body("abcd".into(), 3, second).await.unwrap_err();
+/// assert_eq!(failure.code, ResultCode::BodyTooLarge);
+/// # });
+/// ```
+pub async fn read_body(mut body: Body, max: usize, timeout: Duration) -> Result<Bytes, Failure> {
+    match tokio::time::timeout(timeout, collect(&mut body, max)).await {
+        Ok(Err(failure)) if failure.code == ResultCode::BodyTooLarge => {
+            discard(body).await;
+            Err(failure)
         }
-        Ok(Err(e)) => Err(Failure::new(ResultCode::MalformedBody, e.to_string())),
+        Ok(result) => result,
         Err(_) => {
             let text = format!("the body did not arrive within {timeout:?}");
             Err(Failure::new(ResultCode::BodyTimeout, text))
@@ -30,6 +46,28 @@
     }
 }
 
+async fn collect(body: &mut Body, max: usize) -> Result<Bytes, Failure> {
+    let too_large =
+        || Failure::new(ResultCode::BodyTooLarge, format!("the body is larger than {max} bytes"));
+    if body.size_hint().lower() > u64::try_from(max).unwrap_or(u64::MAX) {
+        return Err(too_large());
+    }
+    match Limited::new(body, max).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(too_large()),
+        Err(e) => Err(Failure::new(ResultCode::MalformedBody, e.to_string())),
+    }
+}
+
+/// Reads the rest of a body that is not used, within bounds.
+///
+/// Closing a connection with unread data resets it, and a caller that still sends would then lose the refusal.
+pub async fn discard(body: Body) {
+    let mut body = Limited::new(body, DISCARD_MAX_BYTES);
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    let _ = tokio::time::timeout(DISCARD_TIME, read).await;
+}
+
 /// An answer with a body and a content type.
 #[must_use]
 pub fn respond(status: StatusCode, content_type: &'static str, body: Body) -> Response {
