feat(lw-daemon): bound callers' connections without a request

Cause: a connection that sent no complete request head was held for ever, the number of connections had no bound, and a failed accept (no free file descriptor) was repeated without a pause by the HTTP library.

Ruled out: hyper's header read timeout, since volo-http passes it no timer; peeking for a whole head before a connection is handed on, since a head may be larger than the socket's buffer and later heads stay unbounded.

A watcher holds a second handle of each caller socket and shuts down those with no request head within `timeouts.head` (10 s), within 75 s after an answer, or with data that nobody reads. A connection whose request is being answered is left alone, and a request on a connection that was just ended is not run. Above `limits.connections_max` (4096) new connections are closed at once. Each connection takes two file descriptors.

Conclusion: silent and hostile callers hold bounded connections for a bounded time.

--- a/crates/lw-config/src/settings/mod.rs
+++ b/crates/lw-config/src/settings/mod.rs
@@ -54,6 +54,8 @@
     pub body_max: usize,
     /// Most headers of a request.
     pub headers_max: usize,
+    /// Most open connections of callers; further ones are closed at once.
+    pub connections_max: usize,
     /// Entries of the decision log that `explain` reads.
     pub decision_log: usize,
     /// Retries and resumes allowed in 10 s whatever the number of requests; above it, a tenth of the requests.
@@ -69,6 +71,8 @@
     pub platform: Duration,
     /// For the whole of one call to a peer.
     pub peer: Duration,
+    /// For a caller to send the head of its first request on a connection.
+    pub head: Duration,
     /// For a caller to send its body.
     pub body: Duration,
     /// Between two events of an engine's stream.
@@ -225,6 +229,8 @@
         Self {
             body_max: fields.size("body_max", 2 * MIB, KIB..=64 * MIB),
             headers_max: usize::try_from(fields.uint("headers_max", 64, 16..=1000)).unwrap_or(64),
+            connections_max: usize::try_from(fields.uint("connections_max", 4096, 1..=1_000_000))
+                .unwrap_or(4096),
             decision_log: usize::try_from(fields.uint("decision_log", 4096, 16..=65_536))
                 .unwrap_or(4096),
             min_retries: fields.uint("min_retries", 10, 0..=100_000),
@@ -247,6 +253,7 @@
             connect: fields.time("connect", MS(300), MS(10)..=MS(10_000)),
             platform: fields.time("platform", MS(1000), MS(10)..=MS(30_000)),
             peer: fields.time("peer", MS(500), MS(10)..=MS(10_000)),
+            head: fields.time("head", MS(10_000), MS(100)..=MS(300_000)),
             body: fields.time("body", MS(10_000), MS(100)..=MS(300_000)),
             stream_silence: fields.time("stream_silence", MS(2000), MS(100)..=MS(60_000)),
             pool_idle: fields.time("pool_idle", MS(5000), MS(100)..=MS(60_000)),
--- a/crates/lw-daemon/src/run/mod.rs
+++ b/crates/lw-daemon/src/run/mod.rs
@@ -6,13 +6,22 @@
 use futures::FutureExt;
 use lw_config::{document::Document, settings::Settings};
 use lw_metrics::statsd::Statsd;
-use lw_transport::client::{self, Clients};
+use lw_protocol::caller::Failure;
+use lw_transport::{
+    client::{self, Clients},
+    server,
+};
+use lw_types::prelude::*;
 use tokio::{net::TcpListener, task::JoinHandle};
-use volo::net::incoming::DefaultIncoming;
+use volo::context::Context as _;
 use volo_http::{context::ServerContext, request::Request, response::Response, server::Server};
 
 use crate::{callers, claims, limits, members, observe, operators, orders, peers, tables::Tables};
 
+mod connections;
+
+use connections::{Acceptor, Connections};
+
 /// Time after the mark as leaving in which the balancer still sends new requests.
 const BALANCER_LAG: Duration = Duration::from_millis(500);
 
@@ -72,6 +81,13 @@
     tokio::spawn(members::follow_list(Arc::clone(&tables)));
     tokio::spawn(observe::follow(Arc::clone(&tables)));
     log::info!("run: {} serves callers on {}", tables.settings.vm, listen.callers);
+    let (limits, timeouts) = (&tables.settings.limits, &tables.settings.timeouts);
+    let bounds = Connections::new(tables.timer, limits.connections_max, timeouts.head);
+    let bounds = Arc::new(bounds);
+    tokio::spawn(Arc::clone(&bounds).watch());
+    let callers = Acceptor { listener: callers, connections: Some(bounds) };
+    let peer_listener = Acceptor { listener: peer_listener, connections: None };
+    let operators = Acceptor { listener: operators, connections: None };
     let servers = [
         serve(&tables, callers, |tables, req| callers::serve(tables, req).boxed()),
         serve(&tables, peer_listener, |tables, req| peers::serve(tables, req).boxed()),
@@ -99,12 +115,13 @@
 
 fn serve(
     tables: &Arc<Tables>,
-    listener: TcpListener,
+    acceptor: Acceptor,
     handler: fn(Arc<Tables>, Request) -> Answer,
 ) -> JoinHandle<()> {
     let headers_max = tables.settings.limits.headers_max;
     let hook_tables = Arc::clone(tables);
-    let service = Handler { tables: Arc::clone(tables), handler };
+    let connections = acceptor.connections.clone();
+    let service = Handler { tables: Arc::clone(tables), connections, answer: handler };
     let mut server = Server::new(service).register_shutdown_hook(move || {
         // The library closes connections 28 s after its hooks, so the drain has to happen in here.
         async move {
@@ -115,7 +132,7 @@
     });
     server.http1_config().set_max_headers(headers_max);
     tokio::spawn(async move {
-        if let Err(e) = server.run(DefaultIncoming::from(listener)).await {
+        if let Err(e) = server.run(acceptor).await {
             log::error!("run: server ended: {e}");
         }
     })
@@ -124,7 +141,8 @@
 #[derive(Clone)]
 struct Handler {
     tables: Arc<Tables>,
-    handler: fn(Arc<Tables>, Request) -> Answer,
+    connections: Option<Arc<Connections>>,
+    answer: fn(Arc<Tables>, Request) -> Answer,
 }
 
 impl motore::service::Service<ServerContext, Request> for Handler {
@@ -133,10 +151,17 @@
 
     async fn call(
         &self,
-        _cx: &mut ServerContext,
+        cx: &mut ServerContext,
         req: Request,
     ) -> Result<Self::Response, Self::Error> {
-        Ok((self.handler)(Arc::clone(&self.tables), req).await)
+        let answer = (self.answer)(Arc::clone(&self.tables), req);
+        let Some(connections) = &self.connections else { return Ok(answer.await) };
+        let peer = cx.rpc_info().caller().address().and_then(|peer| peer.ip_addr().copied());
+        let Some(busy) = peer.and_then(|peer| connections.begin(peer)) else {
+            let text = "the connection was closed before its request was read";
+            return Ok(server::failure(&Failure::new(ResultCode::NotReady, text)));
+        };
+        Ok(answer.await.map(|body| connections::hold(body, busy)))
     }
 }
 
