--- a/crates/lw-config/src/document/mod.rs
+++ b/crates/lw-config/src/document/mod.rs
@@ -198,9 +198,9 @@
         if !patch.is_object() {
             return Err(fields::Error::single("(patch)", &patch.to_string(), "a mapping").into());
         }
-        if patch.get("version").is_some() {
+        if let Some(version) = patch.get("version") {
             let allowed = "no version; it is assigned on acceptance";
-            return Err(fields::Error::single("version", &patch.to_string(), allowed).into());
+            return Err(fields::Error::single("version", &version.to_string(), allowed).into());
         }
         let mut raw = self.raw.clone();
         json_patch::merge(&mut raw, patch);
--- a/crates/lw-config/src/document/read.rs
+++ b/crates/lw-config/src/document/read.rs
@@ -11,11 +11,13 @@
 const DEADLINE_DEFAULT: Duration = Duration::from_millis(1700);
 const DEADLINE_MIN: Duration = Duration::from_millis(10);
 const DEADLINE_MAX: Duration = Duration::from_secs(600);
+/// The next version must exist.
+const VERSION_MAX: ConfigVersion = ConfigVersion::MAX - 1;
 const DIGEST_HEX_CHARS: usize = 64;
 
 pub(super) fn document(raw: Value) -> Result<Document, Error> {
     let mut fields = Fields::new("", &raw);
-    let version = fields.uint("version", 0, 0..=u64::MAX);
+    let version = fields.uint("version", 0, 0..=VERSION_MAX);
     let workspaces = map(&mut fields, "workspaces", workspace);
     let models = map(&mut fields, "models", model);
     let services = map(&mut fields, "services", service);
--- a/crates/lw-config/src/fields.rs
+++ b/crates/lw-config/src/fields.rs
@@ -74,7 +74,15 @@
 
     /// Records a fault at `key`.
     pub fn fault(&mut self, key: &str, allowed: &str) {
-        let value = self.map.and_then(|map| map.get(key)).map_or("(missing)".into(), show);
+        self.push(key, allowed, names_secret(key));
+    }
+
+    fn push(&mut self, key: &str, allowed: &str, is_secret: bool) {
+        let value = match self.map.and_then(|map| map.get(key)) {
+            None => "(missing)".to_owned(),
+            Some(_) if is_secret => "(hidden)".to_owned(),
+            Some(value) => show(value),
+        };
         let key = self.join(key);
         self.faults.push(Fault { key, value, allowed: allowed.to_owned() });
     }
@@ -226,7 +234,7 @@
         if let Some(map) = self.map {
             for key in map.keys().filter(|key| !known.contains(&key.as_str())) {
                 let allowed = format!("one of the keys {}", known.join(", "));
-                self.fault(key, &allowed);
+                self.push(key, &allowed, may_name_secret(key));
             }
         }
         self.faults
@@ -237,8 +245,25 @@
     }
 }
 
+/// Whether a known key stands for a secret. Faults are logged, so its value must not be shown.
+fn names_secret(key: &str) -> bool {
+    const WORDS: [&str; 2] = ["key", "token"];
+    key.split('_').any(|word| WORDS.contains(&word))
+}
+
+/// Whether an unknown key may be the mistyped name of a secret.
+fn may_name_secret(key: &str) -> bool {
+    let key = key.to_lowercase();
+    ["key", "token", "secret", "password"].iter().any(|word| key.contains(word))
+}
+
 fn show(value: &Value) -> String {
     const SHOWN_CHARS: usize = 60;
+    // The values of a mapping may be secrets.
+    if let Value::Object(map) = value {
+        let keys: Vec<_> = map.keys().map(String::as_str).collect();
+        return format!("a mapping with the keys {}", keys.join(", "));
+    }
     value.to_string().chars().take(SHOWN_CHARS).collect()
 }
 
--- a/crates/lw-config/src/settings/mod.rs
+++ b/crates/lw-config/src/settings/mod.rs
@@ -125,8 +125,7 @@
     /// assert!(error.faults.iter().any(|fault| fault.key == "failure_domain"));
     /// ```
     pub fn from_yaml(text: &str) -> Result<Self, Error> {
-        let value: Value = serde_saphyr::from_str(text)
-            .map_err(|e| Error::single("(document)", &e.to_string(), "valid YAML"))?;
+        let value: Value = serde_saphyr::from_str(text).map_err(|e| syntax(&e.to_string()))?;
         let mut fields = Fields::new("", &value);
         let settings = Self::read(&mut fields);
         let faults = fields.finish();
@@ -166,6 +165,12 @@
     }
 }
 
+/// The first line has the place and the reason; further ones quote the text around it, which may be a secret.
+fn syntax(message: &str) -> Error {
+    let line = message.lines().next().unwrap_or_default();
+    Error::single("(document)", line.strip_prefix("error: ").unwrap_or(line), "valid YAML")
+}
+
 const ADDRESS: &str = "an IP address with port, for instance 10.0.0.1:8080";
 const SECRET_MIN_CHARS: usize = 16;
 
