--- a/crates/lw-daemon/tests/common/mod.rs
+++ b/crates/lw-daemon/tests/common/mod.rs
@@ -26,6 +26,7 @@
 pub const KEY: &str = "key-of-the-station";
 pub const OTHER_KEY: &str = "key-of-the-other-workspace";
 pub const TOKEN: &str = "operator-token-for-tests";
+pub const PEER_KEY: &str = "peer-key-for-all-the-tests";
 /// Longest wait for a condition. Conditions usually hold much earlier; this bounds a failed run.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -54,6 +55,8 @@
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     pub peers: SocketAddr,
+    /// Filter of the daemon's log from its next start on.
+    pub log_filter: &'static str,
     settings: PathBuf,
     process: Option<Child>,
 }
@@ -68,7 +71,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_lavenderwoodd"))
             .arg("--config")
             .arg(&self.settings)
-            .env("RUST_LOG", "lw_daemon=debug,warn")
+            .env("RUST_LOG", self.log_filter)
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
@@ -214,7 +217,7 @@
         let text = format!(
             "vm: {name}\nfailure_domain: domain-{}\nlisten:\n  callers: {callers}\n  \
              operators: {operators}\n  peers: {}\nplatform: {}\npeers: [{}]\n\
-             peer_key: peer-key-for-all-the-tests\noperator_token: {TOKEN}\n{extra}",
+             peer_key: {PEER_KEY}\noperator_token: {TOKEN}\n{extra}",
             i % 3,
             peers[i],
             self.platform.address(),
@@ -222,7 +225,9 @@
         );
         let settings = self.dir.join(format!("{name}.yaml"));
         fs::write(&settings, text).expect("settings file");
-        let mut vm = Vm { name, callers, operators, peers: peers[i], settings, process: None };
+        let log_filter = "lw_daemon=debug,warn";
+        let peers = peers[i];
+        let mut vm = Vm { name, callers, operators, peers, log_filter, settings, process: None };
         vm.spawn();
         self.vms.push(vm);
     }
