--- a/crates/lw-protocol/src/sse.rs
+++ b/crates/lw-protocol/src/sse.rs
@@ -70,13 +70,19 @@
         let buf = std::mem::take(&mut self.buf);
         let mut start = 0;
         while let Some(len) = buf[start..].iter().position(|&b| b == b'\n') {
+            self.check(len)?;
             let line = std::str::from_utf8(&buf[start..start + len]).map_err(|_| Error::Utf8)?;
             self.line(line.strip_suffix('\r').unwrap_or(line), &mut take);
             start += len + 1;
         }
         self.buf = buf;
         self.buf.drain(..start);
-        if self.buf.len() + self.data.len() > self.limit {
+        self.check(self.buf.len())
+    }
+
+    /// Checks the limit for the event so far and the next bytes of its line, whatever chunk they came in.
+    fn check(&self, len: usize) -> Result<(), Error> {
+        if len + self.data.len() > self.limit {
             return Err(Error::TooLong { limit: self.limit });
         }
         Ok(())
