feat(lw-daemon): pass on when a service says to come back

Cause: of a service's answer only the content type was passed on, so a service's 503 lost its Retry-After.

Ruled out: adding a time of our own, which the router cannot know for a service.

Before: no header (by reading).

Conclusion: error answers of services are as usable as the router's own.

--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -165,8 +165,10 @@
     let (parts, body) = response.into_parts();
     let mut answer = Response::new(Body::from_body(body));
     *answer.status_mut() = parts.status;
-    if let Some(value) = parts.headers.get(header::CONTENT_TYPE) {
-        answer.headers_mut().insert(header::CONTENT_TYPE, value.clone());
+    for name in [header::CONTENT_TYPE, header::RETRY_AFTER] {
+        if let Some(value) = parts.headers.get(&name) {
+            answer.headers_mut().insert(name, value.clone());
+        }
     }
     Ok(answer)
 }
--- a/crates/lw-daemon/tests/callers.rs
+++ b/crates/lw-daemon/tests/callers.rs
@@ -7,7 +7,7 @@
 
 use lw_standin::{
     engine::{self, LogEntry, answer_text, prompt_tokens},
-    platform,
+    platform, service,
 };
 use lw_types::prelude::*;
 use serde_json::{Value, json};
@@ -229,6 +229,52 @@
     check("store down", &raw::send(addr, &book).await, ResultCode::ClaimUnavailable);
 }
 
+/// A service that answers each connection with the same bytes.
+async fn answering(bytes: &'static [u8]) -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("address");
+    let addr = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let _ = stream.read(&mut [0; 4096]).await;
+                let _ = stream.write_all(bytes).await;
+                let _ = stream.shutdown().await;
+                // Waits for the end of the other side, so that unread bytes reset nothing.
+                while stream.read(&mut [0; 4096]).await.is_ok_and(|read| read > 0) {}
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against errors of a service that come without request id, or without the time that the service stated.
+#[tokio::test]
+async fn error_answers_of_services_are_passed_on_with_the_request_id() {
+    let fleet = fleet("service-errors", engine::Options::default()).await;
+    let addr = fleet.vms[0].callers;
+    let book = |key: &str| raw::request(BOOK, KEY, &[&format!("idempotency-key: {key}")], b"{}");
+    let lost = service::Faults { lose_replies: 1, ..service::Faults::default() };
+    fleet.set_faults(fleet.services[0].address(), &lost).await;
+    check("reply lost", &raw::send(addr, &book("a")).await, ResultCode::OutcomeUnknown);
+
+    let busy = answering(
+        b"HTTP/1.1 503 Busy\r\nretry-after: 7\r\ncontent-type: text/plain\r\n\
+          content-length: 4\r\nconnection: close\r\n\r\nbusy",
+    )
+    .await;
+    let patch = json!({ "upstreams": { "service-0": { "address": busy.to_string() } } });
+    assert_eq!(fleet.apply(0, 2, &patch).await.0, 200);
+    fleet.wait_version(0, 3).await;
+    let get = raw::request("GET /v1/services/desk/a HTTP/1.1", KEY, &[], b"");
+    for request in [get, book("b")] {
+        let reply = raw::send(addr, &request).await;
+        assert_eq!((reply.status, reply.body.as_str()), (503, "busy"), "{reply:?}");
+        assert_eq!(reply.header("retry-after"), Some("7"), "{reply:?}");
+        assert_eq!(reply.header("content-type"), Some("text/plain"), "{reply:?}");
+        assert!(reply.header("x-request-id").is_some(), "{reply:?}");
+    }
+}
+
 #[tokio::test]
 async fn health_and_models_follow_the_state_of_the_vm() {
     let mut fleet = fleet("health", engine::Options::default()).await;
