test(lw-daemon): take all file descriptors of a VM and see it serve again

Cause: with all file descriptors taken by half-open callers, each connection that could not be watched also paused the accept loop for 100 ms, so others waited behind the refused ones.

Ruled out: no pause at all; a failed accept repeats at once while no descriptor is free, so it keeps its pause.

Before: not tested.

Conclusion: exhaustion of descriptors ends with the time for heads.

--- a/crates/lw-daemon/src/run/connections.rs
+++ b/crates/lw-daemon/src/run/connections.rs
@@ -211,21 +211,22 @@
 impl Incoming for Acceptor {
     async fn accept(&mut self) -> io::Result<Option<Conn>> {
         loop {
-            let admitted = self.listener.accept().await.and_then(|(stream, peer)| {
-                let connections = self.connections.as_ref();
-                let admitted = connections.map_or(Ok(true), |all| all.admit(&stream, peer))?;
-                Ok(admitted.then_some((stream, peer)))
-            });
-            match admitted {
-                Ok(Some((stream, peer))) => {
-                    let info = ConnInfo { peer_addr: Some(Address::from(peer)) };
-                    return Ok(Some(Conn::new(stream.into(), info)));
-                }
-                Ok(None) => log::debug!("http: connection closed, too many are open"),
+            let (stream, peer) = match self.listener.accept().await {
+                Ok(accepted) => accepted,
                 Err(e) => {
                     log::warn!("http: connection not accepted: {e}");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let connections = self.connections.as_ref();
+            match connections.map_or(Ok(true), |all| all.admit(&stream, peer)) {
+                Ok(true) => {
+                    let info = ConnInfo { peer_addr: Some(Address::from(peer)) };
+                    return Ok(Some(Conn::new(stream.into(), info)));
                 }
+                Ok(false) => log::debug!("http: connection closed, too many are open"),
+                Err(e) => log::debug!("http: connection closed, it cannot be watched: {e}"),
             }
         }
     }
--- a/crates/lw-daemon/tests/common/mod.rs
+++ b/crates/lw-daemon/tests/common/mod.rs
@@ -57,6 +57,8 @@
     pub peers: SocketAddr,
     /// Filter of the daemon's log from its next start on.
     pub log_filter: &'static str,
+    /// Most open files of the process from its next start on; none leaves the limit as it is.
+    pub files_max: Option<u32>,
     settings: PathBuf,
     process: Option<Child>,
 }
@@ -68,8 +70,10 @@
             .append(true)
             .open(self.settings.with_extension("log"))
             .expect("log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_lavenderwoodd"))
-            .arg("--config")
+        let limit = self.files_max.map(|max| format!("ulimit -n {max} && ")).unwrap_or_default();
+        let child = Command::new("sh")
+            .args(["-c", &format!("{limit}exec \"$0\" --config \"$1\"")])
+            .arg(env!("CARGO_BIN_EXE_lavenderwoodd"))
             .arg(&self.settings)
             .env("RUST_LOG", self.log_filter)
             .stdout(Stdio::null())
@@ -227,7 +231,9 @@
         fs::write(&settings, text).expect("settings file");
         let log_filter = "lw_daemon=debug,warn";
         let peers = peers[i];
-        let mut vm = Vm { name, callers, operators, peers, log_filter, settings, process: None };
+        let files_max = None;
+        let mut vm =
+            Vm { name, callers, operators, peers, log_filter, files_max, settings, process: None };
         vm.spawn();
         self.vms.push(vm);
     }
--- a/crates/lw-daemon/tests/connections.rs
+++ b/crates/lw-daemon/tests/connections.rs
@@ -155,3 +155,28 @@
         })
         .await;
 }
+
+/// Guards against an accept loop that ends or stays without file descriptors after half-open callers took them all.
+#[tokio::test]
+async fn service_returns_after_callers_took_all_file_descriptors() {
+    let mut fleet = fleet("files", "").await;
+    fleet.vms[0].kill();
+    fleet.vms[0].files_max = Some(96);
+    fleet.vms[0].spawn();
+    fleet.wait("the VM answers", async || fleet.status(0).await.is_some()).await;
+    fleet.wait_version(0, 1).await;
+    let addr = fleet.vms[0].callers;
+    let mut held = Vec::new();
+    for _ in 0..96 {
+        held.push(raw::connect(addr).await);
+    }
+    fleet
+        .wait("the descriptors are used up", async || {
+            let log = fleet.vms[0].log();
+            log.contains("cannot be watched") || log.contains("not accepted")
+        })
+        .await;
+    let since = Instant::now();
+    fleet.wait("others are served", async || fleet.ask(Ask::new(0, "a", 1)).await.is_done).await;
+    assert!(since.elapsed() < HEAD + LATE_MAX, "{:?}", since.elapsed());
+}
