--- a/crates/lw-daemon/tests/common/mod.rs
+++ b/crates/lw-daemon/tests/common/mod.rs
@@ -21,9 +21,12 @@
 use lw_transport::client::{self, Call, Clients, Reuse};
 use serde_json::{Value, json};
 
+pub mod raw;
+
 pub const KEY: &str = "key-of-the-station";
 pub const OTHER_KEY: &str = "key-of-the-other-workspace";
 pub const TOKEN: &str = "operator-token-for-tests";
+pub const PEER_KEY: &str = "peer-key-for-all-the-tests";
 /// Longest wait for a condition. Conditions usually hold much earlier; this bounds a failed run.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -52,6 +55,10 @@
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     pub peers: SocketAddr,
+    /// Filter of the daemon's log from its next start on.
+    pub log_filter: &'static str,
+    /// Most open files of the process from its next start on; none leaves the limit as it is.
+    pub files_max: Option<u32>,
     settings: PathBuf,
     process: Option<Child>,
 }
@@ -63,10 +70,12 @@
             .append(true)
             .open(self.settings.with_extension("log"))
             .expect("log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_lavenderwoodd"))
-            .arg("--config")
+        let limit = self.files_max.map(|max| format!("ulimit -n {max} && ")).unwrap_or_default();
+        let child = Command::new("sh")
+            .args(["-c", &format!("{limit}exec \"$0\" --config \"$1\"")])
+            .arg(env!("CARGO_BIN_EXE_lavenderwoodd"))
             .arg(&self.settings)
-            .env("RUST_LOG", "lw_daemon=debug,warn")
+            .env("RUST_LOG", self.log_filter)
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
@@ -212,7 +221,7 @@
         let text = format!(
             "vm: {name}\nfailure_domain: domain-{}\nlisten:\n  callers: {callers}\n  \
              operators: {operators}\n  peers: {}\nplatform: {}\npeers: [{}]\n\
-             peer_key: peer-key-for-all-the-tests\noperator_token: {TOKEN}\n{extra}",
+             peer_key: {PEER_KEY}\noperator_token: {TOKEN}\n{extra}",
             i % 3,
             peers[i],
             self.platform.address(),
@@ -220,7 +229,11 @@
         );
         let settings = self.dir.join(format!("{name}.yaml"));
         fs::write(&settings, text).expect("settings file");
-        let mut vm = Vm { name, callers, operators, peers: peers[i], settings, process: None };
+        let log_filter = "lw_daemon=debug,warn";
+        let peers = peers[i];
+        let files_max = None;
+        let mut vm =
+            Vm { name, callers, operators, peers, log_filter, files_max, settings, process: None };
         vm.spawn();
         self.vms.push(vm);
     }
