fix(lw-daemon): answer patches after they are installed, bound repeatable service calls

Two workspaces could hold one key. Repeatable service calls went to every instance in turn, 30 s each. Attempts named the whole deadline. Ruled out: waiting in the test; the answer itself was wrong. Conclusion: a call may be tried twice, the first time for 60 % of its deadline, within the budget.

--- a/crates/lw-config/src/document/read.rs
+++ b/crates/lw-config/src/document/read.rs
@@ -162,7 +162,13 @@
             faults.push(Fault { key, value: value.to_owned(), allowed: allowed.to_owned() });
         }
     };
+    let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
     for (name, workspace) in workspaces {
+        for digest in &workspace.key_digests {
+            let owner = *owners.entry(digest).or_insert(name);
+            let key = format!("workspaces.{name}.key_digests");
+            check(owner == name, key, digest, "a digest that no other workspace has");
+        }
         for item in &workspace.allowed {
             let known = models.contains_key(item) || services.contains_key(item);
             check(known, format!("workspaces.{name}.allowed"), item, "a defined model or service");
--- a/crates/lw-config/src/settings/mod.rs
+++ b/crates/lw-config/src/settings/mod.rs
@@ -60,7 +60,7 @@
     pub connections_max: usize,
     /// Entries of the decision log that `explain` reads.
     pub decision_log: usize,
-    /// Retries and resumes allowed in 10 s whatever the number of requests; above it, a tenth of the requests.
+    /// Retries and resumes allowed in 10 s whatever the number of requests; above it, 9 % of the requests.
     pub min_retries: u64,
 }
 
--- a/crates/lw-daemon/src/generate/attempt.rs
+++ b/crates/lw-daemon/src/generate/attempt.rs
@@ -79,7 +79,7 @@
         resume,
         priority: priority(job.caller.class),
         incarnation,
-        deadline_ms: u64::try_from(job.caller.deadline.as_millis()).unwrap_or(u64::MAX),
+        deadline_ms: 0,
     }
 }
 
--- a/crates/lw-daemon/src/generate/mod.rs
+++ b/crates/lw-daemon/src/generate/mod.rs
@@ -307,6 +307,10 @@
             failure = failure.retry_after(time);
         }
         self.note("stream", &format!("failed: {}", code.name()));
+        // A failure before the first token is counted where the caller gets its error answer.
+        if self.assembler.delivered() > 0 {
+            self.tables.statsd.result(code);
+        }
         self.ready.push_back(Piece::Fail(failure));
     }
 
@@ -325,7 +329,9 @@
         self.tables.router().record(self.tables.timer.now(), sent);
         let resume =
             (resume_from > 0).then(|| Resume { from: resume_from, text: self.text.clone() });
-        let body = attempt::body(&self.job, attempt, candidate.incarnation, resume);
+        let mut body = attempt::body(&self.job, attempt, candidate.incarnation, resume);
+        let left = self.due.saturating_sub(self.tables.timer.now());
+        body.deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         let reuse = if cause == Cause::First { Reuse::Pooled } else { Reuse::Fresh };
         let moved = self.kv_move(&candidate, addr, &body);
         let io = Attempting::new(&self.tables.clients, addr, &body, reuse, moved);
--- a/crates/lw-daemon/src/limits/mod.rs
+++ b/crates/lw-daemon/src/limits/mod.rs
@@ -153,6 +153,10 @@
         match peer.state {
             lw_member::State::Alive => sharing.alive.push(peer.id.clone()),
             lw_member::State::Suspect => sharing.unreachable.push(peer.id.clone()),
+            // In a long partition the other side is removed here and still uses its part of the limits.
+            lw_member::State::Removed if tables.is_listed(&peer.id) => {
+                sharing.unreachable.push(peer.id.clone());
+            }
             lw_member::State::Leaving | lw_member::State::Removed => {}
         }
     }
--- a/crates/lw-daemon/src/members/mod.rs
+++ b/crates/lw-daemon/src/members/mod.rs
@@ -81,7 +81,7 @@
                 let now = tables.timer.now();
                 let actions = tables.members().member.platform_list(now, &listed);
                 perform(&tables, actions);
-                tables.set_leaving_upstreams(&list);
+                tables.set_listed(&list);
             }
             Err(e) => log::debug!("member: no VM list: {e}"),
         }
@@ -132,7 +132,10 @@
         members.member.patch(now, request, base, patch.clone())
     };
     perform(tables, actions);
-    rx.await.unwrap_or(PatchOutcome::Unknown)
+    let outcome = rx.await.unwrap_or(PatchOutcome::Unknown);
+    // Another thread may still be about to install what this answer says is accepted.
+    install(tables);
+    outcome
 }
 
 fn perform(tables: &Arc<Tables>, actions: Vec<Action>) {
--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, header};
 use lw_config::document::UpstreamKind;
+use lw_limit::retry::{Carried, Kind};
 use lw_protocol::caller::{Failure, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER};
 use lw_transport::{
     client::{Call, Error, Reuse},
@@ -12,11 +13,16 @@
 };
 use lw_types::prelude::*;
 use volo_http::{body::Body, response::Response};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{callers::Caller, limits, tables::Tables};
 
 mod once;
 
+/// Attempts of a call that may be repeated.
+const REPEATABLE_ATTEMPTS: usize = 2;
+/// Part of the deadline that the first attempt may take, so that a connection that went silent costs no more.
+const FIRST_ATTEMPT_PART: f64 = 0.6;
 /// Time for a service to answer with its headers.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -114,15 +120,30 @@
     name: &str,
     call: &Prepared,
 ) -> Result<Response, Failure> {
+    let mut targets = instances(tables, caller, name);
+    // A single instance gets the retry too: its pooled connection may have gone silent.
+    targets.extend_from_within(..);
+    targets.truncate(REPEATABLE_ATTEMPTS);
+    let mut carried = Carried::received(caller.arrived, 0, SERVICE_TIMEOUT);
     let mut last = Failure::new(ResultCode::NoUpstream, "no instance of the service is available");
-    for (i, (id, addr)) in instances(tables, caller, name).into_iter().enumerate() {
+    for (i, (id, addr)) in targets.into_iter().enumerate() {
         tables.note("http", &caller.request, &format!("service call at {id}"));
-        let reuse = if i == 0 { Reuse::Pooled } else { Reuse::Fresh };
-        match send(tables, addr, call, reuse).await {
+        let (reuse, timeout) = match i {
+            0 => (Reuse::Pooled, caller.deadline.mul_f64(FIRST_ATTEMPT_PART)),
+            _ => (Reuse::Fresh, SERVICE_TIMEOUT),
+        };
+        let e = match send(tables, addr, call, reuse, timeout).await {
             Ok(response) => return Ok(response),
-            Err(e) => {
-                log::warn!("http: {} service call at {id} failed: {e}", caller.request);
-                last = failure(&e);
+            Err(e) => e,
+        };
+        log::warn!("http: {} service call at {id} failed: {e}", caller.request);
+        last = failure(&e);
+        if !e.is_not_sent() {
+            let now = tables.timer.now();
+            let spent = tables.limits().budget.spend(now, Kind::Retry, carried);
+            match spent {
+                Ok(next) => carried = next,
+                Err(_) => break,
             }
         }
     }
@@ -142,7 +163,11 @@
                 && matches!(&upstream.kind, UpstreamKind::Service { service } if service == name)
         })
         .collect();
-    found.sort_by_key(|(_, upstream)| upstream.failure_domain != tables.settings.failure_domain);
+    // Instances of one failure domain share the calls by a hash of the request.
+    found.sort_by_key(|(id, upstream)| {
+        let spread = xxh3_64(format!("{}/{id}", caller.request).as_bytes());
+        (upstream.failure_domain != tables.settings.failure_domain, spread)
+    });
     found.into_iter().map(|(id, upstream)| (id.clone(), upstream.address)).collect()
 }
 
@@ -151,6 +176,7 @@
     addr: SocketAddr,
     call: &Prepared,
     reuse: Reuse,
+    timeout: Duration,
 ) -> Result<Response, Error> {
     let out = Call {
         method: call.method.clone(),
@@ -158,7 +184,7 @@
         path: &call.path,
         headers: call.headers.clone(),
         body: call.body.clone(),
-        timeout: SERVICE_TIMEOUT,
+        timeout,
         reuse,
     };
     let response = tables.clients.send(out).await?;
--- a/crates/lw-daemon/src/services/once.rs
+++ b/crates/lw-daemon/src/services/once.rs
@@ -15,7 +15,7 @@
 use lw_types::prelude::*;
 use volo_http::{body::Body, response::Response};
 
-use super::{Prepared, failure, instances, send};
+use super::{Prepared, SERVICE_TIMEOUT, failure, instances, send};
 use crate::{
     callers::Caller,
     claims::{self, Claim},
@@ -118,7 +118,7 @@
     let mut last = Failure::new(ResultCode::NoUpstream, "no instance of the service is available");
     for (id, addr) in instances(tables, caller, name) {
         tables.note("claim", &caller.request, &format!("call sent to {id}"));
-        match send(tables, addr, call, Reuse::Fresh).await {
+        match send(tables, addr, call, Reuse::Fresh, SERVICE_TIMEOUT).await {
             Ok(response) => return record(response, claim).await,
             // Only a failed connect proves that the call did not leave, so only then another instance is tried.
             Err(e @ Error::NotSent(_)) => last = failure(&e),
--- a/crates/lw-daemon/src/tables/mod.rs
+++ b/crates/lw-daemon/src/tables/mod.rs
@@ -102,6 +102,7 @@
     members: Mutex<Members>,
     router: Mutex<Router>,
     listed_leaving: RwLock<HashSet<UpstreamId>>,
+    listed_vms: RwLock<HashSet<VmId>>,
     limits: Mutex<Limits>,
     claims: Mutex<Claims>,
     orders: Mutex<Orders>,
@@ -144,6 +145,7 @@
             members: Mutex::new(members),
             router: Mutex::new(Router::new(options)),
             listed_leaving: RwLock::default(),
+            listed_vms: RwLock::default(),
             limits: Mutex::new(Limits::new(&settings.vm, settings.limits.min_retries, timer.now())),
             claims: Mutex::new(Claims::new(
                 settings.vm.clone(),
@@ -192,8 +194,10 @@
         self.router().set_engines(self.timer.now(), &engines(document, &leaving));
     }
 
-    /// Takes the upstreams that the platform's list names as leaving.
-    pub fn set_leaving_upstreams(&self, list: &VmList) {
+    /// Takes the platform's list: the VMs that it names, and the upstreams that are leaving.
+    pub fn set_listed(&self, list: &VmList) {
+        let vms = list.vms.iter().filter(|vm| !vm.leaving).map(|vm| vm.id.clone()).collect();
+        *self.listed_vms.write().unwrap_or_else(PoisonError::into_inner) = vms;
         let leaving: HashSet<_> =
             list.vms.iter().filter(|vm| vm.leaving).map(|vm| vm.id.clone()).collect();
         let mut known = self.listed_leaving.write().unwrap_or_else(PoisonError::into_inner);
@@ -207,6 +211,12 @@
         }
     }
 
+    /// Whether the platform's list names this VM as running.
+    #[must_use]
+    pub fn is_listed(&self, id: &str) -> bool {
+        self.listed_vms.read().unwrap_or_else(PoisonError::into_inner).contains(id)
+    }
+
     /// Whether the platform's list names this upstream as leaving.
     #[must_use]
     pub fn is_listed_leaving(&self, id: &str) -> bool {
--- a/crates/lw-metrics/src/statsd.rs
+++ b/crates/lw-metrics/src/statsd.rs
@@ -6,8 +6,8 @@
 };
 
 use cadence::{
-    BufferedUdpMetricSink, Counted, CountedExt, Gauged, NopMetricSink, QueuingMetricSink,
-    StatsdClient, Timed,
+    Counted, CountedExt, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
+    UdpMetricSink,
 };
 use derive_more::{Display, Error, From};
 use lw_types::prelude::*;
@@ -49,7 +49,8 @@
         let local = if addr.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
         let socket = UdpSocket::bind(local)?;
         socket.set_nonblocking(true)?;
-        let sink = QueuingMetricSink::from(BufferedUdpMetricSink::from(addr, socket)?);
+        // A buffered sink would hold metrics back until a packet is full.
+        let sink = QueuingMetricSink::from(UdpMetricSink::from(addr, socket)?);
         Ok(Self { client: StatsdClient::from_sink(PREFIX, sink) })
     }
 
