--- a/crates/lw-bench/src/cases/dossiers.rs
+++ b/crates/lw-bench/src/cases/dossiers.rs
@@ -71,14 +71,7 @@
 #[must_use]
 pub fn rows() -> Vec<Row> {
     let all = each_seed(measure);
-    let row = |measure: &str, unit, baseline, value, bound| Row {
-        case: "dossiers",
-        measure: measure.into(),
-        unit,
-        baseline,
-        value,
-        bound,
-    };
+    let row = Row::of("dossiers");
     vec![
         row(
             "p99 of short work beside dossiers over that without",
--- a/crates/lw-bench/src/cases/hits.rs
+++ b/crates/lw-bench/src/cases/hits.rs
@@ -62,14 +62,7 @@
 #[must_use]
 pub fn rows() -> Vec<Row> {
     let all = each_seed(measure);
-    let row = |measure: &str, unit, baseline, value, bound| Row {
-        case: "prefix hits",
-        measure: measure.into(),
-        unit,
-        baseline,
-        value,
-        bound,
-    };
+    let row = Row::of("prefix hits");
     let hash = smallest(&all, |f| f.hash_hit / f.greedy_hit.max(f.hash_hit));
     let mut rows = vec![
         row(
--- a/crates/lw-bench/src/cases/kv_moves.rs
+++ b/crates/lw-bench/src/cases/kv_moves.rs
@@ -51,14 +51,7 @@
 #[must_use]
 pub fn rows() -> Vec<Row> {
     let all = each_seed(measure);
-    let row = |measure: &str, unit, baseline, value, bound| Row {
-        case: "KV moves",
-        measure: measure.into(),
-        unit,
-        baseline,
-        value,
-        bound,
-    };
+    let row = Row::of("KV moves");
     vec![
         row(
             "moves over the fast link that took longer than recomputing",
--- a/crates/lw-bench/src/cases/overload.rs
+++ b/crates/lw-bench/src/cases/overload.rs
@@ -94,14 +94,7 @@
         ("seconds", "answers/s"),
         &all[0].curves,
     );
-    let row = |measure: &str, unit, baseline, value, bound| Row {
-        case: "overload",
-        measure: measure.into(),
-        unit,
-        baseline,
-        value,
-        bound,
-    };
+    let row = Row::of("overload");
     vec![
         row(
             "answers in time against the best reference with full sight",
--- a/crates/lw-bench/src/cases/slow.rs
+++ b/crates/lw-bench/src/cases/slow.rs
@@ -79,14 +79,7 @@
         ("seconds", "requests/s"),
         &all[0].curves,
     );
-    let row = |measure: &str, unit, baseline, value, bound| Row {
-        case: "slow engines",
-        measure: measure.into(),
-        unit,
-        baseline,
-        value,
-        bound,
-    };
+    let row = Row::of("slow engines");
     vec![
         row(
             "p99 with 2 engines slowed over that with none",
--- a/crates/lw-bench/src/cases/tail.rs
+++ b/crates/lw-bench/src/cases/tail.rs
@@ -64,14 +64,7 @@
         ("quantile", "seconds"),
         &all[0].curves,
     );
-    let row = |measure: &str, unit, baseline, value, bound| Row {
-        case: "peak load",
-        measure: measure.into(),
-        unit,
-        baseline,
-        value,
-        bound,
-    };
+    let row = Row::of("peak load");
     vec![
         row(
             "time to first token, 95 in 100",
--- a/crates/lw-bench/src/summary.rs
+++ b/crates/lw-bench/src/summary.rs
@@ -31,6 +31,26 @@
 }
 
 impl Row {
+    /// Makes the rows of one case.
+    ///
+    /// ```
+    /// use lw_bench::summary::{Bound, Row};
+    /// let row = Row::of("retries");
+    /// assert_eq!(row("amplification", "ratio", None, 1.05, Bound::None).case, "retries");
+    /// ```
+    pub fn of(
+        case: &'static str,
+    ) -> impl Fn(&str, &'static str, Option<f64>, f64, Bound) -> Self + Copy {
+        move |measure, unit, baseline, value, bound| Self {
+            case,
+            measure: measure.into(),
+            unit,
+            baseline,
+            value,
+            bound,
+        }
+    }
+
     /// Whether the value keeps its bound.
     ///
     /// ```
