test(lw-config): one key belongs to one workspace

Cause: the new check had no test, and a size test of lw-member gave two workspaces the same digest. Ruled out: relaxing the check; the size test now uses another digest of the same length, so its sizes and bounds are the same. Before and after: value_keeps_its_size failed after the check came in, now it passes.

--- a/crates/lw-config/tests/document.rs
+++ b/crates/lw-config/tests/document.rs
@@ -181,3 +181,14 @@
     );
     assert!(Document::from_json(&json!({ "version": u64::MAX }).to_string()).is_err());
 }
+
+/// Guards against one key that belongs to two workspaces, where the order of names would decide who calls.
+#[test]
+fn one_key_belongs_to_one_workspace() {
+    let digest = "a".repeat(64);
+    let workspace = json!({ "key_digests": [digest] });
+    let document = json!({ "version": 1, "workspaces": { "one": workspace, "two": workspace } });
+    let error = Document::from_value(document).expect_err("a shared key");
+    assert_eq!(error.faults.len(), 1, "{error}");
+    assert_eq!(error.faults[0].key, "workspaces.two.key_digests");
+}
--- a/crates/lw-member/tests/config.rs
+++ b/crates/lw-member/tests/config.rs
@@ -267,7 +267,7 @@
         assert_eq!(stored.history.last().map(|e| e.attempt.as_str()), Some(&*format!("vm/1/{n}")));
     }
     assert!(stored.history.len() <= 32 && stored.patches().count() >= 10);
-    let digests = vec!["0".repeat(64); 16_000];
+    let digests = vec!["f".repeat(64); 16_000];
     let patch = json!({ "workspaces": { "huge": { "key_digests": digests } } });
     let huge = stored.patched("a", &patch).expect("valid");
     assert!(huge.to_text().is_err(), "more than the store holds");
