feat(lw-edge): forward callers' requests on the users' platform

The daemon had no edge towards the platform: its store, requests and engines have other calls than the product's own. New: platform/ (names, formats and calls), lw-catalog (routes, workspaces, registered upstreams), lw-place (placement), lw-forward (connections to upstreams and callers), lw-edge (the VM).

Ruled out: volo-http for forwarding, since it hides whether a request was written, closes connections 28 s after SIGTERM and has no timer for request heads; hyper, the library beneath it, is used instead.

--- /dev/null
+++ b/crates/lw-catalog/src/routes/lookup.rs
@@ -0,0 +1,93 @@
+//! Lookups in a configuration.
+
+use std::{cmp::Reverse, collections::HashMap, sync::Arc};
+
+use super::{Catalog, Parts, Route, Service, ServiceKind, Workspace};
+
+impl From<Parts> for Catalog {
+    fn from(parts: Parts) -> Self {
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in parts.routes {
+            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| Reverse(route.prefix.len()));
+        }
+        let workspaces: Vec<_> = parts.workspaces.into_iter().map(Arc::new).collect();
+        let keys = |(at, workspace): (usize, &Arc<Workspace>)| {
+            workspace.keys.iter().map(move |key| (key.clone(), at)).collect::<Vec<_>>()
+        };
+        let by_key = workspaces.iter().enumerate().flat_map(keys).collect();
+        let services = parts.services.into_iter();
+        let services = services.map(|service| (service.name.clone(), Arc::new(service))).collect();
+        let (version, limits) = (parts.version, parts.limits);
+        Self { version, limits, by_host, services, workspaces, by_key }
+    }
+}
+
+impl Catalog {
+    /// The route of a request: among the routes of `host`, the one with the longest prefix of `path`.
+    ///
+    /// `host` may carry a port and capital letters.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.by_host.get(name) {
+            Some(routes) => routes,
+            None => self.by_host.get(&name.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The service of this name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    /// The store of KV cache, if there is one.
+    #[must_use]
+    pub fn cache_store(&self) -> Option<&Arc<Service>> {
+        let is_store =
+            |service: &&Arc<Service>| matches!(service.kind, ServiceKind::CacheStore { .. });
+        self.services.values().filter(is_store).min_by(|a, b| a.name.cmp(&b.name))
+    }
+
+    /// Whether requests need a key on routes that are not anonymous.
+    #[must_use]
+    pub fn needs_keys(&self) -> bool {
+        !self.workspaces.is_empty()
+    }
+
+    /// The workspace that holds `key`.
+    #[must_use]
+    pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
+        self.by_key.get(key).map(|&at| &self.workspaces[at])
+    }
+}
+
+impl Route {
+    /// The target for a request whose id hashes to `spread`: each target gets its share of the hashes.
+    ///
+    /// The same request gets the same target at every VM, also when its caller sends it again.
+    #[must_use]
+    pub fn target(&self, spread: u64) -> Option<&str> {
+        let total: u64 = self.targets.iter().map(|target| target.weight).sum();
+        if total == 0 {
+            return self.targets.first().map(|target| target.service.as_str());
+        }
+        let mut at = spread % total;
+        for target in &self.targets {
+            if at < target.weight {
+                return Some(&target.service);
+            }
+            at -= target.weight;
+        }
+        None
+    }
+}
--- a/crates/lw-config/src/fields.rs
+++ b/crates/lw-config/src/fields.rs
@@ -227,6 +227,12 @@
         map.iter().map(|(name, item)| (name.clone(), format!("{base}.{name}"), item)).collect()
     }
 
+    /// Ends reading of a document of another system, which may have keys that mean nothing here.
+    #[must_use]
+    pub fn finish_open(self) -> Vec<Fault> {
+        self.faults
+    }
+
     /// Ends reading: every key that was not asked for is a fault.
     #[must_use]
     pub fn finish(mut self) -> Vec<Fault> {
--- a/crates/lw-daemon/src/args.rs
+++ b/crates/lw-daemon/src/args.rs
@@ -9,8 +9,10 @@
 lavenderwoodd - router for language-model traffic with long shared prompts
 
 Usage: lavenderwoodd --config FILE [--check]
+       lavenderwoodd --platform [--check]
 
   --config FILE  settings in YAML
+  --platform     run on the users' platform, with the settings that it provides
   --check        validate the settings and exit
   --version      print the version and exit
   --help         print this text and exit
@@ -26,6 +28,10 @@
     Run(PathBuf),
     /// Validate this settings file.
     Check(PathBuf),
+    /// Run on the users' platform.
+    RunOnPlatform,
+    /// Validate the settings that the users' platform provides.
+    CheckOnPlatform,
     /// Print the version.
     Version,
     /// Print the help text.
@@ -64,11 +70,17 @@
         return Ok(Command::Version);
     }
     let check = args.contains("--check");
-    let path = args.value_from_str::<_, PathBuf>("--config")?;
+    let on_platform = args.contains("--platform");
+    let path = if on_platform { None } else { Some(args.value_from_str("--config")?) };
     let rest = args.finish();
     if !rest.is_empty() {
         let names: Vec<_> = rest.iter().map(|arg| arg.to_string_lossy()).collect();
         return Err(Error::Unknown(names.join(" ")));
     }
-    Ok(if check { Command::Check(path) } else { Command::Run(path) })
+    Ok(match (path, check) {
+        (Some(path), true) => Command::Check(path),
+        (Some(path), false) => Command::Run(path),
+        (None, true) => Command::CheckOnPlatform,
+        (None, false) => Command::RunOnPlatform,
+    })
 }
--- a/crates/lw-daemon/src/main.rs
+++ b/crates/lw-daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::{path::Path, process::ExitCode};
 
+use lw_catalog::VmSettings;
 use lw_config::settings::Settings;
 use lw_daemon::{
     args::{self, Command},
@@ -23,6 +24,14 @@
             Ok(settings) => serve(settings),
             Err(e) => usage(&e),
         },
+        Ok(Command::CheckOnPlatform) => match load_platform() {
+            Ok(_) => print("the settings are valid\n"),
+            Err(e) => usage(&e),
+        },
+        Ok(Command::RunOnPlatform) => match load_platform() {
+            Ok(settings) => serve_on_platform(settings),
+            Err(e) => usage(&e),
+        },
         Err(e) => usage(&format!("{e}\n\n{}", args::HELP)),
     }
 }
@@ -42,6 +51,30 @@
     Settings::from_yaml(&text).map_err(|e| e.to_string())
 }
 
+fn load_platform() -> Result<VmSettings, String> {
+    let path = lw_platform::settings::path();
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    lw_platform::settings::from_toml(&text).map_err(|e| e.to_string())
+}
+
+/// Runs on one thread, since the VMs of the platform have a part of one core.
+fn serve_on_platform(settings: VmSettings) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            log::error!("run: cannot start: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(lw_edge::run::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("run: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn serve(settings: Settings) -> ExitCode {
     let mut builder = tokio::runtime::Builder::new_multi_thread();
     let runtime = match builder.worker_threads(settings.workers).enable_all().build() {
--- /dev/null
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -0,0 +1,137 @@
+//! Follows the platform's store: one read of everything, then one watch after the other.
+
+use std::{sync::Arc, time::Duration};
+
+use lw_platform::{
+    config, registry,
+    store::{Batch, Error, Event, Item},
+};
+use lw_types::prelude::*;
+
+use crate::state::Edge;
+
+/// Time for which a watch waits. The knowledge about keys is as old as the last watch that was answered.
+const WATCH_TIME: Duration = Duration::from_millis(1500);
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(100);
+/// All keys, so that one watch hears of everything.
+const EVERYTHING: &str = "";
+
+/// Follows the store until the process ends.
+pub async fn run(edge: Arc<Edge>) {
+    let mut is_lost = false;
+    loop {
+        let failure = match read_all(&edge).await {
+            Ok(revision) => {
+                if std::mem::take(&mut is_lost) {
+                    log::info!("config: the store answers again at revision {revision}");
+                }
+                watch(&edge, revision).await
+            }
+            Err(e) => e,
+        };
+        if !matches!(failure, Error::Compacted) {
+            if !std::mem::replace(&mut is_lost, true) {
+                log::warn!("config: {failure}");
+            }
+            edge.known().directory.store_returned(edge.timer.now());
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Reads everything. The pages are no snapshot, so the watch goes on from the revision of the first one.
+async fn read_all(edge: &Edge) -> Result<Revision, Error> {
+    let sent = edge.timer.now_suspended();
+    let mut items = Vec::new();
+    let mut first = None;
+    loop {
+        let after = items.last().map(|item: &Item| item.key.clone());
+        let page = edge.store.range(EVERYTHING, after.as_deref()).await?;
+        first = first.or(Some(page.revision));
+        let is_last = !page.has_more || page.entries.is_empty();
+        items.extend(page.entries);
+        if is_last {
+            break;
+        }
+    }
+    let upstreams: Vec<_> = items.iter().filter_map(entry).collect();
+    for item in items {
+        take_named(edge, &item);
+    }
+    let now = edge.timer.now();
+    let mut known = edge.known();
+    let changes = known.directory.replace(now, upstreams);
+    known.confirm(sent);
+    drop(known);
+    edge.upstreams_changed(changes);
+    Ok(first.unwrap_or_default())
+}
+
+fn entry(item: &Item) -> Option<(UpstreamId, Option<lw_catalog::Upstream>)> {
+    let id = registry::upstream_id(&item.key)?;
+    let read = item.value.as_deref().map_err(ToString::to_string);
+    let read = read.and_then(|value| registry::upstream(id, value).map_err(|e| e.to_string()));
+    let upstream = read.inspect_err(|e| log::warn!("member: entry {id} names no upstream: {e}"));
+    Some((id.to_owned(), upstream.ok()))
+}
+
+/// Takes a configuration or a named version of weights.
+fn take_named(edge: &Edge, item: &Item) {
+    let value = match &item.value {
+        Ok(value) => value,
+        Err(e) => return log::warn!("config: {}: {e}", item.key),
+    };
+    if item.key == config::CONFIG_KEY {
+        match config::catalog(value) {
+            Ok(catalog) => edge.install(catalog),
+            Err(e) => log::error!("config: revision {}: {e}", item.revision),
+        }
+    } else if config::is_named_version(&item.key) {
+        match config::named_version(value) {
+            Ok(named) => {
+                if edge.known().name_version(&named.model, named.version) {
+                    log::info!("order: version {} of {} is named", named.version, named.model);
+                }
+            }
+            Err(e) => log::error!("order: {}: {e}", item.key),
+        }
+    }
+}
+
+/// Watches until a call fails.
+async fn watch(edge: &Edge, mut revision: Revision) -> Error {
+    loop {
+        let sent = edge.timer.now_suspended();
+        match edge.store.watch(EVERYTHING, revision, WATCH_TIME).await {
+            Ok(batch) => {
+                revision = batch.revision.max(revision);
+                take(edge, batch);
+                edge.known().confirm(sent);
+            }
+            Err(e) => return e,
+        }
+        let lapsed = edge.known().directory.tick(edge.timer.now());
+        edge.upstreams_changed(lapsed);
+    }
+}
+
+fn take(edge: &Edge, batch: Batch<Event>) {
+    for event in batch.entries {
+        let now = edge.timer.now();
+        let changes = match &event {
+            Event::Written(item) => {
+                let Some((id, upstream)) = entry(item) else {
+                    take_named(edge, item);
+                    continue;
+                };
+                edge.known().directory.put(now, &id, upstream)
+            }
+            Event::Removed { key, .. } => match registry::upstream_id(key) {
+                Some(id) => edge.known().directory.remove(now, id),
+                None => continue,
+            },
+        };
+        edge.upstreams_changed(changes);
+    }
+}
--- /dev/null
+++ b/crates/lw-edge/src/lib.rs
@@ -0,0 +1,6 @@
+//! The VM on the platform: callers' requests are forwarded to the upstreams that registered themselves.
+
+pub mod follow;
+pub mod run;
+pub mod serve;
+pub mod state;
--- /dev/null
+++ b/crates/lw-edge/src/run/mod.rs
@@ -0,0 +1,129 @@
+//! Starts a VM on the platform and ends it after a drain.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use derive_more::{Display, Error};
+use lw_catalog::VmSettings;
+use lw_forward::listen::{self, Connections};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+
+use crate::{follow, serve, state::Edge};
+
+/// Time before the kill at which a leaving VM ends, whatever is still open.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+/// Time in which the balancer has taken a leaving VM out: it asks each second and twice.
+const BALANCER_TIME: Duration = Duration::from_millis(3500);
+/// Pause between two looks at the requests in flight while leaving.
+const LEAVE_POLL: Duration = Duration::from_millis(50);
+/// Bounds on connections until a configuration is known.
+const UNKNOWN_IDLE: Duration = Duration::from_secs(15);
+const UNKNOWN_HEAD_BYTES: usize = 64 << 10;
+/// Period in which idle connections to upstreams are closed.
+const SWEEP_PERIOD: Duration = Duration::from_millis(500);
+
+/// Why a VM could not run.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// An address could not be bound.
+    #[display("cannot listen on {addr}: {source}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// Signals could not be received.
+    #[display("no signals: {_0}")]
+    Signal(std::io::Error),
+}
+
+/// Runs a VM until it gets the signal to terminate and is drained.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub async fn run(settings: VmSettings) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    let edge = Arc::new(Edge::new(settings));
+    let callers = bind(edge.settings.callers).await?;
+    let readiness = bind(edge.settings.readiness).await?;
+    log::info!("run: {} starts in {}", edge.settings.vm, edge.settings.failure_domain);
+    tokio::spawn(follow::run(Arc::clone(&edge)));
+    tokio::spawn(sweep(Arc::clone(&edge)));
+    let connections = Connections::default();
+    tokio::spawn(serve_callers(Arc::clone(&edge), callers, connections.clone()));
+    tokio::spawn(serve_readiness(Arc::clone(&edge), readiness));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => log::info!("run: settings changed; they hold from the next start"),
+        }
+    }
+    leave(&edge, &connections).await;
+    Ok(())
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).await.map_err(|source| Error::Listen { addr, source })
+}
+
+async fn serve_callers(edge: Arc<Edge>, listener: TcpListener, connections: Connections) {
+    let options = {
+        let edge = Arc::clone(&edge);
+        move || {
+            let limits = edge.known().catalog().map(|catalog| catalog.limits);
+            listen::Options {
+                idle: limits.map_or(UNKNOWN_IDLE, |limits| limits.idle_time),
+                head_bytes: limits.map_or(UNKNOWN_HEAD_BYTES, |limits| limits.head_bytes),
+                connections_max: edge.settings.sockets_max / 2,
+            }
+        }
+    };
+    let answer = move |req| serve::answer(Arc::clone(&edge), req);
+    listen::serve(listener, connections, options, answer).await;
+}
+
+async fn serve_readiness(edge: Arc<Edge>, listener: TcpListener) {
+    let options = || listen::Options {
+        idle: UNKNOWN_IDLE,
+        head_bytes: UNKNOWN_HEAD_BYTES,
+        connections_max: 64,
+    };
+    let answer = move |req| serve::readiness(Arc::clone(&edge), req);
+    listen::serve(listener, Connections::default(), options, answer).await;
+}
+
+async fn sweep(edge: Arc<Edge>) {
+    let mut ticks = edge.timer.subscribe(SWEEP_PERIOD);
+    loop {
+        ticks.tick().await;
+        let ids: Vec<_> = edge.known().directory.iter().map(|u| u.id.clone()).collect();
+        edge.pool.sweep(|(_, id)| ids.iter().any(|known| **known == **id));
+    }
+}
+
+/// Serves on while the balancer still sends callers, then ends when no request is in flight.
+async fn leave(edge: &Arc<Edge>, connections: &Connections) {
+    let started = edge.timer.now();
+    edge.leave();
+    log::info!("run: leaving with {} requests in flight", edge.in_flight());
+    let last = edge.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    loop {
+        tokio::time::sleep(LEAVE_POLL).await;
+        let since = edge.timer.now().saturating_sub(started);
+        if since >= BALANCER_TIME {
+            connections.close_idle();
+            if connections.open() == 0 {
+                break;
+            }
+        }
+        if since >= last {
+            break;
+        }
+    }
+    log::info!("run: ends with {} requests in flight", edge.in_flight());
+}
--- /dev/null
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -0,0 +1,185 @@
+//! Attempts of one request until it has its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use http::Response;
+use http_body_util::BodyExt;
+use lw_catalog::Kind;
+use lw_limit::retry::{self, Carried};
+use lw_place::{Ask, Choice, Ended};
+use lw_platform::headers;
+use lw_protocol::caller::Failure;
+use lw_types::prelude::*;
+
+use super::{
+    Call,
+    answer::{self, Answer},
+    attempt::{Attempt, Running, Sent},
+    relay::Relay,
+};
+use crate::state::Edge;
+
+/// When to come back after a refusal without a better estimate.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// Forwards a request and returns the answer for the caller.
+pub(super) async fn run(edge: &Arc<Edge>, call: Arc<Call>) -> Answer {
+    let mut driver = Driver::new(edge, &call);
+    match driver.answer().await {
+        Ok(answer) => answer,
+        Err(failure) => {
+            log::info!("http: {} {}: {}", call.head.request, failure.code.name(), failure.message);
+            answer::failure(&call.head.request, &failure)
+        }
+    }
+}
+
+/// The attempts of one request.
+#[derive(Debug)]
+pub(super) struct Driver {
+    pub edge: Arc<Edge>,
+    pub call: Arc<Call>,
+    tried: Vec<UpstreamId>,
+    carried: Carried,
+    may_have_run: bool,
+}
+
+impl Driver {
+    fn new(edge: &Arc<Edge>, call: &Arc<Call>) -> Self {
+        let now = edge.timer.now();
+        let carried = Carried::received(now, 0, call.deadline.saturating_sub(now));
+        Self {
+            edge: Arc::clone(edge),
+            call: Arc::clone(call),
+            tried: Vec::new(),
+            carried,
+            may_have_run: false,
+        }
+    }
+
+    async fn answer(&mut self) -> Result<Answer, Failure> {
+        loop {
+            let attempt = self.next_attempt()?;
+            match attempt.send(None).await {
+                Sent::Answer(running) => {
+                    if let Some(answer) = self.accept(*running).await? {
+                        return Ok(answer);
+                    }
+                }
+                Sent::NotRun(why) => self.note(&why),
+                Sent::Unknown(why) => self.unknown(&why)?,
+                Sent::Late => {
+                    let text = "no answer before the deadline";
+                    return Err(Failure::new(ResultCode::DeadlineExceeded, text));
+                }
+            }
+        }
+    }
+
+    /// The next attempt, if there is an upstream for it and the bounds on attempts allow it.
+    pub fn next_attempt(&mut self) -> Result<Attempt, Failure> {
+        let choice = self.choose()?;
+        let now = self.edge.timer.now();
+        let carried = self.carried;
+        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        if attempts == 0 {
+            self.edge.with_budget(&self.call.service, |budget| budget.arrive(now, carried)).ok();
+        } else {
+            if attempts >= self.call.route.attempts {
+                return Err(self.refused("no attempts left"));
+            }
+            let spend = |budget: &mut retry::Budget| budget.spend(now, retry::Kind::Retry, carried);
+            let paid = self.edge.with_budget(&self.call.service, spend);
+            self.carried = paid.map_err(|e| self.refused(&e.to_string()))?;
+        }
+        self.tried.push(choice.upstream.id.clone());
+        Ok(Attempt::begin(&self.edge, &self.call, choice))
+    }
+
+    fn choose(&self) -> Result<Choice, Failure> {
+        let now = self.edge.timer.now();
+        let ask = Ask {
+            prompt: self.call.prompt.as_ref(),
+            spread: xxhash_rust::xxh3::xxh3_64(self.call.head.request.as_bytes()),
+            tried: &self.tried,
+            left: self.call.due.saturating_sub(now),
+        };
+        let chosen = self.edge.with_fleet(&self.call.service, |fleet| fleet.choose(now, &ask));
+        let chosen = chosen.ok_or_else(|| self.refused("the service is not known"))?;
+        chosen.map_err(|e| self.refused(&e.to_string()))
+    }
+
+    /// The failure when there is no further attempt: it says "not run" only if that is true.
+    fn refused(&self, why: &str) -> Failure {
+        if self.may_have_run {
+            return Failure::new(ResultCode::OutcomeUnknown, why);
+        }
+        Failure::new(ResultCode::Overloaded, why).retry_after(COME_BACK)
+    }
+
+    fn note(&self, why: &str) {
+        log::info!("http: {} was not run: {why}", self.call.head.request);
+    }
+
+    /// An attempt may have run; goes on only if the request may run again.
+    pub fn unknown(&mut self, why: &str) -> Result<(), Failure> {
+        log::info!("http: {} may have run: {why}", self.call.head.request);
+        self.may_have_run = true;
+        if self.call.route.kind.may_repeat() {
+            return Ok(());
+        }
+        Err(Failure::new(ResultCode::OutcomeUnknown, why))
+    }
+
+    /// Passes an answer on, or returns none if another attempt is to be made instead.
+    async fn accept(&mut self, running: Running) -> Result<Option<Answer>, Failure> {
+        let status = running.head.status;
+        if matches!(self.call.route.kind, Kind::Stream { .. }) && status.is_success() {
+            running.attempt.started();
+            return Ok(Some(self.relay(running)));
+        }
+        let left = self.call.due.saturating_sub(self.edge.timer.now());
+        let Running { head, body, attempt, .. } = running;
+        let bytes = match tokio::time::timeout(left, body.collect()).await {
+            Err(_) => {
+                attempt.end(Ended::Failed);
+                let text = "no whole answer before the deadline";
+                return Err(Failure::new(ResultCode::DeadlineExceeded, text));
+            }
+            Ok(Err(e)) => {
+                attempt.end(Ended::Failed);
+                self.unknown(&e.to_string())?;
+                return Ok(None);
+            }
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        attempt.end(Ended::Complete);
+        let may_repeat = self.call.route.kind == Kind::Idempotent && status.is_server_error();
+        if may_repeat && self.tried.len() < usize::try_from(self.call.route.attempts).unwrap_or(1) {
+            self.may_have_run = true;
+            log::info!("http: {} answered {status}, tried again", self.call.head.request);
+            return Ok(None);
+        }
+        let mut response = Response::new(answer::full(bytes));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers::end_to_end(&head.headers);
+        Ok(Some(response))
+    }
+
+    fn relay(&self, running: Running) -> Answer {
+        let driver = Self {
+            edge: Arc::clone(&self.edge),
+            call: Arc::clone(&self.call),
+            tried: self.tried.clone(),
+            carried: self.carried,
+            may_have_run: true,
+        };
+        let mut headers = headers::end_to_end(&running.head.headers);
+        headers.remove(http::header::CONTENT_LENGTH);
+        let status = running.head.status;
+        let mut response = Response::new(Relay::new(driver, running).into_body());
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+}
--- /dev/null
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -0,0 +1,115 @@
+//! A stream of events from one or more attempts to a caller.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use lw_catalog::Kind;
+use lw_forward::{events::Splitter, pool::ReplyBody};
+use lw_place::Ended;
+
+use super::{
+    answer::{BodyError, OutBody},
+    attempt::{Attempt, Running, Sent},
+    forward::Driver,
+};
+
+/// A stream that is being passed on.
+pub(super) struct Relay {
+    driver: Driver,
+    current: Option<(ReplyBody, Attempt)>,
+    /// Only for streams that may be resumed: the others are passed on byte by byte.
+    splitter: Option<Splitter>,
+}
+
+enum Step {
+    Bytes(Bytes),
+    Complete,
+    Broken(String),
+}
+
+impl Relay {
+    pub fn new(driver: Driver, running: Running) -> Self {
+        let is_resumable = driver.call.route.kind == Kind::Stream { resumable: true };
+        let splitter = is_resumable.then(Splitter::default);
+        Self { driver, current: Some((running.body, running.attempt)), splitter }
+    }
+
+    pub fn into_body(self) -> OutBody {
+        let frames = futures::stream::unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            match relay.next().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+                Ok(None) => None,
+                Err(e) => Some((Err(e), None)),
+            }
+        });
+        BodyExt::boxed_unsync(StreamBody::new(frames))
+    }
+
+    /// The next bytes for the caller, none at the end of the stream.
+    async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+        loop {
+            match self.step().await {
+                Step::Bytes(bytes) => {
+                    let Some(splitter) = &mut self.splitter else { return Ok(Some(bytes)) };
+                    if let Some(events) = splitter.push(&bytes) {
+                        return Ok(Some(events));
+                    }
+                }
+                Step::Complete => {
+                    if let Some((_, attempt)) = self.current.take() {
+                        attempt.end(Ended::Complete);
+                    }
+                    return Ok(None);
+                }
+                Step::Broken(why) => {
+                    log::info!("stream: {} broke: {why}", self.driver.call.head.request);
+                    if let Some((_, attempt)) = self.current.take() {
+                        attempt.end(Ended::Failed);
+                    }
+                    self.resume(&why).await?;
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let Some((body, _)) = &mut self.current else { return Step::Broken("no attempt".into()) };
+        let left = self.driver.call.due.saturating_sub(self.driver.edge.timer.now());
+        match tokio::time::timeout(left, body.frame()).await {
+            Err(_) => Step::Broken("the deadline passed".into()),
+            Ok(None) if self.splitter.as_ref().is_some_and(|splitter| splitter.rest() > 0) => {
+                Step::Broken("the stream ended within an event".into())
+            }
+            Ok(None) => Step::Complete,
+            Ok(Some(Err(e))) => Step::Broken(e.to_string()),
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(bytes) => Step::Bytes(bytes),
+                Err(_) => Step::Bytes(Bytes::new()),
+            },
+        }
+    }
+
+    /// Goes on at another engine after the last whole event.
+    async fn resume(&mut self, why: &str) -> Result<(), BodyError> {
+        let Some(splitter) = &mut self.splitter else { return Err(why.into()) };
+        splitter.discard_rest();
+        let last_event = splitter.last_id();
+        while self.driver.call.due > self.driver.edge.timer.now() + Duration::from_millis(50) {
+            let attempt = self.driver.next_attempt().map_err(|e| e.message)?;
+            match attempt.send(last_event).await {
+                Sent::Answer(running) if running.head.status.is_success() => {
+                    running.attempt.started();
+                    self.current = Some((running.body, running.attempt));
+                    return Ok(());
+                }
+                Sent::Answer(running) => running.attempt.end(Ended::Complete),
+                Sent::NotRun(_) | Sent::Unknown(_) => {}
+                Sent::Late => break,
+            }
+        }
+        Err(why.into())
+    }
+}
--- /dev/null
+++ b/crates/lw-edge/src/state/mod.rs
@@ -0,0 +1,220 @@
+//! What all requests and tasks of a VM share.
+//!
+//! Lock order: known, fleets, budgets. No lock is held across an await.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use lw_catalog::{Catalog, ServiceKind, VmSettings, upstreams::Change};
+use lw_forward::pool::{self, Pool};
+use lw_limit::retry;
+use lw_place::Fleet;
+use lw_platform::{engine::Engines, store::Store};
+use lw_transport::{
+    client::{self, Clients},
+    timer::Timer,
+};
+
+mod known;
+
+pub use known::Known;
+
+/// Time to establish a connection to an upstream or the store. Failure domains are a few milliseconds apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for a call to the store or an engine, besides the time that the call waits on purpose.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for which an idle connection is kept when its upstream states none.
+const IDLE_UNSTATED: Duration = Duration::from_millis(500);
+/// Time before the stated end of an idle connection at which it is not used any more.
+const IDLE_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the fleet's retry budget that the VMs use, since each counts for itself.
+const BUDGET_PART: f64 = 0.8;
+
+/// What all requests and tasks of a VM share.
+#[derive(Debug)]
+pub struct Edge {
+    /// Settings of this VM.
+    pub settings: VmSettings,
+    /// Time and ticks.
+    pub timer: Timer,
+    /// Connections to upstreams.
+    pub pool: Arc<Pool>,
+    /// The platform's store.
+    pub store: Store,
+    /// Calls to engines.
+    pub engines: Engines,
+    known: Mutex<Known>,
+    fleets: Mutex<HashMap<String, Fleet>>,
+    budgets: Mutex<HashMap<String, retry::Budget>>,
+    is_leaving: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+impl Edge {
+    /// A VM that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: VmSettings) -> Self {
+        let options =
+            client::Options { connect: CONNECT_TIMEOUT, pool_idle: Duration::from_secs(4) };
+        let clients = Arc::new(Clients::new(options));
+        let pool = Pool::new(pool::Options {
+            connect: CONNECT_TIMEOUT,
+            idle: IDLE_UNSTATED,
+            idle_margin: IDLE_MARGIN,
+            connections_max: settings.sockets_max / 2,
+        });
+        Self {
+            timer: Timer::default(),
+            pool,
+            store: Store::new(Arc::clone(&clients), settings.store, CALL_TIMEOUT),
+            engines: Engines::new(clients, CALL_TIMEOUT),
+            known: Mutex::default(),
+            fleets: Mutex::default(),
+            budgets: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            settings,
+        }
+    }
+
+    /// What the store said.
+    pub fn known(&self) -> MutexGuard<'_, Known> {
+        lock(&self.known)
+    }
+
+    /// The upstreams by service.
+    pub fn fleets(&self) -> MutexGuard<'_, HashMap<String, Fleet>> {
+        lock(&self.fleets)
+    }
+
+    /// Works on the upstreams of one service, if there is one of this name.
+    pub fn with_fleet<T>(&self, service: &str, work: impl FnOnce(&mut Fleet) -> T) -> Option<T> {
+        self.fleets().get_mut(service).map(work)
+    }
+
+    /// Works on the retry budget of one service.
+    pub fn with_budget<T>(&self, service: &str, work: impl FnOnce(&mut retry::Budget) -> T) -> T {
+        let mut budgets = lock(&self.budgets);
+        if let Some(budget) = budgets.get_mut(service) {
+            return work(budget);
+        }
+        work(budgets.entry(service.to_owned()).or_insert_with(|| self.new_budget()))
+    }
+
+    fn new_budget(&self) -> retry::Budget {
+        const VMS: u64 = 9;
+        let bounds = &self.settings.bounds;
+        retry::Budget::new(retry::Options {
+            ratio: bounds.retry_ratio * BUDGET_PART,
+            min_retries: bounds.retry_floor / VMS,
+            hedge_ratio: bounds.retry_ratio * BUDGET_PART,
+            window_seconds: bounds.retry_window.as_secs(),
+            ..retry::Options::default()
+        })
+    }
+
+    /// Puts a configuration in force if it is newer than the one before.
+    pub fn install(&self, catalog: Catalog) {
+        let mut known = self.known();
+        if !known.install(catalog) {
+            return;
+        }
+        let Some(catalog) = known.catalog() else { return };
+        log::info!("config: version {} in force", catalog.version);
+        let store = catalog.cache_store().and_then(|store| match store.kind {
+            ServiceKind::CacheStore { addr, .. } => Some(addr),
+            _ => None,
+        });
+        let mut fleets = self.fleets();
+        for service in catalog.services() {
+            let fleet = fleets
+                .entry(service.name.clone())
+                .or_insert_with(|| Fleet::new(self.settings.failure_domain.clone()));
+            fleet.configure(service.engines().cloned(), store);
+        }
+        for upstream in known.directory.iter() {
+            if let Some(fleet) = fleets.get_mut(&upstream.service) {
+                fleet.put(upstream);
+            }
+        }
+    }
+
+    /// Takes changes of the registered upstreams.
+    pub fn upstreams_changed(&self, changes: Vec<Change>) {
+        let mut fleets = self.fleets();
+        for change in changes {
+            match change {
+                Change::Present(upstream) => {
+                    log::info!(
+                        "member: upstream {} of {} at {} is {:?}, serves {:?}",
+                        upstream.id,
+                        upstream.service,
+                        upstream.addr,
+                        upstream.stage,
+                        upstream.models
+                    );
+                    if let Some(fleet) = fleets.get_mut(&upstream.service) {
+                        fleet.put(&upstream);
+                    }
+                }
+                Change::Gone(id) => {
+                    log::info!("member: upstream {id} is gone");
+                    for fleet in fleets.values_mut() {
+                        fleet.remove(&id);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether this VM takes callers: it knows a configuration and may use keys.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let now = self.timer.now_suspended();
+        !self.is_leaving() && self.known().may_use_keys(now, self.settings.bounds.revoke)
+    }
+
+    /// Whether this VM is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
+    /// Marks this VM as leaving.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Release);
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    #[must_use]
+    pub fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlight(Arc::clone(self))
+    }
+
+    /// Requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+}
+
+/// Keeps a request counted as in flight.
+#[derive(Debug)]
+pub struct InFlight(Arc<Edge>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/lw-forward/src/pool/body.rs
@@ -0,0 +1,88 @@
+//! The body of an upstream's answer.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, header, response::Parts};
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+
+use super::Conn;
+
+/// The body of an answer. When it was read to its end its connection goes back to the pool; else it is closed.
+#[derive(Debug)]
+pub struct ReplyBody {
+    incoming: Incoming,
+    conn: Option<Conn>,
+    keep: Option<Duration>,
+    may_reuse: bool,
+}
+
+impl ReplyBody {
+    pub(super) fn new(incoming: Incoming, conn: Conn, head: &Parts) -> Self {
+        let may_reuse = !says_close(&head.headers);
+        let mut body =
+            Self { incoming, conn: Some(conn), keep: keep_alive(&head.headers), may_reuse };
+        if body.incoming.is_end_stream() {
+            body.release();
+        }
+        body
+    }
+
+    /// Closes the connection, for an answer that belongs to another request.
+    pub fn close(mut self) {
+        self.conn = None;
+    }
+
+    fn release(&mut self) {
+        if let Some(conn) = self.conn.take()
+            && self.may_reuse
+        {
+            let pool = std::sync::Arc::clone(&conn.pool);
+            pool.give_back(conn, self.keep);
+        }
+    }
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut words = values.filter_map(|v| v.to_str().ok()).flat_map(|v| v.split(','));
+    words.any(|word| word.trim().eq_ignore_ascii_case("close"))
+}
+
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        match &polled {
+            Poll::Ready(None) => self.release(),
+            Poll::Ready(Some(Ok(_))) if self.incoming.is_end_stream() => self.release(),
+            Poll::Ready(Some(Err(_))) => self.conn = None,
+            _ => {}
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- a/crates/lw-transport/src/client/mod.rs
+++ b/crates/lw-transport/src/client/mod.rs
@@ -215,7 +215,28 @@
         rmp_serde::from_slice(&bytes).map_err(|e| Error::Unreadable(e.to_string()))
     }
 
-    async fn whole(&self, call: Call<'_>) -> Result<Bytes, Error> {
+    /// Sends a JSON body and returns the status of the answer, whatever it is.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`], [`Error::Timeout`] or [`Error::Broken`].
+    pub async fn status(
+        &self,
+        mut call: Call<'_>,
+        body: &impl Serialize,
+    ) -> Result<StatusCode, Error> {
+        call.body = serde_json::to_vec(body).map_err(not_encoded)?.into();
+        let json = http::HeaderValue::from_static("application/json");
+        call.headers.insert(http::header::CONTENT_TYPE, json);
+        Ok(self.send(call).await?.status())
+    }
+
+    /// Sends a call and reads the whole body of a success status.
+    ///
+    /// # Errors
+    ///
+    /// Any [`enum@Error`].
+    pub async fn whole(&self, call: Call<'_>) -> Result<Bytes, Error> {
         let timeout = call.timeout;
         let read = async {
             let response = self.send(call).await?;
--- a/crates/lw-transport/src/timer/mod.rs
+++ b/crates/lw-transport/src/timer/mod.rs
@@ -31,6 +31,20 @@
         self.epoch.elapsed()
     }
 
+    /// Time since an arbitrary epoch of the VM, which also passes while the VM is suspended.
+    ///
+    /// Ages that guard a promise, such as those of leases and keys, are measured by it.
+    #[must_use]
+    pub fn now_suspended(&self) -> Now {
+        match nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME) {
+            Ok(time) => time.into(),
+            Err(e) => {
+                log::warn!("timer: no clock that counts suspended time: {e}");
+                self.now()
+            }
+        }
+    }
+
     /// Subscribes to ticks every `period`, the first after one period. Needs a running tokio runtime.
     #[must_use]
     pub fn subscribe(&self, period: Duration) -> Subscription {
