fix(lw-order): do not count engines that are gone as loading

Two engines had crashed during their loads and come back under other ids; their flights held both places for 30 s, the longest time of a load. The issuer is now told which engines are gone. Ruled out: a lost lease (it was renewed all the while) and unanswered orders (they end after 1.7 s).

--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -56,6 +56,8 @@
     /// Lease id and fencing number while this VM may be the issuer.
     lease: Option<(Revision, u64)>,
     plan: Plan,
+    /// Engines that the issuer knows.
+    engines: Vec<UpstreamId>,
     /// Number of the last report that the issuer got.
     reports: u64,
     /// Engines that are loading as far as they said.
@@ -146,6 +148,11 @@
     };
     let mut state = edge.orders.state();
     let mut issuer = edge.orders.issuer();
+    let is_listed = |id: &str| reports.iter().any(|(upstream, _)| upstream.id == id);
+    for id in state.engines.iter().filter(|id| !is_listed(id)) {
+        issuer.on_gone(id);
+    }
+    state.engines = reports.iter().map(|(upstream, _)| upstream.id.clone()).collect();
     if plan.targets != state.plan.targets || plan.ranks != state.plan.ranks {
         let version = state.plan.version + 1;
         state.plan = Plan { version, ..plan };
--- a/crates/lw-order/src/issuer/fleet.rs
+++ b/crates/lw-order/src/issuer/fleet.rs
@@ -66,6 +66,13 @@
         self.engines.insert(id.clone(), Engine { report, seen: now });
     }
 
+    pub fn on_gone(&mut self, id: &str) {
+        self.engines.remove(id);
+        self.wrong.remove(id);
+        self.loading.remove(id);
+        self.flights.remove(id);
+    }
+
     /// Starts a new term. An engine that went silent, or has sent no report to this VM, may have an order
     /// of the former issuer and counts as loading until that must be over.
     pub fn take_over(&mut self, now: Now, plan: &Plan, options: &Options) {
--- a/crates/lw-order/src/issuer/mod.rs
+++ b/crates/lw-order/src/issuer/mod.rs
@@ -105,6 +105,11 @@
         self.fleet.on_report(now, report, &self.plan);
     }
 
+    /// An engine does not exist any more, so that it is not loading either.
+    pub fn on_gone(&mut self, engine: &str) {
+        self.fleet.on_gone(engine);
+    }
+
     /// Takes the result of a lease call.
     pub fn on_lease(&mut self, now: Now, op: u64, result: LeaseResult) {
         self.lease.on_result(now, op, result, &self.options);
--- a/crates/lw-order/tests/fleet.rs
+++ b/crates/lw-order/tests/fleet.rs
@@ -61,6 +61,32 @@
     assert_eq!(orders(issuer.tick(ms(3_800)))[0].engine, "e2");
 }
 
+/// Guards against a rollout that waits for the load of an engine that does not exist any more.
+#[test]
+fn an_engine_that_is_gone_does_not_count_as_loading() {
+    let mut issuer = issuer();
+    issuer.set_plan(plan(1, &[("e1", "w2"), ("e2", "w2")]));
+    held_at(&mut issuer, 0);
+    issuer.on_report(ms(1_900), report("e1", 1, "w1"));
+    issuer.on_report(ms(1_900), report("e2", 1, "w1"));
+    assert_eq!(orders(issuer.tick(ms(2_000)))[0].engine, "e1");
+    issuer.on_gone("e1");
+    assert_eq!(orders(issuer.tick(ms(2_100)))[0].engine, "e2");
+}
+
+/// Guards against engines that all load in one failure domain, and against a wait for orders that nobody gave.
+#[test]
+fn the_first_issuer_starts_at_once_with_the_lowest_rank() {
+    let mut issuer = issuer();
+    let ranks = [("e1".to_owned(), 1), ("e2".to_owned(), 0)].into();
+    issuer.set_plan(Plan { ranks, ..plan(1, &[("e1", "w2"), ("e2", "w2")]) });
+    assert_eq!(issuer.tick(ms(0)), [Action::Acquire { op: 1 }]);
+    issuer.on_lease(ms(1), 1, LeaseResult::GrantedFirst(5));
+    issuer.on_report(ms(1), report("e1", 1, "w1"));
+    issuer.on_report(ms(1), report("e2", 1, "w1"));
+    assert_eq!(orders(issuer.tick(ms(2)))[0].engine, "e2");
+}
+
 #[test]
 fn a_reordered_report_is_ignored() {
     let mut issuer = issuer();
