fix(lw-edge): refuse requests that a leaving VM cannot finish

Their VM took requests on new and kept connections until its end, 7.3 s after SIGTERM, while streams take up to 6 s. From 0.35 of the grace time on it now answers 503 with a time to come back at another VM, and closes idle connections. Ruled out: an end before the kill time (the process ended 0.7 s before it, as meant).

New: stand-ins of the platform's store, engines and plain services (lw-standin, hosted) that break the protocol on request, and a VM in tests before them.

--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -8,14 +8,13 @@
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
+    task::JoinSet,
 };
 
 use crate::{follow, orders, peers, register, serve, state::Edge};
 
 /// Time before the kill at which a leaving VM ends, whatever is still open.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
-/// Time in which the balancer has taken a leaving VM out: it asks each second and twice.
-const BALANCER_TIME: Duration = Duration::from_millis(3500);
 /// Pause between two looks at the requests in flight while leaving.
 const LEAVE_POLL: Duration = Duration::from_millis(50);
 /// Bounds on connections until a configuration is known.
@@ -48,28 +47,55 @@
 pub async fn run(settings: VmSettings) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
-    let edge = Arc::new(Edge::new(settings));
-    let callers = bind(edge.settings.callers).await?;
-    let readiness = bind(edge.settings.readiness).await?;
-    log::info!("run: {} starts in {}", edge.settings.vm, edge.settings.failure_domain);
-    tokio::spawn(follow::run(Arc::clone(&edge)));
-    tokio::spawn(register::run(Arc::clone(&edge)));
-    tokio::spawn(peers::run(Arc::clone(&edge)));
-    tokio::spawn(orders::run(Arc::clone(&edge)));
-    tokio::spawn(sweep(Arc::clone(&edge)));
-    let connections = Connections::default();
-    tokio::spawn(serve_callers(Arc::clone(&edge), callers, connections.clone()));
-    tokio::spawn(serve_readiness(Arc::clone(&edge), readiness));
+    let vm = Vm::start(settings).await?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = hangup.recv() => log::info!("run: settings changed; they hold from the next start"),
         }
     }
-    leave(&edge, &connections).await;
+    vm.leave().await;
     Ok(())
 }
 
+/// A running VM; its tasks end when this is dropped.
+#[derive(Debug)]
+pub struct Vm {
+    /// What its requests and tasks share.
+    pub edge: Arc<Edge>,
+    connections: Connections,
+    _tasks: JoinSet<()>,
+}
+
+impl Vm {
+    /// Starts a VM.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound.
+    pub async fn start(settings: VmSettings) -> Result<Self, Error> {
+        let edge = Arc::new(Edge::new(settings));
+        let callers = bind(edge.settings.callers).await?;
+        let readiness = bind(edge.settings.readiness).await?;
+        log::info!("run: {} starts in {}", edge.settings.vm, edge.settings.failure_domain);
+        let connections = Connections::default();
+        let mut tasks = JoinSet::new();
+        tasks.spawn(follow::run(Arc::clone(&edge)));
+        tasks.spawn(register::run(Arc::clone(&edge)));
+        tasks.spawn(peers::run(Arc::clone(&edge)));
+        tasks.spawn(orders::run(Arc::clone(&edge)));
+        tasks.spawn(sweep(Arc::clone(&edge)));
+        tasks.spawn(serve_callers(Arc::clone(&edge), callers, connections.clone()));
+        tasks.spawn(serve_readiness(Arc::clone(&edge), readiness));
+        Ok(Self { edge, connections, _tasks: tasks })
+    }
+
+    /// Serves on while the balancer still sends callers, then ends when no request is in flight.
+    pub async fn leave(self) {
+        leave(&self.edge, &self.connections).await;
+    }
+}
+
 async fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(addr).await.map_err(|source| Error::Listen { addr, source })
 }
@@ -109,7 +135,6 @@
     }
 }
 
-/// Serves on while the balancer still sends callers, then ends when no request is in flight.
 async fn leave(edge: &Arc<Edge>, connections: &Connections) {
     let started = edge.timer.now();
     edge.leave();
@@ -118,7 +143,7 @@
     loop {
         tokio::time::sleep(LEAVE_POLL).await;
         let since = edge.timer.now().saturating_sub(started);
-        if since >= BALANCER_TIME {
+        if edge.is_closed() {
             connections.close_idle();
             if connections.open() == 0 {
                 break;
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -1,6 +1,6 @@
 //! Callers' requests: who calls, on which route, and what becomes of it.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, Uri, header};
@@ -22,6 +22,9 @@
 
 pub use answer::{Answer, OutBody};
 
+/// When to come back if another VM can take the request at once.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// One request of a caller that is to be forwarded.
 #[derive(Debug)]
 pub struct Call {
@@ -92,6 +95,10 @@
     req: Request<Incoming>,
     head: CallerHead,
 ) -> Result<Call, Failure> {
+    if edge.is_closed() {
+        let failure = Failure::new(ResultCode::Draining, "this VM is about to end");
+        return Err(failure.retry_after(ELSEWHERE));
+    }
     let in_flight = edge.enter();
     let arrived = edge.timer.now();
     let (parts, body) = req.into_parts();
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -6,7 +6,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -38,6 +38,9 @@
 const IDLE_UNSTATED: Duration = Duration::from_millis(500);
 /// Time before the stated end of an idle connection at which it is not used any more.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the time between the signal to terminate and the kill in which a leaving VM still takes requests. The
+/// balancer has taken it out by then, and most requests end in the rest.
+const TAKING_PART: f64 = 0.35;
 /// Part of the fleet's retry budget that the VMs use, since each counts for itself.
 const BUDGET_PART: f64 = 0.8;
 
@@ -60,7 +63,7 @@
     /// Orders to engines.
     pub orders: Orders,
     datagrams: OnceLock<Arc<Datagrams>>,
-    is_leaving: AtomicBool,
+    leaving_since: OnceLock<Now>,
     in_flight: AtomicUsize,
 }
 
@@ -87,7 +90,7 @@
             budgets: Mutex::default(),
             orders: Orders::new(&settings.bounds),
             datagrams: OnceLock::new(),
-            is_leaving: AtomicBool::new(false),
+            leaving_since: OnceLock::new(),
             in_flight: AtomicUsize::new(0),
             settings,
         }
@@ -216,12 +219,19 @@
     /// Whether this VM is leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Acquire)
+        self.leaving_since.get().is_some()
+    }
+
+    /// Whether this VM is leaving and its end is too near for further requests.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        let last = self.settings.bounds.grace.mul_f64(TAKING_PART);
+        self.leaving_since.get().is_some_and(|since| self.timer.now() >= *since + last)
     }
 
     /// Marks this VM as leaving.
     pub fn leave(&self) {
-        self.is_leaving.store(true, Ordering::Release);
+        self.leaving_since.get_or_init(|| self.timer.now());
     }
 
     /// Counts a request as in flight until the guard is dropped.
--- /dev/null
+++ b/crates/lw-standin/src/hosted/http.rs
@@ -0,0 +1,207 @@
+//! A small HTTP server whose answers are lists of steps.
+
+use std::{collections::HashMap, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+
+/// Largest head of a request in bytes.
+const HEAD_MAX_BYTES: usize = 64 << 10;
+
+/// One request with its whole body.
+#[derive(Debug, Clone, Default)]
+pub struct Request {
+    /// Method.
+    pub method: String,
+    /// Path with query.
+    pub target: String,
+    /// Headers, names in lower case.
+    pub headers: HashMap<String, String>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Address of the caller.
+    pub from: Option<SocketAddr>,
+}
+
+impl Request {
+    /// Path without the query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// A value of the query, without escapes.
+    #[must_use]
+    pub fn query(&self, name: &str) -> Option<String> {
+        let query = self.target.split_once('?')?.1;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value.replace("%2F", "/"))
+    }
+
+    /// A header.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+}
+
+/// One step of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Sends bytes.
+    Send(Vec<u8>),
+    /// Waits.
+    Wait(Duration),
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+}
+
+/// An answer with a length.
+#[must_use]
+pub fn answer(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<Step> {
+    let mut bytes = head(status, &format!("content-length: {}", body.len()), headers);
+    bytes.extend_from_slice(body);
+    vec![Step::Send(bytes)]
+}
+
+/// The head of an answer in chunks.
+#[must_use]
+pub fn chunked_head(status: u16, headers: &[(&str, &str)]) -> Step {
+    Step::Send(head(status, "transfer-encoding: chunked", headers))
+}
+
+/// The head of an answer, whose first header says how its end is found.
+pub(super) fn head(status: u16, framing: &str, headers: &[(&str, &str)]) -> Vec<u8> {
+    let headers = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+    let headers = headers.collect::<String>();
+    format!("HTTP/1.1 {status} X\r\n{framing}\r\n{headers}\r\n").into_bytes()
+}
+
+/// One chunk; an empty one ends the answer.
+#[must_use]
+pub fn chunk(bytes: &[u8]) -> Step {
+    let mut out = format!("{:x}\r\n", bytes.len()).into_bytes();
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+    Step::Send(out)
+}
+
+/// A running server; it ends when this is dropped.
+#[derive(Debug)]
+pub struct Server {
+    /// Its address.
+    pub addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Serves requests on a free loopback port.
+///
+/// # Errors
+///
+/// When no port can be bound.
+pub async fn serve<F, R>(answer: F) -> io::Result<Server>
+where
+    F: Fn(Request) -> R + Send + Sync + 'static,
+    R: Future<Output = Vec<Step>> + Send,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    let answer = Arc::new(answer);
+    let task = tokio::spawn(async move {
+        // The connections end with this set, and so with the server.
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((stream, from)) = listener.accept().await {
+            let answer = Arc::clone(&answer);
+            connections.spawn(async move {
+                // A connection that breaks is the caller's matter.
+                let _ = connection(stream, from, &*answer).await;
+            });
+            while connections.try_join_next().is_some() {}
+        }
+    });
+    Ok(Server { addr, task })
+}
+
+async fn connection<F, R>(mut stream: TcpStream, from: SocketAddr, answer: &F) -> io::Result<()>
+where
+    F: Fn(Request) -> R,
+    R: Future<Output = Vec<Step>>,
+{
+    stream.set_nodelay(true)?;
+    let mut buf = Vec::new();
+    while let Some(mut request) = read(&mut stream, &mut buf).await? {
+        request.from = Some(from);
+        // A caller that closes its connection ends the work on its request.
+        let steps = tokio::select! {
+            steps = answer(request) => steps,
+            () = closed(&stream) => return Ok(()),
+        };
+        for step in steps {
+            match step {
+                Step::Send(bytes) => stream.write_all(&bytes).await?,
+                Step::Wait(time) => tokio::select! {
+                    () = tokio::time::sleep(time) => {}
+                    () = closed(&stream) => return Ok(()),
+                },
+                Step::Close => return Ok(()),
+                Step::Reset => {
+                    stream.set_zero_linger()?;
+                    return Ok(());
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn closed(stream: &TcpStream) {
+    loop {
+        if !matches!(stream.peek(&mut [0]).await, Ok(1..)) {
+            return;
+        }
+        // Bytes of a further request; it is read after the answer.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn read(stream: &mut TcpStream, buf: &mut Vec<u8>) -> io::Result<Option<Request>> {
+    let end = loop {
+        if let Some(at) = buf.windows(4).position(|window| window == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if buf.len() > HEAD_MAX_BYTES || stream.read_buf(buf).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+    buf.drain(..end);
+    let mut lines = head.lines();
+    let mut first = lines.next().unwrap_or_default().split(' ');
+    let mut request = Request {
+        method: first.next().unwrap_or_default().to_owned(),
+        target: first.next().unwrap_or_default().to_owned(),
+        ..Request::default()
+    };
+    for (name, value) in lines.filter_map(|line| line.split_once(':')) {
+        request.headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    while buf.len() < length {
+        if stream.read_buf(buf).await? == 0 {
+            return Ok(None);
+        }
+    }
+    request.body = buf.drain(..length).collect();
+    Ok(Some(request))
+}
--- /dev/null
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -0,0 +1,321 @@
+//! A stand-in of the platform's store: keys with revisions, leases, watches and conditional writes.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use serde_json::{Value, json};
+use tokio::{sync::Notify, time::Instant};
+
+use super::http::{Request, Server, Step, answer, serve};
+
+/// Changes that are remembered for watches.
+const HISTORY: usize = 4096;
+
+/// How the store treats calls.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers.
+    #[default]
+    Sound,
+    /// It answers 503.
+    Unavailable,
+    /// It resets connections.
+    Reset,
+    /// It does not answer.
+    Silent,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: Vec<u8>,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mode: Mode,
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: HashMap<u64, (Instant, Duration)>,
+    history: Vec<(u64, Value)>,
+    /// Revision up to which the history was dropped.
+    compacted: u64,
+    calls: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct Store {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl Store {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn start() -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let app = Arc::clone(&shared);
+        let server = serve(move |request| call(Arc::clone(&app), request)).await?;
+        Ok(Self { shared, server })
+    }
+
+    /// Its address.
+    #[must_use]
+    pub fn addr(&self) -> std::net::SocketAddr {
+        self.server.addr
+    }
+
+    /// Changes how the store treats calls.
+    pub fn set_mode(&self, mode: Mode) {
+        self.shared.lock().mode = mode;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Writes a key as the operator or an upstream does.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes a key with any bytes.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.shared.lock().write(key, value.to_vec(), 0);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.shared.lock().remove(key);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// The value of a key.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        self.shared.lock().items.get(key).map(|item| item.value.clone())
+    }
+
+    /// Drops the history, so that watches from earlier revisions fail.
+    pub fn compact(&self) {
+        let mut state = self.shared.lock();
+        state.compacted = state.revision;
+        state.history.clear();
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Calls so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let ended: Vec<u64> =
+            state.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
+        for id in ended {
+            state.end_lease(id);
+        }
+        state
+    }
+}
+
+impl State {
+    fn write(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+        self.revision += 1;
+        let revision = self.revision;
+        let created = self.items.get(key).map_or(revision, |item| item.created);
+        let item = Item { value, revision, created, lease };
+        self.record(row(key, &item));
+        self.items.insert(key.to_owned(), item);
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            let revision = self.revision;
+            self.record(json!({ "Key": key, "Revision": revision, "Removed": true }));
+        }
+    }
+
+    fn record(&mut self, event: Value) {
+        self.history.push((self.revision, event));
+        if self.history.len() > HISTORY {
+            let (dropped, _) = self.history.remove(0);
+            self.compacted = dropped;
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<_> =
+            self.items.iter().filter(|(_, i)| i.lease == id).map(|(k, _)| k.clone()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let is_meant = |event: &Value| event["Key"].as_str().unwrap_or("").starts_with(prefix);
+        let newer = self.history.iter().filter(|(revision, _)| *revision > after);
+        newer.filter(|(_, event)| is_meant(event)).map(|(_, event)| event.clone()).collect()
+    }
+}
+
+fn row(key: &str, item: &Item) -> Value {
+    json!({
+        "Key": key,
+        "Value": STANDARD.encode(&item.value),
+        "Revision": item.revision,
+        "Created": item.created,
+        "Lease": item.lease,
+    })
+}
+
+fn reply(status: u16, body: &Value) -> Vec<Step> {
+    answer(status, &[("content-type", "application/json")], body.to_string().as_bytes())
+}
+
+async fn call(shared: Arc<Shared>, request: Request) -> Vec<Step> {
+    let mode = {
+        let mut state = shared.lock();
+        state.calls += 1;
+        state.mode
+    };
+    match mode {
+        Mode::Sound => {}
+        Mode::Unavailable => return reply(503, &json!({})),
+        Mode::Reset => return vec![Step::Reset],
+        Mode::Silent => return silent(&shared).await,
+    }
+    match (request.method.as_str(), request.path()) {
+        ("GET", "/api/kv-range") => range(&shared, &request),
+        ("GET", "/api/kv-watch") => watch(&shared, &request).await,
+        ("POST", "/api/kv-txn") => write(&shared, &request),
+        ("POST", "/api/kv-lease") => lease(&shared, &request),
+        ("POST", path) if path.starts_with("/api/kv-keep/") => keep(&shared, path),
+        ("DELETE", path) if path.starts_with("/api/kv-lease-end/") => {
+            shared.lock().end_lease(last_number(path));
+            shared.changed.notify_waiters();
+            reply(200, &json!({}))
+        }
+        _ => reply(404, &json!({})),
+    }
+}
+
+async fn silent(shared: &Shared) -> Vec<Step> {
+    while shared.lock().mode == Mode::Silent {
+        shared.changed.notified().await;
+    }
+    vec![Step::Reset]
+}
+
+fn range(shared: &Shared, request: &Request) -> Vec<Step> {
+    let state = shared.lock();
+    let prefix = request.query("Prefix").unwrap_or_default();
+    let items = state.items.iter().filter(|(key, _)| key.starts_with(&prefix));
+    let items: Vec<_> = items.map(|(key, item)| row(key, item)).collect();
+    reply(200, &json!({ "items": items, "MorePages": false, "AsOf": state.revision }))
+}
+
+async fn watch(shared: &Shared, request: &Request) -> Vec<Step> {
+    let prefix = request.query("Prefix").unwrap_or_default();
+    let number = |name| request.query(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let after = number("after");
+    let end = Instant::now() + Duration::from_millis(number("WaitMs"));
+    loop {
+        let changed = shared.changed.notified();
+        {
+            let state = shared.lock();
+            if state.mode != Mode::Sound {
+                return vec![Step::Reset];
+            }
+            if after < state.compacted {
+                return reply(410, &json!({}));
+            }
+            let events = state.events(&prefix, after);
+            if !events.is_empty() || Instant::now() >= end {
+                return reply(200, &json!({ "Events": events, "AsOf": state.revision }));
+            }
+        }
+        // Leases end without a notice, so the state is looked at now and then.
+        let _ = tokio::time::timeout(Duration::from_millis(20), changed).await;
+    }
+}
+
+fn write(shared: &Shared, request: &Request) -> Vec<Step> {
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    let mut state = shared.lock();
+    let holds = |row: &Value| {
+        let key = row["Key"].as_str().unwrap_or_default();
+        row["Revision"].as_u64() == Some(state.items.get(key).map_or(0, |item| item.revision))
+    };
+    if !rows("Expected").iter().all(holds) {
+        return reply(412, &json!({ "items": [] }));
+    }
+    let has_lease = |row: &Value| {
+        let lease = row["Lease"].as_u64().unwrap_or(0);
+        lease == 0 || state.leases.contains_key(&lease)
+    };
+    if !rows("Writes").iter().all(has_lease) {
+        return reply(404, &json!({}));
+    }
+    for row in rows("Writes") {
+        let value = STANDARD.decode(row["Value"].as_str().unwrap_or_default()).unwrap_or_default();
+        let lease = row["Lease"].as_u64().unwrap_or(0);
+        state.write(row["Key"].as_str().unwrap_or_default(), value, lease);
+    }
+    for key in rows("Remove") {
+        state.remove(key.as_str().unwrap_or_default());
+    }
+    let revision = state.revision;
+    drop(state);
+    shared.changed.notify_waiters();
+    reply(200, &json!({ "Revision": revision }))
+}
+
+fn lease(shared: &Shared, request: &Request) -> Vec<Step> {
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let ttl = body["TtlMs"].as_u64().unwrap_or(0);
+    let mut state = shared.lock();
+    state.revision += 1;
+    let id = state.revision;
+    let ttl_time = Duration::from_millis(ttl);
+    state.leases.insert(id, (Instant::now() + ttl_time, ttl_time));
+    reply(200, &json!({ "Lease": id, "TtlMs": ttl }))
+}
+
+fn keep(shared: &Shared, path: &str) -> Vec<Step> {
+    let mut state = shared.lock();
+    let Some((end, ttl)) = state.leases.get_mut(&last_number(path)) else {
+        return reply(404, &json!({}));
+    };
+    *end = Instant::now() + *ttl;
+    let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+    reply(200, &json!({ "TtlMs": ttl_ms }))
+}
+
+fn last_number(path: &str) -> u64 {
+    path.rsplit('/').next().and_then(|text| text.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -0,0 +1,301 @@
+//! Stand-ins of plain services and model engines.
+
+use std::{
+    collections::VecDeque,
+    io,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+
+use super::http::{Request, Server, Step, answer, chunk, chunked_head, head, serve};
+
+/// What an upstream does with a request.
+#[derive(Debug, Clone, Default)]
+pub enum Behaviour {
+    /// It answers with the body `ok`, or with a stream of five events.
+    #[default]
+    Sound,
+    /// It answers after a time.
+    Slow(Duration),
+    /// It states that it did not run the request.
+    Reject,
+    /// It answers with this status and runs the request.
+    Status(u16),
+    /// It does not answer.
+    Silent,
+    /// It resets the connection without an answer.
+    Reset,
+    /// It sends this many events, then half of one, and resets the connection.
+    Torn(u64),
+    /// It sends events with a pause before each.
+    Paced(Duration),
+    /// It sends an answer of another request.
+    Foreign,
+    /// It answers twice.
+    Twice,
+    /// It sends an answer without a length and ends it by closing the connection.
+    Unframed,
+    /// It sends an answer without a length and resets the connection in the middle.
+    UnframedReset,
+    /// It sends less than it announced.
+    Short,
+    /// It sends bytes that are no answer.
+    Garbage,
+}
+
+/// A request that an upstream got.
+#[derive(Debug, Clone)]
+pub struct Received {
+    /// The request.
+    pub request: Request,
+    /// Whether it ran.
+    pub ran: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    next: VecDeque<Behaviour>,
+    always: Behaviour,
+    received: Vec<Received>,
+    version: u64,
+    pending: Option<(u64, tokio::time::Instant)>,
+    orders: u64,
+}
+
+/// A running upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Its id.
+    pub id: String,
+    state: Arc<Mutex<State>>,
+    server: Server,
+}
+
+/// Model that the stand-ins of engines serve.
+pub const MODEL: &str = "m";
+/// Time of a load of weights.
+const LOAD_TIME: Duration = Duration::from_millis(200);
+/// Events of one stream.
+pub const EVENTS: u64 = 5;
+
+impl Upstream {
+    /// Starts an upstream with this id that serves version 1 of [`MODEL`].
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn start(id: &str) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State { version: 1, ..State::default() }));
+        let (app, name) = (Arc::clone(&state), id.to_owned());
+        let server = serve(move |request| {
+            let steps = call(&app, &name, &request);
+            async move { steps }
+        });
+        Ok(Self { id: id.to_owned(), state, server: server.await? })
+    }
+
+    /// Its address.
+    #[must_use]
+    pub fn addr(&self) -> std::net::SocketAddr {
+        self.server.addr
+    }
+
+    /// Its entry in the registry.
+    #[must_use]
+    pub fn entry(&self, service: &str, zone: &str) -> Value {
+        let version = lock(&self.state).version;
+        json!({
+            "Service": service,
+            "Address": self.addr().to_string(),
+            "Zone": zone,
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Stage": "colocated",
+            "Models": [{ "Name": MODEL, "Version": version, "Adapters": [] }],
+            "Seq": 1,
+            "born": 1_700_000_000_000_u64,
+        })
+    }
+
+    /// What it does with all requests from now on.
+    pub fn always(&self, behaviour: Behaviour) {
+        lock(&self.state).always = behaviour;
+    }
+
+    /// What it does with the next request.
+    pub fn next(&self, behaviour: Behaviour) {
+        lock(&self.state).next.push_back(behaviour);
+    }
+
+    /// The callers' requests that it got.
+    #[must_use]
+    pub fn received(&self) -> Vec<Received> {
+        lock(&self.state).received.clone()
+    }
+
+    /// Version of the weights that it serves.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        lock(&self.state).now()
+    }
+}
+
+impl State {
+    /// Ends a load whose time is over, and returns the version that is served.
+    fn now(&mut self) -> u64 {
+        if let Some((version, done)) = self.pending
+            && tokio::time::Instant::now() >= done
+        {
+            self.version = version;
+            self.pending = None;
+        }
+        self.version
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn call(state: &Mutex<State>, id: &str, request: &Request) -> Vec<Step> {
+    let expected = request.header("x-expect-instance");
+    if expected.is_some_and(|expected| expected != id) {
+        return answer(421, &[("x-instance-id", id)], b"");
+    }
+    match (request.method.as_str(), request.path()) {
+        ("GET", "/api/report") => report(state),
+        ("POST", "/api/order") => order(state, request),
+        ("GET", "/api/kv-events") => {
+            let body = json!({ "BootEpoch": 1, "NextToken": 1, "Lost": false, "Events": [] });
+            let mut steps = vec![Step::Wait(Duration::from_millis(200))];
+            steps.extend(answer(200, &[], body.to_string().as_bytes()));
+            steps
+        }
+        _ => run(state, id, request),
+    }
+}
+
+fn report(state: &Mutex<State>) -> Vec<Step> {
+    let mut state = lock(state);
+    let version = state.now();
+    let body = json!({
+        "Models": [{ "Name": MODEL, "Version": version, "Adapters": [] }],
+        "Busy": state.pending.is_some(),
+        "Seq": state.orders,
+    });
+    answer(200, &[], body.to_string().as_bytes())
+}
+
+fn order(state: &Mutex<State>, request: &Request) -> Vec<Step> {
+    let mut state = lock(state);
+    state.now();
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    if state.pending.is_some() || body["Expected"].as_u64() != Some(state.orders) {
+        return answer(409, &[], b"");
+    }
+    state.orders += 1;
+    let done = tokio::time::Instant::now() + LOAD_TIME;
+    state.pending = Some((body["Version"].as_u64().unwrap_or(0), done));
+    answer(202, &[], b"")
+}
+
+fn run(state: &Mutex<State>, id: &str, request: &Request) -> Vec<Step> {
+    let mut state = lock(state);
+    let version = state.now();
+    let behaviour = state.next.pop_front().unwrap_or_else(|| state.always.clone());
+    let expected = request.header("x-expect-version").and_then(|text| text.parse().ok());
+    let is_rejected = expected.is_some_and(|expected: u64| expected != version)
+        || state.pending.is_some()
+        || matches!(behaviour, Behaviour::Reject);
+    state.received.push(Received { request: request.clone(), ran: !is_rejected });
+    drop(state);
+    if is_rejected {
+        return answer(503, &[("x-not-executed", "1")], b"");
+    }
+    let attempt = request.header("x-attempt-id").unwrap_or_default();
+    let version = version.to_string();
+    let headers =
+        [("x-attempt-id", attempt), ("x-response-seal", id), ("x-weight-versions", &version)];
+    behave(&behaviour, &headers, request)
+}
+
+fn behave(behaviour: &Behaviour, headers: &[(&str, &str)], request: &Request) -> Vec<Step> {
+    let sound = || whole(headers, request);
+    match behaviour {
+        Behaviour::Sound | Behaviour::Reject => sound(),
+        Behaviour::Slow(time) => [vec![Step::Wait(*time)], sound()].concat(),
+        Behaviour::Status(status) => answer(*status, headers, b"failed"),
+        Behaviour::Silent => vec![Step::Wait(Duration::from_secs(60))],
+        Behaviour::Reset => vec![Step::Reset],
+        Behaviour::Torn(events) => torn(*events, headers, request),
+        Behaviour::Paced(pause) => stream(headers, request, *pause),
+        Behaviour::Foreign => {
+            let other = [("x-attempt-id", "another"), ("x-response-seal", "another")];
+            answer(200, &other, b"another")
+        }
+        Behaviour::Twice => [sound(), sound()].concat(),
+        Behaviour::Unframed => unframed(headers, Step::Close),
+        Behaviour::UnframedReset => {
+            [unframed(headers, Step::Wait(Duration::from_millis(30))), vec![Step::Reset]].concat()
+        }
+        Behaviour::Short => {
+            let mut steps = answer(200, headers, b"whole answer");
+            if let Some(Step::Send(bytes)) = steps.first_mut() {
+                bytes.truncate(bytes.len() - 3);
+            }
+            steps.push(Step::Close);
+            steps
+        }
+        Behaviour::Garbage => vec![Step::Send(b"\x00\x01 no answer\r\n\r\n".to_vec())],
+    }
+}
+
+fn is_stream(request: &Request) -> bool {
+    request.header("x-model").is_some()
+}
+
+fn whole(headers: &[(&str, &str)], request: &Request) -> Vec<Step> {
+    if is_stream(request) {
+        return stream(headers, request, Duration::ZERO);
+    }
+    answer(200, headers, b"ok")
+}
+
+fn unframed(headers: &[(&str, &str)], last: Step) -> Vec<Step> {
+    let head = head(200, "connection: close", headers);
+    vec![Step::Send([&head[..], b"ok"].concat()), last]
+}
+
+/// An event of a stream.
+#[must_use]
+pub fn event(id: u64) -> Vec<u8> {
+    format!("id: {id}\ndata: piece {id}\n\n").into_bytes()
+}
+
+fn first_event(request: &Request) -> u64 {
+    request.header("last-event-id").and_then(|text| text.parse::<u64>().ok()).map_or(1, |id| id + 1)
+}
+
+fn stream(headers: &[(&str, &str)], request: &Request, pause: Duration) -> Vec<Step> {
+    let mut steps = vec![chunked_head(200, headers)];
+    for id in first_event(request)..=EVENTS {
+        steps.push(Step::Wait(pause));
+        steps.push(chunk(&event(id)));
+    }
+    steps.push(chunk(b""));
+    steps
+}
+
+fn torn(events: u64, headers: &[(&str, &str)], request: &Request) -> Vec<Step> {
+    let first = first_event(request);
+    let mut steps = vec![chunked_head(200, headers)];
+    steps.extend((first..first + events).map(|id| chunk(&event(id))));
+    steps.push(chunk(&event(first + events)[..7]));
+    steps.push(Step::Wait(Duration::from_millis(30)));
+    steps.push(Step::Reset);
+    steps
+}
--- a/crates/lw-standin/src/lib.rs
+++ b/crates/lw-standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod args;
 pub mod client;
 pub mod engine;
+pub mod hosted;
 pub mod load;
 pub mod platform;
 pub mod serve;
