feat(lw-edge): urgent routes first at the engines, orders that overlap the end of loads

All workspaces have the same rank, so the engines queued short requests behind long ones. The rank sent to an engine is now the workspace's first and the route's within it. Ruled out: the route's rank alone, since a workspace's goes first.

Orders: the next engine is ordered when the load before should be over, and an accepted order counts as a load until a report shows its end; before, an engine got the same order twice. Expired weights are not used while any engine has newer ones.

--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -33,10 +33,13 @@
 const QUIET_TIME: Duration = Duration::from_millis(120);
 /// Time for which an engine gets no new work unless it is known to serve the new weights before.
 const HOLD_TIME: Duration = Duration::from_secs(6);
-/// Time after an order before its engine is asked for the first time whether it serves the new weights.
+/// Least time after an order before its engine is asked for the first time whether it serves the new weights. Later
+/// on it is the time that the last load took.
 const FIRST_POLL: Duration = Duration::from_millis(500);
 /// Time between two such questions.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
+/// Usual time from the end of a load to the report that shows it.
+const REPORT_DELAY: Duration = Duration::from_millis(250);
 /// Part of a service's engines that load at once. Their loads must end within a part of the time in which all engines
 /// must serve a new version, while the others carry the load.
 const LOADING_PART: usize = 6;
@@ -63,6 +66,8 @@
     /// Engines that are loading as far as they said.
     loading: HashMap<UpstreamId, bool>,
     last_order: Option<Now>,
+    /// Time from the last order that took effect to the end of its load, which grows while too many load at once.
+    load_time: Option<Duration>,
     /// Orders that engines have accepted in their present runs, as far as all came from this VM.
     accepted: HashMap<(UpstreamId, Incarnation), u64>,
 }
@@ -89,6 +94,24 @@
         Self { issuer: Mutex::new(Issuer::new(options.clone())), options, state: Mutex::default() }
     }
 
+    /// Remembers what an answer says about the orders that an engine has accepted.
+    fn answered(&self, upstream: &Upstream, reaction: Reaction, expected_orders: u64) {
+        let mut state = self.state();
+        if reaction == Reaction::Accepted {
+            state.accepted.insert(run_of(upstream), expected_orders + 1);
+            state.loading.insert(upstream.id.clone(), true);
+        } else {
+            state.accepted.remove(&run_of(upstream));
+        }
+    }
+
+    /// Learns how long a load takes, from an order to the report that showed it.
+    fn loaded(&self, time: Duration) {
+        // The next engine goes quiet while the load before ends.
+        let time = time.saturating_sub(REPORT_DELAY);
+        self.state().load_time = Some(time);
+    }
+
     fn issuer(&self) -> MutexGuard<'_, Issuer> {
         self.issuer.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -143,7 +166,7 @@
             state.models.values().filter_map(|model| model.version.parse::<u64>().ok()).min()
         };
         let ranks = ranks(&engines, oldest);
-        let plan = Plan { version: 0, targets, minimums: BTreeMap::new(), ranks, loading_max };
+        let plan = Plan { targets, ranks, loading_max, ..Plan::default() };
         (plan, reports)
     };
     let mut state = edge.orders.state();
@@ -153,7 +176,9 @@
         issuer.on_gone(id);
     }
     state.engines = reports.iter().map(|(upstream, _)| upstream.id.clone()).collect();
-    if plan.targets != state.plan.targets || plan.ranks != state.plan.ranks {
+    let plan = Plan { load_time: state.load_time, ..plan };
+    let has_changed = Plan { version: state.plan.version, ..plan.clone() } != state.plan;
+    if has_changed {
         let version = state.plan.version + 1;
         state.plan = Plan { version, ..plan };
         issuer.set_plan(state.plan.clone());
@@ -327,13 +352,11 @@
             edge.orders.issuer().on_refused(now, order.fence);
         }
         Ok(reaction) => {
-            if reaction == Reaction::Accepted {
-                edge.orders.state().accepted.insert(run_of(upstream), expected_orders + 1);
-            } else {
-                edge.orders.state().accepted.remove(&run_of(upstream));
-            }
+            edge.orders.answered(upstream, reaction, expected_orders);
             log::info!("order: {id} to version {version} of {model}: {reaction}");
-            poll(edge, upstream, model, version).await;
+            if poll(edge, upstream, model, version).await && reaction == Reaction::Accepted {
+                edge.orders.loaded(edge.timer.now_suspended().saturating_sub(now));
+            }
         }
         Err(e) => {
             edge.orders.state().accepted.remove(&run_of(upstream));
@@ -360,9 +383,10 @@
     }
 }
 
-/// Asks an engine until it serves the new weights.
-async fn poll(edge: &Arc<Edge>, upstream: &Upstream, model: &str, version: u64) {
-    tokio::time::sleep(FIRST_POLL).await;
+/// Asks an engine until it serves the new weights; returns whether it does.
+async fn poll(edge: &Arc<Edge>, upstream: &Upstream, model: &str, version: u64) -> bool {
+    let load_time = edge.orders.state().load_time;
+    tokio::time::sleep(load_time.map_or(FIRST_POLL, |time| time.max(FIRST_POLL))).await;
     let until = edge.timer.now() + edge.orders.options.load_max;
     while edge.timer.now() < until && edge.known().directory.get(&upstream.id).is_some() {
         match edge.engines.report(upstream.addr, &upstream.id).await {
@@ -380,14 +404,18 @@
                         upstream.id,
                         loaded.version
                     );
-                    return peers::tell(edge, news).await;
+                    edge.orders.state().loading.remove(&upstream.id);
+                    peers::tell(edge, news).await;
+                    return true;
                 }
                 if !report.is_loading {
-                    return;
+                    return false;
                 }
             }
             Err(e) => log::debug!("order: {} does not report: {e}", upstream.id),
         }
         tokio::time::sleep(POLL_PERIOD).await;
     }
+    edge.orders.state().loading.remove(&upstream.id);
+    false
 }
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -148,8 +148,14 @@
     }
 }
 
+/// Rank at the engine: the workspace's goes before the route's.
 fn priority(call: &Call) -> u8 {
     const LEAST: u8 = 9;
+    const ROUTE_RANKS: u8 = 3;
+    let route = call.route.priority;
     let workspace = call.workspace.as_ref().and_then(|workspace| workspace.priority);
-    workspace.unwrap_or(call.route.priority).min(LEAST)
+    let rank = workspace.map_or(route, |workspace| {
+        workspace.saturating_mul(ROUTE_RANKS).saturating_add(route.min(ROUTE_RANKS - 1))
+    });
+    rank.min(LEAST)
 }
--- a/crates/lw-order/src/issuer/fleet.rs
+++ b/crates/lw-order/src/issuer/fleet.rs
@@ -92,12 +92,14 @@
     }
 
     /// Engines that are loading or may be.
-    pub fn loading(&self, now: Now, options: &Options) -> usize {
+    pub fn loading(&self, now: Now, plan: &Plan, options: &Options) -> usize {
         let reported = self.loading.iter().filter(|id| {
             let may_load = now < self.engines[*id].seen + options.load_max;
             may_load && !self.flights.contains_key(*id)
         });
-        self.flights.len() + reported.count()
+        let is_over =
+            |flight: &&Flight| plan.load_time.is_some_and(|time| now >= flight.sent + time);
+        self.flights.values().filter(|flight| !is_over(flight)).count() + reported.count()
     }
 
     /// Engines that are not in their desired state, with the reason.
@@ -134,7 +136,7 @@
         }
         let mut orders = Vec::new();
         while self.sent.len() < options.store_loads
-            && self.loading(now, options) < plan.loading_max.unwrap_or(options.loading_max)
+            && self.loading(now, plan, options) < plan.loading_max.unwrap_or(options.loading_max)
             && now >= self.next_search
         {
             let Some(id) = self.choose(now, plan, options) else {
--- a/crates/lw-order/src/issuer/mod.rs
+++ b/crates/lw-order/src/issuer/mod.rs
@@ -149,7 +149,7 @@
         Status {
             version: self.plan.version,
             fence: self.lease.term(now).map(|term| term.fence),
-            loading: self.fleet.loading(now, &self.options),
+            loading: self.fleet.loading(now, &self.plan, &self.options),
             remaining: remaining.map(|(id, reason)| (id.clone(), reason)).collect(),
         }
     }
--- a/crates/lw-order/src/plan.rs
+++ b/crates/lw-order/src/plan.rs
@@ -1,6 +1,6 @@
 //! The desired state of all engines, from the operators' configuration.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use lw_config::document::{Document, UpstreamKind};
 use lw_types::prelude::*;
@@ -20,6 +20,9 @@
     pub ranks: BTreeMap<UpstreamId, usize>,
     /// Engines that load at once, if it is not [`crate::options::Options::loading_max`].
     pub loading_max: Option<usize>,
+    /// Time from the decision for an order to the end of its load, if it is known. The next engine is then ordered
+    /// when a load should be over, not when a late report shows it.
+    pub load_time: Option<Duration>,
 }
 
 impl Plan {
--- a/crates/lw-order/tests/fleet.rs
+++ b/crates/lw-order/tests/fleet.rs
@@ -74,6 +74,23 @@
     assert_eq!(orders(issuer.tick(ms(2_100)))[0].engine, "e2");
 }
 
+/// Guards against a pause between two loads in which no engine loads, since reports come late.
+#[test]
+fn the_next_load_starts_when_the_one_before_should_be_over() {
+    let mut issuer = issuer();
+    let targets = [("e1", "w2"), ("e2", "w2"), ("e3", "w2")];
+    issuer.set_plan(Plan { load_time: Some(ms(1_800)), ..plan(1, &targets) });
+    held_at(&mut issuer, 0);
+    for id in ["e1", "e2", "e3"] {
+        issuer.on_report(ms(1_900), report(id, 1, "w1"));
+    }
+    assert_eq!(orders(issuer.tick(ms(2_000)))[0].engine, "e1");
+    assert!(orders(issuer.tick(ms(3_750))).is_empty());
+    assert_eq!(orders(issuer.tick(ms(3_800)))[0].engine, "e2");
+    // Nobody has heard from the first engine yet, and it is not ordered again.
+    assert!(orders(issuer.tick(ms(3_900))).is_empty());
+}
+
 /// Guards against engines that all load in one failure domain, and against a wait for orders that nobody gave.
 #[test]
 fn the_first_issuer_starts_at_once_with_the_lowest_rank() {
--- a/crates/lw-place/src/fleet/choose.rs
+++ b/crates/lw-place/src/fleet/choose.rs
@@ -22,10 +22,11 @@
     ///
     /// Why none can take it.
     pub fn choose(&self, now: Now, ask: &Ask<'_>) -> Result<Choice, Refusal> {
-        let ready = self.members.values().filter(|m| m.upstream.stage == Stage::Ready);
-        let open = ready.filter(|m| !ask.tried.contains(&m.upstream.id) && now >= m.hold_until);
+        let ready = || self.members.values().filter(|m| m.upstream.stage == Stage::Ready);
+        let open = ready().filter(|m| !ask.tried.contains(&m.upstream.id) && now >= m.hold_until);
         let mut open: Vec<_> = open.collect();
-        if open.iter().any(|member| !self.is_expired(now, ask, member)) {
+        // Without any engine that serves newer weights the rollout is stuck, and old answers are better than none.
+        if ready().any(|member| !self.is_expired(now, ask, member)) {
             open.retain(|member| !self.is_expired(now, ask, member));
         }
         if open.is_empty() {
--- a/crates/lw-place/tests/versions.rs
+++ b/crates/lw-place/tests/versions.rs
@@ -29,6 +29,22 @@
     }
 }
 
+/// Guards against a fall back to expired weights while the engines with newer ones are not open.
+#[test]
+fn expired_weights_are_not_used_while_another_engine_has_newer_ones() {
+    let mut fleet = fleet();
+    fleet.put(&engine("e1", "m", 1));
+    fleet.put(&engine("e2", "m", 2));
+    fleet.want(ms(0), "m", 2);
+    fleet.hold("e2", ms(12_000));
+    let prompt = prompt("m");
+    assert!(fleet.choose(ms(9_900), &ask(&prompt)).is_ok());
+    assert!(fleet.choose(ms(10_100), &ask(&prompt)).is_err());
+    // With no newer weights anywhere the old ones are used on.
+    fleet.remove("e2");
+    assert!(fleet.choose(ms(10_200), &ask(&prompt)).is_ok());
+}
+
 #[test]
 fn news_about_an_engine_ends_its_hold() {
     let mut fleet = fleet();
