feat(lw-place): model the engines' queues, announce large requests to the other VMs

Now each VM announces its large requests (sent, first event, end) to the others, an engine's queue is modelled by rank with a speed learnt from first events, memory that is short counts as the wait until requests end, views of caches are bounded by the room of their holder, and any holder is a source, chosen by the end of the transfer on both links. Ruled out: stated loads alone (they come with answers, 0.1 to 2 s late).

--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -317,7 +317,7 @@
             continue;
         }
         let ms = u64::try_from(HOLD_TIME.as_millis()).unwrap_or(u64::MAX);
-        peers::tell(&edge, News::Hold { upstream: upstream.id.clone(), ms }).await;
+        peers::tell(&edge, News::Hold { upstream: upstream.id.clone(), ms });
         tokio::time::sleep(QUIET_TIME).await;
         if edge.timer.now_suspended() >= order.send_before {
             log::warn!("order: {} not sent, its time has passed", order.engine);
@@ -405,7 +405,7 @@
                         loaded.version
                     );
                     edge.orders.state().loading.remove(&upstream.id);
-                    peers::tell(edge, news).await;
+                    peers::tell(edge, news);
                     return true;
                 }
                 if !report.is_loading {
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use lw_place::{Announced, Ended, Ticket};
 use lw_transport::datagram::Datagrams;
 use lw_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -20,6 +21,52 @@
     pub news: News,
 }
 
+/// An attempt as it is announced.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SentWire {
+    upstream: UpstreamId,
+    ticket: u64,
+    tokens: u64,
+    to_read: u64,
+    output_tokens: u64,
+    rank: u8,
+    parts: Vec<(u64, u64)>,
+    fetch_ms: u64,
+    is_saved: bool,
+}
+
+impl From<&Announced> for SentWire {
+    fn from(sent: &Announced) -> Self {
+        Self {
+            upstream: sent.upstream.clone(),
+            ticket: sent.ticket,
+            tokens: sent.tokens,
+            to_read: sent.to_read,
+            output_tokens: sent.output_tokens,
+            rank: sent.rank,
+            parts: sent.parts.clone(),
+            fetch_ms: u64::try_from(sent.fetch_time.as_millis()).unwrap_or(u64::MAX),
+            is_saved: sent.is_saved,
+        }
+    }
+}
+
+impl From<&SentWire> for Announced {
+    fn from(sent: &SentWire) -> Self {
+        Self {
+            upstream: sent.upstream.clone(),
+            ticket: sent.ticket,
+            tokens: sent.tokens,
+            to_read: sent.to_read,
+            output_tokens: sent.output_tokens,
+            rank: sent.rank,
+            parts: sent.parts.clone(),
+            fetch_time: Duration::from_millis(sent.fetch_ms),
+            is_saved: sent.is_saved,
+        }
+    }
+}
+
 /// What a VM tells the others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum News {
@@ -30,6 +77,24 @@
         /// For how long, in milliseconds.
         ms: u64,
     },
+    /// A large request was sent to an engine.
+    Sent(SentWire),
+    /// Its first event came.
+    Started {
+        /// The engine.
+        upstream: UpstreamId,
+        /// Number of the attempt at the VM that sent it.
+        ticket: u64,
+    },
+    /// It ended.
+    Ended {
+        /// The engine.
+        upstream: UpstreamId,
+        /// Number of the attempt at the VM that sent it.
+        ticket: u64,
+        /// Whether its answer is complete.
+        is_complete: bool,
+    },
     /// An engine serves a version of a model's weights.
     Serves {
         /// The engine.
@@ -71,27 +136,64 @@
 
 fn take(edge: &Edge, message: &Message) {
     let now = edge.timer.now();
+    let vm = &message.vm;
     let mut fleets = edge.fleets();
     for fleet in fleets.values_mut() {
         match &message.news {
             News::Hold { upstream, ms } => fleet.hold(upstream, now + Duration::from_millis(*ms)),
             News::Serves { upstream, model, version } => fleet.serves(upstream, model, *version),
+            News::Sent(sent) => fleet.announced(now, vm, &sent.into()),
+            News::Started { upstream, ticket } => fleet.announced_start(now, vm, upstream, *ticket),
+            News::Ended { upstream, ticket, is_complete } => {
+                let how = if *is_complete { Ended::Complete } else { Ended::Failed };
+                fleet.announced_end(vm, upstream, *ticket, how);
+            }
         }
     }
 }
 
+/// What is announced about an attempt.
+#[derive(Debug, Clone, Copy)]
+pub enum Announcement<'a> {
+    /// It was sent.
+    Sent(&'a Announced),
+    /// Its first event came.
+    Started(&'a str, Ticket),
+    /// It ended.
+    Ended(&'a str, Ticket, Ended),
+}
+
+/// Announces an attempt to the other VMs without waiting; a message that cannot be sent now is left out.
+pub fn announce(edge: &Edge, announcement: Announcement<'_>) {
+    let news = match announcement {
+        Announcement::Sent(sent) => News::Sent(sent.into()),
+        Announcement::Started(upstream, ticket) => {
+            News::Started { upstream: upstream.to_owned(), ticket }
+        }
+        Announcement::Ended(upstream, ticket, how) => {
+            let is_complete = how == Ended::Complete;
+            News::Ended { upstream: upstream.to_owned(), ticket, is_complete }
+        }
+    };
+    send(edge, news);
+}
+
 /// Tells the other VMs, and takes the news itself.
-pub async fn tell(edge: &Edge, news: News) {
+pub fn tell(edge: &Edge, news: News) {
+    take(edge, &Message { vm: edge.settings.vm.clone(), news: news.clone() });
+    send(edge, news);
+}
+
+fn send(edge: &Edge, news: News) {
     let message = Message { vm: edge.settings.vm.clone(), news };
-    take(edge, &message);
     let Some(datagrams) = edge.datagrams() else { return };
     let bytes = match rmp_serde::to_vec(&message) {
         Ok(bytes) => bytes,
         Err(e) => return log::error!("member: message not encoded: {e}"),
     };
-    let vms = edge.known().vms();
-    for (vm, entry) in vms.iter().filter(|(vm, _)| *vm != edge.settings.vm) {
-        if let Err(e) = datagrams.send(entry.addr, &bytes).await {
+    let datagram = datagrams.seal(&bytes);
+    for (vm, entry) in edge.known().vms().filter(|(vm, _)| **vm != edge.settings.vm) {
+        if let Err(e) = datagrams.try_send(entry.addr, &datagram) {
             log::debug!("member: no message to {vm}: {e}");
         }
     }
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -9,7 +9,10 @@
 use lw_platform::headers::{self, Forwarding};
 
 use super::Call;
-use crate::state::Edge;
+use crate::{
+    peers::{self, Announcement},
+    state::Edge,
+};
 
 /// What came of sending a request.
 #[derive(Debug)]
@@ -39,6 +42,8 @@
     call: Arc<Call>,
     choice: Choice,
     ticket: Ticket,
+    /// Whether the other VMs know of it.
+    is_announced: bool,
     is_over: bool,
 }
 
@@ -47,14 +52,29 @@
     pub fn begin(edge: &Arc<Edge>, call: &Arc<Call>, choice: Choice) -> Self {
         let now = edge.timer.now();
         let sent = |fleet: &mut lw_place::Fleet| fleet.sent(now, &choice, call.prompt.as_ref());
-        let ticket = edge.with_fleet(&call.service, sent).unwrap_or_default();
-        Self { edge: Arc::clone(edge), call: Arc::clone(call), choice, ticket, is_over: false }
+        let (ticket, announced) = edge.with_fleet(&call.service, sent).unwrap_or_default();
+        if let Some(announced) = &announced {
+            peers::announce(edge, Announcement::Sent(announced));
+        }
+        let is_announced = announced.is_some();
+        Self {
+            edge: Arc::clone(edge),
+            call: Arc::clone(call),
+            choice,
+            ticket,
+            is_announced,
+            is_over: false,
+        }
     }
 
     /// The first event or the head of the answer came.
     pub fn started(&self) {
         let id = &self.choice.upstream.id;
-        self.edge.with_fleet(&self.call.service, |fleet| fleet.started(id, self.ticket));
+        let now = self.edge.timer.now();
+        self.edge.with_fleet(&self.call.service, |fleet| fleet.started(now, id, self.ticket));
+        if self.is_announced {
+            peers::announce(&self.edge, Announcement::Started(id, self.ticket));
+        }
     }
 
     /// Ends the attempt.
@@ -69,6 +89,9 @@
         let now = self.edge.timer.now();
         let id = &self.choice.upstream.id;
         self.edge.with_fleet(&self.call.service, |fleet| fleet.ended(now, id, self.ticket, how));
+        if self.is_announced {
+            peers::announce(&self.edge, Announcement::Ended(id, self.ticket, how));
+        }
     }
 
     /// Sends the request, from the event after `last_event` on if there is one.
@@ -106,7 +129,7 @@
                 deadline: left,
                 workspace: workspace.map(|workspace| workspace.name.as_str()),
                 version: choice.version,
-                priority: call.prompt.as_ref().map(|_| priority(call)),
+                priority: call.prompt.as_ref().map(|prompt| prompt.rank),
                 salt: choice.salt.as_deref(),
                 fetch_from: choice.fetch_from,
                 save_to: choice.save_to,
@@ -147,15 +170,3 @@
         Sent::Answer(Box::new(Running { head, body, attempt: self }))
     }
 }
-
-/// Rank at the engine: the workspace's goes before the route's.
-fn priority(call: &Call) -> u8 {
-    const LEAST: u8 = 9;
-    const ROUTE_RANKS: u8 = 3;
-    let route = call.route.priority;
-    let workspace = call.workspace.as_ref().and_then(|workspace| workspace.priority);
-    let rank = workspace.map_or(route, |workspace| {
-        workspace.saturating_mul(ROUTE_RANKS).saturating_add(route.min(ROUTE_RANKS - 1))
-    });
-    rank.min(LEAST)
-}
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -114,7 +114,7 @@
     })?;
     let service = service.to_owned();
     let has_engines = catalog.service(&service).is_some_and(|s| s.engines().is_some());
-    let prompt = has_engines.then(|| prompt(&head, workspace.as_deref()));
+    let prompt = has_engines.then(|| prompt(&head, &route, workspace.as_deref(), body.len()));
     let deadline = arrived + head.deadline.unwrap_or(route.timeout);
     Ok(Call {
         head,
@@ -183,7 +183,18 @@
     }
 }
 
-fn prompt(head: &CallerHead, workspace: Option<&Workspace>) -> Prompt {
+/// Rank at the engine: the workspace's goes before the route's.
+fn rank(route: &Route, workspace: Option<&Workspace>) -> u8 {
+    const LEAST: u8 = 9;
+    const ROUTE_RANKS: u8 = 3;
+    let workspace = workspace.and_then(|workspace| workspace.priority);
+    let rank = workspace.map_or(route.priority, |workspace| {
+        workspace.saturating_mul(ROUTE_RANKS).saturating_add(route.priority.min(ROUTE_RANKS - 1))
+    });
+    rank.min(LEAST)
+}
+
+fn prompt(head: &CallerHead, route: &Route, workspace: Option<&Workspace>, bytes: usize) -> Prompt {
     let wall = workspace.filter(|workspace| workspace.is_isolated);
     Prompt {
         model: head.model.clone().unwrap_or_default(),
@@ -191,5 +202,7 @@
         tokens: head.prompt_tokens,
         output_tokens: head.output_tokens_hint.unwrap_or(head.output_tokens_max),
         wall: wall.map(|workspace| workspace.name.clone()),
+        rank: rank(route, workspace),
+        bytes,
     }
 }
--- a/crates/lw-edge/src/state/known.rs
+++ b/crates/lw-edge/src/state/known.rs
@@ -28,6 +28,7 @@
     /// The registered upstreams.
     pub directory: Directory,
     own: HashMap<String, OwnItem>,
+    vms: HashMap<VmId, VmEntry>,
     /// When the last answered read was sent, by the clock that counts suspended time.
     confirmed: Option<Now>,
 }
@@ -76,6 +77,15 @@
 
     /// Takes an item of the router's own, or its removal.
     pub fn set_own(&mut self, key: &str, item: Option<OwnItem>) {
+        if let Some(vm) = key.strip_prefix(keys::VM_PREFIX) {
+            let read = |item: OwnItem| serde_json::from_slice(&item.value);
+            match item.map(read) {
+                Some(Ok(entry)) => drop(self.vms.insert(vm.to_owned(), entry)),
+                Some(Err(e)) => log::warn!("member: entry of {vm}: {e}"),
+                None => drop(self.vms.remove(vm)),
+            }
+            return;
+        }
         match item {
             Some(item) => drop(self.own.insert(key.to_owned(), item)),
             None => drop(self.own.remove(key)),
@@ -85,18 +95,12 @@
     /// Drops all items of the router's own that a read of all of them did not list.
     pub fn retain_own(&mut self, is_listed: impl Fn(&str) -> bool) {
         self.own.retain(|key, _| is_listed(key));
+        self.vms.retain(|vm, _| is_listed(&format!("{}{vm}", keys::VM_PREFIX)));
     }
 
     /// The registered VMs.
-    #[must_use]
-    pub fn vms(&self) -> Vec<(VmId, VmEntry)> {
-        let entry = |(key, item): (&String, &OwnItem)| {
-            let vm = key.strip_prefix(keys::VM_PREFIX)?;
-            let entry = serde_json::from_slice(&item.value);
-            let entry = entry.inspect_err(|e| log::warn!("member: entry of {vm}: {e}")).ok()?;
-            Some((vm.to_owned(), entry))
-        };
-        self.own.iter().filter_map(entry).collect()
+    pub fn vms(&self) -> impl Iterator<Item = (&VmId, &VmEntry)> {
+        self.vms.iter()
     }
 
     /// All that was known until `sent` is known: a read that was sent then was answered.
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -140,16 +140,17 @@
         }
         let Some(catalog) = known.catalog() else { return };
         log::info!("config: version {} in force", catalog.version);
-        let store = catalog.cache_store().and_then(|store| match store.kind {
-            ServiceKind::CacheStore { addr, .. } => Some(addr),
-            _ => None,
-        });
+        let store = catalog.cache_store().map(|store| &store.kind);
         let mut fleets = self.fleets();
         for service in catalog.services() {
             let fleet = fleets
                 .entry(service.name.clone())
                 .or_insert_with(|| Fleet::new(self.settings.failure_domain.clone()));
-            fleet.configure(service.engines().cloned(), store);
+            fleet.configure(service.engines().cloned());
+            if let Some(ServiceKind::CacheStore { addr, failure_domain, tokens, link_bits }) = store
+            {
+                fleet.set_store(*addr, failure_domain, *tokens, *link_bits);
+            }
             for (model, version, since) in known.versions() {
                 fleet.want(since, model, version);
             }
--- a/crates/lw-place/src/cache.rs
+++ b/crates/lw-place/src/cache.rs
@@ -7,8 +7,8 @@
 
 use crate::{Part, Prompt};
 
-/// Parts remembered of one holder. An engine holds some tens of large parts and some hundreds of small ones.
-const PARTS_MAX: usize = 20_000;
+/// Number that names a part under a salt.
+pub type PartKey = u64;
 
 /// One change of what an engine or store holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,48 +39,83 @@
 #[derive(Debug, Clone, Copy)]
 struct Held {
     tokens: u64,
-    at: Now,
+    used: Now,
+    /// Whether it was read; others can fetch it only then.
+    is_read: bool,
 }
 
-/// The parts that one holder is believed to hold. Events come late and some never, so an entry is a hint.
-#[derive(Debug, Default)]
+/// The parts that one holder is believed to hold. Events come late and some never, and the parts that the holder
+/// dropped to make room are not told by other VMs, so an entry is a hint. The view never holds more than the holder can.
+#[derive(Debug)]
 pub struct CacheView {
     epoch: Option<u64>,
-    held: HashMap<u64, Held>,
+    held: HashMap<PartKey, Held>,
+    tokens: u64,
+    room: u64,
 }
 
 impl CacheView {
+    /// An empty view of a holder with room for `room` tokens.
+    #[must_use]
+    pub fn new(room: u64) -> Self {
+        Self { epoch: None, held: HashMap::new(), tokens: 0, room }
+    }
+
     /// Applies events. Another epoch means that the holder has started again and is empty.
     pub fn apply(&mut self, now: Now, page: &CachePage) {
         if self.epoch.is_some_and(|epoch| epoch != page.epoch) {
-            self.held.clear();
+            self.clear();
         }
         self.epoch = Some(page.epoch);
         for change in &page.changes {
-            let key = key(&change.salt, change.part);
+            let key = part_key(&change.salt, change.part);
             if change.tokens == 0 {
-                self.held.remove(&key);
+                self.forget(key);
             } else {
-                self.insert(now, key, change.tokens);
+                self.insert(now, key, change.tokens, true);
             }
         }
     }
 
-    /// Records that the parts of `prompt` were read or fetched.
-    pub fn touch(&mut self, now: Now, salt: &str, parts: &[Part]) {
-        for part in parts {
-            self.insert(now, key(salt, part.id), part.tokens);
+    /// Records a part that is being read, or was read if `is_read`.
+    pub fn insert(&mut self, now: Now, key: PartKey, tokens: u64, is_read: bool) {
+        let before = self.held.remove(&key);
+        self.tokens -= before.map_or(0, |held| held.tokens);
+        let is_read = is_read || before.is_some_and(|held| held.is_read && held.tokens >= tokens);
+        self.held.insert(key, Held { tokens, used: now, is_read });
+        self.tokens += tokens;
+        while self.tokens > self.room {
+            let Some(oldest) = self.held.iter().min_by_key(|(_, held)| held.used) else { break };
+            let oldest = *oldest.0;
+            self.forget(oldest);
         }
     }
 
-    /// Tokens of the leading parts of `prompt` that are held.
+    /// Drops a part.
+    pub fn forget(&mut self, key: PartKey) {
+        if let Some(held) = self.held.remove(&key) {
+            self.tokens -= held.tokens;
+        }
+    }
+
+    /// Tokens of the leading parts that are held or are being read.
     #[must_use]
-    pub fn tokens(&self, salt: &str, prompt: &Prompt) -> u64 {
+    pub fn leading(&self, keys: &[(PartKey, u64)]) -> u64 {
+        self.count(keys, |_| true)
+    }
+
+    /// Tokens of the leading parts that can be fetched from this holder.
+    #[must_use]
+    pub fn fetchable(&self, keys: &[(PartKey, u64)]) -> u64 {
+        self.count(keys, |held| held.is_read)
+    }
+
+    fn count(&self, keys: &[(PartKey, u64)], counts: impl Fn(&Held) -> bool) -> u64 {
         let mut tokens = 0;
-        for part in &prompt.parts {
-            let held = self.held.get(&key(salt, part.id)).map_or(0, |held| held.tokens);
-            tokens += held.min(part.tokens);
-            if held < part.tokens {
+        for (key, wanted) in keys {
+            let held = self.held.get(key).filter(|held| counts(held)).map_or(0, |held| held.tokens);
+            tokens += held.min(*wanted);
+            if held < *wanted {
                 break;
             }
         }
@@ -90,19 +125,26 @@
     /// Forgets everything, for a holder that is empty now.
     pub fn clear(&mut self) {
         self.held.clear();
-    }
-
-    fn insert(&mut self, now: Now, key: u64, tokens: u64) {
-        self.held.insert(key, Held { tokens, at: now });
-        if self.held.len() > PARTS_MAX {
-            let mut times: Vec<_> = self.held.values().map(|held| held.at).collect();
-            let middle = times.len() / 2;
-            let (_, &mut median, _) = times.select_nth_unstable(middle);
-            self.held.retain(|_, held| held.at > median);
-        }
+        self.tokens = 0;
     }
 }
 
-fn key(salt: &str, part: u64) -> u64 {
+/// The key of a part under a salt.
+#[must_use]
+pub fn part_key(salt: &str, part: u64) -> PartKey {
     xxh3_64(salt.as_bytes()) ^ part.wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
+
+/// Keys and tokens of the parts of a prompt.
+#[must_use]
+pub fn part_keys(salt: &str, parts: &[Part]) -> Vec<(PartKey, u64)> {
+    parts.iter().map(|part| (part_key(salt, part.id), part.tokens)).collect()
+}
+
+impl Prompt {
+    /// Keys and tokens of all parts under a salt.
+    #[must_use]
+    pub fn keys(&self, salt: &str) -> Vec<(PartKey, u64)> {
+        part_keys(salt, &self.parts)
+    }
+}
--- a/crates/lw-place/src/fleet/choose.rs
+++ b/crates/lw-place/src/fleet/choose.rs
@@ -1,22 +1,32 @@
 //! The choice for one request.
 
-use super::{
-    Arc, Ask, Choice, Duration, Fleet, LOAD_AGE_MAX, Member, Now, Prompt, Refusal, Stage, salt,
-};
+use std::{sync::Arc, time::Duration};
 
-/// Prompt tokens that an engine reads in a millisecond, until timings say otherwise.
-const READ_TOKENS_PER_MS: f64 = 100.0;
-/// Time that one more running request adds to the work of the others.
-const CROWD_MS: f64 = 4.0;
-/// Cost of a request to another failure domain, in milliseconds of engine time.
-const DOMAIN_MS: f64 = 60.0;
-/// Cost of weights that were replaced, in milliseconds of engine time.
+use lw_catalog::Stage;
+use lw_types::prelude::*;
+
+use super::{Ask, Choice, Fleet, Member, Prompt, Refusal, member::as_f64};
+use crate::salt;
+
+/// Weight of the work that a request causes at an engine against the time for which it waits: work that is done
+/// twice is missing for others.
+const WORK_WEIGHT: f64 = 1.0;
+/// Cost of a request to another failure domain, in milliseconds: two crossings, and links that cost more than usual.
+const AWAY_MS: f64 = 20.0;
+/// Further cost for each kilobyte of it.
+const AWAY_MS_PER_KB: f64 = 4.0;
+/// Cost of weights that were replaced, in milliseconds.
 const OUTDATED_MS: f64 = 200.0;
-/// Least tokens of shared parts that are fetched or saved. Transfers of an engine run one after another, so a small
-/// one waits behind large ones for longer than its tokens take to read.
-const MOVE_MIN_TOKENS: u64 = 1000;
-/// Tokens that the link of an engine moves in a millisecond.
-const FETCH_TOKENS_PER_MS: f64 = 500.0;
+/// Cost of a transfer for each millisecond of it.
+const TRANSFER_WEIGHT: f64 = 0.3;
+/// Most that chance adds to the cost, in milliseconds, so that VMs do not all choose the same of equals.
+const TIE_MS: f64 = 2.0;
+
+/// Costs of a request at an engine in milliseconds.
+struct Estimate {
+    choice: Choice,
+    cost: f64,
+}
 
 impl Fleet {
     /// Chooses an upstream for a request.
@@ -33,53 +43,63 @@
             open.retain(|member| !self.is_expired(now, ask, member));
         }
         if open.is_empty() {
-            return Err(if self.ready() == 0 { Refusal::None } else { Refusal::Tried });
+            return Err(if self.ready() == 0 { Refusal::None } else { Refusal::Closed });
         }
         let sound: Vec<_> = open.iter().copied().filter(|m| now >= m.avoid_until).collect();
         let usable = if sound.is_empty() { open } else { sound };
-        let scored = usable.into_iter().map(|member| self.score(now, ask, member));
-        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, choice)| choice).ok_or(Refusal::None)
+        let estimates = usable.into_iter().map(|member| match ask.prompt {
+            Some(prompt) => self.engine(now, ask, prompt, member),
+            None => self.server(now, ask, member),
+        });
+        let best = estimates.min_by(|a, b| a.cost.total_cmp(&b.cost));
+        best.map(|estimate| estimate.choice).ok_or(Refusal::None)
     }
 
-    fn score(&self, now: Now, ask: &Ask<'_>, member: &Member) -> (f64, Choice) {
-        let upstream = &member.upstream;
-        let away = if upstream.failure_domain == self.failure_domain { 0.0 } else { DOMAIN_MS };
-        let version = ask.prompt.and_then(|prompt| member.versions.get(&prompt.model).copied());
-        let salt = ask
-            .prompt
-            .zip(version)
-            .map(|(prompt, version)| salt(&prompt.model, version, prompt.wall.as_deref()));
-        let (mut held, mut fetch) = (0, 0);
-        let (mut fetch_from, mut save_to) = (None, None);
-        if let (Some(prompt), Some(salt)) = (ask.prompt, &salt) {
-            held = member.cache.tokens(salt, prompt);
-            if let Some(store) =
-                self.store.as_ref().filter(|_| held + MOVE_MIN_TOKENS < prompt.shared_tokens())
-            {
-                fetch = store.view.tokens(salt, prompt).saturating_sub(held);
-                fetch_from = Some(store.addr);
-                save_to = (held + fetch < prompt.shared_tokens()).then_some(store.addr);
+    fn server(&self, now: Now, ask: &Ask<'_>, member: &Member) -> Estimate {
+        let wait = member.plain_ms(now);
+        let cost = wait + self.away_ms(member, 1) + tie_ms(member, ask.spread);
+        Estimate { choice: choice(now, member, wait), cost }
+    }
+
+    fn engine(&self, now: Now, ask: &Ask<'_>, prompt: &Prompt, member: &Member) -> Estimate {
+        let mut choice = choice(now, member, 0.0);
+        choice.version = member.versions.get(&prompt.model).copied();
+        let wall = prompt.wall.as_deref();
+        choice.salt = choice.version.map(|version| salt(&prompt.model, version, wall));
+        if let Some(salt) = &choice.salt {
+            let keys = prompt.keys(salt);
+            let shared = &keys[..prompt.shared().len()];
+            choice.held = member.cache.leading(&keys);
+            if let Some(transfer) = self.transfer(now, member, shared, choice.held) {
+                choice.fetch_from = Some(transfer.from);
+                choice.fetched = transfer.tokens;
+                choice.fetched_at = transfer.done;
             }
+            let unread = prompt.shared_tokens().saturating_sub(choice.held + choice.fetched);
+            choice.save_to = self.save_to(now, unread);
         }
-        let tokens = ask.prompt.map_or(0, |prompt| prompt.tokens);
-        let read = as_f64(tokens.saturating_sub(held + fetch)) / READ_TOKENS_PER_MS;
-        let work = read + as_f64(fetch) / FETCH_TOKENS_PER_MS;
-        let wait = member.wait_ms(now) + self.crowd_ms(member, ask.prompt);
-        let tie =
-            as_f64(xxhash_rust::xxh3::xxh3_64_with_seed(upstream.id.as_bytes(), ask.home()) % 1024);
-        let expected = Duration::from_secs_f64((wait + work) / 1000.0);
-        let choice = Choice {
-            upstream: Arc::clone(upstream),
-            version,
-            salt,
-            held,
-            fetch_from,
-            save_to,
-            expected,
-        };
-        let outdated = self.outdated_ms(now, ask, member);
-        (wait + work + away + outdated + tie / 512.0, choice)
+        let to_read = prompt.tokens.saturating_sub(choice.held + choice.fetched);
+        let read = member.rate.read_ms(to_read);
+        let fetch = choice.fetched_at.saturating_sub(now).as_secs_f64() * 1000.0;
+        let room = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
+        let queue = member.queue_ms(now, prompt.rank).max(fetch);
+        let wait = queue.max(member.memory_ms(now, prompt.tokens + prompt.output_tokens, room));
+        choice.expected = Duration::try_from_secs_f64((wait + read) / 1000.0).unwrap_or(ask.left);
+        let kilobytes = u64::try_from(prompt.bytes / 1024).unwrap_or(u64::MAX);
+        let cost = wait
+            + read * (1.0 + WORK_WEIGHT)
+            + fetch * TRANSFER_WEIGHT
+            + self.away_ms(member, kilobytes)
+            + self.outdated_ms(now, ask, member)
+            + tie_ms(member, home(ask, prompt));
+        Estimate { choice, cost }
+    }
+
+    fn away_ms(&self, member: &Member, kilobytes: u64) -> f64 {
+        if member.upstream.failure_domain == self.failure_domain {
+            return 0.0;
+        }
+        AWAY_MS + AWAY_MS_PER_KB * as_f64(kilobytes)
     }
 
     /// How long ago the first version was named that is newer than the one that `member` serves.
@@ -99,43 +119,29 @@
     fn outdated_ms(&self, now: Now, ask: &Ask<'_>, member: &Member) -> f64 {
         self.outdated(now, ask, member).map_or(0.0, |_| OUTDATED_MS)
     }
-
-    /// Cost of memory that is short: the request waits until others end.
-    fn crowd_ms(&self, member: &Member, prompt: Option<&Prompt>) -> f64 {
-        let (Some(spec), Some(prompt)) = (&self.spec, prompt) else { return 0.0 };
-        let used: u64 = member.flights.values().map(|flight| flight.tokens).sum();
-        let over = (used + prompt.tokens).saturating_sub(spec.cache_tokens);
-        as_f64(over) / READ_TOKENS_PER_MS
-    }
 }
 
-impl Member {
-    fn wait_ms(&self, now: Now) -> f64 {
-        let unread = self.flights.values().filter(|flight| !flight.has_started);
-        let own: f64 = unread
-            .map(|flight| {
-                let since = now.saturating_sub(flight.sent).as_secs_f64() * 1000.0;
-                (as_f64(flight.to_read) / READ_TOKENS_PER_MS - since).max(0.0)
-            })
-            .sum();
-        let load = self.load.filter(|(at, _)| now.saturating_sub(*at) < LOAD_AGE_MAX);
-        let stated = load.map_or(0, |(_, load)| u64::from(load.running + 3 * load.waiting));
-        let running = u64::try_from(self.flights.len()).unwrap_or(u64::MAX).max(stated);
-        own + as_f64(running) * CROWD_MS
+fn choice(now: Now, member: &Member, expected_ms: f64) -> Choice {
+    Choice {
+        upstream: Arc::clone(&member.upstream),
+        version: None,
+        salt: None,
+        held: 0,
+        fetched: 0,
+        fetch_from: None,
+        fetched_at: now,
+        save_to: None,
+        expected: Duration::from_secs_f64(expected_ms / 1000.0),
     }
 }
 
-impl Ask<'_> {
-    /// Requests with the same shared parts prefer the same upstream among equals.
-    fn home(&self) -> u64 {
-        match self.prompt.and_then(|prompt| prompt.shared().last()) {
-            Some(part) => part.id,
-            None => self.spread,
-        }
-    }
+/// Requests with the same shared parts prefer the same upstream among equals.
+fn home(ask: &Ask<'_>, prompt: &Prompt) -> u64 {
+    prompt.shared().last().map_or(ask.spread, |part| part.id)
 }
 
-#[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
-fn as_f64(count: u64) -> f64 {
-    count as f64
+fn tie_ms(member: &Member, seed: u64) -> f64 {
+    const STEPS: u64 = 1024;
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(member.upstream.id.as_bytes(), seed);
+    as_f64(hash % STEPS) / as_f64(STEPS) * TIE_MS
 }
--- /dev/null
+++ b/crates/lw-place/src/fleet/member.rs
@@ -0,0 +1,149 @@
+//! One upstream as a VM sees it: what was sent to it, what it is believed to hold, how fast it works.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use lw_catalog::Upstream;
+use lw_types::prelude::*;
+
+use super::{FlightId, rate::Rate};
+use crate::{CacheView, Load, cache::PartKey};
+
+/// Age above which a stated load says nothing.
+const LOAD_AGE_MAX: Duration = Duration::from_secs(1);
+/// Time that an engine takes for one step without reading, until timings say otherwise, in milliseconds.
+const STEP_MS: f64 = 10.0;
+/// Work of one request at a plain server, until timings say otherwise, in milliseconds.
+const PLAIN_WORK_MS: f64 = 25.0;
+
+/// One request at an upstream, sent by this VM or another one.
+#[derive(Debug, Clone)]
+pub(super) struct Flight {
+    /// Memory that it takes, in tokens.
+    pub tokens: u64,
+    /// Tokens of its prompt that the engine has to read.
+    pub to_read: u64,
+    /// Tokens of its answer.
+    pub output_tokens: u64,
+    /// Rank, 0 is the most urgent.
+    pub rank: u8,
+    pub sent: Now,
+    /// When its parts that come from elsewhere are there.
+    pub fetched: Now,
+    /// When its first event came.
+    pub started: Option<Now>,
+    /// Shared parts that it reads or fetches.
+    pub parts: Vec<(PartKey, u64)>,
+}
+
+#[derive(Debug)]
+pub(super) struct Member {
+    pub upstream: Arc<Upstream>,
+    pub flights: HashMap<FlightId, Flight>,
+    pub load: Option<(Now, Load)>,
+    /// Gets no work until then while others can take it, since it failed.
+    pub avoid_until: Now,
+    /// Gets no new work until then, since its weights are about to be changed.
+    pub hold_until: Now,
+    pub cache: CacheView,
+    /// Versions of weights by model, the newest that any source told.
+    pub versions: HashMap<ModelId, u64>,
+    pub rate: Rate,
+    /// When its link has carried all transfers that are known.
+    pub link_free: Now,
+    /// When a first event came last.
+    pub last_start: Now,
+}
+
+impl Member {
+    pub fn new(upstream: &Arc<Upstream>, room: u64) -> Self {
+        Self {
+            upstream: Arc::clone(upstream),
+            flights: HashMap::new(),
+            load: None,
+            avoid_until: Now::ZERO,
+            hold_until: Now::ZERO,
+            cache: CacheView::new(room),
+            versions: upstream.models.iter().map(|m| (m.model.clone(), m.version)).collect(),
+            rate: Rate::default(),
+            link_free: Now::ZERO,
+            last_start: Now::ZERO,
+        }
+    }
+
+    /// Takes a version of weights. New weights end the hold, and the parts read under the old ones are dropped.
+    pub fn serves(&mut self, model: &str, version: u64) {
+        let known = self.versions.entry(model.to_owned()).or_default();
+        if version > *known {
+            *known = version;
+            self.cache.clear();
+            self.hold_until = Now::ZERO;
+        }
+    }
+
+    /// Milliseconds until an engine has read what it must read before a new request of `rank`.
+    pub fn queue_ms(&self, now: Now, rank: u8) -> f64 {
+        let waiting = self.flights.values().filter(|f| f.started.is_none());
+        let ahead: f64 =
+            waiting.filter(|f| f.rank <= rank).map(|f| self.rate.read_ms(f.to_read)).sum();
+        // The reading in front has gone on since the last first event.
+        let oldest = self.flights.values().filter(|f| f.started.is_none()).map(|f| f.sent).min();
+        let since =
+            oldest.map_or(Duration::ZERO, |sent| now.saturating_sub(sent.max(self.last_start)));
+        let done = (since.as_secs_f64() * 1000.0).min(ahead * 0.9);
+        ahead - done + self.step_ms(now)
+    }
+
+    /// Milliseconds of one step of the engine, which grows with the requests that run.
+    fn step_ms(&self, now: Now) -> f64 {
+        let is_reading = self.flights.values().any(|f| f.started.is_none());
+        let step = STEP_MS * if is_reading { 1.5 } else { 1.0 };
+        step * (1.0 + as_f64(self.running(now)) / 32.0)
+    }
+
+    /// Requests that run or wait, by what was sent or by what the upstream said, whichever is more.
+    pub fn running(&self, now: Now) -> u64 {
+        let load = self.load.filter(|(at, _)| now.saturating_sub(*at) < LOAD_AGE_MAX);
+        let stated = load.map_or(0, |(_, load)| u64::from(load.running + load.waiting));
+        u64::try_from(self.flights.len()).unwrap_or(u64::MAX).max(stated)
+    }
+
+    /// Milliseconds until a plain server can start on a new request.
+    pub fn plain_ms(&self, now: Now) -> f64 {
+        let slots = f64::from(self.upstream.slots.max(1));
+        PLAIN_WORK_MS * (as_f64(self.running(now)) / slots).powi(2)
+    }
+
+    /// Milliseconds until running requests have freed enough memory for `tokens` more of `room`.
+    pub fn memory_ms(&self, now: Now, tokens: u64, room: u64) -> f64 {
+        let used: u64 = self.flights.values().map(|f| f.tokens).sum();
+        let mut over = (used + tokens).saturating_sub(room);
+        if over == 0 {
+            return 0.0;
+        }
+        let mut ends: Vec<(f64, u64)> =
+            self.flights.values().map(|f| (self.end_ms(now, f), f.tokens)).collect();
+        ends.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (end, freed) in ends {
+            over = over.saturating_sub(freed);
+            if over == 0 {
+                return end;
+            }
+        }
+        f64::INFINITY
+    }
+
+    fn end_ms(&self, now: Now, flight: &Flight) -> f64 {
+        let output = as_f64(flight.output_tokens) * self.step_ms(now);
+        match flight.started {
+            Some(started) => {
+                (output - now.saturating_sub(started).as_secs_f64() * 1000.0).max(STEP_MS)
+            }
+            None => self.rate.read_ms(flight.to_read) + output,
+        }
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+pub(super) fn as_f64(count: u64) -> f64 {
+    count as f64
+}
--- a/crates/lw-place/src/fleet/mod.rs
+++ b/crates/lw-place/src/fleet/mod.rs
@@ -6,21 +6,25 @@
 use lw_catalog::{EngineSpec, Stage, Upstream};
 use lw_types::prelude::*;
 
-use crate::{CachePage, CacheView, Load, Prompt, salt};
+use crate::{CachePage, Load, Prompt, cache::PartKey};
 
+mod books;
 mod choose;
+mod member;
+mod rate;
+mod source;
 
-/// Number of one attempt in a [`Fleet`].
+pub use books::Announced;
+use member::Member;
+use source::CacheStore;
+
+/// Number of one attempt of a VM.
 pub type Ticket = u64;
+/// One attempt of this VM, whose name is empty, or of another one.
+pub(crate) type FlightId = (VmId, Ticket);
 
-/// Time for which an upstream that failed gets no work while others can take it.
-const AVOID_TIME: Duration = Duration::from_millis(1500);
-/// Time for which an upstream that did not run a request gets no further one.
-const NOT_RUN_TIME: Duration = Duration::from_millis(300);
 /// Named versions of a model that are remembered.
 const NAMED_MAX: usize = 64;
-/// Age above which a stated load says nothing.
-const LOAD_AGE_MAX: Duration = Duration::from_secs(1);
 
 /// What a request needs.
 #[derive(Debug, Clone, Copy)]
@@ -48,8 +52,12 @@
     pub salt: Option<String>,
     /// Tokens of the prompt that it is believed to hold.
     pub held: u64,
+    /// Tokens of the prompt that it is to fetch.
+    pub fetched: u64,
     /// Where it gets further parts from.
     pub fetch_from: Option<SocketAddr>,
+    /// When they should be there.
+    pub fetched_at: Now,
     /// Where it sends the parts that it has read.
     pub save_to: Option<SocketAddr>,
     /// Expected time to the first event or the answer.
@@ -62,9 +70,9 @@
     /// None is registered and ready.
     #[display("no upstream is ready")]
     None,
-    /// All that are ready were tried.
-    #[display("all upstreams were tried")]
-    Tried,
+    /// All that are ready were tried or must not be used now.
+    #[display("no upstream may be used now")]
+    Closed,
 }
 
 /// How an attempt ended.
@@ -80,32 +88,11 @@
     Cancelled,
 }
 
-#[derive(Debug)]
-struct Flight {
-    tokens: u64,
-    to_read: u64,
-    sent: Now,
-    has_started: bool,
-}
-
-#[derive(Debug)]
-struct Member {
-    upstream: Arc<Upstream>,
-    flights: HashMap<Ticket, Flight>,
-    load: Option<(Now, Load)>,
-    avoid_until: Now,
-    /// No new work until then, since its weights are about to be changed.
-    hold_until: Now,
-    cache: CacheView,
-    /// Versions of weights by model, the newest that any source told.
-    versions: HashMap<ModelId, u64>,
-}
-
-/// The store of KV cache behind the engines.
-#[derive(Debug)]
-struct CacheStore {
-    addr: SocketAddr,
-    view: CacheView,
+/// A named version of a model's weights.
+#[derive(Debug, Clone, Copy)]
+struct Named {
+    version: u64,
+    since: Now,
 }
 
 /// The upstreams of one service as one VM sees them.
@@ -120,13 +107,6 @@
     last_ticket: Ticket,
 }
 
-/// A named version of a model's weights.
-#[derive(Debug, Clone, Copy)]
-struct Named {
-    version: u64,
-    since: Now,
-}
-
 impl Fleet {
     /// No upstreams yet, seen from a VM in `failure_domain`.
     #[must_use]
@@ -141,12 +121,9 @@
         }
     }
 
-    /// Takes what the configuration says about the service's engines and the store of KV cache.
-    pub fn configure(&mut self, spec: Option<EngineSpec>, store: Option<SocketAddr>) {
+    /// Takes what the configuration says about the service's engines.
+    pub fn configure(&mut self, spec: Option<EngineSpec>) {
         self.spec = spec;
-        if self.store.as_ref().map(|store| store.addr) != store {
-            self.store = store.map(|addr| CacheStore { addr, view: CacheView::default() });
-        }
     }
 
     /// Takes an entry of an upstream. Another incarnation holds and knows nothing of before.
@@ -159,17 +136,8 @@
             }
             return;
         }
-        let versions = upstream.models.iter().map(|m| (m.model.clone(), m.version)).collect();
-        let member = Member {
-            upstream: Arc::clone(upstream),
-            flights: HashMap::new(),
-            load: None,
-            avoid_until: Now::ZERO,
-            hold_until: Now::ZERO,
-            cache: CacheView::default(),
-            versions,
-        };
-        self.members.insert(upstream.id.clone(), member);
+        let room = self.spec.as_ref().map_or(0, |spec| spec.cache_tokens);
+        self.members.insert(upstream.id.clone(), Member::new(upstream, room));
     }
 
     /// An upstream is gone.
@@ -227,57 +195,4 @@
             member.cache.apply(now, page);
         }
     }
-
-    /// Takes cache events of the store of KV cache.
-    pub fn on_store_cache(&mut self, now: Now, page: &CachePage) {
-        if let Some(store) = &mut self.store {
-            store.view.apply(now, page);
-        }
-    }
-
-    /// Records an attempt that is about to be sent.
-    pub fn sent(&mut self, now: Now, choice: &Choice, prompt: Option<&Prompt>) -> Ticket {
-        self.last_ticket += 1;
-        let tokens = prompt.map_or(0, |prompt| prompt.tokens + prompt.output_tokens);
-        let to_read = prompt.map_or(0, |prompt| prompt.tokens.saturating_sub(choice.held));
-        if let Some(member) = self.members.get_mut(&choice.upstream.id) {
-            let flight = Flight { tokens, to_read, sent: now, has_started: false };
-            member.flights.insert(self.last_ticket, flight);
-            if let (Some(prompt), Some(salt)) = (prompt, &choice.salt) {
-                member.cache.touch(now, salt, &prompt.parts);
-            }
-        }
-        self.last_ticket
-    }
-
-    /// The first event or the head of the answer came.
-    pub fn started(&mut self, id: &str, ticket: Ticket) {
-        let flight = self.members.get_mut(id).and_then(|m| m.flights.get_mut(&ticket));
-        if let Some(flight) = flight {
-            flight.has_started = true;
-        }
-    }
-
-    /// An attempt ended.
-    pub fn ended(&mut self, now: Now, id: &str, ticket: Ticket, how: Ended) {
-        let Some(member) = self.members.get_mut(id) else { return };
-        member.flights.remove(&ticket);
-        match how {
-            Ended::Failed => member.avoid_until = now + AVOID_TIME,
-            Ended::NotRun => member.hold_until = member.hold_until.max(now + NOT_RUN_TIME),
-            Ended::Complete | Ended::Cancelled => {}
-        }
-    }
-}
-
-impl Member {
-    /// Takes a version of weights. New weights end the hold, and the parts read under the old ones are dropped.
-    fn serves(&mut self, model: &str, version: u64) {
-        let known = self.versions.entry(model.to_owned()).or_default();
-        if version > *known {
-            *known = version;
-            self.cache.clear();
-            self.hold_until = Now::ZERO;
-        }
-    }
 }
--- /dev/null
+++ b/crates/lw-place/src/fleet/source.rs
@@ -0,0 +1,140 @@
+//! Where an engine can fetch parts from that it does not hold.
+
+use std::{net::SocketAddr, time::Duration};
+
+use lw_types::prelude::*;
+
+use super::{Fleet, Member, member::as_f64};
+use crate::{CacheView, cache::PartKey};
+
+/// Least tokens of shared parts that are fetched or saved. Transfers of an engine run one after another, so a small
+/// one waits behind large ones for longer than its tokens take to read.
+const MOVE_MIN_TOKENS: u64 = 1000;
+/// Time of a transfer besides its bytes.
+const SETUP: Duration = Duration::from_millis(10);
+/// Transfers between failure domains take this many times as long.
+const AWAY_FACTOR: f64 = 2.0;
+/// Transfers that would wait longer than this are not started by engines.
+const WAIT_MAX: Duration = Duration::from_millis(1500);
+
+/// The store of KV cache behind the engines.
+#[derive(Debug)]
+pub(super) struct CacheStore {
+    pub addr: SocketAddr,
+    pub failure_domain: Domain,
+    pub link_bits: f64,
+    pub view: CacheView,
+    /// When its link has carried all transfers that are known.
+    pub link_free: Now,
+    /// Unusable until then, since it does not answer.
+    pub avoid_until: Now,
+}
+
+impl CacheStore {
+    /// Parts that were on their way to the store are there.
+    pub fn read(&mut self, now: Now, parts: &[(PartKey, u64)]) {
+        for (key, tokens) in parts {
+            if self.view.leading(&[(*key, *tokens)]) == *tokens {
+                self.view.insert(now, *key, *tokens, true);
+            }
+        }
+    }
+}
+
+/// A transfer to an engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Transfer {
+    pub from: SocketAddr,
+    /// Tokens beyond those that the engine holds.
+    pub tokens: u64,
+    pub done: Now,
+}
+
+impl Fleet {
+    /// Takes the store of KV cache that the configuration names.
+    pub fn set_store(&mut self, addr: SocketAddr, failure_domain: &str, room: u64, link_bits: f64) {
+        if self.store.as_ref().is_some_and(|store| store.addr == addr) {
+            return;
+        }
+        self.store = Some(CacheStore {
+            addr,
+            failure_domain: failure_domain.to_owned(),
+            link_bits,
+            view: CacheView::new(room),
+            link_free: Now::ZERO,
+            avoid_until: Now::ZERO,
+        });
+    }
+
+    /// Takes cache events of the store of KV cache.
+    pub fn on_store_cache(&mut self, now: Now, page: &crate::CachePage) {
+        if let Some(store) = &mut self.store {
+            store.view.apply(now, page);
+            store.avoid_until = Now::ZERO;
+        }
+    }
+
+    /// The store of KV cache does not answer, and is not used until `until`.
+    pub fn store_failed(&mut self, until: Now) {
+        if let Some(store) = &mut self.store {
+            store.avoid_until = until;
+        }
+    }
+
+    /// Where an engine sends the parts that it reads.
+    pub(super) fn save_to(&self, now: Now, unread: u64) -> Option<SocketAddr> {
+        let store = self.store.as_ref().filter(|store| now >= store.avoid_until)?;
+        (unread >= MOVE_MIN_TOKENS).then_some(store.addr)
+    }
+
+    /// The source from which `target` gets the shared parts first, if a transfer is worth while.
+    pub(super) fn transfer(
+        &self,
+        now: Now,
+        target: &Member,
+        keys: &[(PartKey, u64)],
+        held: u64,
+    ) -> Option<Transfer> {
+        let spec = self.spec.as_ref()?;
+        let bits = |tokens: u64| as_f64(tokens * spec.token_bytes * 8);
+        let time = |tokens: u64, link: f64, domain: &str| {
+            let away = if *domain == target.upstream.failure_domain { 1.0 } else { AWAY_FACTOR };
+            let seconds = bits(tokens) / link.max(1e6) * away;
+            SETUP + Duration::from_secs_f64(seconds)
+        };
+        let start = now.max(target.link_free);
+        let engines = self
+            .members
+            .values()
+            .filter(|source| source.upstream.id != target.upstream.id && now >= source.avoid_until);
+        let engines = engines.filter_map(|source| {
+            let tokens = source.cache.fetchable(keys).checked_sub(held)?;
+            let time = time(tokens, spec.link_bits, &source.upstream.failure_domain);
+            let done = start.max(source.link_free) + time;
+            Some(Transfer { from: source.upstream.addr, tokens, done })
+        });
+        let store = self.store.as_ref().filter(|store| now >= store.avoid_until);
+        let store = store.and_then(|store| {
+            let tokens = store.view.fetchable(keys).checked_sub(held)?;
+            let time = time(tokens, store.link_bits, &store.failure_domain);
+            let done = start.max(store.link_free) + time;
+            Some(Transfer { from: store.addr, tokens, done })
+        });
+        let worth_while = |transfer: &Transfer| {
+            transfer.tokens >= MOVE_MIN_TOKENS && transfer.done < now + WAIT_MAX
+        };
+        // The most tokens first: what is not fetched has to be read, which takes far longer.
+        let best = |a: &Transfer, b: &Transfer| b.tokens.cmp(&a.tokens).then(a.done.cmp(&b.done));
+        engines.chain(store).filter(worth_while).min_by(best)
+    }
+
+    /// Counts a transfer at its source.
+    pub(super) fn count_transfer(&mut self, from: SocketAddr, done: Now) {
+        if let Some(store) = self.store.as_mut().filter(|store| store.addr == from) {
+            store.link_free = store.link_free.max(done);
+        }
+        for member in self.members.values_mut().filter(|m| m.upstream.addr == from) {
+            member.link_free = member.link_free.max(done);
+        }
+    }
+}
--- a/crates/lw-place/src/prompt.rs
+++ b/crates/lw-place/src/prompt.rs
@@ -25,6 +25,10 @@
     pub output_tokens: u64,
     /// Workspace whose parts no other workspace may use.
     pub wall: Option<WorkspaceId>,
+    /// Rank at an engine, 0 is the most urgent.
+    pub rank: u8,
+    /// Size of the request in bytes.
+    pub bytes: usize,
 }
 
 impl Prompt {
--- a/crates/lw-transport/src/datagram/mod.rs
+++ b/crates/lw-transport/src/datagram/mod.rs
@@ -54,10 +54,26 @@
     ///
     /// When the system refuses it, for instance because it is too long.
     pub async fn send(&self, to: SocketAddr, message: &[u8]) -> Result<(), Error> {
+        self.socket.send_to(&self.seal(message), to).await?;
+        Ok(())
+    }
+
+    /// A message with its code, for [`Datagrams::try_send`] to several receivers.
+    #[must_use]
+    pub fn seal(&self, message: &[u8]) -> Vec<u8> {
         let mut datagram = Vec::with_capacity(message.len() + CODE_BYTES);
         datagram.extend_from_slice(&self.code(message).finalize().into_bytes()[..CODE_BYTES]);
         datagram.extend_from_slice(message);
-        self.socket.send_to(&datagram, to).await?;
+        datagram
+    }
+
+    /// Sends a sealed message if the system takes it at once.
+    ///
+    /// # Errors
+    ///
+    /// When the system refuses it or would have to wait.
+    pub fn try_send(&self, to: SocketAddr, datagram: &[u8]) -> Result<(), Error> {
+        self.socket.try_send_to(datagram, to)?;
         Ok(())
     }
 
