--- a/crates/lw-edge/src/lib.rs
+++ b/crates/lw-edge/src/lib.rs
@@ -1,5 +1,6 @@
 //! The VM on the platform: callers' requests are forwarded to the upstreams that registered themselves.
 
+pub mod feeds;
 pub mod follow;
 pub mod orders;
 pub mod peers;
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -77,6 +77,13 @@
         /// For how long, in milliseconds.
         ms: u64,
     },
+    /// An engine does not answer and gets no work for a while; after no time it answers again.
+    Silent {
+        /// The engine.
+        upstream: UpstreamId,
+        /// For how long, in milliseconds.
+        ms: u64,
+    },
     /// A large request was sent to an engine.
     Sent(SentWire),
     /// Its first event came.
@@ -135,12 +142,18 @@
 }
 
 fn take(edge: &Edge, message: &Message) {
+    if let News::Silent { upstream, ms: 1.. } = &message.news {
+        edge.silence(upstream);
+    }
     let now = edge.timer.now();
     let vm = &message.vm;
     let mut fleets = edge.fleets();
     for fleet in fleets.values_mut() {
         match &message.news {
             News::Hold { upstream, ms } => fleet.hold(upstream, now + Duration::from_millis(*ms)),
+            News::Silent { upstream, ms } => {
+                fleet.avoid(upstream, now + Duration::from_millis(*ms));
+            }
             News::Serves { upstream, model, version } => fleet.serves(upstream, model, *version),
             News::Sent(sent) => fleet.announced(now, vm, &sent.into()),
             News::Started { upstream, ticket } => fleet.announced_start(now, vm, upstream, *ticket),
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -11,7 +11,7 @@
     task::JoinSet,
 };
 
-use crate::{follow, orders, peers, register, serve, state::Edge};
+use crate::{feeds, follow, orders, peers, register, serve, state::Edge};
 
 /// Time before the kill at which a leaving VM ends, whatever is still open.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
@@ -83,6 +83,7 @@
         tasks.spawn(follow::run(Arc::clone(&edge)));
         tasks.spawn(register::run(Arc::clone(&edge)));
         tasks.spawn(peers::run(Arc::clone(&edge)));
+        tasks.spawn(feeds::run(Arc::clone(&edge)));
         tasks.spawn(orders::run(Arc::clone(&edge)));
         tasks.spawn(sweep(Arc::clone(&edge)));
         tasks.spawn(serve_callers(Arc::clone(&edge), callers, connections.clone()));
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -102,7 +102,14 @@
         let key: HostKey = (self.choice.upstream.addr, self.choice.upstream.id.as_str().into());
         let req = self.request(call.deadline.saturating_sub(now), last_event);
         let reuse = if call.route.kind.may_repeat() { Reuse::Any } else { Reuse::Young };
-        match tokio::time::timeout(left, edge.pool.send(&key, req, reuse)).await {
+        let upstream = self.choice.upstream.id.clone();
+        let sent = async {
+            tokio::select! {
+                sent = edge.pool.send(&key, req, reuse) => sent,
+                () = self.silenced() => Err(Error::Broken(format!("{upstream} is silent"))),
+            }
+        };
+        match tokio::time::timeout(left, sent).await {
             Err(_) => {
                 self.end(Ended::Failed);
                 Sent::Late
@@ -119,6 +126,14 @@
         }
     }
 
+    /// Returns when the upstream has gone silent, if the request may go on elsewhere.
+    pub async fn silenced(&self) {
+        if self.call.route.kind.may_repeat() {
+            return self.edge.silenced(&self.choice.upstream.id).await;
+        }
+        std::future::pending::<()>().await;
+    }
+
     fn request(&self, left: Duration, last_event: Option<u64>) -> Request<Full<bytes::Bytes>> {
         let (call, choice) = (&self.call, &self.choice);
         let workspace = call.workspace.as_ref();
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -76,16 +76,28 @@
     }
 
     async fn step(&mut self) -> Step {
-        let Some((body, _)) = &mut self.current else { return Step::Broken("no attempt".into()) };
+        let Some((body, attempt)) = &mut self.current else {
+            return Step::Broken("no attempt".into());
+        };
         let left = self.driver.call.due.saturating_sub(self.driver.edge.timer.now());
-        match tokio::time::timeout(left, body.frame()).await {
-            Err(_) => Step::Broken("the deadline passed".into()),
-            Ok(None) if self.splitter.as_ref().is_some_and(|splitter| splitter.rest() > 0) => {
+        let frame = async {
+            tokio::select! {
+                frame = body.frame() => Ok(frame),
+                () = attempt.silenced() => Err(Step::Broken("the engine is silent".into())),
+            }
+        };
+        let frame = match tokio::time::timeout(left, frame).await {
+            Err(_) => return Step::Broken("the deadline passed".into()),
+            Ok(Err(step)) => return step,
+            Ok(Ok(frame)) => frame,
+        };
+        match frame {
+            None if self.splitter.as_ref().is_some_and(|splitter| splitter.rest() > 0) => {
                 Step::Broken("the stream ended within an event".into())
             }
-            Ok(None) => Step::Complete,
-            Ok(Some(Err(e))) => Step::Broken(e.to_string()),
-            Ok(Some(Ok(frame))) => match frame.into_data() {
+            None => Step::Complete,
+            Some(Err(e)) => Step::Broken(e.to_string()),
+            Some(Ok(frame)) => match frame.into_data() {
                 Ok(bytes) => Step::Bytes(bytes),
                 Err(_) => Step::Bytes(Bytes::new()),
             },
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -22,6 +22,7 @@
     timer::Timer,
 };
 use lw_types::prelude::*;
+use tokio::sync::broadcast;
 
 pub mod keys;
 mod known;
@@ -41,6 +42,8 @@
 /// Part of the time between the signal to terminate and the kill in which a leaving VM still takes requests. The
 /// balancer has taken it out by then, and most requests end in the rest.
 const TAKING_PART: f64 = 0.35;
+/// Messages about silent upstreams that a request may leave unread.
+const SILENT_KEPT: usize = 64;
 /// Part of the fleet's retry budget that the VMs use, since each counts for itself.
 const BUDGET_PART: f64 = 0.8;
 
@@ -63,6 +66,8 @@
     /// Orders to engines.
     pub orders: Orders,
     datagrams: OnceLock<Arc<Datagrams>>,
+    /// Wakes the requests at an upstream that has gone silent.
+    silent: broadcast::Sender<UpstreamId>,
     leaving_since: OnceLock<Now>,
     in_flight: AtomicUsize,
 }
@@ -90,6 +95,7 @@
             budgets: Mutex::default(),
             orders: Orders::new(&settings.bounds),
             datagrams: OnceLock::new(),
+            silent: broadcast::Sender::new(SILENT_KEPT),
             leaving_since: OnceLock::new(),
             in_flight: AtomicUsize::new(0),
             settings,
@@ -197,6 +203,24 @@
         }
     }
 
+    /// An upstream has gone silent.
+    pub fn silence(&self, upstream: &str) {
+        // Without any request in flight nobody listens.
+        let _ = self.silent.send(upstream.to_owned());
+    }
+
+    /// Returns when this upstream has gone silent.
+    pub async fn silenced(&self, upstream: &str) {
+        let mut silent = self.silent.subscribe();
+        loop {
+            match silent.recv().await {
+                Ok(id) if id == upstream => return,
+                Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => {}
+                Err(broadcast::error::RecvError::Closed) => std::future::pending().await,
+            }
+        }
+    }
+
     /// The way to the other VMs, once it is open.
     #[must_use]
     pub fn datagrams(&self) -> Option<&Arc<Datagrams>> {
--- a/crates/lw-place/src/fleet/mod.rs
+++ b/crates/lw-place/src/fleet/mod.rs
@@ -176,6 +176,13 @@
         }
     }
 
+    /// Gives an upstream no work until `until` while others can take it, since it does not answer.
+    pub fn avoid(&mut self, id: &str, until: Now) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.avoid_until = until;
+        }
+    }
+
     /// Upstreams that take new work.
     #[must_use]
     pub fn ready(&self) -> usize {
