--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -131,6 +131,8 @@
     let mut ticks = edge.timer.subscribe(SWEEP_PERIOD);
     loop {
         ticks.tick().await;
+        let now = edge.timer.now();
+        edge.fleets().values_mut().for_each(|fleet| fleet.tick(now));
         let ids: Vec<_> = edge.known().directory.iter().map(|u| u.id.clone()).collect();
         edge.pool.sweep(|(_, id)| ids.iter().any(|known| **known == **id));
     }
