--- a/crates/lw-place/src/fleet/choose.rs
+++ b/crates/lw-place/src/fleet/choose.rs
@@ -83,7 +83,12 @@
         let fetch = choice.fetched_at.saturating_sub(now).as_secs_f64() * 1000.0;
         let room = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
         let queue = member.queue_ms(now, prompt.rank).max(fetch);
-        let wait = queue.max(member.memory_ms(now, prompt.tokens + prompt.output_tokens, room));
+        let wait = queue.max(member.memory_ms(
+            now,
+            prompt.rank,
+            prompt.tokens + prompt.output_tokens,
+            room,
+        ));
         choice.expected = Duration::try_from_secs_f64((wait + read) / 1000.0).unwrap_or(ask.left);
         let kilobytes = u64::try_from(prompt.bytes / 1024).unwrap_or(u64::MAX);
         let cost = wait
--- a/crates/lw-place/src/fleet/member.rs
+++ b/crates/lw-place/src/fleet/member.rs
@@ -113,15 +113,16 @@
         PLAIN_WORK_MS * (as_f64(self.running(now)) / slots).powi(2)
     }
 
-    /// Milliseconds until running requests have freed enough memory for `tokens` more of `room`.
-    pub fn memory_ms(&self, now: Now, tokens: u64, room: u64) -> f64 {
-        let used: u64 = self.flights.values().map(|f| f.tokens).sum();
+    /// Milliseconds until running requests have freed enough memory for `tokens` more of `room`. Requests of lower rank
+    /// make room at once.
+    pub fn memory_ms(&self, now: Now, rank: u8, tokens: u64, room: u64) -> f64 {
+        let rivals = || self.flights.values().filter(|f| f.rank <= rank);
+        let used: u64 = rivals().map(|f| f.tokens).sum();
         let mut over = (used + tokens).saturating_sub(room);
         if over == 0 {
             return 0.0;
         }
-        let mut ends: Vec<(f64, u64)> =
-            self.flights.values().map(|f| (self.end_ms(now, f), f.tokens)).collect();
+        let mut ends: Vec<(f64, u64)> = rivals().map(|f| (self.end_ms(now, f), f.tokens)).collect();
         ends.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (end, freed) in ends {
             over = over.saturating_sub(freed);
