feat(lw-place): learn the time of answers, and speeds from short timings first

Speeds had risen to three times the usual, since a request that waits for memory looks like slow reading. Timings that are longer than the known speed now weigh 0.05, shorter ones 0.2, within 0.3 to 2 times the usual; the time of answers is learnt the same way, and estimates of callers above 300 tokens are not believed (the median time is 5.7 to 9.4 ms per token).

--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -159,7 +159,7 @@
             News::Started { upstream, ticket } => fleet.announced_start(now, vm, upstream, *ticket),
             News::Ended { upstream, ticket, is_complete } => {
                 let how = if *is_complete { Ended::Complete } else { Ended::Failed };
-                fleet.announced_end(vm, upstream, *ticket, how);
+                fleet.announced_end(now, vm, upstream, *ticket, how);
             }
         }
     }
--- a/crates/lw-place/src/fleet/books.rs
+++ b/crates/lw-place/src/fleet/books.rs
@@ -134,7 +134,7 @@
 
     /// An own attempt ended.
     pub fn ended(&mut self, now: Now, id: &str, ticket: Ticket, how: Ended) {
-        self.end(id, &(VmId::new(), ticket), how);
+        self.end(now, id, &(VmId::new(), ticket), how);
         let Some(member) = self.members.get_mut(id) else { return };
         match how {
             Ended::Failed => member.avoid_until = now + AVOID_TIME,
@@ -144,13 +144,16 @@
     }
 
     /// An attempt of another VM ended.
-    pub fn announced_end(&mut self, vm: &str, id: &str, ticket: Ticket, how: Ended) {
-        self.end(id, &(vm.to_owned(), ticket), how);
+    pub fn announced_end(&mut self, now: Now, vm: &str, id: &str, ticket: Ticket, how: Ended) {
+        self.end(now, id, &(vm.to_owned(), ticket), how);
     }
 
-    fn end(&mut self, id: &str, flight: &FlightId, how: Ended) {
+    fn end(&mut self, now: Now, id: &str, flight: &FlightId, how: Ended) {
         let Some(member) = self.members.get_mut(id) else { return };
         let Some(flight) = member.flights.remove(flight) else { return };
+        if let Some(started) = flight.started.filter(|_| how == Ended::Complete) {
+            member.rate.observe_written(flight.output_tokens, now.saturating_sub(started));
+        }
         if flight.started.is_none() && how != Ended::Complete {
             forget_unread(member, &flight);
         }
--- a/crates/lw-place/src/fleet/member.rs
+++ b/crates/lw-place/src/fleet/member.rs
@@ -134,7 +134,7 @@
     }
 
     fn end_ms(&self, now: Now, flight: &Flight) -> f64 {
-        let output = as_f64(flight.output_tokens) * self.step_ms(now);
+        let output = self.rate.write_ms(flight.output_tokens);
         match flight.started {
             Some(started) => {
                 (output - now.saturating_sub(started).as_secs_f64() * 1000.0).max(STEP_MS)
--- a/crates/lw-place/src/fleet/rate.rs
+++ b/crates/lw-place/src/fleet/rate.rs
@@ -6,23 +6,33 @@
 
 /// Milliseconds per prompt token until timings say otherwise.
 const READ_MS_PER_TOKEN: f64 = 1.0 / 75.0;
-/// Weight of a new timing.
-const NEW_WEIGHT: f64 = 0.15;
+/// Weight of a new timing that is shorter than those before.
+const SHORTER_WEIGHT: f64 = 0.2;
+/// Weight of a longer one. It is less, since a request may have waited for something unknown, such as memory.
+const LONGER_WEIGHT: f64 = 0.05;
 /// Tokens below which a timing says little, since it has a part that does not depend on the tokens.
 const TOKENS_MIN: u64 = 2000;
-/// Bounds of a timing in parts of the starting value: a request may have waited for something unknown.
-const LEAST: f64 = 0.4;
-const MOST: f64 = 3.0;
+/// Bounds of a timing in parts of the starting value.
+const LEAST: f64 = 0.3;
+const MOST: f64 = 2.0;
 
-/// Reading speed of one engine.
+/// Milliseconds per token of an answer until timings say otherwise.
+const WRITE_MS_PER_TOKEN: f64 = 8.0;
+/// Tokens of an answer below which its time says little.
+const WRITTEN_MIN: u64 = 30;
+/// Most tokens of an answer that are counted on: estimates of callers are often far off.
+const WRITTEN_MAX: u64 = 300;
+
+/// Speed of one engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Rate {
     ms_per_token: f64,
+    write_ms_per_token: f64,
 }
 
 impl Default for Rate {
     fn default() -> Self {
-        Self { ms_per_token: READ_MS_PER_TOKEN }
+        Self { ms_per_token: READ_MS_PER_TOKEN, write_ms_per_token: WRITE_MS_PER_TOKEN }
     }
 }
 
@@ -32,6 +42,20 @@
         as_f64(tokens) * self.ms_per_token
     }
 
+    /// Milliseconds to write an answer that its caller expects to have `tokens`.
+    pub fn write_ms(self, tokens: u64) -> f64 {
+        as_f64(tokens.min(WRITTEN_MAX)) * self.write_ms_per_token
+    }
+
+    /// Takes the time in which an answer was written that its caller expected to have `tokens`.
+    pub fn observe_written(&mut self, tokens: u64, time: Duration) {
+        if tokens >= WRITTEN_MIN {
+            let sample = time.as_secs_f64() * 1000.0 / as_f64(tokens);
+            let sample = sample.min(WRITE_MS_PER_TOKEN * MOST);
+            self.write_ms_per_token = learn(self.write_ms_per_token, sample);
+        }
+    }
+
     /// Takes the time in which `tokens` were read.
     pub fn observe(&mut self, tokens: u64, time: Duration) {
         if tokens < TOKENS_MIN {
@@ -39,6 +63,11 @@
         }
         let sample = time.as_secs_f64() * 1000.0 / as_f64(tokens);
         let sample = sample.clamp(READ_MS_PER_TOKEN * LEAST, READ_MS_PER_TOKEN * MOST);
-        self.ms_per_token += NEW_WEIGHT * (sample - self.ms_per_token);
+        self.ms_per_token = learn(self.ms_per_token, sample);
     }
 }
+
+fn learn(known: f64, sample: f64) -> f64 {
+    let weight = if sample < known { SHORTER_WEIGHT } else { LONGER_WEIGHT };
+    known + weight * (sample - known)
+}
--- a/crates/lw-place/tests/announcements.rs
+++ b/crates/lw-place/tests/announcements.rs
@@ -31,7 +31,7 @@
         let choice = far.choose(ms(1), &ask(&about(part))).unwrap();
         assert_ne!(choice.upstream.id, first.upstream.id, "prompt {n}");
     }
-    far.announced_end("vm-2", &first.upstream.id, ticket, Ended::Failed);
+    far.announced_end(ms(2), "vm-2", &first.upstream.id, ticket, Ended::Failed);
     let ids =
         (10..40).map(|part| far.choose(ms(2), &ask(&about(part))).unwrap().upstream.id.clone());
     assert!(ids.collect::<std::collections::BTreeSet<_>>().len() == 2);
