--- a/crates/lw-place/src/fleet/books.rs
+++ b/crates/lw-place/src/fleet/books.rs
@@ -159,6 +159,12 @@
         }
     }
 
+    /// Attempts that have not ended, those of other VMs included.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.members.values().map(|member| member.flights.len()).sum()
+    }
+
     /// Drops attempts of other VMs whose end was not heard of.
     pub fn tick(&mut self, now: Now) {
         for member in self.members.values_mut() {
