feat(lw-place): requests that will be late rank behind those that can be on time

A request whose expected first event is later than 1.75 times its target now gets a rank behind all that can be on time, whatever their route.

--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -144,7 +144,7 @@
                 deadline: left,
                 workspace: workspace.map(|workspace| workspace.name.as_str()),
                 version: choice.version,
-                priority: call.prompt.as_ref().map(|prompt| prompt.rank),
+                priority: call.prompt.as_ref().map(|_| choice.rank),
                 salt: choice.salt.as_deref(),
                 fetch_from: choice.fetch_from,
                 save_to: choice.save_to,
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -107,6 +107,7 @@
             spread: xxhash_rust::xxh3::xxh3_64(self.call.head.request.as_bytes()),
             tried: &self.tried,
             left: self.call.due.saturating_sub(now),
+            on_time: (self.call.arrived + self.call.route.target_latency).saturating_sub(now),
             version_time: self.edge.settings.bounds.version.saturating_sub(VERSION_MARGIN),
         };
         let chosen = self.edge.with_fleet(&self.call.service, |fleet| fleet.choose(now, &ask));
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use lw_catalog::{Catalog, Route, Workspace};
-use lw_place::Prompt;
+use lw_place::{Prompt, RANK_MAX};
 use lw_platform::headers::{self, CallerHead};
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
@@ -185,13 +185,12 @@
 
 /// Rank at the engine: the workspace's goes before the route's.
 fn rank(route: &Route, workspace: Option<&Workspace>) -> u8 {
-    const LEAST: u8 = 9;
-    const ROUTE_RANKS: u8 = 3;
+    const ROUTE_RANKS: u8 = 2;
     let workspace = workspace.and_then(|workspace| workspace.priority);
     let rank = workspace.map_or(route.priority, |workspace| {
         workspace.saturating_mul(ROUTE_RANKS).saturating_add(route.priority.min(ROUTE_RANKS - 1))
     });
-    rank.min(LEAST)
+    rank.min(RANK_MAX)
 }
 
 fn prompt(head: &CallerHead, route: &Route, workspace: Option<&Workspace>, bytes: usize) -> Prompt {
--- a/crates/lw-place/src/fleet/books.rs
+++ b/crates/lw-place/src/fleet/books.rs
@@ -64,7 +64,7 @@
             tokens: prompt.map_or(0, |prompt| prompt.tokens + prompt.output_tokens),
             to_read: prompt.map_or(0, |prompt| prompt.tokens.saturating_sub(moved)),
             output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens),
-            rank: prompt.map_or(0, |prompt| prompt.rank),
+            rank: choice.rank,
             parts: parts.unwrap_or_default(),
             fetch_time: choice.fetched_at.saturating_sub(now),
             is_saved: choice.save_to.is_some(),
--- a/crates/lw-place/src/fleet/choose.rs
+++ b/crates/lw-place/src/fleet/choose.rs
@@ -6,7 +6,7 @@
 use lw_types::prelude::*;
 
 use super::{Ask, Choice, Fleet, Member, Prompt, Refusal, member::as_f64};
-use crate::salt;
+use crate::{RANK_MAX, salt};
 
 /// Weight of the work that a request causes at an engine against the time for which it waits: work that is done
 /// twice is missing for others.
@@ -14,11 +14,15 @@
 /// Cost of a request to another failure domain, in milliseconds: two crossings, and links that cost more than usual.
 const AWAY_MS: f64 = 20.0;
 /// Further cost for each kilobyte of it.
-const AWAY_MS_PER_KB: f64 = 4.0;
+const AWAY_MS_PER_KB: f64 = 3.0;
 /// Cost of weights that were replaced, in milliseconds.
 const OUTDATED_MS: f64 = 200.0;
 /// Cost of a transfer for each millisecond of it.
 const TRANSFER_WEIGHT: f64 = 0.3;
+/// Factor of the time in which a request is on time above which it will be late: estimates err by that much.
+const LATE_FACTOR: f64 = 1.75;
+/// Cost of a request that is late.
+const LATE_MS: f64 = 200.0;
 /// Most that chance adds to the cost, in milliseconds, so that VMs do not all choose the same of equals.
 const TIE_MS: f64 = 2.0;
 
@@ -82,16 +86,23 @@
         let read = member.rate.read_ms(to_read);
         let fetch = choice.fetched_at.saturating_sub(now).as_secs_f64() * 1000.0;
         let room = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
-        let queue = member.queue_ms(now, prompt.rank).max(fetch);
-        let wait = queue.max(member.memory_ms(
-            now,
-            prompt.rank,
-            prompt.tokens + prompt.output_tokens,
-            room,
-        ));
-        choice.expected = Duration::try_from_secs_f64((wait + read) / 1000.0).unwrap_or(ask.left);
+        let tokens = prompt.tokens + prompt.output_tokens;
+        let wait = |rank: u8| {
+            member.queue_ms(now, rank).max(fetch).max(member.memory_ms(now, rank, tokens, room))
+        };
+        choice.rank = prompt.rank.min(RANK_MAX);
+        let mut wait_ms = wait(choice.rank);
+        let mut late_ms = 0.0;
+        if wait_ms + read > ask.on_time.as_secs_f64() * 1000.0 * LATE_FACTOR {
+            choice.rank += RANK_MAX + 1;
+            wait_ms = wait(choice.rank);
+            late_ms = LATE_MS;
+        }
+        choice.expected =
+            Duration::try_from_secs_f64((wait_ms + read) / 1000.0).unwrap_or(ask.left);
         let kilobytes = u64::try_from(prompt.bytes / 1024).unwrap_or(u64::MAX);
-        let cost = wait
+        let cost = wait_ms
+            + late_ms
             + read * (1.0 + WORK_WEIGHT)
             + fetch * TRANSFER_WEIGHT
             + self.away_ms(member, kilobytes)
@@ -130,6 +141,7 @@
     Choice {
         upstream: Arc::clone(&member.upstream),
         version: None,
+        rank: 0,
         salt: None,
         held: 0,
         fetched: 0,
--- a/crates/lw-place/src/fleet/mod.rs
+++ b/crates/lw-place/src/fleet/mod.rs
@@ -37,6 +37,8 @@
     pub tried: &'a [UpstreamId],
     /// Time left for the answer.
     pub left: Duration,
+    /// Time left in which the first event or the answer is on time.
+    pub on_time: Duration,
     /// Time after the naming of a version in which requests may begin on older ones.
     pub version_time: Duration,
 }
@@ -48,6 +50,8 @@
     pub upstream: Arc<Upstream>,
     /// Version of the weights that it must have.
     pub version: Option<u64>,
+    /// Rank at the engine, 0 is the most urgent.
+    pub rank: u8,
     /// Salt of the prompt's parts.
     pub salt: Option<String>,
     /// Tokens of the prompt that it is believed to hold.
--- a/crates/lw-place/src/lib.rs
+++ b/crates/lw-place/src/lib.rs
@@ -11,4 +11,4 @@
 pub use cache::{CacheChange, CachePage, CacheView};
 pub use fleet::{Announced, Ask, Choice, Ended, Fleet, Refusal, Ticket};
 pub use load::Load;
-pub use prompt::{Part, Prompt, salt};
+pub use prompt::{Part, Prompt, RANK_MAX, salt};
--- a/crates/lw-place/src/prompt.rs
+++ b/crates/lw-place/src/prompt.rs
@@ -3,6 +3,9 @@
 use lw_types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Least urgent rank of a request that can be on time. Those that cannot have ranks above it.
+pub const RANK_MAX: u8 = 4;
+
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Part {
@@ -25,7 +28,7 @@
     pub output_tokens: u64,
     /// Workspace whose parts no other workspace may use.
     pub wall: Option<WorkspaceId>,
-    /// Rank at an engine, 0 is the most urgent.
+    /// Rank at an engine among the requests that can be on time, from 0, the most urgent, to [`RANK_MAX`].
     pub rank: u8,
     /// Size of the request in bytes.
     pub bytes: usize,
--- a/crates/lw-place/tests/common/mod.rs
+++ b/crates/lw-place/tests/common/mod.rs
@@ -55,5 +55,12 @@
 }
 
 pub fn ask(prompt: &Prompt) -> Ask<'_> {
-    Ask { prompt: Some(prompt), spread: 7, tried: &[], left: ms(6_000), version_time: ms(10_000) }
+    Ask {
+        prompt: Some(prompt),
+        spread: 7,
+        tried: &[],
+        left: ms(6_000),
+        on_time: ms(500),
+        version_time: ms(10_000),
+    }
 }
