feat(lw-place): keep long readings and streams apart

Ruled out: loads of weights (none of the pauses was at an engine that had an order within 3 s). A reading now costs more at an engine with many streams, a stream more at one that reads.

--- a/crates/lw-place/src/fleet/choose.rs
+++ b/crates/lw-place/src/fleet/choose.rs
@@ -12,9 +12,9 @@
 /// twice is missing for others.
 const WORK_WEIGHT: f64 = 1.0;
 /// Cost of a request to another failure domain, in milliseconds: two crossings, and links that cost more than usual.
-const AWAY_MS: f64 = 20.0;
+const AWAY_MS: f64 = 30.0;
 /// Further cost for each kilobyte of it.
-const AWAY_MS_PER_KB: f64 = 3.0;
+const AWAY_MS_PER_KB: f64 = 4.0;
 /// Cost of weights that were replaced, in milliseconds.
 const OUTDATED_MS: f64 = 200.0;
 /// Cost of a transfer for each millisecond of it.
@@ -105,6 +105,7 @@
             + late_ms
             + read * (1.0 + WORK_WEIGHT)
             + fetch * TRANSFER_WEIGHT
+            + member.disturbance_ms(read, prompt.output_tokens)
             + self.away_ms(member, kilobytes)
             + self.outdated_ms(now, ask, member)
             + tie_ms(member, home(ask, prompt));
--- a/crates/lw-place/src/fleet/member.rs
+++ b/crates/lw-place/src/fleet/member.rs
@@ -12,6 +12,10 @@
 const LOAD_AGE_MAX: Duration = Duration::from_secs(1);
 /// Time that an engine takes for one step without reading, until timings say otherwise, in milliseconds.
 const STEP_MS: f64 = 10.0;
+/// Cost of a stream beside a reading, for each millisecond of it.
+const DISTURBED_WEIGHT: f64 = 0.5;
+/// Cost of a reading beside a stream, for each millisecond of it.
+const DISTURBS_WEIGHT: f64 = 0.1;
 /// Work of one request at a plain server, until timings say otherwise, in milliseconds.
 const PLAIN_WORK_MS: f64 = 25.0;
 
@@ -93,6 +97,17 @@
         ahead - done + self.step_ms(now)
     }
 
+    /// Cost of reading beside answers in milliseconds: while an engine reads, its steps take several times as long, and
+    /// the pauses of all streams with them. It answers long readings beside many short streams.
+    pub fn disturbance_ms(&self, read_ms: f64, output_tokens: u64) -> f64 {
+        let unread = self.flights.values().filter(|f| f.started.is_none());
+        let backlog: f64 = unread.map(|f| self.rate.read_ms(f.to_read)).sum();
+        let streams = self.flights.values().filter(|f| f.started.is_some()).count();
+        let streams = as_f64(u64::try_from(streams).unwrap_or(u64::MAX));
+        let disturbed = backlog.min(self.rate.write_ms(output_tokens)) * DISTURBED_WEIGHT;
+        disturbed + read_ms * streams * DISTURBS_WEIGHT
+    }
+
     /// Milliseconds of one step of the engine, which grows with the requests that run.
     fn step_ms(&self, now: Now) -> f64 {
         let is_reading = self.flights.values().any(|f| f.started.is_none());
--- a/crates/lw-place/tests/announcements.rs
+++ b/crates/lw-place/tests/announcements.rs
@@ -78,3 +78,20 @@
     let choice = fleet.choose(ms(0), &ask(&small)).unwrap();
     assert_eq!(fleet.sent(ms(0), &choice, Some(&small)).1, None);
 }
+
+/// Guards against readings on an engine whose streams then pause, while another engine is free.
+#[test]
+fn a_long_reading_goes_to_the_engine_with_fewer_streams() {
+    let mut fleet = two_engines();
+    let parts = vec![Part { id: 1, tokens: 55 }, Part { id: 2, tokens: 300 }];
+    let small = Prompt { tokens: 355, output_tokens: 60, parts, ..prompt("m") };
+    let crowded = fleet.choose(ms(0), &ask(&small)).unwrap();
+    for _ in 0..6 {
+        let (ticket, _) = fleet.sent(ms(0), &crowded, Some(&small));
+        fleet.started(ms(10), &crowded.upstream.id, ticket);
+    }
+    for part in 10..30 {
+        let choice = fleet.choose(ms(20), &ask(&about(part))).unwrap();
+        assert_ne!(choice.upstream.id, crowded.upstream.id, "part {part}");
+    }
+}
