fix(lw-edge): end attempts with their callers, hand the issuer's lease over

A leaving issuer gives its lease back; with engines that check fencing numbers a new issuer does not wait, asks each engine for its state before its first order, and polls loads of the former one. The lease takes 1.5 s; two VMs by rank try for it at once, one more each 200 ms.

--- a/crates/lw-catalog/src/settings.rs
+++ b/crates/lw-catalog/src/settings.rs
@@ -40,6 +40,8 @@
     pub version: Duration,
     /// Time between the end of a lease and the first order of another issuer.
     pub lease: Duration,
+    /// Whether engines refuse orders with a lower fencing number than they have seen.
+    pub is_fenced: bool,
     /// Extra arrivals at a service allowed for each request to it, over all VMs.
     pub retry_ratio: f64,
     /// Extra arrivals at a service allowed in each window besides, over all VMs.
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -27,6 +27,12 @@
     },
 };
 
+/// Lifetime of the issuer's lease. An issuer that dies delays orders by this.
+const LEASE_TIME: Duration = Duration::from_millis(1500);
+/// VMs that try at once to get the lease when nobody holds it.
+const CANDIDATES: usize = 2;
+/// Time after which one more VM tries.
+const CANDIDATE_PERIOD: Duration = Duration::from_millis(200);
 /// Time between two looks at what is to be ordered.
 const TICK: Duration = Duration::from_millis(50);
 /// Time before an order in which its engine gets no new work, so that short requests end.
@@ -63,6 +69,8 @@
     engines: Vec<UpstreamId>,
     /// Number of the last report that the issuer got.
     reports: u64,
+    /// Since when nobody holds the lease.
+    free_since: Option<Now>,
     /// Engines that are loading as far as they said.
     loading: HashMap<UpstreamId, bool>,
     last_order: Option<Now>,
@@ -77,7 +85,7 @@
     #[must_use]
     pub fn new(bounds: &lw_catalog::settings::Bounds) -> Self {
         let ms = Duration::from_millis;
-        let lease_ttl = ms(2000).max(bounds.lease_min);
+        let lease_ttl = LEASE_TIME.max(bounds.lease_min);
         let options = Options {
             lease_ttl,
             lease_margin: lease_ttl / 5,
@@ -127,7 +135,7 @@
     loop {
         ticks.tick().await;
         let now = edge.timer.now_suspended();
-        edge.orders.issuer().set_eligible(is_eligible(&edge));
+        edge.orders.issuer().set_eligible(is_eligible(&edge, now));
         refresh(&edge, now);
         let actions = edge.orders.issuer().tick(now);
         for action in actions {
@@ -142,12 +150,27 @@
     }
 }
 
-/// This VM tries to hold the lease if it holds it, or if nobody does.
-fn is_eligible(edge: &Edge) -> bool {
-    let is_held = edge.orders.state().lease.is_some();
+/// This VM tries to hold the lease if it holds it, or if nobody does and few VMs come before it. The longer the lease
+/// is free the more VMs try, since those before may not reach the store.
+fn is_eligible(edge: &Edge, now: Now) -> bool {
+    let mut state = edge.orders.state();
+    if state.lease.is_some() {
+        return true;
+    }
     let known = edge.known();
-    is_held
-        || (known.catalog().is_some() && known.own(keys::ISSUER).is_none() && !edge.is_leaving())
+    if known.catalog().is_none() || known.own(keys::ISSUER).is_some() || edge.is_leaving() {
+        state.free_since = None;
+        return false;
+    }
+    let free = now.saturating_sub(*state.free_since.get_or_insert(now));
+    let own = vm_rank(&edge.settings.vm);
+    let before = known.vms().filter(|(vm, _)| vm_rank(vm) > own).count();
+    let more = free.as_millis() / CANDIDATE_PERIOD.as_millis();
+    before < CANDIDATES + usize::try_from(more).unwrap_or(usize::MAX)
+}
+
+fn vm_rank(vm: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(vm.as_bytes())
 }
 
 /// Gives the issuer the plan and the states of the engines.
@@ -245,6 +268,18 @@
     ranked.iter().enumerate().map(|(rank, (_, _, id))| ((*id).to_owned(), rank)).collect()
 }
 
+/// Gives the lease back, so that another VM can go on at once.
+pub async fn hand_over(edge: &Edge) {
+    let lease = edge.orders.state().lease.take();
+    edge.orders.issuer().set_eligible(false);
+    let Some((fence, id)) = lease else { return };
+    edge.orders.issuer().on_refused(edge.timer.now_suspended(), fence);
+    match edge.store.end_lease(id).await {
+        Ok(()) => log::info!("order: lease given back, fencing number {fence}"),
+        Err(e) => log::warn!("order: lease not given back, it lapses: {e}"),
+    }
+}
+
 async fn acquire(edge: Arc<Edge>, op: u64) {
     let result = match take_lease(&edge).await {
         Ok((fence, id, is_first)) => {
@@ -253,7 +288,12 @@
             state.lease = Some((fence, id));
             state.accepted.clear();
             drop(state);
-            if is_first { LeaseResult::GrantedFirst(fence) } else { LeaseResult::Granted(fence) }
+            // Engines that check fencing numbers refuse the late orders of a former issuer themselves.
+            if is_first || edge.settings.bounds.is_fenced {
+                LeaseResult::GrantedFirst(fence)
+            } else {
+                LeaseResult::Granted(fence)
+            }
         }
         Err(Error::Conflict) => LeaseResult::Refused,
         Err(e) => {
@@ -332,6 +372,11 @@
         Ok(orders) => orders,
         Err(e) => return log::warn!("order: {} gets no order: {e}", upstream.id),
     };
+    if edge.orders.state().loading.get(&upstream.id) == Some(&true) {
+        log::info!("order: {} carries out an order of a former issuer", upstream.id);
+        poll(edge, upstream, model, version).await;
+        return;
+    }
     if edge.timer.now_suspended() >= order.send_before {
         return log::warn!("order: {} not sent, its time has passed", order.engine);
     }
@@ -377,10 +422,12 @@
     upstream: &Upstream,
 ) -> Result<u64, lw_platform::engine::Error> {
     let known = edge.orders.state().accepted.get(&run_of(upstream)).copied();
-    match known {
-        Some(orders) => Ok(orders),
-        None => Ok(edge.engines.report(upstream.addr, &upstream.id).await?.orders),
+    if let Some(orders) = known {
+        return Ok(orders);
     }
+    let report = edge.engines.report(upstream.addr, &upstream.id).await?;
+    edge.orders.state().loading.insert(upstream.id.clone(), report.is_loading);
+    Ok(report.orders)
 }
 
 /// Asks an engine until it serves the new weights; returns whether it does.
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -142,6 +142,7 @@
     let started = edge.timer.now();
     edge.leave();
     log::info!("run: leaving with {} requests in flight", edge.in_flight());
+    orders::hand_over(edge).await;
     let last = edge.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
     loop {
         tokio::time::sleep(LEAVE_POLL).await;
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -47,6 +47,12 @@
     is_over: bool,
 }
 
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.finish(Ended::Cancelled);
+    }
+}
+
 impl Attempt {
     /// Takes the attempt into the books of its upstream.
     pub fn begin(edge: &Arc<Edge>, call: &Arc<Call>, choice: Choice) -> Self {
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -44,6 +44,7 @@
         revoke: ms(2_000),
         version: ms(15_000),
         lease: ms(500),
+        is_fenced: true,
         retry_ratio: 0.2,
         retry_floor: 90,
         retry_window: ms(10_000),
--- a/crates/lw-forward/src/listen/mod.rs
+++ b/crates/lw-forward/src/listen/mod.rs
@@ -118,11 +118,20 @@
         .timer(TokioTimer::new())
         .header_read_timeout(options.idle)
         .max_buf_size(options.head_bytes.max(BUFFER_MIN_BYTES));
+    // A connection that comes while the others are closed is answered once, so that its caller learns where to go.
+    let is_late = *closing.borrow();
+    builder.keep_alive(!is_late);
     let connection = builder.serve_connection(TokioIo::new(stream), service_fn(answer));
     tokio::pin!(connection);
+    let closed = async {
+        if is_late {
+            std::future::pending::<()>().await;
+        }
+        drop(closing.wait_for(|closing| *closing).await);
+    };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = async { drop(closing.wait_for(|closing| *closing).await) } => {
+        () = closed => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
