--- a/crates/lw-catalog/src/settings.rs
+++ b/crates/lw-catalog/src/settings.rs
@@ -17,6 +17,8 @@
     pub readiness: SocketAddr,
     /// Address on which this VM talks to the other VMs.
     pub peers: SocketAddr,
+    /// Address on which metrics are read and operators ask, if there is one.
+    pub metrics: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Memory above which this process is killed, in bytes.
--- a/crates/lw-cli/src/args.rs
+++ b/crates/lw-cli/src/args.rs
@@ -22,6 +22,13 @@
   explain REQUEST_ID           print the decisions on a request
   drain                        let the VM take no new work and end
 
+On the users' platform, without a token:
+  status --metrics ADDRESS     print the status of a VM
+  explain --metrics ADDRESS REQUEST_ID
+                               print the decisions of a VM on a request
+  explain --log FILE REQUEST_ID
+                               print them from saved logs, - for standard input
+
 Callers' command, with --callers ADDRESS and the key in --key or in the
 environment variable LAVENDERWOOD_API_KEY:
   ask --model NAME --prompt TEXT [--class NAME] [--max-tokens N]
@@ -85,6 +92,13 @@
         /// What to do.
         action: Action,
     },
+    /// Print the decisions on a request from saved logs.
+    ExplainLog {
+        /// File with log lines, or `-`.
+        file: OsString,
+        /// The request.
+        request: RequestId,
+    },
     /// Send a chat request.
     Ask(Ask),
 }
@@ -199,21 +213,43 @@
                 _ => return Err(Error::Command(format!("config {name}"))),
             }
         }
-        "status" => Action::Status,
-        "drain" => Action::Drain,
-        "explain" => {
-            let operator = args.value_from_str("--operator")?;
-            let request: RequestId = args.free_from_str()?;
-            if !request.bytes().all(is_id_byte) {
-                return Err(Error::RequestId(request));
+        "status" => {
+            if let Some(address) = args.opt_value_from_str("--metrics")? {
+                return Ok(without_token(address, Action::Status));
             }
-            return operators(operator, environment, Action::Explain(request));
+            Action::Status
         }
+        "drain" => Action::Drain,
+        "explain" => return explain(args, environment),
         _ => return Err(Error::Command(name)),
     };
     operators(args.value_from_str("--operator")?, environment, action)
 }
 
+fn explain(args: &mut Arguments, environment: Environment) -> Result<Command, Error> {
+    // Options are taken first, since a free argument is the first one left.
+    let metrics = args.opt_value_from_str("--metrics")?;
+    let file = args.opt_value_from_os_str("--log", |text| Ok::<_, Error>(text.to_owned()))?;
+    let operator = match (&metrics, &file) {
+        (None, None) => Some(args.value_from_str("--operator")?),
+        _ => None,
+    };
+    let request: RequestId = args.free_from_str()?;
+    if request.is_empty() || !request.bytes().all(is_id_byte) {
+        return Err(Error::RequestId(request));
+    }
+    match (metrics, file, operator) {
+        (Some(address), ..) => Ok(without_token(address, Action::Explain(request))),
+        (None, Some(file), _) => Ok(Command::ExplainLog { file, request }),
+        (None, None, Some(address)) => operators(address, environment, Action::Explain(request)),
+        (None, None, None) => Err(Error::Command("explain".into())),
+    }
+}
+
+fn without_token(address: SocketAddr, action: Action) -> Command {
+    Command::Operator { address, token: String::new(), action }
+}
+
 /// The characters of request ids, none of which has a meaning in a path.
 fn is_id_byte(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':')
--- a/crates/lw-cli/src/commands/mod.rs
+++ b/crates/lw-cli/src/commands/mod.rs
@@ -12,6 +12,7 @@
 };
 
 mod ask;
+mod log;
 mod operators;
 
 /// Exit status for wrong arguments and files.
@@ -85,6 +86,13 @@
                 if options.json { pretty(&answer) } else { operators::text(action, &answer) };
             print(out, &text)
         }
+        Command::ExplainLog { file, request } => {
+            let answer = log::explain(&read_text(file)?, request)?;
+            let action = Action::Explain(request.clone());
+            let text =
+                if options.json { pretty(&answer) } else { operators::text(&action, &answer) };
+            print(out, &text)
+        }
         Command::Ask(request) => ask::run(request, options.json, out).await,
     }
 }
@@ -106,20 +114,28 @@
 
 /// Reads a merge patch; JSON is read as the YAML that it also is.
 fn read_patch(file: &std::ffi::OsStr) -> Result<Value, Error> {
-    let wrong = |message: String| Error::File { file: file.display().to_string(), message };
+    let patch: Value =
+        serde_saphyr::from_str(&read_text(file)?).map_err(|e| wrong_file(file, &e))?;
+    if patch.is_object() {
+        Ok(patch)
+    } else {
+        Err(wrong_file(file, &"a merge patch must be a mapping"))
+    }
+}
+
+/// The text of a file, or of standard input if its name is `-`.
+fn read_text(file: &std::ffi::OsStr) -> Result<String, Error> {
     let text = if file == "-" {
         let mut text = String::new();
         io::stdin().read_to_string(&mut text).map(|_| text)
     } else {
         std::fs::read_to_string(file)
     };
-    let patch: Value = serde_saphyr::from_str(&text.map_err(|e| wrong(e.to_string()))?)
-        .map_err(|e| wrong(e.to_string()))?;
-    if patch.is_object() {
-        Ok(patch)
-    } else {
-        Err(wrong("a merge patch must be a mapping".to_owned()))
-    }
+    text.map_err(|e| wrong_file(file, &e))
+}
+
+fn wrong_file(file: &std::ffi::OsStr, what: &dyn std::fmt::Display) -> Error {
+    Error::File { file: file.display().to_string(), message: what.to_string() }
 }
 
 fn pretty(value: &Value) -> String {
--- /dev/null
+++ b/crates/lw-cli/tests/logs.rs
@@ -0,0 +1,38 @@
+//! Guards against a request that cannot be followed through saved logs of several VMs.
+
+use std::{io::Write as _, process::Command};
+
+const LINES: &str = "\
+2026-05-28T07:19:38.000Z INFO http: request answered request=b2 status=200 attempts=1
+2026-05-28T07:19:37.100Z INFO route: request sent request=a1 attempt=1 upstream=e1 expected_ms=210
+2026-05-28T07:19:37.400Z WARN http: stream broken off request=a1 code=4001 why=\"connection broke\"
+2026-05-28T07:19:37.300Z WARN route: attempt ended request=a1 upstream=e1 ended=failed
+not a line
+";
+
+#[test]
+fn explain_reads_saved_logs_in_the_order_of_their_times() {
+    let mut file = tempfile();
+    file.1.write_all(LINES.as_bytes()).unwrap();
+    let out = run(&["explain", "--log", &file.0, "a1"]);
+    assert_eq!(out.status.code(), Some(0));
+    let text = String::from_utf8(out.stdout).unwrap();
+    let at = |what: &str| text.find(what).unwrap_or_else(|| panic!("{what} is missing in {text}"));
+    assert!(at("request sent") < at("attempt ended") && at("attempt ended") < at("stream broken"));
+    assert!(text.contains("300") && text.contains("why=connection broke"), "{text}");
+    assert!(!text.contains("b2"));
+    let out = run(&["explain", "--log", &file.0, "c3"]);
+    assert_eq!(out.status.code(), Some(1));
+    std::fs::remove_file(&file.0).unwrap();
+}
+
+fn run(args: &[&str]) -> std::process::Output {
+    Command::new(env!("CARGO_BIN_EXE_lavenderwood")).args(args).output().unwrap()
+}
+
+fn tempfile() -> (String, std::fs::File) {
+    let name = format!("lavenderwood-logs-{}", std::process::id());
+    let path = std::env::temp_dir().join(name).to_string_lossy().into_owned();
+    let file = std::fs::File::create(&path).unwrap();
+    (path, file)
+}
--- a/crates/lw-daemon/src/args.rs
+++ b/crates/lw-daemon/src/args.rs
@@ -9,10 +9,11 @@
 lavenderwoodd - router for language-model traffic with long shared prompts
 
 Usage: lavenderwoodd --config FILE [--check]
-       lavenderwoodd --platform [--check]
+       lavenderwoodd --platform [--metrics PORT] [--check]
 
   --config FILE  settings in YAML
   --platform     run on the users' platform, with the settings that it provides
+  --metrics PORT serve metrics, status and explanations on this port
   --check        validate the settings and exit
   --version      print the version and exit
   --help         print this text and exit
@@ -28,8 +29,8 @@
     Run(PathBuf),
     /// Validate this settings file.
     Check(PathBuf),
-    /// Run on the users' platform.
-    RunOnPlatform,
+    /// Run on the users' platform, with metrics on this port if there is one.
+    RunOnPlatform(Option<u16>),
     /// Validate the settings that the users' platform provides.
     CheckOnPlatform,
     /// Print the version.
@@ -71,6 +72,7 @@
     }
     let check = args.contains("--check");
     let on_platform = args.contains("--platform");
+    let metrics = args.opt_value_from_str("--metrics")?;
     let path = if on_platform { None } else { Some(args.value_from_str("--config")?) };
     let rest = args.finish();
     if !rest.is_empty() {
@@ -81,6 +83,6 @@
         (Some(path), true) => Command::Check(path),
         (Some(path), false) => Command::Run(path),
         (None, true) => Command::CheckOnPlatform,
-        (None, false) => Command::RunOnPlatform,
+        (None, false) => Command::RunOnPlatform(metrics),
     })
 }
--- a/crates/lw-daemon/src/main.rs
+++ b/crates/lw-daemon/src/main.rs
@@ -8,11 +8,15 @@
     args::{self, Command},
     run,
 };
+use lw_observe::logs::{Logs, Options};
 
 const USAGE_STATUS: u8 = 2;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let logs = match log_to_stdout() {
+        Ok(logs) => logs,
+        Err(e) => return usage(&format!("no log: {e}")),
+    };
     match args::parse(std::env::args_os().skip(1).collect()) {
         Ok(Command::Help) => print(args::HELP),
         Ok(Command::Version) => print(concat!("lavenderwoodd ", env!("CARGO_PKG_VERSION"), "\n")),
@@ -28,14 +32,20 @@
             Ok(_) => print("the settings are valid\n"),
             Err(e) => usage(&e),
         },
-        Ok(Command::RunOnPlatform) => match load_platform() {
-            Ok(settings) => serve_on_platform(settings),
+        Ok(Command::RunOnPlatform(port)) => match load_platform() {
+            Ok(settings) => serve_on_platform(with_metrics(settings, port), logs),
             Err(e) => usage(&e),
         },
         Err(e) => usage(&format!("{e}\n\n{}", args::HELP)),
     }
 }
 
+fn log_to_stdout() -> Result<Logs, Box<dyn std::error::Error>> {
+    let logs = Logs::new(Options::default(), std::io::stdout())?;
+    logs.install()?;
+    Ok(logs)
+}
+
 fn print(text: &str) -> ExitCode {
     print!("{text}");
     ExitCode::SUCCESS
@@ -57,8 +67,14 @@
     lw_platform::settings::from_toml(&text).map_err(|e| e.to_string())
 }
 
+/// Metrics are served on the address at which the VM talks to the other VMs.
+fn with_metrics(settings: VmSettings, port: Option<u16>) -> VmSettings {
+    let metrics = port.map(|port| (settings.peers.ip(), port).into());
+    VmSettings { metrics, ..settings }
+}
+
 /// Runs on one thread, since the VMs of the platform have a part of one core.
-fn serve_on_platform(settings: VmSettings) -> ExitCode {
+fn serve_on_platform(settings: VmSettings, logs: Logs) -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
@@ -66,7 +82,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(lw_edge::run::run(settings)) {
+    match runtime.block_on(lw_edge::run::run(settings, logs)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("run: {e}");
--- a/crates/lw-edge/src/feeds/mod.rs
+++ b/crates/lw-edge/src/feeds/mod.rs
@@ -120,7 +120,8 @@
             }
             Err(e) => {
                 if !std::mem::replace(&mut is_silent, true) {
-                    log::warn!("route: {}: {e}", name(&holder));
+                    log::warn!(target: "route", upstream = name(&holder), why = e.to_string();
+                        "no cache events");
                 }
                 silent(&edge, &holder);
                 tokio::time::sleep(PAUSE).await;
@@ -162,7 +163,7 @@
 }
 
 fn answers(edge: &Edge, holder: &Holder) {
-    log::info!("route: {} answers again", name(holder));
+    log::info!(target: "route", upstream = name(holder); "cache events again");
     if let Holder::Engine { id, .. } = holder {
         peers::tell(edge, News::Silent { upstream: id.clone(), ms: 0 });
     }
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -10,8 +10,11 @@
 
 use crate::state::{Edge, OwnItem, keys};
 
-/// Time for which a watch waits. The knowledge about keys is as old as the last watch that was answered.
-const WATCH_TIME: Duration = Duration::from_millis(1500);
+/// Part of the time in which a revoked key must be refused for which a watch waits. The knowledge about keys is as old
+/// as the last watch that was answered, and a watch that goes silent must not make it too old.
+const WATCH_PART: f64 = 0.3;
+/// Longest time for which a watch waits.
+const WATCH_MAX: Duration = Duration::from_secs(5);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(100);
 /// All keys, so that one watch hears of everything.
@@ -24,7 +27,7 @@
         let failure = match read_all(&edge).await {
             Ok(revision) => {
                 if std::mem::take(&mut is_lost) {
-                    log::info!("config: the store answers again at revision {revision}");
+                    log::info!(target: "config", revision = revision; "store answers again");
                 }
                 watch(&edge, revision).await
             }
@@ -32,7 +35,7 @@
         };
         if !matches!(failure, Error::Compacted) {
             if !std::mem::replace(&mut is_lost, true) {
-                log::warn!("config: {failure}");
+                log::warn!(target: "config", why = failure.to_string(); "store lost");
             }
             edge.known().directory.store_returned(edge.timer.now());
             tokio::time::sleep(PAUSE).await;
@@ -73,7 +76,10 @@
     let id = registry::upstream_id(&item.key)?;
     let read = item.value.as_deref().map_err(ToString::to_string);
     let read = read.and_then(|value| registry::upstream(id, value).map_err(|e| e.to_string()));
-    let upstream = read.inspect_err(|e| log::warn!("member: entry {id} names no upstream: {e}"));
+    let upstream = read.inspect_err(|e| {
+        log::warn!(target: "member", upstream = id, revision = item.revision, why = e.as_str();
+            "entry names no upstream");
+    });
     Some((id.to_owned(), upstream.ok()))
 }
 
@@ -81,7 +87,7 @@
 fn take_named(edge: &Edge, item: &Item) {
     let value = match &item.value {
         Ok(value) => value,
-        Err(e) => return log::warn!("config: {}: {e}", item.key),
+        Err(e) => return unreadable(item, e),
     };
     if item.key.starts_with(keys::PREFIX) {
         let own = OwnItem { value: value.clone(), revision: item.revision };
@@ -89,27 +95,34 @@
     } else if item.key == config::CONFIG_KEY {
         match config::catalog(value) {
             Ok(catalog) => edge.install(catalog),
-            Err(e) => log::error!("config: revision {}: {e}", item.revision),
+            Err(e) => unreadable(item, &e),
         }
     } else if config::is_named_version(&item.key) {
         match config::named_version(value) {
             Ok(named) => {
                 let now = edge.timer.now();
                 if edge.known().name_version(now, &named.model, named.version) {
-                    log::info!("order: version {} of {} is named", named.version, named.model);
+                    log::info!(target: "order", model = named.model.as_str(),
+                        weights = named.version, revision = item.revision; "version named");
                     edge.version_named(now, &named.model, named.version);
                 }
             }
-            Err(e) => log::error!("order: {}: {e}", item.key),
+            Err(e) => unreadable(item, &e),
         }
     }
 }
 
+fn unreadable(item: &Item, e: &Error) {
+    log::error!(target: "config", key = item.key.as_str(), revision = item.revision,
+        why = e.to_string(); "unreadable item");
+}
+
 /// Watches until a call fails.
 async fn watch(edge: &Edge, mut revision: Revision) -> Error {
+    let wait = edge.settings.bounds.revoke.mul_f64(WATCH_PART).min(WATCH_MAX);
     loop {
         let sent = edge.timer.now_suspended();
-        match edge.store.watch(EVERYTHING, revision, WATCH_TIME).await {
+        match edge.store.watch(EVERYTHING, revision, wait).await {
             Ok(batch) => {
                 revision = batch.revision.max(revision);
                 take(edge, batch);
--- a/crates/lw-edge/src/lib.rs
+++ b/crates/lw-edge/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod feeds;
 pub mod follow;
+pub mod observe;
 pub mod orders;
 pub mod peers;
 pub mod register;
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -102,6 +102,12 @@
         Self { issuer: Mutex::new(Issuer::new(options.clone())), options, state: Mutex::default() }
     }
 
+    /// Fencing number while this VM holds the issuer's lease.
+    #[must_use]
+    pub fn fence(&self) -> Option<Revision> {
+        self.state().lease.map(|(fence, _)| fence)
+    }
+
     /// Remembers what an answer says about the orders that an engine has accepted.
     fn answered(&self, upstream: &Upstream, reaction: Reaction, expected_orders: u64) {
         let mut state = self.state();
@@ -177,12 +183,18 @@
 fn refresh(edge: &Edge, now: Now) {
     let (plan, reports) = {
         let known = edge.known();
-        let engines: Vec<_> = known.directory.iter().filter(|u| !u.models.is_empty()).collect();
+        let catalog = known.catalog();
+        let has_engines = |service: &str| {
+            let service = catalog.as_ref().and_then(|catalog| catalog.service(service));
+            service.is_some_and(|service| service.engines().is_some())
+        };
+        let engines: Vec<_> =
+            known.directory.iter().filter(|upstream| has_engines(&upstream.service)).collect();
         let targets = engines.iter().filter(|u| u.stage == Stage::Ready).filter_map(|upstream| {
             Some((upstream.id.clone(), target(upstream, |model| known.version(model))?))
         });
         let targets: BTreeMap<_, _> = targets.collect();
-        let loading_max = Some((targets.len() / LOADING_PART).max(LOADING_MIN));
+        let loading_max = Some(loading_max(&targets));
         let reports: Vec<_> = engines.iter().map(|u| (Arc::clone(u), served(edge, u))).collect();
         let oldest = |id: &str| {
             let (_, state) = reports.iter().find(|(upstream, _)| upstream.id == id)?;
@@ -222,6 +234,16 @@
     }
 }
 
+/// Engines that load at once: a part of all, and at most half of any service.
+fn loading_max(targets: &BTreeMap<UpstreamId, EngineState>) -> usize {
+    let mut by_service: HashMap<&str, usize> = HashMap::new();
+    for target in targets.values() {
+        *by_service.entry(target.role.as_str()).or_default() += 1;
+    }
+    let smallest = by_service.values().min().copied().unwrap_or_default();
+    (targets.len() / LOADING_PART).max(LOADING_MIN).min(smallest / 2).max(1)
+}
+
 /// What an engine is to serve: the named versions of its models.
 fn target(upstream: &Upstream, version: impl Fn(&str) -> Option<u64>) -> Option<EngineState> {
     let models = upstream.models.iter().map(|loaded| {
@@ -275,15 +297,17 @@
     let Some((fence, id)) = lease else { return };
     edge.orders.issuer().on_refused(edge.timer.now_suspended(), fence);
     match edge.store.end_lease(id).await {
-        Ok(()) => log::info!("order: lease given back, fencing number {fence}"),
-        Err(e) => log::warn!("order: lease not given back, it lapses: {e}"),
+        Ok(()) => log::info!(target: "order", fence = fence; "lease given back"),
+        Err(e) => {
+            log::warn!(target: "order", fence = fence, why = e.to_string(); "lease lapses");
+        }
     }
 }
 
 async fn acquire(edge: Arc<Edge>, op: u64) {
     let result = match take_lease(&edge).await {
         Ok((fence, id, is_first)) => {
-            log::info!("order: lease acquired, fencing number {fence}, first issuer: {is_first}");
+            log::info!(target: "order", fence = fence, first = is_first; "lease acquired");
             let mut state = edge.orders.state();
             state.lease = Some((fence, id));
             state.accepted.clear();
@@ -297,7 +321,7 @@
         }
         Err(Error::Conflict) => LeaseResult::Refused,
         Err(e) => {
-            log::debug!("order: no lease: {e}");
+            log::debug!(target: "order", why = e.to_string(); "no lease");
             LeaseResult::Failed
         }
     };
@@ -334,12 +358,12 @@
         Some((_, id)) => match edge.store.renew(id).await {
             Ok(_) => LeaseResult::Granted(fence),
             Err(Error::Absent) => {
-                log::info!("order: lease lost, fencing number {fence}");
+                log::warn!(target: "order", fence = fence; "lease lost");
                 edge.orders.state().lease = None;
                 LeaseResult::Refused
             }
             Err(e) => {
-                log::debug!("order: lease not renewed: {e}");
+                log::warn!(target: "order", fence = fence, why = e.to_string(); "lease not renewed");
                 LeaseResult::Failed
             }
         },
@@ -360,7 +384,7 @@
         peers::tell(&edge, News::Hold { upstream: upstream.id.clone(), ms });
         tokio::time::sleep(QUIET_TIME).await;
         if edge.timer.now_suspended() >= order.send_before {
-            log::warn!("order: {} not sent, its time has passed", order.engine);
+            late(&order);
             return;
         }
         give(&edge, &upstream, &order, model, version).await;
@@ -370,15 +394,20 @@
 async fn give(edge: &Arc<Edge>, upstream: &Upstream, order: &Order, model: &str, version: u64) {
     let expected_orders = match accepted_orders(edge, upstream).await {
         Ok(orders) => orders,
-        Err(e) => return log::warn!("order: {} gets no order: {e}", upstream.id),
+        Err(e) => {
+            log::warn!(target: "order", upstream = upstream.id.as_str(), why = e.to_string();
+                "engine gets no order");
+            return;
+        }
     };
     if edge.orders.state().loading.get(&upstream.id) == Some(&true) {
-        log::info!("order: {} carries out an order of a former issuer", upstream.id);
+        log::info!(target: "order", upstream = upstream.id.as_str();
+            "engine carries out an order of a former issuer");
         poll(edge, upstream, model, version).await;
         return;
     }
     if edge.timer.now_suspended() >= order.send_before {
-        return log::warn!("order: {} not sent, its time has passed", order.engine);
+        return late(order);
     }
     let load = LoadOrder {
         model,
@@ -393,24 +422,35 @@
     let id = &upstream.id;
     match edge.engines.order(upstream.addr, id, &load).await {
         Ok(Reaction::Fenced) => {
-            log::warn!("order: {id} has seen a higher fencing number than {}", order.fence);
+            log::warn!(target: "order", upstream = id.as_str(), fence = order.fence;
+                "engine has seen a higher fencing number");
             edge.orders.issuer().on_refused(now, order.fence);
         }
         Ok(reaction) => {
             edge.orders.answered(upstream, reaction, expected_orders);
-            log::info!("order: {id} to version {version} of {model}: {reaction}");
+            tell_order(order, model, version, &reaction.to_string());
             if poll(edge, upstream, model, version).await && reaction == Reaction::Accepted {
                 edge.orders.loaded(edge.timer.now_suspended().saturating_sub(now));
             }
         }
         Err(e) => {
             edge.orders.state().accepted.remove(&run_of(upstream));
-            log::warn!("order: {id} to version {version} of {model}: {e}");
+            tell_order(order, model, version, &e.to_string());
             poll(edge, upstream, model, version).await;
         }
     }
 }
 
+fn late(order: &Order) {
+    log::warn!(target: "order", upstream = order.engine.as_str(), fence = order.fence;
+        "order not sent, its time has passed");
+}
+
+fn tell_order(order: &Order, model: &str, version: u64, outcome: &str) {
+    log::info!(target: "order", upstream = order.engine.as_str(), model = model,
+        weights = version, fence = order.fence, outcome = outcome; "order given");
+}
+
 /// One run of an engine.
 fn run_of(upstream: &Upstream) -> (UpstreamId, Incarnation) {
     (upstream.id.clone(), upstream.incarnation)
@@ -446,11 +486,8 @@
                         model: model.to_owned(),
                         version: loaded.version,
                     };
-                    log::info!(
-                        "order: {} serves version {} of {model}",
-                        upstream.id,
-                        loaded.version
-                    );
+                    log::info!(target: "order", upstream = upstream.id.as_str(), model = model,
+                        weights = loaded.version; "engine serves new weights");
                     edge.orders.state().loading.remove(&upstream.id);
                     peers::tell(edge, news);
                     return true;
@@ -459,7 +496,8 @@
                     return false;
                 }
             }
-            Err(e) => log::debug!("order: {} does not report: {e}", upstream.id),
+            Err(e) => log::debug!(target: "order", upstream = upstream.id.as_str(),
+                why = e.to_string(); "engine does not report"),
         }
         tokio::time::sleep(POLL_PERIOD).await;
     }
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -121,7 +121,7 @@
             let key = String::from_utf8_lossy(&key).into_owned();
             match Datagrams::bind(edge.settings.peers, &key).await {
                 Ok(datagrams) => break Arc::new(datagrams),
-                Err(e) => log::warn!("member: {e}"),
+                Err(e) => log::warn!(target: "member", why = e.to_string(); "no datagrams yet"),
             }
         }
         tokio::time::sleep(KEY_POLL).await;
@@ -131,10 +131,10 @@
         match datagrams.receive().await {
             Ok(bytes) => match rmp_serde::from_slice::<Message>(&bytes) {
                 Ok(message) => take(&edge, &message),
-                Err(e) => log::warn!("member: unreadable message: {e}"),
+                Err(e) => log::warn!(target: "member", why = e.to_string(); "unreadable message"),
             },
             Err(e) => {
-                log::warn!("member: {e}");
+                log::warn!(target: "member", why = e.to_string(); "no message received");
                 tokio::time::sleep(KEY_POLL).await;
             }
         }
@@ -202,12 +202,15 @@
     let Some(datagrams) = edge.datagrams() else { return };
     let bytes = match rmp_serde::to_vec(&message) {
         Ok(bytes) => bytes,
-        Err(e) => return log::error!("member: message not encoded: {e}"),
+        Err(e) => {
+            log::error!(target: "member", why = e.to_string(); "message not encoded");
+            return;
+        }
     };
     let datagram = datagrams.seal(&bytes);
     for (vm, entry) in edge.known().vms().filter(|(vm, _)| **vm != edge.settings.vm) {
         if let Err(e) = datagrams.try_send(entry.addr, &datagram) {
-            log::debug!("member: no message to {vm}: {e}");
+            log::debug!(target: "member", vm = vm.as_str(), why = e.to_string(); "message lost");
         }
     }
 }
--- a/crates/lw-edge/src/register/mod.rs
+++ b/crates/lw-edge/src/register/mod.rs
@@ -22,7 +22,7 @@
     loop {
         if edge.known().catalog().is_some() {
             let Err(e) = keep(&edge).await;
-            log::info!("member: the entry of this VM is not kept: {e}");
+            log::warn!(target: "member", why = e.to_string(); "entry of this VM not kept");
         }
         tokio::time::sleep(PAUSE).await;
     }
@@ -44,7 +44,9 @@
         match edge.store.renew(lease.id).await {
             Ok(_) => {}
             Err(Error::Absent) => return Err(Error::Absent),
-            Err(e) => log::debug!("member: lease not renewed: {e}"),
+            Err(e) => {
+                log::debug!(target: "member", why = e.to_string(); "lease not renewed");
+            }
         }
     }
 }
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -5,13 +5,14 @@
 use derive_more::{Display, Error};
 use lw_catalog::VmSettings;
 use lw_forward::listen::{self, Connections};
+use lw_observe::logs::Logs;
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
     task::JoinSet,
 };
 
-use crate::{feeds, follow, orders, peers, register, serve, state::Edge};
+use crate::{feeds, follow, observe, orders, peers, register, serve, state::Edge};
 
 /// Time before the kill at which a leaving VM ends, whatever is still open.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
@@ -44,14 +45,14 @@
 /// # Errors
 ///
 /// When an address cannot be bound.
-pub async fn run(settings: VmSettings) -> Result<(), Error> {
+pub async fn run(settings: VmSettings, logs: Logs) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
-    let vm = Vm::start(settings).await?;
+    let vm = Vm::start(settings, logs).await?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => log::info!("run: settings changed; they hold from the next start"),
+            _ = hangup.recv() => log::info!(target: "run", "settings changed"),
         }
     }
     vm.leave().await;
@@ -73,11 +74,13 @@
     /// # Errors
     ///
     /// When an address cannot be bound.
-    pub async fn start(settings: VmSettings) -> Result<Self, Error> {
-        let edge = Arc::new(Edge::new(settings));
+    pub async fn start(settings: VmSettings, logs: Logs) -> Result<Self, Error> {
+        let edge = Arc::new(Edge::new(settings, logs));
         let callers = bind(edge.settings.callers).await?;
         let readiness = bind(edge.settings.readiness).await?;
-        log::info!("run: {} starts in {}", edge.settings.vm, edge.settings.failure_domain);
+        log::info!(target: "run", vm = edge.settings.vm.as_str(),
+            failure_domain = edge.settings.failure_domain.as_str(),
+            build = env!("CARGO_PKG_VERSION"); "started");
         let connections = Connections::default();
         let mut tasks = JoinSet::new();
         tasks.spawn(follow::run(Arc::clone(&edge)));
@@ -88,6 +91,9 @@
         tasks.spawn(sweep(Arc::clone(&edge)));
         tasks.spawn(serve_callers(Arc::clone(&edge), callers, connections.clone()));
         tasks.spawn(serve_readiness(Arc::clone(&edge), readiness));
+        if let Some(addr) = edge.settings.metrics {
+            tasks.spawn(serve_operators(Arc::clone(&edge), bind(addr).await?));
+        }
         Ok(Self { edge, connections, _tasks: tasks })
     }
 
@@ -117,14 +123,19 @@
     listen::serve(listener, connections, options, answer).await;
 }
 
+/// Bounds of the connections of the balancer and of operators.
+fn few_connections() -> listen::Options {
+    listen::Options { idle: UNKNOWN_IDLE, head_bytes: UNKNOWN_HEAD_BYTES, connections_max: 64 }
+}
+
+async fn serve_operators(edge: Arc<Edge>, listener: TcpListener) {
+    let answer = move |req| observe::answer(Arc::clone(&edge), req);
+    listen::serve(listener, Connections::default(), few_connections, answer).await;
+}
+
 async fn serve_readiness(edge: Arc<Edge>, listener: TcpListener) {
-    let options = || listen::Options {
-        idle: UNKNOWN_IDLE,
-        head_bytes: UNKNOWN_HEAD_BYTES,
-        connections_max: 64,
-    };
     let answer = move |req| serve::readiness(Arc::clone(&edge), req);
-    listen::serve(listener, Connections::default(), options, answer).await;
+    listen::serve(listener, Connections::default(), few_connections, answer).await;
 }
 
 async fn sweep(edge: Arc<Edge>) {
@@ -141,7 +152,7 @@
 async fn leave(edge: &Arc<Edge>, connections: &Connections) {
     let started = edge.timer.now();
     edge.leave();
-    log::info!("run: leaving with {} requests in flight", edge.in_flight());
+    log::info!(target: "run", in_flight = edge.in_flight(); "leaving");
     orders::hand_over(edge).await;
     let last = edge.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
     loop {
@@ -157,5 +168,5 @@
             break;
         }
     }
-    log::info!("run: ends with {} requests in flight", edge.in_flight());
+    log::info!(target: "run", in_flight = edge.in_flight(); "ended");
 }
--- a/crates/lw-edge/src/serve/answer.rs
+++ b/crates/lw-edge/src/serve/answer.rs
@@ -17,7 +17,7 @@
     Empty::new().map_err(|never| match never {}).boxed_unsync()
 }
 
-pub(super) fn full(bytes: Bytes) -> OutBody {
+pub(crate) fn full(bytes: Bytes) -> OutBody {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -5,10 +5,13 @@
 use http::{Request, response::Parts};
 use http_body_util::Full;
 use lw_forward::pool::{Error, HostKey, ReplyBody, Reuse};
+use lw_observe::metrics;
 use lw_place::{Choice, Ended, Ticket};
 use lw_platform::headers::{self, Forwarding};
 
-use super::Call;
+use lw_types::prelude::*;
+
+use super::{Call, record::millis};
 use crate::{
     peers::{self, Announcement},
     state::Edge,
@@ -20,7 +23,7 @@
     /// The upstream answers.
     Answer(Box<Running>),
     /// The upstream did not run it and will not.
-    NotRun(String),
+    NotRun,
     /// The upstream may have run it.
     Unknown(String),
     /// No answer came before the request was due.
@@ -42,6 +45,7 @@
     call: Arc<Call>,
     choice: Choice,
     ticket: Ticket,
+    begun: Now,
     /// Whether the other VMs know of it.
     is_announced: bool,
     is_over: bool,
@@ -49,13 +53,13 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.finish(Ended::Cancelled);
+        self.finish(Ended::Cancelled, "the caller left");
     }
 }
 
 impl Attempt {
     /// Takes the attempt into the books of its upstream.
-    pub fn begin(edge: &Arc<Edge>, call: &Arc<Call>, choice: Choice) -> Self {
+    pub fn begin(edge: &Arc<Edge>, call: &Arc<Call>, choice: Choice, number: usize) -> Self {
         let now = edge.timer.now();
         let sent = |fleet: &mut lw_place::Fleet| fleet.sent(now, &choice, call.prompt.as_ref());
         let (ticket, announced) = edge.with_fleet(&call.service, sent).unwrap_or_default();
@@ -63,14 +67,17 @@
             peers::announce(edge, Announcement::Sent(announced));
         }
         let is_announced = announced.is_some();
-        Self {
+        let attempt = Self {
             edge: Arc::clone(edge),
             call: Arc::clone(call),
             choice,
             ticket,
+            begun: now,
             is_announced,
             is_over: false,
-        }
+        };
+        attempt.tell_choice(number);
+        attempt
     }
 
     /// The first event or the head of the answer came.
@@ -83,15 +90,16 @@
         }
     }
 
-    /// Ends the attempt.
-    pub fn end(mut self, how: Ended) {
-        self.finish(how);
+    /// Ends the attempt; `why` is said unless it went as it should.
+    pub fn end(mut self, how: Ended, why: &str) {
+        self.finish(how, why);
     }
 
-    fn finish(&mut self, how: Ended) {
+    fn finish(&mut self, how: Ended, why: &str) {
         if std::mem::replace(&mut self.is_over, true) {
             return;
         }
+        self.tell(how, why);
         let now = self.edge.timer.now();
         let id = &self.choice.upstream.id;
         self.edge.with_fleet(&self.call.service, |fleet| fleet.ended(now, id, self.ticket, how));
@@ -100,6 +108,44 @@
         }
     }
 
+    /// Says how the attempt ended, unless the line about the request says the same.
+    fn tell(&self, how: Ended, why: &str) {
+        let kind = match how {
+            Ended::Complete => "complete",
+            Ended::NotRun => "not_run",
+            Ended::Failed => "failed",
+            Ended::Cancelled => "cancelled",
+        };
+        metrics::count(&self.edge.metrics.attempts, kind);
+        if matches!(how, Ended::NotRun | Ended::Failed) {
+            let ms = millis(self.edge.timer.now().saturating_sub(self.begun));
+            log::warn!(target: "route", request = self.call.head.request.as_str(),
+                upstream = self.choice.upstream.id.as_str(), ended = kind, ms = ms, why = why;
+                "attempt ended");
+        } else if !why.is_empty() {
+            log::info!(target: "route", request = self.call.head.request.as_str(),
+                upstream = self.choice.upstream.id.as_str(), ended = kind, why = why;
+                "attempt ended");
+        }
+    }
+
+    /// Says where the request goes, and what decided it.
+    fn tell_choice(&self, number: usize) {
+        let (call, choice) = (&self.call, &self.choice);
+        let known = self.edge.known();
+        let config = known.catalog().map_or(0, |catalog| catalog.version);
+        let age = known.age(self.edge.timer.now_suspended()).map(millis).unwrap_or_default();
+        drop(known);
+        log::info!(target: "route", request = call.head.request.as_str(), attempt = number,
+            upstream = choice.upstream.id.as_str(), service = call.service.as_str(),
+            route = call.route.name.as_str(), weights = choice.version.unwrap_or_default(),
+            held = choice.held, fetched = choice.fetched,
+            fetch_from = choice.fetch_from.map(|addr| addr.to_string()).unwrap_or_default(),
+            rank = choice.rank, expected_ms = millis(choice.expected),
+            left_ms = millis(call.due.saturating_sub(self.begun)), config = config,
+            known_ms = age; "request sent");
+    }
+
     /// Sends the request, from the event after `last_event` on if there is one.
     pub async fn send(self, last_event: Option<u64>) -> Sent {
         let (edge, call) = (Arc::clone(&self.edge), Arc::clone(&self.call));
@@ -117,15 +163,15 @@
         };
         match tokio::time::timeout(left, sent).await {
             Err(_) => {
-                self.end(Ended::Failed);
+                self.end(Ended::Failed, "no answer before the deadline");
                 Sent::Late
             }
             Ok(Err(Error::NotSent(e))) => {
-                self.end(Ended::Failed);
-                Sent::NotRun(e)
+                self.end(Ended::Failed, &e);
+                Sent::NotRun
             }
             Ok(Err(Error::Broken(e))) => {
-                self.end(Ended::Failed);
+                self.end(Ended::Failed, &e);
                 Sent::Unknown(e)
             }
             Ok(Ok(reply)) => self.judge(reply.head, reply.body),
@@ -175,18 +221,20 @@
         let answered = said.request.as_deref();
         if answered.is_some_and(|id| id != self.call.head.request) {
             body.close();
-            self.end(Ended::Failed);
-            return Sent::Unknown("answer to another request".into());
+            let why = "answer to another request";
+            self.end(Ended::Failed, why);
+            return Sent::Unknown(why.into());
         }
         if said.is_not_run || head.status == http::StatusCode::MISDIRECTED_REQUEST {
             let text = format!("{} from {}", head.status, self.choice.upstream.id);
-            self.end(Ended::NotRun);
-            return Sent::NotRun(text);
+            self.end(Ended::NotRun, &text);
+            return Sent::NotRun;
         }
         if head.status.is_success() && (!said.is_sealed || said.is_encoded) {
             body.close();
-            self.end(Ended::Failed);
-            return Sent::Unknown("answer without authentication code".into());
+            let why = "answer without authentication code";
+            self.end(Ended::Failed, why);
+            return Sent::Unknown(why.into());
         }
         Sent::Answer(Box::new(Running { head, body, attempt: self }))
     }
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -15,62 +15,73 @@
     Call,
     answer::{self, Answer},
     attempt::{Attempt, Running, Sent},
+    record::Record,
     relay::Relay,
 };
 use crate::state::Edge;
 
 /// When to come back after a refusal without a better estimate.
 const COME_BACK: Duration = Duration::from_millis(300);
+/// Time before the end of the bound on old weights from which on requests begin on new ones only. A request may wait
+/// at its engine for most of it.
+const VERSION_MARGIN: Duration = Duration::from_secs(2);
 
 /// Forwards a request and returns the answer for the caller.
-pub(super) async fn run(edge: &Arc<Edge>, call: Arc<Call>) -> Answer {
-    let mut driver = Driver::new(edge, &call);
+pub(super) async fn run(edge: &Arc<Edge>, call: Arc<Call>, record: Record) -> Answer {
+    let mut driver = Driver::new(edge, &call, record);
     match driver.answer().await {
-        Ok(answer) => answer,
+        Ok(Passed::Whole(answer)) => answer,
+        Ok(Passed::Stream(running)) => driver.into_relay(*running),
         Err(failure) => {
-            log::info!("http: {} {}: {}", call.head.request, failure.code.name(), failure.message);
+            driver.record.failed(&failure);
             answer::failure(&call.head.request, &failure)
         }
     }
 }
 
-/// Time before the end of the bound on old weights from which on requests begin on new ones only. A request may wait
-/// at its engine for most of it.
-const VERSION_MARGIN: Duration = Duration::from_secs(2);
+/// An answer that is passed on.
+enum Passed {
+    /// It was read as a whole.
+    Whole(Answer),
+    /// It is a stream that has begun.
+    Stream(Box<Running>),
+}
 
 /// The attempts of one request.
 #[derive(Debug)]
 pub(super) struct Driver {
     pub edge: Arc<Edge>,
     pub call: Arc<Call>,
+    pub record: Record,
     tried: Vec<UpstreamId>,
     carried: Carried,
     may_have_run: bool,
 }
 
 impl Driver {
-    fn new(edge: &Arc<Edge>, call: &Arc<Call>) -> Self {
+    fn new(edge: &Arc<Edge>, call: &Arc<Call>, record: Record) -> Self {
         let now = edge.timer.now();
         let carried = Carried::received(now, 0, call.deadline.saturating_sub(now));
         Self {
             edge: Arc::clone(edge),
             call: Arc::clone(call),
+            record,
             tried: Vec::new(),
             carried,
             may_have_run: false,
         }
     }
 
-    async fn answer(&mut self) -> Result<Answer, Failure> {
+    async fn answer(&mut self) -> Result<Passed, Failure> {
         loop {
             let attempt = self.next_attempt()?;
             match attempt.send(None).await {
                 Sent::Answer(running) => {
-                    if let Some(answer) = self.accept(*running).await? {
-                        return Ok(answer);
+                    if let Some(passed) = self.accept(*running).await? {
+                        return Ok(passed);
                     }
                 }
-                Sent::NotRun(why) => self.note(&why),
+                Sent::NotRun => {}
                 Sent::Unknown(why) => self.unknown(&why)?,
                 Sent::Late => {
                     let text = "no answer before the deadline";
@@ -83,31 +94,42 @@
     /// The next attempt, if there is an upstream for it and the bounds on attempts allow it.
     pub fn next_attempt(&mut self) -> Result<Attempt, Failure> {
         let choice = self.choose()?;
+        self.pay()?;
+        self.tried.push(choice.upstream.id.clone());
+        self.record.attempted();
+        Ok(Attempt::begin(&self.edge, &self.call, choice, self.tried.len()))
+    }
+
+    /// Takes an attempt out of the bounds on attempts.
+    fn pay(&mut self) -> Result<(), Failure> {
         let now = self.edge.timer.now();
         let carried = self.carried;
         let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
         if attempts == 0 {
-            self.edge.with_budget(&self.call.service, |budget| budget.arrive(now, carried)).ok();
-        } else {
-            if attempts >= self.call.route.attempts {
-                return Err(self.refused("no attempts left"));
-            }
-            let spend = |budget: &mut retry::Budget| budget.spend(now, retry::Kind::Retry, carried);
-            let paid = self.edge.with_budget(&self.call.service, spend);
-            self.carried = paid.map_err(|e| self.refused(&e.to_string()))?;
+            let arrived = |budget: &mut retry::Budget| budget.arrive(now, carried);
+            return match self.edge.with_budget(&self.call.service, arrived) {
+                Ok(()) => Ok(()),
+                Err(e) => Err(self.refused(&e.to_string())),
+            };
         }
-        self.tried.push(choice.upstream.id.clone());
-        Ok(Attempt::begin(&self.edge, &self.call, choice))
+        if attempts >= self.call.route.attempts {
+            return Err(self.refused("no attempts left"));
+        }
+        let spend = |budget: &mut retry::Budget| budget.spend(now, retry::Kind::Retry, carried);
+        let paid = self.edge.with_budget(&self.call.service, spend);
+        self.carried = paid.map_err(|e| self.refused(&e.to_string()))?;
+        Ok(())
     }
 
     fn choose(&self) -> Result<Choice, Failure> {
         let now = self.edge.timer.now();
+        let target = self.call.arrived + self.call.route.target_latency;
         let ask = Ask {
             prompt: self.call.prompt.as_ref(),
             spread: xxhash_rust::xxh3::xxh3_64(self.call.head.request.as_bytes()),
             tried: &self.tried,
             left: self.call.due.saturating_sub(now),
-            on_time: (self.call.arrived + self.call.route.target_latency).saturating_sub(now),
+            on_time: target.saturating_sub(now),
             version_time: self.edge.settings.bounds.version.saturating_sub(VERSION_MARGIN),
         };
         let chosen = self.edge.with_fleet(&self.call.service, |fleet| fleet.choose(now, &ask));
@@ -123,13 +145,8 @@
         Failure::new(ResultCode::Overloaded, why).retry_after(COME_BACK)
     }
 
-    fn note(&self, why: &str) {
-        log::info!("http: {} was not run: {why}", self.call.head.request);
-    }
-
     /// An attempt may have run; goes on only if the request may run again.
     pub fn unknown(&mut self, why: &str) -> Result<(), Failure> {
-        log::info!("http: {} may have run: {why}", self.call.head.request);
         self.may_have_run = true;
         if self.call.route.kind.may_repeat() {
             return Ok(());
@@ -138,52 +155,50 @@
     }
 
     /// Passes an answer on, or returns none if another attempt is to be made instead.
-    async fn accept(&mut self, running: Running) -> Result<Option<Answer>, Failure> {
+    async fn accept(&mut self, running: Running) -> Result<Option<Passed>, Failure> {
+        self.record.first_byte();
         let status = running.head.status;
         if matches!(self.call.route.kind, Kind::Stream { .. }) && status.is_success() {
             running.attempt.started();
-            return Ok(Some(self.relay(running)));
+            self.may_have_run = true;
+            return Ok(Some(Passed::Stream(Box::new(running))));
         }
         let left = self.call.due.saturating_sub(self.edge.timer.now());
-        let Running { head, body, attempt, .. } = running;
+        let Running { head, body, attempt } = running;
         let bytes = match tokio::time::timeout(left, body.collect()).await {
             Err(_) => {
-                attempt.end(Ended::Failed);
+                attempt.end(Ended::Failed, "its body is late");
                 let text = "no whole answer before the deadline";
                 return Err(Failure::new(ResultCode::DeadlineExceeded, text));
             }
             Ok(Err(e)) => {
-                attempt.end(Ended::Failed);
-                self.unknown(&e.to_string())?;
+                let why = format!("its body broke: {e}");
+                attempt.end(Ended::Failed, &why);
+                self.unknown(&why)?;
                 return Ok(None);
             }
             Ok(Ok(body)) => body.to_bytes(),
         };
-        attempt.end(Ended::Complete);
+        let attempts = usize::try_from(self.call.route.attempts).unwrap_or(1);
         let may_repeat = self.call.route.kind == Kind::Idempotent && status.is_server_error();
-        if may_repeat && self.tried.len() < usize::try_from(self.call.route.attempts).unwrap_or(1) {
+        if may_repeat && self.tried.len() < attempts {
+            attempt.end(Ended::Complete, &format!("it answered {status}, tried again"));
             self.may_have_run = true;
-            log::info!("http: {} answered {status}, tried again", self.call.head.request);
             return Ok(None);
         }
+        attempt.end(Ended::Complete, "");
+        self.record.answered(status.as_u16());
         let mut response = Response::new(answer::full(bytes));
         *response.status_mut() = status;
         *response.headers_mut() = headers::end_to_end(&head.headers);
-        Ok(Some(response))
+        Ok(Some(Passed::Whole(response)))
     }
 
-    fn relay(&self, running: Running) -> Answer {
-        let driver = Self {
-            edge: Arc::clone(&self.edge),
-            call: Arc::clone(&self.call),
-            tried: self.tried.clone(),
-            carried: self.carried,
-            may_have_run: true,
-        };
+    fn into_relay(self, running: Running) -> Answer {
         let mut headers = headers::end_to_end(&running.head.headers);
         headers.remove(http::header::CONTENT_LENGTH);
         let status = running.head.status;
-        let mut response = Response::new(Relay::new(driver, running).into_body());
+        let mut response = Response::new(Relay::new(self, running).into_body());
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         response
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -14,17 +14,24 @@
 use lw_types::prelude::*;
 
 use crate::state::{Edge, InFlight};
+use record::Record;
 
 mod answer;
 mod attempt;
 mod forward;
+mod record;
 mod relay;
 
+pub(crate) use answer::full;
 pub use answer::{Answer, OutBody};
+pub(crate) use record::millis;
 
 /// When to come back if another VM can take the request at once.
 const ELSEWHERE: Duration = Duration::from_millis(20);
 
+/// When to come back to a VM that does not know enough; the balancer takes it out within two seconds.
+const UNREADY: Duration = Duration::from_millis(300);
+
 /// One request of a caller that is to be forwarded.
 #[derive(Debug)]
 pub struct Call {
@@ -61,11 +68,15 @@
 ///
 /// Never; a request without an answer ends with its connection.
 pub async fn answer(edge: Arc<Edge>, req: Request<Incoming>) -> Result<Answer, Infallible> {
-    let request = headers::caller_head(req.headers());
-    let id = request.request.clone();
-    let mut response = match accept(&edge, req, request).await {
-        Ok(call) => forward::run(&edge, Arc::new(call)).await,
-        Err(failure) => answer::failure(&id, &failure),
+    let head = headers::caller_head(req.headers());
+    let id = head.request.clone();
+    let mut record = Record::new(&edge, &id, edge.timer.now());
+    let mut response = match accept(&edge, req, head, &mut record).await {
+        Ok(call) => forward::run(&edge, Arc::new(call), record).await,
+        Err(failure) => {
+            record.failed(&failure);
+            answer::failure(&id, &failure)
+        }
     };
     if edge.is_leaving() {
         response
@@ -94,6 +105,7 @@
     edge: &Arc<Edge>,
     req: Request<Incoming>,
     head: CallerHead,
+    record: &mut Record,
 ) -> Result<Call, Failure> {
     if edge.is_closed() {
         let failure = Failure::new(ResultCode::Draining, "this VM is about to end");
@@ -103,10 +115,12 @@
     let arrived = edge.timer.now();
     let (parts, body) = req.into_parts();
     let catalog = edge.known().catalog().ok_or_else(|| {
-        Failure::new(ResultCode::NotReady, "no configuration has been received yet")
+        let text = "no configuration has been received yet";
+        Failure::new(ResultCode::NotReady, text).retry_after(UNREADY)
     })?;
     let route = find_route(&catalog, &parts)?;
     let workspace = identify(edge, &catalog, &route, &head)?;
+    record.identified(route.kind, workspace.as_deref().map(|w| w.name.as_str()));
     let body = read_body(body, catalog.limits.body_bytes).await?;
     let spread = xxhash_rust::xxh3::xxh3_64(head.request.as_bytes());
     let service = route.target(spread).ok_or_else(|| {
@@ -161,7 +175,7 @@
     let now = edge.timer.now_suspended();
     if !edge.known().may_use_keys(now, edge.settings.bounds.revoke) {
         let text = "the knowledge about API keys is too old";
-        return Err(Failure::new(ResultCode::NotReady, text));
+        return Err(Failure::new(ResultCode::NotReady, text).retry_after(UNREADY));
     }
     let workspace = head.key.as_deref().and_then(|key| catalog.workspace(key));
     workspace
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -21,6 +21,7 @@
     current: Option<(ReplyBody, Attempt)>,
     /// Only for streams that may be resumed: the others are passed on byte by byte.
     splitter: Option<Splitter>,
+    status: u16,
 }
 
 enum Step {
@@ -33,7 +34,8 @@
     pub fn new(driver: Driver, running: Running) -> Self {
         let is_resumable = driver.call.route.kind == Kind::Stream { resumable: true };
         let splitter = is_resumable.then(Splitter::default);
-        Self { driver, current: Some((running.body, running.attempt)), splitter }
+        let status = running.head.status.as_u16();
+        Self { driver, current: Some((running.body, running.attempt)), splitter, status }
     }
 
     pub fn into_body(self) -> OutBody {
@@ -60,16 +62,20 @@
                 }
                 Step::Complete => {
                     if let Some((_, attempt)) = self.current.take() {
-                        attempt.end(Ended::Complete);
+                        attempt.end(Ended::Complete, "");
                     }
+                    self.driver.record.answered(self.status);
                     return Ok(None);
                 }
                 Step::Broken(why) => {
-                    log::info!("stream: {} broke: {why}", self.driver.call.head.request);
                     if let Some((_, attempt)) = self.current.take() {
-                        attempt.end(Ended::Failed);
+                        attempt.end(Ended::Failed, &why);
+                    }
+                    if let Err(e) = self.resume(&why).await {
+                        let events = self.splitter.as_ref().map_or(0, Splitter::events);
+                        self.driver.record.broke(&e.to_string(), events);
+                        return Err(e);
                     }
-                    self.resume(&why).await?;
                 }
             }
         }
@@ -117,8 +123,11 @@
                     self.current = Some((running.body, running.attempt));
                     return Ok(());
                 }
-                Sent::Answer(running) => running.attempt.end(Ended::Complete),
-                Sent::NotRun(_) | Sent::Unknown(_) => {}
+                Sent::Answer(running) => {
+                    let why = format!("it answered {} to a resume", running.head.status);
+                    running.attempt.end(Ended::Complete, &why);
+                }
+                Sent::NotRun | Sent::Unknown(_) => {}
                 Sent::Late => break,
             }
         }
--- a/crates/lw-edge/src/state/known.rs
+++ b/crates/lw-edge/src/state/known.rs
@@ -81,7 +81,9 @@
             let read = |item: OwnItem| serde_json::from_slice(&item.value);
             match item.map(read) {
                 Some(Ok(entry)) => drop(self.vms.insert(vm.to_owned(), entry)),
-                Some(Err(e)) => log::warn!("member: entry of {vm}: {e}"),
+                Some(Err(e)) => {
+                    log::warn!(target: "member", vm = vm, why = e.to_string(); "unreadable entry");
+                }
                 None => drop(self.vms.remove(vm)),
             }
             return;
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -14,6 +14,7 @@
 use lw_catalog::{Catalog, ServiceKind, VmSettings, upstreams::Change};
 use lw_forward::pool::{self, Pool};
 use lw_limit::retry;
+use lw_observe::{logs::Logs, metrics::Metrics};
 use lw_place::Fleet;
 use lw_platform::{engine::Engines, store::Store};
 use lw_transport::{
@@ -60,6 +61,10 @@
     pub store: Store,
     /// Calls to engines.
     pub engines: Engines,
+    /// Counters and times.
+    pub metrics: Metrics,
+    /// The log of the process.
+    pub logs: Logs,
     known: Mutex<Known>,
     fleets: Mutex<HashMap<String, Fleet>>,
     budgets: Mutex<HashMap<String, retry::Budget>>,
@@ -75,7 +80,7 @@
 impl Edge {
     /// A VM that knows nothing yet.
     #[must_use]
-    pub fn new(settings: VmSettings) -> Self {
+    pub fn new(settings: VmSettings, logs: Logs) -> Self {
         let options =
             client::Options { connect: CONNECT_TIMEOUT, pool_idle: Duration::from_secs(4) };
         let clients = Arc::new(Clients::new(options));
@@ -90,6 +95,8 @@
             pool,
             store: Store::new(Arc::clone(&clients), settings.store, CALL_TIMEOUT),
             engines: Engines::new(clients, CALL_TIMEOUT),
+            metrics: Metrics::default(),
+            logs,
             known: Mutex::default(),
             fleets: Mutex::default(),
             budgets: Mutex::default(),
@@ -126,6 +133,13 @@
         work(budgets.entry(service.to_owned()).or_insert_with(|| self.new_budget()))
     }
 
+    /// Retries left by service.
+    #[must_use]
+    pub fn retries_left(&self, now: Now) -> Vec<(String, u64)> {
+        let budgets = lock(&self.budgets);
+        budgets.iter().map(|(service, budget)| (service.clone(), budget.left(now))).collect()
+    }
+
     fn new_budget(&self) -> retry::Budget {
         const VMS: u64 = 9;
         let bounds = &self.settings.bounds;
@@ -145,7 +159,7 @@
             return;
         }
         let Some(catalog) = known.catalog() else { return };
-        log::info!("config: version {} in force", catalog.version);
+        log::info!(target: "config", config = catalog.version; "configuration in force");
         let store = catalog.cache_store().map(|store| &store.kind);
         let mut fleets = self.fleets();
         for service in catalog.services() {
@@ -174,20 +188,18 @@
         for change in changes {
             match change {
                 Change::Present(upstream) => {
-                    log::info!(
-                        "member: upstream {} of {} at {} is {:?}, serves {:?}",
-                        upstream.id,
-                        upstream.service,
-                        upstream.addr,
-                        upstream.stage,
-                        upstream.models
-                    );
+                    let weights: Vec<_> =
+                        upstream.models.iter().map(|m| m.version.to_string()).collect();
+                    log::info!(target: "member", upstream = upstream.id.as_str(),
+                        service = upstream.service.as_str(), addr = upstream.addr.to_string(),
+                        stage = format!("{:?}", upstream.stage), weights = weights.join(",");
+                        "upstream registered");
                     if let Some(fleet) = fleets.get_mut(&upstream.service) {
                         fleet.put(&upstream);
                     }
                 }
                 Change::Gone(id) => {
-                    log::info!("member: upstream {id} is gone");
+                    log::info!(target: "member", upstream = id.as_str(); "upstream gone");
                     for fleet in fleets.values_mut() {
                         fleet.remove(&id);
                     }
@@ -230,7 +242,7 @@
     /// Opens the way to the other VMs.
     pub fn set_datagrams(&self, datagrams: Arc<Datagrams>) {
         if self.datagrams.set(datagrams).is_err() {
-            log::warn!("member: the way to the other VMs is open already");
+            log::warn!(target: "member", "the way to the other VMs is open already");
         }
     }
 
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -5,14 +5,16 @@
 use std::{
     io::ErrorKind,
     net::SocketAddr,
+    sync::OnceLock,
     time::{Duration, Instant},
 };
 
 use lw_catalog::{VmSettings, settings::Bounds};
 use lw_edge::run::Vm;
+use lw_observe::logs::{Logs, Options};
 use lw_standin::hosted::{
     store::Store,
-    upstream::{MODEL, Upstream},
+    upstream::{Faults, MODEL, Received, Upstream},
 };
 use serde_json::{Value, json};
 use tokio::{
@@ -32,8 +34,11 @@
     pub store: Store,
     pub engines: Vec<Upstream>,
     pub servers: Vec<Upstream>,
+    /// What is done with the next requests, at whichever upstream.
+    pub faults: Faults,
     pub vm: Option<Vm>,
     pub settings: VmSettings,
+    pub logs: Logs,
 }
 
 /// The platform's bounds, shortened where a test would wait for them.
@@ -95,26 +100,29 @@
     }
 
     pub async fn start_with(bounds: Bounds) -> Self {
-        let _ = env_logger::builder().is_test(true).try_init();
         let store = Store::start().await.unwrap();
         store.put("op/config", &config(3));
         store.put(&format!("op/version/{MODEL}"), &json!({ "Model": MODEL, "Version": 1 }));
         let mut world = Self {
             settings: settings("vm-1", &store, bounds),
+            logs: logs(),
             store,
             engines: Vec::new(),
             servers: Vec::new(),
+            faults: Faults::default(),
             vm: None,
         };
         for n in 1..=2 {
             let engine = Upstream::start(&format!("engine-{n}")).await.unwrap();
             world.store.put(&format!("servers/{}", engine.id), &engine.entry("llm", "kochi-a"));
+            engine.share(&world.faults);
             world.engines.push(engine);
             let server = Upstream::start(&format!("desk-{n}")).await.unwrap();
             world.store.put(&format!("servers/{}", server.id), &server.entry("desk", "kochi-a"));
+            server.share(&world.faults);
             world.servers.push(server);
         }
-        world.vm = Some(Vm::start(world.settings.clone()).await.unwrap());
+        world.vm = Some(Vm::start(world.settings.clone(), world.logs.clone()).await.unwrap());
         world.until("the VM is ready", async |world| world.ready().await).await;
         world
     }
@@ -139,13 +147,29 @@
         caller.receive().await
     }
 
+    /// All requests that upstreams got with this id.
+    pub fn received(&self, id: &str) -> Vec<Received> {
+        let all = self.servers.iter().chain(&self.engines).flat_map(Upstream::received);
+        all.filter(|got| got.request.header("x-attempt-id") == Some(id)).collect()
+    }
+
     /// Requests that plain servers or engines ran with this id.
     pub fn runs(&self, id: &str) -> usize {
-        let all = self.servers.iter().chain(&self.engines).flat_map(Upstream::received);
-        all.filter(|got| got.ran && got.request.header("x-attempt-id") == Some(id)).count()
+        self.received(id).iter().filter(|got| got.ran).count()
     }
 }
 
+/// The log of this process, which goes to standard output as in the daemon.
+pub fn logs() -> Logs {
+    static LOGS: OnceLock<Logs> = OnceLock::new();
+    let start = || {
+        let logs = Logs::new(Options::default(), std::io::stdout()).unwrap();
+        logs.install().unwrap();
+        logs
+    };
+    LOGS.get_or_init(start).clone()
+}
+
 pub fn settings(vm: &str, store: &Store, bounds: Bounds) -> VmSettings {
     VmSettings {
         vm: vm.into(),
@@ -153,6 +177,7 @@
         callers: free_addr(),
         readiness: free_addr(),
         peers: free_addr(),
+        metrics: Some(free_addr()),
         store: store.addr(),
         memory_bytes: 64 << 20,
         sockets_max: 1000,
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -33,9 +33,10 @@
         callers: free_addr(),
         readiness: free_addr(),
         peers: free_addr(),
+        metrics: None,
         ..world.settings.clone()
     };
-    let second = Vm::start(second).await.unwrap();
+    let second = Vm::start(second, world.logs.clone()).await.unwrap();
     let leaving = tokio::spawn(world.vm.take().unwrap().leave());
     tokio::time::sleep(ms(300)).await;
     let holder = world.store.get("lavenderwood/issuer").expect("the second VM holds the lease");
--- /dev/null
+++ b/crates/lw-edge/tests/registry.rs
@@ -0,0 +1,123 @@
+//! Guards against work for upstreams that are leaving, gone, unknown, or not the ones that were meant.
+
+mod common;
+
+use common::{World, ms, request};
+use lw_standin::hosted::{
+    store::Mode,
+    upstream::{Behaviour, Upstream},
+};
+use serde_json::json;
+
+fn key(id: &str) -> String {
+    format!("servers/{id}")
+}
+
+/// Sends requests until `id` got none of the last ten; panics if that does not happen.
+async fn gets_nothing(world: &World, id: &str) {
+    let idle = async |world: &World| {
+        let server = world.servers.iter().find(|server| server.id == id).unwrap();
+        let before = server.received().len();
+        for n in 0..10 {
+            let reply = world.send(&request(&format!("n{n}"), "/look/x")).await.unwrap();
+            assert_eq!(reply.status, 200, "{}", reply.head);
+        }
+        server.received().len() == before
+    };
+    world.until("it gets no work", idle).await;
+}
+
+#[tokio::test]
+async fn leaving_removed_and_unreadable_entries_get_no_work() {
+    let world = World::start().await;
+    let mut entry = world.servers[0].entry("desk", "kochi-a");
+    entry["State"] = json!("draining");
+    world.store.put(&key("desk-1"), &entry);
+    gets_nothing(&world, "desk-1").await;
+    world.store.put(&key("desk-1"), &world.servers[0].entry("desk", "kochi-a"));
+    let before = world.servers[0].received().len();
+    let mut n = 0;
+    let works = async |world: &World| {
+        n += 1;
+        world.send(&request(&format!("again-{n}"), "/look/x")).await.unwrap();
+        world.servers[0].received().len() > before
+    };
+    world.until("it works again", works).await;
+    for entry in [
+        json!({ "Service": "desk" }),
+        json!({ "Service": 7, "Address": true }),
+        json!({ "Service": "desk", "Address": "10.0.0.1:80", "Zone": "z", "Slots": 1, "State": "odd" }),
+    ] {
+        world.store.put(&key("desk-1"), &entry);
+        gets_nothing(&world, "desk-1").await;
+    }
+    world.store.put_bytes(&key("desk-1"), b"\xff\xfe");
+    gets_nothing(&world, "desk-1").await;
+    world.store.remove(&key("desk-1"));
+    gets_nothing(&world, "desk-1").await;
+}
+
+/// Entries lapse while the store is away, and living upstreams register again within two seconds of its return.
+#[tokio::test]
+async fn an_entry_that_lapsed_with_the_store_is_used_until_it_must_be_back() {
+    let world = World::start().await;
+    world.store.set_mode(Mode::Unavailable);
+    tokio::time::sleep(ms(200)).await;
+    for server in &world.servers {
+        world.store.remove(&key(&server.id));
+    }
+    world.store.set_mode(Mode::Sound);
+    tokio::time::sleep(ms(300)).await;
+    assert_eq!(world.send(&request("kept", "/look/x")).await.unwrap().status, 200);
+    // One is back, the other one is gone.
+    world.store.put(&key("desk-2"), &world.servers[1].entry("desk", "kochi-a"));
+    tokio::time::sleep(ms(1_900)).await;
+    gets_nothing(&world, "desk-1").await;
+}
+
+/// Addresses of upstreams that are gone are used again by others.
+#[tokio::test]
+async fn another_upstream_at_a_known_address_does_not_run_the_request() {
+    let world = World::start().await;
+    let other = Upstream::start("another").await.unwrap();
+    let mut entry = other.entry("desk", "kochi-a");
+    for id in ["desk-1", "desk-2"] {
+        entry["born"] = json!(1_800_000_000_000_u64);
+        world.store.put(&key(id), &entry);
+    }
+    tokio::time::sleep(ms(100)).await;
+    let reply = world.send(&request("moved", "/book/x")).await.unwrap();
+    assert_eq!(reply.status, 503, "not run, which is true: {}", reply.head);
+    assert_eq!((world.runs("moved"), other.received().len()), (0, 0));
+}
+
+/// Guards against a change that is missed when the store has dropped its history.
+#[tokio::test]
+async fn a_change_behind_a_dropped_history_is_found() {
+    let world = World::start().await;
+    let mut config = common::config(9);
+    config["Routes"][0]["Prefix"] = json!("/new/");
+    world.store.put("op/config", &config);
+    world.store.compact();
+    world
+        .until("the new route serves", async |world| {
+            let reply = world.send(&request("new", "/new/x")).await.unwrap();
+            reply.status == 200
+        })
+        .await;
+    assert_eq!(world.send(&request("old", "/look/x")).await.unwrap().status, 404);
+}
+
+/// Guards against a rejecting engine that is asked again and again.
+#[tokio::test]
+async fn rejected_requests_are_sent_again_within_the_retry_budget() {
+    let world = World::start().await;
+    world.servers.iter().for_each(|server| server.always(Behaviour::Reject));
+    for n in 0..40 {
+        let reply = world.send(&request(&format!("r{n}"), "/look/x")).await.unwrap();
+        assert_eq!(reply.status, 503);
+    }
+    let arrivals: usize = world.servers.iter().map(|server| server.received().len()).sum();
+    // 40 requests, a fifth of them again, and this VM's part of the floor of 90.
+    assert!(arrivals <= 40 + 8 + 10, "{arrivals} arrivals");
+}
--- a/crates/lw-limit/src/retry.rs
+++ b/crates/lw-limit/src/retry.rs
@@ -161,6 +161,36 @@
         self.pay(now, kind, next).map(|()| next)
     }
 
+    /// Retries that the budget would pay for now.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lw_limit::retry::{Budget, Options};
+    /// let budget = Budget::new(Options { min_retries: 3, ..Options::default() });
+    /// assert_eq!(budget.left(Duration::ZERO), 3);
+    /// ```
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "it is not below 0"
+    )]
+    pub fn left(&self, now: Now) -> u64 {
+        let (firsts, hedges, retries) = self.sums(now);
+        let earned = (as_f64(firsts) * self.options.ratio).floor().max(0.0) as u64;
+        earned.max(self.options.min_retries).saturating_sub(hedges + retries)
+    }
+
+    /// First attempts of the window, and the hedges and retries that count against them.
+    fn sums(&self, now: Now) -> (u64, u64, u64) {
+        let oldest = (now.as_secs() + 1).saturating_sub(self.options.window_seconds);
+        let firsts = self.seconds.iter().filter(|(at, _)| *at >= oldest);
+        let firsts = firsts.map(|(_, second)| second.firsts).sum();
+        let hedges = self.seconds.iter().map(|(_, second)| second.hedges).sum();
+        let retries = self.seconds.iter().map(|(_, second)| second.retries).sum();
+        (firsts, hedges, retries)
+    }
+
     fn pay(&mut self, now: Now, kind: Kind, attempt: Carried) -> Result<(), Error> {
         if attempt.attempt >= self.options.max_attempts {
             return Err(Error::Attempts);
@@ -169,11 +199,8 @@
             return Err(Error::Deadline);
         }
         self.current(now);
-        let oldest = (now.as_secs() + 1).saturating_sub(self.options.window_seconds);
-        let firsts = self.seconds.iter().filter(|(at, _)| *at >= oldest);
-        let firsts: u64 = firsts.map(|(_, second)| second.firsts).sum();
-        let hedges: u64 = self.seconds.iter().map(|(_, second)| second.hedges).sum();
-        let spent = hedges + self.seconds.iter().map(|(_, second)| second.retries).sum::<u64>();
+        let (firsts, hedges, retries) = self.sums(now);
+        let spent = hedges + retries;
         let is_over = |spent: u64, ratio: f64| as_f64(spent + 1) > as_f64(firsts) * ratio + 1e-9;
         let has_floor = kind == Kind::Retry && spent < self.options.min_retries;
         if (is_over(spent, self.options.ratio) && !has_floor)
--- /dev/null
+++ b/crates/lw-observe/src/metrics/mod.rs
@@ -0,0 +1,183 @@
+//! Counters and histograms in the text format that scrapers read.
+
+use std::{fmt, time::Duration};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Bounds of the buckets of times, in seconds. They tell on time from late for the targets of a few hundred
+/// milliseconds that routes have.
+const TIME_BUCKETS: [f64; 14] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 4.0, 8.0];
+
+/// Labels of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// Name of the workspace, empty for anonymous requests.
+    pub workspace: String,
+    /// Kind of the route.
+    pub class: &'static str,
+}
+
+/// Labels of the outcome of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// Name of the workspace, empty for anonymous requests.
+    pub workspace: String,
+    /// Kind of the route.
+    pub class: &'static str,
+    /// Name of the result code.
+    pub code: &'static str,
+}
+
+/// One label that tells kinds apart.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabel {
+    /// The kind.
+    pub kind: &'static str,
+}
+
+/// Labels of calls to the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// The call.
+    pub call: &'static str,
+    /// Its result.
+    pub result: &'static str,
+}
+
+/// One label that names a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabel {
+    /// The service.
+    pub service: String,
+}
+
+/// Counts one of a kind.
+///
+/// ```
+/// use lw_observe::metrics::{Metrics, count};
+/// let metrics = Metrics::default();
+/// count(&metrics.refusals, "overloaded");
+/// assert!(metrics.text().contains("lavenderwood_refusals_total{kind=\"overloaded\"} 1"));
+/// ```
+pub fn count(family: &Family<KindLabel, Counter>, kind: &'static str) {
+    family.get_or_create(&KindLabel { kind }).inc();
+}
+
+/// Records the time of a request.
+pub fn time(family: &Family<RequestLabels, Histogram>, labels: &RequestLabels, time: Duration) {
+    family.get_or_create(labels).observe(time.as_secs_f64());
+}
+
+/// The metrics of a VM.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by outcome.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Refusals by kind.
+    pub refusals: Family<KindLabel, Counter>,
+    /// Attempts at upstreams by how they ended.
+    pub attempts: Family<KindLabel, Counter>,
+    /// Time from the request to the head of its answer, which comes with the first event of a stream.
+    pub first_byte: Family<RequestLabels, Histogram>,
+    /// Time from the request to the end of its answer.
+    pub whole: Family<RequestLabels, Histogram>,
+    /// Prompt tokens by where they came from.
+    pub prompt_tokens: Family<KindLabel, Counter>,
+    /// Calls to the platform's store.
+    pub store_calls: Family<CallLabels, Counter>,
+    /// Orders to engines by reaction.
+    pub orders: Family<KindLabel, Counter>,
+    /// Messages to other VMs.
+    pub messages: Family<KindLabel, Counter>,
+    /// Age of the knowledge about keys and upstreams, in milliseconds.
+    pub knowledge_age_ms: Gauge,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
+    /// Fencing number of the issuer's lease, 0 while this VM is not the issuer.
+    pub issuer_fence: Gauge,
+    /// Requests in flight.
+    pub in_flight: Gauge,
+    /// Retries left in the budget of a service.
+    pub retries_left: Family<ServiceLabel, Gauge>,
+    /// Upstreams that take new work, by service.
+    pub ready_upstreams: Family<ServiceLabel, Gauge>,
+    /// Log lines that were left out.
+    pub log_left_out: Family<KindLabel, Gauge>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let times = || Histogram::new(TIME_BUCKETS);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("lavenderwood"),
+            requests: Family::default(),
+            refusals: Family::default(),
+            attempts: Family::default(),
+            first_byte: Family::new_with_constructor(times),
+            whole: Family::new_with_constructor(times),
+            prompt_tokens: Family::default(),
+            store_calls: Family::default(),
+            orders: Family::default(),
+            messages: Family::default(),
+            knowledge_age_ms: Gauge::default(),
+            config_version: Gauge::default(),
+            issuer_fence: Gauge::default(),
+            in_flight: Gauge::default(),
+            retries_left: Family::default(),
+            ready_upstreams: Family::default(),
+            log_left_out: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by outcome", self.requests.clone());
+        registry.register("refusals", "Refusals by kind", self.refusals.clone());
+        registry.register("attempts", "Attempts at upstreams by end", self.attempts.clone());
+        let help = "Time to the head of the answer, in seconds";
+        registry.register("first_byte_seconds", help, self.first_byte.clone());
+        let help = "Time to the end of the answer, in seconds";
+        registry.register("answer_seconds", help, self.whole.clone());
+        let help = "Prompt tokens by where they came from";
+        registry.register("prompt_tokens", help, self.prompt_tokens.clone());
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register("orders", "Orders to engines by reaction", self.orders.clone());
+        registry.register("messages", "Messages between VMs", self.messages.clone());
+        let help = "Age of the knowledge about keys and upstreams";
+        registry.register("knowledge_age_milliseconds", help, self.knowledge_age_ms.clone());
+        let help = "Version of the configuration in force";
+        registry.register("config_version", help, self.config_version.clone());
+        let help = "Fencing number while this VM issues orders";
+        registry.register("issuer_fence", help, self.issuer_fence.clone());
+        registry.register("in_flight", "Requests in flight", self.in_flight.clone());
+        registry.register("retries_left", "Retries left in the budget", self.retries_left.clone());
+        let help = "Upstreams that take new work";
+        registry.register("ready_upstreams", help, self.ready_upstreams.clone());
+        registry.register("log_lines_left_out", "Log lines left out", self.log_left_out.clone());
+    }
+
+    /// All metrics as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        if let Err(e) = encode(&mut out, &self.registry) {
+            log::error!(target: "metrics", "not encoded: {e}");
+        }
+        out
+    }
+}
--- a/crates/lw-place/src/fleet/mod.rs
+++ b/crates/lw-place/src/fleet/mod.rs
@@ -13,10 +13,12 @@
 mod member;
 mod rate;
 mod source;
+mod survey;
 
 pub use books::Announced;
 use member::Member;
 use source::CacheStore;
+pub use survey::Seen;
 
 /// Number of one attempt of a VM.
 pub type Ticket = u64;
--- a/crates/lw-place/src/lib.rs
+++ b/crates/lw-place/src/lib.rs
@@ -9,6 +9,6 @@
 pub mod prompt;
 
 pub use cache::{CacheChange, CachePage, CacheView};
-pub use fleet::{Announced, Ask, Choice, Ended, Fleet, Refusal, Ticket};
+pub use fleet::{Announced, Ask, Choice, Ended, Fleet, Refusal, Seen, Ticket};
 pub use load::Load;
 pub use prompt::{Part, Prompt, RANK_MAX, salt};
--- a/crates/lw-standin/src/hosted/http.rs
+++ b/crates/lw-standin/src/hosted/http.rs
@@ -1,6 +1,16 @@
 //! A small HTTP server whose answers are lists of steps.
 
-use std::{collections::HashMap, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -96,9 +106,18 @@
 pub struct Server {
     /// Its address.
     pub addr: SocketAddr,
+    open: Arc<AtomicUsize>,
     task: JoinHandle<()>,
 }
 
+impl Server {
+    /// Requests that are being answered.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+}
+
 impl Drop for Server {
     fn drop(&mut self) {
         self.task.abort();
@@ -118,22 +137,30 @@
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
     let answer = Arc::new(answer);
+    let open = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&open);
     let task = tokio::spawn(async move {
         // The connections end with this set, and so with the server.
         let mut connections = tokio::task::JoinSet::new();
         while let Ok((stream, from)) = listener.accept().await {
             let answer = Arc::clone(&answer);
+            let counted = Arc::clone(&counted);
             connections.spawn(async move {
                 // A connection that breaks is the caller's matter.
-                let _ = connection(stream, from, &*answer).await;
+                let _ = connection(stream, from, &counted, &*answer).await;
             });
             while connections.try_join_next().is_some() {}
         }
     });
-    Ok(Server { addr, task })
+    Ok(Server { addr, open, task })
 }
 
-async fn connection<F, R>(mut stream: TcpStream, from: SocketAddr, answer: &F) -> io::Result<()>
+async fn connection<F, R>(
+    mut stream: TcpStream,
+    from: SocketAddr,
+    open: &AtomicUsize,
+    answer: &F,
+) -> io::Result<()>
 where
     F: Fn(Request) -> R,
     R: Future<Output = Vec<Step>>,
@@ -142,6 +169,7 @@
     let mut buf = Vec::new();
     while let Some(mut request) = read(&mut stream, &mut buf).await? {
         request.from = Some(from);
+        let _open = Open::new(open);
         // A caller that closes its connection ends the work on its request.
         let steps = tokio::select! {
             steps = answer(request) => steps,
@@ -165,6 +193,22 @@
     Ok(())
 }
 
+/// Counts a request that is being answered.
+struct Open<'a>(&'a AtomicUsize);
+
+impl<'a> Open<'a> {
+    fn new(open: &'a AtomicUsize) -> Self {
+        open.fetch_add(1, Ordering::AcqRel);
+        Self(open)
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 async fn closed(stream: &TcpStream) {
     loop {
         if !matches!(stream.peek(&mut [0]).await, Ok(1..)) {
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -56,7 +56,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    next: VecDeque<Behaviour>,
+    faults: Faults,
     always: Behaviour,
     received: Vec<Received>,
     version: u64,
@@ -64,6 +64,21 @@
     orders: u64,
 }
 
+/// What is done with the next requests, whichever of the upstreams that share this gets them.
+#[derive(Debug, Clone, Default)]
+pub struct Faults(Arc<Mutex<VecDeque<Behaviour>>>);
+
+impl Faults {
+    /// What is done with one further request.
+    pub fn push(&self, behaviour: Behaviour) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push_back(behaviour);
+    }
+
+    fn take(&self) -> Option<Behaviour> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).pop_front()
+    }
+}
+
 /// A running upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -126,9 +141,15 @@
         lock(&self.state).always = behaviour;
     }
 
-    /// What it does with the next request.
-    pub fn next(&self, behaviour: Behaviour) {
-        lock(&self.state).next.push_back(behaviour);
+    /// Shares what is done with the next requests with other upstreams.
+    pub fn share(&self, faults: &Faults) {
+        lock(&self.state).faults = faults.clone();
+    }
+
+    /// Requests that it is answering.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.server.open()
     }
 
     /// The callers' requests that it got.
@@ -206,7 +227,7 @@
 fn run(state: &Mutex<State>, id: &str, request: &Request) -> Vec<Step> {
     let mut state = lock(state);
     let version = state.now();
-    let behaviour = state.next.pop_front().unwrap_or_else(|| state.always.clone());
+    let behaviour = state.faults.take().unwrap_or_else(|| state.always.clone());
     let expected = request.header("x-expect-version").and_then(|text| text.parse().ok());
     let is_rejected = expected.is_some_and(|expected: u64| expected != version)
         || state.pending.is_some()
