--- a/crates/lw-catalog/src/upstreams/mod.rs
+++ b/crates/lw-catalog/src/upstreams/mod.rs
@@ -66,7 +66,7 @@
 
 /// All registered upstreams.
 ///
-/// Entries that vanish are gone at once, except within [`RETURN_TIME`] after an outage of the store: the store may have
+/// Entries that vanish are gone at once, except shortly after an outage of the store: the store may have
 /// dropped the entries of living upstreams meanwhile, and these register again.
 #[derive(Debug, Default)]
 pub struct Directory {
