test(lw-edge): listen on addresses of the test process alone

Cause: the tests took a port of 127.0.0.1, closed it and let the VM listen there; a connection of another test took the port in between. Ruled out: a fault of the VM; it reports the address and ends. Change: the address choice of lw-daemon's tests moves to lw_standin::loopback and serves both. lw-daemon's harness also reads standard output, where the daemon writes its log since.

--- a/crates/lw-daemon/tests/common/mod.rs
+++ b/crates/lw-daemon/tests/common/mod.rs
@@ -6,18 +6,15 @@
     fs,
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, Stdio},
-    sync::{
-        Arc,
-        atomic::{AtomicU16, Ordering},
-    },
+    process::{Child, Command},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use lw_protocol::{caller::DONE, sse};
-use lw_standin::{engine, platform, serve::Handle, service};
+use lw_standin::{engine, loopback::free_address, platform, serve::Handle, service};
 use lw_transport::client::{self, Call, Clients, Reuse};
 use serde_json::{Value, json};
 
@@ -76,7 +73,7 @@
             .arg(env!("CARGO_BIN_EXE_lavenderwoodd"))
             .arg(&self.settings)
             .env("RUST_LOG", self.log_filter)
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().expect("log file"))
             .stderr(log)
             .spawn()
             .expect("daemon starts");
@@ -164,15 +161,6 @@
     }
 }
 
-/// An address of this test process alone: connections of other tests take ports of 127.0.0.1, so a port there could be
-/// taken between the choice and the start of the daemon.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(20_000);
-    let [.., b, a] = std::process::id().to_be_bytes();
-    let port = NEXT.fetch_add(1, Ordering::Relaxed);
-    SocketAddr::from(([127, b.max(1), a, 1], port))
-}
-
 impl Fleet {
     /// Starts everything and applies a configuration with two workspaces, one model and one service.
     pub async fn start(name: &str, options: Options) -> Self {
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -12,9 +12,12 @@
 use lw_catalog::{VmSettings, settings::Bounds};
 use lw_edge::run::Vm;
 use lw_observe::logs::{Logs, Options};
-use lw_standin::hosted::{
-    store::Store,
-    upstream::{Faults, MODEL, Received, Upstream},
+use lw_standin::{
+    hosted::{
+        store::Store,
+        upstream::{Faults, MODEL, Received, Upstream},
+    },
+    loopback::free_address,
 };
 use serde_json::{Value, json};
 use tokio::{
@@ -174,10 +177,10 @@
     VmSettings {
         vm: vm.into(),
         failure_domain: "kochi-a".into(),
-        callers: free_addr(),
-        readiness: free_addr(),
-        peers: free_addr(),
-        metrics: Some(free_addr()),
+        callers: free_address(),
+        readiness: free_address(),
+        peers: free_address(),
+        metrics: Some(free_address()),
         store: store.addr(),
         memory_bytes: 64 << 20,
         sockets_max: 1000,
@@ -185,11 +188,6 @@
     }
 }
 
-/// A loopback address whose port was free a moment ago.
-pub fn free_addr() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// A request of a caller.
 #[derive(Debug, Clone)]
 pub struct Outgoing {
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{World, free_addr, ms};
+use common::{World, ms};
 use lw_catalog::VmSettings;
 use lw_edge::run::Vm;
 use lw_standin::hosted::upstream::MODEL;
+use lw_standin::loopback::free_address;
 use serde_json::json;
 
 fn name(world: &World, version: u64) {
@@ -30,9 +31,9 @@
     world.until("the first VM is the issuer", issued).await;
     let second = VmSettings {
         vm: "vm-2".into(),
-        callers: free_addr(),
-        readiness: free_addr(),
-        peers: free_addr(),
+        callers: free_address(),
+        readiness: free_address(),
+        peers: free_address(),
         metrics: None,
         ..world.settings.clone()
     };
--- a/crates/lw-edge/tests/requests.rs
+++ b/crates/lw-edge/tests/requests.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use common::{Caller, Outgoing, World, config, free_addr, ms, request};
+use common::{Caller, Outgoing, World, config, ms, request};
 use lw_catalog::VmSettings;
 use lw_edge::run::Vm;
+use lw_standin::loopback::free_address;
 
 #[tokio::test]
 async fn headers_that_are_the_systems_own_are_not_taken_from_callers() {
@@ -116,9 +117,9 @@
     world.store.set_mode(lw_standin::hosted::store::Mode::Silent);
     let settings = VmSettings {
         vm: "vm-2".into(),
-        callers: free_addr(),
-        readiness: free_addr(),
-        peers: free_addr(),
+        callers: free_address(),
+        readiness: free_address(),
+        peers: free_address(),
         metrics: None,
         ..world.settings.clone()
     };
--- a/crates/lw-standin/src/lib.rs
+++ b/crates/lw-standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod hosted;
 pub mod load;
+pub mod loopback;
 pub mod platform;
 pub mod serve;
 pub mod service;
