fix(lw-daemon): write the last lines of the log before the process ends

Cause: the log moved to standard output behind a queue that is flushed each 100 ms; the process could end in between. The daemon's tests read standard error only, so call_of_a_vm_that_dies_is_not_run_again and three more saw no log. Ruled out: a fault of the claims; the call was claimed and sent, only its log line was not seen. Change: Logs::flush with a bound; the daemon calls it at its end. The test on secrets ends the VMs before it reads their logs, names the debug lines that it expects, and now also demands that no line was left out, since a line that was left out could hold a secret.

--- a/crates/lw-daemon/src/main.rs
+++ b/crates/lw-daemon/src/main.rs
@@ -1,6 +1,6 @@
 //! Entry point of `lavenderwoodd`.
 
-use std::{path::Path, process::ExitCode};
+use std::{path::Path, process::ExitCode, time::Duration};
 
 use lw_catalog::VmSettings;
 use lw_config::settings::Settings;
@@ -11,12 +11,22 @@
 use lw_observe::logs::{Logs, Options};
 
 const USAGE_STATUS: u8 = 2;
+/// Longest time that the end of the process waits for a slow reader of its log. Twice the log's flush period.
+const LAST_LINES: Duration = Duration::from_millis(200);
 
 fn main() -> ExitCode {
     let logs = match log_to_stdout() {
         Ok(logs) => logs,
         Err(e) => return usage(&format!("no log: {e}")),
     };
+    let code = execute(&logs);
+    if !logs.flush(LAST_LINES) {
+        eprintln!("the reader of the log is too slow: its last lines are lost");
+    }
+    code
+}
+
+fn execute(logs: &Logs) -> ExitCode {
     match args::parse(std::env::args_os().skip(1).collect()) {
         Ok(Command::Help) => print(args::HELP),
         Ok(Command::Version) => print(concat!("lavenderwoodd ", env!("CARGO_PKG_VERSION"), "\n")),
@@ -33,7 +43,7 @@
             Err(e) => usage(&e),
         },
         Ok(Command::RunOnPlatform(port)) => match load_platform() {
-            Ok(settings) => serve_on_platform(with_metrics(settings, port), logs),
+            Ok(settings) => serve_on_platform(with_metrics(settings, port), logs.clone()),
             Err(e) => usage(&e),
         },
         Err(e) => usage(&format!("{e}\n\n{}", args::HELP)),
--- a/crates/lw-daemon/tests/secrets.rs
+++ b/crates/lw-daemon/tests/secrets.rs
@@ -53,13 +53,22 @@
                 .is_some_and(|peers| peers.iter().any(|p| p["state"] == "alive"))
         })
         .await;
+    for vm in &mut fleet.vms {
+        vm.signal("-TERM");
+    }
+    for vm in 0..2 {
+        fleet
+            .wait("the VM has written its log", async || fleet.vms[vm].log().contains("drained"))
+            .await;
+    }
     for vm in &fleet.vms {
         let log = vm.log();
         assert!(
-            log.contains("DEBUG lw_daemon"),
-            "{}: no debug lines, so nothing is shown",
+            log.contains(" DEBUG tables: http: ") && log.contains(" DEBUG tables: stream: "),
+            "{}: no debug lines, so nothing is shown: {log}",
             vm.name
         );
+        assert!(!log.contains("lines left out"), "{}: not all lines are shown", vm.name);
         for secret in [KEY, OTHER_KEY, TOKEN, PEER_KEY, WRONG] {
             let line = log.lines().find(|line| line.contains(secret));
             assert_eq!(line, None, "{} logs a secret", vm.name);
--- a/crates/lw-observe/src/logs/mod.rs
+++ b/crates/lw-observe/src/logs/mod.rs
@@ -61,6 +61,8 @@
 #[derive(Debug)]
 struct State {
     queue: Vec<u8>,
+    /// Whether the writer holds lines that it took from the queue.
+    writing: bool,
     budget: Budget,
     recent: Recent,
     left_out: LeftOut,
@@ -81,6 +83,7 @@
     options: Options,
     state: Mutex<State>,
     wake: Condvar,
+    written: Condvar,
     successes: AtomicU64,
     failures: AtomicU64,
 }
@@ -99,6 +102,7 @@
         let now = Instant::now();
         let state = State {
             queue: Vec::new(),
+            writing: false,
             budget: Budget::new(options, now),
             recent: Recent::new(options.recent_bytes),
             left_out: LeftOut::default(),
@@ -108,6 +112,7 @@
             options,
             state: Mutex::new(state),
             wake: Condvar::new(),
+            written: Condvar::new(),
             successes: AtomicU64::new(0),
             failures: AtomicU64::new(0),
         });
@@ -147,6 +152,18 @@
         self.0.lock().recent.about(request)
     }
 
+    /// Waits until all lines are written, for the end of the process, but no longer than `patience`. Returns whether
+    /// they are.
+    #[must_use]
+    pub fn flush(&self, patience: Duration) -> bool {
+        let (_state, wait) = self
+            .0
+            .written
+            .wait_timeout_while(self.0.lock(), patience, |state| state.has_unwritten())
+            .unwrap_or_else(PoisonError::into_inner);
+        !wait.timed_out()
+    }
+
     /// Lines that were left out since the start.
     #[must_use]
     pub fn left_out(&self) -> LeftOut {
@@ -192,6 +209,10 @@
 }
 
 impl State {
+    fn has_unwritten(&self) -> bool {
+        self.writing || !self.queue.is_empty()
+    }
+
     fn tell_left_out(&mut self, now: Instant) {
         self.told = now;
         let left_out = std::mem::take(&mut self.left_out);
@@ -217,10 +238,15 @@
         }
         drop(state);
         thread::sleep(FLUSH_PERIOD);
-        let bytes = std::mem::take(&mut shared.lock().queue);
+        let mut state = shared.lock();
+        let bytes = std::mem::take(&mut state.queue);
+        state.writing = true;
+        drop(state);
         // A reader that is gone cannot be told.
         if sink.write_all(&bytes).and_then(|()| sink.flush()).is_err() {
             return;
         }
+        shared.lock().writing = false;
+        shared.written.notify_all();
     }
 }
--- a/crates/lw-observe/tests/logs.rs
+++ b/crates/lw-observe/tests/logs.rs
@@ -68,6 +68,19 @@
     gate.wait_for("request=0\n");
 }
 
+/// Guards against a process that ends before its last lines are written, or never ends beside a reader that stands
+/// still.
+#[test]
+fn the_last_lines_are_waited_for_but_not_without_a_bound() {
+    let gate = Gate::default();
+    let logs = Logs::new(options(), gate.clone()).unwrap();
+    logs.push(Level::Info, "run: drained");
+    assert!(!logs.flush(Duration::from_millis(300)), "{}", gate.text());
+    gate.open();
+    assert!(logs.flush(Duration::from_secs(10)));
+    assert_eq!(gate.text(), "run: drained\n");
+}
+
 #[test]
 fn failures_are_kept_before_successes_and_what_is_left_out_is_counted() {
     let gate = Gate::default();
