docs: one operations page with the ways from a failed request's id to its cause

Found by the test: 'stream broken off' named 0 events for streams that may not be resumed, since only the others are split into events. The line now names the bytes that the caller got, for both. Before: events=0 after two events. After: bytes=49, checked against what the caller read.

--- a/crates/lw-config/tests/operations_page.rs
+++ b/crates/lw-config/tests/operations_page.rs
@@ -15,7 +15,7 @@
 const KNOWN_KEYS: &str = "one of the keys ";
 
 fn page(section: &str) -> String {
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operations.md");
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
     let page = std::fs::read_to_string(path).expect("page of operations");
     let start = page.find(&format!("\n## {section}\n")).expect("section of the page") + 1;
     let end = page[start..].find("\n## ").map_or(page.len(), |end| start + end);
--- a/crates/lw-edge/src/serve/record.rs
+++ b/crates/lw-edge/src/serve/record.rs
@@ -81,13 +81,13 @@
             why = failure.message.as_str(); "request failed");
     }
 
-    /// The stream broke after its first event and could not go on.
-    pub fn broke(&mut self, why: &str, events: u64) {
+    /// The stream broke after these bytes and could not go on.
+    pub fn broke(&mut self, why: &str, bytes: u64) {
         self.count(ResultCode::StreamBroken);
         let code = ResultCode::StreamBroken;
         log::warn!(target: "http", request = self.request.as_str(), code = code.number(),
             name = code.name(), attempts = self.attempts, ms = millis(self.age()),
-            events = events, class = self.labels.class,
+            bytes = bytes, class = self.labels.class,
             workspace = self.labels.workspace.as_str(), why = why; "stream broken off");
     }
 
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -22,6 +22,8 @@
     /// Only for streams that may be resumed: the others are passed on byte by byte.
     splitter: Option<Splitter>,
     status: u16,
+    /// Bytes that the caller was given.
+    passed_on: u64,
 }
 
 enum Step {
@@ -35,7 +37,13 @@
         let is_resumable = driver.call.route.kind == Kind::Stream { resumable: true };
         let splitter = is_resumable.then(Splitter::default);
         let status = running.head.status.as_u16();
-        Self { driver, current: Some((running.body, running.attempt)), splitter, status }
+        Self {
+            driver,
+            current: Some((running.body, running.attempt)),
+            splitter,
+            status,
+            passed_on: 0,
+        }
     }
 
     pub fn into_body(self) -> OutBody {
@@ -55,9 +63,13 @@
         loop {
             match self.step().await {
                 Step::Bytes(bytes) => {
-                    let Some(splitter) = &mut self.splitter else { return Ok(Some(bytes)) };
-                    if let Some(events) = splitter.push(&bytes) {
-                        return Ok(Some(events));
+                    let ready = match &mut self.splitter {
+                        Some(splitter) => splitter.push(&bytes),
+                        None => Some(bytes),
+                    };
+                    if let Some(ready) = ready {
+                        self.passed_on += u64::try_from(ready.len()).unwrap_or(u64::MAX);
+                        return Ok(Some(ready));
                     }
                 }
                 Step::Complete => {
@@ -72,8 +84,7 @@
                         attempt.end(Ended::Failed, &why);
                     }
                     if let Err(e) = self.resume(&why).await {
-                        let events = self.splitter.as_ref().map_or(0, Splitter::events);
-                        self.driver.record.broke(&e.to_string(), events);
+                        self.driver.record.broke(&e.to_string(), self.passed_on);
                         return Err(e);
                     }
                 }
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -3,9 +3,9 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::{
-    io::ErrorKind,
+    io::{ErrorKind, Write},
     net::SocketAddr,
-    sync::OnceLock,
+    sync::{Mutex, OnceLock},
     time::{Duration, Instant},
 };
 
@@ -166,13 +166,36 @@
 pub fn logs() -> Logs {
     static LOGS: OnceLock<Logs> = OnceLock::new();
     let start = || {
-        let logs = Logs::new(Options::default(), std::io::stdout()).unwrap();
+        let logs = Logs::new(Options::default(), Output).unwrap();
         logs.install().unwrap();
         logs
     };
     LOGS.get_or_init(start).clone()
 }
 
+/// What the VMs of this process wrote to standard output.
+static WRITTEN: Mutex<Vec<u8>> = Mutex::new(Vec::new());
+
+/// Standard output, and a copy of what goes there.
+struct Output;
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let n = std::io::stdout().write(bytes)?;
+        WRITTEN.lock().unwrap().extend_from_slice(&bytes[..n]);
+        Ok(n)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        std::io::stdout().flush()
+    }
+}
+
+/// All lines that were written so far.
+pub fn written() -> String {
+    String::from_utf8_lossy(&WRITTEN.lock().unwrap()).into_owned()
+}
+
 pub fn settings(vm: &str, store: &Store, bounds: Bounds) -> VmSettings {
     VmSettings {
         vm: vm.into(),
@@ -188,6 +211,11 @@
     }
 }
 
+/// Names a version of the model's weights, as operators do.
+pub fn name_version(world: &World, version: u64) {
+    world.store.put(&format!("op/version/{MODEL}"), &json!({ "Model": MODEL, "Version": version }));
+}
+
 /// A request of a caller.
 #[derive(Debug, Clone)]
 pub struct Outgoing {
--- a/crates/lw-forward/src/events/mod.rs
+++ b/crates/lw-forward/src/events/mod.rs
@@ -14,7 +14,6 @@
 pub struct Splitter {
     buf: BytesMut,
     last_id: Option<u64>,
-    events: u64,
 }
 
 impl Splitter {
@@ -27,7 +26,6 @@
             if let Some(id) = event_id(event) {
                 self.last_id = Some(id);
             }
-            self.events += 1;
             end += len;
         }
         (end > 0).then(|| self.buf.copy_to_bytes(end))
@@ -49,12 +47,6 @@
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
-
-    /// Number of whole events.
-    #[must_use]
-    pub fn events(&self) -> u64 {
-        self.events
-    }
 }
 
 /// Length of the first event with the empty line that ends it.
