feat(lw-edge): count store calls, orders, messages and prompt tokens

Cause: the metrics were listed but nothing counted them, and so were missing from the text that scrapers read. An answer to an order with a higher fencing number was not in the line about the order; each answer is now. Test: crates/lw-edge/tests/metrics.rs.

--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -50,7 +50,7 @@
     let mut first = None;
     loop {
         let after = items.last().map(|item: &Item| item.key.clone());
-        let page = edge.store.range(EVERYTHING, after.as_deref()).await?;
+        let page = edge.counted("range", edge.store.range(EVERYTHING, after.as_deref())).await?;
         first = first.or(Some(page.revision));
         let is_last = !page.has_more || page.entries.is_empty();
         items.extend(page.entries);
@@ -122,7 +122,7 @@
     let wait = edge.settings.bounds.revoke.mul_f64(WATCH_PART).min(WATCH_MAX);
     loop {
         let sent = edge.timer.now_suspended();
-        match edge.store.watch(EVERYTHING, revision, wait).await {
+        match edge.counted("watch", edge.store.watch(EVERYTHING, revision, wait)).await {
             Ok(batch) => {
                 revision = batch.revision.max(revision);
                 take(edge, batch);
--- /dev/null
+++ b/crates/lw-edge/src/orders/load.rs
@@ -0,0 +1,170 @@
+//! One order to one engine, and the questions until the engine serves the new weights.
+
+use std::{sync::Arc, time::Duration};
+
+use lw_catalog::Upstream;
+use lw_observe::metrics;
+use lw_order::message::Order;
+use lw_platform::engine::{Error, LoadOrder, Reaction, Swap};
+use lw_types::prelude::*;
+
+use super::QUIET_TIME;
+use crate::{
+    peers::{self, News},
+    state::Edge,
+};
+
+/// Time for which an engine gets no new work unless it is known to serve the new weights before.
+const HOLD_TIME: Duration = Duration::from_secs(6);
+/// Least time after an order before its engine is asked for the first time whether it serves the new weights. Later
+/// on it is the time that the last load took.
+const FIRST_POLL: Duration = Duration::from_millis(500);
+/// Time between two such questions.
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+
+/// Lets an engine go quiet, gives it the order and asks until it serves the new weights.
+pub(super) async fn send(edge: Arc<Edge>, order: Order) {
+    let Some(upstream) = edge.known().directory.get(&order.engine).cloned() else { return };
+    for (model, state) in &order.state.models {
+        let known = edge.with_fleet(&upstream.service, |fleet| fleet.version(&upstream.id, model));
+        let Ok(version) = state.version.parse() else { continue };
+        if known.flatten() == Some(version) {
+            continue;
+        }
+        let ms = u64::try_from(HOLD_TIME.as_millis()).unwrap_or(u64::MAX);
+        peers::tell(&edge, News::Hold { upstream: upstream.id.clone(), ms });
+        tokio::time::sleep(QUIET_TIME).await;
+        if edge.timer.now_suspended() >= order.send_before {
+            late(&order);
+            return;
+        }
+        give(&edge, &upstream, &order, model, version).await;
+    }
+}
+
+async fn give(edge: &Arc<Edge>, upstream: &Upstream, order: &Order, model: &str, version: u64) {
+    let expected_orders = match accepted_orders(edge, upstream).await {
+        Ok(orders) => orders,
+        Err(e) => {
+            log::warn!(target: "order", upstream = upstream.id.as_str(), why = e.to_string();
+                "engine gets no order");
+            return;
+        }
+    };
+    if edge.orders.state().loading.get(&upstream.id) == Some(&true) {
+        log::info!(target: "order", upstream = upstream.id.as_str();
+            "engine carries out an order of a former issuer");
+        poll(edge, upstream, model, version).await;
+        return;
+    }
+    if edge.timer.now_suspended() >= order.send_before {
+        return late(order);
+    }
+    let load = LoadOrder {
+        model,
+        version,
+        swap: Swap::Live,
+        issuer: &edge.settings.vm,
+        fence: order.fence,
+        expected_orders,
+    };
+    let now = edge.timer.now_suspended();
+    edge.orders.state().last_order = Some(now);
+    let id = &upstream.id;
+    let result = edge.engines.order(upstream.addr, id, &load).await;
+    tell_order(edge, order, (model, version), &result);
+    match result {
+        Ok(Reaction::Fenced) => edge.orders.issuer().on_refused(now, order.fence),
+        Ok(reaction) => {
+            edge.orders.answered(upstream, reaction, expected_orders);
+            if poll(edge, upstream, model, version).await && reaction == Reaction::Accepted {
+                edge.orders.loaded(edge.timer.now_suspended().saturating_sub(now));
+            }
+        }
+        Err(_) => {
+            edge.orders.state().accepted.remove(&run_of(upstream));
+            poll(edge, upstream, model, version).await;
+        }
+    }
+}
+
+fn late(order: &Order) {
+    log::warn!(target: "order", upstream = order.engine.as_str(), fence = order.fence;
+        "order not sent, its time has passed");
+}
+
+/// Says what an engine answered to an order, and counts it.
+fn tell_order(
+    edge: &Edge,
+    order: &Order,
+    (model, version): (&str, u64),
+    result: &Result<Reaction, Error>,
+) {
+    let kind = match result {
+        Ok(Reaction::Accepted) => "accepted",
+        Ok(Reaction::Holds) => "holds",
+        Ok(Reaction::Busy) => "busy",
+        Ok(Reaction::Fenced) => "fenced",
+        Ok(Reaction::Unknown) => "unknown_order",
+        Ok(Reaction::Elsewhere) => "elsewhere",
+        Err(_) => "no_answer",
+    };
+    metrics::count(&edge.metrics.orders, kind);
+    let outcome = match result {
+        Ok(reaction) => reaction.to_string(),
+        Err(e) => e.to_string(),
+    };
+    log::info!(target: "order", upstream = order.engine.as_str(), model = model,
+        weights = version, fence = order.fence, outcome = outcome.as_str(); "order given");
+}
+
+/// One run of an engine.
+pub(super) fn run_of(upstream: &Upstream) -> (UpstreamId, Incarnation) {
+    (upstream.id.clone(), upstream.incarnation)
+}
+
+/// Orders that an engine has accepted in this run, asked for unless all of them are this VM's own.
+async fn accepted_orders(edge: &Edge, upstream: &Upstream) -> Result<u64, Error> {
+    let known = edge.orders.state().accepted.get(&run_of(upstream)).copied();
+    if let Some(orders) = known {
+        return Ok(orders);
+    }
+    let report = edge.engines.report(upstream.addr, &upstream.id).await?;
+    edge.orders.state().loading.insert(upstream.id.clone(), report.is_loading);
+    Ok(report.orders)
+}
+
+/// Asks an engine until it serves the new weights; returns whether it does.
+async fn poll(edge: &Arc<Edge>, upstream: &Upstream, model: &str, version: u64) -> bool {
+    let load_time = edge.orders.state().load_time;
+    tokio::time::sleep(load_time.map_or(FIRST_POLL, |time| time.max(FIRST_POLL))).await;
+    let until = edge.timer.now() + edge.orders.options.load_max;
+    while edge.timer.now() < until && edge.known().directory.get(&upstream.id).is_some() {
+        match edge.engines.report(upstream.addr, &upstream.id).await {
+            Ok(report) => {
+                edge.orders.state().loading.insert(upstream.id.clone(), report.is_loading);
+                let loaded = report.models.iter().find(|loaded| loaded.model == model);
+                if let Some(loaded) = loaded.filter(|loaded| loaded.version >= version) {
+                    let news = News::Serves {
+                        upstream: upstream.id.clone(),
+                        model: model.to_owned(),
+                        version: loaded.version,
+                    };
+                    log::info!(target: "order", upstream = upstream.id.as_str(), model = model,
+                        weights = loaded.version; "engine serves new weights");
+                    edge.orders.state().loading.remove(&upstream.id);
+                    peers::tell(edge, news);
+                    return true;
+                }
+                if !report.is_loading {
+                    return false;
+                }
+            }
+            Err(e) => log::debug!(target: "order", upstream = upstream.id.as_str(),
+                why = e.to_string(); "engine does not report"),
+        }
+        tokio::time::sleep(POLL_PERIOD).await;
+    }
+    edge.orders.state().loading.remove(&upstream.id);
+    false
+}
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -8,42 +8,27 @@
 
 use lw_catalog::{Stage, Upstream};
 use lw_order::{
-    issuer::{Action, Issuer, LeaseResult},
-    message::{EngineState, ModelState, Order, Report},
+    issuer::{Action, Issuer},
+    message::{EngineState, ModelState, Report},
     options::Options,
     plan::Plan,
 };
-use lw_platform::{
-    engine::{LoadOrder, Reaction, Swap},
-    store::{Error, Expected, KeyWrite},
-};
+use lw_platform::engine::Reaction;
 use lw_types::prelude::*;
 
-use crate::{
-    peers::{self, News},
-    state::{
-        Edge,
-        keys::{self, LastIssuer},
-    },
-};
+use crate::state::Edge;
+
+mod lease;
+mod load;
+
+pub use lease::hand_over;
 
 /// Lifetime of the issuer's lease. An issuer that dies delays orders by this.
 const LEASE_TIME: Duration = Duration::from_millis(1500);
-/// VMs that try at once to get the lease when nobody holds it.
-const CANDIDATES: usize = 2;
-/// Time after which one more VM tries.
-const CANDIDATE_PERIOD: Duration = Duration::from_millis(200);
 /// Time between two looks at what is to be ordered.
 const TICK: Duration = Duration::from_millis(50);
 /// Time before an order in which its engine gets no new work, so that short requests end.
 const QUIET_TIME: Duration = Duration::from_millis(120);
-/// Time for which an engine gets no new work unless it is known to serve the new weights before.
-const HOLD_TIME: Duration = Duration::from_secs(6);
-/// Least time after an order before its engine is asked for the first time whether it serves the new weights. Later
-/// on it is the time that the last load took.
-const FIRST_POLL: Duration = Duration::from_millis(500);
-/// Time between two such questions.
-const POLL_PERIOD: Duration = Duration::from_millis(100);
 /// Usual time from the end of a load to the report that shows it.
 const REPORT_DELAY: Duration = Duration::from_millis(250);
 /// Part of a service's engines that load at once. Their loads must end within a part of the time in which all engines
@@ -112,10 +97,10 @@
     fn answered(&self, upstream: &Upstream, reaction: Reaction, expected_orders: u64) {
         let mut state = self.state();
         if reaction == Reaction::Accepted {
-            state.accepted.insert(run_of(upstream), expected_orders + 1);
+            state.accepted.insert(load::run_of(upstream), expected_orders + 1);
             state.loading.insert(upstream.id.clone(), true);
         } else {
-            state.accepted.remove(&run_of(upstream));
+            state.accepted.remove(&load::run_of(upstream));
         }
     }
 
@@ -141,44 +126,21 @@
     loop {
         ticks.tick().await;
         let now = edge.timer.now_suspended();
-        edge.orders.issuer().set_eligible(is_eligible(&edge, now));
+        edge.orders.issuer().set_eligible(lease::is_eligible(&edge, now));
         refresh(&edge, now);
         let actions = edge.orders.issuer().tick(now);
         for action in actions {
             match action {
-                Action::Acquire { op } => drop(tokio::spawn(acquire(Arc::clone(&edge), op))),
+                Action::Acquire { op } => drop(tokio::spawn(lease::acquire(Arc::clone(&edge), op))),
                 Action::Renew { op, fence } => {
-                    drop(tokio::spawn(renew(Arc::clone(&edge), op, fence)));
+                    drop(tokio::spawn(lease::renew(Arc::clone(&edge), op, fence)));
                 }
-                Action::Send(order) => drop(tokio::spawn(send(Arc::clone(&edge), order))),
+                Action::Send(order) => drop(tokio::spawn(load::send(Arc::clone(&edge), order))),
             }
         }
     }
 }
 
-/// This VM tries to hold the lease if it holds it, or if nobody does and few VMs come before it. The longer the lease
-/// is free the more VMs try, since those before may not reach the store.
-fn is_eligible(edge: &Edge, now: Now) -> bool {
-    let mut state = edge.orders.state();
-    if state.lease.is_some() {
-        return true;
-    }
-    let known = edge.known();
-    if known.catalog().is_none() || known.own(keys::ISSUER).is_some() || edge.is_leaving() {
-        state.free_since = None;
-        return false;
-    }
-    let free = now.saturating_sub(*state.free_since.get_or_insert(now));
-    let own = vm_rank(&edge.settings.vm);
-    let before = known.vms().filter(|(vm, _)| vm_rank(vm) > own).count();
-    let more = free.as_millis() / CANDIDATE_PERIOD.as_millis();
-    before < CANDIDATES + usize::try_from(more).unwrap_or(usize::MAX)
-}
-
-fn vm_rank(vm: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(vm.as_bytes())
-}
-
 /// Gives the issuer the plan and the states of the engines.
 fn refresh(edge: &Edge, now: Now) {
     let (plan, reports) = {
@@ -289,218 +251,3 @@
     ranked.sort_unstable();
     ranked.iter().enumerate().map(|(rank, (_, _, id))| ((*id).to_owned(), rank)).collect()
 }
-
-/// Gives the lease back, so that another VM can go on at once.
-pub async fn hand_over(edge: &Edge) {
-    let lease = edge.orders.state().lease.take();
-    edge.orders.issuer().set_eligible(false);
-    let Some((fence, id)) = lease else { return };
-    edge.orders.issuer().on_refused(edge.timer.now_suspended(), fence);
-    match edge.store.end_lease(id).await {
-        Ok(()) => log::info!(target: "order", fence = fence; "lease given back"),
-        Err(e) => {
-            log::warn!(target: "order", fence = fence, why = e.to_string(); "lease lapses");
-        }
-    }
-}
-
-async fn acquire(edge: Arc<Edge>, op: u64) {
-    let result = match take_lease(&edge).await {
-        Ok((fence, id, is_first)) => {
-            log::info!(target: "order", fence = fence, first = is_first; "lease acquired");
-            let mut state = edge.orders.state();
-            state.lease = Some((fence, id));
-            state.accepted.clear();
-            drop(state);
-            // Engines that check fencing numbers refuse the late orders of a former issuer themselves.
-            if is_first || edge.settings.bounds.is_fenced {
-                LeaseResult::GrantedFirst(fence)
-            } else {
-                LeaseResult::Granted(fence)
-            }
-        }
-        Err(Error::Conflict) => LeaseResult::Refused,
-        Err(e) => {
-            log::debug!(target: "order", why = e.to_string(); "no lease");
-            LeaseResult::Failed
-        }
-    };
-    edge.orders.issuer().on_lease(edge.timer.now_suspended(), op, result);
-}
-
-/// Takes the lease and the key of the issuer. The key without a lease names the last issuer.
-async fn take_lease(edge: &Edge) -> Result<(Revision, u64, bool), Error> {
-    let last = edge.known().own(keys::LAST_ISSUER).cloned();
-    let lease = edge.store.lease(edge.orders.options.lease_ttl).await?;
-    let vm = edge.settings.vm.clone();
-    let value = serde_json::to_vec(&LastIssuer { vm: vm.clone(), idle_ms: None })
-        .map_err(|e| Error::Unreadable(e.to_string()))?;
-    let last_revision = last.as_ref().map_or(0, |item| item.revision);
-    let expected = vec![
-        Expected { key: keys::ISSUER.into(), revision: 0 },
-        Expected { key: keys::LAST_ISSUER.into(), revision: last_revision },
-    ];
-    let writes = vec![
-        KeyWrite { key: keys::ISSUER.into(), value: value.clone(), lease: lease.id },
-        KeyWrite { key: keys::LAST_ISSUER.into(), value, lease: 0 },
-    ];
-    let fence = edge.store.write(expected, writes, Vec::new()).await?;
-    let is_own = |item: crate::state::OwnItem| {
-        serde_json::from_slice::<LastIssuer>(&item.value).is_ok_and(|last| last.vm == vm)
-    };
-    Ok((fence, lease.id, last.is_none_or(is_own)))
-}
-
-async fn renew(edge: Arc<Edge>, op: u64, fence: Revision) {
-    let lease = edge.orders.state().lease.filter(|(held, _)| *held == fence);
-    let result = match lease {
-        None => LeaseResult::Refused,
-        Some((_, id)) => match edge.store.renew(id).await {
-            Ok(_) => LeaseResult::Granted(fence),
-            Err(Error::Absent) => {
-                log::warn!(target: "order", fence = fence; "lease lost");
-                edge.orders.state().lease = None;
-                LeaseResult::Refused
-            }
-            Err(e) => {
-                log::warn!(target: "order", fence = fence, why = e.to_string(); "lease not renewed");
-                LeaseResult::Failed
-            }
-        },
-    };
-    edge.orders.issuer().on_lease(edge.timer.now_suspended(), op, result);
-}
-
-/// Lets an engine go quiet, gives it the order and asks until it serves the new weights.
-async fn send(edge: Arc<Edge>, order: Order) {
-    let Some(upstream) = edge.known().directory.get(&order.engine).cloned() else { return };
-    for (model, state) in &order.state.models {
-        let known = edge.with_fleet(&upstream.service, |fleet| fleet.version(&upstream.id, model));
-        let Ok(version) = state.version.parse() else { continue };
-        if known.flatten() == Some(version) {
-            continue;
-        }
-        let ms = u64::try_from(HOLD_TIME.as_millis()).unwrap_or(u64::MAX);
-        peers::tell(&edge, News::Hold { upstream: upstream.id.clone(), ms });
-        tokio::time::sleep(QUIET_TIME).await;
-        if edge.timer.now_suspended() >= order.send_before {
-            late(&order);
-            return;
-        }
-        give(&edge, &upstream, &order, model, version).await;
-    }
-}
-
-async fn give(edge: &Arc<Edge>, upstream: &Upstream, order: &Order, model: &str, version: u64) {
-    let expected_orders = match accepted_orders(edge, upstream).await {
-        Ok(orders) => orders,
-        Err(e) => {
-            log::warn!(target: "order", upstream = upstream.id.as_str(), why = e.to_string();
-                "engine gets no order");
-            return;
-        }
-    };
-    if edge.orders.state().loading.get(&upstream.id) == Some(&true) {
-        log::info!(target: "order", upstream = upstream.id.as_str();
-            "engine carries out an order of a former issuer");
-        poll(edge, upstream, model, version).await;
-        return;
-    }
-    if edge.timer.now_suspended() >= order.send_before {
-        return late(order);
-    }
-    let load = LoadOrder {
-        model,
-        version,
-        swap: Swap::Live,
-        issuer: &edge.settings.vm,
-        fence: order.fence,
-        expected_orders,
-    };
-    let now = edge.timer.now_suspended();
-    edge.orders.state().last_order = Some(now);
-    let id = &upstream.id;
-    match edge.engines.order(upstream.addr, id, &load).await {
-        Ok(Reaction::Fenced) => {
-            log::warn!(target: "order", upstream = id.as_str(), fence = order.fence;
-                "engine has seen a higher fencing number");
-            edge.orders.issuer().on_refused(now, order.fence);
-        }
-        Ok(reaction) => {
-            edge.orders.answered(upstream, reaction, expected_orders);
-            tell_order(order, model, version, &reaction.to_string());
-            if poll(edge, upstream, model, version).await && reaction == Reaction::Accepted {
-                edge.orders.loaded(edge.timer.now_suspended().saturating_sub(now));
-            }
-        }
-        Err(e) => {
-            edge.orders.state().accepted.remove(&run_of(upstream));
-            tell_order(order, model, version, &e.to_string());
-            poll(edge, upstream, model, version).await;
-        }
-    }
-}
-
-fn late(order: &Order) {
-    log::warn!(target: "order", upstream = order.engine.as_str(), fence = order.fence;
-        "order not sent, its time has passed");
-}
-
-fn tell_order(order: &Order, model: &str, version: u64, outcome: &str) {
-    log::info!(target: "order", upstream = order.engine.as_str(), model = model,
-        weights = version, fence = order.fence, outcome = outcome; "order given");
-}
-
-/// One run of an engine.
-fn run_of(upstream: &Upstream) -> (UpstreamId, Incarnation) {
-    (upstream.id.clone(), upstream.incarnation)
-}
-
-/// Orders that an engine has accepted in this run, asked for unless all of them are this VM's own.
-async fn accepted_orders(
-    edge: &Edge,
-    upstream: &Upstream,
-) -> Result<u64, lw_platform::engine::Error> {
-    let known = edge.orders.state().accepted.get(&run_of(upstream)).copied();
-    if let Some(orders) = known {
-        return Ok(orders);
-    }
-    let report = edge.engines.report(upstream.addr, &upstream.id).await?;
-    edge.orders.state().loading.insert(upstream.id.clone(), report.is_loading);
-    Ok(report.orders)
-}
-
-/// Asks an engine until it serves the new weights; returns whether it does.
-async fn poll(edge: &Arc<Edge>, upstream: &Upstream, model: &str, version: u64) -> bool {
-    let load_time = edge.orders.state().load_time;
-    tokio::time::sleep(load_time.map_or(FIRST_POLL, |time| time.max(FIRST_POLL))).await;
-    let until = edge.timer.now() + edge.orders.options.load_max;
-    while edge.timer.now() < until && edge.known().directory.get(&upstream.id).is_some() {
-        match edge.engines.report(upstream.addr, &upstream.id).await {
-            Ok(report) => {
-                edge.orders.state().loading.insert(upstream.id.clone(), report.is_loading);
-                let loaded = report.models.iter().find(|loaded| loaded.model == model);
-                if let Some(loaded) = loaded.filter(|loaded| loaded.version >= version) {
-                    let news = News::Serves {
-                        upstream: upstream.id.clone(),
-                        model: model.to_owned(),
-                        version: loaded.version,
-                    };
-                    log::info!(target: "order", upstream = upstream.id.as_str(), model = model,
-                        weights = loaded.version; "engine serves new weights");
-                    edge.orders.state().loading.remove(&upstream.id);
-                    peers::tell(edge, news);
-                    return true;
-                }
-                if !report.is_loading {
-                    return false;
-                }
-            }
-            Err(e) => log::debug!(target: "order", upstream = upstream.id.as_str(),
-                why = e.to_string(); "engine does not report"),
-        }
-        tokio::time::sleep(POLL_PERIOD).await;
-    }
-    edge.orders.state().loading.remove(&upstream.id);
-    false
-}
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use lw_observe::metrics;
 use lw_place::{Announced, Ended, Ticket};
 use lw_transport::datagram::Datagrams;
 use lw_types::prelude::*;
@@ -209,7 +210,10 @@
     };
     let datagram = datagrams.seal(&bytes);
     for (vm, entry) in edge.known().vms().filter(|(vm, _)| **vm != edge.settings.vm) {
-        if let Err(e) = datagrams.try_send(entry.addr, &datagram) {
+        let sent = datagrams.try_send(entry.addr, &datagram);
+        let kind = if sent.is_ok() { "sent" } else { "lost" };
+        metrics::count(&edge.metrics.messages, kind);
+        if let Err(e) = sent {
             log::debug!(target: "member", vm = vm.as_str(), why = e.to_string(); "message lost");
         }
     }
--- a/crates/lw-edge/src/register/mod.rs
+++ b/crates/lw-edge/src/register/mod.rs
@@ -30,7 +30,9 @@
 
 async fn keep(edge: &Edge) -> Result<std::convert::Infallible, Error> {
     create_peer_key(edge).await?;
-    let lease = edge.store.lease(LEASE_TIME.max(edge.settings.bounds.lease_min)).await?;
+    let lease = edge
+        .counted("lease", edge.store.lease(LEASE_TIME.max(edge.settings.bounds.lease_min)))
+        .await?;
     let entry =
         VmEntry { addr: edge.settings.peers, failure_domain: edge.settings.failure_domain.clone() };
     let write = KeyWrite {
@@ -38,10 +40,10 @@
         value: serde_json::to_vec(&entry).map_err(|e| Error::Unreadable(e.to_string()))?,
         lease: lease.id,
     };
-    edge.store.write(Vec::new(), vec![write], Vec::new()).await?;
+    edge.counted("write", edge.store.write(Vec::new(), vec![write], Vec::new())).await?;
     loop {
         tokio::time::sleep(RENEW_PERIOD).await;
-        match edge.store.renew(lease.id).await {
+        match edge.counted("renew", edge.store.renew(lease.id)).await {
             Ok(_) => {}
             Err(Error::Absent) => return Err(Error::Absent),
             Err(e) => {
@@ -61,7 +63,13 @@
     let value = format!("{:032x}", u128::from_be_bytes(secret)).into_bytes();
     let key = keys::PEER_KEY.to_owned();
     let expected = Expected { key: key.clone(), revision: 0 };
-    match edge.store.write(vec![expected], vec![KeyWrite { key, value, lease: 0 }], vec![]).await {
+    match edge
+        .counted(
+            "write",
+            edge.store.write(vec![expected], vec![KeyWrite { key, value, lease: 0 }], vec![]),
+        )
+        .await
+    {
         Ok(_) | Err(Error::Conflict) => Ok(()),
         Err(e) => Err(e),
     }
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -77,6 +77,7 @@
             is_over: false,
         };
         attempt.tell_choice(number);
+        attempt.count_tokens();
         attempt
     }
 
@@ -146,6 +147,17 @@
             known_ms = age; "request sent");
     }
 
+    /// Counts the prompt's tokens by where the engine gets them from.
+    fn count_tokens(&self) {
+        let Some(prompt) = &self.call.prompt else { return };
+        let (held, fetched) = (self.choice.held, self.choice.fetched);
+        let read = prompt.tokens.saturating_sub(held + fetched);
+        for (kind, tokens) in [("held", held), ("fetched", fetched), ("read", read)] {
+            let label = metrics::KindLabel { kind };
+            self.edge.metrics.prompt_tokens.get_or_create(&label).inc_by(tokens);
+        }
+    }
+
     /// Sends the request, from the event after `last_event` on if there is one.
     pub async fn send(self, last_event: Option<u64>) -> Sent {
         let (edge, call) = (Arc::clone(&self.edge), Arc::clone(&self.call));
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -14,9 +14,15 @@
 use lw_catalog::{Catalog, ServiceKind, VmSettings, upstreams::Change};
 use lw_forward::pool::{self, Pool};
 use lw_limit::retry;
-use lw_observe::{logs::Logs, metrics::Metrics};
+use lw_observe::{
+    logs::Logs,
+    metrics::{CallLabels, Metrics},
+};
 use lw_place::Fleet;
-use lw_platform::{engine::Engines, store::Store};
+use lw_platform::{
+    engine::Engines,
+    store::{self, Store},
+};
 use lw_transport::{
     client::{self, Clients},
     datagram::Datagrams,
@@ -78,6 +84,30 @@
 }
 
 impl Edge {
+    /// Makes a call to the store and counts it by its result.
+    ///
+    /// # Errors
+    ///
+    /// Those of the call.
+    pub async fn counted<T>(
+        &self,
+        call: &'static str,
+        result: impl Future<Output = Result<T, store::Error>>,
+    ) -> Result<T, store::Error> {
+        let result = result.await;
+        let kind = match &result {
+            Ok(_) => "ok",
+            Err(store::Error::Conflict) => "conflict",
+            Err(store::Error::Absent) => "absent",
+            Err(store::Error::Compacted) => "compacted",
+            Err(store::Error::Unavailable(_)) => "unavailable",
+            Err(store::Error::Unknown(_)) => "unknown",
+            Err(store::Error::Unreadable(_)) => "unreadable",
+        };
+        self.metrics.store_calls.get_or_create(&CallLabels { call, result: kind }).inc();
+        result
+    }
+
     /// A VM that knows nothing yet.
     #[must_use]
     pub fn new(settings: VmSettings, logs: Logs) -> Self {
--- /dev/null
+++ b/crates/lw-edge/tests/metrics.rs
@@ -0,0 +1,52 @@
+//! Guards against metrics that are listed but never counted.
+
+mod common;
+
+use common::{World, get, name_version, request};
+
+async fn text(world: &World) -> String {
+    get(world.settings.metrics.unwrap(), "/metrics").await.expect("metrics").text()
+}
+
+/// The value of a metric whose line begins with `name`.
+fn value(text: &str, name: &str) -> f64 {
+    let line = text.lines().find(|line| line.starts_with(name));
+    let line = line.unwrap_or_else(|| panic!("no {name} in {text}"));
+    line.rsplit(' ').next().and_then(|value| value.parse().ok()).expect("a number")
+}
+
+#[tokio::test]
+async fn requests_calls_orders_and_tokens_are_counted() {
+    let world = World::start().await;
+    for n in 0..3 {
+        let reply = world.send(&request(&format!("counted-{n}"), "/long/x")).await.unwrap();
+        assert_eq!(reply.status, 200, "{}", reply.head);
+    }
+    name_version(&world, 2);
+    world
+        .until("both engines load the new weights", async |world| {
+            world.engines.iter().all(|engine| engine.version() == 2)
+        })
+        .await;
+    let text = text(&world).await;
+    let sum: f64 = ["held", "fetched", "read"]
+        .iter()
+        .map(|kind| value(&text, &format!("lavenderwood_prompt_tokens_total{{kind=\"{kind}\"}}")))
+        .sum();
+    assert!((sum - 3600.0).abs() < 0.5, "{sum} tokens of 3 prompts of 1200: {text}");
+    let labels = "workspace=\"station\",class=\"resumable_stream\",code=\"ok\"";
+    let requests = &format!("lavenderwood_requests_total{{{labels}}}");
+    assert!((value(&text, requests) - 3.0).abs() < 0.5, "{text}");
+    for counted in [
+        "lavenderwood_store_calls_total{call=\"range\",result=\"ok\"}",
+        "lavenderwood_store_calls_total{call=\"watch\",result=\"ok\"}",
+        "lavenderwood_store_calls_total{call=\"lease\",result=\"ok\"}",
+        "lavenderwood_store_calls_total{call=\"write\",result=\"ok\"}",
+        "lavenderwood_orders_total{kind=\"accepted\"}",
+        "lavenderwood_attempts_total{kind=\"complete\"}",
+        "lavenderwood_config_version",
+        "lavenderwood_ready_upstreams{service=\"llm\"}",
+    ] {
+        assert!(value(&text, counted) >= 1.0, "{counted}: {text}");
+    }
+}
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -2,21 +2,15 @@
 
 mod common;
 
-use common::{World, ms};
+use common::{World, ms, name_version};
 use lw_catalog::VmSettings;
 use lw_edge::run::Vm;
-use lw_standin::hosted::upstream::MODEL;
 use lw_standin::loopback::free_address;
-use serde_json::json;
-
-fn name(world: &World, version: u64) {
-    world.store.put(&format!("op/version/{MODEL}"), &json!({ "Model": MODEL, "Version": version }));
-}
 
 #[tokio::test]
 async fn engines_get_the_named_version() {
     let world = World::start().await;
-    name(&world, 2);
+    name_version(&world, 2);
     let done = async |world: &World| world.engines.iter().all(|engine| engine.version() == 2);
     world.until("all engines serve version 2", done).await;
     let reply = world.send(&common::request("after", "/short/x")).await.unwrap();
@@ -42,7 +36,7 @@
     tokio::time::sleep(ms(300)).await;
     let holder = world.store.get("lavenderwood/issuer").expect("the second VM holds the lease");
     assert!(String::from_utf8_lossy(&holder).contains("vm-2"));
-    name(&world, 2);
+    name_version(&world, 2);
     let done = async |world: &World| world.engines.iter().all(|engine| engine.version() == 2);
     world.until("all engines serve version 2", done).await;
     leaving.await.unwrap();
