fix(lw-edge): keep new work from an engine during its whole load, give back a lease granted while leaving

Cause 1: the message that keeps new work from an engine was sent once, before the order. A VM that was not registered at that moment sent requests to the engine until its load was over. Ruled out: engines that were full; the log shows the order, and each rejection within its load. Change: the message is repeated each 500 ms during the load, names the weights, and counts for 2 s instead of 6 s.

Cause 2: a VM that was told to end while the answer about the issuer's lease was under way kept the lease for as long as it served. Change: it gives the lease back when the answer comes.

Tests: a_vm_that_starts_during_a_load_spares_the_engine, a_lease_that_is_granted_to_a_leaving_vm_is_given_back; both failed before.

--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -75,6 +75,10 @@
         }
     };
     edge.orders.issuer().on_lease(edge.timer.now_suspended(), op, result);
+    // The VM may have been told to end while the call was under way.
+    if edge.is_leaving() {
+        hand_over(&edge).await;
+    }
 }
 
 /// Takes the lease and the key of the issuer. The key without a lease names the last issuer.
--- a/crates/lw-edge/src/orders/load.rs
+++ b/crates/lw-edge/src/orders/load.rs
@@ -14,8 +14,10 @@
     state::Edge,
 };
 
-/// Time for which an engine gets no new work unless it is known to serve the new weights before.
-const HOLD_TIME: Duration = Duration::from_secs(6);
+/// Time for which a message keeps new work from an engine. Three of them may be lost.
+const HOLD_TIME: Duration = Duration::from_secs(2);
+/// Time between two such messages during a load, so that VMs that start or come back hear of it.
+const HOLD_PERIOD: Duration = Duration::from_millis(500);
 /// Least time after an order before its engine is asked for the first time whether it serves the new weights. Later
 /// on it is the time that the last load took.
 const FIRST_POLL: Duration = Duration::from_millis(500);
@@ -31,14 +33,27 @@
         if known.flatten() == Some(version) {
             continue;
         }
-        let ms = u64::try_from(HOLD_TIME.as_millis()).unwrap_or(u64::MAX);
-        peers::tell(&edge, News::Hold { upstream: upstream.id.clone(), ms });
-        tokio::time::sleep(QUIET_TIME).await;
-        if edge.timer.now_suspended() >= order.send_before {
-            late(&order);
-            return;
+        let load = async {
+            tokio::time::sleep(QUIET_TIME).await;
+            if edge.timer.now_suspended() >= order.send_before {
+                return late(&order);
+            }
+            give(&edge, &upstream, &order, model, version).await;
+        };
+        tokio::select! {
+            () = load => {}
+            () = hold(&edge, &upstream.id, model, version) => {}
         }
-        give(&edge, &upstream, &order, model, version).await;
+    }
+}
+
+/// Keeps new work from an engine for as long as this is polled.
+async fn hold(edge: &Edge, upstream: &str, model: &str, version: u64) {
+    let ms = u64::try_from(HOLD_TIME.as_millis()).unwrap_or(u64::MAX);
+    loop {
+        let (upstream, model) = (upstream.to_owned(), model.to_owned());
+        peers::tell(edge, News::Hold { upstream, model, version, ms });
+        tokio::time::sleep(HOLD_PERIOD).await;
     }
 }
 
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -71,10 +71,14 @@
 /// What a VM tells the others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum News {
-    /// The weights of an engine are about to be changed; it gets no new work for a while.
+    /// The weights of an engine are being changed; it gets no new work for a while, or until it serves the new ones.
     Hold {
         /// The engine.
         upstream: UpstreamId,
+        /// Its model.
+        model: ModelId,
+        /// The version that it loads.
+        version: u64,
         /// For how long, in milliseconds.
         ms: u64,
     },
@@ -151,7 +155,12 @@
     let mut fleets = edge.fleets();
     for fleet in fleets.values_mut() {
         match &message.news {
-            News::Hold { upstream, ms } => fleet.hold(upstream, now + Duration::from_millis(*ms)),
+            News::Hold { upstream, model, version, ms } => {
+                // Messages may overtake each other.
+                if fleet.version(upstream, model).is_some_and(|served| served < *version) {
+                    fleet.hold(upstream, now + Duration::from_millis(*ms));
+                }
+            }
             News::Silent { upstream, ms } => {
                 fleet.avoid(upstream, now + Duration::from_millis(*ms));
             }
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Settings of a further VM.
+    pub fn another(&self, vm: &str) -> VmSettings {
+        VmSettings { metrics: None, ..settings(vm, &self.store, self.settings.bounds) }
+    }
+
     /// Sends a request on a new connection.
     pub async fn send(&self, request: &Outgoing) -> Option<Reply> {
         let mut caller = Caller::connect(self.settings.callers).await?;
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -2,10 +2,9 @@
 
 mod common;
 
-use common::{World, ms, name_version};
-use lw_catalog::VmSettings;
+use common::{Caller, World, ms, name_version, request};
 use lw_edge::run::Vm;
-use lw_standin::loopback::free_address;
+use lw_standin::hosted::store::{LATE_TIME, Mode};
 
 #[tokio::test]
 async fn engines_get_the_named_version() {
@@ -23,14 +22,7 @@
     let mut world = World::start().await;
     let issued = async |world: &World| world.store.get("lavenderwood/issuer").is_some();
     world.until("the first VM is the issuer", issued).await;
-    let second = VmSettings {
-        vm: "vm-2".into(),
-        callers: free_address(),
-        readiness: free_address(),
-        peers: free_address(),
-        metrics: None,
-        ..world.settings.clone()
-    };
+    let second = world.another("vm-2");
     let second = Vm::start(second, world.logs.clone()).await.unwrap();
     let leaving = tokio::spawn(world.vm.take().unwrap().leave());
     tokio::time::sleep(ms(300)).await;
@@ -42,3 +34,55 @@
     leaving.await.unwrap();
     drop(second);
 }
+
+/// Guards against a VM that starts, or is registered again, during a load and sends work to the engine that loads: the
+/// engine rejects it, and requests with one attempt are lost.
+#[tokio::test]
+async fn a_vm_that_starts_during_a_load_spares_the_engine() {
+    let world = World::start().await;
+    world.engines.iter().for_each(|engine| engine.set_load_time(ms(4000)));
+    name_version(&world, 2);
+    let loads = async |world: &World| world.engines.iter().any(|engine| engine.is_loading());
+    world.until("an engine loads", loads).await;
+    let settings = world.another("vm-2");
+    let second = Vm::start(settings.clone(), world.logs.clone()).await.unwrap();
+    let is_registered = async |world: &World| world.store.get("lavenderwood/vm/vm-2").is_some();
+    world.until("the second VM is registered", is_registered).await;
+    tokio::time::sleep(ms(700)).await;
+    for n in 0..12 {
+        let mut caller = Caller::connect(settings.callers).await.unwrap();
+        let mut req = request(&format!("spared-{n}"), "/short/x");
+        // Another prompt each time, so that each engine is preferred by some.
+        req.headers =
+            req.headers.replace("a1:", &format!("a{n}:")).replace("b2:", &format!("b{n}:"));
+        caller.send(&req).await;
+        let reply = caller.receive().await.expect("an answer");
+        assert_eq!(reply.status, 200, "{}", reply.head);
+    }
+    assert!(loads(&world).await, "the load was over too soon for the test");
+    drop(second);
+}
+
+/// Guards against a VM that is told to end while the answer about its lease is on the way, and then keeps the lease for
+/// as long as it serves.
+#[tokio::test]
+async fn a_lease_that_is_granted_to_a_leaving_vm_is_given_back() {
+    let mut world = World::start().await;
+    let is_issuer = |world: &World, vm: &str| {
+        let holder = world.store.get("lavenderwood/issuer").unwrap_or_default();
+        String::from_utf8_lossy(&holder).contains(vm)
+    };
+    world.until("vm-1 is the issuer", async |world| is_issuer(world, "vm-1")).await;
+    let second = Vm::start(world.another("vm-2"), world.logs.clone()).await.unwrap();
+    let registered = async |world: &World| world.store.get("lavenderwood/vm/vm-2").is_some();
+    world.until("vm-2 is registered", registered).await;
+    world.store.set_mode(Mode::LateWrites);
+    let first_leaves = tokio::spawn(world.vm.take().unwrap().leave());
+    world.until("vm-2 is the issuer", async |world| is_issuer(world, "vm-2")).await;
+    let second_leaves = tokio::spawn(second.leave());
+    world.store.set_mode(Mode::Sound);
+    tokio::time::sleep(LATE_TIME + ms(300)).await;
+    assert!(!is_issuer(&world, "vm-2"), "it keeps the lease");
+    first_leaves.await.unwrap();
+    second_leaves.await.unwrap();
+}
--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -28,8 +28,13 @@
     Reset,
     /// It does not answer.
     Silent,
+    /// It carries out writes at once and answers them [`LATE_TIME`] later.
+    LateWrites,
 }
 
+/// Delay of answers to writes in [`Mode::LateWrites`].
+pub const LATE_TIME: Duration = Duration::from_millis(400);
+
 #[derive(Debug, Clone)]
 struct Item {
     value: Vec<u8>,
@@ -203,7 +208,7 @@
         state.mode
     };
     match mode {
-        Mode::Sound => {}
+        Mode::Sound | Mode::LateWrites => {}
         Mode::Unavailable => return reply(503, &json!({})),
         Mode::Reset => return vec![Step::Reset],
         Mode::Silent => return silent(&shared).await,
@@ -211,7 +216,13 @@
     match (request.method.as_str(), request.path()) {
         ("GET", "/api/kv-range") => range(&shared, &request),
         ("GET", "/api/kv-watch") => watch(&shared, &request).await,
-        ("POST", "/api/kv-txn") => write(&shared, &request),
+        ("POST", "/api/kv-txn") => {
+            let mut steps = write(&shared, &request);
+            if mode == Mode::LateWrites {
+                steps.insert(0, Step::Wait(LATE_TIME));
+            }
+            steps
+        }
         ("POST", "/api/kv-lease") => lease(&shared, &request),
         ("POST", path) if path.starts_with("/api/kv-keep/") => keep(&shared, path),
         ("DELETE", path) if path.starts_with("/api/kv-lease-end/") => {
@@ -247,7 +258,7 @@
         let changed = shared.changed.notified();
         {
             let state = shared.lock();
-            if state.mode != Mode::Sound {
+            if !matches!(state.mode, Mode::Sound | Mode::LateWrites) {
                 return vec![Step::Reset];
             }
             if after < state.compacted {
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -62,6 +62,7 @@
     version: u64,
     pending: Option<(u64, tokio::time::Instant)>,
     orders: u64,
+    load_time: Duration,
 }
 
 /// What is done with the next requests, whichever of the upstreams that share this gets them.
@@ -90,7 +91,7 @@
 
 /// Model that the stand-ins of engines serve.
 pub const MODEL: &str = "m";
-/// Time of a load of weights.
+/// Time of a load of weights, unless another is set.
 const LOAD_TIME: Duration = Duration::from_millis(200);
 /// Events of one stream.
 pub const EVENTS: u64 = 5;
@@ -102,7 +103,8 @@
     ///
     /// When no port can be bound.
     pub async fn start(id: &str) -> io::Result<Self> {
-        let state = Arc::new(Mutex::new(State { version: 1, ..State::default() }));
+        let state =
+            Arc::new(Mutex::new(State { version: 1, load_time: LOAD_TIME, ..State::default() }));
         let (app, name) = (Arc::clone(&state), id.to_owned());
         let server = serve(move |request| {
             let steps = call(&app, &name, &request);
@@ -158,6 +160,19 @@
         lock(&self.state).received.clone()
     }
 
+    /// Sets the time of its further loads of weights.
+    pub fn set_load_time(&self, time: Duration) {
+        lock(&self.state).load_time = time;
+    }
+
+    /// Whether it is loading weights.
+    #[must_use]
+    pub fn is_loading(&self) -> bool {
+        let mut state = lock(&self.state);
+        state.now();
+        state.pending.is_some()
+    }
+
     /// Version of the weights that it serves.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -219,7 +234,7 @@
         return answer(409, &[], b"");
     }
     state.orders += 1;
-    let done = tokio::time::Instant::now() + LOAD_TIME;
+    let done = tokio::time::Instant::now() + state.load_time;
     state.pending = Some((body["Version"].as_u64().unwrap_or(0), done));
     answer(202, &[], b"")
 }
