fix(lw-edge): an upstream that cannot be reached takes no attempt

Cause: a connection that could not be made counted as an attempt. Requests with one attempt were refused although nothing of them had been sent. Ruled out: the retry budget; the refusals say 'no attempts left' after one attempt. Change: such an upstream takes no attempt and nothing of the retry budget; one request tries two of them besides its attempts. Test: an_upstream_that_cannot_be_reached_takes_no_attempt failed before.

--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -22,6 +22,8 @@
 pub(super) enum Sent {
     /// The upstream answers.
     Answer(Box<Running>),
+    /// The upstream got nothing of it.
+    Unreached,
     /// The upstream did not run it and will not.
     NotRun,
     /// The upstream may have run it.
@@ -180,7 +182,7 @@
             }
             Ok(Err(Error::NotSent(e))) => {
                 self.end(Ended::Failed, &e);
-                Sent::NotRun
+                Sent::Unreached
             }
             Ok(Err(Error::Broken(e))) => {
                 self.end(Ended::Failed, &e);
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -22,6 +22,9 @@
 
 /// When to come back after a refusal without a better estimate.
 const COME_BACK: Duration = Duration::from_millis(300);
+/// Upstreams that cannot be reached which one request tries besides its attempts. Each takes the time of a connection
+/// at most.
+const UNREACHED_MAX: usize = 2;
 /// Time before the end of the bound on old weights from which on requests begin on new ones only. A request may wait
 /// at its engine for most of it.
 const VERSION_MARGIN: Duration = Duration::from_secs(2);
@@ -54,6 +57,10 @@
     pub call: Arc<Call>,
     pub record: Record,
     tried: Vec<UpstreamId>,
+    /// Attempts that may have reached their upstreams.
+    sent: u32,
+    /// Whether the next attempt is in the retry budget already.
+    is_paid: bool,
     carried: Carried,
     may_have_run: bool,
 }
@@ -67,6 +74,8 @@
             call: Arc::clone(call),
             record,
             tried: Vec::new(),
+            sent: 0,
+            is_paid: false,
             carried,
             may_have_run: false,
         }
@@ -81,6 +90,7 @@
                         return Ok(passed);
                     }
                 }
+                Sent::Unreached => self.unreached(),
                 Sent::NotRun => {}
                 Sent::Unknown(why) => self.unknown(&why)?,
                 Sent::Late => {
@@ -95,24 +105,36 @@
     pub fn next_attempt(&mut self) -> Result<Attempt, Failure> {
         let choice = self.choose()?;
         self.pay()?;
+        self.sent += 1;
         self.tried.push(choice.upstream.id.clone());
         self.record.attempted();
         Ok(Attempt::begin(&self.edge, &self.call, choice, self.tried.len()))
     }
 
+    /// The last attempt did not reach its upstream, so it does not count.
+    pub fn unreached(&mut self) {
+        self.sent -= 1;
+        self.is_paid = true;
+    }
+
     /// Takes an attempt out of the bounds on attempts.
     fn pay(&mut self) -> Result<(), Failure> {
-        let now = self.edge.timer.now();
-        let carried = self.carried;
-        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-        if attempts == 0 {
+        let attempts = self.call.route.attempts;
+        if self.tried.len() >= usize::try_from(attempts).unwrap_or(usize::MAX) + UNREACHED_MAX {
+            return Err(self.refused("too many upstreams that cannot be reached"));
+        }
+        if std::mem::take(&mut self.is_paid) {
+            return Ok(());
+        }
+        let (now, carried) = (self.edge.timer.now(), self.carried);
+        if self.sent == 0 {
             let arrived = |budget: &mut retry::Budget| budget.arrive(now, carried);
             return match self.edge.with_budget(&self.call.service, arrived) {
                 Ok(()) => Ok(()),
                 Err(e) => Err(self.refused(&e.to_string())),
             };
         }
-        if attempts >= self.call.route.attempts {
+        if self.sent >= attempts {
             return Err(self.refused("no attempts left"));
         }
         let spend = |budget: &mut retry::Budget| budget.spend(now, retry::Kind::Retry, carried);
@@ -179,9 +201,8 @@
             }
             Ok(Ok(body)) => body.to_bytes(),
         };
-        let attempts = usize::try_from(self.call.route.attempts).unwrap_or(1);
         let may_repeat = self.call.route.kind == Kind::Idempotent && status.is_server_error();
-        if may_repeat && self.tried.len() < attempts {
+        if may_repeat && self.sent < self.call.route.attempts {
             attempt.end(Ended::Complete, &format!("it answered {status}, tried again"));
             self.may_have_run = true;
             return Ok(None);
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -138,6 +138,7 @@
                     let why = format!("it answered {} to a resume", running.head.status);
                     running.attempt.end(Ended::Complete, &why);
                 }
+                Sent::Unreached => self.driver.unreached(),
                 Sent::NotRun | Sent::Unknown(_) => {}
                 Sent::Late => break,
             }
--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -6,7 +6,10 @@
 mod common;
 
 use common::{Caller, World, ms, request};
-use lw_standin::hosted::upstream::{Behaviour, EVENTS, event};
+use lw_standin::{
+    hosted::upstream::{Behaviour, EVENTS, event},
+    loopback::free_address,
+};
 
 const LOOK: &str = "/look/x";
 const BOOK: &str = "/book/x";
@@ -154,3 +157,27 @@
     assert!((ms(1_400)..ms(1_900)).contains(&started.elapsed()), "{:?}", started.elapsed());
     assert_eq!(world.runs("silent"), 1);
 }
+
+/// Guards against a refusal when the only attempt of a request went to an upstream that cannot be reached: nothing was
+/// sent, so another upstream may still get it.
+#[tokio::test]
+async fn an_upstream_that_cannot_be_reached_takes_no_attempt() {
+    let world = World::start().await;
+    for (dead, service) in [(&world.engines[0], "llm"), (&world.servers[0], "desk")] {
+        let mut entry = dead.entry(service, "kochi-a");
+        entry["Address"] = serde_json::json!(free_address().to_string());
+        world.store.put(&format!("servers/{}", dead.id), &entry);
+    }
+    tokio::time::sleep(ms(100)).await;
+    for n in 0..6 {
+        for path in [SHORT, BOOK] {
+            let mut req = request(&format!("unreached-{n}{path}"), path);
+            // Another prompt each time, so that each engine is preferred by some.
+            req.headers = req.headers.replace("a1:", &format!("a{n}:"));
+            let reply = world.send(&req).await.expect("an answer");
+            assert_eq!(reply.status, 200, "{n} {path}: {}", reply.head);
+        }
+        // An upstream that could not be reached gets no work for a while.
+        tokio::time::sleep(ms(310)).await;
+    }
+}
