perf(lw-edge): gather changes of the store between two watches, more so in large fleets

Cause: each change in the store wakes the watches of all VMs, and each VM and engine causes changes, so the calls grow with the square of the fleet. Ruled out: the renewals of the VMs' own leases. Change: a pause of 8 ms for each registered VM before the next watch, at most a tenth of the revocation time. The watch waits half of the pause less, so that the knowledge about keys gets no older.

--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -15,6 +15,12 @@
 const WATCH_PART: f64 = 0.3;
 /// Longest time for which a watch waits.
 const WATCH_MAX: Duration = Duration::from_secs(5);
+/// Pause between two watches for each registered VM. Every change wakes the watches of all VMs, and each VM causes
+/// changes, so that without a pause the calls grow with the square of the VMs. With it all VMs together make at most
+/// 125 calls a second.
+const REST_PER_VM: Duration = Duration::from_millis(8);
+/// Part of the time in which a revoked key must be refused that the pause between two watches may take.
+const REST_PART: f64 = 0.1;
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(100);
 /// All keys, so that one watch hears of everything.
@@ -119,8 +125,12 @@
 
 /// Watches until a call fails.
 async fn watch(edge: &Edge, mut revision: Revision) -> Error {
-    let wait = edge.settings.bounds.revoke.mul_f64(WATCH_PART).min(WATCH_MAX);
     loop {
+        let rest = rest(edge);
+        tokio::time::sleep(rest).await;
+        // Two watches and the pause between them are as long as two watches without one.
+        let wait = edge.settings.bounds.revoke.mul_f64(WATCH_PART).min(WATCH_MAX);
+        let wait = wait.saturating_sub(rest / 2);
         let sent = edge.timer.now_suspended();
         match edge.counted("watch", edge.store.watch(EVERYTHING, revision, wait)).await {
             Ok(batch) => {
@@ -135,6 +145,13 @@
     }
 }
 
+/// Pause before the next watch, in which further changes gather.
+fn rest(edge: &Edge) -> Duration {
+    let vms = u32::try_from(edge.known().vms().count()).unwrap_or(u32::MAX);
+    let most = edge.settings.bounds.revoke.mul_f64(REST_PART);
+    REST_PER_VM.saturating_mul(vms).min(most)
+}
+
 fn take(edge: &Edge, batch: Batch<Event>) {
     for event in batch.entries {
         let now = edge.timer.now();
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -4,7 +4,10 @@
 
 use common::{Caller, World, ms, name_version, request};
 use lw_edge::run::Vm;
-use lw_standin::hosted::store::{LATE_TIME, Mode};
+use lw_standin::hosted::{
+    store::{LATE_TIME, Mode},
+    upstream::Upstream,
+};
 
 #[tokio::test]
 async fn engines_get_the_named_version() {
@@ -42,7 +45,7 @@
     let world = World::start().await;
     world.engines.iter().for_each(|engine| engine.set_load_time(ms(4000)));
     name_version(&world, 2);
-    let loads = async |world: &World| world.engines.iter().any(|engine| engine.is_loading());
+    let loads = async |world: &World| world.engines.iter().any(Upstream::is_loading);
     world.until("an engine loads", loads).await;
     let settings = world.another("vm-2");
     let second = Vm::start(settings.clone(), world.logs.clone()).await.unwrap();
