feat(lw-soak): randomized runs of the daemon with faults from outside

VMs are processes; the store, engines and servers are stand-ins in the soak's process, behind loopback proxies that delay, reset, hold back one way or all bytes. Processes stand still, are killed, told to end and started again; the store fails in four ways, drops its history; operators change configuration, keys and weights; upstreams leave and break the protocol.

The callers, configuration and settings of lw-edge's tests move to lw-standin and serve both. Stand-ins of engines refuse orders with a lower fencing number and remember those they accepted.

--- a/crates/lw-edge/tests/keys.rs
+++ b/crates/lw-edge/tests/keys.rs
@@ -14,7 +14,7 @@
     let world = World::start().await;
     let reply = world.send(&with_key("unknown", "a")).await.unwrap();
     assert_eq!((reply.status, world.runs("a")), (401, 0));
-    let reply = world.send(&with_key(common::KEY, "b")).await.unwrap();
+    let reply = world.send(&with_key(lw_standin::hosted::caller::KEY, "b")).await.unwrap();
     assert_eq!(reply.status, 200);
     let got = &world.received("b")[0].request;
     assert_eq!(got.header("x-tenant"), Some("station"));
--- a/crates/lw-edge/tests/requests.rs
+++ b/crates/lw-edge/tests/requests.rs
@@ -5,7 +5,7 @@
 use common::{Caller, Outgoing, World, config, ms, request};
 use lw_catalog::VmSettings;
 use lw_edge::run::Vm;
-use lw_standin::loopback::free_address;
+use lw_standin::{hosted::caller::KEY, loopback::free_address};
 
 #[tokio::test]
 async fn headers_that_are_the_systems_own_are_not_taken_from_callers() {
@@ -37,7 +37,7 @@
         world.send(&Outgoing { key, ..request(id, "/long/x") }).await.unwrap();
         world.received(id)[0].request.header("x-cache-salt").map(str::to_owned).unwrap()
     };
-    let (first, second) = (salt("s1", common::KEY).await, salt("s2", common::KEY).await);
+    let (first, second) = (salt("s1", KEY).await, salt("s2", KEY).await);
     assert_eq!(first, second);
     assert_ne!(first, salt("s3", "key-of-the-quiz").await);
 }
@@ -79,7 +79,7 @@
         "POST /book/x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: outer\r\n\
          X-Credential: {}\r\nX-Deadline-Ms: 1000\r\nContent-Length: {}\r\n\
          Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n{inner}",
-        common::KEY,
+        KEY,
         inner.len() + 5,
     );
     let mut caller = Caller::connect(world.settings.callers).await.unwrap();
@@ -95,8 +95,7 @@
     let head = |id: &str| {
         format!(
             "POST /book/x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: {id}\r\n\
-             X-Credential: {}\r\nX-Deadline-Ms: 1000\r\nTransfer-Encoding: chunked\r\n\r\n",
-            common::KEY
+             X-Credential: {KEY}\r\nX-Deadline-Ms: 1000\r\nTransfer-Encoding: chunked\r\n\r\n"
         )
     };
     let mut caller = Caller::connect(world.settings.callers).await.unwrap();
--- /dev/null
+++ b/crates/lw-soak/src/main.rs
@@ -0,0 +1,112 @@
+//! Entry point of `lw-soak`.
+
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use lw_soak::{
+    plan::Options,
+    run::{Error, Outcome, run},
+};
+
+const HELP: &str = "\
+lw-soak: randomized runs of lavenderwoodd with faults
+
+  --seed N        seed of the first run (default: the time)
+  --seeds N       runs, each with the next seed (default: 1)
+  --seconds N     time of each run in which faults begin, 1 to 3600 (default: 20)
+  --vms N         VMs, 1 to 100 (default: 3)
+  --daemon PATH   the program (default: lavenderwoodd beside this one)
+  --logs DIR      where the logs of runs with findings go (default: target/soak)
+
+Exit status: 0 without findings, 1 with findings, 2 for wrong arguments or a run that could not be made.
+";
+
+struct Arguments {
+    options: Options,
+    seeds: u64,
+    daemon: PathBuf,
+    logs: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments = match parse() {
+        Ok(Some(arguments)) => arguments,
+        Ok(None) => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => {
+            eprintln!("{e}\n\n{HELP}");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("cannot start: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    let mut has_findings = false;
+    for n in 0..arguments.seeds {
+        let options = Options { seed: arguments.options.seed + n, ..arguments.options };
+        let dir = arguments.logs.join(format!("{}-{}", options.seed, std::process::id()));
+        match runtime.block_on(run(&options, &arguments.daemon, &dir)) {
+            Ok(outcome) => has_findings |= report(options.seed, &outcome, &dir),
+            Err(e) => return failed(&e),
+        }
+    }
+    ExitCode::from(u8::from(has_findings))
+}
+
+fn failed(e: &Error) -> ExitCode {
+    eprintln!("{e}");
+    ExitCode::from(2)
+}
+
+/// Prints a run and returns whether it has findings; without any its logs are removed.
+fn report(seed: u64, outcome: &Outcome, dir: &Path) -> bool {
+    let Outcome { findings, faults, requests, served } = outcome;
+    let found = findings.len();
+    println!(
+        "seed {seed}: {faults} faults, {requests} requests, {served} served, {found} findings"
+    );
+    for finding in findings {
+        println!("  {finding}");
+    }
+    if findings.is_empty() {
+        if let Err(e) = std::fs::remove_dir_all(dir) {
+            eprintln!("{} not removed: {e}", dir.display());
+        }
+    } else {
+        println!("  logs: {}", dir.display());
+    }
+    !findings.is_empty()
+}
+
+fn parse() -> Result<Option<Arguments>, Box<dyn std::error::Error>> {
+    let mut args = pico_args::Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        return Ok(None);
+    }
+    let time = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs();
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(time);
+    let seeds = args.opt_value_from_str("--seeds")?.unwrap_or(1);
+    let seconds: u64 = args.opt_value_from_str("--seconds")?.unwrap_or(20);
+    let vms: usize = args.opt_value_from_str("--vms")?.unwrap_or(3);
+    if !(1..=3600).contains(&seconds) || !(1..=100).contains(&vms) {
+        return Err("--seconds must be 1 to 3600, --vms 1 to 100".into());
+    }
+    let beside = std::env::current_exe()?.with_file_name("lavenderwoodd");
+    let daemon = args.opt_value_from_str("--daemon")?.unwrap_or(beside);
+    let logs = args.opt_value_from_str("--logs")?.unwrap_or_else(|| "target/soak".into());
+    let rest = args.finish();
+    if let Some(arg) = rest.first() {
+        return Err(format!("unknown argument {}", arg.display()).into());
+    }
+    let options = Options { seed, vms, time: Duration::from_secs(seconds), ..Options::default() };
+    Ok(Some(Arguments { options, seeds, daemon, logs }))
+}
--- /dev/null
+++ b/crates/lw-standin/src/hosted/caller.rs
@@ -0,0 +1,188 @@
+//! Callers of a VM.
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+
+use super::upstream::MODEL;
+
+/// Key of the workspace `station` of [`super::operator::config`].
+pub const KEY: &str = "key-of-the-station";
+/// Key of the workspace `quiz`, whose parts of prompts no other workspace may use.
+pub const OTHER_KEY: &str = "key-of-the-quiz";
+
+/// A request of a caller.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// Id of the request.
+    pub id: String,
+    /// Method.
+    pub method: &'static str,
+    /// Path, which decides the route.
+    pub path: &'static str,
+    /// API key.
+    pub key: &'static str,
+    /// Further headers.
+    pub headers: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Deadline from the arrival on, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+/// A request on one of the routes of [`super::operator::config`].
+#[must_use]
+pub fn request(id: &str, path: &'static str) -> Outgoing {
+    let method = if path.starts_with("/look") { "GET" } else { "POST" };
+    let headers = if path.starts_with("/long") || path.starts_with("/short") {
+        format!("X-Model: {MODEL}\r\nX-Token-Count: 1200,20\r\nX-Prompt-Prefix: a1:1000,b2:200\r\n")
+    } else {
+        String::new()
+    };
+    let body = if method == "GET" { Vec::new() } else { b"{}".to_vec() };
+    Outgoing { id: id.into(), method, path, key: KEY, headers, body, deadline_ms: 3000 }
+}
+
+impl Outgoing {
+    /// The request as it is sent.
+    #[must_use]
+    pub fn bytes(&self) -> Vec<u8> {
+        let head = format!(
+            "{} {} HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: {}\r\nX-Credential: {}\r\n\
+             X-Deadline-Ms: {}\r\nContent-Length: {}\r\n{}\r\n",
+            self.method,
+            self.path,
+            self.id,
+            self.key,
+            self.deadline_ms,
+            self.body.len(),
+            self.headers
+        );
+        [head.as_bytes(), &self.body].concat()
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Status.
+    pub status: u16,
+    /// Head as it came.
+    pub head: String,
+    /// Body without its framing.
+    pub body: Vec<u8>,
+    /// Whether it ended as it announced.
+    pub is_complete: bool,
+}
+
+impl Reply {
+    /// A header.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().filter_map(|line| line.split_once(':'));
+        lines.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+    }
+
+    /// The body as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// A connection of a caller.
+#[derive(Debug)]
+pub struct Caller {
+    stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+impl Caller {
+    /// Connects to a VM; none if it does not listen.
+    pub async fn connect(addr: SocketAddr) -> Option<Self> {
+        Some(Self { stream: TcpStream::connect(addr).await.ok()?, buf: Vec::new() })
+    }
+
+    /// Sends a request.
+    pub async fn send(&mut self, request: &Outgoing) {
+        self.send_bytes(&request.bytes()).await;
+    }
+
+    /// Sends bytes. A connection that has ended shows at the next answer.
+    pub async fn send_bytes(&mut self, bytes: &[u8]) {
+        if let Err(e) = self.stream.write_all(bytes).await {
+            log::debug!("connection to the VM: {e}");
+        }
+    }
+
+    /// The next answer; none if the connection ended before its head.
+    pub async fn receive(&mut self) -> Option<Reply> {
+        let end = loop {
+            if let Some(at) = self.buf.windows(4).position(|w| w == b"\r\n\r\n") {
+                break at + 4;
+            }
+            self.more().await?;
+        };
+        let head = String::from_utf8_lossy(&self.buf[..end]).into_owned();
+        self.buf.drain(..end);
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let mut reply = Reply { status, head, body: Vec::new(), is_complete: false };
+        if reply.header("transfer-encoding").is_some() {
+            self.chunks(&mut reply).await;
+        } else {
+            let length = reply.header("content-length").map_or(0, |text| text.parse().unwrap_or(0));
+            while self.buf.len() < length && self.more().await.is_some() {}
+            let taken = length.min(self.buf.len());
+            reply.body = self.buf.drain(..taken).collect();
+            reply.is_complete = taken == length;
+        }
+        Some(reply)
+    }
+
+    async fn chunks(&mut self, reply: &mut Reply) {
+        loop {
+            let Some(at) = self.buf.windows(2).position(|w| w == b"\r\n") else {
+                if self.more().await.is_none() {
+                    return;
+                }
+                continue;
+            };
+            let size = std::str::from_utf8(&self.buf[..at]).unwrap_or_default();
+            let Ok(size) = usize::from_str_radix(size, 16) else { return };
+            while self.buf.len() < at + 2 + size + 2 {
+                if self.more().await.is_none() {
+                    return;
+                }
+            }
+            reply.body.extend_from_slice(&self.buf[at + 2..at + 2 + size]);
+            self.buf.drain(..at + 2 + size + 2);
+            if size == 0 {
+                reply.is_complete = true;
+                return;
+            }
+        }
+    }
+
+    /// Whether the connection is still open after `time` without a byte.
+    pub async fn stays_open(&mut self, time: Duration) -> bool {
+        tokio::time::timeout(time, self.more()).await.is_err()
+    }
+
+    async fn more(&mut self) -> Option<()> {
+        match self.stream.read_buf(&mut self.buf).await {
+            Ok(1..) => Some(()),
+            _ => None,
+        }
+    }
+}
+
+/// A plain GET.
+pub async fn get(addr: SocketAddr, path: &str) -> Option<Reply> {
+    let mut caller = Caller::connect(addr).await?;
+    let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    caller.send_bytes(text.as_bytes()).await;
+    caller.receive().await
+}
--- /dev/null
+++ b/crates/lw-standin/src/hosted/operator.rs
@@ -0,0 +1,106 @@
+//! What operators and the platform give a VM: the configuration and its settings file.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde_json::{Value, json};
+
+use super::{
+    caller::{KEY, OTHER_KEY},
+    upstream::MODEL,
+};
+
+/// A configuration with two plain routes and two of model engines.
+#[must_use]
+pub fn config(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u64| {
+        json!({
+            "Name": name, "Host": "desk.example", "Prefix": prefix, "Kind": kind,
+            "TimeoutMs": 1500, "TargetLatencyMs": 500, "Priority": 1, "Service": service,
+            "MaxAttempts": attempts, "AllowAnonymous": false,
+            "Sticky": kind == "streaming", "Resumable": name == "long",
+        })
+    };
+    json!({
+        "Version": version,
+        "Routes": [
+            route("look", "/look/", "idempotent", "desk", 2),
+            route("book", "/book/", "non_idempotent", "desk", 2),
+            route("long", "/long/", "streaming", "llm", 2),
+            route("short", "/short/", "streaming", "llm", 1),
+        ],
+        "Services": [
+            { "Name": "desk", "HealthPath": "/health", "MaxConnections": 100 },
+            { "Name": "llm", "HealthPath": "/health", "MaxConnections": 100, "Engine": {
+                "Slots": 8, "KvCapacityTokens": 180_000, "KvTokenBytes": 18_432,
+                "LinkMbps": 88_000.0, "Stride": 6, "MaxInFlight": 12,
+                "Models": [{ "Name": MODEL }],
+            } },
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16_384, "MaxBodyBytes": 65_536, "HeaderTimeoutMs": 1000,
+            "IdleTimeoutMs": 3000,
+        },
+        "Tenants": [
+            { "Name": "station", "ApiKeys": [KEY], "Priority": 1, "Isolated": false },
+            { "Name": "quiz", "ApiKeys": [OTHER_KEY], "Priority": 1, "Isolated": true },
+        ],
+    })
+}
+
+/// What a settings file says about its VM.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Name of the VM.
+    pub vm: String,
+    /// Failure domain of the VM.
+    pub failure_domain: String,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it tells whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where it listens for the other VMs.
+    pub peers: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// Time in which a revoked key must be refused.
+    pub revoke: Duration,
+    /// Time in which an upstream that leaves must get nothing more.
+    pub drain: Duration,
+}
+
+/// The settings file of a VM.
+#[must_use]
+pub fn settings_file(place: &Place) -> String {
+    let Place { vm, failure_domain, callers, readiness, peers, store, revoke, drain } = place;
+    let (ip, port) = (peers.ip(), peers.port());
+    let (revoke, drain) = (revoke.as_millis(), drain.as_millis());
+    format!(
+        r#"NodeName = "{vm}"
+Role = "router"
+Ip = "{ip}"
+Zone = "{failure_domain}"
+InternalPorts = [{port}, {next}]
+[Listen]
+Frontend = "{callers}"
+Ready = "{readiness}"
+[Limits]
+MemoryMb = 110
+MaxFds = 4100
+[Bounds]
+DrainMs = {drain}
+GraceS = 8
+RevokeMs = {revoke}
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+BudgetSlack = 54
+RequireFencing = true
+LeaseMs = 3000
+VersionMs = 15000
+[Platform]
+Address = "{store}"
+form = "kv"
+TtlMinMs = 1000
+"#,
+        next = port + 1,
+    )
+}
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -52,6 +52,19 @@
     pub request: Request,
     /// Whether it ran.
     pub ran: bool,
+    /// When it came.
+    pub at: tokio::time::Instant,
+}
+
+/// An order that an engine accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Accepted {
+    /// The VM that gave it.
+    pub issuer: String,
+    /// Its fencing number.
+    pub fence: u64,
+    /// Version of the weights.
+    pub version: u64,
 }
 
 #[derive(Debug, Default)]
@@ -61,7 +74,7 @@
     received: Vec<Received>,
     version: u64,
     pending: Option<(u64, tokio::time::Instant)>,
-    orders: u64,
+    orders: Vec<Accepted>,
     load_time: Duration,
 }
 
@@ -75,6 +88,11 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner).push_back(behaviour);
     }
 
+    /// Nothing more is done.
+    pub fn clear(&self) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     fn take(&self) -> Option<Behaviour> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).pop_front()
     }
@@ -122,7 +140,7 @@
     /// Its entry in the registry.
     #[must_use]
     pub fn entry(&self, service: &str, zone: &str) -> Value {
-        let version = lock(&self.state).version;
+        let version = self.version();
         json!({
             "Service": service,
             "Address": self.addr().to_string(),
@@ -160,6 +178,12 @@
         lock(&self.state).received.clone()
     }
 
+    /// The orders that it accepted.
+    #[must_use]
+    pub fn orders(&self) -> Vec<Accepted> {
+        lock(&self.state).orders.clone()
+    }
+
     /// Sets the time of its further loads of weights.
     pub fn set_load_time(&self, time: Duration) {
         lock(&self.state).load_time = time;
@@ -221,7 +245,7 @@
     let body = json!({
         "Models": [{ "Name": MODEL, "Version": version, "Adapters": [] }],
         "Busy": state.pending.is_some(),
-        "Seq": state.orders,
+        "Seq": state.orders.len(),
     });
     answer(200, &[], body.to_string().as_bytes())
 }
@@ -230,12 +254,22 @@
     let mut state = lock(state);
     state.now();
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-    if state.pending.is_some() || body["Expected"].as_u64() != Some(state.orders) {
+    let number = |name: &str| body[name].as_u64().unwrap_or(0);
+    let order = Accepted {
+        issuer: body["Holder"].as_str().unwrap_or_default().to_owned(),
+        fence: number("FencingToken"),
+        version: number("Version"),
+    };
+    if state.orders.iter().any(|accepted| accepted.fence > order.fence) {
+        return answer(412, &[], b"");
+    }
+    let accepted = u64::try_from(state.orders.len()).unwrap_or(u64::MAX);
+    if state.pending.is_some() || number("Expected") != accepted {
         return answer(409, &[], b"");
     }
-    state.orders += 1;
     let done = tokio::time::Instant::now() + state.load_time;
-    state.pending = Some((body["Version"].as_u64().unwrap_or(0), done));
+    state.pending = Some((order.version, done));
+    state.orders.push(order);
     answer(202, &[], b"")
 }
 
@@ -247,7 +281,11 @@
     let is_rejected = expected.is_some_and(|expected: u64| expected != version)
         || state.pending.is_some()
         || matches!(behaviour, Behaviour::Reject);
-    state.received.push(Received { request: request.clone(), ran: !is_rejected });
+    state.received.push(Received {
+        request: request.clone(),
+        ran: !is_rejected,
+        at: tokio::time::Instant::now(),
+    });
     drop(state);
     if is_rejected {
         return answer(503, &[("x-not-executed", "1")], b"");
