--- a/crates/lw-soak/src/plan/mod.rs
+++ b/crates/lw-soak/src/plan/mod.rs
@@ -96,6 +96,8 @@
 
 /// Longest duration of a fault.
 const LASTS_MAX: Duration = Duration::from_secs(3);
+/// Longest duration of a fault of the store or the path to it, twice the time in which a revoked key must be refused.
+const STORE_LASTS_MAX: Duration = Duration::from_secs(6);
 /// Part of the faults that come together with another one.
 const PAIRED: f64 = 0.3;
 
@@ -119,6 +121,11 @@
             return events;
         }
         events.push(event(&mut rng, options, at));
+        if let Some(Event { fault: Fault::Revoke, .. }) = events.last() {
+            // A key is revoked while a VM does not hear of it.
+            let fault = Fault::StorePath(rng.usize(0..options.vms), harm(&mut rng));
+            events.push(Event { at, lasts: STORE_LASTS_MAX, fault });
+        }
         if rng.f64() < PAIRED {
             let at = (at + Duration::from_millis(rng.u64(0..300))).min(options.time);
             events.push(event(&mut rng, options, at));
@@ -127,8 +134,12 @@
 }
 
 fn event(rng: &mut fastrand::Rng, options: &Options, at: Duration) -> Event {
-    let lasts = LASTS_MAX.mul_f64(0.05 + 0.95 * rng.f64().powi(2));
-    Event { at, lasts, fault: fault(rng, options) }
+    let fault = fault(rng, options);
+    let most = match fault {
+        Fault::Store(_) | Fault::StorePath(..) => STORE_LASTS_MAX,
+        _ => LASTS_MAX,
+    };
+    Event { at, lasts: most.mul_f64(0.05 + 0.95 * rng.f64().powi(2)), fault }
 }
 
 fn fault(rng: &mut fastrand::Rng, options: &Options) -> Fault {
@@ -148,8 +159,8 @@
         12 => Fault::Compact,
         13 | 14 => Fault::Answers((0..rng.usize(1..6)).map(|_| behaviour(rng)).collect()),
         15 => Fault::Leave(upstream),
-        16 => Fault::Revoke,
-        17 | 18 => Fault::Version,
+        16 | 17 => Fault::Revoke,
+        18 => Fault::Version,
         _ => Fault::Reconfigure,
     }
 }
