perf(lw-edge): only a VM that may issue orders keeps their plan

Cause: each VM brought the plan of orders and the reports of all engines up to date each 50 ms, and looked engines up in lists, so that the work grew with the square of the engines. Ruled out: choosing an upstream; it grows with the engines, but a VM does it a few times a second. Change: the plan is kept by VMs that hold the lease or try to; lookups go by maps.

--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -1,7 +1,7 @@
 //! Orders to engines: performs the actions of `lw_order` on the platform.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -126,8 +126,12 @@
     loop {
         ticks.tick().await;
         let now = edge.timer.now_suspended();
-        edge.orders.issuer().set_eligible(lease::is_eligible(&edge, now));
-        refresh(&edge, now);
+        let is_eligible = lease::is_eligible(&edge, now);
+        edge.orders.issuer().set_eligible(is_eligible);
+        // The plan and the reports grow with the engines, and only an issuer needs them.
+        if is_eligible {
+            refresh(&edge, now);
+        }
         let actions = edge.orders.issuer().tick(now);
         for action in actions {
             match action {
@@ -158,18 +162,22 @@
         let targets: BTreeMap<_, _> = targets.collect();
         let loading_max = Some(loading_max(&targets));
         let reports: Vec<_> = engines.iter().map(|u| (Arc::clone(u), served(edge, u))).collect();
-        let oldest = |id: &str| {
-            let (_, state) = reports.iter().find(|(upstream, _)| upstream.id == id)?;
-            state.models.values().filter_map(|model| model.version.parse::<u64>().ok()).min()
-        };
-        let ranks = ranks(&engines, oldest);
+        let oldest: HashMap<_, _> = reports
+            .iter()
+            .map(|(upstream, state)| {
+                let versions = state.models.values();
+                let oldest = versions.filter_map(|model| model.version.parse::<u64>().ok()).min();
+                (upstream.id.as_str(), oldest)
+            })
+            .collect();
+        let ranks = ranks(&engines, |id| oldest.get(id).copied().flatten());
         let plan = Plan { targets, ranks, loading_max, ..Plan::default() };
         (plan, reports)
     };
     let mut state = edge.orders.state();
     let mut issuer = edge.orders.issuer();
-    let is_listed = |id: &str| reports.iter().any(|(upstream, _)| upstream.id == id);
-    for id in state.engines.iter().filter(|id| !is_listed(id)) {
+    let listed: HashSet<&str> = reports.iter().map(|(upstream, _)| upstream.id.as_str()).collect();
+    for id in state.engines.iter().filter(|id| !listed.contains(id.as_str())) {
         issuer.on_gone(id);
     }
     state.engines = reports.iter().map(|(upstream, _)| upstream.id.clone()).collect();
