fix(lw-edge): divide the floor of the retry budget by the VMs that are registered

Cause: the floor was divided by a constant of 9 VMs, so that 80 VMs together could use nine times of it. Change: the most VMs that were registered at a time; entries lapse with the store, so fewer of them say nothing. Test: the_floor_of_the_retry_budget_is_shared_by_all_vms.

--- a/crates/lw-edge/src/state/known.rs
+++ b/crates/lw-edge/src/state/known.rs
@@ -29,6 +29,7 @@
     pub directory: Directory,
     own: HashMap<String, OwnItem>,
     vms: HashMap<VmId, VmEntry>,
+    vms_max: usize,
     /// When the last answered read was sent, by the clock that counts suspended time.
     confirmed: Option<Now>,
 }
@@ -80,7 +81,10 @@
         if let Some(vm) = key.strip_prefix(keys::VM_PREFIX) {
             let read = |item: OwnItem| serde_json::from_slice(&item.value);
             match item.map(read) {
-                Some(Ok(entry)) => drop(self.vms.insert(vm.to_owned(), entry)),
+                Some(Ok(entry)) => {
+                    self.vms.insert(vm.to_owned(), entry);
+                    self.vms_max = self.vms_max.max(self.vms.len());
+                }
                 Some(Err(e)) => {
                     log::warn!(target: "member", vm = vm, why = e.to_string(); "unreadable entry");
                 }
@@ -105,6 +109,12 @@
         self.vms.iter()
     }
 
+    /// Most VMs that were registered at a time. Entries lapse with the store, so fewer of them do not mean fewer VMs.
+    #[must_use]
+    pub fn vms_max(&self) -> usize {
+        self.vms_max
+    }
+
     /// All that was known until `sent` is known: a read that was sent then was answered.
     pub fn confirm(&mut self, sent: Now) {
         self.confirmed = self.confirmed.max(Some(sent));
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -156,11 +156,16 @@
 
     /// Works on the retry budget of one service.
     pub fn with_budget<T>(&self, service: &str, work: impl FnOnce(&mut retry::Budget) -> T) -> T {
+        let vms = u64::try_from(self.known().vms_max()).unwrap_or(u64::MAX);
         let mut budgets = lock(&self.budgets);
+        let own = |budget: &mut retry::Budget| {
+            budget.set_min_retries(self.settings.bounds.retry_floor / vms.max(1));
+            work(budget)
+        };
         if let Some(budget) = budgets.get_mut(service) {
-            return work(budget);
+            return own(budget);
         }
-        work(budgets.entry(service.to_owned()).or_insert_with(|| self.new_budget()))
+        own(budgets.entry(service.to_owned()).or_insert_with(|| self.new_budget()))
     }
 
     /// Retries left by service.
@@ -171,11 +176,9 @@
     }
 
     fn new_budget(&self) -> retry::Budget {
-        const VMS: u64 = 9;
         let bounds = &self.settings.bounds;
         retry::Budget::new(retry::Options {
             ratio: bounds.retry_ratio * BUDGET_PART,
-            min_retries: bounds.retry_floor / VMS,
             hedge_ratio: bounds.retry_ratio * BUDGET_PART,
             window_seconds: bounds.retry_window.as_secs(),
             ..retry::Options::default()
--- a/crates/lw-edge/tests/metrics.rs
+++ b/crates/lw-edge/tests/metrics.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{World, get, name_version, request};
+use serde_json::json;
 
 async fn text(world: &World) -> String {
     get(world.settings.metrics.unwrap(), "/metrics").await.expect("metrics").text()
@@ -50,3 +51,28 @@
         assert!(value(&text, counted) >= 1.0, "{counted}: {text}");
     }
 }
+
+/// Guards against VMs that each use the whole floor of the fleet's retry budget, and against a larger part while the
+/// entries of the other VMs lapse with the store.
+#[tokio::test]
+async fn the_floor_of_the_retry_budget_is_shared_by_all_vms() {
+    let world = World::start().await;
+    let left = async |world: &World| {
+        world.send(&request("r", "/look/x")).await.expect("an answer");
+        value(&text(world).await, "lavenderwood_retries_left{service=\"desk\"}")
+    };
+    let floor = world.settings.bounds.retry_floor;
+    assert_eq!(floor, 90);
+    let others: Vec<_> = (0..8).map(|n| format!("lavenderwood/vm/other-{n}")).collect();
+    for (n, key) in others.iter().enumerate() {
+        let entry = json!({ "addr": format!("127.0.0.1:{}", 9 + n), "failure_domain": "kochi-b" });
+        world.store.put(key, &entry);
+    }
+    let is_shared = async |world: &World| left(world).await <= 12.0;
+    world.until("the floor is shared", is_shared).await;
+    for key in &others {
+        world.store.remove(key);
+    }
+    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    assert!(left(&world).await < 30.0);
+}
--- a/crates/lw-limit/src/retry.rs
+++ b/crates/lw-limit/src/retry.rs
@@ -131,6 +131,23 @@
 }
 
 impl Budget {
+    /// Changes the retries that are allowed in each window at any load, for instance when the number of VMs that share
+    /// them has changed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lw_limit::retry::{Budget, Carried, Kind, Options};
+    /// let now = Duration::ZERO;
+    /// let request = Carried::received(now, 0, Duration::from_secs(1));
+    /// let mut budget = Budget::new(Options::default());
+    /// budget.set_min_retries(1);
+    /// assert!(budget.spend(now, Kind::Retry, request).is_ok());
+    /// assert!(budget.spend(now, Kind::Retry, request).is_err());
+    /// ```
+    pub fn set_min_retries(&mut self, retries: u64) {
+        self.options.min_retries = retries;
+    }
+
     /// An empty budget. A restarted VM has to earn its first retry.
     #[must_use]
     pub fn new(options: Options) -> Self {
