--- a/crates/lw-standin/src/hosted/operator.rs
+++ b/crates/lw-standin/src/hosted/operator.rs
@@ -47,6 +47,14 @@
     })
 }
 
+/// The same configuration after the workspace `quiz` has lost its key.
+#[must_use]
+pub fn revoked_config(version: u64) -> Value {
+    let mut config = config(version);
+    config["Tenants"][1]["ApiKeys"] = json!([]);
+    config
+}
+
 /// What a settings file says about its VM.
 #[derive(Debug, Clone)]
 pub struct Place {
