--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -1,6 +1,6 @@
 //! Follows the platform's store: one read of everything, then one watch after the other.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use lw_platform::{
     config, registry,
@@ -65,7 +65,8 @@
         }
     }
     let upstreams: Vec<_> = items.iter().filter_map(entry).collect();
-    edge.known().retain_own(|key| items.iter().any(|item| item.key == key));
+    let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+    edge.known().retain_own(|key| listed.contains(key));
     for item in items {
         take_named(edge, &item);
     }
--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -86,7 +86,7 @@
     let last = edge.known().own(keys::LAST_ISSUER).cloned();
     let lease = edge.counted("lease", edge.store.lease(edge.orders.options.lease_ttl)).await?;
     let vm = edge.settings.vm.clone();
-    let value = serde_json::to_vec(&LastIssuer { vm: vm.clone(), idle_ms: None })
+    let value = serde_json::to_vec(&LastIssuer { vm: vm.clone() })
         .map_err(|e| Error::Unreadable(e.to_string()))?;
     let last_revision = last.as_ref().map_or(0, |item| item.revision);
     let expected = vec![
--- a/crates/lw-edge/src/orders/load.rs
+++ b/crates/lw-edge/src/orders/load.rs
@@ -84,7 +84,6 @@
         expected_orders,
     };
     let now = edge.timer.now_suspended();
-    edge.orders.state().last_order = Some(now);
     let id = &upstream.id;
     let result = edge.engines.order(upstream.addr, id, &load).await;
     tell_order(edge, order, (model, version), &result);
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -58,7 +58,6 @@
     free_since: Option<Now>,
     /// Engines that are loading as far as they said.
     loading: HashMap<UpstreamId, bool>,
-    last_order: Option<Now>,
     /// Time from the last order that took effect to the end of its load, which grows while too many load at once.
     load_time: Option<Duration>,
     /// Orders that engines have accepted in their present runs, as far as all came from this VM.
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -1,6 +1,6 @@
 //! Starts a VM on the platform and ends it after a drain.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use derive_more::{Display, Error};
 use lw_catalog::VmSettings;
@@ -144,8 +144,8 @@
         ticks.tick().await;
         let now = edge.timer.now();
         edge.fleets().values_mut().for_each(|fleet| fleet.tick(now));
-        let ids: Vec<_> = edge.known().directory.iter().map(|u| u.id.clone()).collect();
-        edge.pool.sweep(|(_, id)| ids.iter().any(|known| **known == **id));
+        let ids: HashSet<_> = edge.known().directory.iter().map(|u| u.id.clone()).collect();
+        edge.pool.sweep(|(_, id)| ids.contains(&**id));
     }
 }
 
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -148,7 +148,7 @@
         let target = self.call.arrived + self.call.route.target_latency;
         let ask = Ask {
             prompt: self.call.prompt.as_ref(),
-            spread: xxhash_rust::xxh3::xxh3_64(self.call.head.request.as_bytes()),
+            spread: self.call.spread,
             tried: &self.tried,
             left: self.call.due.saturating_sub(now),
             on_time: target.saturating_sub(now),
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -53,6 +53,8 @@
     pub workspace: Option<Arc<Workspace>>,
     /// Prompt, if the service has engines.
     pub prompt: Option<Prompt>,
+    /// Hash of its id, which spreads requests over equals.
+    pub spread: u64,
     /// When it arrived.
     pub arrived: Now,
     /// When the caller stops waiting.
@@ -141,6 +143,7 @@
         service,
         workspace,
         prompt,
+        spread,
         arrived,
         deadline,
         _in_flight: in_flight,
--- a/crates/lw-edge/src/state/keys.rs
+++ b/crates/lw-edge/src/state/keys.rs
@@ -30,6 +30,4 @@
 pub struct LastIssuer {
     /// The VM.
     pub vm: VmId,
-    /// Time from its last order to the end of its lease, if it ended the lease itself.
-    pub idle_ms: Option<u64>,
 }
--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -5,9 +5,12 @@
 
 mod common;
 
-use common::{Caller, World, ms, request};
+use common::{World, ms, request};
 use lw_standin::{
-    hosted::upstream::{Behaviour, EVENTS, event},
+    hosted::{
+        caller::Caller,
+        upstream::{Behaviour, EVENTS, event},
+    },
     loopback::free_address,
 };
 
--- a/crates/lw-edge/tests/books.rs
+++ b/crates/lw-edge/tests/books.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{Caller, World, ms, request};
+use common::{World, ms, request};
+use lw_standin::hosted::caller::Caller;
 use lw_standin::hosted::upstream::Behaviour;
 
 /// A caller that leaves before the first event must not make its engine look busy for good.
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -4,7 +4,6 @@
 
 use std::{
     io::Write,
-    net::SocketAddr,
     sync::{Mutex, OnceLock},
     time::{Duration, Instant},
 };
@@ -20,7 +19,6 @@
     loopback::free_address,
 };
 use serde_json::json;
-use tokio::net::TcpListener;
 
 /// Longest wait for something that must happen.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -30,7 +28,7 @@
 }
 
 pub use lw_standin::hosted::{
-    caller::{Caller, Outgoing, Reply, get, request},
+    caller::{Outgoing, Reply, get, request, send},
     operator::config,
 };
 
@@ -115,9 +113,7 @@
 
     /// Sends a request on a new connection.
     pub async fn send(&self, request: &Outgoing) -> Option<Reply> {
-        let mut caller = Caller::connect(self.settings.callers).await?;
-        caller.send(request).await;
-        caller.receive().await
+        send(self.settings.callers, request).await
     }
 
     /// All requests that upstreams got with this id.
@@ -185,10 +181,3 @@
 pub fn name_version(world: &World, version: u64) {
     world.store.put(&format!("op/version/{MODEL}"), &json!({ "Model": MODEL, "Version": version }));
 }
-
-/// A listener that accepts connections and never answers.
-pub async fn mute() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr = listener.local_addr().unwrap();
-    (listener, addr)
-}
--- a/crates/lw-edge/tests/leaving.rs
+++ b/crates/lw-edge/tests/leaving.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{Caller, World, ms, request};
+use common::{World, ms, request};
+use lw_standin::hosted::caller::Caller;
 use lw_standin::hosted::upstream::Behaviour;
 
 /// Guards against a request that is taken long after the signal and then cut when the process ends.
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Caller, World, ms, name_version, request};
+use common::{World, ms, name_version, request, send};
 use lw_edge::run::Vm;
 use lw_standin::hosted::{
     store::{LATE_TIME, Mode},
@@ -53,13 +53,11 @@
     world.until("the second VM is registered", is_registered).await;
     tokio::time::sleep(ms(700)).await;
     for n in 0..12 {
-        let mut caller = Caller::connect(settings.callers).await.unwrap();
         let mut req = request(&format!("spared-{n}"), "/short/x");
         // Another prompt each time, so that each engine is preferred by some.
         req.headers =
             req.headers.replace("a1:", &format!("a{n}:")).replace("b2:", &format!("b{n}:"));
-        caller.send(&req).await;
-        let reply = caller.receive().await.expect("an answer");
+        let reply = send(settings.callers, &req).await.expect("an answer");
         assert_eq!(reply.status, 200, "{}", reply.head);
     }
     assert!(loads(&world).await, "the load was over too soon for the test");
--- a/crates/lw-edge/tests/requests.rs
+++ b/crates/lw-edge/tests/requests.rs
@@ -2,10 +2,9 @@
 
 mod common;
 
-use common::{Caller, Outgoing, World, config, ms, request};
-use lw_catalog::VmSettings;
+use common::{Outgoing, World, config, ms, request};
 use lw_edge::run::Vm;
-use lw_standin::{hosted::caller::KEY, loopback::free_address};
+use lw_standin::hosted::caller::{Caller, KEY, send};
 
 #[tokio::test]
 async fn headers_that_are_the_systems_own_are_not_taken_from_callers() {
@@ -114,18 +113,9 @@
 async fn a_vm_without_a_configuration_refuses_and_is_not_ready() {
     let world = World::start().await;
     world.store.set_mode(lw_standin::hosted::store::Mode::Silent);
-    let settings = VmSettings {
-        vm: "vm-2".into(),
-        callers: free_address(),
-        readiness: free_address(),
-        peers: free_address(),
-        metrics: None,
-        ..world.settings.clone()
-    };
+    let settings = world.another("vm-2");
     let vm = Vm::start(settings.clone(), world.logs.clone()).await.unwrap();
-    let mut caller = Caller::connect(settings.callers).await.unwrap();
-    caller.send(&request("early", "/look/x")).await;
-    let reply = caller.receive().await.unwrap();
+    let reply = send(settings.callers, &request("early", "/look/x")).await.unwrap();
     assert_eq!(reply.status, 503, "never 401 or 404: {}", reply.head);
     assert_eq!(common::get(settings.readiness, "/api/readiness").await.unwrap().status, 503);
     drop(vm);
--- a/crates/lw-soak/src/run/faults.rs
+++ b/crates/lw-soak/src/run/faults.rs
@@ -61,7 +61,7 @@
         }
         if is_kill {
             vm.kill().await?;
-        } else if vm.drain(END_MAX).await?.is_none() {
+        } else if !vm.drain(END_MAX).await? {
             self.find(format!("{} did not end when told", vm.place.vm));
         }
         sleep(pause).await;
--- a/crates/lw-soak/src/run/mod.rs
+++ b/crates/lw-soak/src/run/mod.rs
@@ -10,7 +10,7 @@
 use derive_more::{Display, Error, From};
 use lw_standin::{
     hosted::{
-        caller::{Caller, request},
+        caller::{request, send},
         operator::{Place, config, revoked_config},
         store::Store,
         upstream::{Faults, MODEL, Upstream},
@@ -296,7 +296,7 @@
         for vm in &self.vms {
             if vm.has_ended().await? {
                 self.find(format!("{} ended by itself", vm.place.vm));
-            } else if vm.drain(END_MAX).await?.is_none() {
+            } else if !vm.drain(END_MAX).await? {
                 self.find(format!("{} did not end when told", vm.place.vm));
             }
         }
@@ -319,8 +319,7 @@
 }
 
 async fn serves(vm: &Vm, id: &str, path: &'static str) -> bool {
-    let Some(mut caller) = Caller::connect(vm.place.callers).await else { return false };
-    caller.send(&request(id, path)).await;
-    let reply = timeout(Duration::from_secs(3), caller.receive()).await.ok().flatten();
+    let req = request(id, path);
+    let reply = timeout(Duration::from_secs(3), send(vm.place.callers, &req)).await.ok().flatten();
     reply.is_some_and(|reply| reply.status == 200 && reply.is_complete)
 }
--- a/crates/lw-soak/src/vm/mod.rs
+++ b/crates/lw-soak/src/vm/mod.rs
@@ -123,25 +123,24 @@
         Ok(())
     }
 
-    /// Tells the process to end and waits for it; returns how long it took, or none if it did not end in `patience` or
-    /// ended with a failure.
+    /// Tells the process to end and waits for it; returns whether it ended in `patience` and without a failure.
     ///
     /// # Errors
     ///
     /// When the process cannot be told or watched.
-    pub async fn drain(&self, patience: Duration) -> io::Result<Option<Duration>> {
+    pub async fn drain(&self, patience: Duration) -> io::Result<bool> {
         let started = Instant::now();
         self.signal("-TERM").await?;
-        let Some((mut child, born)) = self.process.lock().await.take() else { return Ok(None) };
+        let Some((mut child, born)) = self.process.lock().await.take() else { return Ok(false) };
         if let Ok(status) = timeout(patience, child.wait()).await {
             let status = status?;
             self.set_pid(None);
             let was_young = status.signal() == Some(SIGTERM) && started < born + YOUNG;
-            return Ok((status.success() || was_young).then(|| started.elapsed()));
+            return Ok(status.success() || was_young);
         }
         child.kill().await?;
         self.set_pid(None);
-        Ok(None)
+        Ok(false)
     }
 
     /// Whether the process has ended by itself.
--- a/crates/lw-standin/src/hosted/caller.rs
+++ b/crates/lw-standin/src/hosted/caller.rs
@@ -1,6 +1,6 @@
 //! Callers of a VM.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -166,11 +166,6 @@
         }
     }
 
-    /// Whether the connection is still open after `time` without a byte.
-    pub async fn stays_open(&mut self, time: Duration) -> bool {
-        tokio::time::timeout(time, self.more()).await.is_err()
-    }
-
     async fn more(&mut self) -> Option<()> {
         match self.stream.read_buf(&mut self.buf).await {
             Ok(1..) => Some(()),
@@ -179,6 +174,13 @@
     }
 }
 
+/// The answer to one request on a connection of its own.
+pub async fn send(addr: SocketAddr, request: &Outgoing) -> Option<Reply> {
+    let mut caller = Caller::connect(addr).await?;
+    caller.send(request).await;
+    caller.receive().await
+}
+
 /// A plain GET.
 pub async fn get(addr: SocketAddr, path: &str) -> Option<Reply> {
     let mut caller = Caller::connect(addr).await?;
