fix(lw-daemon): begin an answer with other weights when the engines with the first ones are gone

Cause: the weights of an answer are chosen once, from load reports. During a rollout the engines with the old weights may all begin to load before the first piece is there: one attempt waits at an engine whose load begins and may have run, and the others are refused for their version. The router went on to the other version only where nothing had run. Traced by the daemon's log, which the test now prints when an answer is wrong: attempt 0 'the weights changed while the request waited', attempts 1 to 3 'refused: Version', while two engines served the new weights. Ruled out: the retry budget (three of four attempts were free of charge) and connections that broke. Change: an answer without a first piece goes on with the other version; where it may have run, that counts as a retry. A refusal still says 'not run' only if no attempt may have run.

--- a/crates/lw-daemon/src/callers/completion.rs
+++ b/crates/lw-daemon/src/callers/completion.rs
@@ -9,6 +9,7 @@
 use futures::stream;
 use http::StatusCode;
 use http_body::Frame;
+use lw_limit::retry::Carried;
 use lw_protocol::{
     caller::{Answer, ChunkWriter, Completion, DONE, Endpoint, Failure, Usage},
     sse,
@@ -40,6 +41,7 @@
     let settings = &tables.settings;
     let bytes = server::read_body(body, settings.limits.body_max, settings.timeouts.body).await?;
     let completion = Completion::parse(endpoint, &bytes)?;
+    let mut carried = Carried::received(caller.arrived, 0, caller.deadline);
     let mut last = None;
     for versions in versions(tables, &caller, &completion)? {
         let mut request = describe(&caller, &completion, versions)?;
@@ -49,32 +51,57 @@
             // Under pressure a workspace above its share must leave room in the queues for the others.
             request.deadline = limits::offered(tables, &caller, tokens);
         }
-        match begin(tables, &caller, &completion, request).await {
+        match begin(tables, &caller, &completion, request, carried).await {
             Ok((first, driver)) => return answer(&caller, &completion, first, driver, guard).await,
-            Err(failure) if failure.code.ran() == Ran::No => last = Some(failure),
-            Err(failure) => return Err(failure),
+            Err(Unbegun { failure, carried: spent }) => {
+                let may_go_on = may_go_on(failure.code);
+                carried = spent;
+                last = Some(first_that_ran(last, failure));
+                if !may_go_on {
+                    break;
+                }
+            }
         }
     }
     Err(last.unwrap_or_else(no_result))
 }
 
+/// An answer that failed before its first piece.
+struct Unbegun {
+    failure: Failure,
+    carried: Carried,
+}
+
+/// Whether an answer that failed before its first piece may begin with other weights. The engines with the old ones
+/// may all have changed theirs meanwhile. Where it may have run, the next attempt counts as a retry.
+fn may_go_on(code: ResultCode) -> bool {
+    code.ran() == Ran::No || matches!(code, ResultCode::StreamBroken | ResultCode::UpstreamError)
+}
+
+/// The failure for the caller: one that says "not run" must hold for all attempts.
+fn first_that_ran(before: Option<Failure>, failure: Failure) -> Failure {
+    before.filter(|before| before.code.ran() != Ran::No).unwrap_or(failure)
+}
+
 /// Decides and drives a request up to its first piece, on which the status of the answer depends.
 async fn begin(
     tables: &Arc<Tables>,
     caller: &Caller,
     completion: &Completion,
     request: lw_route::Request,
-) -> Result<(Piece, Driver), Failure> {
-    let placement = decide(tables, &request)?;
+    carried: Carried,
+) -> Result<(Piece, Driver), Unbegun> {
+    let placement = decide(tables, &request).map_err(|failure| Unbegun { failure, carried })?;
     limits::admitted(tables, caller, request.fingerprint.tokens);
     let (caller, completion) = (caller.clone(), completion.clone());
-    let job = Job { caller, completion, request, placement };
+    let job = Job { caller, completion, request, placement, carried };
     let mut driver = Driver::start(Arc::clone(tables), job);
-    match driver.next().await {
-        None => Err(no_result()),
-        Some(Piece::Fail(failure)) => Err(failure),
-        Some(first) => Ok((first, driver)),
-    }
+    let failure = match driver.next().await {
+        None => no_result(),
+        Some(Piece::Fail(failure)) => failure,
+        Some(first) => return Ok((first, driver)),
+    };
+    Err(Unbegun { carried: driver.carried(failure.code), failure })
 }
 
 async fn answer(
--- a/crates/lw-daemon/src/generate/choice.rs
+++ b/crates/lw-daemon/src/generate/choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lw_limit::retry::Kind;
+use lw_limit::retry::{self, Kind};
 use lw_route::{Candidate, Decision, Hedge};
 use lw_stream::event::Cause;
 use lw_types::prelude::*;
@@ -26,7 +26,8 @@
         match cause {
             Cause::First => {
                 // A first attempt of a caller's request always arrives; only repeated ones are paid for.
-                let _ = self.tables.limits().budget.arrive(now, self.carried);
+                let arrived = self.tables.limits().budget.arrive(now, self.carried);
+                arrived.map_err(|e| self.denied(&e))?;
                 let first = self.job.placement.candidates.first().cloned();
                 first.ok_or((ResultCode::NoUpstream, None))
             }
@@ -48,14 +49,16 @@
         let spent = self.tables.limits().budget.spend(now, Kind::Retry, self.carried);
         match spent {
             Ok(carried) => self.carried = carried,
-            Err(e) => {
-                self.tables.note("limit", &self.job.request.id, &format!("no retry: {e}"));
-                return Err((ResultCode::StreamBroken, None));
-            }
+            Err(e) => return Err(self.denied(&e)),
         }
         self.choose_again(now)
     }
 
+    fn denied(&self, e: &retry::Error) -> Denied {
+        self.tables.note("limit", &self.job.request.id, &format!("no retry: {e}"));
+        (ResultCode::StreamBroken, None)
+    }
+
     fn choose_again(&mut self, now: Now) -> Result<Candidate, Denied> {
         let mut request = self.untried(now);
         request.deadline = self.carried.remaining(now);
--- a/crates/lw-daemon/src/generate/mod.rs
+++ b/crates/lw-daemon/src/generate/mod.rs
@@ -44,6 +44,8 @@
     pub request: lw_route::Request,
     /// Engines to use, best first.
     pub placement: Placement,
+    /// Attempts made for it with other weights, and its deadline.
+    pub carried: Carried,
 }
 
 /// A piece of the answer.
@@ -101,7 +103,7 @@
         let (assembler, actions) = Assembler::start(job.request.id.clone(), version, options, now);
         let mut driver = Self {
             due: job.caller.arrived + deadline,
-            carried: Carried::received(now, 0, deadline),
+            carried: job.carried,
             hedge_at: Some(now + job.placement.hedge_after),
             tables,
             job,
@@ -120,6 +122,13 @@
         driver
     }
 
+    /// What another driver for the same caller's request carries after this one failed with `code`.
+    #[must_use]
+    pub fn carried(&self, code: ResultCode) -> Carried {
+        let repeats = Attempt::from(code.ran() != Ran::No);
+        Carried { attempt: self.carried.attempt.saturating_add(repeats), ..self.carried }
+    }
+
     /// The next piece of the answer; `None` after the last one.
     pub async fn next(&mut self) -> Option<Piece> {
         loop {
--- a/crates/lw-daemon/tests/common/mod.rs
+++ b/crates/lw-daemon/tests/common/mod.rs
@@ -105,6 +105,14 @@
     pub fn log(&self) -> String {
         fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
     }
+
+    /// The last lines of the log.
+    pub fn log_end(&self) -> String {
+        const LINES: usize = 30;
+        let log = self.log();
+        let lines: Vec<_> = log.lines().collect();
+        lines[lines.len().saturating_sub(LINES)..].join("\n")
+    }
 }
 
 impl Drop for Vm {
--- a/crates/lw-daemon/tests/rollout.rs
+++ b/crates/lw-daemon/tests/rollout.rs
@@ -33,9 +33,9 @@
     Fleet::start(name, Options { engines: ENGINES, vms: 3, engine, ..Options::default() }).await
 }
 
-async fn versions(fleet: &Fleet) -> Vec<Option<String>> {
+async fn versions(fleet: &Fleet, engines: usize) -> Vec<Option<String>> {
     let mut versions = Vec::new();
-    for engine in 0..ENGINES {
+    for engine in 0..engines {
         versions.push(load(fleet, engine).await.models.get("m").cloned());
     }
     versions
@@ -64,7 +64,14 @@
             }
             let prompt = format!("question {round}");
             let answer = fleet.ask(Ask::new(round % 3, &prompt, 3)).await;
-            assert_eq!(answer.text, answer_text(&prompt, 3), "round {round}: {:?}", answer.error);
+            let right = answer_text(&prompt, 3);
+            assert_eq!(
+                answer.text,
+                right,
+                "round {round}: {:?}\n{}",
+                answer.error,
+                fleet.vms[round % 3].log_end()
+            );
             served += 1;
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
@@ -75,7 +82,10 @@
         assert_eq!(status, 200, "{body}");
         fleet
             .wait("all engines have version 2", async || {
-                versions(&fleet).await.iter().all(|version| version.as_deref() == Some("2"))
+                versions(&fleet, ENGINES)
+                    .await
+                    .iter()
+                    .all(|version| version.as_deref() == Some("2"))
             })
             .await;
         is_done.store(true, Ordering::Relaxed);
@@ -85,6 +95,43 @@
     assert!(most_loading.load(Ordering::Relaxed) <= 2, "{most_loading:?} engines loading at once");
 }
 
+/// Guards against answers that fail because the only engine with the weights they were to begin with is gone, while
+/// others serve the new ones.
+#[tokio::test]
+async fn answer_begins_with_the_new_weights_when_the_old_ones_are_gone() {
+    let engine = engine::Options { load_time: Duration::from_millis(400), ..Default::default() };
+    let options = Options { engines: 3, vms: 1, engine, ..Options::default() };
+    let fleet = Fleet::start("old-gone", options).await;
+    // Only the first load ends. One engine then has the new weights, one loads and one has to keep the old ones.
+    let (new, old) = (0, 2);
+    let slow = engine::Faults { load_percent: 100_000, ..engine::Faults::default() };
+    for engine in [1, 2] {
+        fleet.set_faults(fleet.engines[engine].address(), &slow).await;
+    }
+    let patch = json!({ "models": { "m": { "version": "2", "min_engines": 2 } } });
+    assert_eq!(fleet.apply(0, 1, &patch).await.0, 200);
+    fleet
+        .wait("one engine loads and one has the new weights", async || {
+            let versions = versions(&fleet, 3).await;
+            versions[new].as_deref() == Some("2") && load(&fleet, 1).await.loading
+        })
+        .await;
+    let waits = engine::Faults { slow_percent: 10_000, ..slow };
+    fleet.set_faults(fleet.engines[old].address(), &waits).await;
+    let prompts: Vec<_> = (0..4).map(|i| format!("question {i}")).collect();
+    let asks = prompts.iter().map(|prompt| fleet.ask(Ask::new(0, prompt, 3)));
+    let before = counts(&fleet).await[old];
+    let crash = async {
+        fleet.wait("it got requests", async || counts(&fleet).await[old] > before).await;
+        fleet.engines[old].down(Duration::from_secs(30));
+    };
+    let (answers, ()) = tokio::join!(futures::future::join_all(asks), crash);
+    for (prompt, answer) in prompts.iter().zip(answers) {
+        let log = fleet.vms[0].log_end();
+        assert_eq!(answer.text, answer_text(prompt, 3), "{:?}\n{log}", answer.error);
+    }
+}
+
 #[tokio::test]
 async fn cache_of_older_weights_is_not_used() {
     let fleet = start("weights", false).await;
@@ -96,7 +143,7 @@
     assert_eq!(fleet.apply(0, 1, &patch).await.0, 200);
     fleet
         .wait("all engines have version 2", async || {
-            versions(&fleet).await.iter().all(|version| version.as_deref() == Some("2"))
+            versions(&fleet, ENGINES).await.iter().all(|version| version.as_deref() == Some("2"))
         })
         .await;
     let before: Vec<usize> = counts(&fleet).await;
@@ -122,8 +169,9 @@
     let fleet = start("empty", true).await;
     let patch = json!({ "models": { "m": { "version": "2" } } });
     assert_eq!(fleet.apply(0, 1, &patch).await.0, 200);
-    let all_loaded =
-        async || versions(&fleet).await.iter().all(|version| version.as_deref() == Some("2"));
+    let all_loaded = async || {
+        versions(&fleet, ENGINES).await.iter().all(|version| version.as_deref() == Some("2"))
+    };
     fleet.wait("all engines have version 2", all_loaded).await;
     fleet.engines[1].down(Duration::from_millis(200));
     fleet.wait("the engine is back", async || load(&fleet, 1).await.incarnation > 0).await;
