feat(lw-edge): say in the log why an answer was late

Cause: the lines about a request named neither its prompt, nor the time to the first byte, nor the longest pause, so that a late answer could not be told from one that paused. Change: 'request sent' names the tokens of the prompt and of its shared parts, 'request answered' first_ms and pause_ms.

--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use lw_forward::pool::{Error, HostKey, ReplyBody, Reuse};
 use lw_observe::metrics;
-use lw_place::{Choice, Ended, Ticket};
+use lw_place::{Choice, Ended, Prompt, Ticket};
 use lw_platform::headers::{self, Forwarding};
 
 use lw_types::prelude::*;
@@ -142,6 +142,8 @@
         log::info!(target: "route", request = call.head.request.as_str(), attempt = number,
             upstream = choice.upstream.id.as_str(), service = call.service.as_str(),
             route = call.route.name.as_str(), weights = choice.version.unwrap_or_default(),
+            tokens = call.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
+            shared = call.prompt.as_ref().map_or(0, Prompt::shared_tokens),
             held = choice.held, fetched = choice.fetched,
             fetch_from = choice.fetch_from.map(|addr| addr.to_string()).unwrap_or_default(),
             rank = choice.rank, expected_ms = millis(choice.expected),
--- a/crates/lw-edge/src/serve/record.rs
+++ b/crates/lw-edge/src/serve/record.rs
@@ -1,6 +1,6 @@
 //! What operators learn about one request: a line and metrics when it ends.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use lw_catalog::Kind;
 use lw_observe::metrics::{self, OutcomeLabels, RequestLabels};
@@ -17,6 +17,10 @@
     labels: RequestLabels,
     arrived: Now,
     attempts: usize,
+    /// When the head of the answer came, and when the caller was given the last piece of it.
+    first_byte: Option<Now>,
+    last_piece: Option<Now>,
+    longest_pause: Duration,
     is_over: bool,
 }
 
@@ -28,6 +32,9 @@
             labels: RequestLabels { workspace: String::new(), class: "unknown" },
             arrived,
             attempts: 0,
+            first_byte: None,
+            last_piece: None,
+            longest_pause: Duration::ZERO,
             is_over: false,
         }
     }
@@ -49,11 +56,20 @@
     }
 
     /// The head of the answer came.
-    pub fn first_byte(&self) {
+    pub fn first_byte(&mut self) {
+        self.first_byte = Some(self.edge.timer.now());
         metrics::time(&self.edge.metrics.first_byte, &self.labels, self.age());
     }
 
-    fn age(&self) -> std::time::Duration {
+    /// A piece of a stream was passed on.
+    pub fn piece(&mut self) {
+        let now = self.edge.timer.now();
+        if let Some(before) = self.last_piece.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.saturating_sub(before));
+        }
+    }
+
+    fn age(&self) -> Duration {
         self.edge.timer.now().saturating_sub(self.arrived)
     }
 
@@ -62,8 +78,10 @@
         metrics::time(&self.edge.metrics.whole, &self.labels, self.age());
         let code = if status < 500 { ResultCode::Ok } else { ResultCode::UpstreamError };
         self.count(code);
+        let first = self.first_byte.map_or(Duration::ZERO, |at| at.saturating_sub(self.arrived));
         log::info!(target: "http", request = self.request.as_str(), status = status,
-            attempts = self.attempts, ms = millis(self.age()), class = self.labels.class,
+            attempts = self.attempts, ms = millis(self.age()), first_ms = millis(first),
+            pause_ms = millis(self.longest_pause), class = self.labels.class,
             workspace = self.labels.workspace.as_str(); "request answered");
     }
 
@@ -114,6 +132,6 @@
 }
 
 /// Whole milliseconds of a time, for log lines.
-pub(crate) fn millis(time: std::time::Duration) -> u64 {
+pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -68,6 +68,7 @@
                         None => Some(bytes),
                     };
                     if let Some(ready) = ready {
+                        self.driver.record.piece();
                         self.passed_on += u64::try_from(ready.len()).unwrap_or(u64::MAX);
                         return Ok(Some(ready));
                     }
