feat(lw-place): keep work from an engine while it says that it is slow

Cause: engines share their machines; an engine works 2.5 times as long for moments of some hundred milliseconds and says so in each answer, and nothing used that figure. Ruled out: asking engines (cache events do not state the load, other questions count as probes). Change: the expected time grows by the delay that is still to be expected; the first VM that hears of a change tells the VMs in the engine's failure domain, at most each 100 ms for one engine.

--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -107,6 +107,13 @@
         /// Whether its answer is complete.
         is_complete: bool,
     },
+    /// An engine works slower than usual for a moment, or as usual again.
+    Pace {
+        /// The engine.
+        upstream: UpstreamId,
+        /// How long work takes there now, in percent of the usual.
+        percent: u32,
+    },
     /// An engine serves a version of a model's weights.
     Serves {
         /// The engine.
@@ -164,6 +171,7 @@
             News::Silent { upstream, ms } => {
                 fleet.avoid(upstream, now + Duration::from_millis(*ms));
             }
+            News::Pace { upstream, percent } => fleet.on_pace(now, upstream, *percent),
             News::Serves { upstream, model, version } => fleet.serves(upstream, model, *version),
             News::Sent(sent) => fleet.announced(now, vm, &sent.into()),
             News::Started { upstream, ticket } => fleet.announced_start(now, vm, upstream, *ticket),
@@ -184,6 +192,9 @@
     Started(&'a str, Ticket),
     /// It ended.
     Ended(&'a str, Ticket, Ended),
+    /// An engine's pace has changed, in percent of the usual. Only VMs in its failure domain are told: they send it
+    /// most of its requests, and the news is old within half a second.
+    Pace(&'a str, u32),
 }
 
 /// Announces an attempt to the other VMs without waiting; a message that cannot be sent now is left out.
@@ -197,17 +208,24 @@
             let is_complete = how == Ended::Complete;
             News::Ended { upstream: upstream.to_owned(), ticket, is_complete }
         }
+        Announcement::Pace(upstream, percent) => {
+            let known = edge.known().directory.get(upstream).cloned();
+            let domain = known.map(|known| known.failure_domain.clone());
+            let news = News::Pace { upstream: upstream.to_owned(), percent };
+            return send(edge, news, domain.as_ref());
+        }
     };
-    send(edge, news);
+    send(edge, news, None);
 }
 
 /// Tells the other VMs, and takes the news itself.
 pub fn tell(edge: &Edge, news: News) {
     take(edge, &Message { vm: edge.settings.vm.clone(), news: news.clone() });
-    send(edge, news);
+    send(edge, news, None);
 }
 
-fn send(edge: &Edge, news: News) {
+/// Sends to the VMs of one failure domain, or to all.
+fn send(edge: &Edge, news: News, domain: Option<&Domain>) {
     let message = Message { vm: edge.settings.vm.clone(), news };
     let Some(datagrams) = edge.datagrams() else { return };
     let bytes = match rmp_serde::to_vec(&message) {
@@ -218,7 +236,11 @@
         }
     };
     let datagram = datagrams.seal(&bytes);
-    for (vm, entry) in edge.known().vms().filter(|(vm, _)| **vm != edge.settings.vm) {
+    let is_meant = |of: &Domain| domain.is_none_or(|domain| domain == of);
+    for (vm, entry) in edge.known().vms() {
+        if *vm == edge.settings.vm || !is_meant(&entry.failure_domain) {
+            continue;
+        }
         let sent = datagrams.try_send(entry.addr, &datagram);
         let kind = if sent.is_ok() { "sent" } else { "lost" };
         metrics::count(&edge.metrics.messages, kind);
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -232,7 +232,11 @@
         let now = self.edge.timer.now();
         if let Some(load) = said.load {
             let id = &self.choice.upstream.id;
-            self.edge.with_fleet(&self.call.service, |fleet| fleet.on_load(now, id, load));
+            let is_news =
+                self.edge.with_fleet(&self.call.service, |fleet| fleet.on_load(now, id, load));
+            if is_news == Some(true) {
+                peers::announce(&self.edge, Announcement::Pace(id, load.slowness_percent));
+            }
         }
         let answered = said.request.as_deref();
         if answered.is_some_and(|id| id != self.call.head.request) {
--- a/crates/lw-place/src/fleet/member.rs
+++ b/crates/lw-place/src/fleet/member.rs
@@ -5,7 +5,7 @@
 use lw_catalog::Upstream;
 use lw_types::prelude::*;
 
-use super::{FlightId, rate::Rate};
+use super::{FlightId, pace::Pace, rate::Rate};
 use crate::{CacheView, Load, cache::PartKey};
 
 /// Age above which a stated load says nothing.
@@ -44,6 +44,7 @@
     pub upstream: Arc<Upstream>,
     pub flights: HashMap<FlightId, Flight>,
     pub load: Option<(Now, Load)>,
+    pub pace: Pace,
     /// Gets no work until then while others can take it, since it failed.
     pub avoid_until: Now,
     /// Gets no new work until then, since its weights are about to be changed.
@@ -64,6 +65,7 @@
             upstream: Arc::clone(upstream),
             flights: HashMap::new(),
             load: None,
+            pace: Pace::default(),
             avoid_until: Now::ZERO,
             hold_until: Now::ZERO,
             cache: CacheView::new(room),
@@ -125,7 +127,8 @@
     /// Milliseconds until a plain server can start on a new request.
     pub fn plain_ms(&self, now: Now) -> f64 {
         let slots = f64::from(self.upstream.slots.max(1));
-        PLAIN_WORK_MS * (as_f64(self.running(now)) / slots).powi(2)
+        let wait = PLAIN_WORK_MS * (as_f64(self.running(now)) / slots).powi(2);
+        wait + self.pace.delay_ms(now, wait + PLAIN_WORK_MS)
     }
 
     /// Milliseconds until running requests have freed enough memory for `tokens` more of `room`. Requests of lower rank
@@ -148,6 +151,11 @@
         f64::INFINITY
     }
 
+    /// Milliseconds by which a request takes longer than usual that waits and is read for `before_ms`.
+    pub fn delay_ms(&self, now: Now, before_ms: f64, output_tokens: u64) -> f64 {
+        self.pace.delay_ms(now, before_ms + self.rate.write_ms(output_tokens))
+    }
+
     fn end_ms(&self, now: Now, flight: &Flight) -> f64 {
         let output = self.rate.write_ms(flight.output_tokens);
         match flight.started {
--- a/crates/lw-place/src/fleet/mod.rs
+++ b/crates/lw-place/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod books;
 mod choose;
 mod member;
+mod pace;
 mod rate;
 mod source;
 mod survey;
@@ -195,10 +196,17 @@
         self.members.values().filter(|m| m.upstream.stage == Stage::Ready).count()
     }
 
-    /// Takes the load that an upstream stated.
-    pub fn on_load(&mut self, now: Now, id: &str, load: Load) {
+    /// Takes the load that an upstream stated. Returns whether other VMs should learn of its pace.
+    pub fn on_load(&mut self, now: Now, id: &str, load: Load) -> bool {
+        let Some(member) = self.members.get_mut(id) else { return false };
+        member.load = Some((now, load));
+        member.pace.state(now, load.slowness_percent)
+    }
+
+    /// Another VM heard from an upstream how long work takes there now, in percent of the usual.
+    pub fn on_pace(&mut self, now: Now, id: &str, percent: u32) {
         if let Some(member) = self.members.get_mut(id) {
-            member.load = Some((now, load));
+            member.pace.state(now, percent);
         }
     }
 
