feat(lw-place): count the requests that wait for a slot, as engines state them

Ruled out: slow moments of the engine and lost messages; requests of rank 0 were answered in 35 ms meanwhile. Change: a new request waits for the slots of those in front, known or stated, at the mean time that requests hold a slot; a statement counts less the older it is, and nothing after a second.

--- a/crates/lw-place/src/fleet/books.rs
+++ b/crates/lw-place/src/fleet/books.rs
@@ -152,7 +152,9 @@
         let Some(member) = self.members.get_mut(id) else { return };
         let Some(flight) = member.flights.remove(flight) else { return };
         if let Some(started) = flight.started.filter(|_| how == Ended::Complete) {
-            member.rate.observe_written(flight.output_tokens, now.saturating_sub(started));
+            let time = now.saturating_sub(started);
+            member.rate.observe_written(flight.output_tokens, time);
+            member.rate.observe_held(time);
         }
         if flight.started.is_none() && how != Ended::Complete {
             forget_unread(member, &flight);
--- a/crates/lw-place/src/fleet/queue.rs
+++ b/crates/lw-place/src/fleet/queue.rs
@@ -1,7 +1,8 @@
 //! When an engine can begin to read a new request.
 //!
-//! Engines read one prompt after the other, the most urgent first, each as soon as there is memory for it. Answers load
-//! of long prompts that fill the memory of engines.
+//! Engines read one prompt after the other, the most urgent first, each as soon as there is memory and a slot for it.
+//! Answers load of long prompts that fill the memory of engines, and of many short ones that fill their slots while few
+//! engines are left.
 
 use std::time::Duration;
 
@@ -9,13 +10,16 @@
 
 use super::{
     Member,
-    member::{Flight, STEP_MS},
+    member::{Flight, STEP_MS, as_f64},
 };
 use crate::cache::PartKey;
 
 /// Part of its expected time after which a reading in front is not believed to be over without its first event.
 const UNSEEN_PART: f64 = 0.9;
 
+/// Age at which what an engine stated about its queue says nothing. It counts less the older it is.
+const STATED_MAX_MS: f64 = 1_000.0;
+
 /// The requests that a new one has to wait for, followed in time.
 struct Queue {
     /// Memory of requests that run, in tokens, and when it is freed, in milliseconds from now.
@@ -65,7 +69,26 @@
             queue.read_ms = begin.max(fetched) + read - done;
             queue.run(queue.read_ms + self.rate.write_ms(flight.output_tokens), tokens);
         }
-        queue.begin(tokens).map_or(f64::INFINITY, |begin| begin + self.step_ms(now))
+        let begin = queue.begin(tokens).unwrap_or(f64::INFINITY);
+        begin.max(self.slot_ms(now, rank)) + self.step_ms(now)
+    }
+
+    /// Milliseconds until a slot is free for a new request of `rank`. Short requests of other VMs are known only from
+    /// what the engine states in its answers.
+    fn slot_ms(&self, now: Now, rank: u8) -> f64 {
+        let Some((at, load)) = self.load else { return 0.0 };
+        let age = now.saturating_sub(at).as_secs_f64() * 1000.0;
+        let weight = 1.0 - (age / STATED_MAX_MS).min(1.0);
+        let known = self.flights.values().filter(|f| f.started.is_none());
+        let (before, behind): (Vec<_>, Vec<_>) = known.partition(|f| f.rank <= rank);
+        let known = before.len() + behind.len();
+        let stated = f64::from(load.waiting) * weight;
+        let unknown = (stated - as_f64(known as u64)).max(0.0);
+        let waiting = unknown + as_f64(before.len() as u64);
+        let slots = f64::from(load.slots.max(1));
+        let running = (f64::from(load.running) * weight).min(slots);
+        let over = (running + waiting + 1.0 - slots).max(0.0);
+        over * self.rate.held_ms() / slots
     }
 
     /// Milliseconds that the reading in front has gone on for.
--- a/crates/lw-place/src/fleet/rate.rs
+++ b/crates/lw-place/src/fleet/rate.rs
@@ -23,16 +23,26 @@
 /// Most tokens of an answer that are counted on: estimates of callers are often far off.
 const WRITTEN_MAX: u64 = 300;
 
+/// Milliseconds for which a request holds a slot until timings say otherwise.
+const HELD_MS: f64 = 100.0;
+/// Weight of a new timing of it. Short and long requests alternate, and their mean counts.
+const HELD_WEIGHT: f64 = 0.05;
+
 /// Speed of one engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Rate {
     ms_per_token: f64,
     write_ms_per_token: f64,
+    held_ms: f64,
 }
 
 impl Default for Rate {
     fn default() -> Self {
-        Self { ms_per_token: READ_MS_PER_TOKEN, write_ms_per_token: WRITE_MS_PER_TOKEN }
+        Self {
+            ms_per_token: READ_MS_PER_TOKEN,
+            write_ms_per_token: WRITE_MS_PER_TOKEN,
+            held_ms: HELD_MS,
+        }
     }
 }
 
@@ -47,6 +57,16 @@
         as_f64(tokens.min(WRITTEN_MAX)) * self.write_ms_per_token
     }
 
+    /// Milliseconds for which a request holds a slot.
+    pub fn held_ms(self) -> f64 {
+        self.held_ms
+    }
+
+    /// Takes the time for which a request held its slot.
+    pub fn observe_held(&mut self, time: Duration) {
+        self.held_ms += HELD_WEIGHT * (time.as_secs_f64() * 1000.0 - self.held_ms);
+    }
+
     /// Takes the time in which an answer was written that its caller expected to have `tokens`.
     pub fn observe_written(&mut self, tokens: u64, time: Duration) {
         if tokens >= WRITTEN_MIN {
--- a/crates/lw-place/tests/queue.rs
+++ b/crates/lw-place/tests/queue.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{ask, engine, fleet, ms, prompt};
-use lw_place::{Ask, Fleet, Part, Prompt, Refusal};
+use lw_place::{Ask, Fleet, Load, Part, Prompt, Refusal};
 
 /// A prompt of 17,000 tokens that shares nothing with others.
 fn own(id: u64) -> Prompt {
@@ -112,3 +112,43 @@
     }
     assert!(idle.choose(ms(0), &ask(&urgent)).unwrap().expected < ms(400));
 }
+
+/// A short prompt, as other VMs send them without announcing it.
+fn short() -> Prompt {
+    let parts = vec![Part { id: 1, tokens: 55 }, Part { id: 2, tokens: 300 }];
+    Prompt { tokens: 355, output_tokens: 6, parts, ..prompt("m") }
+}
+
+/// Guards against short requests of all VMs that gather at one engine, since no VM knows what the others sent there.
+#[test]
+fn an_engine_that_says_that_many_wait_gets_no_further_short_requests() {
+    let mut fleet = one_engine();
+    fleet.put(&engine("e2", "m", 1));
+    let chosen = |fleet: &Fleet, at: u64| fleet.choose(ms(at), &ask(&short())).unwrap();
+    let usual = chosen(&fleet, 0).upstream.id.clone();
+    let load = |running, waiting| Load { running, waiting, slots: 32, slowness_percent: 100 };
+    fleet.on_load(ms(30), &usual, load(32, 96));
+    assert_ne!(chosen(&fleet, 40).upstream.id, usual);
+    // What it said gets old, since it is not asked meanwhile.
+    assert_eq!(chosen(&fleet, 1_500).upstream.id, usual);
+    // With no other engine, the wait is expected: 96 requests in 32 slots, 100 ms each.
+    let mut alone = one_engine();
+    alone.on_load(ms(0), "e1", load(32, 96));
+    let expected = alone.choose(ms(0), &ask(&short())).unwrap().expected;
+    assert!(expected > ms(290) && expected < ms(400), "{expected:?}");
+}
+
+/// Guards against a wait that is counted twice for requests that the VM knows of and that the engine states as well.
+#[test]
+fn requests_behind_a_new_one_do_not_count_as_waiting_before_it() {
+    let mut fleet = one_engine();
+    let behind = Prompt { rank: 3, ..own(1) };
+    for id in 0..8 {
+        let prompt = Prompt { rank: 3, ..own(id) };
+        send(&mut fleet, 0, &prompt);
+    }
+    fleet.on_load(ms(1), "e1", Load { running: 32, waiting: 8, slots: 32, slowness_percent: 100 });
+    let urgent = fleet.choose(ms(2), &ask(&short())).unwrap().expected;
+    assert!(urgent < ms(100), "{urgent:?}");
+    assert!(fleet.choose(ms(2), &patient(&behind)).unwrap().expected > ms(500));
+}
