feat(lw-place): expect what the other VMs send to an engine before it says so

Cause: when an engine came back with new weights it looked idle to all VMs, and in the same 20 ms they sent it what they had, 25 short requests and more; these were expected after 56 to 183 ms and began after 815 to 1,236. An engine without a statement had no slots in the estimate at all. Ruled out: the cost of old weights alone; a queue that is known makes it bearable. Change: each other VM is taken to have sent as many short requests since the engine's last statement as this one; slots come from the registry where the engine has stated nothing.

--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -150,6 +150,7 @@
             prompt: self.call.prompt.as_ref(),
             spread: self.call.spread,
             tried: &self.tried,
+            peers: self.edge.known().vms_max().saturating_sub(1),
             left: self.call.due.saturating_sub(now),
             on_time: target.saturating_sub(now),
             patience: self.call.route.patience(),
--- a/crates/lw-place/src/fleet/books.rs
+++ b/crates/lw-place/src/fleet/books.rs
@@ -51,7 +51,7 @@
         if let Some(from) = choice.fetch_from {
             self.count_transfer(from, choice.fetched_at);
         }
-        let is_large = announced.tokens >= ANNOUNCED_MIN_TOKENS;
+        let is_large = is_large(announced.tokens);
         (self.last_ticket, is_large.then_some(announced))
     }
 
@@ -177,6 +177,15 @@
     }
 }
 
+fn is_large(tokens: u64) -> bool {
+    tokens >= ANNOUNCED_MIN_TOKENS
+}
+
+/// Whether the other VMs were told of an attempt.
+pub(super) fn is_announced(flight: &Flight) -> bool {
+    is_large(flight.tokens)
+}
+
 /// Parts that nobody else reads either are not held.
 fn forget_unread(member: &mut Member, flight: &Flight) {
     for (key, tokens) in &flight.parts {
--- a/crates/lw-place/src/fleet/choose.rs
+++ b/crates/lw-place/src/fleet/choose.rs
@@ -5,7 +5,7 @@
 use lw_catalog::Stage;
 use lw_types::prelude::*;
 
-use super::{Ask, Choice, Fleet, Member, Prompt, Refusal, member::as_f64};
+use super::{Ask, Choice, Fleet, Member, Prompt, Refusal, member::as_f64, queue::New};
 use crate::{RANK_MAX, salt};
 
 /// Weight of the work that a request causes at an engine against the time for which it waits: work that is done
@@ -97,7 +97,8 @@
         let room = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
         let tokens = prompt.tokens + prompt.output_tokens;
         let wait = |rank: u8| {
-            let wait = member.wait_ms(now, rank, tokens, room).max(fetch);
+            let new = New { rank, tokens, peers: ask.peers };
+            let wait = member.wait_ms(now, new, room).max(fetch);
             wait + member.delay_ms(now, wait + read, prompt.output_tokens)
         };
         choice.rank = prompt.rank.min(RANK_MAX);
--- a/crates/lw-place/src/fleet/mod.rs
+++ b/crates/lw-place/src/fleet/mod.rs
@@ -39,6 +39,8 @@
     pub spread: u64,
     /// Upstreams that were tried already.
     pub tried: &'a [UpstreamId],
+    /// Other VMs that choose among the same upstreams.
+    pub peers: usize,
     /// Time left for the answer.
     pub left: Duration,
     /// Time left in which the first event or the answer is on time.
--- a/crates/lw-place/src/fleet/queue.rs
+++ b/crates/lw-place/src/fleet/queue.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Member,
+    books::is_announced,
     member::{Flight, STEP_MS, as_f64},
 };
 use crate::cache::PartKey;
@@ -48,10 +49,22 @@
     }
 }
 
+/// A request that is to be sent.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct New {
+    /// Rank, 0 is the most urgent.
+    pub rank: u8,
+    /// Memory that it takes, in tokens.
+    pub tokens: u64,
+    /// Other VMs that choose at the same time.
+    pub peers: usize,
+}
+
 impl Member {
-    /// Milliseconds until a new request of `rank` with `tokens` is being read, if the engine has memory for `room`
-    /// tokens. Requests of lower rank yield at once. Infinite if it never can.
-    pub fn wait_ms(&self, now: Now, rank: u8, tokens: u64, room: u64) -> f64 {
+    /// Milliseconds until a new request is being read, if the engine has memory for `room` tokens. Requests of lower
+    /// rank yield at once. Infinite if it never can.
+    pub fn wait_ms(&self, now: Now, new: New, room: u64) -> f64 {
+        let New { rank, tokens, peers } = new;
         let rivals: Vec<_> = self.flights.values().filter(|f| f.rank <= rank).collect();
         let mut queue = Queue { running: Vec::new(), free: room, read_ms: 0.0 };
         let mut shared = Vec::new();
@@ -70,24 +83,28 @@
             queue.run(queue.read_ms + self.rate.write_ms(flight.output_tokens), tokens);
         }
         let begin = queue.begin(tokens).unwrap_or(f64::INFINITY);
-        begin.max(self.slot_ms(now, rank)) + self.step_ms(now)
+        begin.max(self.slot_ms(now, rank, peers)) + self.step_ms(now)
     }
 
     /// Milliseconds until a slot is free for a new request of `rank`. Short requests of other VMs are known only from
-    /// what the engine states in its answers.
-    fn slot_ms(&self, now: Now, rank: u8) -> f64 {
-        let Some((at, load)) = self.load else { return 0.0 };
+    /// what the engine states in its answers; since then each of `peers` is taken to have sent as many as this VM.
+    fn slot_ms(&self, now: Now, rank: u8, peers: usize) -> f64 {
+        let (at, stated) = self.load.map_or((Now::ZERO, None), |(at, load)| (at, Some(load)));
         let age = now.saturating_sub(at).as_secs_f64() * 1000.0;
         let weight = 1.0 - (age / STATED_MAX_MS).min(1.0);
-        let known = self.flights.values().filter(|f| f.started.is_none());
-        let (before, behind): (Vec<_>, Vec<_>) = known.partition(|f| f.rank <= rank);
-        let known = before.len() + behind.len();
-        let stated = f64::from(load.waiting) * weight;
-        let unknown = (stated - as_f64(known as u64)).max(0.0);
-        let waiting = unknown + as_f64(before.len() as u64);
-        let slots = f64::from(load.slots.max(1));
-        let running = (f64::from(load.running) * weight).min(slots);
-        let over = (running + waiting + 1.0 - slots).max(0.0);
+        let unread = || self.flights.iter().filter(|(_, f)| f.started.is_none());
+        let before = count(unread().filter(|(_, f)| f.rank <= rank));
+        let is_unseen = |vm: &str, f: &Flight| vm.is_empty() && f.sent >= at && !is_announced(f);
+        let alike = count(unread().filter(|((vm, _), f)| is_unseen(vm, f)))
+            * as_f64(u64::try_from(peers).unwrap_or(u64::MAX));
+        let known_running = count(self.flights.values().filter(|f| f.started.is_some()));
+        let (running, waiting) = stated.map_or((0.0, 0.0), |load| {
+            (f64::from(load.running) * weight, f64::from(load.waiting) * weight)
+        });
+        let unknown = (waiting - count(unread())).max(0.0);
+        let slots = f64::from(stated.map_or(self.upstream.slots, |load| load.slots).max(1));
+        let running = running.max(known_running).min(slots);
+        let over = (running + unknown + before + alike + 1.0 - slots).max(0.0);
         over * self.rate.held_ms() / slots
     }
 
@@ -117,3 +134,7 @@
     }
     tokens
 }
+
+fn count<T>(flights: impl Iterator<Item = T>) -> f64 {
+    as_f64(u64::try_from(flights.count()).unwrap_or(u64::MAX))
+}
--- a/crates/lw-place/tests/common/mod.rs
+++ b/crates/lw-place/tests/common/mod.rs
@@ -59,6 +59,7 @@
         prompt: Some(prompt),
         spread: 7,
         tried: &[],
+        peers: 0,
         left: ms(6_000),
         on_time: ms(500),
         patience: ms(2_000),
--- a/crates/lw-place/tests/queue.rs
+++ b/crates/lw-place/tests/queue.rs
@@ -152,3 +152,27 @@
     assert!(urgent < ms(100), "{urgent:?}");
     assert!(fleet.choose(ms(2), &patient(&behind)).unwrap().expected > ms(500));
 }
+
+/// Guards against all VMs sending all short requests to an engine that has just come back, since it looks idle to each.
+#[test]
+fn what_other_vms_send_to_an_idle_engine_is_expected_before_it_says_so() {
+    let prompt = short();
+    let among = |peers: usize| {
+        let mut fleet = one_engine();
+        fleet.put(&engine("new", "m", 2));
+        fleet.want(ms(0), "m", 2);
+        let mut sent = 0;
+        loop {
+            let choice = fleet.choose(ms(1), &Ask { peers, ..ask(&prompt) }).unwrap();
+            if choice.upstream.id != "new" || sent > 200 {
+                return sent;
+            }
+            fleet.sent(ms(1), &choice, Some(&prompt));
+            sent += 1;
+        }
+    };
+    // 32 slots, and 64 requests in front for a wait of 200 ms: alone a VM may send them all, among ten a tenth.
+    let (alone, among_ten) = (among(0), among(9));
+    assert!(alone >= 32, "{alone}");
+    assert!(among_ten * 10 <= 2 * 96, "{among_ten}");
+}
