perf(lw-place): look for the holders of a prompt's parts once for a request

Ruled out: the estimate of queues; it grows with the engines. Change: the parts' keys and their holders are found once for each version of the weights. No choice changes.

--- a/crates/lw-place/src/fleet/choose.rs
+++ b/crates/lw-place/src/fleet/choose.rs
@@ -1,12 +1,14 @@
 //! The choice for one request.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use lw_catalog::Stage;
 use lw_types::prelude::*;
 
-use super::{Ask, Choice, Fleet, Member, Prompt, Refusal, member::as_f64, queue::New};
-use crate::{RANK_MAX, salt};
+use super::{
+    Ask, Choice, Fleet, Member, Prompt, Refusal, member::as_f64, queue::New, source::Source,
+};
+use crate::{RANK_MAX, cache::PartKey, salt};
 
 /// Weight of the work that a request causes at an engine against the time for which it waits: work that is done
 /// twice is missing for others.
@@ -29,6 +31,13 @@
 /// Most that chance adds to the cost, in milliseconds, so that VMs do not all choose the same of equals.
 const TIE_MS: f64 = 2.0;
 
+/// The parts of a prompt under one version of the weights.
+struct Parts<'a> {
+    salt: String,
+    keys: Vec<(PartKey, u64)>,
+    sources: Vec<Source<'a>>,
+}
+
 /// Costs of a request at an engine in milliseconds.
 struct Estimate {
     choice: Choice,
@@ -54,8 +63,9 @@
         }
         let sound: Vec<_> = open.iter().copied().filter(|m| now >= m.avoid_until).collect();
         let usable = if sound.is_empty() { open } else { sound };
+        let mut parts = HashMap::new();
         let estimates = usable.into_iter().map(|member| match ask.prompt {
-            Some(prompt) => self.engine(now, ask, prompt, member),
+            Some(prompt) => self.engine(now, ask, prompt, member, &mut parts),
             None => self.server(now, ask, member),
         });
         let best = estimates.min_by(|a, b| a.cost.total_cmp(&b.cost));
@@ -74,22 +84,27 @@
         Estimate { choice: choice(now, member, wait), cost }
     }
 
-    fn engine(&self, now: Now, ask: &Ask<'_>, prompt: &Prompt, member: &Member) -> Estimate {
+    fn engine<'a>(
+        &'a self,
+        now: Now,
+        ask: &Ask<'_>,
+        prompt: &Prompt,
+        member: &Member,
+        parts: &mut HashMap<u64, Parts<'a>>,
+    ) -> Estimate {
         let mut choice = choice(now, member, 0.0);
         choice.version = member.versions.get(&prompt.model).copied();
-        let wall = prompt.wall.as_deref();
-        choice.salt = choice.version.map(|version| salt(&prompt.model, version, wall));
-        if let Some(salt) = &choice.salt {
-            let keys = prompt.keys(salt);
-            let shared = &keys[..prompt.shared().len()];
-            choice.held = member.cache.leading(&keys);
-            if let Some(transfer) = self.transfer(now, member, shared, choice.held) {
+        if let Some(version) = choice.version {
+            let parts = parts.entry(version).or_insert_with(|| self.parts(now, prompt, version));
+            choice.held = member.cache.leading(&parts.keys);
+            if let Some(transfer) = self.transfer(now, member, &parts.sources, choice.held) {
                 choice.fetch_from = Some(transfer.from);
                 choice.fetched = transfer.tokens;
                 choice.fetched_at = transfer.done;
             }
             let unread = prompt.shared_tokens().saturating_sub(choice.held + choice.fetched);
             choice.save_to = self.save_to(now, unread);
+            choice.salt = Some(parts.salt.clone());
         }
         let to_read = prompt.tokens.saturating_sub(choice.held + choice.fetched);
         let read = member.rate.read_ms(to_read);
@@ -123,6 +138,14 @@
         Estimate { choice, cost }
     }
 
+    /// What a version of the weights means for the parts of a prompt.
+    fn parts(&self, now: Now, prompt: &Prompt, version: u64) -> Parts<'_> {
+        let salt = salt(&prompt.model, version, prompt.wall.as_deref());
+        let keys = prompt.keys(&salt);
+        let sources = self.sources(now, &keys[..prompt.shared().len()]);
+        Parts { salt, keys, sources }
+    }
+
     fn away_ms(&self, member: &Member, kilobytes: u64) -> f64 {
         if member.upstream.failure_domain == self.failure_domain {
             return 0.0;
--- a/crates/lw-place/src/fleet/source.rs
+++ b/crates/lw-place/src/fleet/source.rs
@@ -41,6 +41,19 @@
     }
 }
 
+/// A holder of leading parts of a prompt.
+#[derive(Debug)]
+pub(super) struct Source<'a> {
+    /// The engine, unless it is the store of KV cache.
+    engine: Option<&'a str>,
+    addr: SocketAddr,
+    failure_domain: &'a Domain,
+    link_bits: f64,
+    link_free: Now,
+    /// Tokens of the parts that it can give.
+    tokens: u64,
+}
+
 /// A transfer to an engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Transfer {
@@ -87,45 +100,57 @@
         (unread >= MOVE_MIN_TOKENS).then_some(store.addr)
     }
 
+    /// Who can give leading parts of a prompt, whichever engine asks.
+    pub(super) fn sources(&self, now: Now, keys: &[(PartKey, u64)]) -> Vec<Source<'_>> {
+        let Some(spec) = &self.spec else { return Vec::new() };
+        let engines = self.members.values().filter(|source| now >= source.avoid_until);
+        let engines = engines.map(|source| Source {
+            engine: Some(source.upstream.id.as_str()),
+            addr: source.upstream.addr,
+            failure_domain: &source.upstream.failure_domain,
+            link_bits: spec.link_bits,
+            link_free: source.link_free,
+            tokens: source.cache.fetchable(keys),
+        });
+        let store = self.store.as_ref().filter(|store| now >= store.avoid_until);
+        let store = store.map(|store| Source {
+            engine: None,
+            addr: store.addr,
+            failure_domain: &store.failure_domain,
+            link_bits: store.link_bits,
+            link_free: store.link_free,
+            tokens: store.view.fetchable(keys),
+        });
+        engines.chain(store).filter(|source| source.tokens >= MOVE_MIN_TOKENS).collect()
+    }
+
     /// The source from which `target` gets the shared parts first, if a transfer is worth while.
     pub(super) fn transfer(
         &self,
         now: Now,
         target: &Member,
-        keys: &[(PartKey, u64)],
+        sources: &[Source<'_>],
         held: u64,
     ) -> Option<Transfer> {
         let spec = self.spec.as_ref()?;
-        let bits = |tokens: u64| as_f64(tokens * spec.token_bytes * 8);
-        let time = |tokens: u64, link: f64, domain: &str| {
-            let away = if *domain == target.upstream.failure_domain { 1.0 } else { AWAY_FACTOR };
-            let seconds = bits(tokens) / link.max(1e6) * away;
-            SETUP + Duration::from_secs_f64(seconds)
-        };
         let start = now.max(target.link_free);
-        let engines = self
-            .members
-            .values()
-            .filter(|source| source.upstream.id != target.upstream.id && now >= source.avoid_until);
-        let engines = engines.filter_map(|source| {
-            let tokens = source.cache.fetchable(keys).checked_sub(held)?;
-            let time = time(tokens, spec.link_bits, &source.upstream.failure_domain);
-            let done = start.max(source.link_free) + time;
-            Some(Transfer { from: source.upstream.addr, tokens, done })
-        });
-        let store = self.store.as_ref().filter(|store| now >= store.avoid_until);
-        let store = store.and_then(|store| {
-            let tokens = store.view.fetchable(keys).checked_sub(held)?;
-            let time = time(tokens, store.link_bits, &store.failure_domain);
-            let done = start.max(store.link_free) + time;
-            Some(Transfer { from: store.addr, tokens, done })
+        let own = Some(target.upstream.id.as_str());
+        let others = sources.iter().filter(|source| source.engine != own);
+        let transfers = others.filter_map(|source| {
+            let tokens = source.tokens.checked_sub(held)?;
+            let is_near = *source.failure_domain == target.upstream.failure_domain;
+            let away = if is_near { 1.0 } else { AWAY_FACTOR };
+            let bits = as_f64(tokens * spec.token_bytes * 8);
+            let time = Duration::from_secs_f64(bits / source.link_bits.max(1e6) * away);
+            let done = start.max(source.link_free) + SETUP + time;
+            Some(Transfer { from: source.addr, tokens, done })
         });
         let worth_while = |transfer: &Transfer| {
             transfer.tokens >= MOVE_MIN_TOKENS && transfer.done < now + WAIT_MAX
         };
         // The most tokens first: what is not fetched has to be read, which takes far longer.
         let best = |a: &Transfer, b: &Transfer| b.tokens.cmp(&a.tokens).then(a.done.cmp(&b.done));
-        engines.chain(store).filter(worth_while).min_by(best)
+        transfers.filter(worth_while).min_by(best)
     }
 
     /// Counts a transfer at its source.
