refactor: one place for test engines, no lookup for an engine that is at hand

Found in a last read of the change; no behaviour changes and no check does. - The news of an engine's pace looked the engine up in the registry's copy and cloned its failure domain, although the attempt that heard of it has the engine. - decision_cost built the same engine and prompts as the tests of lw-place; it uses theirs. - The input of the queue's estimate was called New; it is NewRequest.

--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use lw_catalog::Upstream;
 use lw_observe::metrics;
 use lw_place::{Announced, Ended, Ticket};
 use lw_transport::datagram::Datagrams;
@@ -194,7 +195,7 @@
     Ended(&'a str, Ticket, Ended),
     /// An engine's pace has changed, in percent of the usual. Only VMs in its failure domain are told: they send it
     /// most of its requests, and the news is old within half a second.
-    Pace(&'a str, u32),
+    Pace(&'a Upstream, u32),
 }
 
 /// Announces an attempt to the other VMs without waiting; a message that cannot be sent now is left out.
@@ -209,10 +210,8 @@
             News::Ended { upstream: upstream.to_owned(), ticket, is_complete }
         }
         Announcement::Pace(upstream, percent) => {
-            let known = edge.known().directory.get(upstream).cloned();
-            let domain = known.map(|known| known.failure_domain.clone());
-            let news = News::Pace { upstream: upstream.to_owned(), percent };
-            return send(edge, news, domain.as_ref());
+            let news = News::Pace { upstream: upstream.id.clone(), percent };
+            return send(edge, news, Some(&upstream.failure_domain));
         }
     };
     send(edge, news, None);
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -235,7 +235,8 @@
             let is_news =
                 self.edge.with_fleet(&self.call.service, |fleet| fleet.on_load(now, id, load));
             if is_news == Some(true) {
-                peers::announce(&self.edge, Announcement::Pace(id, load.slowness_percent));
+                let pace = Announcement::Pace(&self.choice.upstream, load.slowness_percent);
+                peers::announce(&self.edge, pace);
             }
         }
         let answered = said.request.as_deref();
--- a/crates/lw-place/examples/decision_cost.rs
+++ b/crates/lw-place/examples/decision_cost.rs
@@ -2,12 +2,12 @@
 //!
 //! `cargo run --release -p lw-place --example decision_cost`
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+#[path = "../tests/common/mod.rs"]
+mod common;
 
-use lw_catalog::{EngineSpec, Stage, Upstream, upstreams::LoadedModel};
+use std::time::{Duration, Instant};
+
+use common::{engine, ms};
 use lw_place::{Ask, Fleet, Part, Prompt};
 
 /// Requests at each engine, half of them with a first event.
@@ -17,51 +17,25 @@
 
 fn prompt(id: u64) -> Prompt {
     let parts = vec![Part { id, tokens: 13_000 }, Part { id: id + 1_000_000, tokens: 4_000 }];
-    Prompt { model: "m".into(), parts, tokens: 17_000, output_tokens: 20, ..Prompt::default() }
+    Prompt { parts, ..common::prompt("m") }
 }
 
 fn ask(prompt: &Prompt) -> Ask<'_> {
-    Ask {
-        prompt: Some(prompt),
-        spread: 7,
-        tried: &[],
-        peers: 80,
-        left: Duration::from_secs(6),
-        on_time: Duration::from_millis(500),
-        patience: Duration::MAX,
-        version_time: Duration::from_secs(10),
-    }
+    Ask { peers: 80, patience: Duration::MAX, ..common::ask(prompt) }
 }
 
 fn fleet(engines: u64) -> Fleet {
     let mut fleet = Fleet::new("a".into());
-    fleet.configure(Some(EngineSpec {
-        slots: 32,
-        cache_tokens: 180_000,
-        token_bytes: 18_432,
-        link_bits: 88e9,
-        tokens_per_event: 6,
-        event_calls_max: 12,
-        models: vec!["m".into()],
-    }));
+    fleet.configure(Some(common::spec()));
     for i in 0..engines {
-        fleet.put(&Arc::new(Upstream {
-            id: format!("e{i}"),
-            incarnation: 1,
-            service: "s".into(),
-            addr: ([10, 0, 0, 1], u16::try_from(i + 1).unwrap_or(u16::MAX)).into(),
-            failure_domain: "a".into(),
-            stage: Stage::Ready,
-            slots: 32,
-            models: vec![LoadedModel { model: "m".into(), version: 1 }],
-        }));
+        fleet.put(&engine(&format!("e{i}"), "m", 1));
     }
     for id in 0..engines * FLIGHTS {
         let prompt = prompt(id);
         if let Ok(choice) = fleet.choose(Duration::ZERO, &ask(&prompt)) {
             let (ticket, _) = fleet.sent(Duration::ZERO, &choice, Some(&prompt));
             if id % 2 == 0 {
-                fleet.started(Duration::from_millis(1), &choice.upstream.id, ticket);
+                fleet.started(ms(1), &choice.upstream.id, ticket);
             }
         }
     }
@@ -76,7 +50,7 @@
             .map(|id| {
                 let prompt = prompt(10_000_000 + id);
                 let begun = Instant::now();
-                let chosen = fleet.choose(Duration::from_millis(5), &ask(&prompt));
+                let chosen = fleet.choose(ms(5), &ask(&prompt));
                 assert!(chosen.is_ok(), "an engine takes it");
                 begun.elapsed()
             })
--- a/crates/lw-place/src/fleet/choose.rs
+++ b/crates/lw-place/src/fleet/choose.rs
@@ -6,7 +6,7 @@
 use lw_types::prelude::*;
 
 use super::{
-    Ask, Choice, Fleet, Member, Prompt, Refusal, member::as_f64, queue::New, source::Source,
+    Ask, Choice, Fleet, Member, Prompt, Refusal, member::as_f64, queue::NewRequest, source::Source,
 };
 use crate::{RANK_MAX, cache::PartKey, salt};
 
@@ -112,7 +112,7 @@
         let room = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
         let tokens = prompt.tokens + prompt.output_tokens;
         let wait = |rank: u8| {
-            let new = New { rank, tokens, peers: ask.peers };
+            let new = NewRequest { rank, tokens, peers: ask.peers };
             let wait = member.wait_ms(now, new, room).max(fetch);
             wait + member.delay_ms(now, wait + read, prompt.output_tokens)
         };
--- a/crates/lw-place/src/fleet/queue.rs
+++ b/crates/lw-place/src/fleet/queue.rs
@@ -51,7 +51,7 @@
 
 /// A request that is to be sent.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct New {
+pub(super) struct NewRequest {
     /// Rank, 0 is the most urgent.
     pub rank: u8,
     /// Memory that it takes, in tokens.
@@ -63,8 +63,8 @@
 impl Member {
     /// Milliseconds until a new request is being read, if the engine has memory for `room` tokens. Requests of lower
     /// rank yield at once. Infinite if it never can.
-    pub fn wait_ms(&self, now: Now, new: New, room: u64) -> f64 {
-        let New { rank, tokens, peers } = new;
+    pub fn wait_ms(&self, now: Now, new: NewRequest, room: u64) -> f64 {
+        let NewRequest { rank, tokens, peers } = new;
         let rivals: Vec<_> = self.flights.values().filter(|f| f.rank <= rank).collect();
         let mut queue = Queue { running: Vec::new(), free: room, read_ms: 0.0 };
         let mut shared = Vec::new();
