fix(lw-edge): give the lease back under the revision of its record

Cause: the hand-over was conditional on the keys of the issuer and of the record having the fencing number as their revision. A store may give each key of a transaction a revision of its own, as the stand-in does; the lease was then only ended, and the next issuer waited the whole time.

Conclusion: one condition on the record suffices, since whoever takes the lease writes it.

--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -85,12 +85,13 @@
 /// Removes the key of the issuer and records its last order, so that the next issuer waits no longer than it must.
 async fn release(edge: &Edge, term: &Term) -> Result<bool, Error> {
     let record = term.turns.record(edge.timer.now_suspended(), true);
-    // Both keys were written by the transaction whose revision is the fencing number.
-    let expected = [keys::ISSUER, keys::LAST_ISSUER]
-        .map(|key| Expected { key: key.into(), revision: term.fence });
+    // Whoever takes the lease writes this record, so that it is unchanged while nobody else has taken it.
+    let known = edge.known().own(keys::LAST_ISSUER).map(|item| item.revision);
+    let revision = known.filter(|known| *known >= term.fence).unwrap_or(term.fence);
+    let expected = vec![Expected { key: keys::LAST_ISSUER.into(), revision }];
     let write = KeyWrite { key: keys::LAST_ISSUER.into(), value: encode(&record)?, lease: 0 };
     let remove = vec![keys::ISSUER.to_owned()];
-    edge.counted("write", edge.store.write(expected.into(), vec![write], remove)).await?;
+    edge.counted("write", edge.store.write(expected, vec![write], remove)).await?;
     Ok(true)
 }
 
