fix(lw-forward,lw-edge): bound answers and events of upstreams

Cause: the body of a plain answer was collected and an event of a resumable stream was gathered without a bound on the size, so that one faulty upstream ends the process of a small VM.

What is longer counts as a broken answer: calls that may be repeated go on elsewhere, the others get 502; the connection is closed at once. The end of an event is looked for from where the last look ended, not from the beginning of the event.

Ruled out: heads, trailers and chunk extensions without end, and bytes after an answer; the HTTP library's bounds hold, shown by tests. The product's own interface has bounds on each of these already.

--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use http::Response;
-use http_body_util::BodyExt;
 use lw_catalog::Kind;
 use lw_limit::retry::{self, Carried};
 use lw_place::{Ask, Choice, Ended, Refusal};
@@ -195,19 +194,19 @@
         }
         let left = self.call.due.saturating_sub(self.edge.timer.now());
         let Running { head, body, attempt } = running;
-        let bytes = match tokio::time::timeout(left, body.collect()).await {
+        let bytes = match tokio::time::timeout(left, self.edge.room.collect(body)).await {
             Err(_) => {
                 attempt.end(Ended::Failed, "its body is late");
                 let text = "no whole answer before the deadline";
                 return Err(Failure::new(ResultCode::DeadlineExceeded, text));
             }
             Ok(Err(e)) => {
-                let why = format!("its body broke: {e}");
+                let why = e.to_string();
                 attempt.end(Ended::Failed, &why);
                 self.unknown(&why)?;
                 return Ok(None);
             }
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(bytes)) => bytes,
         };
         let may_repeat = self.call.route.kind == Kind::Idempotent && status.is_server_error();
         if may_repeat && self.sent < self.call.route.attempts {
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -65,12 +65,16 @@
                 Step::Bytes(bytes) => {
                     let ready = match &mut self.splitter {
                         Some(splitter) => splitter.push(&bytes),
-                        None => Some(bytes),
+                        None => Ok(Some(bytes)),
                     };
-                    if let Some(ready) = ready {
-                        self.driver.record.piece();
-                        self.passed_on += u64::try_from(ready.len()).unwrap_or(u64::MAX);
-                        return Ok(Some(ready));
+                    match ready {
+                        Ok(Some(ready)) => {
+                            self.driver.record.piece();
+                            self.passed_on += u64::try_from(ready.len()).unwrap_or(u64::MAX);
+                            return Ok(Some(ready));
+                        }
+                        Ok(None) => {}
+                        Err(e) => self.go_on(&e.to_string()).await?,
                     }
                 }
                 Step::Complete => {
@@ -80,19 +84,20 @@
                     self.driver.record.answered(self.status);
                     return Ok(None);
                 }
-                Step::Broken(why) => {
-                    if let Some((_, attempt)) = self.current.take() {
-                        attempt.end(Ended::Failed, &why);
-                    }
-                    if let Err(e) = self.resume(&why).await {
-                        self.driver.record.broke(&e.to_string(), self.passed_on);
-                        return Err(e);
-                    }
-                }
+                Step::Broken(why) => self.go_on(&why).await?,
             }
         }
     }
 
+    /// Ends the attempt, whose stream broke, and goes on with another one.
+    async fn go_on(&mut self, why: &str) -> Result<(), BodyError> {
+        if let Some((_, attempt)) = self.current.take() {
+            attempt.end(Ended::Failed, why);
+        }
+        let resumed = self.resume(why).await;
+        resumed.inspect_err(|e| self.driver.record.broke(&e.to_string(), self.passed_on))
+    }
+
     async fn step(&mut self) -> Step {
         let Some((body, attempt)) = &mut self.current else {
             return Step::Broken("no attempt".into());
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -12,7 +12,10 @@
 };
 
 use lw_catalog::{Catalog, ServiceKind, VmSettings, upstreams::Change};
-use lw_forward::pool::{self, Pool};
+use lw_forward::{
+    collect::Room,
+    pool::{self, Pool},
+};
 use lw_limit::retry;
 use lw_observe::{
     logs::Logs,
@@ -49,6 +52,8 @@
 /// Part of the time between the signal to terminate and the kill in which a leaving VM still takes requests. The
 /// balancer has taken it out by then, and most requests end in the rest.
 const TAKING_PART: f64 = 0.35;
+/// Part of the memory of this process for answers that are being collected: one in this many bytes.
+const ROOM_PART: u64 = 16;
 /// Messages about silent upstreams that a request may leave unread.
 const SILENT_KEPT: usize = 64;
 /// Part of the fleet's retry budget that the VMs use, since each counts for itself.
@@ -74,6 +79,8 @@
     known: Mutex<Known>,
     fleets: Mutex<HashMap<String, Fleet>>,
     budgets: Mutex<HashMap<String, retry::Budget>>,
+    /// Memory for answers that are being collected.
+    pub room: Room,
     /// Orders to engines.
     pub orders: Orders,
     datagrams: OnceLock<Arc<Datagrams>>,
@@ -132,6 +139,9 @@
             known: Mutex::default(),
             fleets: Mutex::default(),
             budgets: Mutex::default(),
+            room: Room::new(
+                usize::try_from(settings.memory_bytes / ROOM_PART).unwrap_or(usize::MAX),
+            ),
             orders: Orders::new(&settings.bounds),
             datagrams: OnceLock::new(),
             asked: peers::Asked::default(),
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -66,11 +66,19 @@
     }
 
     pub async fn start_with(bounds: Bounds) -> Self {
+        Self::start_with_settings(bounds, |settings| settings).await
+    }
+
+    /// Starts with further changes of the VM's settings.
+    pub async fn start_with_settings(
+        bounds: Bounds,
+        change: impl FnOnce(VmSettings) -> VmSettings,
+    ) -> Self {
         let store = Store::start().await.unwrap();
         store.put("op/config", &config(3));
         store.put(&format!("op/version/{MODEL}"), &json!({ "Model": MODEL, "Version": 1 }));
         let mut world = Self {
-            settings: settings("vm-1", &store, bounds),
+            settings: change(settings("vm-1", &store, bounds)),
             logs: logs(),
             store,
             engines: Vec::new(),
--- a/crates/lw-forward/src/events/mod.rs
+++ b/crates/lw-forward/src/events/mod.rs
@@ -1,39 +1,71 @@
 //! Splits a stream of server-sent events at the ends of events, without changing a byte.
 
 use bytes::{Buf, Bytes, BytesMut};
+use derive_more::{Display, Error};
+
+/// Longest event in bytes. Engines send a few tokens in one.
+pub const EVENT_MAX_BYTES: usize = 64 << 10;
+
+/// An event is longer than [`EVENT_MAX_BYTES`], so that these bytes are no stream of events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("an event of more than {EVENT_MAX_BYTES} bytes")]
+pub struct TooLong;
 
 /// Collects the bytes of a stream and gives them out by whole events.
 ///
 /// ```
 /// let mut splitter = lw_forward::events::Splitter::default();
-/// assert!(splitter.push(b"id: 7\ndata: a").is_none());
-/// assert_eq!(splitter.push(b"\n\nid: 8").unwrap(), "id: 7\ndata: a\n\n");
+/// assert_eq!(splitter.push(b"id: 7\ndata: a"), Ok(None));
+/// assert_eq!(splitter.push(b"\n\nid: 8").unwrap().unwrap(), "id: 7\ndata: a\n\n");
 /// assert_eq!(splitter.last_id(), Some(7));
 /// ```
 #[derive(Debug, Default)]
 pub struct Splitter {
     buf: BytesMut,
+    /// Beginning of the line after the last one that was looked at.
+    line_start: usize,
     last_id: Option<u64>,
 }
 
 impl Splitter {
     /// Adds bytes and returns the events that they complete, if any.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// [`TooLong`] when the event that has begun is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, TooLong> {
         self.buf.extend_from_slice(bytes);
         let mut end = 0;
-        while let Some(len) = event_len(&self.buf[end..]) {
-            let event = &self.buf[end..end + len];
-            if let Some(id) = event_id(event) {
+        while let Some(next) = self.event_end() {
+            if let Some(id) = event_id(&self.buf[end..next]) {
                 self.last_id = Some(id);
             }
-            end += len;
+            end = next;
+        }
+        if self.buf.len() - end > EVENT_MAX_BYTES {
+            return Err(TooLong);
         }
-        (end > 0).then(|| self.buf.copy_to_bytes(end))
+        self.line_start -= end;
+        Ok((end > 0).then(|| self.buf.copy_to_bytes(end)))
+    }
+
+    /// End of the next event with the empty line that ends it.
+    fn event_end(&mut self) -> Option<usize> {
+        while let Some(len) = self.buf[self.line_start..].iter().position(|byte| *byte == b'\n') {
+            let line = &self.buf[self.line_start..self.line_start + len];
+            let is_end = line.is_empty() || line == b"\r";
+            self.line_start += len + 1;
+            if is_end {
+                return Some(self.line_start);
+            }
+        }
+        None
     }
 
     /// Drops the beginning of an event that will not be completed.
     pub fn discard_rest(&mut self) {
         self.buf.clear();
+        self.line_start = 0;
     }
 
     /// Bytes after the last whole event.
@@ -49,19 +81,6 @@
     }
 }
 
-/// Length of the first event with the empty line that ends it.
-fn event_len(buf: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, _) in buf.iter().enumerate().filter(|(_, byte)| **byte == b'\n') {
-        let line = &buf[line_start..at];
-        if line.is_empty() || line == b"\r" {
-            return Some(at + 1);
-        }
-        line_start = at + 1;
-    }
-    None
-}
-
 fn event_id(event: &[u8]) -> Option<u64> {
     let line = event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
--- a/crates/lw-forward/src/pool/mod.rs
+++ b/crates/lw-forward/src/pool/mod.rs
@@ -43,6 +43,8 @@
     Never,
 }
 
+/// Largest head of an answer, and most bytes of an answer that are read ahead.
+const BUFFER_MAX_BYTES: usize = 64 << 10;
 /// Idle time up to which a connection is [`Reuse::Young`]. Upstreams whose idle time is below a second state none.
 const YOUNG: Duration = Duration::from_millis(400);
 
@@ -200,7 +202,9 @@
         let stream = stream.await.map_err(|_| Error::NotSent("connect timed out".into()))?;
         let stream = stream.map_err(not_sent)?;
         stream.set_nodelay(true).map_err(not_sent)?;
-        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_MAX_BYTES);
+        let shaken = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = shaken.map_err(|e| Error::NotSent(e.to_string()))?;
         let driver = tokio::spawn(async move {
             if let Err(e) = connection.await {
--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use tokio::{sync::Notify, time::Instant};
 
-use super::http::{Request, Server, Step, answer, serve};
+use super::http::{Request, Server, Step, answer, chunked_head, serve};
 
 /// Changes that are remembered for watches.
 const HISTORY: usize = 4096;
@@ -28,10 +28,15 @@
     Reset,
     /// It does not answer.
     Silent,
+    /// It sends an answer without end.
+    Endless,
     /// It carries out writes at once and answers them [`LATE_TIME`] later.
     LateWrites,
 }
 
+/// What [`Mode::Endless`] repeats.
+const ENDLESS_CHUNK: &[u8] = b"20\r\n{\"Events\":[{\"Key\":\"aaaaaaaaaaaaa\r\n";
+
 /// Delay of answers to writes in [`Mode::LateWrites`].
 pub const LATE_TIME: Duration = Duration::from_millis(400);
 
@@ -212,6 +217,7 @@
         Mode::Unavailable => return reply(503, &json!({})),
         Mode::Reset => return vec![Step::Reset],
         Mode::Silent => return silent(&shared).await,
+        Mode::Endless => return vec![chunked_head(200, &[]), Step::Repeat(ENDLESS_CHUNK)],
     }
     match (request.method.as_str(), request.path()) {
         ("GET", "/api/kv-range") => range(&shared, &request),
