feat(lw-edge,lw-daemon): read settings again at SIGHUP

They are now read again and checked as a whole. Bounds of drain, grace, revocation, versions and retries are taken at once; when anything else differs (names, addresses, limits, fencing) nothing is taken and the log names what needs a restart. Settings that cannot be read are refused with the values that are wrong, and the former ones stay in force.

--- a/crates/lw-catalog/src/settings.rs
+++ b/crates/lw-catalog/src/settings.rs
@@ -29,6 +29,68 @@
     pub bounds: Bounds,
 }
 
+impl VmSettings {
+    /// Names of the settings that differ from those in `new` and are in force only after a restart.
+    ///
+    /// ```
+    /// # let settings = lw_catalog::VmSettings::example();
+    /// let mut new = settings.clone();
+    /// new.bounds.grace *= 2;
+    /// assert!(settings.fixed_changes(&new).is_empty());
+    /// new.vm = "another".into();
+    /// assert_eq!(settings.fixed_changes(&new), ["name"]);
+    /// ```
+    #[must_use]
+    pub fn fixed_changes(&self, new: &Self) -> Vec<&'static str> {
+        let (old_bounds, bounds) = (&self.bounds, &new.bounds);
+        let rows = [
+            ("name", self.vm == new.vm),
+            ("failure domain", self.failure_domain == new.failure_domain),
+            ("address for callers", self.callers == new.callers),
+            ("address for readiness", self.readiness == new.readiness),
+            ("address for other VMs", self.peers == new.peers),
+            ("address for metrics", self.metrics == new.metrics),
+            ("address of the store", self.store == new.store),
+            ("memory", self.memory_bytes == new.memory_bytes),
+            ("sockets", self.sockets_max == new.sockets_max),
+            ("time between issuers", old_bounds.lease == bounds.lease),
+            ("fencing", old_bounds.is_fenced == bounds.is_fenced),
+            ("shortest lease", old_bounds.lease_min == bounds.lease_min),
+        ];
+        rows.into_iter().filter(|(_, is_same)| !is_same).map(|(name, _)| name).collect()
+    }
+
+    /// Settings for examples and tests.
+    #[must_use]
+    pub fn example() -> Self {
+        let addr = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let seconds = Duration::from_secs;
+        Self {
+            vm: "vm-1".into(),
+            failure_domain: "a".into(),
+            callers: addr(7400),
+            readiness: addr(7401),
+            peers: addr(7402),
+            metrics: None,
+            store: addr(7500),
+            memory_bytes: 64 << 20,
+            sockets_max: 1000,
+            bounds: Bounds {
+                drain: seconds(2),
+                grace: seconds(8),
+                revoke: seconds(5),
+                version: seconds(15),
+                lease: seconds(3),
+                is_fenced: true,
+                retry_ratio: 0.2,
+                retry_floor: 50,
+                retry_window: seconds(10),
+                lease_min: seconds(1),
+            },
+        }
+    }
+}
+
 /// Bounds that the deployment promises to its users.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
--- a/crates/lw-daemon/src/main.rs
+++ b/crates/lw-daemon/src/main.rs
@@ -42,10 +42,13 @@
             Ok(_) => print("the settings are valid\n"),
             Err(e) => usage(&e),
         },
-        Ok(Command::RunOnPlatform(port)) => match load_platform() {
-            Ok(settings) => serve_on_platform(with_metrics(settings, port), logs.clone()),
-            Err(e) => usage(&e),
-        },
+        Ok(Command::RunOnPlatform(port)) => {
+            let read = move || load_platform().map(|settings| with_metrics(settings, port));
+            match read() {
+                Ok(settings) => serve_on_platform(settings, logs.clone(), read),
+                Err(e) => usage(&e),
+            }
+        }
         Err(e) => usage(&format!("{e}\n\n{}", args::HELP)),
     }
 }
@@ -84,7 +87,11 @@
 }
 
 /// Runs on one thread, since the VMs of the platform have a part of one core.
-fn serve_on_platform(settings: VmSettings, logs: Logs) -> ExitCode {
+fn serve_on_platform(
+    settings: VmSettings,
+    logs: Logs,
+    read_again: impl Fn() -> Result<VmSettings, String>,
+) -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
@@ -92,7 +99,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(lw_edge::run::run(settings, logs)) {
+    match runtime.block_on(lw_edge::run::run(settings, logs, read_again)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("run: {e}");
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -128,7 +128,7 @@
 /// a restart, it counts as old until another VM tells its age.
 fn date(edge: &Edge, version: u64) -> Named {
     let now = edge.timer.now_suspended();
-    let unknown = edge.settings.bounds.version.mul_f64(UNDATED_PART);
+    let unknown = edge.bounds().version.mul_f64(UNDATED_PART);
     let age = edge.known().age(now).unwrap_or(Duration::MAX);
     Named { version, since: now.saturating_sub(age.min(unknown)), is_dated: age < unknown }
 }
@@ -144,7 +144,7 @@
         let rest = rest(edge);
         tokio::time::sleep(rest).await;
         // Two watches and the pause between them are as long as two watches without one.
-        let wait = edge.settings.bounds.revoke.mul_f64(WATCH_PART).min(WATCH_MAX);
+        let wait = edge.bounds().revoke.mul_f64(WATCH_PART).min(WATCH_MAX);
         let wait = wait.saturating_sub(rest / 2);
         let sent = edge.timer.now_suspended();
         match edge.counted("watch", edge.store.watch(EVERYTHING, revision, wait)).await {
@@ -163,7 +163,7 @@
 /// Pause before the next watch, in which further changes gather.
 fn rest(edge: &Edge) -> Duration {
     let vms = u32::try_from(edge.known().vms().count()).unwrap_or(u32::MAX);
-    let most = edge.settings.bounds.revoke.mul_f64(REST_PART);
+    let most = edge.bounds().revoke.mul_f64(REST_PART);
     REST_PER_VM.saturating_mul(vms).min(most)
 }
 
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -40,25 +40,41 @@
     Signal(std::io::Error),
 }
 
-/// Runs a VM until it gets the signal to terminate and is drained.
+/// Runs a VM until it gets the signal to terminate and is drained. At the signal to hang up the settings are read again.
 ///
 /// # Errors
 ///
 /// When an address cannot be bound.
-pub async fn run(settings: VmSettings, logs: Logs) -> Result<(), Error> {
+pub async fn run(
+    settings: VmSettings,
+    logs: Logs,
+    read_again: impl Fn() -> Result<VmSettings, String>,
+) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
     let vm = Vm::start(settings, logs).await?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => log::info!(target: "run", "settings changed"),
+            _ = hangup.recv() => reconfigure(&vm.edge, read_again()),
         }
     }
     vm.leave().await;
     Ok(())
 }
 
+/// Takes settings that were read again, or says why not.
+fn reconfigure(edge: &Edge, new: Result<VmSettings, String>) {
+    match new.and_then(|new| edge.reconfigure(&new)) {
+        Ok(()) => {
+            log::info!(target: "run", bounds = format!("{:?}", edge.bounds()); "settings taken")
+        }
+        Err(e) => {
+            log::warn!(target: "run", why = e.as_str(); "settings refused, the former ones stay in force")
+        }
+    }
+}
+
 /// A running VM; its tasks end when this is dropped.
 #[derive(Debug)]
 pub struct Vm {
@@ -154,7 +170,7 @@
     edge.leave();
     log::info!(target: "run", in_flight = edge.in_flight(); "leaving");
     orders::hand_over(edge).await;
-    let last = edge.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    let last = edge.bounds().grace.saturating_sub(GRACE_MARGIN);
     loop {
         tokio::time::sleep(LEAVE_POLL).await;
         let since = edge.timer.now().saturating_sub(started);
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -154,7 +154,7 @@
             on_time: target.saturating_sub(now),
             patience: self.call.route.patience(),
             suspended: self.edge.timer.now_suspended().saturating_sub(now),
-            version_time: self.edge.settings.bounds.version.saturating_sub(VERSION_MARGIN),
+            version_time: self.edge.bounds().version.saturating_sub(VERSION_MARGIN),
         };
         let chosen = self.edge.with_fleet(&self.call.service, |fleet| fleet.choose(now, &ask));
         let chosen = chosen.ok_or_else(|| self.refused("the service is not known"))?;
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -176,7 +176,7 @@
         return Ok(None);
     }
     let now = edge.timer.now_suspended();
-    if !edge.known().may_use_keys(now, edge.settings.bounds.revoke) {
+    if !edge.known().may_use_keys(now, edge.bounds().revoke) {
         let text = "the knowledge about API keys is too old";
         return Err(Failure::new(ResultCode::NotReady, text).retry_after(UNREADY));
     }
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use lw_catalog::{Catalog, ServiceKind, VmSettings, upstreams::Change};
+use lw_catalog::{Catalog, ServiceKind, VmSettings, settings::Bounds, upstreams::Change};
 use lw_forward::{
     collect::Room,
     pool::{self, Pool},
@@ -62,8 +62,9 @@
 /// What all requests and tasks of a VM share.
 #[derive(Debug)]
 pub struct Edge {
-    /// Settings of this VM.
+    /// Settings of this VM when it started.
     pub settings: VmSettings,
+    bounds: Mutex<Bounds>,
     /// Time and ticks.
     pub timer: Timer,
     /// Connections to upstreams.
@@ -147,11 +148,36 @@
             asked: peers::Asked::default(),
             silent: broadcast::Sender::new(SILENT_KEPT),
             leaving_since: OnceLock::new(),
+            bounds: Mutex::new(settings.bounds),
             in_flight: AtomicUsize::new(0),
             settings,
         }
     }
 
+    /// The bounds in force.
+    #[must_use]
+    pub fn bounds(&self) -> Bounds {
+        *lock(&self.bounds)
+    }
+
+    /// Takes settings that were read again, as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Names the settings that are in force only after a restart; nothing is taken then.
+    pub fn reconfigure(&self, new: &VmSettings) -> Result<(), String> {
+        let fixed = self.settings.fixed_changes(new);
+        if !fixed.is_empty() {
+            return Err(format!("a restart is needed to change: {}", fixed.join(", ")));
+        }
+        let old = std::mem::replace(&mut *lock(&self.bounds), new.bounds);
+        let retries = |bounds: &Bounds| (bounds.retry_ratio.to_bits(), bounds.retry_window);
+        if retries(&old) != retries(&new.bounds) {
+            lock(&self.budgets).clear();
+        }
+        Ok(())
+    }
+
     /// What the store said.
     pub fn known(&self) -> MutexGuard<'_, Known> {
         lock(&self.known)
@@ -172,7 +198,7 @@
         let vms = u64::try_from(self.known().vms_max()).unwrap_or(u64::MAX);
         let mut budgets = lock(&self.budgets);
         let own = |budget: &mut retry::Budget| {
-            budget.set_min_retries(self.settings.bounds.retry_floor / vms.max(1));
+            budget.set_min_retries(self.bounds().retry_floor / vms.max(1));
             work(budget)
         };
         if let Some(budget) = budgets.get_mut(service) {
@@ -189,7 +215,7 @@
     }
 
     fn new_budget(&self) -> retry::Budget {
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds();
         retry::Budget::new(retry::Options {
             ratio: bounds.retry_ratio * BUDGET_PART,
             hedge_ratio: bounds.retry_ratio * BUDGET_PART,
@@ -304,7 +330,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let now = self.timer.now_suspended();
-        !self.is_leaving() && self.known().may_use_keys(now, self.settings.bounds.revoke)
+        !self.is_leaving() && self.known().may_use_keys(now, self.bounds().revoke)
     }
 
     /// Whether this VM is leaving.
@@ -316,7 +342,7 @@
     /// Whether this VM is leaving and its end is too near for further requests.
     #[must_use]
     pub fn is_closed(&self) -> bool {
-        let last = self.settings.bounds.grace.mul_f64(TAKING_PART);
+        let last = self.bounds().grace.mul_f64(TAKING_PART);
         self.leaving_since.get().is_some_and(|since| self.timer.now() >= *since + last)
     }
 
