feat(lw-edge): a few VMs of each failure domain follow the store, the others ask them

Change: lw_edge::spread. With 20 VMs or more, the two highest of each failure domain by hash follow the store and the others ask one of them; when both fail, lag or know too little, a VM goes on at the store from its own revision, one after the other. Ages count from when a question was sent, plus the time for which it was held. A VM of a small fleet whose store turns it away asks as well. Authentication codes of datagrams serve for these messages too. After a failed call the watch goes on from the known revision instead of reading everything anew. What one VM does for all at a start (the key of the messages, the first issuer) is tried with a delay by hash; registration backs off.

--- a/crates/lw-catalog/src/upstreams/mod.rs
+++ b/crates/lw-catalog/src/upstreams/mod.rs
@@ -90,6 +90,12 @@
         self.upstreams.get(id)
     }
 
+    /// Whether the entry of an upstream vanished, and may come back.
+    #[must_use]
+    pub fn is_lapsed(&self, id: &str) -> bool {
+        self.lapsed.contains_key(id)
+    }
+
     /// All upstreams, also leaving ones.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.upstreams.values()
--- a/crates/lw-edge/src/lib.rs
+++ b/crates/lw-edge/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod register;
 pub mod run;
 pub mod serve;
+pub mod spread;
 pub mod state;
--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -10,9 +10,12 @@
 use lw_types::prelude::*;
 
 use super::Term;
-use crate::state::{
-    Edge, OwnItem,
-    keys::{self, LastIssuer},
+use crate::{
+    register,
+    state::{
+        Edge, OwnItem,
+        keys::{self, LastIssuer},
+    },
 };
 
 /// VMs that try at once to get the lease when nobody holds it.
@@ -22,7 +25,7 @@
 /// Pause between two looks whether the open orders of a leaving issuer were answered.
 const QUIET_POLL: Duration = Duration::from_millis(10);
 /// Time for which a leaving issuer waits for these answers: the timeout of a call and its connection.
-const QUIET_MAX: Duration = Duration::from_millis(1000);
+const QUIET_MAX: Duration = Duration::from_secs(1);
 
 /// This VM tries to hold the lease if it holds it, or if nobody does and few VMs come before it. The longer the lease
 /// is free the more VMs try, since those before may not reach the store.
@@ -38,9 +41,14 @@
     }
     if known.own(keys::ISSUER).is_some() {
         state.free_since = None;
+        state.has_seen_issuer = true;
         return false;
     }
     let free = now.saturating_sub(*state.free_since.get_or_insert(now));
+    let is_start = !state.has_seen_issuer && !known.own(keys::LAST_ISSUER).is_some_and(is_released);
+    if is_start && free < register::first_delay(&edge.settings.vm) {
+        return false;
+    }
     // VMs restart in turn, so the one whose process is the youngest has the most time left. A VM that is not registered
     // yet is younger than all others.
     let own = known.registered_at(&edge.settings.vm).unwrap_or(Revision::MAX);
@@ -50,6 +58,10 @@
     before < CANDIDATES + usize::try_from(more).unwrap_or(usize::MAX)
 }
 
+fn is_released(item: &OwnItem) -> bool {
+    serde_json::from_slice::<LastIssuer>(&item.value).is_ok_and(|last| last.is_released())
+}
+
 /// Gives the lease back once no order is open, so that another VM can go on at once and knows how long to wait.
 pub async fn hand_over(edge: &Edge) {
     edge.orders.issuer().set_eligible(false);
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -68,6 +68,8 @@
     reports: u64,
     /// Since when nobody holds the lease.
     free_since: Option<Now>,
+    /// Whether this process has known any VM to hold it.
+    has_seen_issuer: bool,
     /// Engines that are loading as far as they said.
     loading: HashMap<UpstreamId, bool>,
     /// Time from the last order that took effect to the end of its load, which grows while too many load at once.
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -12,7 +12,7 @@
     task::JoinSet,
 };
 
-use crate::{feeds, follow, observe, orders, peers, register, serve, state::Edge};
+use crate::{feeds, follow, observe, orders, peers, register, serve, spread, state::Edge};
 
 /// Time before the kill at which a leaving VM ends, whatever is still open.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
@@ -67,10 +67,12 @@
 fn reconfigure(edge: &Edge, new: Result<VmSettings, String>) {
     match new.and_then(|new| edge.reconfigure(&new)) {
         Ok(()) => {
-            log::info!(target: "run", bounds = format!("{:?}", edge.bounds()); "settings taken")
+            let bounds = format!("{:?}", edge.bounds());
+            log::info!(target: "run", bounds = bounds; "settings taken");
         }
         Err(e) => {
-            log::warn!(target: "run", why = e.as_str(); "settings refused, the former ones stay in force")
+            log::warn!(target: "run", why = e.as_str();
+                "settings refused, the former ones stay in force");
         }
     }
 }
@@ -102,6 +104,7 @@
         tasks.spawn(follow::run(Arc::clone(&edge)));
         tasks.spawn(register::run(Arc::clone(&edge)));
         tasks.spawn(peers::run(Arc::clone(&edge)));
+        tasks.spawn(serve_peers(Arc::clone(&edge), bind(edge.settings.peers).await?));
         tasks.spawn(feeds::run(Arc::clone(&edge)));
         tasks.spawn(orders::run(Arc::clone(&edge)));
         tasks.spawn(sweep(Arc::clone(&edge)));
@@ -149,6 +152,14 @@
     listen::serve(listener, Connections::default(), few_connections, answer).await;
 }
 
+/// Every other VM of the failure domain may ask this one, and a few more may do so while they look for another source.
+async fn serve_peers(edge: Arc<Edge>, listener: TcpListener) {
+    let connections_max = edge.settings.sockets_max / 8;
+    let options = move || listen::Options { connections_max, ..few_connections() };
+    let answer = move |req| spread::answer(Arc::clone(&edge), req);
+    listen::serve(listener, Connections::default(), options, answer).await;
+}
+
 async fn serve_readiness(edge: Arc<Edge>, listener: TcpListener) {
     let answer = move |req| serve::readiness(Arc::clone(&edge), req);
     listen::serve(listener, Connections::default(), few_connections, answer).await;
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -233,11 +233,12 @@
         if !said.request.as_deref().is_none_or(is_own) {
             return;
         }
-        if said.is_leaving && self.edge.upstream_leaves(&upstream.id, upstream.incarnation) {
+        if said.further.is_leaving && self.edge.upstream_leaves(&upstream.id, upstream.incarnation)
+        {
             peers::announce(&self.edge, Announcement::Leaving(upstream));
         }
         let is_refusal = head.status == http::StatusCode::SERVICE_UNAVAILABLE;
-        if let Some(time) = said.retry_after.filter(|_| is_refusal) {
+        if let Some(time) = said.further.pause.filter(|_| is_refusal) {
             let until = self.edge.timer.now() + time;
             self.edge.with_fleet(&self.call.service, |fleet| fleet.close(&upstream.id, until));
             log::info!(target: "route", upstream = upstream.id.as_str(), ms = millis(time);
--- a/crates/lw-edge/src/state/keys.rs
+++ b/crates/lw-edge/src/state/keys.rs
@@ -42,6 +42,14 @@
     age_ms: u64,
 }
 
+impl LastIssuer {
+    /// Whether it gave the lease back.
+    #[must_use]
+    pub fn is_released(&self) -> bool {
+        self.is_released
+    }
+}
+
 impl From<&Record> for LastIssuer {
     fn from(record: &Record) -> Self {
         let last = |last: &LastOrder| LastOrderWire {
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -39,7 +39,7 @@
 
 pub use known::{Known, Named, OwnItem};
 
-use crate::{orders::Orders, peers};
+use crate::{orders::Orders, peers, spread::Spread};
 
 /// Time to establish a connection to an upstream or the store. Failure domains are a few milliseconds apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -71,6 +71,10 @@
     pub pool: Arc<Pool>,
     /// The platform's store.
     pub store: Store,
+    /// Calls to the store, to engines and to other VMs.
+    pub clients: Arc<Clients>,
+    /// Changes of the store for other VMs.
+    pub spread: Spread,
     /// Calls to engines.
     pub engines: Engines,
     /// Counters and times.
@@ -134,7 +138,9 @@
             timer: Timer::default(),
             pool,
             store: Store::new(Arc::clone(&clients), settings.store, CALL_TIMEOUT),
-            engines: Engines::new(clients, CALL_TIMEOUT),
+            engines: Engines::new(Arc::clone(&clients), CALL_TIMEOUT),
+            clients,
+            spread: Spread::default(),
             metrics: Metrics::default(),
             logs,
             known: Mutex::default(),
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -9,7 +9,7 @@
 };
 
 use lw_catalog::{VmSettings, settings::Bounds};
-use lw_edge::run::Vm;
+use lw_edge::{run::Vm, state::Edge};
 use lw_observe::logs::{Logs, Options};
 use lw_standin::{
     hosted::{
@@ -27,6 +27,7 @@
     Duration::from_millis(ms)
 }
 
+#[allow(unused_imports, reason = "each test file uses a part")]
 pub use lw_standin::hosted::{
     caller::{Outgoing, Reply, get, request, send},
     operator::config,
@@ -114,6 +115,13 @@
         }
     }
 
+    /// Waits until the first VM and another one know and can reach each other.
+    pub async fn joined(&self, second: &Vm) {
+        let first = &self.vm.as_ref().expect("the first VM runs").edge;
+        let talks = |edge: &Edge| edge.datagrams().is_some() && edge.known().vms().count() == 2;
+        self.until("the VMs know each other", async |_| talks(first) && talks(&second.edge)).await;
+    }
+
     /// Settings of a further VM.
     pub fn another(&self, vm: &str) -> VmSettings {
         VmSettings { metrics: None, ..settings(vm, &self.store, self.settings.bounds) }
--- a/crates/lw-edge/tests/endless.rs
+++ b/crates/lw-edge/tests/endless.rs
@@ -7,7 +7,10 @@
 use std::time::Instant;
 
 use common::{World, ms, request};
-use lw_standin::hosted::{store::Mode, upstream::Behaviour};
+use lw_standin::hosted::{
+    store::Mode,
+    upstream::{Behaviour, Upstream},
+};
 use ways::{CHUNKED, UNFRAMED, WHOLE, chunk, ways};
 
 /// Time from the bound to the end of the connection.
@@ -15,7 +18,7 @@
 async fn closed(world: &World) {
     let ended = Instant::now();
     let open = |world: &World| {
-        world.servers.iter().chain(&world.engines).map(|server| server.open()).sum::<usize>()
+        world.servers.iter().chain(&world.engines).map(Upstream::open).sum::<usize>()
     };
     // Calls for cache events wait at the engines.
     world
--- a/crates/lw-edge/tests/registry.rs
+++ b/crates/lw-edge/tests/registry.rs
@@ -130,11 +130,7 @@
 async fn an_upstream_that_says_so_in_an_answer_gets_no_further_work() {
     let world = World::start().await;
     let second = Vm::start(world.another("vm-2"), world.logs.clone()).await.unwrap();
-    let knows = async |_: &World| {
-        let known = second.edge.known();
-        known.vms().count() == 2 && known.catalog().is_some()
-    };
-    world.until("the VMs know each other", knows).await;
+    world.joined(&second).await;
     let is_open = |vm: &Vm| {
         let known = vm.edge.known();
         known.directory.get("desk-1").is_some_and(|desk| desk.stage == Stage::Ready)
--- a/crates/lw-order/tests/turns.rs
+++ b/crates/lw-order/tests/turns.rs
@@ -191,7 +191,9 @@
 /// Plays a schedule that a generated run failed with.
 fn orders_of(steps: &[Step]) -> Vec<(u64, usize)> {
     let mut world = World { vms: (0..VMS).map(|_| Vm::default()).collect(), ..World::default() };
-    steps.iter().for_each(|step| world.step(step));
+    for step in steps {
+        world.step(step);
+    }
     world.orders
 }
 
--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::{BTreeMap, HashMap},
     io,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -73,7 +76,46 @@
     server: Server,
 }
 
+/// Another address of a store, at which it can turn callers away while it serves the others.
+#[derive(Debug)]
+pub struct Door {
+    is_open: Arc<AtomicBool>,
+    server: Server,
+}
+
+impl Door {
+    /// The address.
+    #[must_use]
+    pub fn addr(&self) -> std::net::SocketAddr {
+        self.server.addr
+    }
+
+    /// Serves callers here, or answers 503.
+    pub fn set_open(&self, is_open: bool) {
+        self.is_open.store(is_open, Ordering::Release);
+    }
+}
+
 impl Store {
+    /// Opens another address.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn door(&self) -> io::Result<Door> {
+        let is_open = Arc::new(AtomicBool::new(true));
+        let (app, open) = (Arc::clone(&self.shared), Arc::clone(&is_open));
+        let server = serve(move |request| {
+            let (app, open) = (Arc::clone(&app), Arc::clone(&open));
+            async move {
+                // A watch that waits when callers are turned away is cut.
+                let steps = call(app, request).await;
+                if open.load(Ordering::Acquire) { steps } else { reply(503, &json!({})) }
+            }
+        });
+        Ok(Door { is_open, server: server.await? })
+    }
+
     /// Starts an empty store.
     ///
     /// # Errors
--- a/crates/lw-transport/src/auth.rs
+++ b/crates/lw-transport/src/auth.rs
@@ -1,8 +1,13 @@
-//! Comparison of secrets and reading of bearer tokens.
+//! Comparison of secrets, reading of bearer tokens, and authentication codes of messages.
 
+use hmac::{Hmac, Mac};
 use http::HeaderMap;
+use sha2::Sha256;
 use subtle::ConstantTimeEq;
 
+/// Length of an authentication code, the first half of an HMAC-SHA256.
+const CODE_BYTES: usize = 16;
+
 /// Compares two secrets in time that does not depend on where they differ.
 ///
 /// ```
@@ -27,3 +32,33 @@
         headers.get(http::header::AUTHORIZATION)?.to_str().ok()?.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then_some(token.trim())
 }
+
+/// Puts an authentication code before a message.
+///
+/// ```
+/// use lw_transport::auth::{open, seal};
+/// let sealed = seal(b"key", b"message");
+/// assert_eq!(open(b"key", &sealed), Some(&b"message"[..]));
+/// assert_eq!(open(b"another", &sealed), None);
+/// ```
+#[must_use]
+pub fn seal(key: &[u8], message: &[u8]) -> Vec<u8> {
+    let mut sealed = Vec::with_capacity(message.len() + CODE_BYTES);
+    sealed.extend_from_slice(&code(key, message).finalize().into_bytes()[..CODE_BYTES]);
+    sealed.extend_from_slice(message);
+    sealed
+}
+
+/// The message behind its authentication code, if the code is right.
+#[must_use]
+pub fn open<'a>(key: &[u8], sealed: &'a [u8]) -> Option<&'a [u8]> {
+    let (code_bytes, message) = sealed.split_at_checked(CODE_BYTES)?;
+    code(key, message).verify_truncated_left(code_bytes).is_ok().then_some(message)
+}
+
+fn code(key: &[u8], message: &[u8]) -> Hmac<Sha256> {
+    let mut code = Hmac::<Sha256>::new_from_slice(key)
+        .unwrap_or_else(|e| unreachable!("HMAC takes keys of any length: {e}"));
+    code.update(message);
+    code
+}
--- a/crates/lw-transport/src/datagram/mod.rs
+++ b/crates/lw-transport/src/datagram/mod.rs
@@ -6,14 +6,12 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
-use hmac::{Hmac, Mac};
-use sha2::Sha256;
 use tokio::net::UdpSocket;
 
+use crate::auth;
+
 /// Largest datagram that is received, in bytes.
 const DATAGRAM_MAX_BYTES: usize = 16 << 10;
-/// Length of the authentication code, the first half of an HMAC-SHA256.
-const CODE_BYTES: usize = 16;
 
 /// Why a datagram could not be sent or received.
 #[derive(Debug, Display, Error, From)]
@@ -61,10 +59,7 @@
     /// A message with its code, for [`Datagrams::try_send`] to several receivers.
     #[must_use]
     pub fn seal(&self, message: &[u8]) -> Vec<u8> {
-        let mut datagram = Vec::with_capacity(message.len() + CODE_BYTES);
-        datagram.extend_from_slice(&self.code(message).finalize().into_bytes()[..CODE_BYTES]);
-        datagram.extend_from_slice(message);
-        datagram
+        auth::seal(&self.key, message)
     }
 
     /// Sends a sealed message if the system takes it at once.
@@ -87,21 +82,10 @@
         loop {
             // An unreachable peer of an earlier send shows up here and concerns no received message.
             let Ok((len, from)) = self.socket.recv_from(&mut buf).await else { continue };
-            if len < CODE_BYTES {
-                continue;
-            }
-            let (code, message) = buf[..len].split_at(CODE_BYTES);
-            if self.code(message).verify_truncated_left(code).is_ok() {
+            if let Some(message) = auth::open(&self.key, &buf[..len]) {
                 return Ok(Bytes::copy_from_slice(message));
             }
             log::warn!("member: datagram from {from} has a wrong authentication code");
         }
     }
-
-    fn code(&self, message: &[u8]) -> Hmac<Sha256> {
-        let mut code = Hmac::<Sha256>::new_from_slice(&self.key)
-            .unwrap_or_else(|e| unreachable!("HMAC takes keys of any length: {e}"));
-        code.update(message);
-        code
-    }
 }
