--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -37,6 +37,10 @@
     Torn(u64),
     /// It sends events with a pause before each.
     Paced(Duration),
+    /// It begins a stream and sends one byte after each pause, without the end of an event.
+    Drip(Duration),
+    /// It sends this many bytes of its answer and closes the connection.
+    CutAt(usize),
     /// It sends an answer of another request.
     Foreign,
     /// It answers twice.
@@ -119,6 +123,8 @@
 pub const MODEL: &str = "m";
 /// Time of a load of weights, unless another is set.
 const LOAD_TIME: Duration = Duration::from_millis(200);
+/// Bytes of [`Behaviour::Drip`]; far more than any deadline lets through.
+const DRIP_MAX: usize = 1000;
 /// Events of one stream.
 pub const EVENTS: u64 = 5;
 
@@ -326,6 +332,20 @@
         Behaviour::Reset => vec![Step::Reset],
         Behaviour::Torn(events) => torn(*events, headers, request),
         Behaviour::Paced(pause) => stream(headers, request, *pause),
+        Behaviour::Drip(pause) => {
+            let drops = (0..DRIP_MAX).flat_map(|_| [Step::Wait(*pause), chunk(b"a")]);
+            [chunked_head(200, headers)].into_iter().chain(drops).collect()
+        }
+        Behaviour::CutAt(bytes) => {
+            let mut sent: Vec<u8> = Vec::new();
+            for step in sound() {
+                if let Step::Send(bytes) = step {
+                    sent.extend(bytes);
+                }
+            }
+            sent.truncate(*bytes);
+            vec![Step::Send(sent), Step::Close]
+        }
         Behaviour::Foreign => {
             let other = [("x-attempt-id", "another"), ("x-response-seal", "another")];
             answer(200, &other, b"another")
