perf(lw-edge): one VM of each other failure domain passes announcements on

Change: announcements of requests go to one VM of each other failure domain with four VMs or more, chosen by a hash of the request's number so that its messages take one way; it passes them on within its failure domain, where bytes cost nothing. Holds, silent engines and leaving upstreams still go to all directly.

Ruled out: requests that are placed elsewhere; the amount did not follow them.

--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -11,8 +11,10 @@
 
 use crate::state::{Edge, keys};
 
+pub mod route;
 mod versions;
 
+use route::Recipient;
 pub use versions::Asked;
 
 /// Pause between two looks whether the key of the messages is known.
@@ -25,6 +27,8 @@
     pub vm: VmId,
     /// What it says.
     pub news: News,
+    /// Whether the receiver passes it on to the VMs of its failure domain.
+    pub passes_on: bool,
 }
 
 /// An attempt as it is announced.
@@ -172,7 +176,12 @@
     loop {
         match datagrams.receive().await {
             Ok(bytes) => match rmp_serde::from_slice::<Message>(&bytes) {
-                Ok(message) => take(edge, &message),
+                Ok(message) => {
+                    take(edge, &message);
+                    if message.passes_on {
+                        pass_on(edge, message);
+                    }
+                }
                 Err(e) => log::warn!(target: "member", why = e.to_string(); "unreadable message"),
             },
             Err(e) => {
@@ -239,66 +248,98 @@
 
 /// Announces an attempt to the other VMs without waiting; a message that cannot be sent now is left out.
 pub fn announce(edge: &Edge, announcement: Announcement<'_>) {
-    let news = match announcement {
-        Announcement::Sent(sent) => News::Sent(sent.into()),
+    let (news, way) = match announcement {
+        Announcement::Sent(sent) => (News::Sent(sent.into()), Way::PassedOn(sent.ticket)),
         Announcement::Started(upstream, ticket) => {
-            News::Started { upstream: upstream.to_owned(), ticket }
+            (News::Started { upstream: upstream.to_owned(), ticket }, Way::PassedOn(ticket))
         }
         Announcement::Ended(upstream, ticket, how) => {
             let is_complete = how == Ended::Complete;
-            News::Ended { upstream: upstream.to_owned(), ticket, is_complete }
+            let upstream = upstream.to_owned();
+            (News::Ended { upstream, ticket, is_complete }, Way::PassedOn(ticket))
         }
         Announcement::Pace(upstream, percent) => {
             let news = News::Pace { upstream: upstream.id.clone(), percent };
-            return send(edge, news, Some(&upstream.failure_domain));
+            (news, Way::Domain(&upstream.failure_domain))
         }
         Announcement::Leaving(upstream) => {
-            News::Leaving { upstream: upstream.id.clone(), incarnation: upstream.incarnation }
+            let (upstream, incarnation) = (upstream.id.clone(), upstream.incarnation);
+            (News::Leaving { upstream, incarnation }, Way::Direct)
         }
     };
-    send(edge, news, None);
+    send(edge, news, way);
 }
 
 /// Tells the other VMs, and takes the news itself.
 pub fn tell(edge: &Edge, news: News) {
-    take(edge, &Message { vm: edge.settings.vm.clone(), news: news.clone() });
-    send(edge, news, None);
+    let vm = edge.settings.vm.clone();
+    take(edge, &Message { vm, news: news.clone(), passes_on: false });
+    send(edge, news, Way::Direct);
 }
 
-/// Sends to the VMs of one failure domain, or to all.
-fn send(edge: &Edge, news: News, domain: Option<&Domain>) {
-    let Some((datagrams, datagram)) = seal(edge, news) else { return };
-    let is_meant = |of: &Domain| domain.is_none_or(|domain| domain == of);
-    for (vm, entry) in edge.known().vms() {
-        if *vm == edge.settings.vm || !is_meant(&entry.failure_domain) {
-            continue;
+/// Ways of a message to other VMs.
+#[derive(Debug, Clone, Copy)]
+enum Way<'a> {
+    /// To each VM directly: it is rare and must arrive soon.
+    Direct,
+    /// To the VMs of one failure domain.
+    Domain(&'a Domain),
+    /// To one VM of each other failure domain, which passes it on. Messages with the same subject take the same way.
+    PassedOn(u64),
+}
+
+fn send(edge: &Edge, news: News, way: Way<'_>) {
+    let (own, domain) = (&edge.settings.vm, &edge.settings.failure_domain);
+    let recipients = {
+        let known = edge.known();
+        match way {
+            Way::Direct => {
+                let others = known.vms().filter(|(vm, _)| *vm != own);
+                let to = |addr| Recipient { addr, passes_on: false };
+                others.map(|(_, entry)| to(entry.addr)).collect()
+            }
+            Way::Domain(domain) => route::to_domain(own, domain, known.vms()),
+            Way::PassedOn(subject) => route::to_all(own, domain, subject, known.vms()),
         }
-        try_send(edge, datagrams, entry.addr, &datagram);
-    }
+    };
+    send_message(edge, Message { vm: own.clone(), news, passes_on: false }, &recipients);
 }
 
 /// Sends to one VM.
 fn send_to(edge: &Edge, addr: SocketAddr, news: News) {
-    if let Some((datagrams, datagram)) = seal(edge, news) {
-        try_send(edge, datagrams, addr, &datagram);
-    }
+    let message = Message { vm: edge.settings.vm.clone(), news, passes_on: false };
+    send_message(edge, message, &[Recipient { addr, passes_on: false }]);
 }
 
-fn seal(edge: &Edge, news: News) -> Option<(&Arc<Datagrams>, Vec<u8>)> {
-    let message = Message { vm: edge.settings.vm.clone(), news };
-    let datagrams = edge.datagrams()?;
-    match rmp_serde::to_vec(&message) {
-        Ok(bytes) => {
-            let datagram = datagrams.seal(&bytes);
-            Some((datagrams, datagram))
+fn send_message(edge: &Edge, mut message: Message, recipients: &[Recipient]) {
+    let Some(datagrams) = edge.datagrams() else { return };
+    for passes_on in [false, true] {
+        let mut recipients = recipients.iter().filter(|to| to.passes_on == passes_on).peekable();
+        if recipients.peek().is_none() {
+            continue;
         }
-        Err(e) => {
-            log::error!(target: "member", why = e.to_string(); "message not encoded");
-            None
+        message.passes_on = passes_on;
+        let bytes = match rmp_serde::to_vec(&message) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::error!(target: "member", why = e.to_string(); "message not encoded");
+                return;
+            }
+        };
+        let datagram = datagrams.seal(&bytes);
+        for to in recipients {
+            try_send(edge, datagrams, to.addr, &datagram);
         }
     }
 }
 
+/// Passes a message from another failure domain on to the VMs of this one.
+fn pass_on(edge: &Edge, message: Message) {
+    let (own, domain) = (&edge.settings.vm, &edge.settings.failure_domain);
+    let recipients = route::to_domain(own, domain, edge.known().vms());
+    send_message(edge, message, &recipients);
+}
+
 fn try_send(edge: &Edge, datagrams: &Datagrams, addr: SocketAddr, datagram: &[u8]) {
     let sent = datagrams.try_send(addr, datagram);
     let kind = if sent.is_ok() { "sent" } else { "lost" };
