fix(lw-edge): a follower that the store turns away asks without a rush and without a gap

Cause, found on reading: a follower without the store asked another VM with no wait, so that it asked again at once for as long as the store was not to be tried. With that mended the test of a VM without the store failed: knowledge of a VM of a small fleet is up to 0.6 of the revocation time old, which counted as lagging, and the other VM was then not asked for 2 s; and a store that hangs kept the VM from asking for a whole watch.

Change: a question waits until the store is tried again; a follower without the store takes what others know, however old; the first watch after a failed call waits 1 ms. The stand-in's second address refuses at once.

--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -41,6 +41,8 @@
 const GROWING: usize = 3;
 /// Pause after a failed call to the store.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Time for which the first watch after a failed call waits.
+const PROBE_WAIT: Duration = Duration::from_millis(1);
 /// All keys, so that one watch hears of everything.
 const EVERYTHING: &str = "";
 
@@ -81,7 +83,13 @@
         match self.next() {
             Source::Store => {
                 let before = self.edge.known().vms_max();
-                let watched = watch(&self.edge, revision, self.is_growing).await;
+                // A store that may hang must not keep this VM from asking others.
+                let rhythm = if self.plan.is_store_lost() {
+                    (Duration::ZERO, PROBE_WAIT)
+                } else {
+                    rhythm(&self.edge, self.is_growing)
+                };
+                let watched = watch(&self.edge, revision, rhythm).await;
                 self.is_growing = self.edge.known().vms_max() >= before + GROWING;
                 self.revision = Some(watched?);
                 self.plan.store_answered();
@@ -110,8 +118,8 @@
         let edge = Arc::clone(&self.edge);
         let addr = edge.known().vms().find(|(id, _)| **id == vm).map(|(_, entry)| entry.addr);
         let Some(addr) = addr else { return };
-        // A follower only looks whether the store answers the other VM.
-        let wait = if self.is_follower() { Duration::ZERO } else { spread::WAIT };
+        let is_follower = self.is_follower();
+        let wait = self.plan.ask_wait(edge.timer.now(), is_follower, spread::WAIT);
         let told = spread::ask(&edge, addr, after, wait).await;
         let now = edge.timer.now();
         match told {
@@ -121,7 +129,7 @@
                 edge.known().confirm(confirmed);
                 self.revision = Some(revision);
                 let age = edge.known().age(edge.timer.now_suspended());
-                self.plan.answered(now, &vm, age, edge.bounds().revoke);
+                self.plan.answered(now, &vm, is_follower, age, edge.bounds().revoke);
                 self.heard_from(Source::Vm(vm));
             }
             Ok(Told::Unknown) => {
@@ -260,13 +268,12 @@
         why = e.to_string(); "unreadable item");
 }
 
-/// Watches once for changes after a revision; returns the next one.
+/// Watches once for changes after a revision, after a pause and for a time; returns the next revision.
 async fn watch(
     edge: &Edge,
     revision: Revision,
-    is_growing: bool,
+    (rest, wait): (Duration, Duration),
 ) -> Result<Revision, store::Error> {
-    let (rest, wait) = rhythm(edge, is_growing);
     tokio::time::sleep(rest).await;
     let sent = edge.timer.now_suspended();
     let batch = edge.counted("watch", edge.store.watch(EVERYTHING, revision, wait)).await?;
--- a/crates/lw-edge/src/spread/plan.rs
+++ b/crates/lw-edge/src/spread/plan.rs
@@ -79,15 +79,34 @@
         if now >= self.store_at.max(first) { Source::Store } else { self.wait(now) }
     }
 
+    /// Whether the last call to the store failed.
+    #[must_use]
+    pub fn is_store_lost(&self) -> bool {
+        self.store_at > Now::ZERO
+    }
+
+    /// How long another VM may hold a question: until the store is tried again, and at most `most`.
+    #[must_use]
+    pub fn ask_wait(&self, now: Now, is_follower: bool, most: Duration) -> Duration {
+        if is_follower { self.store_at.saturating_sub(now).min(most) } else { most }
+    }
+
     fn wait(&self, now: Now) -> Source {
         const SHORT: Duration = Duration::from_millis(50);
         Source::Wait(self.store_at.saturating_sub(now).clamp(Duration::from_millis(10), SHORT))
     }
 
     /// Another VM answered, and this VM's knowledge is now of this age. `revoke` is the time in which a revoked key
-    /// must be refused.
-    pub fn answered(&mut self, now: Now, vm: &str, age: Option<Duration>, revoke: Duration) {
-        if age.is_some_and(|age| age < revoke.mul_f64(FRESH_PART)) {
+    /// must be refused. A follower that the store turns away has no better source, however old the knowledge is.
+    pub fn answered(
+        &mut self,
+        now: Now,
+        vm: &str,
+        is_follower: bool,
+        age: Option<Duration>,
+        revoke: Duration,
+    ) {
+        if is_follower || age.is_some_and(|age| age < revoke.mul_f64(FRESH_PART)) {
             self.alone_since = None;
             self.avoided.retain(|(avoided, until)| avoided != vm && now < *until);
         } else {
--- a/crates/lw-edge/tests/spread.rs
+++ b/crates/lw-edge/tests/spread.rs
@@ -122,12 +122,12 @@
     let vm = near.iter().find(|vm| !Plan::is_follower(vm, &near, 95)).unwrap();
     let mut plan = Plan::default();
     let Source::Vm(first) = plan.next(ms(0), vm, &near, 95) else { panic!("it asks nobody") };
-    plan.answered(ms(0), &first, Some(ms(1_000)), REVOKE);
+    plan.answered(ms(0), &first, false, Some(ms(1_000)), REVOKE);
     assert_eq!(plan.next(ms(0), vm, &near, 95), Source::Vm(first.clone()));
-    plan.answered(ms(0), &first, Some(ms(2_600)), REVOKE);
+    plan.answered(ms(0), &first, false, Some(ms(2_600)), REVOKE);
     let Source::Vm(second) = plan.next(ms(0), vm, &near, 95) else { panic!("it asks nobody") };
     assert_ne!(first, second);
-    plan.answered(ms(0), &second, None, REVOKE);
+    plan.answered(ms(0), &second, false, None, REVOKE);
     assert!(!matches!(plan.next(ms(10), vm, &near, 95), Source::Vm(_)));
 }
 
@@ -139,6 +139,13 @@
     assert_eq!(plan.next(ms(0), "vm-0", &near, 3), Source::Store);
     plan.store_failed(ms(0), true, ms(100));
     assert!(matches!(plan.next(ms(50), "vm-0", &near, 3), Source::Vm(_)));
+    // Answers that come at once would make it ask without a pause.
+    assert_eq!(plan.ask_wait(ms(40), true, spread::WAIT), ms(60));
+    assert_eq!(plan.ask_wait(ms(40), false, spread::WAIT), spread::WAIT);
+    // Its knowledge is old, and yet the best that there is.
+    let Source::Vm(other) = plan.next(ms(50), "vm-0", &near, 3) else { panic!("it asks nobody") };
+    plan.answered(ms(50), &other, true, Some(ms(3_000)), REVOKE);
+    assert_eq!(plan.next(ms(60), "vm-0", &near, 3), Source::Vm(other));
     assert_eq!(plan.next(ms(100), "vm-0", &near, 3), Source::Store);
 }
 
--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -108,6 +108,9 @@
         let server = serve(move |request| {
             let (app, open) = (Arc::clone(&app), Arc::clone(&open));
             async move {
+                if !open.load(Ordering::Acquire) {
+                    return reply(503, &json!({}));
+                }
                 // A watch that waits when callers are turned away is cut.
                 let steps = call(app, request).await;
                 if open.load(Ordering::Acquire) { steps } else { reply(503, &json!({})) }
