--- a/crates/lw-edge/src/spread/mod.rs
+++ b/crates/lw-edge/src/spread/mod.rs
@@ -77,12 +77,12 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
     nonce: u64,
-    known: Option<Known>,
+    knowledge: Option<Knowledge>,
 }
 
 /// What another VM knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Known {
+struct Knowledge {
     revision: Revision,
     changes: Vec<Change>,
     /// Time for which the question waited, in milliseconds.
@@ -142,10 +142,10 @@
     if reply.nonce != question.nonce {
         return Err(Error::Foreign);
     }
-    let Some(known) = reply.known else { return Ok(Told::Unknown) };
-    let held = Duration::from_millis(known.held_ms).min(wait);
-    let confirmed = (sent + held).saturating_sub(Duration::from_millis(known.age_ms));
-    Ok(Told::Changes { revision: known.revision, changes: known.changes, confirmed })
+    let Some(told) = reply.knowledge else { return Ok(Told::Unknown) };
+    let held = Duration::from_millis(told.held_ms).min(wait);
+    let confirmed = (sent + held).saturating_sub(Duration::from_millis(told.age_ms));
+    Ok(Told::Changes { revision: told.revision, changes: told.changes, confirmed })
 }
 
 /// Answers the question of another VM.
@@ -169,8 +169,8 @@
         log::warn!(target: "member", "question without a valid authentication code");
         return status(StatusCode::FORBIDDEN, Bytes::new());
     };
-    let known = known(&edge, &ask, arrived).await;
-    match encode(&key, &Reply { nonce: ask.nonce, known }) {
+    let knowledge = knowledge(&edge, &ask, arrived).await;
+    match encode(&key, &Reply { nonce: ask.nonce, knowledge }) {
         Some(body) => status(StatusCode::OK, body),
         None => status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
     }
@@ -178,7 +178,7 @@
 
 /// The changes after a revision, as soon as there is one or the question has waited long enough. None if they are not
 /// known.
-async fn known(edge: &Edge, ask: &Ask, arrived: Now) -> Option<Known> {
+async fn knowledge(edge: &Edge, ask: &Ask, arrived: Now) -> Option<Knowledge> {
     let wait = Duration::from_millis(ask.wait_ms).min(WAIT);
     let until = tokio::time::Instant::now() + wait;
     loop {
@@ -192,7 +192,7 @@
         let (changes, revision) =
             edge.spread.journal(|journal| Some((journal.since(ask.after)?, journal.revision())))?;
         if !changes.is_empty() || is_over {
-            return Some(Known {
+            return Some(Knowledge {
                 revision,
                 changes,
                 held_ms: millis(now.saturating_sub(arrived)),
--- a/crates/lw-edge/src/spread/plan.rs
+++ b/crates/lw-edge/src/spread/plan.rs
@@ -21,6 +21,10 @@
 /// other, and those that come later hear from the first.
 const RANK_DELAY: Duration = Duration::from_millis(20);
 
+/// Time for which a VM without any source waits before it looks again: another VM may be asked once more by then.
+const WAIT_MIN: Duration = Duration::from_millis(10);
+const WAIT_MAX: Duration = Duration::from_millis(50);
+
 /// Where a VM looks for changes next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
@@ -55,7 +59,6 @@
         let mut ranked: Vec<&VmId> = near.iter().filter(|vm| *vm != own).collect();
         ranked.sort_by_key(|vm| std::cmp::Reverse(rank(vm)));
         let place = ranked.iter().filter(|vm| rank(vm) > rank(own)).count();
-        let is_follower = all < FLEET_MIN || place < FOLLOWERS;
         let is_usable =
             |vm: &&&VmId| !self.avoided.iter().any(|(a, until)| a == **vm && now < *until);
         // Half of the VMs prefer the one follower, half the other.
@@ -64,7 +67,7 @@
             others.reverse();
         }
         let other = others.iter().find(is_usable).map(|vm| Source::Vm((*vm).clone()));
-        if is_follower {
+        if Self::is_follower(own, near, all) {
             return if now >= self.store_at {
                 Source::Store
             } else {
@@ -92,8 +95,7 @@
     }
 
     fn wait(&self, now: Now) -> Source {
-        const SHORT: Duration = Duration::from_millis(50);
-        Source::Wait(self.store_at.saturating_sub(now).clamp(Duration::from_millis(10), SHORT))
+        Source::Wait(self.store_at.saturating_sub(now).clamp(WAIT_MIN, WAIT_MAX))
     }
 
     /// Another VM answered, and this VM's knowledge is now of this age. `revoke` is the time in which a revoked key
