--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -27,7 +27,8 @@
     pub vm: VmId,
     /// What it says.
     pub news: News,
-    /// Whether the receiver passes it on to the VMs of its failure domain.
+    /// Whether the receiver passes it on to the VMs of its failure domain. VMs of an older release leave it out.
+    #[serde(default)]
     pub passes_on: bool,
 }
 
