lw-edge: log the segments and the progress of broken attempts

The logs could not tell whether the requests at crashed engines have anything in common. The line about a failed attempt now has the ids of the prompt's segments and the time for which the engine had sent the answer.

--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -48,11 +48,29 @@
     placement: Placement,
     id: AttemptId,
     started_at: Now,
+    progress: Progress,
     /// Whether the attempt was announced to the other VMs, so that its end must be announced too.
     is_announced: bool,
     is_ended: bool,
 }
 
+/// How far the answer to an attempt has come.
+#[derive(Debug, Clone, Copy, Default)]
+struct Progress {
+    /// When the head of a successful stream was received.
+    head_at: Option<Now>,
+    /// When its last bytes so far were received.
+    last_bytes_at: Option<Now>,
+}
+
+impl Progress {
+    /// Returns the time for which the upstream has sent the answer, until its last bytes.
+    fn sending_time(&self) -> Duration {
+        let times = self.last_bytes_at.zip(self.head_at);
+        times.map_or(Duration::ZERO, |(last, head)| last.saturating_sub(head))
+    }
+}
+
 impl Drop for Attempt {
     fn drop(&mut self) {
         self.end_once(Ended::Cancelled, "the caller left");
@@ -78,6 +96,7 @@
             placement,
             id,
             started_at: now,
+            progress: Progress::default(),
             is_announced,
             is_ended: false,
         };
@@ -87,9 +106,10 @@
     }
 
     /// Records that the head of a successful stream was received.
-    pub fn on_stream_started(&self) {
+    pub fn on_stream_started(&mut self) {
         let upstream = &self.placement.upstream.id;
         let now = self.edge.timer.now();
+        self.progress.head_at = Some(now);
         self.edge.with_upstream_pool(&self.call.service, |pool| {
             pool.record_started(now, upstream, self.id);
         });
@@ -98,6 +118,11 @@
         }
     }
 
+    /// Records that bytes of the stream were received.
+    pub fn on_bytes(&mut self) {
+        self.progress.last_bytes_at = Some(self.edge.timer.now());
+    }
+
     /// Ends the attempt. `why` is the reason for the log; it is empty if the attempt ended as it should.
     pub fn end(mut self, how: Ended, why: &str) {
         self.end_once(how, why);
@@ -130,8 +155,9 @@
         if matches!(how, Ended::NotRun | Ended::Failed) {
             let ms = millis(self.edge.timer.now().saturating_sub(self.started_at));
             log::warn!(target: "route", request = self.call.head.request.as_str(),
-                upstream = self.placement.upstream.id.as_str(), ended = kind, ms = ms, why = why;
-                "attempt ended");
+                upstream = self.placement.upstream.id.as_str(), ended = kind, ms = ms,
+                sent_ms = millis(self.progress.sending_time()), segments = self.segments(),
+                why = why; "attempt ended");
         } else if !why.is_empty() {
             log::info!(target: "route", request = self.call.head.request.as_str(),
                 upstream = self.placement.upstream.id.as_str(), ended = kind, why = why;
@@ -139,6 +165,13 @@
         }
     }
 
+    /// Returns the ids of the prompt's segments, for log lines.
+    fn segments(&self) -> String {
+        let segments = self.call.prompt.iter().flat_map(|prompt| &prompt.segments);
+        let ids: Vec<_> = segments.map(|segment| format!("{:x}", segment.id)).collect();
+        ids.join(",")
+    }
+
     /// Logs to which upstream the request is sent, and the values that decided it.
     fn log_placement(&self, number: usize) {
         let (call, placement) = (&self.call, &self.placement);
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -193,7 +193,7 @@
     /// Accepts an answer for the caller, or returns none if another attempt is to be made instead.
     async fn accept_answer(
         &mut self,
-        incoming: IncomingAnswer,
+        mut incoming: IncomingAnswer,
     ) -> Result<Option<Accepted>, Failure> {
         self.record.record_first_byte();
         let status = incoming.head.status;
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -135,10 +135,10 @@
             }
             None => Received::End,
             Some(Err(e)) => Received::Broken(e.to_string()),
-            Some(Ok(frame)) => match frame.into_data() {
-                Ok(bytes) => Received::Bytes(bytes),
-                Err(_) => Received::Bytes(Bytes::new()),
-            },
+            Some(Ok(frame)) => {
+                attempt.on_bytes();
+                Received::Bytes(frame.into_data().unwrap_or_default())
+            }
         }
     }
 
@@ -150,7 +150,7 @@
         while self.driver.call.due > self.driver.edge.timer.now() + Duration::from_millis(50) {
             let attempt = self.driver.next_attempt().map_err(|e| e.message)?;
             match attempt.send(last_event).await {
-                SendOutcome::Answer(incoming) if incoming.head.status.is_success() => {
+                SendOutcome::Answer(mut incoming) if incoming.head.status.is_success() => {
                     incoming.attempt.on_stream_started();
                     self.current = Some((incoming.body, incoming.attempt));
                     return Ok(());
