--- a/crates/lw-standin/src/hosted/http.rs
+++ b/crates/lw-standin/src/hosted/http.rs
@@ -15,6 +15,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
+    sync::mpsc,
     task::JoinHandle,
 };
 
@@ -71,6 +72,8 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Ends all connections of the server, which refuses new ones for this time.
+    Crash(Duration),
 }
 
 /// Returns the steps of an answer with a `content-length`.
@@ -112,6 +115,9 @@
     task: JoinHandle<()>,
 }
 
+/// Reports crashes to the task that accepts connections.
+type CrashSender = mpsc::UnboundedSender<Duration>;
+
 impl Server {
     /// Returns the number of requests that are being answered.
     #[must_use]
@@ -142,14 +148,32 @@
     let open = Arc::new(AtomicUsize::new(0));
     let open_count = Arc::clone(&open);
     let task = tokio::spawn(async move {
+        let mut listener = listener;
+        let (crash_tx, mut crash_rx) = mpsc::unbounded_channel();
         // Dropping the server aborts this task, which drops the set and ends all connections.
         let mut connections = tokio::task::JoinSet::new();
-        while let Ok((stream, from)) = listener.accept().await {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                Some(down) = crash_rx.recv() => {
+                    drop(listener);
+                    connections.shutdown().await;
+                    tokio::time::sleep(down).await;
+                    while crash_rx.try_recv().is_ok() {}
+                    match TcpListener::bind(addr).await {
+                        Ok(bound) => listener = bound,
+                        Err(e) => return log::error!("cannot listen on {addr} again: {e}"),
+                    }
+                    continue;
+                }
+            };
+            let Ok((stream, from)) = accepted else { return };
             let answer = Arc::clone(&answer);
             let open_count = Arc::clone(&open_count);
+            let crash_tx = crash_tx.clone();
             connections.spawn(async move {
                 // A broken connection ends this task only; the caller detects it by itself.
-                let _ = serve_connection(stream, from, &open_count, &*answer).await;
+                let _ = serve_connection(stream, from, &open_count, &crash_tx, &*answer).await;
             });
             while connections.try_join_next().is_some() {}
         }
@@ -161,6 +185,7 @@
     mut stream: TcpStream,
     from: SocketAddr,
     open: &AtomicUsize,
+    crash_tx: &CrashSender,
     answer: &F,
 ) -> io::Result<()>
 where
@@ -192,6 +217,11 @@
                     stream.set_zero_linger()?;
                     return Ok(());
                 }
+                Step::Crash(down) => {
+                    // The receiver is dropped only with the server.
+                    let _ = crash_tx.send(down);
+                    std::future::pending::<()>().await;
+                }
             }
         }
     }
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -88,6 +88,9 @@
     loading: Option<(u64, tokio::time::Instant)>,
     orders: Vec<AcceptedOrder>,
     load_time: Duration,
+    /// Segment of prompts that crashes this engine, and for how long.
+    deadly_segment: Option<(&'static str, Duration)>,
+    crashes: Vec<tokio::time::Instant>,
 }
 
 /// Behaviours for the next requests, in order, whichever of the upstreams that share this queue receives them.
@@ -123,6 +126,8 @@
 pub const MODEL: &str = "m";
 /// Time to load weights, unless another is set.
 const LOAD_TIME: Duration = Duration::from_millis(200);
+/// Time from the head of an answer to the crash that its request causes.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
 /// Bytes of [`Behaviour::SlowBytes`]; any deadline ends the answer before the last one.
 const SLOW_BYTES_MAX: usize = 1000;
 /// Number of events of one stream.
@@ -192,6 +197,18 @@
         lock(&self.state).received.clone()
     }
 
+    /// Lets each request whose prompt has this segment, except as its last one, crash the engine for a while as it
+    /// begins to answer.
+    pub fn set_deadly_segment(&self, segment: &'static str, down: Duration) {
+        lock(&self.state).deadly_segment = Some((segment, down));
+    }
+
+    /// Returns when it crashed.
+    #[must_use]
+    pub fn crashes(&self) -> Vec<tokio::time::Instant> {
+        lock(&self.state).crashes.clone()
+    }
+
     /// Returns the orders that it accepted.
     #[must_use]
     pub fn accepted_orders(&self) -> Vec<AcceptedOrder> {
@@ -288,8 +305,15 @@
     answer(202, &[], b"")
 }
 
-fn handle_request(state: &Mutex<State>, id: &str, request: &Request) -> Vec<Step> {
-    let mut state = lock(state);
+/// Whether the prompt of a request has this segment, except as its last one.
+fn shares_segment(request: &Request, segment: &str) -> bool {
+    let segments = request.header("x-prompt-prefix").unwrap_or_default();
+    let (shared, _) = segments.rsplit_once(',').unwrap_or_default();
+    shared.split(',').any(|entry| entry.split(':').next() == Some(segment))
+}
+
+fn handle_request(shared_state: &Mutex<State>, id: &str, request: &Request) -> Vec<Step> {
+    let mut state = lock(shared_state);
     let version = state.update_version();
     let behaviour = state.queue.pop().unwrap_or_else(|| state.behaviour.clone());
     let expected = request.header("x-expect-version").and_then(|text| text.parse().ok());
@@ -301,6 +325,7 @@
         is_executed: !is_rejected,
         at: tokio::time::Instant::now(),
     });
+    let deadly = state.deadly_segment;
     drop(state);
     if is_rejected {
         let not_executed = ("x-not-executed", "1");
@@ -313,6 +338,10 @@
     let version = version.to_string();
     let headers =
         [("x-attempt-id", attempt), ("x-response-seal", id), ("x-weight-versions", &version)];
+    if let Some((_, down)) = deadly.filter(|(segment, _)| shares_segment(request, segment)) {
+        lock(shared_state).crashes.push(tokio::time::Instant::now());
+        return vec![chunked_head(200, &headers), Step::Wait(CRASH_DELAY), Step::Crash(down)];
+    }
     answer_steps(&behaviour, &headers, request)
 }
 
