lw-edge: a stream that ends within an event has broken off

What callers saw: a stream without a length that its engine ended within an event, on a route that may not be resumed, came to the caller as a complete answer.

Cause: only resumable streams were split at events; the others were relayed as bytes, so their end was taken for complete wherever it was. All streams are split now. A stream that cannot be resumed ends as broken then, a resumable one goes on elsewhere.

The new test sends streams without a length that end at each fifth byte and at each event, on both kinds of route.

--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -19,9 +19,9 @@
 pub(super) struct Relay {
     driver: Driver,
     current: Option<(UpstreamAnswerBody, Attempt)>,
-    /// Splits the stream at ends of events, so that it can be resumed after one. None for streams that must not be
-    /// resumed, whose bytes are relayed as they arrive.
-    splitter: Option<Splitter>,
+    /// Splits the stream at ends of events: it may be resumed after one, and has broken off if it ends within one.
+    splitter: Splitter,
+    is_resumable: bool,
     status: u16,
     /// Bytes given to the caller.
     relayed_bytes: u64,
@@ -41,12 +41,12 @@
 impl Relay {
     pub fn new(driver: Driver, incoming: IncomingAnswer) -> Self {
         let is_resumable = driver.call.route.kind == RouteKind::Stream { resumable: true };
-        let splitter = is_resumable.then(Splitter::default);
         let status = incoming.head.status.as_u16();
         Self {
             driver,
             current: Some((incoming.body, incoming.attempt)),
-            splitter,
+            splitter: Splitter::default(),
+            is_resumable,
             status,
             relayed_bytes: 0,
         }
@@ -72,21 +72,15 @@
     async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
         loop {
             match self.receive().await {
-                Received::Bytes(bytes) => {
-                    let ready = match &mut self.splitter {
-                        Some(splitter) => splitter.push(&bytes),
-                        None => Ok(Some(bytes)),
-                    };
-                    match ready {
-                        Ok(Some(ready)) => {
-                            self.driver.record.record_chunk();
-                            self.relayed_bytes += u64::try_from(ready.len()).unwrap_or(u64::MAX);
-                            return Ok(Some(ready));
-                        }
-                        Ok(None) => {}
-                        Err(e) => self.replace_attempt(&e.to_string()).await?,
+                Received::Bytes(bytes) => match self.splitter.push(&bytes) {
+                    Ok(Some(ready)) => {
+                        self.driver.record.record_chunk();
+                        self.relayed_bytes += u64::try_from(ready.len()).unwrap_or(u64::MAX);
+                        return Ok(Some(ready));
                     }
-                }
+                    Ok(None) => {}
+                    Err(e) => self.replace_attempt(&e.to_string()).await?,
+                },
                 Received::End => {
                     if let Some((_, attempt)) = self.current.take() {
                         attempt.end_complete();
@@ -139,11 +133,7 @@
             Ok(Ok(frame)) => frame,
         };
         match frame {
-            None if self
-                .splitter
-                .as_ref()
-                .is_some_and(|splitter| splitter.incomplete_bytes() > 0) =>
-            {
+            None if self.splitter.incomplete_bytes() > 0 => {
                 Received::Broken("the stream ended within an event".into())
             }
             None => Received::End,
@@ -157,9 +147,11 @@
 
     /// Resumes the stream at another engine after the last complete event. `why` is the reason for which it broke.
     async fn resume(&mut self, why: &str) -> Result<(), BodyError> {
-        let Some(splitter) = &mut self.splitter else { return Err(why.into()) };
-        splitter.discard_incomplete();
-        let last_event = splitter.last_id();
+        if !self.is_resumable {
+            return Err(why.into());
+        }
+        self.splitter.discard_incomplete();
+        let last_event = self.splitter.last_id();
         while self.driver.call.due > self.driver.edge.timer.now() + Duration::from_millis(50) {
             let attempt = self.driver.next_attempt().map_err(|e| e.message)?;
             match attempt.send(last_event).await {
--- a/crates/lw-edge/tests/streams.rs
+++ b/crates/lw-edge/tests/streams.rs
@@ -69,3 +69,30 @@
         simulation.faults.clear();
     }
 }
+
+/// Guards against a stream without a length that ends within an event and appears complete to its caller.
+#[tokio::test]
+async fn a_stream_without_a_length_is_complete_only_at_the_end_of_an_event() {
+    let simulation = Simulation::start().await;
+    let all = events();
+    let ends: Vec<usize> = (1..=STREAM_EVENTS).map(|n| (1..=n).flat_map(event).count()).collect();
+    for path in ["/long/x", "/short/x"] {
+        for cut in (1..=all.len()).filter(|cut| ends.contains(cut) || cut % 5 == 0) {
+            simulation.faults.push(Behaviour::StreamWithoutLength(cut));
+            let id = format!("no-length-{cut}{path}");
+            let reply = simulation.send(&request(&id, path)).await.expect("an answer");
+            let text = format!("{path} at {cut}: {} {}", reply.head, reply.text());
+            if ends.contains(&cut) {
+                assert!(reply.is_complete, "{text}");
+                assert_eq!(reply.body, all[..cut], "{text}");
+            } else if path == "/long/x" {
+                // The rest comes from another engine.
+                assert!(reply.is_complete, "{text}");
+                assert_eq!(reply.body, all, "{text}");
+            } else {
+                assert!(!reply.is_complete, "{text}");
+                assert!(all.starts_with(&reply.body), "{text}");
+            }
+        }
+    }
+}
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -47,6 +47,8 @@
     AnswerTwice,
     /// It sends an answer without a length and ends it by closing the connection.
     NoLength,
+    /// It sends this many bytes of the events of a stream without a length and closes the connection.
+    StreamWithoutLength(usize),
     /// It sends an answer without a length and resets the connection instead of closing it.
     NoLengthReset,
     /// It sends a body shorter than its `content-length` and closes the connection.
@@ -383,6 +385,13 @@
         }
         Behaviour::AnswerTwice => [normal(), normal()].concat(),
         Behaviour::NoLength => answer_without_length(headers, Step::Close),
+        Behaviour::StreamWithoutLength(bytes) => {
+            let mut events: Vec<u8> =
+                (first_event(request)..=STREAM_EVENTS).flat_map(event).collect();
+            events.truncate(*bytes);
+            let head = head(200, "connection: close", headers);
+            vec![Step::Send([head, events].concat()), Step::Close]
+        }
         Behaviour::NoLengthReset => [
             answer_without_length(headers, Step::Wait(Duration::from_millis(30))),
             vec![Step::Reset],
