--- a/crates/lw-cli/src/commands/operator_output.rs
+++ b/crates/lw-cli/src/commands/operator_output.rs
@@ -76,13 +76,25 @@
     let provisional = if status.provisional { " (provisional)" } else { "" };
     format!(
         "VM {vm} in {failure_domain}: {state}, configuration {version}{provisional}, \
-         {in_flight} requests in flight\n\n{}\n{}\n{}",
+         {in_flight} requests in flight\n\n{}\n{}\n{}{}",
         format_peers(status),
         format_upstreams(status),
         format_histograms(&status.histograms),
+        format_quarantine(status),
     )
 }
 
+fn format_quarantine(status: &Status) -> String {
+    if status.quarantined.is_empty() {
+        return String::new();
+    }
+    let row = |set: &lw_protocol::operator::QuarantineStatus| {
+        vec![set.segments.clone(), format!("{}", set.left_ms / 1000)]
+    };
+    let rows: Vec<_> = status.quarantined.iter().map(row).collect();
+    format!("\n{}", table::format(&["QUARANTINED SEGMENTS", "SECONDS LEFT"], &rows))
+}
+
 fn format_peers(status: &Status) -> String {
     let row = |peer: &lw_protocol::operator::PeerStatus| {
         let version = peer.version.to_string();
--- a/crates/lw-daemon/src/operators/mod.rs
+++ b/crates/lw-daemon/src/operators/mod.rs
@@ -167,6 +167,7 @@
         peers: peers(tables),
         upstreams: active.as_deref().map(|active| upstreams(tables, active)).unwrap_or_default(),
         histograms: histograms(tables),
+        quarantined: Vec::new(),
     }
 }
 
--- a/crates/lw-edge/src/observe/mod.rs
+++ b/crates/lw-edge/src/observe/mod.rs
@@ -8,7 +8,9 @@
     logs,
     metrics::{KindLabel, ServiceLabel},
 };
-use lw_protocol::operator::{Explanation, PeerStatus, Status, Step, UpstreamStatus};
+use lw_protocol::operator::{
+    Explanation, PeerStatus, QuarantineStatus, Status, Step, UpstreamStatus,
+};
 use lw_types::prelude::*;
 use serde::Serialize;
 
@@ -88,6 +90,8 @@
     for (service, left) in edge.retries_left(now) {
         metrics.retries_left.get_or_create(&ServiceLabel { service }).set(as_gauge(left));
     }
+    let sets = edge.quarantine.lock().sets(edge.timer.now_including_suspend()).count();
+    metrics.quarantined_sets.set(as_gauge(u64::try_from(sets).unwrap_or(u64::MAX)));
     let dropped = edge.logs.dropped_lines();
     for (kind, lines) in [("successes", dropped.successes), ("failures", dropped.failures)] {
         metrics.dropped_log_lines.get_or_create(&KindLabel { kind }).set(as_gauge(lines));
@@ -118,9 +122,20 @@
         peers,
         upstreams: upstream_statuses(edge),
         histograms: Vec::new(),
+        quarantined: quarantine_statuses(edge),
     }
 }
 
+fn quarantine_statuses(edge: &Edge) -> Vec<QuarantineStatus> {
+    let quarantine = edge.quarantine.lock();
+    let sets = quarantine.sets(edge.timer.now_including_suspend());
+    let mut statuses: Vec<_> = sets
+        .map(|(set, left)| QuarantineStatus { segments: set.to_string(), left_ms: millis(left) })
+        .collect();
+    statuses.sort_by(|a, b| a.segments.cmp(&b.segments));
+    statuses
+}
+
 fn upstream_statuses(edge: &Edge) -> Vec<UpstreamStatus> {
     let now = edge.timer.now();
     let pools = edge.upstream_pools();
--- a/crates/lw-protocol/src/operator/mod.rs
+++ b/crates/lw-protocol/src/operator/mod.rs
@@ -65,6 +65,18 @@
     pub upstreams: Vec<UpstreamStatus>,
     /// Latency statistics by workspace and class.
     pub histograms: Vec<Histogram>,
+    /// Segments of prompts whose requests are refused since they crashed engines.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub quarantined: Vec<QuarantineStatus>,
+}
+
+/// Segments of prompts that are quarantined together.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineStatus {
+    /// Ids of the segments, separated by commas. Requests that hold all of them are refused.
+    pub segments: String,
+    /// Time until their release, in milliseconds.
+    pub left_ms: u64,
 }
 
 /// One peer as this VM sees it.
--- a/crates/lw-quarantine/src/quarantine.rs
+++ b/crates/lw-quarantine/src/quarantine.rs
@@ -188,8 +188,13 @@
         !prompt.iter().any(is_suspected)
     }
 
+    /// Returns the quarantined sets with the time until their release.
+    pub fn sets(&self, now: Now) -> impl Iterator<Item = (&SegmentSet, Duration)> {
+        self.active().map(move |(set, since)| (set, (since + QUARANTINE_TIME).saturating_sub(now)))
+    }
+
     /// Returns the quarantined sets and since when they are.
-    pub fn active(&self) -> impl Iterator<Item = (&SegmentSet, Now)> {
+    fn active(&self) -> impl Iterator<Item = (&SegmentSet, Now)> {
         self.entries.iter().filter_map(|(set, entry)| match entry.state {
             State::Active { since, .. } => Some((set, since)),
             State::Released { .. } => None,
--- a/crates/lw-quarantine/tests/fleet_sim/mod.rs
+++ b/crates/lw-quarantine/tests/fleet_sim/mod.rs
@@ -196,8 +196,8 @@
         while fleet.now < fleet.options.run_time {
             fleet.step();
         }
-        let active = |vm: &Quarantine| vm.active().map(|(set, _)| set.clone()).collect();
-        fleet.outcome.quarantined = fleet.vms.iter().map(active).collect();
+        let sets = |vm: &Quarantine| vm.sets(fleet.now).map(|(set, _)| set.clone()).collect();
+        fleet.outcome.quarantined = fleet.vms.iter().map(sets).collect();
         fleet.outcome
     }
 
--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -160,6 +160,12 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Returns all keys.
+    #[must_use]
+    pub fn keys(&self) -> Vec<String> {
+        self.shared.lock().items.keys().cloned().collect()
+    }
+
     /// Returns the value of a key.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<Vec<u8>> {
