rollout test: wait for a higher incarnation than before

The test restarted_engine_loads_the_target_version_again failed once: `down` only queues the command, and the wait for an incarnation over 0 was always met, so the next wait could meet the closed port. It waits for a higher incarnation now and takes a refused call for not back yet, so it also sees that the engine did go down.

--- a/crates/lw-daemon/tests/rollout.rs
+++ b/crates/lw-daemon/tests/rollout.rs
@@ -19,10 +19,15 @@
 const ENGINES: usize = 4;
 
 async fn load_report(fleet: &Fleet, engine: usize) -> LoadReport {
+    try_load_report(fleet, engine).await.expect("load report")
+}
+
+/// Returns the load report of an engine, or none if the engine is down.
+async fn try_load_report(fleet: &Fleet, engine: usize) -> Option<LoadReport> {
     let addr = fleet.engines[engine].address();
     let mut call = Call::new(Method::GET, addr, "/load", Duration::from_secs(5));
     call.reuse = Reuse::Fresh;
-    fleet.clients.json(call, None::<&()>).await.expect("load report")
+    fleet.clients.json(call, None::<&()>).await.ok()
 }
 
 async fn start(name: &str, is_fencing_checked: bool) -> Fleet {
@@ -185,10 +190,12 @@
         loaded_versions(&fleet, ENGINES).await.iter().all(|version| version.as_deref() == Some("2"))
     };
     fleet.wait_until("all engines have version 2", all_loaded).await;
+    let before = load_report(&fleet, 1).await.incarnation;
     fleet.engines[1].down(Duration::from_millis(200));
-    fleet
-        .wait_until("the engine is back", async || load_report(&fleet, 1).await.incarnation > 0)
-        .await;
+    // The engine goes down some time after the call, and refuses calls until it is back.
+    let is_back =
+        async || try_load_report(&fleet, 1).await.is_some_and(|report| report.incarnation > before);
+    fleet.wait_until("the engine is back with a higher incarnation", is_back).await;
     fleet.wait_until("the engine has version 2 again", all_loaded).await;
 }
 
