distribution: a VM that the store turns away offers no changes

Cause: followers that the store turns away went on replying with their last changes. The VMs that ask them leave only when the age of the view is half of the revocation time, which is longer than the time in which a configuration must be in force. A VM that the store turns away too had no source but the two followers.

A VM whose last call to the store failed now replies at once that it has no changes, also to requests that wait, so that the others go to another source. A VM without the store and both followers asks up to eight VMs of its failure domain.

The test with sockets failed before (the VM offered changes for as long as it was turned away).

--- a/crates/lw-edge/src/distribution/mod.rs
+++ b/crates/lw-edge/src/distribution/mod.rs
@@ -8,7 +8,10 @@
 use std::{
     convert::Infallible,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -48,10 +51,22 @@
 #[derive(Debug, Default)]
 pub struct ChangeDistribution {
     journal: Mutex<Journal>,
+    /// Wakes the requests that wait for changes.
     changed: Notify,
+    /// Whether the last call of this VM to the store failed.
+    is_without_store: AtomicBool,
 }
 
 impl ChangeDistribution {
+    /// Sets whether the last call of this VM to the store failed. If it did, requests for changes are told so at once,
+    /// since the other VMs may be able to get them elsewhere.
+    pub fn set_without_store(&self, is_without_store: bool) {
+        let was_without_store = self.is_without_store.swap(is_without_store, Ordering::AcqRel);
+        if is_without_store && !was_without_store {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Calls `f` with the journal.
     pub fn with_journal<T>(&self, f: impl FnOnce(&mut Journal) -> T) -> T {
         f(&mut self.journal.lock().unwrap_or_else(PoisonError::into_inner))
@@ -110,7 +125,7 @@
         /// All changes that the store had acknowledged by this time are included.
         current_as_of: Now,
     },
-    /// The other VM does not have all changes after the revision.
+    /// The other VM does not have all changes after the revision, or cannot get further ones from the store.
     Unknown,
 }
 
@@ -185,7 +200,7 @@
 }
 
 /// Returns the requested changes as soon as there is one or the request has waited long enough. Returns `None` if this
-/// VM does not have all of them.
+/// VM does not have all of them, or cannot get further ones from the store.
 async fn wait_for_changes(edge: &Edge, request: &ChangesRequest, arrived: Now) -> Option<ViewWire> {
     let wait = Duration::from_millis(request.wait_ms).min(CHANGE_WAIT);
     let until = tokio::time::Instant::now() + wait;
@@ -193,6 +208,9 @@
         let notified = edge.distribution.changed.notified();
         tokio::pin!(notified);
         notified.as_mut().enable();
+        if edge.distribution.is_without_store.load(Ordering::Acquire) {
+            return None;
+        }
         let is_over = tokio::time::Instant::now() >= until;
         // The age is read before the changes, which are then at least as new as the age states.
         let now = edge.timer.now_including_suspend();
--- a/crates/lw-edge/src/distribution/source.rs
+++ b/crates/lw-edge/src/distribution/source.rs
@@ -7,6 +7,9 @@
 
 /// Number of VMs of each failure domain that follow the store. One of them may be killed, frozen or disconnected.
 pub const FOLLOWERS: usize = 2;
+/// Number of other VMs from which a VM may request changes when the store turns it away: some of them may be turned away
+/// too.
+const SOURCES_WITHOUT_STORE: usize = 8;
 /// Fewest VMs over all failure domains at which only the followers watch the store. With fewer VMs all of them do,
 /// since their watches together cost less than 2 % of the store's reads.
 pub const FOLLOWER_ROLE_MIN_VMS: usize = 20;
@@ -66,16 +69,20 @@
             !self.avoided.iter().any(|(avoided, until)| avoided == **vm && now < *until)
         };
         // Half of the VMs prefer the first follower, half the second.
-        let mut others: Vec<&VmId> = ranked.into_iter().take(FOLLOWERS).collect();
+        let mut followers: Vec<&VmId> = ranked.iter().copied().take(FOLLOWERS).collect();
         if rank(local).is_multiple_of(2) {
-            others.reverse();
+            followers.reverse();
         }
-        let other = others.iter().find(is_usable).map(|vm| Source::Vm((*vm).clone()));
+        let to_source = |vm: &&VmId| Source::Vm((*vm).clone());
+        let other = followers.iter().find(is_usable).map(to_source);
+        // A VM without the store and both followers looks for others that have changes.
+        let further = ranked.iter().take(SOURCES_WITHOUT_STORE).find(is_usable).map(to_source);
+        let further = further.filter(|_| self.has_store_failed());
         if Self::is_follower(local, same_domain, fleet_size) {
             return if now >= self.store_retry_at {
                 Source::Store
             } else {
-                other.unwrap_or(self.wait(now))
+                other.or(further).unwrap_or(self.wait(now))
             };
         }
         if let Some(other) = other {
@@ -87,7 +94,7 @@
         if now >= self.store_retry_at.max(first_attempt_at) {
             Source::Store
         } else {
-            self.wait(now)
+            further.unwrap_or(self.wait(now))
         }
     }
 
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -85,6 +85,7 @@
     async fn step(&mut self) -> Result<(), store::Error> {
         let Some(revision) = self.revision else {
             self.revision = Some(read_all(&self.edge).await?);
+            self.edge.distribution.set_without_store(false);
             self.log_source_change(Source::Store);
             return Ok(());
         };
@@ -101,6 +102,7 @@
                 self.is_growing = self.edge.store_view().vms_max() >= before + GROWTH_MIN_VMS;
                 self.revision = Some(watched?);
                 self.selector.record_store_success();
+                self.edge.distribution.set_without_store(false);
                 self.log_source_change(Source::Store);
             }
             Source::Vm(vm) => self.request_changes(vm, revision).await,
@@ -190,6 +192,7 @@
             log::warn!(target: "config", why = e.to_string(); "cannot get changes from the store");
         }
         let now = self.edge.timer.now();
+        self.edge.distribution.set_without_store(true);
         self.edge.store_view().directory.on_store_outage(now);
         self.selector.record_store_failure(now, self.is_follower(), RETRY_PAUSE);
         if self.revision.is_none() {
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use common::{Simulation, ms, request, send};
 use lw_catalog::VmSettings;
@@ -273,3 +273,28 @@
     let refused = async |_: &Simulation| status("unknown").await == Some(503);
     simulation.wait_until("callers are refused since no VM has a recent view", refused).await;
 }
+
+/// Guards against a VM that offers changes after the store has turned it away, to VMs that could get them elsewhere.
+#[tokio::test]
+async fn a_vm_that_the_store_turns_away_offers_no_changes() {
+    let simulation = Simulation::start().await;
+    let proxy = simulation.store.add_endpoint().await.unwrap();
+    let settings = VmSettings { store: proxy.addr(), ..simulation.further_settings("vm-2") };
+    let second = another_vm(&simulation, settings).await;
+    let first = Arc::clone(&simulation.vm.as_ref().unwrap().edge);
+    let addr = second.edge.settings.peers;
+    let revision = || first.distribution.with_journal(|journal| journal.revision());
+    let request = async |wait| distribution::request_changes(&first, addr, revision(), wait).await;
+    assert!(matches!(request(ms(0)).await, Ok(ChangesReply::Changes { .. })));
+    proxy.set_available(false);
+    let offers_none =
+        async |_: &Simulation| matches!(request(ms(0)).await, Ok(ChangesReply::Unknown));
+    simulation.wait_until("it offers no changes", offers_none).await;
+    let started = std::time::Instant::now();
+    assert!(matches!(request(ms(500)).await, Ok(ChangesReply::Unknown)));
+    assert!(started.elapsed() < ms(200), "it must say so at once");
+    proxy.set_available(true);
+    let offers =
+        async |_: &Simulation| matches!(request(ms(0)).await, Ok(ChangesReply::Changes { .. }));
+    simulation.wait_until("it offers changes again", offers).await;
+}
--- a/crates/lw-edge/tests/quarantine.rs
+++ b/crates/lw-edge/tests/quarantine.rs
@@ -161,8 +161,9 @@
     }
 
     async fn wait_until_stored(&self) {
-        let is_stored =
-            async |simulation: &Simulation| simulation.store.keys().iter().any(is_quarantine_key);
+        let is_stored = async |simulation: &Simulation| {
+            simulation.store.keys().iter().any(|key| is_quarantine_key(key))
+        };
         self.simulation.wait_until("the set is in the store", is_stored).await;
     }
 
@@ -224,7 +225,7 @@
     };
     fleet.simulation.wait_until("both VMs have read it", is_known).await;
     tokio::time::sleep(ms(600)).await;
-    let key = fleet.simulation.store.keys().into_iter().find(is_quarantine_key).unwrap();
+    let key = fleet.simulation.store.keys().into_iter().find(|key| is_quarantine_key(key)).unwrap();
     fleet.simulation.store.remove(&key);
     let is_released = async |_: &Simulation| {
         let now = |edge: &Arc<Edge>| edge.timer.now_including_suspend();
@@ -233,6 +234,6 @@
     fleet.simulation.wait_until("both VMs release the set", is_released).await;
 }
 
-fn is_quarantine_key(key: &String) -> bool {
+fn is_quarantine_key(key: &str) -> bool {
     key.starts_with("lavenderwood/quarantine/")
 }
