lw-quarantine: skip segments at fewer crashes than are needed for blame

A decision looks at every segment of up to 64 crashes with 64 suspects each. Segments at fewer than three crashes can neither be blamed nor rival one that is, so their prompts are not compared.

--- a/crates/lw-quarantine/src/culprits.rs
+++ b/crates/lw-quarantine/src/culprits.rs
@@ -53,6 +53,9 @@
     sound_at: impl Fn(SegmentId) -> Option<Now>,
     known: &[&SegmentSet],
 ) -> Vec<Culprit> {
+    if crashes.len() < CRASHES_MIN {
+        return Vec::new();
+    }
     let crashes: Vec<CrashView<'_>> =
         crashes.iter().map(|crash| CrashView::new(crash, known)).collect();
     let mut places: HashMap<SegmentId, Vec<Place>> = HashMap::new();
@@ -174,7 +177,9 @@
     is_once_sound: &impl Fn(SegmentId) -> bool,
     once_sound: bool,
 ) -> Option<Culprit> {
-    let candidates = places.iter().map(|(segment, places)| {
+    // A segment at fewer crashes is neither blamed nor explains them as well as one that is.
+    let places = places.iter().filter(|(_, places)| places.len() >= CRASHES_MIN);
+    let candidates = places.map(|(segment, places)| {
         let prompts = by_prompt(crashes, places);
         let most_frequent = prompts.iter().max_by_key(|(_, places)| places.len());
         let is_other = |(n, m): &&Place| {
