--- a/crates/lw-quarantine/src/culprits.rs
+++ b/crates/lw-quarantine/src/culprits.rs
@@ -7,13 +7,16 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{HashMap, HashSet},
     time::Duration,
 };
 
 use lw_types::prelude::*;
 
-use crate::{SegmentSet, evidence::Crash};
+use crate::{
+    SegmentSet,
+    evidence::{CRASHES_MAX, Crash},
+};
 
 /// Crashes from which on a segment without sound answers is blamed, if it was in different prompts.
 const CRASHES_MIN: usize = 3;
@@ -46,13 +49,15 @@
 type Place = (usize, usize);
 
 /// Returns the segments that explain the crashes, those that explain most first. `sound_at` returns when the latest sound
-/// answer on a segment was received, and `known` contains the sets that are quarantined already.
+/// answer on a segment was received, and `known` contains the sets that are quarantined already. Only the last 64 crashes
+/// count.
 #[must_use]
 pub fn find(
     crashes: &[&Crash],
     sound_at: impl Fn(SegmentId) -> Option<Now>,
     known: &[&SegmentSet],
 ) -> Vec<Culprit> {
+    let crashes = &crashes[crashes.len().saturating_sub(CRASHES_MAX)..];
     if crashes.len() < CRASHES_MIN {
         return Vec::new();
     }
@@ -135,7 +140,9 @@
 struct Candidate<'a> {
     segment: SegmentId,
     places: &'a [Place],
-    /// Crashes at which it was, counting those at the same moment once.
+    /// Crashes at which it was, one bit each.
+    crashes: u64,
+    /// Number of these crashes, counting those at the same moment once.
     causes: usize,
     /// Different prompts with it.
     prompts: usize,
@@ -159,13 +166,11 @@
         if other.is_once_sound || other.places == self.places || other.causes < self.causes {
             return false;
         }
-        let own: BTreeSet<_> = self.places.iter().map(|(n, _)| n).collect();
-        let others: BTreeSet<_> = other.places.iter().map(|(n, _)| n).collect();
-        if own == others {
+        if self.crashes == other.crashes {
             let is_more_specific = (2..self.prompts).contains(&other.prompts);
             return self.is_once_sound || self.causes < CRASHES_CERTAIN || is_more_specific;
         }
-        own.intersection(&others).count() * 2 >= own.len()
+        (self.crashes & other.crashes).count_ones() * 2 >= self.crashes.count_ones()
     }
 }
 
@@ -188,6 +193,7 @@
         let other_places: Vec<_> = places.iter().filter(is_other).copied().collect();
         Candidate {
             segment: *segment,
+            crashes: places.iter().fold(0, |bits, (n, _)| bits | 1 << n),
             causes: count_causes(crashes, places),
             prompts: prompts.len(),
             other_causes: count_causes(crashes, &other_places),
--- a/crates/lw-quarantine/src/evidence.rs
+++ b/crates/lw-quarantine/src/evidence.rs
@@ -12,8 +12,8 @@
 const CRASH_SPAN: Duration = Duration::from_secs(1);
 /// Time for which evidence counts.
 pub(crate) const EVIDENCE_TIME: Duration = Duration::from_secs(300);
-/// Crashes that are kept; the oldest are dropped.
-const CRASHES_MAX: usize = 64;
+/// Crashes that are kept; the oldest are dropped. A set of crashes is one word.
+pub(crate) const CRASHES_MAX: usize = 64;
 /// Suspects of one crash that are kept.
 const SUSPECTS_MAX: usize = 64;
 /// Times that an own report is sent, since messages between VMs may be lost.
