lw-quarantine: one file for actions and one for the store

Types of actions and what concerns the store's entries move to files of their own; no line of logic changes.

--- a/crates/lw-quarantine/src/quarantine.rs
+++ b/crates/lw-quarantine/src/quarantine/mod.rs
@@ -5,7 +5,6 @@
     time::Duration,
 };
 
-use derive_more::Display;
 use lw_types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -15,6 +14,11 @@
     evidence::Evidence,
 };
 
+mod action;
+mod store;
+
+pub use action::{Action, Basis, ReleaseReason, StoredSet};
+
 /// Time after a crash in which reports and sound answers of other VMs are awaited before anything is decided on it.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Longest delay with which a VM reports what others may report too. Each VM has its own, so that few do.
@@ -27,10 +31,6 @@
 const PROBATION_TIME: Duration = Duration::from_secs(600);
 /// Time for which the end of a quarantine is remembered, at least.
 const RELEASE_MEMORY: Duration = Duration::from_secs(60);
-/// Delay before a VM writes to the store what those before it should have written.
-const STORE_STEP: Duration = Duration::from_millis(500);
-/// Time between two attempts to write the same to the store.
-const STORE_RETRY_TIME: Duration = Duration::from_secs(2);
 /// Time after which a quarantine that is not in the store is announced to the other VMs again.
 const ANNOUNCE_REPEAT_TIME: Duration = Duration::from_secs(1);
 /// Sets that are quarantined at a time.
@@ -38,66 +38,6 @@
 /// Period in which expired state is removed.
 const CLEANUP_PERIOD: Duration = Duration::from_secs(10);
 
-/// Why a set of segments is released.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum ReleaseReason {
-    /// An answer showed that it does not crash engines.
-    #[display("an answer on it was sound")]
-    Sound,
-    /// Its time is over.
-    #[display("its time is over")]
-    Expired,
-    /// Another VM or an operator released it.
-    #[display("it was released elsewhere")]
-    Elsewhere,
-    /// A smaller set that is quarantined covers it.
-    #[display("a smaller set covers it")]
-    Covered,
-}
-
-/// Evidence on which a set is quarantined.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Basis {
-    /// Time since the first crash.
-    pub age: Duration,
-    /// Number of crashes.
-    pub crashes: usize,
-}
-
-/// A quarantined set in the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StoredSet {
-    /// Revision of its entry.
-    pub revision: Revision,
-    /// Number of crashes for which it was blamed.
-    pub crashes: usize,
-}
-
-/// What the VM has to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Reports own suspects to the other VMs.
-    Report(CrashReport),
-    /// Tells the other VMs that answers on these segments were sound, and how long ago.
-    Vouch(Vec<(SegmentId, Duration)>),
-    /// Tells the other VMs that a set is quarantined, and on which evidence.
-    Announce(SegmentSet, Basis),
-    /// Tells the other VMs that a set is released.
-    AnnounceRelease(SegmentSet),
-    /// Writes a set to the store, with the number of crashes for which it was blamed.
-    Store(SegmentSet, usize),
-    /// Removes a set from the store if it still has this revision.
-    Unstore(SegmentSet, Revision),
-    /// Logs that this VM blames a set for this number of crashes.
-    LogBlamed(SegmentSet, usize),
-    /// Logs that a set is quarantined as another VM or the store reported.
-    LogAdopted(SegmentSet),
-    /// Logs that a set is not quarantined since too many are.
-    LogTooMany(SegmentSet),
-    /// Logs that a set is released.
-    LogReleased(SegmentSet, ReleaseReason),
-}
-
 /// State of a set that is or was quarantined.
 #[derive(Debug)]
 enum State {
@@ -460,79 +400,6 @@
         }
     }
 
-    /// Adopts sets that other VMs wrote to the store, and releases those that were removed from it.
-    fn compare_with_store(&mut self, now: Now, stored: &HashMap<SegmentSet, StoredSet>, rank: u32) {
-        let mut new = Vec::new();
-        for (set, StoredSet { revision, crashes }) in stored {
-            match self.entries.get_mut(set) {
-                None => new.push((set.clone(), *crashes)),
-                Some(Entry { state: State::Active { is_stored, .. }, .. }) => *is_stored = true,
-                Some(entry) => {
-                    if let State::Released { at, revision: released, .. } = &mut entry.state {
-                        // Entries up to the first revision that is seen after the release are outdated.
-                        if released.is_none() {
-                            *released = Some(*revision);
-                            entry.store_at = *at + STORE_STEP * rank;
-                        } else if *released < Some(*revision) {
-                            new.push((set.clone(), *crashes));
-                        }
-                    }
-                }
-            }
-        }
-        new.sort_by_key(|(set, _)| set.len());
-        for (set, crashes) in new {
-            let sound_at = set.single().and_then(|segment| self.evidence.sound_at(segment));
-            let is_cleared = sound_at.is_some_and(|at| clears(at, now, crashes));
-            if let Some((segment, at)) = set.single().zip(sound_at.filter(|_| is_cleared)) {
-                self.pending.push(Action::Vouch(vec![(segment, now.saturating_sub(at))]));
-            }
-            if is_cleared || self.active().any(|(known, _)| known.covers(&set)) {
-                let state = State::Released { at: now, revision: None, is_on_probation: false };
-                self.entries.insert(set, Entry { state, store_at: now });
-            } else {
-                self.adopt(now, set, now, crashes, true);
-            }
-        }
-        let is_removed = |(set, entry): (&SegmentSet, &Entry)| {
-            let was_stored = matches!(entry.state, State::Active { is_stored: true, .. });
-            (was_stored && !stored.contains_key(set)).then(|| set.clone())
-        };
-        let removed: Vec<_> = self.entries.iter().filter_map(is_removed).collect();
-        for set in removed {
-            self.release(now, &set, ReleaseReason::Elsewhere);
-        }
-    }
-
-    fn store_actions(
-        &mut self,
-        now: Now,
-        stored: &HashMap<SegmentSet, StoredSet>,
-        rank: u32,
-    ) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for (set, entry) in &mut self.entries {
-            let action = match (&entry.state, stored.get(set)) {
-                (State::Active { since, crashes, .. }, None)
-                    if now >= *since + STORE_STEP * rank =>
-                {
-                    Action::Store(set.clone(), *crashes)
-                }
-                (State::Released { revision: Some(released), .. }, Some(stored))
-                    if stored.revision <= *released =>
-                {
-                    Action::Unstore(set.clone(), stored.revision)
-                }
-                _ => continue,
-            };
-            if now >= entry.store_at {
-                entry.store_at = now + STORE_RETRY_TIME;
-                actions.push(action);
-            }
-        }
-        actions
-    }
-
     /// Announces the sets that this VM blames, repeatedly until they are in the store.
     fn announcements(&mut self, now: Now) -> Vec<Action> {
         let mut actions = Vec::new();
