--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -51,9 +51,11 @@
     lease: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct State {
     mode: StoreMode,
+    /// Number of returns from an older copy.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     leases: HashMap<u64, (Instant, Duration)>,
@@ -69,6 +71,19 @@
     changed: Notify,
 }
 
+/// What a store contained at some time.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(State);
+
+impl StoreCopy {
+    /// Removes a key, as if it had been written after the copy was made. Leases stay: their ids are given out again.
+    #[must_use]
+    pub fn without(mut self, key: &str) -> Self {
+        self.0.items.remove(key);
+        self
+    }
+}
+
 /// A running store.
 #[derive(Debug)]
 pub struct Store {
@@ -181,6 +196,30 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Returns a copy of what the store contains.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.lock().clone())
+    }
+
+    /// Returns to an older copy: revisions are given out again from there, later writes and leases are lost, and the era
+    /// rises by one. Resets the waiting watches.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.shared.lock();
+        let (mode, era, calls) = (state.mode, state.era + 1, state.calls);
+        *state = State { mode, era, calls, ..copy.0.clone() };
+        let now = Instant::now();
+        state.leases.values_mut().for_each(|(end, ttl)| *end = now + *ttl);
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns the revision of the last change.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.shared.lock().revision
+    }
+
     /// Returns the number of calls received.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -258,6 +297,20 @@
 }
 
 async fn handle_call(shared: Arc<Shared>, request: Request) -> Vec<Step> {
+    let mut steps = answer_call(&shared, request).await;
+    let era = shared.lock().era;
+    for step in &mut steps {
+        if let Step::Send(bytes) = step
+            && let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n")
+        {
+            let header = format!("\r\nstore-era: {era}");
+            bytes.splice(end..end, header.into_bytes());
+        }
+    }
+    steps
+}
+
+async fn answer_call(shared: &Shared, request: Request) -> Vec<Step> {
     let mode = {
         let mut state = shared.lock();
         state.calls += 1;
@@ -267,21 +320,21 @@
         StoreMode::Normal | StoreMode::DelayedWriteAnswers => {}
         StoreMode::Unavailable => return json_answer(503, &json!({})),
         StoreMode::Reset => return vec![Step::Reset],
-        StoreMode::NoAnswer => return wait_for_other_mode(&shared).await,
+        StoreMode::NoAnswer => return wait_for_other_mode(shared).await,
         StoreMode::Endless => return vec![chunked_head(200, &[]), Step::Repeat(ENDLESS_CHUNK)],
     }
     match (request.method.as_str(), request.path()) {
-        ("GET", "/api/kv-range") => list_range(&shared, &request),
-        ("GET", "/api/kv-watch") => watch(&shared, &request).await,
+        ("GET", "/api/kv-range") => list_range(shared, &request),
+        ("GET", "/api/kv-watch") => watch(shared, &request).await,
         ("POST", "/api/kv-txn") => {
-            let mut steps = apply_writes(&shared, &request);
+            let mut steps = apply_writes(shared, &request);
             if mode == StoreMode::DelayedWriteAnswers {
                 steps.insert(0, Step::Wait(WRITE_ANSWER_DELAY));
             }
             steps
         }
-        ("POST", "/api/kv-lease") => create_lease(&shared, &request),
-        ("POST", path) if path.starts_with("/api/kv-keep/") => renew_lease(&shared, path),
+        ("POST", "/api/kv-lease") => create_lease(shared, &request),
+        ("POST", path) if path.starts_with("/api/kv-keep/") => renew_lease(shared, path),
         ("DELETE", path) if path.starts_with("/api/kv-lease-end/") => {
             shared.lock().end_lease(last_number(path));
             shared.changed.notify_waiters();
@@ -312,6 +365,7 @@
     let parameter = |name| request.query(name).and_then(|text| text.parse().ok()).unwrap_or(0);
     let after = parameter("after");
     let end = Instant::now() + Duration::from_millis(parameter("WaitMs"));
+    let era = shared.lock().era;
     loop {
         let changed = shared.changed.notified();
         {
@@ -319,7 +373,10 @@
             if !matches!(state.mode, StoreMode::Normal | StoreMode::DelayedWriteAnswers) {
                 return vec![Step::Reset];
             }
-            if after < state.compacted {
+            if state.era != era {
+                return vec![Step::Reset];
+            }
+            if after < state.compacted || after > state.revision {
                 return json_answer(410, &json!({}));
             }
             let events = state.events_after(&prefix, after);
