lw-platform: read the era of the store, log and show it

Logs could not tell a return from an older copy from an ordinary outage. Each answer's Store-Era is read, a change is logged with the revision that was read, and the gauge lavenderwood_store_era shows it. No decision depends on it yet.

--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -213,6 +213,7 @@
             .count_store_call("range", edge.store.range(ALL_KEYS_PREFIX, after.as_deref()))
             .await?;
         first = first.or(Some(page.revision));
+        note_era(edge, page.era, page.revision);
         let is_last = !page.has_more || page.entries.is_empty();
         items.extend(page.entries);
         if is_last {
@@ -237,6 +238,14 @@
     Ok(first.unwrap_or_default())
 }
 
+/// Logs that the store has returned from an older copy if its era has changed.
+fn note_era(edge: &Edge, era: Era, revision: Revision) {
+    if let Some(former) = edge.store_view().set_era(era) {
+        log::warn!(target: "config", era = era, former = former, revision = revision;
+            "the store has returned from an older copy");
+    }
+}
+
 /// Returns the id and the upstream of an item under a key of an upstream. The upstream is `None` if its entry cannot be
 /// used.
 fn upstream_entry(item: &Item) -> Option<(UpstreamId, Option<lw_catalog::Upstream>)> {
@@ -312,6 +321,7 @@
     let sent = edge.timer.now_including_suspend();
     let batch =
         edge.count_store_call("watch", edge.store.watch(ALL_KEYS_PREFIX, revision, wait)).await?;
+    note_era(edge, batch.era, batch.revision);
     let revision = batch.revision.max(revision);
     apply_and_distribute(edge, batch.entries, revision);
     edge.store_view().mark_current_as_of(sent);
--- a/crates/lw-edge/src/observe/mod.rs
+++ b/crates/lw-edge/src/observe/mod.rs
@@ -77,6 +77,7 @@
     let age_ms =
         view.age(edge.timer.now_including_suspend()).map_or(-1, |age| as_gauge(millis(age)));
     metrics.store_view_age_ms.set(age_ms);
+    metrics.store_era.set(as_gauge(edge.store.latest_era()));
     metrics.config_version.set(view.catalog().map_or(0, |catalog| as_gauge(catalog.version)));
     drop(view);
     metrics.issuer_fence.set(edge.orders.fence().map_or(0, as_gauge));
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -47,6 +47,8 @@
     router_items: HashMap<String, RouterItem>,
     vms: HashMap<VmId, (VmEntry, Revision)>,
     vms_max: usize,
+    /// Era of the store that was read last.
+    era: Option<Era>,
     /// When the last answered read was sent, by the clock that counts suspended time. All changes before are in the
     /// view.
     current_as_of: Option<Now>,
@@ -172,6 +174,11 @@
         self.vms_max
     }
 
+    /// Sets the era of the store; returns the former one if it has changed.
+    pub fn set_era(&mut self, era: Era) -> Option<Era> {
+        self.era.replace(era).filter(|former| *former != era)
+    }
+
     /// Records that the view contains all changes up to `sent`, the time when an answered read was sent.
     pub fn mark_current_as_of(&mut self, sent: Now) {
         self.current_as_of = self.current_as_of.max(Some(sent));
--- a/crates/lw-observe/src/metrics/mod.rs
+++ b/crates/lw-observe/src/metrics/mod.rs
@@ -100,6 +100,8 @@
     pub messages: Family<KindLabel, Counter>,
     /// Age of the view of the store, which has the keys and upstreams, in milliseconds; -1 before the first read.
     pub store_view_age_ms: Gauge,
+    /// Latest era of the store: how often it has returned from an older copy.
+    pub store_era: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
     /// Fencing number of the issuer's lease, 0 while this VM is not the issuer.
@@ -137,6 +139,7 @@
             orders: Family::default(),
             messages: Family::default(),
             store_view_age_ms: Gauge::default(),
+            store_era: Gauge::default(),
             config_version: Gauge::default(),
             issuer_fence: Gauge::default(),
             in_flight: Gauge::default(),
@@ -167,6 +170,8 @@
         registry.register("messages", "Messages between VMs", self.messages.clone());
         let help = "Age of the view of keys and upstreams";
         registry.register("knowledge_age_milliseconds", help, self.store_view_age_ms.clone());
+        let help = "Latest era of the store";
+        registry.register("store_era", help, self.store_era.clone());
         let help = "Version of the configuration in force";
         registry.register("config_version", help, self.config_version.clone());
         let help = "Fencing number while this VM issues orders";
--- a/crates/lw-transport/src/client/mod.rs
+++ b/crates/lw-transport/src/client/mod.rs
@@ -73,6 +73,20 @@
     }
 }
 
+impl Call<'_> {
+    /// Sets a JSON body.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] when it cannot be encoded.
+    pub fn set_json(&mut self, body: &impl Serialize) -> Result<(), Error> {
+        self.body = serde_json::to_vec(body).map_err(encode_error)?.into();
+        let json = http::HeaderValue::from_static("application/json");
+        self.headers.insert(http::header::CONTENT_TYPE, json);
+        Ok(())
+    }
+}
+
 /// Why a call failed.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -196,12 +210,9 @@
         body: Option<&impl Serialize>,
     ) -> Result<R, Error> {
         if let Some(body) = body {
-            call.body = serde_json::to_vec(body).map_err(encode_error)?.into();
-            let json = http::HeaderValue::from_static("application/json");
-            call.headers.insert(http::header::CONTENT_TYPE, json);
+            call.set_json(body)?;
         }
-        let bytes = self.send_and_collect(call).await?;
-        serde_json::from_slice(&bytes).map_err(|e| Error::Unreadable(e.to_string()))
+        decode_json(&self.send_and_collect(call).await?)
     }
 
     /// Sends a `MessagePack` body and decodes a `MessagePack` answer with a success status.
@@ -241,20 +252,47 @@
     ///
     /// Any [`enum@Error`].
     pub async fn send_and_collect(&self, call: Call<'_>) -> Result<Bytes, Error> {
+        success_body(self.collect(call).await?)
+    }
+
+    /// Sends a call and reads the complete body of the answer, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Any [`enum@Error`] except [`Error::Status`].
+    pub async fn collect(&self, call: Call<'_>) -> Result<http::Response<Bytes>, Error> {
         let timeout = call.timeout;
         let collected = async {
-            let response = self.send(call).await?;
-            let status = response.status();
-            let bytes = read_body(response.into_body(), ANSWER_MAX_BYTES).await?;
-            if status.is_success() {
-                return Ok(bytes);
-            }
-            Err(Error::Status { status, body: String::from_utf8_lossy(&bytes).into_owned() })
+            let (head, body) = self.send(call).await?.into_parts();
+            let bytes = read_body(body, ANSWER_MAX_BYTES).await?;
+            Ok(http::Response::from_parts(head, bytes))
         };
         tokio::time::timeout(timeout, collected).await.unwrap_or(Err(Error::Timeout(timeout)))
     }
 }
 
+/// Decodes a JSON body.
+///
+/// # Errors
+///
+/// [`Error::Unreadable`] when it cannot be decoded.
+pub fn decode_json<R: DeserializeOwned>(body: &[u8]) -> Result<R, Error> {
+    serde_json::from_slice(body).map_err(|e| Error::Unreadable(e.to_string()))
+}
+
+/// Returns the body of an answer with a success status.
+///
+/// # Errors
+///
+/// [`Error::Status`] for any other status.
+pub fn success_body(answer: http::Response<Bytes>) -> Result<Bytes, Error> {
+    let (status, body) = (answer.status(), answer.into_body());
+    if status.is_success() {
+        return Ok(body);
+    }
+    Err(Error::Status { status, body: String::from_utf8_lossy(&body).into_owned() })
+}
+
 /// Reads a complete body of at most `max_bytes`.
 ///
 /// # Errors
--- a/crates/lw-types/src/ids.rs
+++ b/crates/lw-types/src/ids.rs
@@ -28,8 +28,10 @@
 pub type Incarnation = u64;
 /// Version of the operators' configuration; it only grows, as each change increments it.
 pub type ConfigVersion = u64;
-/// Revision of a key in the platform's store.
+/// Revision of a key in the platform's store. The store gives revisions out again in its next [`Era`].
 pub type Revision = u64;
+/// Number of times that the platform's store returned from an older copy of itself.
+pub type Era = u64;
 /// Point in time on a monotonic clock: the time since an arbitrary epoch of the process or test run.
 pub type Now = Duration;
 
--- a/crates/lw-types/src/prelude.rs
+++ b/crates/lw-types/src/prelude.rs
@@ -2,6 +2,6 @@
 
 pub use crate::code::{Executed, ResultCode};
 pub use crate::ids::{
-    Attempt, BlockHash, Class, ConfigVersion, Domain, Incarnation, ModelId, Now, RequestId,
+    Attempt, BlockHash, Class, ConfigVersion, Domain, Era, Incarnation, ModelId, Now, RequestId,
     Revision, SegmentId, TokenIndex, UpstreamId, VmId, WorkspaceId,
 };
