lw-edge: revisions of the store are compared within one era only

What callers would see: after the store returned from an older copy, a route that was added, or a key that was revoked, was unknown for good at a VM that had been away meanwhile.

Cause: a state of the store was identified by its revision alone. A watch from a revision that the restored store has passed again gets no 410, so the VM went on in another history; a VM that is turned away by the store got changes of the new era from another one after a revision of the old era.

An answer of another era than that of the view leads to a new read of the whole store; pages of two eras are read again. VMs of an older release omit the era and get no changes from an era above 0; they read the store.

--- a/crates/lw-edge/src/distribution/journal.rs
+++ b/crates/lw-edge/src/distribution/journal.rs
@@ -27,21 +27,24 @@
     }
 }
 
-/// All changes after one revision, except those that make no difference to any VM, such as heartbeats.
+/// All changes of one era after one revision, except those that make no difference to any VM, such as heartbeats.
 ///
 /// ```
 /// use lw_edge::distribution::journal::{Change, Journal};
+/// use lw_types::prelude::Position;
+/// let at = |revision| Position { era: 1, revision };
 /// let mut journal = Journal::default();
-/// journal.reset(7);
+/// journal.reset(at(7));
 /// journal.advance(9, vec![Change { key: "a".into(), revision: 8, value: None }]);
-/// assert_eq!(journal.changes_after(7).unwrap().len(), 1);
-/// assert!(journal.changes_after(9).unwrap().is_empty());
-/// assert!(journal.changes_after(6).is_none());
+/// assert_eq!(journal.changes_after(at(7)).unwrap().len(), 1);
+/// assert!(journal.changes_after(at(9)).unwrap().is_empty());
+/// assert!(journal.changes_after(at(6)).is_none());
+/// assert!(journal.changes_after(Position { era: 2, revision: 7 }).is_none());
 /// ```
 #[derive(Debug, Default)]
 pub struct Journal {
     /// The journal contains all changes after this revision. `None` until the store was read.
-    floor: Option<Revision>,
+    floor: Option<Position>,
     /// Revision up to which the journal is complete.
     revision: Revision,
     changes: VecDeque<Change>,
@@ -49,12 +52,13 @@
 }
 
 impl Journal {
-    /// Empties the journal, since the whole store was read anew, up to `revision`.
-    pub fn reset(&mut self, revision: Revision) {
-        *self = Self { floor: Some(revision), revision, ..Self::default() };
+    /// Empties the journal, since the whole store was read anew, up to `position`.
+    pub fn reset(&mut self, position: Position) {
+        let revision = position.revision;
+        *self = Self { floor: Some(position), revision, ..Self::default() };
     }
 
-    /// Appends the changes up to `revision`, which must follow the previous ones without a gap. Drops the oldest
+    /// Appends the changes up to `revision` of the same era, which must follow the previous ones without a gap. Drops the oldest
     /// changes beyond [`JOURNAL_MAX_BYTES`].
     pub fn advance(&mut self, revision: Revision, changes: Vec<Change>) {
         self.revision = self.revision.max(revision);
@@ -66,7 +70,9 @@
             && let Some(dropped) = self.changes.pop_front()
         {
             self.bytes -= dropped.bytes();
-            self.floor = self.floor.max(Some(dropped.revision));
+            if let Some(floor) = &mut self.floor {
+                floor.revision = floor.revision.max(dropped.revision);
+            }
         }
     }
 
@@ -76,12 +82,11 @@
         self.revision
     }
 
-    /// Returns the changes after a revision, or `None` if the journal does not contain all of them.
+    /// Returns the changes after a position, or `None` if the journal does not contain all of them.
     #[must_use]
-    pub fn changes_after(&self, after: Revision) -> Option<Vec<Change>> {
-        if self.floor.is_none_or(|floor| after < floor) {
-            return None;
-        }
-        Some(self.changes.iter().filter(|change| change.revision > after).cloned().collect())
+    pub fn changes_after(&self, after: Position) -> Option<Vec<Change>> {
+        self.floor.filter(|floor| after.era == floor.era && after.revision >= floor.revision)?;
+        let later = self.changes.iter().filter(|change| change.revision > after.revision);
+        Some(later.cloned().collect())
     }
 }
--- a/crates/lw-edge/src/distribution/mod.rs
+++ b/crates/lw-edge/src/distribution/mod.rs
@@ -91,6 +91,9 @@
     after: Revision,
     /// Time for which the request may wait for a change, in milliseconds.
     wait_ms: u64,
+    /// Era of the revision. VMs of an older release omit this field.
+    #[serde(default)]
+    era: Era,
 }
 
 /// The encoded reply to a [`ChangesRequest`].
@@ -116,7 +119,7 @@
 /// The reply of another VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangesReply {
-    /// All changes up to a revision.
+    /// All changes up to a revision of the era that was requested.
     Changes {
         /// The revision.
         revision: Revision,
@@ -125,7 +128,7 @@
         /// All changes that the store had acknowledged by this time are included.
         current_as_of: Now,
     },
-    /// The other VM does not have all changes after the revision, or cannot get further ones from the store.
+    /// The other VM does not have all changes after the position, which may be of another era, or cannot get further ones from the store.
     Unknown,
 }
 
@@ -143,7 +146,7 @@
     InvalidReply,
 }
 
-/// Requests the changes after a revision from another VM, which may wait for a change for at most `wait`.
+/// Requests the changes after a position from another VM, which may wait for a change for at most `wait`.
 ///
 /// # Errors
 ///
@@ -151,12 +154,17 @@
 pub async fn request_changes(
     edge: &Edge,
     addr: SocketAddr,
-    after: Revision,
+    after: Position,
     wait: Duration,
 ) -> Result<ChangesReply, Error> {
     let key = peer_key(edge).ok_or(Error::NoKey)?;
     let sent = edge.timer.now_including_suspend();
-    let request = ChangesRequest { nonce: fastrand::u64(..), after, wait_ms: millis(wait) };
+    let request = ChangesRequest {
+        nonce: fastrand::u64(..),
+        after: after.revision,
+        wait_ms: millis(wait),
+        era: after.era,
+    };
     let mut call = Call::new(Method::POST, addr, PATH, wait + REPLY_TIMEOUT);
     call.body = encode(&key, &request).ok_or(Error::InvalidReply)?;
     let bytes = edge.clients.send_and_collect(call).await.map_err(Error::Call)?;
@@ -202,6 +210,7 @@
 /// Returns the requested changes as soon as there is one or the request has waited long enough. Returns `None` if this
 /// VM does not have all of them, or cannot get further ones from the store.
 async fn wait_for_changes(edge: &Edge, request: &ChangesRequest, arrived: Now) -> Option<ViewWire> {
+    let after = Position { era: request.era, revision: request.after };
     let wait = Duration::from_millis(request.wait_ms).min(CHANGE_WAIT);
     let until = tokio::time::Instant::now() + wait;
     loop {
@@ -215,9 +224,9 @@
         // The age is read before the changes, which are then at least as new as the age states.
         let now = edge.timer.now_including_suspend();
         let age = edge.store_view().age(now)?;
-        let (changes, revision) = edge.distribution.with_journal(|journal| {
-            Some((journal.changes_after(request.after)?, journal.revision()))
-        })?;
+        let (changes, revision) = edge
+            .distribution
+            .with_journal(|journal| Some((journal.changes_after(after)?, journal.revision())))?;
         if !changes.is_empty() || is_over {
             return Some(ViewWire {
                 revision,
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -51,7 +51,7 @@
 pub async fn run(edge: Arc<Edge>) {
     let mut updater = ViewUpdater {
         edge,
-        revision: None,
+        position: None,
         selector: SourceSelector::default(),
         is_growing: false,
         source: None,
@@ -71,8 +71,8 @@
 /// Keeps this VM's view of the store up to date, whether or not the VM is one of the followers.
 struct ViewUpdater {
     edge: Arc<Edge>,
-    /// Revision up to which the view contains all changes. `None` if the whole store is to be read.
-    revision: Option<Revision>,
+    /// State of the store up to which the view contains all changes. `None` if the whole store is to be read.
+    position: Option<Position>,
     selector: SourceSelector,
     /// Whether at least [`GROWTH_MIN_VMS`] VMs registered during the last watch.
     is_growing: bool,
@@ -83,8 +83,8 @@
 impl ViewUpdater {
     /// Gets changes once from the selected source, or reads the whole store if this is due.
     async fn step(&mut self) -> Result<(), store::Error> {
-        let Some(revision) = self.revision else {
-            self.revision = Some(read_all(&self.edge).await?);
+        let Some(position) = self.position else {
+            self.position = Some(read_all(&self.edge).await?);
             self.edge.distribution.set_without_store(false);
             self.log_source_change(Source::Store);
             return Ok(());
@@ -98,14 +98,14 @@
                 } else {
                     watch_timing(&self.edge, self.is_growing)
                 };
-                let watched = watch(&self.edge, revision, timing).await;
+                let watched = watch(&self.edge, position, timing).await;
                 self.is_growing = self.edge.store_view().vms_max() >= before + GROWTH_MIN_VMS;
-                self.revision = Some(watched?);
+                self.position = Some(watched?);
                 self.selector.record_store_success();
                 self.edge.distribution.set_without_store(false);
                 self.log_source_change(Source::Store);
             }
-            Source::Vm(vm) => self.request_changes(vm, revision).await,
+            Source::Vm(vm) => self.request_changes(vm, position).await,
             Source::Wait(time) => tokio::time::sleep(time).await,
         }
         Ok(())
@@ -129,7 +129,7 @@
         (same_domain.map(|(vm, _)| vm.clone()).collect(), view.vms_max())
     }
 
-    async fn request_changes(&mut self, vm: VmId, after: Revision) {
+    async fn request_changes(&mut self, vm: VmId, after: Position) {
         let edge = Arc::clone(&self.edge);
         let addr = edge.store_view().vms().find(|(id, _)| **id == vm).map(|(_, entry)| entry.addr);
         let Some(addr) = addr else { return };
@@ -140,14 +140,14 @@
         let now = edge.timer.now();
         match reply {
             Ok(ChangesReply::Changes { revision, changes, current_as_of }) => {
-                let revision = revision.max(after);
+                let revision = revision.max(after.revision);
                 apply_and_distribute(
                     &edge,
                     changes.into_iter().map(Event::from).collect(),
                     revision,
                 );
                 edge.store_view().mark_current_as_of(current_as_of);
-                self.revision = Some(revision);
+                self.position = Some(Position { revision, ..after });
                 let age = edge.store_view().age(edge.timer.now_including_suspend());
                 self.selector.record_reply(now, &vm, is_follower, age, edge.bounds().revoke);
                 self.log_source_change(Source::Vm(vm));
@@ -178,14 +178,15 @@
             Source::Vm(vm) => vm.as_str(),
             Source::Store | Source::Wait(_) => "the store",
         };
-        log::info!(target: "config", from = from, revision = self.revision.unwrap_or_default();
+        let Position { era, revision } = self.position.unwrap_or(Position { era: 0, revision: 0 });
+        log::info!(target: "config", from = from, era = era, revision = revision;
             "getting changes from another source");
         self.source = Some(source);
     }
 
     async fn handle_store_error(&mut self, e: &store::Error) {
         if matches!(e, store::Error::Compacted) {
-            self.revision = None;
+            self.position = None;
             return;
         }
         if self.source.take_if(|source| *source == Source::Store).is_some() {
@@ -195,31 +196,34 @@
         self.edge.distribution.set_without_store(true);
         self.edge.store_view().directory.on_store_outage(now);
         self.selector.record_store_failure(now, self.is_follower(), RETRY_PAUSE);
-        if self.revision.is_none() {
+        if self.position.is_none() {
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 }
 
-/// Reads the whole store; returns the revision after which to watch. The pages are not a snapshot, so this is the
-/// revision of the first page.
-async fn read_all(edge: &Edge) -> Result<Revision, store::Error> {
+/// Reads the whole store; returns the position after which to watch. The pages are not a snapshot, so this is the
+/// position of the first page.
+async fn read_all(edge: &Edge) -> Result<Position, store::Error> {
     let sent = edge.timer.now_including_suspend();
     let mut items = Vec::new();
-    let mut first = None;
-    let last = loop {
+    let mut first: Option<Position> = None;
+    let (first, last) = loop {
         let after = items.last().map(|item: &Item| item.key.clone());
         let page = edge
             .count_store_call("range", edge.store.range(ALL_KEYS_PREFIX, after.as_deref()))
             .await?;
-        first = first.or(Some(page.revision));
-        note_era(edge, page.era, page.revision);
+        let first = *first.get_or_insert(page.position);
+        if first.era != page.position.era {
+            return Err(store::Error::Compacted);
+        }
         let is_last = !page.has_more || page.entries.is_empty();
         items.extend(page.entries);
         if is_last {
-            break page.revision;
+            break (first, page.position);
         }
     };
+    note_era(edge, first);
     let upstreams: Vec<_> = items.iter().filter_map(upstream_entry).collect();
     let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
     edge.store_view().retain_router_items(|key| listed.contains(key));
@@ -235,11 +239,11 @@
     // not distributed, so the journal is complete only from the last page on.
     edge.distribution.with_journal(|journal| journal.reset(last));
     edge.apply_upstream_changes(changes);
-    Ok(first.unwrap_or_default())
+    Ok(first)
 }
 
 /// Logs that the store has returned from an older copy if its era has changed.
-fn note_era(edge: &Edge, era: Era, revision: Revision) {
+fn note_era(edge: &Edge, Position { era, revision }: Position) {
     if let Some(former) = edge.store_view().set_era(era) {
         log::warn!(target: "config", era = era, former = former, revision = revision;
             "the store has returned from an older copy");
@@ -310,22 +314,26 @@
         why = e.to_string(); "unreadable item in the store");
 }
 
-/// Watches once for changes after a revision: sleeps for `pause`, then waits for at most `wait`. Returns the revision
+/// Watches once for changes after a position: sleeps for `pause`, then waits for at most `wait`. Returns the position
 /// after which to watch next.
 async fn watch(
     edge: &Edge,
-    revision: Revision,
+    position: Position,
     (pause, wait): (Duration, Duration),
-) -> Result<Revision, store::Error> {
+) -> Result<Position, store::Error> {
     tokio::time::sleep(pause).await;
     let sent = edge.timer.now_including_suspend();
-    let batch =
-        edge.count_store_call("watch", edge.store.watch(ALL_KEYS_PREFIX, revision, wait)).await?;
-    note_era(edge, batch.era, batch.revision);
-    let revision = batch.revision.max(revision);
+    let batch = edge
+        .count_store_call("watch", edge.store.watch(ALL_KEYS_PREFIX, position.revision, wait))
+        .await?;
+    // The changes of another era do not follow those that this VM has, whatever their revisions.
+    if batch.position.era != position.era {
+        return Err(store::Error::Compacted);
+    }
+    let revision = batch.position.revision.max(position.revision);
     apply_and_distribute(edge, batch.entries, revision);
     edge.store_view().mark_current_as_of(sent);
-    Ok(revision)
+    Ok(Position { revision, ..position })
 }
 
 /// Returns the pause before the next watch, in which further changes accumulate, and the time for which the watch
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -16,12 +16,17 @@
     run::Vm,
 };
 use lw_standin::hosted::store::StoreMode;
+use lw_types::prelude::Position;
 use serde_json::json;
 
 const REVOKE: Duration = Duration::from_secs(5);
 /// Longer than the time for which a VM that did not reply gets no requests.
 const AFTER_AVOID_TIME: Duration = Duration::from_secs(3);
 
+fn at(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 fn change(key: &str, revision: u64) -> Change {
     Change { key: key.into(), revision, value: Some(vec![0; 100]) }
 }
@@ -30,12 +35,12 @@
 #[test]
 fn a_journal_returns_all_changes_after_a_revision_or_none() {
     let mut journal = Journal::default();
-    assert_eq!(journal.changes_after(0), None, "nothing was read yet");
-    journal.reset(10);
+    assert_eq!(journal.changes_after(at(0)), None, "nothing was read yet");
+    journal.reset(at(10));
     journal.advance(12, vec![change("a", 11), change("b", 12)]);
     journal.advance(15, Vec::new());
     let keys = |after| {
-        let changes: Option<Vec<Change>> = journal.changes_after(after);
+        let changes: Option<Vec<Change>> = journal.changes_after(at(after));
         changes.map(|changes| changes.into_iter().map(|change| change.key).collect::<String>())
     };
     assert_eq!(keys(9), None);
@@ -43,6 +48,7 @@
     assert_eq!(keys(11).as_deref(), Some("b"));
     assert_eq!(keys(15).as_deref(), Some(""));
     assert_eq!(keys(20).as_deref(), Some(""), "the other VM has a newer revision");
+    assert_eq!(journal.changes_after(Position { era: 1, revision: 10 }), None, "another era");
     assert_eq!(journal.revision(), 15);
 }
 
@@ -50,16 +56,17 @@
 #[test]
 fn a_full_journal_returns_nothing_from_before_the_dropped_changes() {
     let mut journal = Journal::default();
-    journal.reset(0);
+    journal.reset(at(0));
     let count = u64::try_from(JOURNAL_MAX_BYTES / 100).unwrap();
     for revision in 1..=count {
         journal.advance(revision, vec![change("key", revision)]);
     }
-    assert_eq!(journal.changes_after(0), None);
-    let first =
-        (0..count).find(|after| journal.changes_after(*after).is_some()).expect("some are kept");
+    assert_eq!(journal.changes_after(at(0)), None);
+    let first = (0..count)
+        .find(|after| journal.changes_after(at(*after)).is_some())
+        .expect("some are kept");
     assert_eq!(
-        journal.changes_after(first).unwrap().len(),
+        journal.changes_after(at(first)).unwrap().len(),
         usize::try_from(count - first).unwrap()
     );
 }
@@ -194,7 +201,7 @@
     let (edge, addr) = (&second.edge, simulation.settings.peers);
     let first = &simulation.vm.as_ref().unwrap().edge;
     let revision = first.distribution.with_journal(|journal| journal.revision());
-    let request = distribution::request_changes(edge, addr, revision, ms(2_000));
+    let request = distribution::request_changes(edge, addr, at(revision), ms(2_000));
     let started = std::time::Instant::now();
     let changes = async {
         tokio::time::sleep(ms(100)).await;
@@ -222,7 +229,7 @@
     );
     // Changes after a revision that is not in its journal must not be returned.
     assert_eq!(
-        distribution::request_changes(edge, addr, 0, ms(0)).await.unwrap(),
+        distribution::request_changes(edge, addr, at(0), ms(0)).await.unwrap(),
         ChangesReply::Unknown
     );
 }
@@ -240,7 +247,7 @@
     };
     second.edge.store_view().set_router_item("lavenderwood/peer-key", Some(wrong));
     let reply =
-        distribution::request_changes(&second.edge, simulation.settings.peers, 0, ms(0)).await;
+        distribution::request_changes(&second.edge, simulation.settings.peers, at(0), ms(0)).await;
     assert!(reply.is_err(), "{reply:?}");
 }
 
@@ -284,7 +291,8 @@
     let first = Arc::clone(&simulation.vm.as_ref().unwrap().edge);
     let addr = second.edge.settings.peers;
     let revision = || first.distribution.with_journal(|journal| journal.revision());
-    let request = async |wait| distribution::request_changes(&first, addr, revision(), wait).await;
+    let request =
+        async |wait| distribution::request_changes(&first, addr, at(revision()), wait).await;
     assert!(matches!(request(ms(0)).await, Ok(ChangesReply::Changes { .. })));
     proxy.set_available(false);
     let offers_none =
--- a/crates/lw-types/src/ids.rs
+++ b/crates/lw-types/src/ids.rs
@@ -32,6 +32,15 @@
 pub type Revision = u64;
 /// Number of times that the platform's store returned from an older copy of itself.
 pub type Era = u64;
+/// A state of the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Position {
+    /// Era of the store.
+    pub era: Era,
+    /// Revision in this era.
+    pub revision: Revision,
+}
+
 /// Point in time on a monotonic clock: the time since an arbitrary epoch of the process or test run.
 pub type Now = Duration;
 
--- a/crates/lw-types/src/prelude.rs
+++ b/crates/lw-types/src/prelude.rs
@@ -2,6 +2,6 @@
 
 pub use crate::code::{Executed, ResultCode};
 pub use crate::ids::{
-    Attempt, BlockHash, Class, ConfigVersion, Domain, Era, Incarnation, ModelId, Now, RequestId,
-    Revision, SegmentId, TokenIndex, UpstreamId, VmId, WorkspaceId,
+    Attempt, BlockHash, Class, ConfigVersion, Domain, Era, Incarnation, ModelId, Now, Position,
+    RequestId, Revision, SegmentId, TokenIndex, UpstreamId, VmId, WorkspaceId,
 };
