lw-edge: a read of a store that has just returned from an older copy is not current

What callers would see: for a moment after the return, a VM that had been away from the store, or had just started, accepted a revoked key, and answered 404 on routes that had been added.

Cause: every answered read made the view current as of its sending. After a return from an older copy the store lacks changes that it had acknowledged, until operators and upstreams have written them again.

A read makes the view current only once 2 s have passed since the era was first read, or a VM has recorded in the store that this era has settled; until then the age counts on from what was read before. VMs that start find the record and need not wait; one VM writes it. Other VMs get the age of a view only once it has settled. A VM whose view was never current answers 503 with a time to come back, also where it knows no route.

Weighed: asking neighbours at each start costs a round of messages and does not help when all VMs were killed; taking a configuration that is written during a watch for the newest one needs an order of the operator's writes that nobody promises.

A fresh fleet waits the 2 s once, before the record exists.

--- a/crates/lw-edge/src/distribution/mod.rs
+++ b/crates/lw-edge/src/distribution/mod.rs
@@ -112,8 +112,9 @@
     changes: Vec<Change>,
     /// Time for which the request was held before the reply, in milliseconds.
     held_ms: u64,
-    /// Age of the view when the reply was made, in milliseconds.
-    age_ms: u64,
+    /// Age of the view when the reply was made, in milliseconds. `None` while the store has not settled after its return
+    /// from an older copy.
+    age_ms: Option<u64>,
 }
 
 /// The reply of another VM.
@@ -125,8 +126,9 @@
         revision: Revision,
         /// The changes, except those that make no difference to any VM.
         changes: Vec<Change>,
-        /// All changes that the store had acknowledged by this time are included.
-        current_as_of: Now,
+        /// All changes that the store had acknowledged by this time are included. `None` if that is not known of any
+        /// time in this era.
+        current_as_of: Option<Now>,
     },
     /// The other VM does not have all changes after the position, which may be of another era, or cannot get further ones from the store.
     Unknown,
@@ -174,7 +176,8 @@
     }
     let Some(view) = reply.view else { return Ok(ChangesReply::Unknown) };
     let held = Duration::from_millis(view.held_ms).min(wait);
-    let current_as_of = (sent + held).saturating_sub(Duration::from_millis(view.age_ms));
+    let since = |age_ms| (sent + held).saturating_sub(Duration::from_millis(age_ms));
+    let current_as_of = view.age_ms.map(since);
     Ok(ChangesReply::Changes { revision: view.revision, changes: view.changes, current_as_of })
 }
 
@@ -223,7 +226,10 @@
         let is_over = tokio::time::Instant::now() >= until;
         // The age is read before the changes, which are then at least as new as the age states.
         let now = edge.timer.now_including_suspend();
-        let age = edge.store_view().age(now)?;
+        let age = {
+            let view = edge.store_view();
+            view.age(now).filter(|_| view.is_settled())
+        };
         let (changes, revision) = edge
             .distribution
             .with_journal(|journal| Some((journal.changes_after(after)?, journal.revision())))?;
@@ -233,7 +239,7 @@
                 changes,
                 held_ms: millis(now.saturating_sub(arrived)),
                 // Rounded up, so that the view does not look younger than it is.
-                age_ms: millis(age) + 1,
+                age_ms: age.map(|age| millis(age) + 1),
             });
         }
         // The journal is read again after a change and also when the time is over.
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -146,7 +146,9 @@
                     changes.into_iter().map(Event::from).collect(),
                     revision,
                 );
-                edge.store_view().mark_current_as_of(current_as_of);
+                if let Some(as_of) = current_as_of {
+                    edge.store_view().mark_current_as_of(as_of);
+                }
                 self.position = Some(Position { revision, ..after });
                 let age = edge.store_view().age(edge.timer.now_including_suspend());
                 self.selector.record_reply(now, &vm, is_follower, age, edge.bounds().revoke);
@@ -233,7 +235,7 @@
     let now = edge.timer.now();
     let mut view = edge.store_view();
     let changes = view.directory.replace_all(now, upstreams);
-    view.mark_current_as_of(sent);
+    view.mark_read(sent);
     drop(view);
     // The later pages may already contain changes that the next watch returns. These then change nothing here and are
     // not distributed, so the journal is complete only from the last page on.
@@ -244,7 +246,8 @@
 
 /// Logs that the store has returned from an older copy if its era has changed.
 fn note_era(edge: &Edge, Position { era, revision }: Position) {
-    if let Some(former) = edge.store_view().set_era(era) {
+    let now = edge.timer.now_including_suspend();
+    if let Some(former) = edge.store_view().set_era(era, now) {
         log::warn!(target: "config", era = era, former = former, revision = revision;
             "the store has returned from an older copy");
     }
@@ -332,7 +335,7 @@
     }
     let revision = batch.position.revision.max(position.revision);
     apply_and_distribute(edge, batch.entries, revision);
-    edge.store_view().mark_current_as_of(sent);
+    edge.store_view().mark_read(sent);
     Ok(Position { revision, ..position })
 }
 
--- a/crates/lw-edge/src/lib.rs
+++ b/crates/lw-edge/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod peers;
 pub mod quarantine;
 pub mod register;
+pub mod restore;
 pub mod run;
 pub mod serve;
 pub mod state;
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -118,8 +118,12 @@
     let in_flight = edge.track_request();
     let arrived = edge.timer.now();
     let (parts, body) = req.into_parts();
-    let catalog = edge.store_view().catalog().ok_or_else(|| {
-        let text = "no configuration has been received yet";
+    let catalog = {
+        let view = edge.store_view();
+        view.catalog().filter(|_| view.has_been_current())
+    };
+    let catalog = catalog.ok_or_else(|| {
+        let text = "no current configuration has been received yet";
         Failure::new(ResultCode::NotReady, text).retry_after(RETRY_AFTER_UNREADY)
     })?;
     let route = find_route(&catalog, &parts)?;
--- a/crates/lw-edge/src/state/keys.rs
+++ b/crates/lw-edge/src/state/keys.rs
@@ -18,6 +18,9 @@
 /// Store key of [`LastIssuer`], which is written without a lease and so outlives the issuer.
 pub const LAST_ISSUER: &str = "lavenderwood/last-issuer";
 
+/// Store key of [`SettledEra`].
+pub const SETTLED_ERA: &str = "lavenderwood/settled-era";
+
 /// Prefix of the keys of quarantined sets of segments.
 pub const QUARANTINE_PREFIX: &str = "lavenderwood/quarantine/";
 
@@ -64,6 +67,13 @@
     pub failure_domain: Domain,
 }
 
+/// The last era in which operators and upstreams have written again what the store had lost before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettledEra {
+    /// The era.
+    pub era: Era,
+}
+
 /// Record of the last issuer of orders.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LastIssuer {
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -5,12 +5,16 @@
 use lw_catalog::{Catalog, Directory};
 use lw_types::prelude::*;
 
-use super::keys::{self, VmEntry};
+use super::keys::{self, SettledEra, VmEntry};
 
 /// Age of the view up to which the keys in it are used, as a fraction of the time in which a revoked key must be
 /// refused. The remainder covers a watch that received nothing for its last second.
 const KEY_AGE_MAX_FRACTION: f64 = 0.8;
 
+/// Time after the return of the store from an older copy within which operators and upstreams have written again what it
+/// lost. The platform promises about two seconds for upstreams.
+const REWRITE_TIME: Duration = Duration::from_secs(2);
+
 /// Number of target versions that are kept for each model.
 const TARGET_VERSIONS_MAX: usize = 64;
 
@@ -47,10 +51,11 @@
     router_items: HashMap<String, RouterItem>,
     vms: HashMap<VmId, (VmEntry, Revision)>,
     vms_max: usize,
-    /// Era of the store that was read last.
-    era: Option<Era>,
-    /// When the last answered read was sent, by the clock that counts suspended time. All changes before are in the
-    /// view.
+    /// Era of the store that was read last, and when it was first read.
+    era: Option<(Era, Now)>,
+    /// Whether the view has been current in this era.
+    is_settled: bool,
+    /// Time up to which all acknowledged changes are in the view, by the clock that counts suspended time.
     current_as_of: Option<Now>,
 }
 
@@ -174,17 +179,62 @@
         self.vms_max
     }
 
-    /// Sets the era of the store; returns the former one if it has changed.
-    pub fn set_era(&mut self, era: Era) -> Option<Era> {
-        self.era.replace(era).filter(|former| *former != era)
+    /// Returns the era of the store that was read last.
+    #[must_use]
+    pub fn era(&self) -> Option<Era> {
+        self.era.map(|(era, _)| era)
+    }
+
+    /// Sets the era of the store that was read at `now`; returns the former one if it has changed.
+    pub fn set_era(&mut self, era: Era, now: Now) -> Option<Era> {
+        let former = self.era();
+        if former != Some(era) {
+            self.era = Some((era, now));
+            self.is_settled = false;
+        }
+        former.filter(|former| *former != era)
     }
 
-    /// Records that the view contains all changes up to `sent`, the time when an answered read was sent.
-    pub fn mark_current_as_of(&mut self, sent: Now) {
-        self.current_as_of = self.current_as_of.max(Some(sent));
+    /// Returns the last era that a VM recorded as settled.
+    #[must_use]
+    pub fn recorded_era(&self) -> Option<Era> {
+        let item = self.router_item(keys::SETTLED_ERA)?;
+        let record: Result<SettledEra, _> = serde_json::from_slice(&item.value);
+        let record = record.inspect_err(|e| {
+            log::warn!(target: "config", revision = item.revision, why = e.to_string();
+                "unreadable record of the settled era");
+        });
+        Some(record.ok()?.era)
+    }
+
+    /// Whether the view has been current in the era of the store.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
+    /// Records that the store answered a read that was sent at `sent`, all of which is in the view. The view is then
+    /// current, unless changes that the store has lost may not be written again yet.
+    pub fn mark_read(&mut self, sent: Now) {
+        let Some((era, since)) = self.era else { return };
+        if self.is_settled || sent >= since + REWRITE_TIME || self.recorded_era() == Some(era) {
+            self.mark_current_as_of(sent);
+        }
+    }
+
+    /// Records that the view contains all changes that were acknowledged before `as_of`.
+    pub fn mark_current_as_of(&mut self, as_of: Now) {
+        self.is_settled = true;
+        self.current_as_of = self.current_as_of.max(Some(as_of));
+    }
+
+    /// Whether the view was ever current.
+    #[must_use]
+    pub fn has_been_current(&self) -> bool {
+        self.current_as_of.is_some()
     }
 
-    /// Returns the age of the view, or `None` if no read was answered yet.
+    /// Returns the age of the view, or `None` if it was never current.
     #[must_use]
     pub fn age(&self, now: Now) -> Option<Duration> {
         self.current_as_of.map(|as_of| now.saturating_sub(as_of))
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -78,6 +78,7 @@
         change: impl FnOnce(VmSettings) -> VmSettings,
     ) -> Self {
         let store = Store::start().await.unwrap();
+        store.put("lavenderwood/settled-era", &json!({ "era": 0 }));
         store.put("op/config", &config(3));
         store.put(&format!("op/version/{MODEL}"), &json!({ "Model": MODEL, "Version": 1 }));
         let mut simulation = Self {
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -221,7 +221,7 @@
     let age = |edge: &lw_edge::state::Edge| {
         edge.store_view().age(edge.timer.now_including_suspend()).unwrap()
     };
-    let received_age = edge.timer.now_including_suspend().saturating_sub(current_as_of);
+    let received_age = edge.timer.now_including_suspend().saturating_sub(current_as_of.unwrap());
     assert!(
         received_age + ms(5) >= age(first),
         "received {received_age:?}, actual {:?}",
--- a/crates/lw-edge/tests/restored.rs
+++ b/crates/lw-edge/tests/restored.rs
@@ -20,6 +20,7 @@
 
 const ISSUER: &str = "lavenderwood/issuer";
 const PEER_KEY: &str = "lavenderwood/peer-key";
+const SETTLED_ERA: &str = "lavenderwood/settled-era";
 const SECOND_VM: &str = "lavenderwood/vm/vm-2";
 /// Time in which operators and upstreams have written again what the copy does not contain.
 const REWRITE_TIME: Duration = Duration::from_millis(1_500);
@@ -174,7 +175,20 @@
         reply.is_some_and(|reply| reply.status == 200)
     };
     simulation.wait_until("the other key is accepted", serves).await;
-    drop(second);
+    let is_recorded = async |simulation: &Simulation| {
+        simulation.store.get(SETTLED_ERA).as_deref() == Some(br#"{"era":1}"#)
+    };
+    simulation.wait_until("the era is recorded", is_recorded).await;
+    // The next VM that starts need not wait.
+    let started = Instant::now();
+    let third = Vm::start(simulation.further_settings("vm-3"), simulation.logs.clone()).await;
+    let callers = third.as_ref().unwrap().edge.settings.callers;
+    let serves = async |_: &Simulation| {
+        send(callers, &request("b", "/look/x")).await.is_some_and(|reply| reply.status == 200)
+    };
+    simulation.wait_until("the third VM serves", serves).await;
+    assert!(started.elapsed() < ms(1_000), "{:?}", started.elapsed());
+    drop((second, third));
 }
 
 /// Guards against fencing numbers that go back with the revisions: engines refuse the orders of the next issuer.
