lw-edge: a lease belongs to one era of the store

What operators would see: two VMs that issue orders at the same time after the store returned from an older copy, and a VM that the others do not know for as long as it runs.

Cause: a lease was known by its id. The store gives ids out again, so that a renewal may extend another holder's lease; and while the holder of a lost lease relies on it until its own clock ends it, another VM acquires the free key at once.

A lease carries its era; renewing or ending one of an earlier era fails as absent, without a call. A VM ends its term, and registers again, as soon as it reads the next era. Nobody acquires the issuer's lease before the store has settled, which takes at least the lifetime of that lease, so that the former holder has stopped. The record of the last orders names its era; one of another era, or a missing one, counts as that of an unknown holder, whose orders the next issuer waits for where engines check no fencing numbers. A key of the issuer that was written across the return is removed again, since the lease it is bound to may be another holder's.

--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -246,8 +246,7 @@
 
 /// Logs that the store has returned from an older copy if its era has changed.
 fn note_era(edge: &Edge, Position { era, revision }: Position) {
-    let now = edge.timer.now_including_suspend();
-    if let Some(former) = edge.store_view().set_era(era, now) {
+    if let Some(former) = edge.set_era(era) {
         log::warn!(target: "config", era = era, former = former, revision = revision;
             "the store has returned from an older copy");
     }
--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -27,12 +27,24 @@
 /// Time for which a leaving issuer waits for these answers: the timeouts of a call and of its connection.
 const OPEN_ORDERS_WAIT_MAX: Duration = Duration::from_secs(1);
 
+/// Ends the term of this VM if the store has returned from an older copy since it began: the lease is lost, or its id
+/// belongs to another holder.
+pub(super) fn end_lost_term(edge: &Edge, now: Now) {
+    let era = edge.store.latest_era();
+    let lost = edge.orders.state().term.take_if(|term| term.begun_at.era != era);
+    if let Some(term) = lost {
+        log::warn!(target: "order", fence = term.fence, era = era; "lease lost with the store's return");
+        edge.orders.issuer().on_order_refused(now, term.fence);
+    }
+}
+
 /// Returns whether this VM may hold the lease: it already does, or nobody does and few VMs precede this one. The longer
 /// the lease is free, the more VMs are eligible, since those that precede may not reach the store.
 pub(super) fn is_eligible(edge: &Edge, now: Now) -> bool {
     let mut state = edge.orders.state();
     let view = edge.store_view();
-    if edge.is_leaving() || view.catalog().is_none() {
+    // The holder of a lease that the store has lost relies on it until the store has settled.
+    if edge.is_leaving() || view.catalog().is_none() || !view.is_settled() {
         state.free_since = None;
         return false;
     }
@@ -84,10 +96,10 @@
         if term.history.has_no_open_orders() { release(edge, &term).await } else { Ok(false) };
     let ended = match released {
         Ok(true) => Ok(()),
-        Ok(false) => edge.count_store_call("end_lease", edge.store.end_lease(term.lease)).await,
+        Ok(false) => edge.count_store_call("end_lease", edge.store.end_lease(&term.lease)).await,
         Err(e) => {
             log::warn!(target: "order", fence = fence, why = e.to_string(); "lease not released");
-            edge.count_store_call("end_lease", edge.store.end_lease(term.lease)).await
+            edge.count_store_call("end_lease", edge.store.end_lease(&term.lease)).await
         }
     };
     match ended {
@@ -100,21 +112,25 @@
 }
 
 /// Removes the key of the issuer and records the time of its last order, so that the next issuer waits no longer than
-/// necessary. Returns true, or the error of the store.
+/// necessary. Returns false if the store has returned from an older copy since, where the key may be another VM's.
 async fn release(edge: &Edge, term: &Term) -> Result<bool, Error> {
+    let Position { era, revision: begun_at } = term.begun_at;
+    if edge.store.latest_era() != era {
+        return Ok(false);
+    }
     let record = term.history.to_record(edge.timer.now_including_suspend(), true);
     // Each VM that acquires the lease writes this record, so that an unchanged revision shows that no other VM has.
     let read = edge.store_view().router_item(keys::LAST_ISSUER).map(|item| item.revision);
-    let revision = read.filter(|read| *read >= term.fence).unwrap_or(term.fence);
+    let revision = read.filter(|read| *read >= begun_at).unwrap_or(begun_at);
     let expected = vec![Precondition { key: keys::LAST_ISSUER.into(), revision }];
-    let write = KeyWrite { key: keys::LAST_ISSUER.into(), value: encode(&record)?, lease: 0 };
+    let write = KeyWrite { key: keys::LAST_ISSUER.into(), value: encode(&record, era)?, lease: 0 };
     let remove = vec![keys::ISSUER.to_owned()];
     edge.count_store_call("write", edge.store.write(expected, vec![write], remove)).await?;
     Ok(true)
 }
 
-fn encode(record: &IssuerRecord) -> Result<Vec<u8>, Error> {
-    serde_json::to_vec(&LastIssuer::from(record)).map_err(|e| Error::Unreadable(e.to_string()))
+fn encode(record: &IssuerRecord, era: Era) -> Result<Vec<u8>, Error> {
+    serde_json::to_vec(&LastIssuer::new(record, era)).map_err(|e| Error::Unreadable(e.to_string()))
 }
 
 /// Tries to acquire the lease and reports the result to the issuer.
@@ -160,27 +176,39 @@
 /// Creates the lease and writes the key of the issuer under it. Writes the record of the last issuer too, which is
 /// bound to no lease. Returns the term, and whether the former issuer was lost without releasing its lease.
 async fn create_lease(edge: &Edge) -> Result<(Term, bool), Error> {
-    let last = edge.store_view().router_item(keys::LAST_ISSUER).cloned();
+    let (era, last) = {
+        let view = edge.store_view();
+        (view.era().ok_or(Error::Conflict)?, view.router_item(keys::LAST_ISSUER).cloned())
+    };
+    let unknown =
+        || IssuerRecord { holder: VmId::new(), is_released: false, last_orders: Vec::new() };
     let read = |item: &RouterItem| {
         let last = serde_json::from_slice::<LastIssuer>(&item.value).inspect_err(|e| {
             log::warn!(target: "order", revision = item.revision, why = e.to_string();
                 "record of the last issuer is unreadable");
         });
-        // The VM that wrote an unreadable record may have sent orders just before.
-        let unknown =
-            IssuerRecord { holder: VmId::new(), is_released: false, last_orders: Vec::new() };
-        (last.map_or(unknown, IssuerRecord::from), item.read_at)
+        // The VM that wrote an unreadable or lost record may have sent orders just before.
+        let record = match last {
+            Err(_) => unknown(),
+            Ok(last) if last.is_of_era(era) => last.into(),
+            Ok(last) => {
+                IssuerRecord { last_orders: IssuerRecord::from(last).last_orders, ..unknown() }
+            }
+        };
+        (record, item.read_at)
     };
     let record = last.as_ref().map(read);
     let vm = &edge.settings.vm;
     let lease =
         edge.count_store_call("lease", edge.store.lease(edge.orders.options.lease_ttl)).await?;
+    let unknown = unknown();
     let begin = |now| {
-        let record = record.as_ref().map(|(record, read_at)| (record, *read_at));
-        OrderHistory::new(vm, record, now)
+        let record =
+            record.as_ref().map_or((&unknown, now), |(record, read_at)| (record, *read_at));
+        OrderHistory::new(vm, Some(record), now)
     };
     let now = edge.timer.now_including_suspend();
-    let value = encode(&begin(now).to_record(now, false))?;
+    let value = encode(&begin(now).to_record(now, false), era)?;
     let last_revision = last.as_ref().map_or(0, |item| item.revision);
     let expected = vec![
         Precondition { key: keys::ISSUER.into(), revision: 0 },
@@ -190,12 +218,26 @@
         KeyWrite { key: keys::ISSUER.into(), value: value.clone(), lease: lease.id },
         KeyWrite { key: keys::LAST_ISSUER.into(), value, lease: 0 },
     ];
-    let fence =
+    let begun_at =
         edge.count_store_call("write", edge.store.write(expected, writes, Vec::new())).await?;
+    if lease.era != era || begun_at.era != era {
+        return abandon_key(edge, begun_at).await;
+    }
     let history = begin(edge.timer.now_including_suspend());
     let is_after_loss =
         OrderHistory::has_unreleased_predecessor(record.as_ref().map(|(record, _)| record), vm);
-    Ok((Term { fence, lease: lease.id, history, is_closed: false }, is_after_loss))
+    let term = Term { fence: begun_at.revision, begun_at, lease, history, is_closed: false };
+    Ok((term, is_after_loss))
+}
+
+/// Removes the key of the issuer, which was written as the store returned from an older copy: it is bound to a lease that
+/// may be another holder's, and would then never expire.
+async fn abandon_key<T>(edge: &Edge, written_at: Position) -> Result<T, Error> {
+    let revision = written_at.revision;
+    let expected = vec![Precondition { key: keys::ISSUER.into(), revision }];
+    let remove = vec![keys::ISSUER.to_owned()];
+    edge.count_store_call("write", edge.store.write(expected, Vec::new(), remove)).await?;
+    Err(Error::Conflict)
 }
 
 /// Renews the lease and reports the result to the issuer.
@@ -207,7 +249,7 @@
     };
     let result = match lease {
         None => LeaseResult::Refused,
-        Some(id) => match edge.count_store_call("renew", edge.store.renew(id)).await {
+        Some(lease) => match edge.count_store_call("renew", edge.store.renew(&lease)).await {
             Ok(_) => LeaseResult::Granted(fence),
             Err(Error::Absent) => {
                 log::warn!(target: "order", fence = fence; "lease lost");
--- a/crates/lw-edge/src/orders/load.rs
+++ b/crates/lw-edge/src/orders/load.rs
@@ -93,7 +93,7 @@
     let now = edge.timer.now_including_suspend();
     let id = &upstream.id;
     // The lease may have been released since the issuer decided on this order, and another VM may be the issuer.
-    if !edge.orders.begin_order(now, order.fence) {
+    if !edge.orders.begin_order(now, order.fence, edge.store.latest_era()) {
         log::info!(target: "order", upstream = id.as_str(), fence = order.fence;
             "order not sent, the lease was released");
         return;
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use lw_catalog::{Stage, Upstream};
+use lw_catalog::{Stage, Upstream, settings::Bounds};
 use lw_order::{
     handover::OrderHistory,
     issuer::{Action, Issuer},
@@ -14,7 +14,7 @@
     options::Options,
     plan::Plan,
 };
-use lw_platform::engine::OrderOutcome;
+use lw_platform::{engine::OrderOutcome, store::Lease};
 use lw_types::prelude::*;
 
 use crate::state::Edge;
@@ -51,8 +51,9 @@
 struct Term {
     /// Fencing number.
     fence: Revision,
-    /// Id of the lease in the store.
-    lease: u64,
+    /// Position of the write that began the term.
+    begun_at: Position,
+    lease: Lease,
     history: OrderHistory,
     /// Whether no further order may be sent, since the lease is about to be released.
     is_closed: bool,
@@ -81,11 +82,17 @@
 }
 
 impl Orders {
+    /// Returns the lifetime of the issuer's lease.
+    #[must_use]
+    pub fn lease_ttl(bounds: &Bounds) -> Duration {
+        LEASE_TTL.max(bounds.lease_min)
+    }
+
     /// Creates an issuer that has issued no orders.
     #[must_use]
-    pub fn new(bounds: &lw_catalog::settings::Bounds) -> Self {
+    pub fn new(bounds: &Bounds) -> Self {
         let ms = Duration::from_millis;
-        let lease_ttl = LEASE_TTL.max(bounds.lease_min);
+        let lease_ttl = Self::lease_ttl(bounds);
         let options = Options {
             lease_ttl,
             lease_margin: lease_ttl / 5,
@@ -108,11 +115,14 @@
         self.state().term.as_ref().map(|term| term.fence)
     }
 
-    /// Records that an order is about to be sent under this fencing number. Returns false if that term has ended, so
-    /// that the order must not be sent.
-    fn begin_order(&self, now: Now, fence: Revision) -> bool {
+    /// Records that an order is about to be sent under this fencing number. `era` is the latest era of the store.
+    /// Returns false if that term has ended, so that the order must not be sent.
+    fn begin_order(&self, now: Now, fence: Revision, era: Era) -> bool {
         let mut state = self.state();
-        let term = state.term.as_mut().filter(|term| term.fence == fence && !term.is_closed);
+        let term = state
+            .term
+            .as_mut()
+            .filter(|term| term.fence == fence && !term.is_closed && term.begun_at.era == era);
         term.map(|term| term.history.begin_order(now)).is_some()
     }
 
@@ -156,6 +166,7 @@
     loop {
         ticks.tick().await;
         let now = edge.timer.now_including_suspend();
+        lease::end_lost_term(&edge, now);
         let is_eligible = lease::is_eligible(&edge, now);
         edge.orders.issuer().set_eligible(is_eligible);
         // The plan and the reports grow with the engines, and only an issuer needs them.
--- a/crates/lw-edge/src/register/mod.rs
+++ b/crates/lw-edge/src/register/mod.rs
@@ -67,8 +67,11 @@
     tokio::time::sleep(startup_delay(&edge.settings.vm)).await;
     create_peer_key(edge).await?;
     loop {
-        tokio::time::sleep(RENEW_PERIOD).await;
-        match edge.count_store_call("renew", edge.store.renew(lease.id)).await {
+        tokio::select! {
+            () = tokio::time::sleep(RENEW_PERIOD) => {}
+            () = edge.wait_for_era_after(lease.era) => return Err(Error::Absent),
+        }
+        match edge.count_store_call("renew", edge.store.renew(&lease)).await {
             Ok(_) => {}
             Err(Error::Absent) => return Err(Error::Absent),
             Err(e) => {
--- a/crates/lw-edge/src/state/keys.rs
+++ b/crates/lw-edge/src/state/keys.rs
@@ -82,6 +82,9 @@
     is_released: bool,
     #[serde(default)]
     last_orders: Vec<LastOrderWire>,
+    /// Era of the store in which the record was written. VMs of an older release omit this field.
+    #[serde(default)]
+    era: Era,
 }
 
 /// Encoded form of [`LastOrder`].
@@ -92,15 +95,9 @@
 }
 
 impl LastIssuer {
-    /// Whether the issuer released its lease.
+    /// Returns the stored form of a record that is written in this era.
     #[must_use]
-    pub fn is_released(&self) -> bool {
-        self.is_released
-    }
-}
-
-impl From<&IssuerRecord> for LastIssuer {
-    fn from(record: &IssuerRecord) -> Self {
+    pub fn new(record: &IssuerRecord, era: Era) -> Self {
         let encode = |order: &LastOrder| LastOrderWire {
             vm: order.vm.clone(),
             age_ms: u64::try_from(order.age.as_millis()).unwrap_or(u64::MAX),
@@ -109,8 +106,21 @@
             vm: record.holder.clone(),
             is_released: record.is_released,
             last_orders: record.last_orders.iter().map(encode).collect(),
+            era,
         }
     }
+
+    /// Whether the issuer released its lease.
+    #[must_use]
+    pub fn is_released(&self) -> bool {
+        self.is_released
+    }
+
+    /// Whether the record was written in this era. The store may have lost later records of an earlier one.
+    #[must_use]
+    pub fn is_of_era(&self, era: Era) -> bool {
+        self.era == era
+    }
 }
 
 impl From<LastIssuer> for IssuerRecord {
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -32,7 +32,7 @@
     timer::Timer,
 };
 use lw_types::prelude::*;
-use tokio::sync::broadcast;
+use tokio::sync::{Notify, broadcast};
 
 pub mod keys;
 mod store_view;
@@ -98,6 +98,8 @@
     datagrams: OnceLock<Arc<Datagrams>>,
     /// The open query of this VM to others for the ages of versions of weights.
     pub version_age_query: peers::VersionAgeQuery,
+    /// Wakes the tasks that wait for the next era of the store.
+    era_changed: Notify,
     /// Wakes the requests that are in flight at an upstream that has become unresponsive.
     unresponsive: broadcast::Sender<UpstreamId>,
     leaving_since: OnceLock<Now>,
@@ -152,7 +154,7 @@
             distribution: ChangeDistribution::default(),
             metrics: Metrics::default(),
             logs,
-            store_view: Mutex::default(),
+            store_view: Mutex::new(StoreView::new(Orders::lease_ttl(&settings.bounds))),
             upstream_pools: Mutex::default(),
             retry_budgets: Mutex::default(),
             answer_memory: AnswerMemory::new(
@@ -163,6 +165,7 @@
             orders: Orders::new(&settings.bounds),
             datagrams: OnceLock::new(),
             version_age_query: peers::VersionAgeQuery::default(),
+            era_changed: Notify::new(),
             unresponsive: broadcast::Sender::new(UNRESPONSIVE_PENDING_MAX),
             leaving_since: OnceLock::new(),
             bounds: Mutex::new(settings.bounds),
@@ -200,6 +203,26 @@
         lock(&self.store_view)
     }
 
+    /// Sets the era of the store that was read now; returns the former one if it has changed.
+    pub fn set_era(&self, era: Era) -> Option<Era> {
+        let former = self.store_view().set_era(era, self.timer.now_including_suspend());
+        if former.is_some() {
+            self.era_changed.notify_waiters();
+        }
+        former
+    }
+
+    /// Waits until the view of the store is of a later era.
+    pub async fn wait_for_era_after(&self, era: Era) {
+        loop {
+            let changed = self.era_changed.notified();
+            if self.store_view().era() > Some(era) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Locks the upstream pools, by service name.
     pub fn upstream_pools(&self) -> MutexGuard<'_, HashMap<String, UpstreamPool>> {
         lock(&self.upstream_pools)
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -23,7 +23,7 @@
 pub struct RouterItem {
     /// The value.
     pub value: Vec<u8>,
-    /// Revision of its last change.
+    /// Revision of its last change; 0 if it was not read in this era.
     pub revision: Revision,
     /// When this VM first read this revision, by the clock that counts suspended time.
     pub read_at: Now,
@@ -55,11 +55,20 @@
     era: Option<(Era, Now)>,
     /// Whether the view has been current in this era.
     is_settled: bool,
+    /// Time from the first read in an era until the store has settled.
+    settle_time: Duration,
     /// Time up to which all acknowledged changes are in the view, by the clock that counts suspended time.
     current_as_of: Option<Now>,
 }
 
 impl StoreView {
+    /// Returns the view of a VM that has read nothing yet. `lease_ttl` is the lifetime of the longest lease whose holder
+    /// may still rely on it after the store has lost it.
+    #[must_use]
+    pub fn new(lease_ttl: Duration) -> Self {
+        Self { settle_time: REWRITE_TIME.max(lease_ttl), ..Self::default() }
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
@@ -191,6 +200,8 @@
         if former != Some(era) {
             self.era = Some((era, now));
             self.is_settled = false;
+            // The revisions of two eras cannot be compared, so that each item is read as a new one.
+            self.router_items.values_mut().for_each(|item| item.revision = 0);
         }
         former.filter(|former| *former != era)
     }
@@ -217,7 +228,7 @@
     /// current, unless changes that the store has lost may not be written again yet.
     pub fn mark_read(&mut self, sent: Now) {
         let Some((era, since)) = self.era else { return };
-        if self.is_settled || sent >= since + REWRITE_TIME || self.recorded_era() == Some(era) {
+        if self.is_settled || sent >= since + self.settle_time || self.recorded_era() == Some(era) {
             self.mark_current_as_of(sent);
         }
     }
