lw-edge: fencing numbers grow across eras of the store

What operators would see: after the store returned from an older copy, engines refuse the orders of the next issuer (412) until revisions have grown past the old ones, so that a roll-out stands still; or two holders with one number.

Cause: the fencing number was the revision of the issuer's write, and revisions go back.

The number has the era above 42 bits of revision. Without the header Store-Era the numbers are those of before.

--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -27,6 +27,16 @@
 /// Time for which a leaving issuer waits for these answers: the timeouts of a call and of its connection.
 const OPEN_ORDERS_WAIT_MAX: Duration = Duration::from_secs(1);
 
+/// Bits of a fencing number that contain the revision; those above contain the era. Numbers of up to 53 bits are exact in
+/// JSON.
+const FENCE_REVISION_BITS: u32 = 42;
+
+/// Returns the fencing number of a term that began with this write. It grows with each write of a store that may return
+/// from an older copy, after which revisions are lower but the era is higher.
+fn fence(Position { era, revision }: Position) -> Revision {
+    (era << FENCE_REVISION_BITS) | revision
+}
+
 /// Ends the term of this VM if the store has returned from an older copy since it began: the lease is lost, or its id
 /// belongs to another holder.
 pub(super) fn end_lost_term(edge: &Edge, now: Now) {
@@ -226,7 +236,7 @@
     let history = begin(edge.timer.now_including_suspend());
     let is_after_loss =
         OrderHistory::has_unreleased_predecessor(record.as_ref().map(|(record, _)| record), vm);
-    let term = Term { fence: begun_at.revision, begun_at, lease, history, is_closed: false };
+    let term = Term { fence: fence(begun_at), begun_at, lease, history, is_closed: false };
     Ok((term, is_after_loss))
 }
 
