lw-quarantine: a set that the store has lost was not released

What callers would see: after the store returned from an older copy, requests that crash engines are served again.

Cause: a set that was in the store and is not any more counts as removed by operators. After a return it may only be missing in the copy. A set that was released meanwhile may be in the copy again.

Each VM compares anew when the era changes: a set that is missing is written again, by one VM after the other, and one that was released is removed again. The era and the list of sets change under one lock, so that no comparison mixes two eras.

--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -225,10 +225,9 @@
             break (first, page.position);
         }
     };
-    note_era(edge, first);
     let upstreams: Vec<_> = items.iter().filter_map(upstream_entry).collect();
     let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-    edge.store_view().retain_router_items(|key| listed.contains(key));
+    begin_era(edge, first, |key| listed.contains(key));
     for item in items {
         apply_item(edge, &item);
     }
@@ -244,9 +243,10 @@
     Ok(first)
 }
 
-/// Logs that the store has returned from an older copy if its era has changed.
-fn note_era(edge: &Edge, Position { era, revision }: Position) {
-    if let Some(former) = edge.set_era(era) {
+/// Sets the era of the view and removes the items of the router that the store does not list. Logs if the store has
+/// returned from an older copy.
+fn begin_era(edge: &Edge, Position { era, revision }: Position, is_listed: impl Fn(&str) -> bool) {
+    if let Some(former) = edge.begin_era(era, is_listed) {
         log::warn!(target: "config", era = era, former = former, revision = revision;
             "the store has returned from an older copy");
     }
--- a/crates/lw-edge/src/quarantine/mod.rs
+++ b/crates/lw-edge/src/quarantine/mod.rs
@@ -16,7 +16,7 @@
 use crate::{
     peers::{self, Announcement},
     state::{
-        Edge,
+        Edge, StoreView,
         keys::{self, QuarantineEntry},
     },
 };
@@ -111,6 +111,7 @@
 
 /// Decides on the evidence until the process ends.
 pub async fn run(edge: Arc<Edge>) {
+    let mut last_era = None;
     loop {
         let is_busy = edge.quarantine.lock().is_busy();
         if is_busy {
@@ -120,9 +121,19 @@
             // Either the evidence or the end of the period.
             let _ = tokio::time::timeout(IDLE_PERIOD, evidence).await;
         }
-        let (stored, rank) = (stored_sets(&edge), store_rank(&edge));
+        let (era, stored, rank) = {
+            let view = edge.store_view();
+            (view.era(), stored_sets(&view), store_rank(&view, &edge.settings.vm))
+        };
         let now = edge.timer.now_including_suspend();
-        let actions = edge.quarantine.lock().poll(now, &stored, rank);
+        let former = std::mem::replace(&mut last_era, era);
+        let actions = {
+            let mut quarantine = edge.quarantine.lock();
+            if former.is_some_and(|former| Some(former) != era) {
+                quarantine.on_store_restored(now, rank);
+            }
+            quarantine.poll(now, &stored, rank)
+        };
         for action in actions {
             apply(&edge, action);
         }
@@ -130,8 +141,7 @@
 }
 
 /// Returns the sets in the store.
-fn stored_sets(edge: &Edge) -> HashMap<SegmentSet, StoredSet> {
-    let view = edge.store_view();
+fn stored_sets(view: &StoreView) -> HashMap<SegmentSet, StoredSet> {
     let items = view.router_items_below(keys::QUARANTINE_PREFIX);
     let decode = |(key, item): (&String, &crate::state::RouterItem)| {
         let entry: Result<QuarantineEntry, _> = serde_json::from_slice(&item.value);
@@ -153,9 +163,8 @@
 
 /// Returns the position of this VM among the registered ones by when they registered, the latest first: it is likely to
 /// run longest.
-fn store_rank(edge: &Edge) -> u32 {
-    let view = edge.store_view();
-    let own = view.registered_at(&edge.settings.vm);
+fn store_rank(view: &StoreView, own: &VmId) -> u32 {
+    let own = view.registered_at(own);
     let others = view.vms().filter(|(vm, _)| view.registered_at(vm) > own);
     u32::try_from(others.count()).unwrap_or(u32::MAX)
 }
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -203,9 +203,16 @@
         lock(&self.store_view)
     }
 
-    /// Sets the era of the store that was read now; returns the former one if it has changed.
-    pub fn set_era(&self, era: Era) -> Option<Era> {
-        let former = self.store_view().set_era(era, self.timer.now_including_suspend());
+    /// Sets the era of the store that was read now, and removes the items of the router that it does not list. Returns the
+    /// former era if it has changed.
+    pub fn begin_era(&self, era: Era, is_listed: impl Fn(&str) -> bool) -> Option<Era> {
+        let former = {
+            // Under one lock, since an item that is missing in the next era was lost and not removed.
+            let mut view = self.store_view();
+            let former = view.set_era(era, self.timer.now_including_suspend());
+            view.retain_router_items(is_listed);
+            former
+        };
         if former.is_some() {
             self.era_changed.notify_waiters();
         }
--- a/crates/lw-quarantine/src/quarantine/store.rs
+++ b/crates/lw-quarantine/src/quarantine/store.rs
@@ -62,6 +62,18 @@
         }
     }
 
+    /// Records that the store has returned from an older copy: sets that it does not contain were lost, not removed, and
+    /// their revisions begin anew. `rank` is the position of this VM among those that could write to the store.
+    pub fn on_store_restored(&mut self, now: Now, rank: u32) {
+        for entry in self.entries.values_mut() {
+            match &mut entry.state {
+                State::Active { is_stored, .. } => *is_stored = false,
+                State::Released { revision, .. } => *revision = None,
+            }
+            entry.store_at = now + STORE_STEP * rank;
+        }
+    }
+
     /// Returns the writes to the store that are due.
     pub(super) fn store_actions(
         &mut self,
