lw-edge: the key of the messages between VMs outlives the store's copy

What operators would see: VMs that start after the return read messages with another key than the others, for as long as these run: no announcements, no changes from other VMs.

Cause: only the first VM of a fleet writes the key; it stays in the memory of the others, but a VM that registers again and misses it in the store creates a new one.

VMs keep the key that is in use when the store does not list it, and write it again, one after the other. A VM that has none creates one only once the store has settled.

the_key_of_the_messages_is_written_again_with_the_same_value failed before: a third VM that started had written another one.

--- a/crates/lw-edge/src/register/mod.rs
+++ b/crates/lw-edge/src/register/mod.rs
@@ -84,6 +84,10 @@
 
 /// Creates the key that authenticates messages between VMs, unless another VM has created it.
 async fn create_peer_key(edge: &Edge) -> Result<(), Error> {
+    // After a return of the store from an older copy, a VM that has the key writes it again.
+    while !edge.store_view().is_settled() {
+        tokio::time::sleep(CATALOG_POLL_PERIOD).await;
+    }
     if edge.store_view().router_item(keys::PEER_KEY).is_some() {
         return Ok(());
     }
--- a/crates/lw-edge/src/restore/mod.rs
+++ b/crates/lw-edge/src/restore/mod.rs
@@ -8,7 +8,7 @@
 use crate::{
     register,
     state::{
-        Edge,
+        Edge, StoreView,
         keys::{self, SettledEra},
     },
 };
@@ -16,42 +16,63 @@
 /// Time between two checks of what is missing in the store.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
-/// Checks what is missing in the store until the process ends.
+/// Checks what is missing in the store until the process ends. One VM after the other does, so that the first one that
+/// writes spares the others the call.
 pub async fn run(edge: Arc<Edge>) {
     loop {
         tokio::time::sleep(CHECK_PERIOD).await;
-        if unrecorded_era(&edge).is_none() {
+        if missing_items(&edge.store_view()).is_empty() {
             continue;
         }
         tokio::time::sleep(register::startup_delay(&edge.settings.vm)).await;
-        if let Some(era) = unrecorded_era(&edge)
-            && let Err(e) = record_settled_era(&edge, era).await
-        {
-            log::warn!(target: "config", era = era, why = e.to_string();
-                "cannot record that the store has settled");
+        let missing = missing_items(&edge.store_view());
+        for item in missing {
+            write(&edge, item).await;
         }
     }
 }
 
-/// Returns the era of the view if the store has settled in it and does not say so yet.
-fn unrecorded_era(edge: &Edge) -> Option<Era> {
-    let view = edge.store_view();
+/// An item that the store should contain and does not.
+#[derive(Debug)]
+struct MissingItem {
+    key: &'static str,
+    /// Revision of the item that is to be replaced; 0 if there is none.
+    former: Revision,
+    value: Vec<u8>,
+}
+
+fn missing_items(view: &StoreView) -> Vec<MissingItem> {
+    missing_peer_key(view).into_iter().chain(missing_era(view)).collect()
+}
+
+/// Returns the key of the messages between VMs if the store has lost it. VMs that start need the one that is in use.
+fn missing_peer_key(view: &StoreView) -> Option<MissingItem> {
+    let item = view.router_item(keys::PEER_KEY).filter(|item| item.revision == 0)?;
+    Some(MissingItem { key: keys::PEER_KEY, former: 0, value: item.value.clone() })
+}
+
+/// Returns the record that the store has settled, for VMs that start, if the store does not contain it.
+fn missing_era(view: &StoreView) -> Option<MissingItem> {
     let era = view.era().filter(|_| view.is_settled())?;
-    (view.recorded_era() != Some(era)).then_some(era)
+    if view.recorded_era() == Some(era) {
+        return None;
+    }
+    let value = serde_json::to_vec(&SettledEra { era }).inspect_err(|e| {
+        log::error!(target: "config", why = e.to_string(); "record of the settled era not encoded");
+    });
+    let former = view.router_item(keys::SETTLED_ERA).map_or(0, |item| item.revision);
+    Some(MissingItem { key: keys::SETTLED_ERA, former, value: value.ok()? })
 }
 
-/// Records that what was lost before an era is in the store again, so that VMs that start need not wait for it.
-async fn record_settled_era(edge: &Edge, era: Era) -> Result<(), Error> {
-    let former = edge.store_view().router_item(keys::SETTLED_ERA).map(|item| item.revision);
-    let key = keys::SETTLED_ERA.to_owned();
-    let expected = Precondition { key: key.clone(), revision: former.unwrap_or(0) };
-    let value = serde_json::to_vec(&SettledEra { era });
-    let value = value.map_err(|e| Error::Unreadable(e.to_string()))?;
-    let write = KeyWrite { key, value, lease: 0 };
+async fn write(edge: &Edge, MissingItem { key, former, value }: MissingItem) {
+    let expected = Precondition { key: key.to_owned(), revision: former };
+    let write = KeyWrite { key: key.to_owned(), value, lease: 0 };
     let written = edge.store.write(vec![expected], vec![write], Vec::new());
     match edge.count_store_call("write", written).await {
-        // On a conflict another VM has written the same.
-        Ok(_) | Err(Error::Conflict) => Ok(()),
-        Err(e) => Err(e),
+        Ok(_) => log::info!(target: "config", key = key; "missing item written to the store"),
+        // Another VM has written it.
+        Err(Error::Conflict) => {}
+        Err(e) => log::warn!(target: "config", key = key, why = e.to_string();
+            "cannot write a missing item to the store"),
     }
 }
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -164,9 +164,15 @@
         }
     }
 
-    /// Removes all items under keys of the router for which `is_listed` is false, after a read of the whole store.
+    /// Removes all items under keys of the router for which `is_listed` is false, after a read of the whole store. The key
+    /// of the messages between VMs stays, with the revision 0, as long as any VM has it.
     pub fn retain_router_items(&mut self, is_listed: impl Fn(&str) -> bool) {
-        self.router_items.retain(|key, _| is_listed(key));
+        if let Some(item) = self.router_items.get_mut(keys::PEER_KEY)
+            && !is_listed(keys::PEER_KEY)
+        {
+            item.revision = 0;
+        }
+        self.router_items.retain(|key, _| is_listed(key) || key == keys::PEER_KEY);
         self.vms.retain(|vm, _| is_listed(&format!("{}{vm}", keys::VM_PREFIX)));
     }
 
