lw-catalog: upstreams that were leaving or gone do not come back with an older copy

What callers would see: after the store returned from an older copy, requests to an engine that drains or has ended; they are cut off or wait for a connection until the caller leaves.

Cause: the entries of the copy replaced what the VM knew. An entry of the copy may be older than the upstream's last one.

A run of an upstream that was leaving stays so. A run whose entry had disappeared is used when it registers again, or after 4 s if it is still listed, by when the platform has removed the entries of upstreams that do not run. A return counts as an outage too, so that entries that the copy does not contain have the usual time to come back.

--- a/crates/lw-catalog/src/upstreams/mod.rs
+++ b/crates/lw-catalog/src/upstreams/mod.rs
@@ -8,8 +8,12 @@
 /// platform promises about two seconds.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(1900);
 
-/// Entries of [`Directory`]'s list of leaving upstreams at which those that are no longer registered are removed. They
-/// are retained until then, since a store that recovers may list these upstreams again.
+/// Time after the return of the store from an older copy after which an entry that was gone before is used if it is still
+/// listed. The platform removes it sooner if its upstream does not run.
+const STALE_ENTRY_TIME: Duration = Duration::from_secs(4);
+
+/// Entries of [`Directory`]'s lists of leaving upstreams and of those that are gone at which old ones are removed. They are
+/// retained until then, since a store that recovers may list these upstreams again.
 const LEAVING_MAX: usize = 4096;
 
 /// Whether an upstream accepts new requests.
@@ -79,8 +83,14 @@
     expired: HashMap<UpstreamId, Now>,
     /// Until when entries that disappear may come back.
     grace_until: Option<Now>,
-    /// Runs of upstreams that reported in an answer that they are leaving. Their entries may show it later or never.
+    /// Runs of upstreams that reported in an answer that they are leaving, or were leaving before the store returned from
+    /// an older copy. Their entries may show it later or never.
     leaving: HashMap<UpstreamId, Incarnation>,
+    /// Runs of upstreams whose entries disappeared. An older copy of the store may contain them.
+    gone: HashMap<UpstreamId, Incarnation>,
+    /// Entries of such runs that the store lists after its return from an older copy, with the time from which they are
+    /// used.
+    stale: HashMap<UpstreamId, (Upstream, Now)>,
 }
 
 impl Directory {
@@ -106,10 +116,20 @@
         self.grace_until = Some(now + REREGISTRATION_TIME);
     }
 
+    /// Records that the store returned from an older copy, which may list upstreams as ready that were leaving.
+    pub fn on_store_restored(&mut self, now: Now) {
+        self.on_store_outage(now);
+        let leaving = self.upstreams.values().filter(|upstream| upstream.stage == Stage::Leaving);
+        let leaving = leaving.map(|upstream| (upstream.id.clone(), upstream.incarnation));
+        self.leaving.extend(leaving);
+    }
+
     /// Applies an entry of the store and returns the changes. `None` stands for an entry without a usable upstream.
     pub fn put(&mut self, now: Now, id: &str, entry: Option<Upstream>) -> Vec<Change> {
         let Some(mut entry) = entry else { return self.remove(now, id) };
         self.expired.remove(id);
+        self.gone.remove(id);
+        self.stale.remove(id);
         match self.leaving.get(id) {
             Some(leaving) if *leaving == entry.incarnation => entry.stage = Stage::Leaving,
             Some(_) => drop(self.leaving.remove(id)),
@@ -140,6 +160,7 @@
 
     /// Records that the entry of an upstream disappeared.
     pub fn remove(&mut self, now: Now, id: &str) -> Vec<Change> {
+        self.stale.remove(id);
         let Some(current) = self.upstreams.get(id) else { return Vec::new() };
         match self.grace_until {
             Some(until) if now < until && current.stage == Stage::Ready => {
@@ -150,12 +171,19 @@
         }
     }
 
-    /// Applies a complete list of the entries; upstreams that are not in it have disappeared.
+    /// Applies a complete list of the entries; upstreams that are not in it have disappeared. `is_restored` states whether
+    /// it was read after the store returned from an older copy. A run of an upstream that was gone is then used only when
+    /// it registers again, or is still listed after some time.
     pub fn replace_all(
         &mut self,
         now: Now,
         entries: Vec<(UpstreamId, Option<Upstream>)>,
+        is_restored: bool,
     ) -> Vec<Change> {
+        self.stale.clear();
+        if is_restored {
+            self.on_store_restored(now);
+        }
         let missing: Vec<_> = self
             .upstreams
             .keys()
@@ -164,20 +192,36 @@
             .collect();
         let mut changes: Vec<_> = missing.iter().flat_map(|id| self.remove(now, id)).collect();
         for (id, entry) in entries {
-            changes.extend(self.put(now, &id, entry));
+            match entry {
+                Some(entry) if is_restored && self.gone.get(&id) == Some(&entry.incarnation) => {
+                    self.stale.insert(id, (entry, now + STALE_ENTRY_TIME));
+                }
+                entry => changes.extend(self.put(now, &id, entry)),
+            }
         }
         changes
     }
 
-    /// Removes the upstreams whose entries did not come back in time.
-    pub fn remove_expired(&mut self, now: Now) -> Vec<Change> {
+    /// Removes the upstreams whose entries did not come back in time, and adds those that were gone before the store
+    /// returned from an older copy and are still listed.
+    pub fn apply_due_changes(&mut self, now: Now) -> Vec<Change> {
         let expired_id = |(id, until): (&UpstreamId, &Now)| (now >= *until).then(|| id.clone());
         let gone: Vec<_> = self.expired.iter().filter_map(expired_id).collect();
-        gone.iter().flat_map(|id| self.drop_entry(id)).collect()
+        let mut changes: Vec<_> = gone.iter().flat_map(|id| self.drop_entry(id)).collect();
+        let due: Vec<_> = self.stale.extract_if(|_, (_, from)| now >= *from).collect();
+        for (id, (entry, _)) in due {
+            changes.extend(self.put(now, &id, Some(entry)));
+        }
+        changes
     }
 
     fn drop_entry(&mut self, id: &str) -> Vec<Change> {
         self.expired.remove(id);
-        self.upstreams.remove(id).map(|_| Change::Gone(id.to_owned())).into_iter().collect()
+        let Some(gone) = self.upstreams.remove(id) else { return Vec::new() };
+        if self.gone.len() >= LEAVING_MAX {
+            self.gone.clear();
+        }
+        self.gone.insert(id.to_owned(), gone.incarnation);
+        vec![Change::Gone(id.to_owned())]
     }
 }
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -60,11 +60,11 @@
         if let Err(e) = updater.step().await {
             updater.handle_store_error(&e).await;
         }
-        let expired = {
+        let changes = {
             let edge = &updater.edge;
-            edge.store_view().directory.remove_expired(edge.timer.now())
+            edge.store_view().directory.apply_due_changes(edge.timer.now())
         };
-        updater.edge.apply_upstream_changes(expired);
+        updater.edge.apply_upstream_changes(changes);
     }
 }
 
@@ -227,13 +227,13 @@
     };
     let upstreams: Vec<_> = items.iter().filter_map(upstream_entry).collect();
     let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-    begin_era(edge, first, |key| listed.contains(key));
+    let is_restored = begin_era(edge, first, |key| listed.contains(key));
     for item in items {
         apply_item(edge, &item);
     }
     let now = edge.timer.now();
     let mut view = edge.store_view();
-    let changes = view.directory.replace_all(now, upstreams);
+    let changes = view.directory.replace_all(now, upstreams, is_restored);
     view.mark_read(sent);
     drop(view);
     // The later pages may already contain changes that the next watch returns. These then change nothing here and are
@@ -243,13 +243,19 @@
     Ok(first)
 }
 
-/// Sets the era of the view and removes the items of the router that the store does not list. Logs if the store has
-/// returned from an older copy.
-fn begin_era(edge: &Edge, Position { era, revision }: Position, is_listed: impl Fn(&str) -> bool) {
-    if let Some(former) = edge.begin_era(era, is_listed) {
+/// Sets the era of the view and removes the items of the router that the store does not list. Returns whether the store
+/// has returned from an older copy.
+fn begin_era(
+    edge: &Edge,
+    Position { era, revision }: Position,
+    is_listed: impl Fn(&str) -> bool,
+) -> bool {
+    let former = edge.begin_era(era, is_listed);
+    if let Some(former) = former {
         log::warn!(target: "config", era = era, former = former, revision = revision;
             "the store has returned from an older copy");
     }
+    former.is_some()
 }
 
 /// Returns the id and the upstream of an item under a key of an upstream. The upstream is `None` if its entry cannot be
