lw-edge: a view becomes current as soon as the store has settled

Cause: a view becomes current with a watch that was sent after the store has settled, and the one before waits for up to 1.5 s in an idle store. Until the store has settled a watch waits no longer than until then.

callers_are_served_as_soon_as_the_store_has_settled failed before.

--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -357,7 +357,12 @@
     };
     let pause = pause.min(revoke.mul_f64(WATCH_PAUSE_MAX_FRACTION));
     let wait_fraction = if is_shared { SHARED_WATCH_WAIT_FRACTION } else { WATCH_WAIT_FRACTION };
-    (pause, revoke.mul_f64(wait_fraction).min(WATCH_WAIT_MAX).saturating_sub(pause / 2))
+    let wait = revoke.mul_f64(wait_fraction).min(WATCH_WAIT_MAX).saturating_sub(pause / 2);
+    let Some(settles_at) = edge.store_view().settles_at() else { return (pause, wait) };
+    // The watch after the one that ends then makes the view current.
+    let left = settles_at.saturating_sub(edge.timer.now_including_suspend());
+    let pause = pause.min(left);
+    (pause, left.saturating_sub(pause).clamp(PROBE_WATCH_WAIT, wait))
 }
 
 /// Applies the changes up to a revision, and distributes those that make a difference to other VMs.
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -230,11 +230,18 @@
         self.is_settled
     }
 
+    /// Returns from when on a read makes the view current, or `None` if any read does.
+    #[must_use]
+    pub fn settles_at(&self) -> Option<Now> {
+        let (_, since) = self.era.filter(|_| !self.is_settled)?;
+        Some(since + self.settle_time)
+    }
+
     /// Records that the store answered a read that was sent at `sent`, all of which is in the view. The view is then
     /// current, unless changes that the store has lost may not be written again yet.
     pub fn mark_read(&mut self, sent: Now) {
-        let Some((era, since)) = self.era else { return };
-        if self.is_settled || sent >= since + self.settle_time || self.recorded_era() == Some(era) {
+        let is_settled = self.settles_at().is_none_or(|at| sent >= at);
+        if is_settled || self.recorded_era() == self.era() {
             self.mark_current_as_of(sent);
         }
     }
--- a/crates/lw-edge/tests/restored.rs
+++ b/crates/lw-edge/tests/restored.rs
@@ -379,3 +379,22 @@
     assert!(first >= last + wait, "{:?} between the orders of two VMs", first - last);
     drop(next);
 }
+
+/// Guards against callers that are refused for longer than the store takes to settle, since the view becomes current only
+/// with a watch that began afterwards.
+#[tokio::test]
+async fn callers_are_served_as_soon_as_the_store_has_settled() {
+    let bounds = lw_catalog::settings::Bounds { revoke: ms(5_000), ..common::bounds() };
+    let simulation = Simulation::start_with(bounds).await;
+    simulation.store.restore(&simulation.store.copy());
+    let settings = simulation.further_settings("vm-2");
+    let started = Instant::now();
+    let second = Vm::start(settings.clone(), simulation.logs.clone()).await.unwrap();
+    let serves = async |_: &Simulation| {
+        let reply = send(settings.callers, &request("a", "/look/x")).await;
+        reply.is_some_and(|reply| reply.status == 200)
+    };
+    simulation.wait_until("the VM serves", serves).await;
+    assert!(started.elapsed() < ms(2_500), "{:?}", started.elapsed());
+    drop(second);
+}
