lw-edge: whether a VM offers changes is decided by its selector

A read of the whole store counts as a success of the store for the selector too, so that the next watch is not a probe.

--- a/crates/lw-edge/src/distribution/source.rs
+++ b/crates/lw-edge/src/distribution/source.rs
@@ -50,6 +50,8 @@
     store_retry_at: Now,
     /// Since when requests to other VMs have failed.
     without_peer_since: Option<Now>,
+    /// Whether the last call to the store failed.
+    is_without_store: bool,
 }
 
 /// Returns the rank of a VM in its failure domain; the VMs with the highest ranks are the followers.
@@ -104,6 +106,13 @@
         self.store_retry_at > Now::ZERO
     }
 
+    /// Whether this VM offers changes to others. It offers none if it cannot get further ones itself, since the others may
+    /// be able to get them elsewhere.
+    #[must_use]
+    pub fn offers_changes(&self) -> bool {
+        !self.is_without_store
+    }
+
     /// Returns how long another VM may hold a request: for a follower until its next attempt at the store, and at most
     /// `max`.
     #[must_use]
@@ -146,10 +155,12 @@
     /// Records that a call to the store succeeded.
     pub fn record_store_success(&mut self) {
         self.store_retry_at = Now::ZERO;
+        self.is_without_store = false;
     }
 
     /// Records that a call to the store failed; a follower tries again after `pause`, other VMs later.
     pub fn record_store_failure(&mut self, now: Now, is_follower: bool, pause: Duration) {
+        self.is_without_store = true;
         self.store_retry_at = now + if is_follower { pause } else { STORE_RETRY_PERIOD };
     }
 
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -60,6 +60,7 @@
         if let Err(e) = updater.step().await {
             updater.handle_store_error(&e).await;
         }
+        updater.edge.distribution.set_without_store(!updater.selector.offers_changes());
         let changes = {
             let edge = &updater.edge;
             edge.store_view().directory.apply_due_changes(edge.timer.now())
@@ -85,7 +86,7 @@
     async fn step(&mut self) -> Result<(), store::Error> {
         let Some(position) = self.position else {
             self.position = Some(read_all(&self.edge).await?);
-            self.edge.distribution.set_without_store(false);
+            self.selector.record_store_success();
             self.log_source_change(Source::Store);
             return Ok(());
         };
@@ -102,7 +103,6 @@
                 self.is_growing = self.edge.store_view().vms_max() >= before + GROWTH_MIN_VMS;
                 self.position = Some(watched?);
                 self.selector.record_store_success();
-                self.edge.distribution.set_without_store(false);
                 self.log_source_change(Source::Store);
             }
             Source::Vm(vm) => self.request_changes(vm, position).await,
@@ -195,7 +195,6 @@
             log::warn!(target: "config", why = e.to_string(); "cannot get changes from the store");
         }
         let now = self.edge.timer.now();
-        self.edge.distribution.set_without_store(true);
         self.edge.store_view().directory.on_store_outage(now);
         self.selector.record_store_failure(now, self.is_follower(), RETRY_PAUSE);
         if self.position.is_none() {
--- a/crates/lw-edge/tests/turned_away.rs
+++ b/crates/lw-edge/tests/turned_away.rs
@@ -9,6 +9,8 @@
 const CONFIG_APPLY: Duration = Duration::from_secs(3);
 const REVOKE: Duration = Duration::from_secs(5);
 const STEP: Duration = Duration::from_millis(5);
+/// When an outage of the store for all VMs begins.
+const OUTAGE_AT: Duration = Duration::from_millis(200);
 /// Time until a call that the store refuses, or a message, is answered.
 const CALL_TIME: Duration = Duration::from_millis(10);
 /// Longest time for which a request waits for a change.
@@ -24,7 +26,6 @@
     has_change: bool,
     /// Time up to which its view contains all changes.
     current_as_of: Duration,
-    has_store: bool,
     pending: Option<(Duration, Pending)>,
 }
 
@@ -34,19 +35,24 @@
     Wait,
 }
 
-/// Runs `count` VMs, of which the store turns `is_refused` away from 1 s on; the change is made at 1.5 s. Returns when
-/// each VM has it.
-fn run(count: usize, is_refused: impl Fn(&str, &[String]) -> bool) -> Vec<Option<Duration>> {
+/// Runs `count` VMs. The store is away for all of them from 0.2 s on for the time `outage`, and turns `is_refused` away
+/// from 4 s on; the change is made at 4.5 s. Returns when each VM has it.
+fn run(
+    count: usize,
+    outage: Duration,
+    is_refused: impl Fn(&str, &[String]) -> bool,
+) -> Vec<Option<Duration>> {
     let names: Vec<String> = (0..count).map(|n| format!("vm-{n}")).collect();
     let fleet_size = count.max(20);
     let refused: Vec<bool> = names.iter().map(|vm| is_refused(vm, &names)).collect();
-    let (turned_away_at, changed_at) = (Duration::from_secs(1), Duration::from_millis(1_500));
+    let (turned_away_at, changed_at) = (Duration::from_secs(4), Duration::from_millis(4_500));
+    let away = OUTAGE_AT..OUTAGE_AT + outage;
     let mut vms: Vec<Vm> = names.iter().map(|_| Vm::new()).collect();
     let mut got = vec![None; count];
     let mut now = Duration::ZERO;
-    while now < Duration::from_secs(10) {
+    while now < Duration::from_secs(13) {
         now += STEP;
-        let can_call = |vm: usize| !refused[vm] || now < turned_away_at;
+        let can_call = |vm: usize| !away.contains(&now) && (!refused[vm] || now < turned_away_at);
         for n in 0..count {
             let is_follower = SourceSelector::is_follower(&names[n], &names, fleet_size);
             match vms[n].pending.take() {
@@ -54,7 +60,9 @@
                     // A change ends a watch and a held request early.
                     let is_early = match &pending {
                         Pending::Store => now > changed_at && can_call(n),
-                        Pending::Vm(other) => vms[*other].has_change || !vms[*other].has_store,
+                        Pending::Vm(other) => {
+                            vms[*other].has_change || !vms[*other].selector.offers_changes()
+                        }
                         Pending::Wait => false,
                     };
                     if is_early && until > now + CALL_TIME {
@@ -66,16 +74,14 @@
                 }
                 Some((_, Pending::Store)) if can_call(n) => {
                     vms[n].selector.record_store_success();
-                    vms[n].has_store = true;
                     vms[n].current_as_of = now;
                     vms[n].has_change |= now > changed_at;
                 }
                 Some((_, Pending::Store)) => {
-                    vms[n].has_store = false;
                     let pause = Duration::from_millis(100);
                     vms[n].selector.record_store_failure(now, is_follower, pause);
                 }
-                Some((_, Pending::Vm(other))) if !vms[other].has_store => {
+                Some((_, Pending::Vm(other))) if !vms[other].selector.offers_changes() => {
                     vms[n].selector.record_failure(now, &names[other]);
                 }
                 Some((_, Pending::Vm(other))) => {
@@ -113,20 +119,27 @@
             selector: SourceSelector::default(),
             has_change: false,
             current_as_of: Duration::ZERO,
-            has_store: true,
             pending: None,
         }
     }
 }
 
+/// Fails unless each VM gets the change in time, with and without an outage for all VMs before.
+fn assert_in_time(count: usize, is_refused: impl Fn(&str, &[String]) -> bool) {
+    for outage in [Duration::ZERO, Duration::from_millis(300), Duration::from_millis(1_500)] {
+        let got = run(count, outage, &is_refused);
+        for (n, time) in got.into_iter().enumerate() {
+            let is_in_time = time.is_some_and(|time| time < CONFIG_APPLY);
+            assert!(is_in_time, "vm-{n} of {count}, after an outage of {outage:?}: {time:?}");
+        }
+    }
+}
+
 #[test]
 fn a_change_arrives_in_time_when_both_followers_are_turned_away() {
     for count in [3, 20, 95] {
         let fleet_size = count.max(20);
-        let got = run(count, |vm, names| SourceSelector::is_follower(vm, names, fleet_size));
-        for (n, time) in got.into_iter().enumerate() {
-            assert!(time.is_some_and(|time| time < CONFIG_APPLY), "vm-{n} of {count}: {time:?}");
-        }
+        assert_in_time(count, |vm, names| SourceSelector::is_follower(vm, names, fleet_size));
     }
 }
 
@@ -134,9 +147,6 @@
 fn a_change_arrives_in_time_when_the_store_turns_two_of_five_vms_away() {
     for count in [5, 20, 95] {
         let hash = |vm: &str| vm.bytes().map(u32::from).sum::<u32>() % 5;
-        let got = run(count, |vm, _| hash(vm) < 2);
-        for (n, time) in got.into_iter().enumerate() {
-            assert!(time.is_some_and(|time| time < CONFIG_APPLY), "vm-{n} of {count}: {time:?}");
-        }
+        assert_in_time(count, |vm, _| hash(vm) < 2);
     }
 }
