lw-soak: the store returns from an older copy

An upstream that was leaving before the return stays so until it registers again, not for good: here an upstream is registered as ready again in the same run.

--- a/crates/lw-catalog/src/upstreams/mod.rs
+++ b/crates/lw-catalog/src/upstreams/mod.rs
@@ -83,8 +83,7 @@
     expired: HashMap<UpstreamId, Now>,
     /// Until when entries that disappear may come back.
     grace_until: Option<Now>,
-    /// Runs of upstreams that reported in an answer that they are leaving, or were leaving before the store returned from
-    /// an older copy. Their entries may show it later or never.
+    /// Runs of upstreams that reported in an answer that they are leaving. Their entries may show it later or never.
     leaving: HashMap<UpstreamId, Incarnation>,
     /// Runs of upstreams whose entries disappeared. An older copy of the store may contain them.
     gone: HashMap<UpstreamId, Incarnation>,
@@ -116,14 +115,6 @@
         self.grace_until = Some(now + REREGISTRATION_TIME);
     }
 
-    /// Records that the store returned from an older copy, which may list upstreams as ready that were leaving.
-    pub fn on_store_restored(&mut self, now: Now) {
-        self.on_store_outage(now);
-        let leaving = self.upstreams.values().filter(|upstream| upstream.stage == Stage::Leaving);
-        let leaving = leaving.map(|upstream| (upstream.id.clone(), upstream.incarnation));
-        self.leaving.extend(leaving);
-    }
-
     /// Applies an entry of the store and returns the changes. `None` stands for an entry without a usable upstream.
     pub fn put(&mut self, now: Now, id: &str, entry: Option<Upstream>) -> Vec<Change> {
         let Some(mut entry) = entry else { return self.remove(now, id) };
@@ -172,8 +163,8 @@
     }
 
     /// Applies a complete list of the entries; upstreams that are not in it have disappeared. `is_restored` states whether
-    /// it was read after the store returned from an older copy. A run of an upstream that was gone is then used only when
-    /// it registers again, or is still listed after some time.
+    /// it was read after the store returned from an older copy. A run of an upstream that was leaving then stays so until
+    /// it registers again; one that was gone is used when it registers again, or is still listed after some time.
     pub fn replace_all(
         &mut self,
         now: Now,
@@ -182,7 +173,7 @@
     ) -> Vec<Change> {
         self.stale.clear();
         if is_restored {
-            self.on_store_restored(now);
+            self.on_store_outage(now);
         }
         let missing: Vec<_> = self
             .upstreams
@@ -193,6 +184,7 @@
         let mut changes: Vec<_> = missing.iter().flat_map(|id| self.remove(now, id)).collect();
         for (id, entry) in entries {
             match entry {
+                Some(entry) if is_restored && self.is_leaving(&entry) => {}
                 Some(entry) if is_restored && self.gone.get(&id) == Some(&entry.incarnation) => {
                     self.stale.insert(id, (entry, now + STALE_ENTRY_TIME));
                 }
@@ -215,6 +207,14 @@
         changes
     }
 
+    /// Whether this run of an upstream was leaving by its last entry.
+    fn is_leaving(&self, entry: &Upstream) -> bool {
+        let current = self.upstreams.get(&entry.id);
+        current.is_some_and(|current| {
+            current.stage == Stage::Leaving && current.incarnation == entry.incarnation
+        })
+    }
+
     fn drop_entry(&mut self, id: &str) -> Vec<Change> {
         self.expired.remove(id);
         let Some(gone) = self.upstreams.remove(id) else { return Vec::new() };
--- a/crates/lw-soak/src/checks/mod.rs
+++ b/crates/lw-soak/src/checks/mod.rs
@@ -177,7 +177,7 @@
                 Fault::Pause(of) | Fault::Kill(of) | Fault::Drain(of) | Fault::StorePath(of, _) => {
                     of == vm
                 }
-                Fault::Store(_) | Fault::CompactStore => true,
+                Fault::Store(_) | Fault::CompactStore | Fault::RestoreStore(_) => true,
                 _ => false,
             };
             affects_vm && active.overlaps(from - RECONNECT_TIME_MAX, to)
--- a/crates/lw-soak/src/run/faults.rs
+++ b/crates/lw-soak/src/run/faults.rs
@@ -12,6 +12,9 @@
     schedule::{Event, Fault, PathFault},
 };
 
+/// Time for which the store is away before it returns from an older copy.
+const STORE_RETURN_TIME: Duration = Duration::from_millis(300);
+
 /// Injects a fault at its time and records when it was in force.
 pub(super) async fn run_event(deployment: Arc<Deployment>, event: Event) {
     sleep(event.at).await;
@@ -44,6 +47,7 @@
                 self.store.set_mode(StoreMode::Normal);
             }
             Fault::CompactStore => self.store.compact(),
+            Fault::RestoreStore(rewrite_delay) => self.restore_store(duration, rewrite_delay).await,
             Fault::UpstreamAnswers(all) => all.into_iter().for_each(|b| self.behaviours.push(b)),
             Fault::UpstreamLeaving(n) => self.mark_leaving(n, duration).await,
             Fault::RevokeKey => self.revoke_key(duration).await,
@@ -57,6 +61,23 @@
         Ok(())
     }
 
+    /// Lets the store return from a copy of this age, and writes again later what it lost.
+    async fn restore_store(&self, age: Duration, rewrite_delay: Duration) {
+        let copy = self.store.copy();
+        sleep(age).await;
+        self.store.set_mode(StoreMode::Unavailable);
+        sleep(STORE_RETURN_TIME).await;
+        self.store.restore(&copy);
+        self.store.set_mode(StoreMode::Normal);
+        sleep(rewrite_delay).await;
+        let mut operators = lock(&self.operators);
+        self.write_config(&mut operators);
+        self.set_target_version(operators.target_version);
+        for n in 0..self.upstreams.len() {
+            self.register_upstream(n, if operators.is_leaving[n] { "leaving" } else { "ready" });
+        }
+    }
+
     /// Kills or drains a VM and starts it again after `downtime`.
     async fn restart(&self, n: usize, downtime: Duration, is_kill: bool) -> io::Result<()> {
         let _guard = self.restart_locks[n].lock().await;
--- a/crates/lw-soak/src/schedule/mod.rs
+++ b/crates/lw-soak/src/schedule/mod.rs
@@ -40,6 +40,9 @@
     Store(StoreMode),
     /// The store drops the history of its changes.
     CompactStore,
+    /// The store is away for a moment and returns from a copy that was made the duration before; operators and upstreams
+    /// write again what it lost this time later.
+    RestoreStore(Duration),
     /// The next requests at any upstreams are answered with these behaviours, one each.
     UpstreamAnswers(Vec<Behaviour>),
     /// An upstream is registered as leaving.
@@ -146,7 +149,7 @@
 fn draw_fault(rng: &mut fastrand::Rng, options: &Options) -> Fault {
     let vm = rng.usize(0..options.vms);
     let upstream = rng.usize(0..options.engines + options.servers);
-    match rng.u8(0..20) {
+    match rng.u8(0..22) {
         0 | 1 => Fault::Pause(vm),
         2 => Fault::Kill(vm),
         3 | 4 => Fault::Drain(vm),
@@ -169,6 +172,7 @@
         15 => Fault::UpstreamLeaving(upstream),
         16 | 17 => Fault::RevokeKey,
         18 => Fault::TargetVersion,
+        20 | 21 => Fault::RestoreStore(Duration::from_millis(rng.u64(0..1500))),
         _ => Fault::RewriteConfig,
     }
 }
