lw-edge: after a return the next issuer waits no longer than the lost lease lasts

Cause: the issuer's lease was free only once the store had settled, and the orders of a holder whose record may be lost counted as sent until the new lease was acquired. The holder of a lost lease cannot rely on it for longer than it lasts, counted from the first read after the return; both waits count from there now. A VM whose view was never current still waits until the store has settled, since it may not know what to order.

--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -53,8 +53,12 @@
 pub(super) fn is_eligible(edge: &Edge, now: Now) -> bool {
     let mut state = edge.orders.state();
     let view = edge.store_view();
-    // The holder of a lease that the store has lost relies on it until the store has settled.
-    if edge.is_leaving() || view.catalog().is_none() || !view.is_settled() {
+    // The holder of a lease that the store has lost relies on it for as long as it lasts.
+    let lease_ttl = edge.orders.options.lease_ttl;
+    let is_lease_free = view.is_settled()
+        || view.has_been_current()
+            && view.former_leases_end_at(lease_ttl).is_some_and(|end| now >= end);
+    if edge.is_leaving() || view.catalog().is_none() || !is_lease_free {
         state.free_since = None;
         return false;
     }
@@ -81,6 +85,11 @@
     preceding < CANDIDATES + usize::try_from(further).unwrap_or(usize::MAX)
 }
 
+/// Whether a record of the last issuer was written in this era. An unreadable one may have been.
+fn is_of_era(item: &RouterItem, era: Era) -> bool {
+    serde_json::from_slice::<LastIssuer>(&item.value).map_or(true, |last| last.is_of_era(era))
+}
+
 fn is_released(item: &RouterItem) -> bool {
     serde_json::from_slice::<LastIssuer>(&item.value).is_ok_and(|last| last.is_released())
 }
@@ -186,36 +195,38 @@
 /// Creates the lease and writes the key of the issuer under it. Writes the record of the last issuer too, which is
 /// bound to no lease. Returns the term, and whether the former issuer was lost without releasing its lease.
 async fn create_lease(edge: &Edge) -> Result<(Term, bool), Error> {
-    let (era, last) = {
+    let lease_ttl = edge.orders.options.lease_ttl;
+    let (era, former_leases_end, last) = {
         let view = edge.store_view();
-        (view.era().ok_or(Error::Conflict)?, view.router_item(keys::LAST_ISSUER).cloned())
+        let end = view.former_leases_end_at(lease_ttl);
+        let (Some(era), Some(end)) = (view.era(), end) else { return Err(Error::Conflict) };
+        (era, end, view.router_item(keys::LAST_ISSUER).cloned())
     };
-    let unknown =
-        || IssuerRecord { holder: VmId::new(), is_released: false, last_orders: Vec::new() };
+    let is_of_era = last.as_ref().is_some_and(|item| is_of_era(item, era));
     let read = |item: &RouterItem| {
         let last = serde_json::from_slice::<LastIssuer>(&item.value).inspect_err(|e| {
             log::warn!(target: "order", revision = item.revision, why = e.to_string();
                 "record of the last issuer is unreadable");
         });
-        // The VM that wrote an unreadable or lost record may have sent orders just before.
-        let record = match last {
-            Err(_) => unknown(),
-            Ok(last) if last.is_of_era(era) => last.into(),
-            Ok(last) => {
-                IssuerRecord { last_orders: IssuerRecord::from(last).last_orders, ..unknown() }
-            }
-        };
+        // The VM that wrote an unreadable record may have sent orders just before.
+        let unknown =
+            IssuerRecord { holder: VmId::new(), is_released: false, last_orders: Vec::new() };
+        let mut record = last.map_or(unknown, IssuerRecord::from);
+        // The holder of another era is one of those whose later records may be lost.
+        record.is_released |= !is_of_era;
         (record, item.read_at)
     };
     let record = last.as_ref().map(read);
     let vm = &edge.settings.vm;
-    let lease =
-        edge.count_store_call("lease", edge.store.lease(edge.orders.options.lease_ttl)).await?;
-    let unknown = unknown();
-    let begin = |now| {
-        let record =
-            record.as_ref().map_or((&unknown, now), |(record, read_at)| (record, *read_at));
-        OrderHistory::new(vm, Some(record), now)
+    let lease = edge.count_store_call("lease", edge.store.lease(lease_ttl)).await?;
+    let begin = |now: Now| {
+        let record = record.as_ref().map(|(record, read_at)| (record, *read_at));
+        let mut history = OrderHistory::new(vm, record, now);
+        if !is_of_era {
+            // The store may have lost the records of later holders.
+            history.add_unknown_orders(former_leases_end.min(now));
+        }
+        history
     };
     let now = edge.timer.now_including_suspend();
     let value = encode(&begin(now).to_record(now, false), era)?;
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -64,6 +64,18 @@
 impl StoreView {
     /// Returns the view of a VM that has read nothing yet. `lease_ttl` is the lifetime of the longest lease whose holder
     /// may still rely on it after the store has lost it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lw_edge::state::StoreView;
+    /// let seconds = Duration::from_secs;
+    /// let mut view = StoreView::new(seconds(1));
+    /// view.set_era(1, seconds(10));
+    /// view.mark_read(seconds(11));
+    /// assert_eq!(view.age(seconds(13)), None);
+    /// view.mark_read(seconds(12));
+    /// assert_eq!(view.age(seconds(13)), Some(seconds(1)));
+    /// ```
     #[must_use]
     pub fn new(lease_ttl: Duration) -> Self {
         Self { settle_time: REWRITE_TIME.max(lease_ttl), ..Self::default() }
@@ -230,6 +242,12 @@
         self.is_settled
     }
 
+    /// Returns when the VMs that held leases before this era have stopped to rely on them, if these last `lease_ttl`.
+    #[must_use]
+    pub fn former_leases_end_at(&self, lease_ttl: Duration) -> Option<Now> {
+        self.era.map(|(_, since)| since + lease_ttl)
+    }
+
     /// Returns from when on a read makes the view current, or `None` if any read does.
     #[must_use]
     pub fn settles_at(&self) -> Option<Now> {
--- a/crates/lw-edge/tests/restored.rs
+++ b/crates/lw-edge/tests/restored.rs
@@ -370,6 +370,7 @@
         if first.edge.orders.fence().is_some() { (first, second) } else { (second, first) };
     drop(former);
     restore(&simulation, &copy).await;
+    let returned_at = tokio::time::Instant::now();
     set_target_version(&simulation, 3);
     simulation
         .wait_until("all engines serve version 3", async |simulation| done(simulation, 3).await)
@@ -377,6 +378,9 @@
     let last = at(&simulation, 2).into_iter().map(|(at, _)| at).max().expect("an order");
     let first = at(&simulation, 3).into_iter().map(|(at, _)| at).min().expect("an order");
     assert!(first >= last + wait, "{:?} between the orders of two VMs", first - last);
+    // The lease that was lost lasts 1.5 s at most; no more than half a second is lost beyond that and the wait.
+    let longest = ms(1_500) + wait + ms(500);
+    assert!(first < returned_at + longest, "{:?} after the return", first - returned_at);
     drop(next);
 }
 
--- a/crates/lw-order/src/handover.rs
+++ b/crates/lw-order/src/handover.rs
@@ -70,6 +70,20 @@
         history
     }
 
+    /// Records that the orders of VMs that no record names had ended by this time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lw_order::handover::OrderHistory;
+    /// let second = Duration::from_secs(1);
+    /// let mut history = OrderHistory::new("vm-2", None, 11 * second);
+    /// history.add_unknown_orders(10 * second);
+    /// assert_eq!(history.ready_at(3 * second), 13 * second);
+    /// ```
+    pub fn add_unknown_orders(&mut self, ended_at: Now) {
+        self.update_last_order("", ended_at);
+    }
+
     /// Records that an order of `vm` had ended by `ended_at`.
     fn update_last_order(&mut self, vm: &str, ended_at: Now) {
         let previous = self.last_orders.iter().find(|(recorded, _)| recorded == vm);
