lw-edge: the issuer's key is not written with a lease of another era

A VM whose view is behind created a lease in the next era and wrote the key of the former one's condition, then removed it again; it stops after the lease now. Names and line widths.

--- a/crates/lw-edge/src/distribution/journal.rs
+++ b/crates/lw-edge/src/distribution/journal.rs
@@ -58,8 +58,8 @@
         *self = Self { floor: Some(position), revision, ..Self::default() };
     }
 
-    /// Appends the changes up to `revision` of the same era, which must follow the previous ones without a gap. Drops the oldest
-    /// changes beyond [`JOURNAL_MAX_BYTES`].
+    /// Appends the changes up to `revision` of the same era, which must follow the previous ones without a gap. Drops the
+    /// oldest changes beyond [`JOURNAL_MAX_BYTES`].
     pub fn advance(&mut self, revision: Revision, changes: Vec<Change>) {
         self.revision = self.revision.max(revision);
         for change in changes {
--- a/crates/lw-edge/src/distribution/mod.rs
+++ b/crates/lw-edge/src/distribution/mod.rs
@@ -130,7 +130,8 @@
         /// time in this era.
         current_as_of: Option<Now>,
     },
-    /// The other VM does not have all changes after the position, which may be of another era, or cannot get further ones from the store.
+    /// The other VM does not have all changes after the position, which may be of another era, or cannot get further ones
+    /// from the store.
     Unknown,
 }
 
--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -202,7 +202,7 @@
         let (Some(era), Some(end)) = (view.era(), end) else { return Err(Error::Conflict) };
         (era, end, view.router_item(keys::LAST_ISSUER).cloned())
     };
-    let is_of_era = last.as_ref().is_some_and(|item| is_of_era(item, era));
+    let has_record_of_era = last.as_ref().is_some_and(|item| is_of_era(item, era));
     let read = |item: &RouterItem| {
         let last = serde_json::from_slice::<LastIssuer>(&item.value).inspect_err(|e| {
             log::warn!(target: "order", revision = item.revision, why = e.to_string();
@@ -213,16 +213,19 @@
             IssuerRecord { holder: VmId::new(), is_released: false, last_orders: Vec::new() };
         let mut record = last.map_or(unknown, IssuerRecord::from);
         // The holder of another era is one of those whose later records may be lost.
-        record.is_released |= !is_of_era;
+        record.is_released |= !has_record_of_era;
         (record, item.read_at)
     };
     let record = last.as_ref().map(read);
     let vm = &edge.settings.vm;
     let lease = edge.count_store_call("lease", edge.store.lease(lease_ttl)).await?;
+    if lease.era != era {
+        return Err(Error::Conflict);
+    }
     let begin = |now: Now| {
         let record = record.as_ref().map(|(record, read_at)| (record, *read_at));
         let mut history = OrderHistory::new(vm, record, now);
-        if !is_of_era {
+        if !has_record_of_era {
             // The store may have lost the records of later holders.
             history.add_unknown_orders(former_leases_end.min(now));
         }
@@ -241,7 +244,7 @@
     ];
     let begun_at =
         edge.count_store_call("write", edge.store.write(expected, writes, Vec::new())).await?;
-    if lease.era != era || begun_at.era != era {
+    if begun_at.era != era {
         return abandon_key(edge, begun_at).await;
     }
     let history = begin(edge.timer.now_including_suspend());
