--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -126,6 +126,14 @@
         }
     }
 
+    /// Waits until all engines serve this version of the weights.
+    pub async fn wait_until_served(&self, version: u64) {
+        let is_served = async |simulation: &Self| {
+            simulation.engines.iter().all(|engine| engine.version() == version)
+        };
+        self.wait_until(&format!("all engines serve version {version}"), is_served).await;
+    }
+
     /// Waits until the first VM and this other one have each other's registration and can send messages.
     pub async fn wait_until_joined(&self, second: &Vm) {
         let first = &self.vm.as_ref().expect("the first VM runs").edge;
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -16,10 +16,7 @@
 async fn engines_load_the_target_version() {
     let simulation = Simulation::start().await;
     set_target_version(&simulation, 2);
-    let done = async |simulation: &Simulation| {
-        simulation.engines.iter().all(|engine| engine.version() == 2)
-    };
-    simulation.wait_until("all engines serve version 2", done).await;
+    simulation.wait_until_served(2).await;
     let reply = simulation.send(&common::request("after", "/short/x")).await.unwrap();
     assert_eq!((reply.status, reply.header("x-weight-versions")), (200, Some("2")));
 }
@@ -39,10 +36,7 @@
         simulation.store.get("lavenderwood/issuer").expect("the second VM holds the lease");
     assert!(String::from_utf8_lossy(&holder).contains("vm-2"));
     set_target_version(&simulation, 2);
-    let done = async |simulation: &Simulation| {
-        simulation.engines.iter().all(|engine| engine.version() == 2)
-    };
-    simulation.wait_until("all engines serve version 2", done).await;
+    simulation.wait_until_served(2).await;
     leaving.await.unwrap();
     drop(second);
 }
@@ -111,13 +105,8 @@
     let wait = ms(2_000);
     let bounds = Bounds { is_fenced: false, lease: wait, ..common::bounds() };
     let mut simulation = Simulation::start_with(bounds).await;
-    let serves = async |simulation: &Simulation, version: u64| {
-        simulation.engines.iter().all(|engine| engine.version() == version)
-    };
     set_target_version(&simulation, 2);
-    simulation
-        .wait_until("all engines serve version 2", async |simulation| serves(simulation, 2).await)
-        .await;
+    simulation.wait_until_served(2).await;
     let second =
         Vm::start(simulation.further_settings("vm-2"), simulation.logs.clone()).await.unwrap();
     let registered =
@@ -131,9 +120,7 @@
     simulation.wait_until("vm-2 is the issuer", is_issuer).await;
     let granted_at = tokio::time::Instant::now();
     set_target_version(&simulation, 3);
-    simulation
-        .wait_until("all engines serve version 3", async |simulation| serves(simulation, 3).await)
-        .await;
+    simulation.wait_until_served(3).await;
     for engine in &simulation.engines {
         let orders = engine.accepted_orders();
         let (last, next) = (&orders[0], &orders[1]);
--- a/crates/lw-edge/tests/restored.rs
+++ b/crates/lw-edge/tests/restored.rs
@@ -201,18 +201,11 @@
     grow_revisions(&simulation, simulation.store.revision() + 200);
     let second = start_second(&simulation, simulation.further_settings("vm-2")).await;
     let leaving = tokio::spawn(simulation.vm.take().unwrap().leave());
-    let serves = async |simulation: &Simulation, version: u64| {
-        simulation.engines.iter().all(|engine| engine.version() == version)
-    };
     set_target_version(&simulation, 2);
-    simulation
-        .wait_until("all engines serve version 2", async |simulation| serves(simulation, 2).await)
-        .await;
+    simulation.wait_until_served(2).await;
     restore(&simulation, &copy).await;
     set_target_version(&simulation, 3);
-    simulation
-        .wait_until("all engines serve version 3", async |simulation| serves(simulation, 3).await)
-        .await;
+    simulation.wait_until_served(3).await;
     for engine in &simulation.engines {
         let fences: Vec<u64> = engine.accepted_orders().iter().map(|order| order.fence).collect();
         assert!(fences.is_sorted_by(|a, b| a < b), "{fences:?}");
@@ -358,12 +351,7 @@
         orders.map(|order| (order.at, order.issuer)).collect::<Vec<_>>()
     };
     set_target_version(&simulation, 2);
-    let done = async |simulation: &Simulation, version: u64| {
-        simulation.engines.iter().all(|engine| engine.version() == version)
-    };
-    simulation
-        .wait_until("all engines serve version 2", async |simulation| done(simulation, 2).await)
-        .await;
+    simulation.wait_until_served(2).await;
     // The issuer is lost with the store's memory of it; the other VM is the next one.
     let first = simulation.vm.take().unwrap();
     let (former, next) =
@@ -372,9 +360,7 @@
     restore(&simulation, &copy).await;
     let returned_at = tokio::time::Instant::now();
     set_target_version(&simulation, 3);
-    simulation
-        .wait_until("all engines serve version 3", async |simulation| done(simulation, 3).await)
-        .await;
+    simulation.wait_until_served(3).await;
     let last = at(&simulation, 2).into_iter().map(|(at, _)| at).max().expect("an order");
     let first = at(&simulation, 3).into_iter().map(|(at, _)| at).min().expect("an order");
     assert!(first >= last + wait, "{:?} between the orders of two VMs", first - last);
