lw-edge: a failing test of engines that get more requests than the limit that they name

The stand-in engine names a limit in its answers and records all calls, those for cache events included; the rule is checked by `LimitHistory`, which later limits, rising and falling ones included, can be judged by too.

--- a/crates/lw-standin/src/hosted/mod.rs
+++ b/crates/lw-standin/src/hosted/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod http;
+pub mod limit;
 pub mod operator;
 pub mod store;
 pub mod upstream;
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -93,6 +93,10 @@
     /// Segment of prompts that crashes this engine, and for how long.
     deadly_segment: Option<(&'static str, Duration)>,
     crashes: Vec<tokio::time::Instant>,
+    /// `server-limit` of its answers, if it names one.
+    limit: Option<String>,
+    /// When all calls arrived, those for reports, orders and cache events included.
+    calls: Vec<tokio::time::Instant>,
 }
 
 /// Behaviours for the next requests, in order, whichever of the upstreams that share this queue receives them.
@@ -211,6 +215,17 @@
         lock(&self.state).crashes.clone()
     }
 
+    /// Sets the `server-limit` that its answers to requests name from now on.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        lock(&self.state).limit = limit.map(str::to_owned);
+    }
+
+    /// Returns when calls arrived: requests of callers, and those for reports, orders and cache events.
+    #[must_use]
+    pub fn calls(&self) -> Vec<tokio::time::Instant> {
+        lock(&self.state).calls.clone()
+    }
+
     /// Returns the orders that it accepted.
     #[must_use]
     pub fn accepted_orders(&self) -> Vec<AcceptedOrder> {
@@ -255,6 +270,7 @@
 }
 
 fn handle_call(state: &Mutex<State>, id: &str, request: &Request) -> Vec<Step> {
+    lock(state).calls.push(tokio::time::Instant::now());
     let expected = request.header("x-expect-instance");
     if expected.is_some_and(|expected| expected != id) {
         return answer(421, &[("x-instance-id", id)], b"");
@@ -328,18 +344,24 @@
         at: tokio::time::Instant::now(),
     });
     let deadly = state.deadly_segment;
+    let limit = state.limit.clone();
     drop(state);
+    let limit = limit.iter().map(|limit| ("server-limit", limit.as_str()));
     if is_rejected {
-        let not_executed = ("x-not-executed", "1");
-        if let Behaviour::RejectFor(seconds) = behaviour {
-            return answer(503, &[not_executed, ("retry-after", &seconds.to_string())], b"");
-        }
-        return answer(503, &[not_executed], b"");
+        let mut headers = vec![("x-not-executed", "1")];
+        headers.extend(limit);
+        let seconds = match behaviour {
+            Behaviour::RejectFor(seconds) => Some(seconds.to_string()),
+            _ => None,
+        };
+        headers.extend(seconds.iter().map(|seconds| ("retry-after", seconds.as_str())));
+        return answer(503, &headers, b"");
     }
     let attempt = request.header("x-attempt-id").unwrap_or_default();
     let version = version.to_string();
-    let headers =
-        [("x-attempt-id", attempt), ("x-response-seal", id), ("x-weight-versions", &version)];
+    let mut headers =
+        vec![("x-attempt-id", attempt), ("x-response-seal", id), ("x-weight-versions", &version)];
+    headers.extend(limit);
     if let Some((_, down)) = deadly.filter(|(segment, _)| shares_segment(request, segment)) {
         lock(shared_state).crashes.push(tokio::time::Instant::now());
         return vec![chunked_head(200, &headers), Step::Wait(CRASH_DELAY), Step::Crash(down)];
