lw-limit: limits that upstreams name, shared by the VMs without a message for each request

An engine's Server-Limit holds for the whole fleet. In 4 s it may get one and a half times the limit, and five requests. With an equal split each VM may have saved up one request, which alone exceeds that on large fleets. So ceil(limit) + 1 VMs share nine tenths of the limit, selected by failure domain and hash; the others send nothing. The sum over all VMs stays below limit + 3 + T * 0.9 * limit in any time T, which leaves room for delayed requests and for VMs with different views.

Knowledge of a limit: a lower one holds at once, a higher one or none only with proof that it is newer. An end that others report, or knowledge that is old, is tried with one request at a time.

Malformed values (empty, not a number, negative, infinite) neither name nor end a limit; of two values the lower holds.

--- a/crates/lw-limit/src/lib.rs
+++ b/crates/lw-limit/src/lib.rs
@@ -1,6 +1,7 @@
-//! Admission under overload, workspace limits over all VMs, and the retry budget.
+//! Admission under overload, limits of workspaces and upstreams over all VMs, and the retry budget.
 
 pub mod admission;
 pub mod bucket;
 pub mod grant;
 pub mod retry;
+pub mod upstream;
