lw-place: placement keeps the limits that upstreams name; a fleet in virtual time checks the rule

The limit of an upstream is waiting time before the placement: a request takes the next turn if that is before its target latency, else another upstream, else it is rejected at once with a time that differs between requests.

--- a/crates/lw-place/src/lib.rs
+++ b/crates/lw-place/src/lib.rs
@@ -11,7 +11,7 @@
 pub use cache::{CacheChange, CachePage, CacheView};
 pub use load::Load;
 pub use pool::{
-    AnnouncedAttempt, AttemptId, Candidate, Ended, Placement, PlacementRequest, Refusal,
-    UpstreamPool,
+    AnnouncedAttempt, AttemptId, Candidate, Ended, Fleet, LimitReport, Placement, PlacementRequest,
+    Refusal, UpstreamPool,
 };
 pub use prompt::{Prompt, RANK_MAX, Segment, salt};
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -10,6 +10,7 @@
 
 mod candidates;
 mod in_flight;
+mod limit;
 mod placement;
 mod queue;
 mod rate;
@@ -19,6 +20,8 @@
 
 pub use candidates::Candidate;
 pub use in_flight::AnnouncedAttempt;
+use limit::RunLimit;
+pub use limit::{Fleet, LimitReport};
 use source::CacheStore;
 use upstream_state::UpstreamState;
 
@@ -76,6 +79,8 @@
     pub save_to: Option<SocketAddr>,
     /// Expected time to the first event or the answer.
     pub expected_latency: Duration,
+    /// When the limit of the upstream allows the request.
+    pub turn_at: Now,
 }
 
 /// Why a request is not placed on any upstream.
@@ -90,6 +95,10 @@
     /// All usable upstreams requested a pause; the time until the first of these ends.
     #[display("no upstream accepts requests for {} ms", _0.as_millis())]
     BackingOff(Duration),
+    /// The limits of all usable upstreams allow no request of this VM soon enough; the time after which the caller may come
+    /// back.
+    #[display("the limits of all upstreams are used, for {} ms", _0.as_millis())]
+    Limited(Duration),
     /// The expected latency is so long that the caller would probably leave first; the expected latency.
     #[display("the first event is expected in {} ms, too late for the caller", _0.as_millis())]
     WaitTooLong(Duration),
@@ -123,6 +132,8 @@
     spec: Option<EngineSpec>,
     store: Option<CacheStore>,
     upstreams: HashMap<UpstreamId, UpstreamState>,
+    /// Limits that upstreams name. They outlast the entry of an upstream, which may expire while it runs.
+    limits: HashMap<UpstreamId, RunLimit>,
     /// Target versions of weights by model, in ascending order.
     targets: HashMap<ModelId, Vec<TargetVersion>>,
     last_attempt_id: AttemptId,
@@ -137,6 +148,7 @@
             spec: None,
             store: None,
             upstreams: HashMap::new(),
+            limits: HashMap::new(),
             targets: HashMap::new(),
             last_attempt_id: 0,
         }
@@ -157,6 +169,7 @@
             }
             return;
         }
+        self.forget_limit_of_former_run(upstream);
         let capacity_tokens = self.spec.as_ref().map_or(0, |spec| spec.cache_tokens);
         self.upstreams.insert(upstream.id.clone(), UpstreamState::new(upstream, capacity_tokens));
     }
--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -55,8 +55,8 @@
     pub fn place(&self, now: Now, request: &PlacementRequest<'_>) -> Result<Placement, Refusal> {
         let ready = || self.upstreams.values().filter(|u| u.upstream.stage == Stage::Ready);
         let untried = || ready().filter(|u| !request.tried.contains(&u.upstream.id));
-        let open = untried().filter(|u| now >= u.paused_until && now >= u.backoff_until);
-        let mut open: Vec<_> = open.collect();
+        let open = untried().filter(|u| u.is_open(now));
+        let mut open: Vec<_> = open.filter(|u| self.has_turn(now, request, u)).collect();
         // If no engine serves newer weights, the rollout is stuck, and answers on stale weights are better than none.
         if ready().any(|state| !self.is_too_stale(now, request, state)) {
             open.retain(|state| !self.is_too_stale(now, request, state));
@@ -64,7 +64,9 @@
         if open.is_empty() {
             let backoff = untried().filter_map(|u| u.backoff_until.checked_sub(now)).min();
             let backoff = backoff.filter(|time| !time.is_zero());
+            let limited = untried().filter(|u| u.is_open(now));
             let refusal = backoff.map_or(Refusal::NoneUsable, Refusal::BackingOff);
+            let refusal = self.refuse_by_limit(now, request, limited).unwrap_or(refusal);
             return Err(if self.ready_count() == 0 { Refusal::NoneReady } else { refusal });
         }
         let preferred: Vec<_> =
@@ -92,10 +94,11 @@
         request: &PlacementRequest<'_>,
         state: &UpstreamState,
     ) -> Estimate {
-        let wait_ms = state.plain_wait_ms(now);
+        let turn_at = self.turn_at(now, state).unwrap_or(now);
+        let wait_ms = state.plain_wait_ms(now).max(millis(turn_at.saturating_sub(now)));
         let cost =
             wait_ms + self.cross_domain_ms(state, 1) + tie_break_ms(state, request.request_hash);
-        Estimate { placement: initial_placement(now, state, wait_ms), cost }
+        Estimate { placement: initial_placement(turn_at, state, wait_ms), cost }
     }
 
     fn estimate_engine<'a>(
@@ -106,7 +109,9 @@
         state: &UpstreamState,
         lookups: &mut HashMap<u64, SegmentLookup<'a>>,
     ) -> Estimate {
-        let mut placement = initial_placement(now, state, 0.0);
+        let turn_at = self.turn_at(now, state).unwrap_or(now);
+        let turn_ms = millis(turn_at.saturating_sub(now));
+        let mut placement = Placement { fetched_at: now, ..initial_placement(turn_at, state, 0.0) };
         placement.version = state.versions.get(&prompt.model).copied();
         if let Some(version) = placement.version {
             let lookup = lookups
@@ -129,20 +134,18 @@
         let prefill_tokens =
             prompt.tokens.saturating_sub(placement.cached_tokens + placement.fetched_tokens);
         let prefill_ms = state.rate.prefill_ms(prefill_tokens);
-        let fetch_ms = placement.fetched_at.saturating_sub(now).as_secs_f64() * 1000.0;
+        let fetch_ms = millis(placement.fetched_at.saturating_sub(now));
         let capacity_tokens = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
         let tokens = prompt.tokens + prompt.output_tokens;
         let wait_at_rank = |rank: u8| {
             let new = NewRequest { rank, tokens, peers: request.peers };
-            let wait = state.wait_ms(now, new, capacity_tokens).max(fetch_ms);
+            let wait = state.wait_ms(now, new, capacity_tokens).max(fetch_ms).max(turn_ms);
             wait + state.delay_ms(now, wait + prefill_ms, prompt.output_tokens)
         };
         placement.rank = prompt.rank.min(RANK_MAX);
         let mut wait_ms = wait_at_rank(placement.rank);
         let mut late_cost_ms = 0.0;
-        if wait_ms + prefill_ms
-            > request.time_to_target.as_secs_f64() * 1000.0 * LATE_ESTIMATE_FACTOR
-        {
+        if wait_ms + prefill_ms > millis(request.time_to_target) * LATE_ESTIMATE_FACTOR {
             placement.rank += RANK_MAX + 1;
             wait_ms = wait_at_rank(placement.rank);
             late_cost_ms = LATE_COST_MS;
@@ -210,7 +213,11 @@
     }
 }
 
-fn initial_placement(now: Now, state: &UpstreamState, expected_ms: f64) -> Placement {
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
+}
+
+fn initial_placement(turn_at: Now, state: &UpstreamState, expected_ms: f64) -> Placement {
     Placement {
         upstream: Arc::clone(&state.upstream),
         version: None,
@@ -219,9 +226,10 @@
         cached_tokens: 0,
         fetched_tokens: 0,
         fetch_from: None,
-        fetched_at: now,
+        fetched_at: turn_at,
         save_to: None,
         expected_latency: Duration::from_secs_f64(expected_ms / 1000.0),
+        turn_at,
     }
 }
 
--- a/crates/lw-place/src/pool/upstream_state.rs
+++ b/crates/lw-place/src/pool/upstream_state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use lw_catalog::Upstream;
+use lw_catalog::{Stage, Upstream};
 use lw_types::prelude::*;
 
 use super::{InFlightId, rate::Rate, slowdown::Slowdown};
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Whether it accepts requests now, apart from its limit.
+    pub fn is_open(&self, now: Now) -> bool {
+        self.upstream.stage == Stage::Ready && now >= self.paused_until && now >= self.backoff_until
+    }
+
     /// Records a version of weights. New weights end the pause and invalidate the segments cached under the old ones.
     pub fn record_version(&mut self, model: &str, version: u64) {
         let current = self.versions.entry(model.to_owned()).or_default();
--- a/crates/lw-standin/src/hosted/limit.rs
+++ b/crates/lw-standin/src/hosted/limit.rs
@@ -46,7 +46,10 @@
             .collect();
         times.sort_unstable();
         times.windows(2).try_fold(0.0, |sum, span| {
-            Some(sum + self.limit_at(span[0], settle)? * (span[1] - span[0]).as_secs_f64())
+            Some(
+                sum + self.limit_at(span[0], settle)?
+                    * span[1].saturating_sub(span[0]).as_secs_f64(),
+            )
         })
     }
 
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -43,6 +43,8 @@
     CloseAfterBytes(usize),
     /// It sends the answer of another request.
     AnswerOfOtherRequest,
+    /// It answers without its authentication code.
+    Unsigned,
     /// It answers twice.
     AnswerTwice,
     /// It sends an answer without a length and ends it by closing the connection.
@@ -402,9 +404,14 @@
             vec![Step::Send(sent), Step::Close]
         }
         Behaviour::AnswerOfOtherRequest => {
-            let other = [("x-attempt-id", "another"), ("x-response-seal", "another")];
+            let mut other = vec![("x-attempt-id", "another"), ("x-response-seal", "another")];
+            other.extend(headers.iter().filter(|(name, _)| *name == "server-limit"));
             answer(200, &other, b"another")
         }
+        Behaviour::Unsigned => {
+            let unsigned = headers.iter().filter(|(name, _)| *name != "x-response-seal");
+            normal_answer(&unsigned.copied().collect::<Vec<_>>(), request)
+        }
         Behaviour::AnswerTwice => [normal(), normal()].concat(),
         Behaviour::NoLength => answer_without_length(headers, Step::Close),
         Behaviour::StreamWithoutLength(bytes) => {
