lw-edge: keep the limits that upstreams name

Each genuine answer is now evidence, VMs tell each other on change, on request after a start, and every 2 s, and attempts of all kinds, resumed streams included, wait for their turn.

--- a/crates/lw-edge/src/feeds/mod.rs
+++ b/crates/lw-edge/src/feeds/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     peers::{self, Notice},
-    state::Edge,
+    state::{Edge, StoreView},
 };
 
 /// Time for which a call for the events of an engine waits. It bounds the time until an unresponsive engine is
@@ -69,20 +69,23 @@
         _ => None,
     });
     let mut holders: Vec<_> = engines.chain(store).collect();
-    holders.retain(|holder| {
-        let (name, is_engine) = match holder {
-            Holder::Engine { id, .. } => (id.clone(), true),
-            Holder::Store { addr } => (addr.to_string(), false),
-        };
-        // An engine is followed by VMs of its failure domain, the store by VMs of all.
-        let may_follow = |domain: &str| !is_engine || domain == edge.settings.failure_domain;
-        let vms = view.vms().filter(|(_, entry)| may_follow(&entry.failure_domain));
-        let local_rank = rank(&edge.settings.vm, &name);
-        vms.filter(|(vm, _)| rank(vm, &name) > local_rank).count() < FOLLOWERS_MAX
-    });
+    holders.retain(|holder| followers_before(edge, &view, holder) < FOLLOWERS_MAX);
     holders
 }
 
+/// Returns the number of VMs that follow a holder rather than this VM.
+fn followers_before(edge: &Edge, view: &StoreView, holder: &Holder) -> usize {
+    let (name, is_engine) = match holder {
+        Holder::Engine { id, .. } => (id.clone(), true),
+        Holder::Store { addr } => (addr.to_string(), false),
+    };
+    // An engine is followed by VMs of its failure domain, the store by VMs of all.
+    let may_follow = |domain: &str| !is_engine || domain == edge.settings.failure_domain;
+    let vms = view.vms().filter(|(_, entry)| may_follow(&entry.failure_domain));
+    let local_rank = rank(&edge.settings.vm, &name);
+    vms.filter(|(vm, _)| rank(vm, &name) > local_rank).count()
+}
+
 /// Returns the rank of a VM for a holder; the [`FOLLOWERS_MAX`] VMs with the highest ranks follow it.
 fn rank(vm: &str, holder: &str) -> u64 {
     let seed = xxhash_rust::xxh3::xxh3_64(holder.as_bytes());
@@ -112,7 +115,10 @@
     };
     let mut since = 0;
     let mut is_unresponsive = false;
+    let mut called_at = edge.timer.now();
     loop {
+        wait_for_call(&edge, &holder, called_at).await;
+        called_at = edge.timer.now();
         match edge.engines.cache_events(addr, since, wait, ANSWER_TIMEOUT).await {
             Ok(page) => {
                 since = page.next;
@@ -133,6 +139,21 @@
     }
 }
 
+/// Waits until the next call to a holder is allowed. Calls to an engine that names a limit count like requests: one VM makes
+/// them, and seldom.
+async fn wait_for_call(edge: &Edge, holder: &Holder, last: Now) {
+    let Holder::Engine { id, service, .. } = holder else { return };
+    loop {
+        let period = edge.with_upstream_pool(service, |pool| pool.feed_period(id)).flatten();
+        let Some(period) = period else { return };
+        let is_first = followers_before(edge, &edge.store_view(), holder) == 0;
+        if is_first && edge.timer.now() >= last + period {
+            return;
+        }
+        tokio::time::sleep(REFRESH_PERIOD).await;
+    }
+}
+
 fn holder_name(holder: &Holder) -> String {
     match holder {
         Holder::Engine { id, .. } => id.clone(),
--- a/crates/lw-edge/src/orders/load.rs
+++ b/crates/lw-edge/src/orders/load.rs
@@ -22,6 +22,8 @@
 const FIRST_POLL_MIN: Duration = Duration::from_millis(500);
 /// Time between two polls.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
+/// Longest time between two polls of an engine that names a limit.
+const POLL_PERIOD_MAX: Duration = Duration::from_secs(1);
 
 /// Executes an order for each model of its engine. Pauses the engine meanwhile and returns when it serves the new
 /// weights, or when the order failed.
@@ -201,8 +203,16 @@
             Err(e) => log::debug!(target: "order", upstream = upstream.id.as_str(),
                 why = e.to_string(); "engine does not answer a poll"),
         }
-        tokio::time::sleep(POLL_PERIOD).await;
+        tokio::time::sleep(poll_period(edge, upstream)).await;
     }
     edge.orders.state().loading.remove(&upstream.id);
     false
 }
+
+/// Returns the time between two polls of an engine. Polls count towards a limit that it names.
+fn poll_period(edge: &Edge, upstream: &Upstream) -> Duration {
+    let limit =
+        edge.with_upstream_pool(&upstream.service, |pool| pool.limit(&upstream.id)).flatten();
+    let period = limit.and_then(|(limit, _)| Duration::try_from_secs_f64(1.0 / limit).ok());
+    period.map_or(POLL_PERIOD, |period| period.clamp(POLL_PERIOD, POLL_PERIOD_MAX))
+}
--- /dev/null
+++ b/crates/lw-edge/src/peers/limits.rs
@@ -0,0 +1,118 @@
+//! Limits that upstreams name, as VMs tell each other.
+
+use std::{net::SocketAddr, time::Duration};
+
+use derive_more::{Display, Error};
+use lw_limit::upstream::{Evidence, Origin};
+use lw_place::LimitReport;
+use lw_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use super::{Notice, send_to};
+use crate::{limits::log_change, serve::millis, state::Edge};
+
+/// Longest time for which a message is assumed to be on its way.
+const MESSAGE_TIME_MAX: Duration = Duration::from_millis(500);
+/// VMs that a VM asks for limits.
+const RECIPIENTS_MAX: usize = 4;
+
+/// A limit as it is encoded in [`Notice::Limits`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitWire {
+    upstream: UpstreamId,
+    incarnation: Incarnation,
+    /// Requests a second; none if the upstream names no limit any more.
+    limit: Option<f64>,
+    /// Time since the request was sent whose answer states this, in milliseconds.
+    sent_age_ms: u64,
+    /// Time since that answer was received, in milliseconds.
+    received_age_ms: u64,
+}
+
+/// Why a limit in a message is not used.
+#[derive(Debug, Display, Error)]
+#[display("limit {limit} of {upstream}")]
+pub struct InvalidLimit {
+    upstream: UpstreamId,
+    limit: f64,
+}
+
+/// Encodes a report as of a time.
+impl From<(Now, &LimitReport)> for LimitWire {
+    fn from((now, report): (Now, &LimitReport)) -> Self {
+        let LimitReport { upstream, incarnation, evidence } = report;
+        Self {
+            upstream: upstream.clone(),
+            incarnation: *incarnation,
+            limit: evidence.limit,
+            sent_age_ms: millis(now.saturating_sub(evidence.sent_at)).saturating_add(1),
+            received_age_ms: millis(now.saturating_sub(evidence.received_at)),
+        }
+    }
+}
+
+impl LimitWire {
+    /// Decodes a report that was received at `now`.
+    ///
+    /// # Errors
+    ///
+    /// When the limit is negative or not a finite number.
+    pub fn report(&self, now: Now) -> Result<LimitReport, InvalidLimit> {
+        if let Some(limit) = self.limit.filter(|limit| !limit.is_finite() || *limit < 0.0) {
+            return Err(InvalidLimit { upstream: self.upstream.clone(), limit });
+        }
+        let before = |age_ms| now.saturating_sub(Duration::from_millis(age_ms));
+        let evidence = Evidence {
+            limit: self.limit,
+            sent_at: before(self.sent_age_ms).saturating_sub(MESSAGE_TIME_MAX),
+            received_at: before(self.received_age_ms),
+        };
+        let (upstream, incarnation) = (self.upstream.clone(), self.incarnation);
+        Ok(LimitReport { upstream, incarnation, evidence })
+    }
+}
+
+/// Applies the limits that another VM reports.
+pub(super) fn apply(edge: &Edge, reports: &[LimitWire]) {
+    let now = edge.timer.now();
+    for wire in reports {
+        let report = match wire.report(now) {
+            Ok(report) => report,
+            Err(e) => {
+                log::warn!(target: "member", why = e.to_string(); "limit in a message not used");
+                continue;
+            }
+        };
+        let mut has_changed = false;
+        for pool in edge.upstream_pools().values_mut() {
+            has_changed |= pool.observe_limit(now, &report, Origin::Other);
+        }
+        if has_changed {
+            log_change(&report, "another VM");
+        }
+    }
+}
+
+/// Replies to a VM that asks for limits.
+pub(super) fn reply(edge: &Edge, addr: SocketAddr) {
+    let now = edge.timer.now();
+    let reports: Vec<_> =
+        edge.upstream_pools().values().flat_map(lw_place::UpstreamPool::known_limits).collect();
+    if !reports.is_empty() {
+        let reports = reports.iter().map(|report| LimitWire::from((now, report))).collect();
+        send_to(edge, addr, Notice::Limits(reports));
+    }
+}
+
+/// Asks a few other VMs for the limits that they know.
+pub(crate) fn request(edge: &Edge) {
+    let mut addrs: Vec<_> = {
+        let view = edge.store_view();
+        let others = view.vms().filter(|(vm, _)| **vm != edge.settings.vm);
+        others.map(|(_, entry)| entry.addr).collect()
+    };
+    fastrand::shuffle(&mut addrs);
+    for addr in addrs.into_iter().take(RECIPIENTS_MAX) {
+        send_to(edge, addr, Notice::LimitsRequest { addr: edge.settings.peers });
+    }
+}
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -4,7 +4,7 @@
 
 use lw_catalog::Upstream;
 use lw_observe::metrics;
-use lw_place::{AnnouncedAttempt, AttemptId, Ended};
+use lw_place::{AnnouncedAttempt, AttemptId, Ended, LimitReport};
 use lw_quarantine::{Basis, CrashReport, SegmentSet};
 use lw_transport::datagram::Datagrams;
 use lw_types::prelude::*;
@@ -16,10 +16,13 @@
     state::{Edge, keys},
 };
 
+mod limits;
 pub mod route;
 mod suspicion;
 mod versions;
 
+pub use limits::LimitWire;
+pub(crate) use limits::request as request_limits;
 use route::Recipient;
 use suspicion::{SoundWire, SuspectWire};
 pub use versions::VersionAgeQuery;
@@ -192,6 +195,13 @@
         /// The segments.
         segments: Vec<SegmentId>,
     },
+    /// Limits that upstreams name.
+    Limits(Vec<LimitWire>),
+    /// Requests all limits that the receiver knows.
+    LimitsRequest {
+        /// Address to which the reply is sent.
+        addr: SocketAddr,
+    },
     /// An engine serves a version of a model's weights.
     Serves {
         /// The engine.
@@ -256,6 +266,8 @@
             edge.mark_upstream_leaving(upstream, *incarnation);
             return;
         }
+        Notice::Limits(reports) => return limits::apply(edge, reports),
+        Notice::LimitsRequest { addr } => return limits::reply(edge, *addr),
         Notice::VersionAgesRequest { addr, nonce } => return versions::reply(edge, *addr, *nonce),
         Notice::VersionAges { nonce, versions } => {
             return versions::apply_reply(edge, *nonce, versions);
@@ -281,6 +293,8 @@
             | Notice::Sound(_)
             | Notice::Quarantined { .. }
             | Notice::Released { .. }
+            | Notice::Limits(_)
+            | Notice::LimitsRequest { .. }
             | Notice::VersionAgesRequest { .. }
             | Notice::VersionAges { .. } => {}
             Notice::Slowdown { upstream, percent } => {
@@ -323,6 +337,8 @@
     Quarantined(&'a SegmentSet, Basis),
     /// Segments are released.
     Released(&'a SegmentSet),
+    /// Limits of upstreams, as of this time.
+    Limits(Now, &'a [LimitReport]),
 }
 
 /// Sends an announcement to other VMs without waiting. A message that cannot be sent at once is dropped.
@@ -358,6 +374,10 @@
         Announcement::Released(set) => {
             (Notice::Released { segments: set.iter().collect() }, Path::Direct)
         }
+        Announcement::Limits(now, reports) => {
+            let reports = reports.iter().map(|report| LimitWire::from((now, report))).collect();
+            (Notice::Limits(reports), Path::Relayed(fastrand::u64(..)))
+        }
     };
     send(edge, notice, path);
 }
--- a/crates/lw-edge/src/register/mod.rs
+++ b/crates/lw-edge/src/register/mod.rs
@@ -10,7 +10,7 @@
 };
 
 /// Lifetime of the lease on the entry. Other VMs use an entry until it expires.
-const LEASE_TIME: Duration = Duration::from_secs(4);
+pub(crate) const LEASE_TIME: Duration = Duration::from_secs(4);
 /// Time between two renewals of the lease.
 const RENEW_PERIOD: Duration = Duration::from_millis(1300);
 /// Shortest and longest pause before the next attempt after a failure; it doubles with each further failure.
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -13,8 +13,8 @@
 };
 
 use crate::{
-    distribution, feeds, follow, observe, orders, peers, quarantine, register, restore, serve,
-    state::Edge,
+    distribution, feeds, follow, limits, observe, orders, peers, quarantine, register, restore,
+    serve, state::Edge,
 };
 
 /// Time before the platform kills the process at which a leaving VM ends, even if requests are in flight.
@@ -111,6 +111,7 @@
         tasks.spawn(feeds::run(Arc::clone(&edge)));
         tasks.spawn(orders::run(Arc::clone(&edge)));
         tasks.spawn(quarantine::run(Arc::clone(&edge)));
+        tasks.spawn(limits::run(Arc::clone(&edge)));
         tasks.spawn(restore::run(Arc::clone(&edge)));
         tasks.spawn(update_upstreams(Arc::clone(&edge)));
         tasks.spawn(serve_callers(Arc::clone(&edge), callers, connections.clone()));
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -5,14 +5,16 @@
 use http::{Request, response::Parts};
 use http_body_util::Full;
 use lw_forward::pool::{Error, HostKey, Reuse, UpstreamAnswerBody};
+use lw_limit::upstream::{Evidence, Origin};
 use lw_observe::metrics;
-use lw_place::{AttemptId, Ended, Placement, Prompt};
-use lw_platform::headers::{self, AddedHeaders, AnswerHead};
+use lw_place::{AttemptId, Ended, LimitReport, Placement, Prompt};
+use lw_platform::headers::{self, AddedHeaders, AnswerHead, NamedLimit};
 
 use lw_types::prelude::*;
 
 use super::{Call, record::millis};
 use crate::{
+    limits,
     peers::{self, Announcement},
     quarantine,
     state::Edge,
@@ -325,6 +327,7 @@
         {
             peers::announce(&self.edge, Announcement::Leaving(upstream));
         }
+        self.observe_limit(head, answer);
         let is_refusal = head.status == http::StatusCode::SERVICE_UNAVAILABLE;
         if let Some(pause) = answer.availability.back_off.filter(|_| is_refusal) {
             let until = self.edge.timer.now() + pause;
@@ -336,6 +339,30 @@
         }
     }
 
+    /// Applies what the answer states about the upstream's limit. That it names none is taken only from an answer that is
+    /// certainly the upstream's own to this request.
+    fn observe_limit(&self, head: &Parts, answer: &AnswerHead) {
+        let is_elsewhere = head.status == http::StatusCode::MISDIRECTED_REQUEST;
+        let is_forged = head.status.is_success() && !answer.is_signed;
+        let limit = match answer.availability.limit {
+            NamedLimit::PerSecond(limit) if !is_elsewhere && !is_forged => Some(limit),
+            NamedLimit::None if answer.is_signed && answer.request.is_some() => None,
+            _ => return,
+        };
+        let upstream = &self.placement.upstream;
+        let now = self.edge.timer.now();
+        let report = LimitReport {
+            upstream: upstream.id.clone(),
+            incarnation: upstream.incarnation,
+            evidence: Evidence { limit, sent_at: self.started_at, received_at: now },
+        };
+        let observe =
+            |pool: &mut lw_place::UpstreamPool| pool.observe_limit(now, &report, Origin::Own);
+        if self.edge.with_upstream_pool(&self.call.service, observe) == Some(true) {
+            limits::log_change(&report, &self.edge.settings.vm);
+        }
+    }
+
     /// Checks whether the head is a genuine answer of the upstream to this request.
     fn check_answer(self, head: Parts, body: UpstreamAnswerBody) -> SendOutcome {
         let answer = headers::answer_head(&head.headers);
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -5,7 +5,7 @@
 use http::Response;
 use lw_catalog::RouteKind;
 use lw_limit::retry::{self, AttemptContext};
-use lw_place::{Ended, Placement, PlacementRequest, Refusal};
+use lw_place::{Ended, Placement, PlacementRequest, Refusal, UpstreamPool};
 use lw_platform::headers;
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
@@ -82,7 +82,7 @@
 
     async fn run_attempts(&mut self) -> Result<Accepted, Failure> {
         loop {
-            let attempt = self.next_attempt()?;
+            let attempt = self.next_attempt().await?;
             match attempt.send(None).await {
                 SendOutcome::Answer(incoming) => {
                     if let Some(accepted) = self.accept_answer(*incoming).await? {
@@ -101,9 +101,8 @@
     }
 
     /// Begins the next attempt, if there is an upstream for it and the limits on attempts allow it.
-    pub fn next_attempt(&mut self) -> Result<Attempt, Failure> {
-        self.check_quarantine()?;
-        let placement = self.place()?;
+    pub async fn next_attempt(&mut self) -> Result<Attempt, Failure> {
+        let placement = self.place_in_turn().await?;
         self.charge()?;
         self.attempts_sent += 1;
         self.tried.push(placement.upstream.id.clone());
@@ -111,6 +110,28 @@
         Ok(Attempt::begin(&self.edge, &self.call, placement, self.tried.len()))
     }
 
+    /// Selects the upstream of the next attempt and waits until the upstream's limit allows it.
+    async fn place_in_turn(&self) -> Result<Placement, Failure> {
+        loop {
+            self.check_quarantine()?;
+            let placement = self.place()?;
+            let upstream = &placement.upstream.id;
+            let now = self.edge.timer.now();
+            let reserve = |pool: &mut UpstreamPool| pool.reserve_turn(now, upstream);
+            let turn = self.edge.with_upstream_pool(&self.call.service, reserve).flatten();
+            let Some(turn) = turn else { return Ok(placement) };
+            tokio::time::sleep(turn.at.saturating_sub(now)).await;
+            let now = self.edge.timer.now();
+            let may_send = |pool: &mut UpstreamPool| pool.may_send_in_turn(now, upstream, turn);
+            if self.edge.with_upstream_pool(&self.call.service, may_send) == Some(true) {
+                return Ok(placement);
+            }
+            if now >= self.call.due {
+                return Err(self.refusal("no upstream's limit allowed it in time"));
+            }
+        }
+    }
+
     /// Refuses a request whose prompt crashes engines.
     fn check_quarantine(&self) -> Result<(), Failure> {
         let now = self.edge.timer.now_including_suspend();
@@ -188,7 +209,7 @@
             self.edge.with_upstream_pool(&self.call.service, |pool| pool.place(now, &request));
         let placed = placed.ok_or_else(|| self.refusal("the service is not known"))?;
         placed.map_err(|e| match e {
-            Refusal::WaitTooLong(time) | Refusal::BackingOff(time) => {
+            Refusal::WaitTooLong(time) | Refusal::BackingOff(time) | Refusal::Limited(time) => {
                 self.refusal(&e.to_string()).retry_after(time)
             }
             Refusal::NoneReady | Refusal::NoneUsable => self.refusal(&e.to_string()),
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -153,7 +153,7 @@
         self.splitter.discard_incomplete();
         let last_event = self.splitter.last_id();
         while self.driver.call.due > self.driver.edge.timer.now() + Duration::from_millis(50) {
-            let attempt = self.driver.next_attempt().map_err(|e| e.message)?;
+            let attempt = self.driver.next_attempt().await.map_err(|e| e.message)?;
             match attempt.send(last_event).await {
                 SendOutcome::Answer(mut incoming) if incoming.head.status.is_success() => {
                     incoming.attempt.on_stream_started();
--- a/crates/lw-edge/tests/limits.rs
+++ b/crates/lw-edge/tests/limits.rs
@@ -6,7 +6,11 @@
 use std::time::{Duration, Instant};
 
 use common::{Simulation, ms, request};
-use lw_standin::hosted::{limit::LimitHistory, upstream::Upstream};
+use lw_edge::run::Vm;
+use lw_standin::hosted::{
+    limit::LimitHistory,
+    upstream::{Behaviour, Upstream},
+};
 
 /// Time after which a limit must be kept: a VM that was told is bound half a second later.
 const SETTLE: Duration = Duration::from_millis(500);
@@ -52,3 +56,88 @@
     assert_limit_kept(preferred, named_at);
     assert!(served * 100 >= sent * 98, "the other engine serves the rest: {served} of {sent}");
 }
+
+/// Guards against VMs that keep a limit each for itself, so that all together exceed it, and against a VM that sends an
+/// engine more before an answer tells it what the others know.
+#[tokio::test]
+async fn vms_keep_a_limit_together() {
+    let simulation = Simulation::start().await;
+    let second =
+        Vm::start(simulation.further_settings("vm-2"), simulation.logs.clone()).await.unwrap();
+    simulation.wait_until_joined(&second).await;
+    for engine in &simulation.engines {
+        engine.set_limit(Some(&LIMIT.to_string()));
+    }
+    let named_at = tokio::time::Instant::now();
+    let served = |callers, name: &'static str| async move {
+        let mut served = 0;
+        for n in 0..150 {
+            let reply = common::send(callers, &request(&format!("{name}-{n}"), "/short/x")).await;
+            let reply = reply.expect("an answer");
+            served += usize::from(reply.status == 200);
+            if reply.status != 200 {
+                assert_eq!(reply.status, 503, "{}", reply.head);
+                assert!(reply.header("retry-after").is_some(), "{}", reply.head);
+            }
+            tokio::time::sleep(ms(40)).await;
+        }
+        served
+    };
+    let second_callers = second.edge.settings.callers;
+    let (first, second) =
+        tokio::join!(served(simulation.settings.callers, "a"), served(second_callers, "b"));
+    for engine in &simulation.engines {
+        assert_limit_kept(engine, named_at);
+    }
+    assert!(first > 2 && second > 2, "both have a share: {first}, {second}");
+    assert!(first + second > 15, "the limits are used: {first}, {second}");
+}
+
+#[tokio::test]
+async fn an_engine_is_used_as_before_once_its_limit_ends_or_it_restarts() {
+    let simulation = Simulation::start().await;
+    for engine in &simulation.engines {
+        engine.set_limit(Some("0.5"));
+    }
+    send_steadily(&simulation, "limited", ms(1_500)).await;
+    let (served, sent) = send_steadily(&simulation, "refused", ms(1_000)).await;
+    assert!(served < sent / 2, "{served} of {sent}");
+    // The first names no limit any more. The other one has started again; it has the same id.
+    simulation.engines.iter().for_each(|engine| engine.set_limit(None));
+    let restarted = &simulation.engines[1];
+    let mut entry = restarted.registry_entry("llm", "kochi-a");
+    entry["born"] = 1_700_000_009_000_u64.into();
+    simulation.store.put(&format!("servers/{}", restarted.id), &entry);
+    tokio::time::sleep(ms(300)).await;
+    let (served, sent) = send_steadily(&simulation, "ended", ms(3_000)).await;
+    assert!(served * 100 >= sent * 98, "{served} of {sent}");
+}
+
+/// Guards against a forged, outdated or misdirected answer that stops the requests to an engine or lifts its limit.
+#[tokio::test]
+async fn only_genuine_answers_tell_of_a_limit() {
+    let simulation = Simulation::start().await;
+    let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+    let limit = |id: &str| {
+        edge.with_upstream_pool("llm", |pool| pool.limit(id)).flatten().map(|(limit, _)| limit)
+    };
+    let both = |limit: &'static str| {
+        simulation.engines.iter().for_each(|engine| engine.set_limit(Some(limit)));
+    };
+    let any_limit = || simulation.engines.iter().find_map(|engine| limit(&engine.id));
+    both("many");
+    simulation.send(&request("malformed", "/short/x")).await.expect("an answer");
+    assert_eq!(any_limit(), None);
+    both("0.2");
+    for (id, fault) in
+        [("other", Behaviour::AnswerOfOtherRequest), ("unsigned", Behaviour::Unsigned)]
+    {
+        simulation.faults.push(fault);
+        let reply = simulation.send(&request(id, "/short/x")).await.expect("an answer");
+        assert_ne!(reply.status, 200, "{id}");
+        assert_eq!(any_limit(), None, "{id}");
+    }
+    simulation.faults.push(Behaviour::Reject);
+    simulation.send(&request("refused", "/long/x")).await;
+    assert_eq!(any_limit(), Some(0.2), "a refusal names it");
+}
