lw-soak: engines name limits, and the requests that they get are checked

Limits of 0 to 30 requests a second at half of the engines, some for moments only, beside all other faults. The check excuses VMs with a fault of their own or of their path to the store, and paths to the engine with a fault, in the last 3 s.

The stand-in engine keeps the history of the limits that it named.

--- a/crates/lw-edge/tests/limits.rs
+++ b/crates/lw-edge/tests/limits.rs
@@ -7,15 +7,12 @@
 
 use common::{Simulation, ms, request};
 use lw_edge::run::Vm;
-use lw_standin::hosted::{
-    limit::LimitHistory,
-    upstream::{Behaviour, Upstream},
-};
+use lw_standin::hosted::upstream::{Behaviour, Upstream};
 
 /// Time after which a limit must be kept: a VM that was told is bound half a second later.
 const SETTLE: Duration = Duration::from_millis(500);
 /// Limit that an engine names, in requests a second.
-const LIMIT: f64 = 2.0;
+const LIMIT: &str = "2.0";
 
 /// Sends a request each 40 ms for this time without waiting for the answers. Returns how many were answered with 200,
 /// and how many were sent.
@@ -33,11 +30,10 @@
     (tasks.join_all().await.into_iter().filter(|is_served| *is_served).count(), sent)
 }
 
-/// Checks the rule for an engine that names [`LIMIT`] since `named_at`, for requests and for calls of all kinds.
-fn assert_limit_kept(engine: &Upstream, named_at: tokio::time::Instant) {
-    let mut history = LimitHistory::default();
-    history.set(Duration::ZERO, Some(LIMIT));
-    let since = |at: tokio::time::Instant| at.checked_duration_since(named_at);
+/// Checks the rule for an engine, for requests and for calls of all kinds.
+fn assert_limit_kept(engine: &Upstream, start: tokio::time::Instant) {
+    let history = engine.limit_history(start);
+    let since = |at: tokio::time::Instant| at.checked_duration_since(start);
     let requests: Vec<_> = engine.received().iter().filter_map(|got| since(got.at)).collect();
     let calls: Vec<_> = engine.calls().into_iter().filter_map(since).collect();
     assert_eq!(history.first_excess(&requests, SETTLE), None, "requests at {}", engine.id);
@@ -50,10 +46,10 @@
     send_steadily(&simulation, "before", ms(600)).await;
     let preferred = simulation.engines.iter().max_by_key(|engine| engine.received().len());
     let preferred = preferred.expect("there are two");
-    preferred.set_limit(Some(&LIMIT.to_string()));
-    let named_at = tokio::time::Instant::now();
+    let start = tokio::time::Instant::now();
+    preferred.set_limit(Some(LIMIT));
     let (served, sent) = send_steadily(&simulation, "limited", ms(7_000)).await;
-    assert_limit_kept(preferred, named_at);
+    assert_limit_kept(preferred, start);
     assert!(served * 100 >= sent * 98, "the other engine serves the rest: {served} of {sent}");
 }
 
@@ -65,10 +61,8 @@
     let second =
         Vm::start(simulation.further_settings("vm-2"), simulation.logs.clone()).await.unwrap();
     simulation.wait_until_joined(&second).await;
-    for engine in &simulation.engines {
-        engine.set_limit(Some(&LIMIT.to_string()));
-    }
-    let named_at = tokio::time::Instant::now();
+    let start = tokio::time::Instant::now();
+    simulation.engines.iter().for_each(|engine| engine.set_limit(Some(LIMIT)));
     let served = |callers, name: &'static str| async move {
         let mut served = 0;
         for n in 0..150 {
@@ -87,7 +81,7 @@
     let (first, second) =
         tokio::join!(served(simulation.settings.callers, "a"), served(second_callers, "b"));
     for engine in &simulation.engines {
-        assert_limit_kept(engine, named_at);
+        assert_limit_kept(engine, start);
     }
     assert!(first > 2 && second > 2, "both have a share: {first}, {second}");
     assert!(first + second > 15, "the limits are used: {first}, {second}");
--- a/crates/lw-soak/src/checks/mod.rs
+++ b/crates/lw-soak/src/checks/mod.rs
@@ -7,6 +7,7 @@
 
 use lw_standin::hosted::{
     caller::{OTHER_KEY, Reply},
+    limit::LimitHistory,
     upstream::{AcceptedOrder, ReceivedRequest, STREAM_EVENTS, event},
 };
 use tokio::time::Instant;
@@ -18,6 +19,9 @@
 /// Time before and after a kill or pause in which connections may end without an answer.
 const INTERRUPTION_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time after which a limit that an engine names must be kept, and for which a fault excuses a VM.
+const LIMIT_TIME_MAX: Duration = Duration::from_secs(3);
+
 /// A fault and when it was in force.
 #[derive(Debug, Clone)]
 pub struct ActiveFault {
@@ -42,6 +46,10 @@
     pub records: Vec<RequestRecord>,
     /// Requests that each upstream received.
     pub received: Vec<Vec<ReceivedRequest>>,
+    /// Limits that each upstream named, by the time since `started_at`.
+    pub limits: Vec<LimitHistory>,
+    /// When the run started.
+    pub started_at: Instant,
     /// Orders that each upstream accepted.
     pub orders: Vec<Vec<AcceptedOrder>>,
     /// Faults and when they were in force.
@@ -83,6 +91,7 @@
         }
         findings.extend(self.accepted_revoked_keys());
         findings.extend(self.requests_to_leaving_upstreams());
+        findings.extend(self.requests_beyond_limits());
         findings.extend(self.check_orders());
         findings
     }
@@ -205,6 +214,47 @@
         findings
     }
 
+    /// Returns a finding for each upstream that got more requests than the limit that it named allows, from VMs that had no
+    /// fault and over a path that had none.
+    fn requests_beyond_limits(&self) -> Vec<String> {
+        let by_id: HashMap<&str, &RequestRecord> =
+            self.records.iter().map(|record| (record.id.as_str(), record)).collect();
+        let mut findings = Vec::new();
+        for (upstream, history) in self.limits.iter().enumerate() {
+            let has_sound_path = |at: Instant| {
+                !self.active_faults.iter().any(|active| {
+                    matches!(active.fault, Fault::UpstreamPath(of, _) if of == upstream)
+                        && active.overlaps(at - LIMIT_TIME_MAX, at)
+                })
+            };
+            let counts = |received: &&ReceivedRequest| {
+                let id = received.request.header("x-attempt-id").unwrap_or_default();
+                let Some(record) = by_id.get(id) else { return false };
+                let mut faults = self.vm_faults(record.vm);
+                has_sound_path(received.at)
+                    && !faults
+                        .any(|active| active.overlaps(received.at - LIMIT_TIME_MAX, received.at))
+            };
+            let arrivals = self.received[upstream].iter().filter(counts);
+            let arrivals: Vec<_> =
+                arrivals.map(|got| got.at.saturating_duration_since(self.started_at)).collect();
+            if let Some(excess) = history.first_excess(&arrivals, LIMIT_TIME_MAX) {
+                findings.push(format!("upstream {upstream} got more than its limit: {excess:?}"));
+            }
+        }
+        findings
+    }
+
+    /// Faults of the VM's process and of its path to the store.
+    fn vm_faults(&self, vm: usize) -> impl Iterator<Item = &ActiveFault> {
+        self.active_faults.iter().filter(move |active| match active.fault {
+            Fault::Pause(of) | Fault::Kill(of) | Fault::Drain(of) | Fault::StorePath(of, _) => {
+                of == vm
+            }
+            _ => false,
+        })
+    }
+
     fn check_orders(&self) -> Vec<String> {
         let mut issuers: BTreeMap<u64, &str> = BTreeMap::new();
         let mut findings = Vec::new();
--- a/crates/lw-soak/src/run/faults.rs
+++ b/crates/lw-soak/src/run/faults.rs
@@ -49,6 +49,11 @@
             Fault::CompactStore => self.store.compact(),
             Fault::RestoreStore(rewrite_delay) => self.restore_store(duration, rewrite_delay).await,
             Fault::UpstreamAnswers(all) => all.into_iter().for_each(|b| self.behaviours.push(b)),
+            Fault::EngineLimit(engine, limit) => {
+                self.upstreams[engine].set_limit(Some(&limit.to_string()));
+                sleep(duration).await;
+                self.upstreams[engine].set_limit(None);
+            }
             Fault::UpstreamLeaving(n) => self.mark_leaving(n, duration).await,
             Fault::RevokeKey => self.revoke_key(duration).await,
             Fault::TargetVersion => {
--- a/crates/lw-soak/src/run/mod.rs
+++ b/crates/lw-soak/src/run/mod.rs
@@ -99,6 +99,7 @@
     operators: Mutex<OperatorState>,
     active_faults: Mutex<Vec<ActiveFault>>,
     findings: Mutex<Vec<String>>,
+    started_at: Instant,
 }
 
 /// Runs the VMs with the faults drawn from `options`, and writes their settings and logs into `dir`.
@@ -216,6 +217,7 @@
             operators: Mutex::new(operators),
             active_faults: Mutex::default(),
             findings: Mutex::default(),
+            started_at: Instant::now(),
         };
         deployment.set_target_version(1);
         for n in 0..deployment.upstreams.len() {
@@ -322,6 +324,8 @@
         Trace {
             records: group.records(),
             received: self.upstreams.iter().map(Upstream::received).collect(),
+            limits: self.upstreams.iter().map(|u| u.limit_history(self.started_at)).collect(),
+            started_at: self.started_at,
             orders: self.upstreams[..self.engines].iter().map(Upstream::accepted_orders).collect(),
             active_faults: lock(&self.active_faults).clone(),
             revocations: operators.revocations.clone(),
--- a/crates/lw-soak/src/schedule/mod.rs
+++ b/crates/lw-soak/src/schedule/mod.rs
@@ -45,6 +45,8 @@
     RestoreStore(Duration),
     /// The next requests at any upstreams are answered with these behaviours, one each.
     UpstreamAnswers(Vec<Behaviour>),
+    /// An engine names this limit in its answers, in requests a second, for the duration.
+    EngineLimit(usize, f64),
     /// An upstream is registered as leaving.
     UpstreamLeaving(usize),
     /// The key of the other workspace is revoked.
@@ -122,6 +124,7 @@
     loop {
         at += options.mean_interval.mul_f64(0.2 + 1.6 * rng.f64());
         if at > options.fault_window {
+            events.extend(draw_limits(options));
             return events;
         }
         events.push(draw_event(&mut rng, options, at));
@@ -137,6 +140,25 @@
     }
 }
 
+/// Returns the limits that engines name: one after the other at each of half of the engines, some for moments only. They
+/// have random numbers of their own, so that the other events of a seed stay as they are.
+fn draw_limits(options: &Options) -> Vec<Event> {
+    let mut rng = fastrand::Rng::with_seed(!options.seed);
+    let mut events = Vec::new();
+    for engine in 0..options.engines.div_ceil(2) {
+        let mut at = Duration::ZERO;
+        while at < options.fault_window {
+            at += Duration::from_millis(rng.u64(100..3_000));
+            let limit = *choose(&mut rng, &[0.0, 0.7, 2.0, 3.8, 8.0, 30.0]);
+            let duration_ms = if rng.u8(0..4) == 0 { 200..800 } else { 5_000..14_000 };
+            let duration = Duration::from_millis(rng.u64(duration_ms));
+            events.push(Event { at, duration, fault: Fault::EngineLimit(engine, limit) });
+            at += duration;
+        }
+    }
+    events
+}
+
 fn draw_event(rng: &mut fastrand::Rng, options: &Options, at: Duration) -> Event {
     let fault = draw_fault(rng, options);
     let max = match fault {
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 
 use super::http::{Request, Server, Step, answer, chunk, chunked_head, head, serve};
+use super::limit::LimitHistory;
 
 /// How an upstream handles a request.
 #[derive(Debug, Clone, Default)]
@@ -97,6 +98,8 @@
     crashes: Vec<tokio::time::Instant>,
     /// `server-limit` of its answers, if it names one.
     limit: Option<String>,
+    /// When it began to name each limit, and ceased to.
+    limits: Vec<(tokio::time::Instant, Option<f64>)>,
     /// When all calls arrived, those for reports, orders and cache events included.
     calls: Vec<tokio::time::Instant>,
 }
@@ -219,7 +222,20 @@
 
     /// Sets the `server-limit` that its answers to requests name from now on.
     pub fn set_limit(&self, limit: Option<&str>) {
-        lock(&self.state).limit = limit.map(str::to_owned);
+        let mut state = lock(&self.state);
+        let number = limit.and_then(|limit| limit.parse().ok());
+        state.limits.push((tokio::time::Instant::now(), number));
+        state.limit = limit.map(str::to_owned);
+    }
+
+    /// Returns the limits that its answers named, by the time since `start`.
+    #[must_use]
+    pub fn limit_history(&self, start: tokio::time::Instant) -> LimitHistory {
+        let mut history = LimitHistory::default();
+        for (at, limit) in &lock(&self.state).limits {
+            history.set(at.saturating_duration_since(start), *limit);
+        }
+        history
     }
 
     /// Returns when calls arrived: requests of callers, and those for reports, orders and cache events.
