lw-edge: a refusal counts only with the request's id

Here, a refusal without an id was taken for the answer: a call that may run at most once ran at two engines, and the caller of a stream was told "not run". The same holds for 408, 429 and 503 that do not state "not run", which callers are promised.

A connection with such an empty answer was pooled before the answer was judged, so that the next request got the answer to the one before (502). It is now returned when the body is dropped, unless it was closed.

a_repeated_refusal_of_an_earlier_request_does_not_count and a_connection_with_a_repeated_refusal_is_not_used_again failed before (200 after a second run; 502 instead of 200) and pass. The stand-in's own refusals carried no id, which hid this; they echo it now.

--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{Request, response::Parts};
+use http::{Request, StatusCode, response::Parts};
 use http_body_util::Full;
 use lw_forward::pool::{Error, HostKey, Reuse, UpstreamAnswerBody};
 use lw_limit::upstream::{Evidence, Origin};
@@ -328,7 +328,7 @@
             peers::announce(&self.edge, Announcement::Leaving(upstream));
         }
         self.observe_limit(head, answer);
-        let is_refusal = head.status == http::StatusCode::SERVICE_UNAVAILABLE;
+        let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE;
         if let Some(pause) = answer.availability.back_off.filter(|_| is_refusal) {
             let until = self.edge.timer.now() + pause;
             self.edge.with_upstream_pool(&self.call.service, |pool| {
@@ -342,7 +342,7 @@
     /// Applies what the answer states about the upstream's limit. That it names none is taken only from an answer that is
     /// certainly the upstream's own to this request.
     fn observe_limit(&self, head: &Parts, answer: &AnswerHead) {
-        let is_elsewhere = head.status == http::StatusCode::MISDIRECTED_REQUEST;
+        let is_elsewhere = head.status == StatusCode::MISDIRECTED_REQUEST;
         let is_forged = head.status.is_success() && !answer.is_signed;
         let limit = match answer.availability.limit {
             NamedLimit::PerSecond(limit) if !is_elsewhere && !is_forged => Some(limit),
@@ -380,23 +380,46 @@
         }
         self.apply_upstream_state(&head, &answer);
         let answered_request = answer.request.as_deref();
-        if answered_request.is_some_and(|id| id != self.call.head.request) {
-            body.close();
-            let why = "answer to another request";
-            self.end(Ended::Failed, why);
-            return SendOutcome::OutcomeUnknown(why.into());
+        let is_own = answered_request == Some(self.call.head.request.as_str());
+        if answered_request.is_some() && !is_own {
+            return self.end_unknown(body, "answer to another request");
         }
-        if answer.is_not_run || head.status == http::StatusCode::MISDIRECTED_REQUEST {
-            let text = format!("{} from {}", head.status, self.placement.upstream.id);
-            self.end(Ended::NotRun, &text);
-            return SendOutcome::NotRun;
+        match refusal(head.status, &answer) {
+            // Without an id it may be a copy of an earlier refusal, and the answer to this request follows.
+            Some(_) if !is_own => {
+                return self.end_unknown(body, "refusal without the request's id");
+            }
+            Some(Executed::No) => {
+                let text = format!("{} from {}", head.status, self.placement.upstream.id);
+                self.end(Ended::NotRun, &text);
+                return SendOutcome::NotRun;
+            }
+            Some(_) => return self.end_unknown(body, "refusal that does not state \"not run\""),
+            None => {}
         }
         if head.status.is_success() && (!answer.is_signed || answer.is_encoded) {
-            body.close();
-            let why = "answer without authentication code";
-            self.end(Ended::Failed, why);
-            return SendOutcome::OutcomeUnknown(why.into());
+            return self.end_unknown(body, "answer without authentication code");
         }
         SendOutcome::Answer(Box::new(IncomingAnswer { head, body, attempt: self }))
     }
+
+    /// Ends the attempt and closes its connection, since the answer does not tell what became of the request.
+    fn end_unknown(self, body: UpstreamAnswerBody, why: &str) -> SendOutcome {
+        body.close();
+        self.end(Ended::Failed, why);
+        SendOutcome::OutcomeUnknown(why.into())
+    }
+}
+
+/// Returns what a refusal states about its request, or `None` if the answer is no refusal. Callers are promised that a
+/// request which is answered with one of these statuses has not run.
+fn refusal(status: StatusCode, answer: &AnswerHead) -> Option<Executed> {
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => Some(Executed::No),
+        _ if answer.is_not_run => Some(Executed::No),
+        StatusCode::REQUEST_TIMEOUT
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::SERVICE_UNAVAILABLE => Some(Executed::Unknown),
+        _ => None,
+    }
 }
--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -9,7 +9,7 @@
 use lw_standin::{
     hosted::{
         caller::Caller,
-        upstream::{Behaviour, STREAM_EVENTS, event},
+        upstream::{Behaviour, RefusalId, STREAM_EVENTS, event},
     },
     loopback::free_address,
 };
@@ -37,9 +37,8 @@
 #[tokio::test]
 async fn each_fault_of_an_upstream_on_each_kind_of_route() {
     use Expected::{Complete, Failed, Incomplete, Refused, Signed};
-    let simulation = Simulation::start().await;
     let torn = Behaviour::ResetInEvent;
-    let rows: &[(&str, Behaviour, Expected, usize)] = &[
+    check_rows(&[
         (IDEMPOTENT, Behaviour::Normal, Complete, 1),
         (IDEMPOTENT, Behaviour::Reject, Complete, 1),
         (IDEMPOTENT, Behaviour::Reset, Complete, 2),
@@ -71,7 +70,14 @@
         (NOT_RESUMABLE, Behaviour::Reset, Failed(502), 1),
         (NOT_RESUMABLE, torn(2), Incomplete, 1),
         (NOT_RESUMABLE, Behaviour::InvalidBytes, Failed(502), 1),
-    ];
+    ])
+    .await;
+}
+
+/// Sends a request for each row: its path, the fault of the upstream, what the caller must get, and how often it must run.
+async fn check_rows(rows: &[(&'static str, Behaviour, Expected, usize)]) {
+    use Expected::{Complete, Failed, Incomplete, Refused, Signed};
+    let simulation = Simulation::start().await;
     for (row, (path, behaviour, expected, run_count)) in rows.iter().enumerate() {
         // A failed upstream gets no work for a while, which would hide the fault of the next row.
         tokio::time::sleep(ms(if row == 0 { 0 } else { 310 })).await;
@@ -110,6 +116,44 @@
     }
 }
 
+/// Guards against a refusal that an engine repeats on a kept connection and that is taken for the answer to a request which the
+/// engine runs: the caller would be told that it has not run, or it would run at a second engine.
+#[tokio::test]
+async fn a_repeated_refusal_of_an_earlier_request_does_not_count() {
+    use Expected::{Complete, Failed};
+    let refusal = Behaviour::RefuseAfterRun;
+    let mut rows = Vec::new();
+    for id in [RefusalId::Missing, RefusalId::Earlier] {
+        rows.extend([
+            (IDEMPOTENT, refusal(id), Complete, 2),
+            (AT_MOST_ONCE, refusal(id), Failed(502), 1),
+            (RESUMABLE, refusal(id), Complete, 2),
+            (NOT_RESUMABLE, refusal(id), Failed(502), 1),
+        ]);
+    }
+    // An upstream that answers so without stating that it has not run the request may have run it.
+    for status in [408, 429, 503] {
+        rows.push((AT_MOST_ONCE, Behaviour::Status(status), Failed(502), 1));
+        rows.push((NOT_RESUMABLE, Behaviour::Status(status), Failed(502), 1));
+    }
+    check_rows(&rows).await;
+}
+
+/// Guards against a connection that is used again although the answer to the request before is still to come on it.
+#[tokio::test]
+async fn a_connection_with_a_repeated_refusal_is_not_used_again() {
+    let simulation = Simulation::start().await;
+    for n in 0..4 {
+        simulation.faults.push(Behaviour::RefuseAfterRun(RefusalId::Earlier));
+        let reply = simulation.send(&request(&format!("refused-{n}"), AT_MOST_ONCE)).await;
+        assert_eq!(reply.map(|reply| reply.status), Some(502));
+        for next in 0..3 {
+            let reply = simulation.send(&request(&format!("next-{n}-{next}"), AT_MOST_ONCE)).await;
+            assert_eq!(reply.map(|reply| reply.status), Some(200), "{n} {next}");
+        }
+    }
+}
+
 /// Guards against a second answer to one request that is taken for the answer to the next request on the connection.
 #[tokio::test]
 async fn a_second_answer_to_a_request_is_discarded() {
--- a/crates/lw-forward/src/pool/body.rs
+++ b/crates/lw-forward/src/pool/body.rs
@@ -25,12 +25,7 @@
 impl UpstreamAnswerBody {
     pub(super) fn new(incoming: Incoming, conn: Conn, head: &Parts) -> Self {
         let may_reuse = !has_close_option(&head.headers);
-        let mut body =
-            Self { incoming, conn: Some(conn), keep_alive: keep_alive(&head.headers), may_reuse };
-        if body.incoming.is_end_stream() {
-            body.release_connection();
-        }
-        body
+        Self { incoming, conn: Some(conn), keep_alive: keep_alive(&head.headers), may_reuse }
     }
 
     /// Closes the connection, for instance since the answer belongs to another request.
@@ -48,6 +43,15 @@
     }
 }
 
+impl Drop for UpstreamAnswerBody {
+    fn drop(&mut self) {
+        // An empty body may never be polled. It is released only here, since its answer may still prove not to be genuine.
+        if self.incoming.is_end_stream() {
+            self.release_connection();
+        }
+    }
+}
+
 fn has_close_option(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
     let mut options = values.filter_map(|v| v.to_str().ok()).flat_map(|v| v.split(','));
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -42,6 +42,13 @@
     SlowBytes(Duration),
     /// It sends this many bytes of its answer, head included, and closes the connection.
     CloseAfterBytes(usize),
+    /// It runs the request and answers, but sends a refusal first, as a faulty engine repeats an earlier one on a kept
+    /// connection.
+    RefuseAfterRun(RefusalId),
+    /// It answers a resumed stream with status 200 and these bytes, and sends others in full.
+    ResumeWith(&'static [u8]),
+    /// It sends this many events of a stream without a length, then these bytes, and closes the connection.
+    EventsThen(u64, &'static [u8]),
     /// It sends the answer of another request.
     AnswerOfOtherRequest,
     /// It answers without its authentication code.
@@ -60,6 +67,15 @@
     InvalidBytes,
 }
 
+/// The id that a refusal carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalId {
+    /// None.
+    Missing,
+    /// That of an earlier request.
+    Earlier,
+}
+
 /// A request that an upstream received.
 #[derive(Debug, Clone)]
 pub struct ReceivedRequest {
@@ -141,6 +157,8 @@
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 /// Bytes of [`Behaviour::SlowBytes`]; any deadline ends the answer before the last one.
 const SLOW_BYTES_MAX: usize = 1000;
+/// Time from a repeated refusal to the answer that follows it.
+const REPEATED_REFUSAL_DELAY: Duration = Duration::from_millis(100);
 /// Number of events of one stream.
 pub const STREAM_EVENTS: u64 = 5;
 
@@ -291,7 +309,8 @@
     lock(state).calls.push(tokio::time::Instant::now());
     let expected = request.header("x-expect-instance");
     if expected.is_some_and(|expected| expected != id) {
-        return answer(421, &[("x-instance-id", id)], b"");
+        let attempt = request.header("x-attempt-id").unwrap_or_default();
+        return answer(421, &[("x-attempt-id", attempt), ("x-instance-id", id)], b"");
     }
     match (request.method.as_str(), request.path()) {
         ("GET", "/api/report") => handle_report(state),
@@ -365,8 +384,9 @@
     let limit = state.limit.clone();
     drop(state);
     let limit = limit.iter().map(|limit| ("server-limit", limit.as_str()));
+    let attempt = request.header("x-attempt-id").unwrap_or_default();
     if is_rejected {
-        let mut headers = vec![("x-not-executed", "1")];
+        let mut headers = vec![("x-attempt-id", attempt), ("x-not-executed", "1")];
         headers.extend(limit);
         let seconds = match behaviour {
             Behaviour::RejectFor(seconds) => Some(seconds.to_string()),
@@ -375,7 +395,6 @@
         headers.extend(seconds.iter().map(|seconds| ("retry-after", seconds.as_str())));
         return answer(503, &headers, b"");
     }
-    let attempt = request.header("x-attempt-id").unwrap_or_default();
     let version = version.to_string();
     let mut headers =
         vec![("x-attempt-id", attempt), ("x-response-seal", id), ("x-weight-versions", &version)];
@@ -428,6 +447,22 @@
             let unsigned = headers.iter().filter(|(name, _)| *name != "x-response-seal");
             normal_answer(&unsigned.copied().collect::<Vec<_>>(), request)
         }
+        Behaviour::RefuseAfterRun(id) => {
+            let mut refusal = vec![("x-not-executed", "1")];
+            refusal.extend((*id == RefusalId::Earlier).then_some(("x-attempt-id", "earlier")));
+            let delay = vec![Step::Wait(REPEATED_REFUSAL_DELAY)];
+            [answer(503, &refusal, b""), delay, normal()].concat()
+        }
+        Behaviour::ResumeWith(bytes) if request.header("last-event-id").is_some() => {
+            answer(200, headers, bytes)
+        }
+        Behaviour::ResumeWith(_) => normal(),
+        Behaviour::EventsThen(events, bytes) => {
+            let first = first_event(request);
+            let events: Vec<u8> = (first..first + events).flat_map(event).collect();
+            let head = head(200, "connection: close", headers);
+            vec![Step::Send([&head, &events, *bytes].concat()), Step::Close]
+        }
         Behaviour::AnswerTwice => [normal(), normal()].concat(),
         Behaviour::NoLength => answer_without_length(headers, Step::Close),
         Behaviour::StreamWithoutLength(bytes) => {
