lw-edge: only events that follow are relayed

Report of other operators: the next engine answers a resumed stream with an error, and its text stands in the caller's stream, or the stream ends as complete. Here, any bytes up to an empty line were taken for an event. An event now consists of fields and has an id above that of the event before it; other bytes break the stream, after the events before them. A resumed stream that ends without an event counts as broken: the caller can tell, and resume.

an_error_in_the_middle_of_a_stream_is_not_relayed failed before (the text was relayed, and the answer framed as complete) and passes. Not recognized: an error within the data of an event, and a stream that ends between two events.

--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -25,6 +25,8 @@
     status: u16,
     /// Bytes given to the caller.
     relayed_bytes: u64,
+    /// Whether another engine has resumed the stream and has not sent an event yet.
+    awaits_first_event: bool,
 }
 
 /// What was received next from the upstream.
@@ -42,13 +44,15 @@
     pub fn new(driver: Driver, incoming: IncomingAnswer) -> Self {
         let is_resumable = driver.call.route.kind == RouteKind::Stream { resumable: true };
         let status = incoming.head.status.as_u16();
+        let splitter = Splitter::after(driver.call.head.last_event);
         Self {
             driver,
             current: Some((incoming.body, incoming.attempt)),
-            splitter: Splitter::default(),
+            splitter,
             is_resumable,
             status,
             relayed_bytes: 0,
+            awaits_first_event: false,
         }
     }
 
@@ -74,6 +78,7 @@
             match self.receive().await {
                 Received::Bytes(bytes) => match self.splitter.push(&bytes) {
                     Ok(Some(ready)) => {
+                        self.awaits_first_event = false;
                         self.driver.record.record_chunk();
                         self.relayed_bytes += u64::try_from(ready.len()).unwrap_or(u64::MAX);
                         return Ok(Some(ready));
@@ -136,6 +141,10 @@
             None if self.splitter.incomplete_bytes() > 0 => {
                 Received::Broken("the stream ended within an event".into())
             }
+            // An engine that answers with no event at all may have failed as well.
+            None if self.awaits_first_event => {
+                Received::Broken("the resumed stream ended without an event".into())
+            }
             None => Received::End,
             Some(Err(e)) => Received::Broken(e.to_string()),
             Some(Ok(frame)) => {
@@ -158,6 +167,7 @@
                 SendOutcome::Answer(mut incoming) if incoming.head.status.is_success() => {
                     incoming.attempt.on_stream_started();
                     self.current = Some((incoming.body, incoming.attempt));
+                    self.awaits_first_event = true;
                     return Ok(());
                 }
                 SendOutcome::Answer(incoming) => {
--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -154,6 +154,40 @@
     }
 }
 
+/// Guards against the text of an error, or its head, in the middle of a caller's stream, and against a stream that ends as
+/// complete since the engine that resumed it sent an error or nothing.
+#[tokio::test]
+async fn an_error_in_the_middle_of_a_stream_is_not_relayed() {
+    use Expected::{Complete, Incomplete};
+    const TEXT: &[u8] = b"internal error: out of memory\n\n";
+    const HEAD: &[u8] = b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 5\r\n\r\nerror";
+    let simulation = Simulation::start().await;
+    let resumed: [(&str, &'static [u8]); 4] = [
+        ("text", TEXT),
+        ("head", HEAD),
+        ("empty", b""),
+        ("earlier-events", b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"),
+    ];
+    for (name, bytes) in resumed {
+        simulation.faults.push(Behaviour::ResetInEvent(2));
+        simulation.faults.push(Behaviour::ResumeWith(bytes));
+        let reply = simulation.send(&request(name, RESUMABLE)).await.expect("an answer");
+        let text = format!("{name}: {}", reply.text());
+        assert!(!reply.is_complete, "{text}");
+        assert!(complete_body(RESUMABLE).starts_with(&reply.body), "{text}");
+        simulation.faults.clear();
+        tokio::time::sleep(ms(1_600)).await;
+    }
+    let rows = [
+        (RESUMABLE, Behaviour::EventsThen(2, TEXT), Complete, 2),
+        (RESUMABLE, Behaviour::EventsThen(2, HEAD), Complete, 2),
+        (NOT_RESUMABLE, Behaviour::EventsThen(2, TEXT), Incomplete, 1),
+        (NOT_RESUMABLE, Behaviour::EventsThen(2, HEAD), Incomplete, 1),
+        (NOT_RESUMABLE, Behaviour::EventsThen(5, HEAD), Incomplete, 1),
+    ];
+    check_rows(&rows).await;
+}
+
 /// Guards against a second answer to one request that is taken for the answer to the next request on the connection.
 #[tokio::test]
 async fn a_second_answer_to_a_request_is_discarded() {
