lw-edge: changes that are too long to be read at once do not stop a VM

Report of other operators: one odd entry among those of the engines, and the machines that read the list ended or stopped following it. Here, deep nesting, numbers that do not fit, ports out of range and fields that stand twice under any of the keys that a VM reads leave it running. But a watch answer of more than 2 MiB, as few large entries make it, failed each time it was asked for, so that the VM followed nothing any more until the store dropped that history. It now reads the whole store in pages instead.

odd_entries_stop_neither_a_running_vm_nor_one_that_starts failed before (never: the VM follows) and passes; it also starts a VM that reads all of the entries. The stand-in of the store returned everything in one page and now has the platform's pages of 500 items or 1 MB.

--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -187,7 +187,10 @@
     }
 
     async fn handle_store_error(&mut self, e: &store::Error) {
-        if matches!(e, store::Error::Compacted) {
+        // Changes that are too long to be read at once would be so each time; pages of the whole store are not.
+        if matches!(e, store::Error::Compacted)
+            || (matches!(e, store::Error::TooLong) && self.position.is_some())
+        {
             self.position = None;
             return;
         }
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -123,6 +123,7 @@
             Err(store::Error::Conflict) => "conflict",
             Err(store::Error::Absent) => "absent",
             Err(store::Error::Compacted) => "compacted",
+            Err(store::Error::TooLong) => "too_long",
             Err(store::Error::Unavailable(_)) => "unavailable",
             Err(store::Error::Unknown(_)) => "unknown",
             Err(store::Error::Unreadable(_)) => "unreadable",
--- a/crates/lw-edge/tests/registry.rs
+++ b/crates/lw-edge/tests/registry.rs
@@ -195,3 +195,64 @@
     };
     simulation.wait_until("requests are served again", serves).await;
 }
+
+/// Guards against VMs that end, or stop following the store, since another writer left odd entries: one that follows changes
+/// and one that reads them at its start.
+#[tokio::test]
+async fn odd_entries_stop_neither_a_running_vm_nor_one_that_starts() {
+    let simulation = Simulation::start().await;
+    let nested = |depth: usize| [vec![b'['; depth], vec![b']'; depth]].concat();
+    let entry = |field: &str, value: &str| {
+        let mut entry = simulation.servers[0].registry_entry("desk", "kochi-a");
+        entry[field] = json!("ODD");
+        entry.to_string().replace("\"ODD\"", value).into_bytes()
+    };
+    let deep = String::from_utf8(nested(100_000)).unwrap();
+    let mut odd: Vec<Vec<u8>> = vec![
+        nested(200_000),
+        Vec::new(),
+        b"{\"Service\":\"desk\",\"Service\":\"desk\"}".to_vec(),
+        entry("born", "1e400"),
+        entry("born", "18446744073709551616"),
+        entry("Models", &deep),
+        entry("Extra", &deep),
+    ];
+    for slots in ["-1", "4294967295", "4294967296", "1e300", "0", "null"] {
+        odd.push(entry("Slots", slots));
+    }
+    for port in ["0", "99999", "-1", ""] {
+        odd.push(entry("Address", &format!("\"127.0.0.1:{port}\"")));
+    }
+    odd.push(entry("Address", &format!("\"{}\"", "1".repeat(100_000))));
+    let keys =
+        ["servers/odd", "lavenderwood/vm/odd", "lavenderwood/quarantine/odd", "op/version/odd"];
+    for (n, bytes) in odd.iter().enumerate() {
+        for key in keys {
+            simulation.store.put_bytes(&format!("{key}-{n}"), bytes);
+        }
+        simulation.store.put_bytes(&upstream_key("desk-2"), bytes);
+    }
+    // The running VM follows what comes after them.
+    simulation.store.put("op/config", &common::config(8));
+    let has_config = async |simulation: &Simulation| {
+        let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+        edge.store_view().catalog().is_some_and(|catalog| catalog.version == 8)
+    };
+    simulation.wait_until("the VM follows", has_config).await;
+    let second =
+        Vm::start(simulation.further_settings("vm-2"), simulation.logs.clone()).await.unwrap();
+    let is_ready = async |_: &Simulation| second.edge.is_ready();
+    simulation.wait_until("a VM that starts is ready", is_ready).await;
+    // Entries of which only some fields are odd may name an upstream, to which some requests go in vain.
+    let mut n = 0;
+    for callers in [simulation.settings.callers, second.edge.settings.callers] {
+        for path in ["/look/x", "/book/x", "/long/x"] {
+            let is_served = async |_: &Simulation| {
+                n += 1;
+                let reply = send(callers, &request(&format!("odd-{n}"), path)).await;
+                reply.expect("an answer").status == 200
+            };
+            simulation.wait_until("requests are served", is_served).await;
+        }
+    }
+}
--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -18,6 +18,9 @@
 
 /// Number of changes that are retained for watches.
 const HISTORY_MAX: usize = 4096;
+/// Most items of one page, and most bytes of their values unless one item has more.
+const PAGE_ITEMS_MAX: usize = 500;
+const PAGE_BYTES_MAX: usize = 1 << 20;
 
 /// How the store answers calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -355,9 +358,18 @@
 fn list_range(shared: &Shared, request: &Request) -> Vec<Step> {
     let state = shared.lock();
     let prefix = request.query("Prefix").unwrap_or_default();
-    let items = state.items.iter().filter(|(key, _)| key.starts_with(&prefix));
-    let items: Vec<_> = items.map(|(key, item)| item_json(key, item)).collect();
-    json_answer(200, &json!({ "items": items, "MorePages": false, "AsOf": state.revision }))
+    let after = request.query("after").unwrap_or_default();
+    let mut items =
+        state.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after).peekable();
+    let (mut page, mut bytes) = (Vec::new(), 0);
+    while let Some((key, item)) = items.next_if(|(_, item)| {
+        bytes == 0 || (page.len() < PAGE_ITEMS_MAX && bytes + item.value.len() <= PAGE_BYTES_MAX)
+    }) {
+        bytes += item.value.len().max(1);
+        page.push(item_json(key, item));
+    }
+    let has_more = items.peek().is_some();
+    json_answer(200, &json!({ "items": page, "MorePages": has_more, "AsOf": state.revision }))
 }
 
 async fn watch(shared: &Shared, request: &Request) -> Vec<Step> {
--- a/crates/lw-transport/src/client/mod.rs
+++ b/crates/lw-transport/src/client/mod.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{HeaderMap, Method, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::{Serialize, de::DeserializeOwned};
 use volo_http::{body::Body, error::ClientError, response::Response};
 
@@ -107,6 +107,9 @@
         /// The body, if it was read.
         body: String,
     },
+    /// The body of the answer is longer than this number of bytes.
+    #[display("an answer of more than {_0} bytes")]
+    TooLong(#[error(not(source))] usize),
     /// The body of the answer could not be read or decoded.
     #[display("unreadable answer: {_0}")]
     Unreadable(#[error(not(source))] String),
@@ -297,10 +300,13 @@
 ///
 /// # Errors
 ///
-/// [`Error::Unreadable`] when the body breaks or is longer.
+/// [`Error::TooLong`] when the body is longer, [`Error::Unreadable`] when it breaks.
 pub async fn read_body(body: Body, max_bytes: usize) -> Result<Bytes, Error> {
-    let collected = Limited::new(body, max_bytes).collect().await;
-    collected.map(http_body_util::Collected::to_bytes).map_err(|e| Error::Unreadable(e.to_string()))
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Error::TooLong(max_bytes)),
+        Err(e) => Err(Error::Unreadable(e.to_string())),
+    }
 }
 
 fn encode_error(e: impl fmt::Display) -> Error {
