lw-place: a load with numbers that are far too large does not overflow

The sum of the running and waiting requests that an upstream reports overflowed: a panic with overflow checks, a load near zero without them. a_load_that_is_far_too_large_is_only_a_busy_upstream failed before and passes.

--- a/crates/lw-place/src/pool/upstream_state.rs
+++ b/crates/lw-place/src/pool/upstream_state.rs
@@ -116,7 +116,8 @@
     /// Returns the number of running and waiting requests, as tracked here or as reported, whichever is more.
     pub fn active_count(&self, now: Now) -> u64 {
         let load = self.load.filter(|(at, _)| now.saturating_sub(*at) < LOAD_MAX_AGE);
-        let reported = load.map_or(0, |(_, load)| u64::from(load.running + load.waiting));
+        let reported =
+            load.map_or(0, |(_, load)| u64::from(load.running) + u64::from(load.waiting));
         u64::try_from(self.in_flight.len()).unwrap_or(u64::MAX).max(reported)
     }
 
--- a/crates/lw-place/tests/slowdown.rs
+++ b/crates/lw-place/tests/slowdown.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{engine, ms, pool, prompt, request};
-use lw_place::{Load, UpstreamPool};
+use lw_place::{Load, PlacementRequest, UpstreamPool};
 
 fn load(slowness_percent: u32) -> Load {
     Load { running: 1, waiting: 0, slots: 32, slowness_percent }
@@ -54,3 +54,17 @@
     assert!(pool.on_load(ms(200), "e1", load(100)));
     assert!(!pool.on_load(ms(210), "e1", load(100)));
 }
+
+/// Guards against a process that ends since the numbers in an upstream's load are far too large.
+#[test]
+fn a_load_that_is_far_too_large_is_only_a_busy_upstream() {
+    let mut pool = two_engines();
+    let most = u32::MAX;
+    let load = Load { running: most, waiting: most, slots: most, slowness_percent: most };
+    pool.on_load(ms(0), "e1", load);
+    let prompt = prompt("m");
+    let plain = PlacementRequest { prompt: None, ..request(&prompt) };
+    for request in [request(&prompt), plain] {
+        assert_eq!(pool.place(ms(1), &request).unwrap().upstream.id, "e2");
+    }
+}
