--- a/crates/lw-edge/src/observe/mod.rs
+++ b/crates/lw-edge/src/observe/mod.rs
@@ -87,6 +87,8 @@
         let label = ServiceLabel { service: service.clone() };
         let ready = u64::try_from(pool.ready_count()).unwrap_or(u64::MAX);
         metrics.ready_upstreams.get_or_create(&label).set(as_gauge(ready));
+        let limited = u64::try_from(pool.limited_count()).unwrap_or(u64::MAX);
+        metrics.limited_upstreams.get_or_create(&label).set(as_gauge(limited));
     }
     for (service, left) in edge.retries_left(now) {
         metrics.retries_left.get_or_create(&ServiceLabel { service }).set(as_gauge(left));
--- a/crates/lw-edge/tests/limits.rs
+++ b/crates/lw-edge/tests/limits.rs
@@ -134,4 +134,12 @@
     simulation.faults.push(Behaviour::Reject);
     simulation.send(&request("refused", "/long/x")).await;
     assert_eq!(any_limit(), Some(0.2), "a refusal names it");
+    let reasons = edge.with_upstream_pool("llm", |pool| {
+        pool.candidates(edge.timer.now()).into_iter().map(|candidate| candidate.reason).collect()
+    });
+    let reasons: Vec<String> = reasons.expect("the service is known");
+    assert!(
+        reasons.iter().any(|why| why.contains("limited to 0.2 requests a second")),
+        "{reasons:?}"
+    );
 }
--- a/crates/lw-observe/src/metrics/mod.rs
+++ b/crates/lw-observe/src/metrics/mod.rs
@@ -112,6 +112,8 @@
     pub retries_left: Family<ServiceLabel, Gauge>,
     /// Upstreams that accept new requests, by service.
     pub ready_upstreams: Family<ServiceLabel, Gauge>,
+    /// Upstreams that name a limit, by service.
+    pub limited_upstreams: Family<ServiceLabel, Gauge>,
     /// Quarantined sets of prompt segments.
     pub quarantined_sets: Gauge,
     /// Dropped log lines by kind.
@@ -145,6 +147,7 @@
             in_flight: Gauge::default(),
             retries_left: Family::default(),
             ready_upstreams: Family::default(),
+            limited_upstreams: Family::default(),
             quarantined_sets: Gauge::default(),
             dropped_log_lines: Family::default(),
         };
@@ -184,6 +187,8 @@
         );
         let help = "Upstreams that accept new requests";
         registry.register("ready_upstreams", help, self.ready_upstreams.clone());
+        let help = "Upstreams that name a limit on the requests that they take";
+        registry.register("limited_upstreams", help, self.limited_upstreams.clone());
         let help = "Sets of prompt segments whose requests are refused";
         registry.register("quarantined_sets", help, self.quarantined_sets.clone());
         registry.register(
--- a/crates/lw-place/src/pool/candidates.rs
+++ b/crates/lw-place/src/pool/candidates.rs
@@ -28,11 +28,12 @@
     /// Returns the state of all upstreams as this VM sees them.
     #[must_use]
     pub fn candidates(&self, now: Now) -> Vec<Candidate> {
-        self.upstreams.values().map(|state| candidate(now, state)).collect()
+        let limit = |state: &UpstreamState| self.limit(&state.upstream.id);
+        self.upstreams.values().map(|state| candidate(now, state, limit(state))).collect()
     }
 }
 
-fn candidate(now: Now, state: &UpstreamState) -> Candidate {
+fn candidate(now: Now, state: &UpstreamState, limit: Option<(f64, f64)>) -> Candidate {
     let mut weights: Vec<_> = state.versions.iter().map(|(m, v)| (m.clone(), *v)).collect();
     weights.sort();
     let status = if state.upstream.stage == Stage::Leaving {
@@ -46,12 +47,15 @@
     } else {
         "open"
     };
+    let limit = limit.map(|(limit, share)| {
+        format!(", limited to {limit} requests a second, {share:.2} from this VM")
+    });
     let versions = weights.iter().map(|(model, version)| format!(", {model} {version}"));
     Candidate {
         id: state.upstream.id.clone(),
         addr: state.upstream.addr,
         is_open: status == "open",
-        reason: format!("{status}{}", versions.collect::<String>()),
+        reason: format!("{status}{}{}", limit.unwrap_or_default(), versions.collect::<String>()),
         weights,
         in_flight: state.in_flight.len(),
     }
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -453,10 +453,10 @@
             let delay = vec![Step::Wait(REPEATED_REFUSAL_DELAY)];
             [answer(503, &refusal, b""), delay, normal()].concat()
         }
-        Behaviour::ResumeWith(bytes) if request.header("last-event-id").is_some() => {
-            answer(200, headers, bytes)
-        }
-        Behaviour::ResumeWith(_) => normal(),
+        Behaviour::ResumeWith(bytes) => match request.header("last-event-id") {
+            Some(_) => answer(200, headers, bytes),
+            None => normal(),
+        },
         Behaviour::EventsThen(events, bytes) => {
             let first = first_event(request);
             let events: Vec<u8> = (first..first + events).flat_map(event).collect();
