--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -350,6 +350,12 @@
             _ => return,
         };
         let upstream = &self.placement.upstream;
+        let is_tracked = |pool: &mut lw_place::UpstreamPool| pool.has_named_limit(&upstream.id);
+        if limit.is_none()
+            && self.edge.with_upstream_pool(&self.call.service, is_tracked) != Some(true)
+        {
+            return;
+        }
         let now = self.edge.timer.now();
         let report = LimitReport {
             upstream: upstream.id.clone(),
--- a/crates/lw-place/src/pool/limit.rs
+++ b/crates/lw-place/src/pool/limit.rs
@@ -120,6 +120,12 @@
         Some((limiter.limit()?, limiter.rate().unwrap_or_default()))
     }
 
+    /// Whether an upstream names a limit, or did a moment ago.
+    #[must_use]
+    pub fn has_named_limit(&self, id: &str) -> bool {
+        self.limits.contains_key(id)
+    }
+
     /// Returns the number of upstreams that name a limit.
     #[must_use]
     pub fn limited_count(&self) -> usize {
--- a/crates/lw-place/tests/limit_fleet/mod.rs
+++ b/crates/lw-place/tests/limit_fleet/mod.rs
@@ -40,6 +40,8 @@
     pub delayed: f64,
     /// VMs that start, leave, freeze or are cut off, each second.
     pub troubles: f64,
+    /// Whether each half of the VMs hears nothing from the other half.
+    pub is_split: bool,
     pub limits: Limits,
     pub time: Duration,
 }
@@ -66,6 +68,7 @@
             loss: 0.0,
             delayed: 0.0,
             troubles: 0.0,
+            is_split: false,
             limits: Limits::Steady(3.8),
             time: Duration::from_secs(40),
         }
@@ -426,7 +429,8 @@
     }
 
     fn send(&mut self, from: usize, to: usize, reports: &[LimitReport]) {
-        let is_lost = self.rng.f64() < self.options.loss;
+        let is_between_halves = self.options.is_split && from % 2 != to % 2;
+        let is_lost = is_between_halves || self.rng.f64() < self.options.loss;
         if reports.is_empty() || is_lost || self.vms[from].is_cut || self.vms[to].is_cut {
             return;
         }
--- a/crates/lw-place/tests/limits.rs
+++ b/crates/lw-place/tests/limits.rs
@@ -59,3 +59,15 @@
         ..options
     });
 }
+
+#[test]
+fn limits_are_kept_while_half_of_the_vms_do_not_hear_the_other_half() {
+    play(1, |options| Options {
+        limits: Limits::Changing,
+        is_split: true,
+        loss: 0.3,
+        delayed: 0.02,
+        time: std::time::Duration::from_secs(60),
+        ..options
+    });
+}
