--- a/crates/lw-edge/src/peers/limits.rs
+++ b/crates/lw-edge/src/peers/limits.rs
@@ -8,7 +8,7 @@
 use lw_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use super::{Notice, send_to};
+use super::{Notice, random_others, send_to};
 use crate::{limits::log_change, serve::millis, state::Edge};
 
 /// Longest time for which a message is assumed to be on its way.
@@ -106,13 +106,7 @@
 
 /// Asks a few other VMs for the limits that they know.
 pub(crate) fn request(edge: &Edge) {
-    let mut addrs: Vec<_> = {
-        let view = edge.store_view();
-        let others = view.vms().filter(|(vm, _)| **vm != edge.settings.vm);
-        others.map(|(_, entry)| entry.addr).collect()
-    };
-    fastrand::shuffle(&mut addrs);
-    for addr in addrs.into_iter().take(RECIPIENTS_MAX) {
+    for addr in random_others(edge, RECIPIENTS_MAX) {
         send_to(edge, addr, Notice::LimitsRequest { addr: edge.settings.peers });
     }
 }
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -419,6 +419,18 @@
     send_message(edge, Message { vm: own.clone(), notice, is_for_relay: false }, &recipients);
 }
 
+/// Returns the addresses of at most `max` other VMs, selected at random.
+fn random_others(edge: &Edge, max: usize) -> Vec<SocketAddr> {
+    let mut addrs: Vec<_> = {
+        let view = edge.store_view();
+        let others = view.vms().filter(|(vm, _)| **vm != edge.settings.vm);
+        others.map(|(_, entry)| entry.addr).collect()
+    };
+    fastrand::shuffle(&mut addrs);
+    addrs.truncate(max);
+    addrs
+}
+
 /// Sends a notice to one VM.
 fn send_to(edge: &Edge, addr: SocketAddr, notice: Notice) {
     let message = Message { vm: edge.settings.vm.clone(), notice, is_for_relay: false };
--- a/crates/lw-edge/src/peers/versions.rs
+++ b/crates/lw-edge/src/peers/versions.rs
@@ -9,7 +9,7 @@
 
 use lw_types::prelude::*;
 
-use super::{Notice, send_to};
+use super::{Notice, random_others, send_to};
 use crate::state::Edge;
 
 /// Requests after a start. One may not be enough, since the other VMs may start at the same time and have no ages
@@ -38,13 +38,7 @@
         if is_undated {
             let nonce = fastrand::u64(..);
             *edge.version_age_query.lock() = Some((nonce, edge.timer.now_including_suspend()));
-            let mut addrs: Vec<_> = {
-                let view = edge.store_view();
-                let others = view.vms().filter(|(vm, _)| **vm != edge.settings.vm);
-                others.map(|(_, entry)| entry.addr).collect()
-            };
-            fastrand::shuffle(&mut addrs);
-            for addr in addrs.into_iter().take(RECIPIENTS_MAX) {
+            for addr in random_others(edge, RECIPIENTS_MAX) {
                 let notice = Notice::VersionAgesRequest { addr: edge.settings.peers, nonce };
                 send_to(edge, addr, notice);
             }
