--- a/crates/lw-place/tests/limit_fleet/mod.rs
+++ b/crates/lw-place/tests/limit_fleet/mod.rs
@@ -19,6 +19,8 @@
 /// Lifetime of a VM's registration after its last renewal.
 const LEASE: Duration = Duration::from_secs(4);
 const CALLER_DEADLINE: Duration = Duration::from_secs(3);
+/// Retries of a caller after a refusal.
+const CALLER_RETRIES: u32 = 1;
 const TARGET_LATENCY: Duration = Duration::from_millis(500);
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
@@ -95,8 +97,7 @@
     /// A caller's request, with its first arrival and the number of its attempt at the fleet.
     Request {
         vm: usize,
-        since: Duration,
-        hash: u64,
+        call: Call,
     },
     Turn {
         vm: usize,
@@ -133,10 +134,17 @@
     Heal(usize),
 }
 
-#[derive(Debug, Clone)]
-struct Pending {
+/// A caller's request.
+#[derive(Debug, Clone, Copy)]
+struct Call {
     since: Duration,
     hash: u64,
+    retries_left: u32,
+}
+
+#[derive(Debug, Clone)]
+struct Pending {
+    call: Call,
     placement: Box<Placement>,
 }
 
@@ -317,7 +325,8 @@
             at += self.exponential(1.0 / self.options.rate);
             let hash = self.rng.u64(..);
             let vm = self.caller_vm();
-            self.schedule(at, Event::Request { vm, since: at, hash });
+            let call = Call { since: at, hash, retries_left: CALLER_RETRIES };
+            self.schedule(at, Event::Request { vm, call });
         }
     }
 
@@ -337,7 +346,7 @@
         }
         match event {
             Event::Tick(vm) => self.tick(vm),
-            Event::Request { vm, since, hash } => self.on_request(vm, since, hash),
+            Event::Request { vm, call } => self.on_request(vm, call),
             Event::Turn { vm, run, request, turn } => self.on_turn(vm, run, &request, turn),
             Event::Arrival { vm, run, engine, sent, attempt } => {
                 self.on_arrival(vm, run, engine, sent, attempt);
@@ -447,14 +456,15 @@
         self.after(delay, Event::Message { vm: to, run, reports });
     }
 
-    fn on_request(&mut self, vm: usize, since: Duration, hash: u64) {
+    fn on_request(&mut self, vm: usize, call: Call) {
+        let Call { since, hash, retries_left } = call;
         if since == self.now {
             self.outcome.requests += 1;
         }
         if !self.vms[vm].is_up {
             let vm = self.caller_vm();
             if self.now < since + CALLER_DEADLINE {
-                self.after(Duration::from_millis(20), Event::Request { vm, since, hash });
+                self.after(Duration::from_millis(20), Event::Request { vm, call });
             }
             return;
         }
@@ -474,7 +484,7 @@
         let pool = &mut self.vms[vm].pool;
         match pool.place(now, &request) {
             Ok(placement) => {
-                let request = Pending { since, hash, placement: Box::new(placement) };
+                let request = Pending { call, placement: Box::new(placement) };
                 let id = request.placement.upstream.id.clone();
                 match self.vms[vm].pool.reserve_turn(now, &id) {
                     Some(turn) => {
@@ -488,8 +498,9 @@
             Err(Refusal::Limited(time)) => {
                 // The caller comes back, at another VM, within a third of its time.
                 let vm = self.caller_vm();
-                if time < time_left / 3 {
-                    self.after(time, Event::Request { vm, since, hash });
+                if retries_left > 0 && time < time_left / 3 {
+                    let call = Call { retries_left: retries_left - 1, ..call };
+                    self.after(time, Event::Request { vm, call });
                 } else {
                     self.outcome.refused += 1;
                 }
@@ -505,8 +516,8 @@
         let id = &request.placement.upstream.id;
         if self.vms[vm].pool.may_send_in_turn(self.now, id, turn) {
             self.send_request(vm, request);
-        } else if self.now < request.since + CALLER_DEADLINE {
-            self.on_request(vm, request.since, request.hash);
+        } else if self.now < request.call.since + CALLER_DEADLINE {
+            self.on_request(vm, request.call);
         } else {
             self.outcome.refused += 1;
         }
@@ -517,7 +528,7 @@
         let placement = &request.placement;
         let (attempt, _) = self.vms[vm].pool.record_sent(now, placement, None);
         self.outcome.served += 1;
-        self.outcome.in_time += usize::from(now < request.since + TARGET_LATENCY);
+        self.outcome.in_time += usize::from(now < request.call.since + TARGET_LATENCY);
         let engine = placement.upstream.id.strip_prefix("engine-").unwrap().parse().unwrap();
         let is_delayed = self.rng.f64() < self.options.delayed;
         let delay = self.delay(0.001, if is_delayed { 1.0 } else { 0.006 });
