--- a/crates/lw-edge/src/peers/limits.rs
+++ b/crates/lw-edge/src/peers/limits.rs
@@ -61,6 +61,7 @@
             upstream: upstream.clone(),
             incarnation: *incarnation,
             limit: evidence.limit,
+            // Rounded up, so that the request does not seem to have been sent later than it was.
             sent_age_ms: millis(now.saturating_sub(evidence.sent_at)).saturating_add(1),
             received_age_ms: millis(now.saturating_sub(evidence.received_at)),
         }
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -124,6 +124,7 @@
             let now = self.edge.timer.now();
             let may_send = |pool: &mut UpstreamPool| pool.may_send_in_turn(now, upstream, turn);
             if self.edge.with_upstream_pool(&self.call.service, may_send) == Some(true) {
+                self.check_quarantine()?;
                 return Ok(placement);
             }
             if now >= self.call.due {
