lw-place: a placement does not repeat when its upstream's turn comes

Nothing read Placement::turn_at: the turn is reserved from the pool. The time until it is computed in one function for plain servers and engines. Behaviour stays as it is.

--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -80,8 +80,6 @@
     pub save_to: Option<SocketAddr>,
     /// Expected time to the first event or the answer.
     pub expected_latency: Duration,
-    /// When the limit of the upstream allows the request.
-    pub turn_at: Now,
 }
 
 /// Why a request is not placed on any upstream.
--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -94,11 +94,10 @@
         request: &PlacementRequest<'_>,
         state: &UpstreamState,
     ) -> Estimate {
-        let turn_at = self.turn_at(now, state).unwrap_or(now);
-        let wait_ms = state.plain_wait_ms(now).max(millis(turn_at.saturating_sub(now)));
+        let wait_ms = state.plain_wait_ms(now).max(self.turn_ms(now, state));
         let cost =
             wait_ms + self.cross_domain_ms(state, 1) + tie_break_ms(state, request.request_hash);
-        Estimate { placement: initial_placement(turn_at, state, wait_ms), cost }
+        Estimate { placement: initial_placement(now, state, wait_ms), cost }
     }
 
     fn estimate_engine<'a>(
@@ -109,9 +108,8 @@
         state: &UpstreamState,
         lookups: &mut HashMap<u64, SegmentLookup<'a>>,
     ) -> Estimate {
-        let turn_at = self.turn_at(now, state).unwrap_or(now);
-        let turn_ms = millis(turn_at.saturating_sub(now));
-        let mut placement = Placement { fetched_at: now, ..initial_placement(turn_at, state, 0.0) };
+        let turn_ms = self.turn_ms(now, state);
+        let mut placement = initial_placement(now, state, 0.0);
         placement.version = state.versions.get(&prompt.model).copied();
         if let Some(version) = placement.version {
             let lookup = lookups
@@ -164,6 +162,11 @@
         Estimate { placement, cost }
     }
 
+    /// Returns the milliseconds until the limit of an upstream allows the next request.
+    fn turn_ms(&self, now: Now, state: &UpstreamState) -> f64 {
+        self.turn_at(now, state).map_or(0.0, |at| millis(at.saturating_sub(now)))
+    }
+
     /// Finds the keys of a prompt's segments under a version of the weights, and who can provide them.
     fn look_up_segments(&self, now: Now, prompt: &Prompt, version: u64) -> SegmentLookup<'_> {
         let salt = salt(&prompt.model, version, prompt.isolated_workspace.as_deref());
@@ -217,7 +220,7 @@
     time.as_secs_f64() * 1000.0
 }
 
-fn initial_placement(turn_at: Now, state: &UpstreamState, expected_ms: f64) -> Placement {
+fn initial_placement(now: Now, state: &UpstreamState, expected_ms: f64) -> Placement {
     Placement {
         upstream: Arc::clone(&state.upstream),
         version: None,
@@ -226,10 +229,9 @@
         cached_tokens: 0,
         fetched_tokens: 0,
         fetch_from: None,
-        fetched_at: turn_at,
+        fetched_at: now,
         save_to: None,
         expected_latency: Duration::from_secs_f64(expected_ms / 1000.0),
-        turn_at,
     }
 }
 
