review: case 1 also with engines that don't check fences

Where engines check fences the alternations contain refused orders, so that the case did not show what both issuers do where nothing refuses them.

The script plays both kinds of deployment side by side.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -63,6 +63,16 @@
             self.file.flush()
 
 
+class Part:
+    """The record of one of several deployments that run side by side."""
+
+    def __init__(self, record, name):
+        self.record, self.name, self.start = record, name, record.start
+
+    def write(self, text):
+        self.record.write(f"[{self.name}] {text}")
+
+
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
@@ -294,7 +304,7 @@
         self.version, self.loading, self.accepted, self.fence, self.beats = 1, None, 0, 0, 0
         self.past = [(now() - 10, self.snapshot())]
         self.orders, self.runs = [], []
-        self.answer = None
+        self.answer, self.checks_fences = None, True
         upstream = self
 
         class UpstreamHandler(Handler):
@@ -379,9 +389,9 @@
             return status
 
     def order_status(self, order):
-        if order["FencingToken"] < self.fence:
+        if self.checks_fences and order["FencingToken"] < self.fence:
             return 412
-        self.fence = order["FencingToken"]
+        self.fence = max(self.fence, order["FencingToken"])
         if self.loading or order.get("Expected", self.accepted) != self.accepted:
             return 409
         named = self.store.get(f"op/version/{order['Model']}")
@@ -453,7 +463,7 @@
 RecoveryS = 12
 TransitMs = 120
 ReuseWindowS = 10
-RequireFencing = true
+RequireFencing = {str(self.deployment.checks_fences).lower()}
 LeaseMs = 3000
 ThawSlackMs = 300
 VersionMs = {SITE["version_ms"]}
@@ -508,8 +518,8 @@
 
 
 class Deployment:
-    def __init__(self, case_folder, vms, record=None):
-        self.record = record or Record(case_folder)
+    def __init__(self, case_folder, vms, record=None, checks_fences=True):
+        self.record, self.checks_fences = record or Record(case_folder), checks_fences
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.ports = self.free_ports()
         self.metrics_port = self.ports[3] + 16
