lw-edge: a term of the issuer ends with its lease

Cause: two faults that need each other. (1) The term of an issuer, by which it renews, releases and ranks itself, stayed when the lease ran out by its own clock; only a renewal that was answered with 404 removed it. (2) The release of a lease removed the key of the issuer under the precondition that the record of the last issuer has the revision that this VM read last. Each VM that acquires the lease writes that record, so that the precondition held exactly for a VM that knew of its successor. The successor does not notice: its lease can still be renewed.

The former issuer (fence ..135) gets no answer to two renewals; another VM acquires the lease after its loss (..160); at SIGTERM the former one logs `lease released fence=..135`, and 16 ms later a third VM acquires a lease (..203). Ruled out: the expiry of the successor's lease (it was renewed all the while, no `lease lost`).

A third way to such a term was found by reading: a grant that arrives after the issuer gave up the call for it.

Change: the term ends in the tick in which its lease does. A release is conditional on the record that this term itself wrote. A lease that is granted too late is released at once.

a_former_issuer_that_stops_leaves_the_lease_to_its_successor failed before (the store has no key of the issuer while the former one leaves), a_lease_that_is_granted_too_late_is_ended too (the VM takes itself for the issuer, fence 20). After: both pass, and so do the tests of lw-order, `orders` and `restored` of lw-edge.

--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -111,8 +111,14 @@
         tokio::time::sleep(OPEN_ORDERS_POLL).await;
     }
     let Some(term) = edge.orders.state().term.take_if(|term| term.fence == fence) else { return };
+    end_term(edge, &term).await;
+}
+
+/// Ends the lease of a term, and releases it if no order is open.
+async fn end_term(edge: &Edge, term: &Term) {
+    let fence = term.fence;
     let released =
-        if term.history.has_no_open_orders() { release(edge, &term).await } else { Ok(false) };
+        if term.history.has_no_open_orders() { release(edge, term).await } else { Ok(false) };
     let ended = match released {
         Ok(true) => Ok(()),
         Ok(false) => edge.count_store_call("end_lease", edge.store.end_lease(&term.lease)).await,
@@ -133,14 +139,13 @@
 /// Removes the key of the issuer and records the time of its last order, so that the next issuer waits no longer than
 /// necessary. Returns false if the store has returned from an older copy since, where the key may be another VM's.
 async fn release(edge: &Edge, term: &Term) -> Result<bool, Error> {
-    let Position { era, revision: begun_at } = term.begun_at;
+    let Position { era, revision } = term.begun_at;
     if edge.store.latest_era() != era {
         return Ok(false);
     }
     let record = term.history.to_record(edge.timer.now_including_suspend(), true);
-    // Each VM that acquires the lease writes this record, so that an unchanged revision shows that no other VM has.
-    let read = edge.store_view().router_item(keys::LAST_ISSUER).map(|item| item.revision);
-    let revision = read.filter(|read| *read >= begun_at).unwrap_or(begun_at);
+    // Each VM that acquires the lease writes this record, so that the revision of this term's own record shows that the key
+    // is still this VM's.
     let expected = vec![Precondition { key: keys::LAST_ISSUER.into(), revision }];
     let write = KeyWrite { key: keys::LAST_ISSUER.into(), value: encode(&record, era)?, lease: 0 };
     let remove = vec![keys::ISSUER.to_owned()];
@@ -154,33 +159,54 @@
 
 /// Tries to acquire the lease and reports the result to the issuer.
 pub(super) async fn acquire(edge: Arc<Edge>, op: u64) {
-    let result = match create_lease(&edge).await {
+    match create_lease(&edge).await {
         Ok((term, is_after_loss)) => {
-            let now = edge.timer.now_including_suspend();
-            let ready_at = ready_at(&edge, &term.history, is_after_loss, now);
-            let fence = term.fence;
-            let wait_ms = crate::serve::millis(ready_at.saturating_sub(now));
-            log::info!(target: "order", fence = fence, after_loss = is_after_loss,
-                wait_ms = wait_ms; "lease acquired");
-            let mut state = edge.orders.state();
-            state.term = Some(term);
-            state.accepted.clear();
-            drop(state);
-            LeaseResult::GrantedFrom(fence, ready_at)
+            if let Err(term) = begin_term(&edge, op, term, is_after_loss) {
+                log::warn!(target: "order", fence = term.fence; "lease granted too late");
+                end_term(&edge, &term).await;
+            }
         }
-        Err(Error::Conflict) => LeaseResult::Refused,
         Err(e) => {
-            log::debug!(target: "order", why = e.to_string(); "lease not acquired");
-            LeaseResult::Failed
+            let result = match e {
+                Error::Conflict => LeaseResult::Refused,
+                e => {
+                    log::debug!(target: "order", why = e.to_string(); "lease not acquired");
+                    LeaseResult::Failed
+                }
+            };
+            let now = edge.timer.now_including_suspend();
+            edge.orders.issuer().on_lease_result(now, op, result);
         }
-    };
-    edge.orders.issuer().on_lease_result(edge.timer.now_including_suspend(), op, result);
+    }
     // The VM may have received the signal to terminate during the call.
     if edge.is_leaving() {
         hand_over(&edge).await;
     }
 }
 
+/// Begins a term whose lease was granted by the call with number `op`.
+///
+/// # Errors
+///
+/// Returns the term if the issuer has given up that call: it would not renew the lease.
+fn begin_term(edge: &Edge, op: u64, term: Term, is_after_loss: bool) -> Result<(), Term> {
+    let now = edge.timer.now_including_suspend();
+    let ready_at = ready_at(edge, &term.history, is_after_loss, now);
+    let fence = term.fence;
+    let mut state = edge.orders.state();
+    let mut issuer = edge.orders.issuer();
+    issuer.on_lease_result(now, op, LeaseResult::GrantedFrom(fence, ready_at));
+    if issuer.held_fence(now) != Some(fence) {
+        return Err(term);
+    }
+    state.term = Some(term);
+    state.accepted.clear();
+    let wait_ms = crate::serve::millis(ready_at.saturating_sub(now));
+    log::info!(target: "order", fence = fence, after_loss = is_after_loss, wait_ms = wait_ms;
+        "lease acquired");
+    Ok(())
+}
+
 /// Returns when the first order of a term may be sent.
 fn ready_at(edge: &Edge, history: &OrderHistory, is_after_loss: bool, now: Now) -> Now {
     // Engines that check fencing numbers refuse delayed orders of a former issuer themselves.
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -46,7 +46,7 @@
     state: Mutex<State>,
 }
 
-/// A period in which this VM is the issuer, from the grant of the lease until it is released or lost.
+/// A period in which this VM is the issuer, from the grant of the lease until it is released, lost or runs out.
 #[derive(Debug)]
 struct Term {
     /// Fencing number.
@@ -173,8 +173,7 @@
         if is_eligible {
             update_issuer(&edge, now);
         }
-        let actions = edge.orders.issuer().tick(now);
-        for action in actions {
+        for action in tick_issuer(&edge, now) {
             match action {
                 Action::Acquire { op } => drop(tokio::spawn(lease::acquire(Arc::clone(&edge), op))),
                 Action::Renew { op, fence } => {
@@ -186,6 +185,20 @@
     }
 }
 
+/// Ticks the issuer and returns what is to be done. Ends the term if its lease is no longer held.
+fn tick_issuer(edge: &Edge, now: Now) -> Vec<Action> {
+    let mut state = edge.orders.state();
+    let mut issuer = edge.orders.issuer();
+    let actions = issuer.tick(now);
+    let held = issuer.held_fence(now);
+    // A closed term is about to release its lease, although the issuer has given it up.
+    let ended = state.term.take_if(|term| !term.is_closed && held != Some(term.fence));
+    if let Some(term) = ended {
+        log::warn!(target: "order", fence = term.fence; "lease ran out");
+    }
+    actions
+}
+
 /// Passes the plan and the states of the engines to the issuer.
 fn update_issuer(edge: &Edge, now: Now) {
     let (plan, reports) = {
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::{Simulation, ms, request, send, set_target_version};
-use lw_catalog::settings::Bounds;
-use lw_edge::run::Vm;
+use lw_catalog::{VmSettings, settings::Bounds};
+use lw_edge::{run::Vm, state::Edge};
 use lw_standin::hosted::{
-    store::{StoreMode, WRITE_ANSWER_DELAY},
+    store::{ANSWER_DELAY, StoreEndpoint, StoreMode},
     upstream::Upstream,
 };
 
@@ -92,7 +92,7 @@
         .await;
     let second_leaves = tokio::spawn(second.leave());
     simulation.store.set_mode(StoreMode::Normal);
-    tokio::time::sleep(WRITE_ANSWER_DELAY + ms(300)).await;
+    tokio::time::sleep(ANSWER_DELAY + ms(300)).await;
     assert!(!is_issuer(&simulation, "vm-2"), "the leaving VM keeps the lease");
     first_leaves.await.unwrap();
     second_leaves.await.unwrap();
@@ -136,3 +136,78 @@
     leaving.await.unwrap();
     drop(second);
 }
+
+/// Returns the VM whose key of the issuer is in the store.
+fn issuer(simulation: &Simulation) -> Option<String> {
+    let item: serde_json::Value =
+        serde_json::from_slice(&simulation.store.get("lavenderwood/issuer")?).unwrap();
+    Some(item["vm"].as_str().unwrap().to_owned())
+}
+
+/// Starts two further VMs. The first of them holds the lease and reaches the store at an address of its own.
+async fn start_with_issuer_at(simulation: &mut Simulation, endpoint: &StoreEndpoint) -> (Vm, Vm) {
+    let settings = VmSettings { store: endpoint.addr(), ..simulation.further_settings("vm-2") };
+    let second = Vm::start(settings, simulation.logs.clone()).await.unwrap();
+    simulation.wait_until_joined(&second).await;
+    simulation.vm.take().unwrap().leave().await;
+    let is_second = async |simulation: &Simulation| issuer(simulation).as_deref() == Some("vm-2");
+    simulation.wait_until("the second VM is the issuer", is_second).await;
+    let third =
+        Vm::start(simulation.further_settings("vm-3"), simulation.logs.clone()).await.unwrap();
+    let is_registered =
+        async |simulation: &Simulation| simulation.store.get("lavenderwood/vm/vm-3").is_some();
+    simulation.wait_until("the third VM is registered", is_registered).await;
+    (second, third)
+}
+
+/// Guards against two issuers at a time: a VM whose lease ran out while it was cut off from the store must not remove the
+/// key of its successor when it is stopped.
+#[tokio::test]
+async fn a_former_issuer_that_stops_leaves_the_lease_to_its_successor() {
+    let mut simulation = Simulation::start().await;
+    let endpoint = simulation.store.add_endpoint().await.unwrap();
+    let (second, third) = start_with_issuer_at(&mut simulation, &endpoint).await;
+    endpoint.set_available(false);
+    let is_third = async |simulation: &Simulation| issuer(simulation).as_deref() == Some("vm-3");
+    simulation.wait_until("the third VM is the issuer", is_third).await;
+    endpoint.set_available(true);
+    let knows_third = |edge: &Edge| {
+        let view = edge.store_view();
+        let item = view.router_item("lavenderwood/issuer");
+        item.is_some_and(|item| String::from_utf8_lossy(&item.value).contains("vm-3"))
+    };
+    simulation
+        .wait_until("the former issuer knows its successor", async |_| knows_third(&second.edge))
+        .await;
+    let (former, fence) = (second.edge.orders.fence(), third.edge.orders.fence());
+    let leaving = tokio::spawn(second.leave());
+    while !leaving.is_finished() {
+        assert_eq!(issuer(&simulation).as_deref(), Some("vm-3"));
+        tokio::time::sleep(ms(10)).await;
+    }
+    leaving.await.unwrap();
+    assert_eq!(third.edge.orders.fence(), fence);
+    assert_eq!(former, None, "the term ends with its lease");
+}
+
+/// Guards against a VM that takes itself for the issuer although it gave up the call for the lease before the grant: nobody
+/// renews that lease, and other VMs wait until it expires.
+#[tokio::test]
+async fn a_lease_that_is_granted_too_late_is_ended() {
+    let mut simulation = Simulation::start().await;
+    let second =
+        Vm::start(simulation.further_settings("vm-2"), simulation.logs.clone()).await.unwrap();
+    simulation.wait_until_joined(&second).await;
+    simulation.store.set_mode(StoreMode::DelayedAnswers);
+    let first_leaves = tokio::spawn(simulation.vm.take().unwrap().leave());
+    let is_second = async |simulation: &Simulation| issuer(simulation).as_deref() == Some("vm-2");
+    simulation.wait_until("the second VM has the key", is_second).await;
+    tokio::time::sleep(ANSWER_DELAY + ms(100)).await;
+    assert_eq!(second.edge.orders.fence(), None);
+    assert_eq!(issuer(&simulation), None, "the lease is ended");
+    simulation.store.set_mode(StoreMode::Normal);
+    let holds = async |_: &Simulation| second.edge.orders.fence().is_some();
+    simulation.wait_until("the second VM is the issuer", holds).await;
+    assert_eq!(issuer(&simulation).as_deref(), Some("vm-2"));
+    first_leaves.await.unwrap();
+}
--- a/crates/lw-order/src/issuer/mod.rs
+++ b/crates/lw-order/src/issuer/mod.rs
@@ -124,6 +124,24 @@
         }
     }
 
+    /// Returns the fencing number of the lease if this VM holds one that has not reached its end at `now`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lw_order::{issuer::{Issuer, LeaseResult}, options::Options};
+    /// let (options, second) = (Options::default(), Duration::from_secs(1));
+    /// let mut issuer = Issuer::new(options.clone());
+    /// issuer.set_eligible(true);
+    /// issuer.tick(second);
+    /// issuer.on_lease_result(second, 1, LeaseResult::Granted(7));
+    /// assert_eq!(issuer.held_fence(2 * second), Some(7));
+    /// assert_eq!(issuer.held_fence(second + options.lease_ttl), None);
+    /// ```
+    #[must_use]
+    pub fn held_fence(&self, now: Now) -> Option<Revision> {
+        self.lease.valid_at(now).map(|held| held.fence)
+    }
+
     /// Returns the lease call and the orders that are due. To be called several times a second.
     pub fn tick(&mut self, now: Now) -> Vec<Action> {
         let mut actions: Vec<Action> = self.lease.tick(now, &self.options).into_iter().collect();
@@ -150,7 +168,7 @@
         let remaining = self.engines.remaining(now, &self.plan, &self.options);
         Status {
             version: self.plan.version,
-            fence: self.lease.valid_at(now).map(|held| held.fence),
+            fence: self.held_fence(now),
             loading: self.engines.loading_count(now, &self.plan, &self.options),
             remaining: remaining.map(|(id, reason)| (id.clone(), reason)).collect(),
         }
--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -36,15 +36,17 @@
     NoAnswer,
     /// It sends an endless answer.
     Endless,
-    /// It applies writes at once and answers them [`WRITE_ANSWER_DELAY`] later.
+    /// It applies writes at once and answers them [`ANSWER_DELAY`] later.
     DelayedWriteAnswers,
+    /// It creates leases and applies writes at once, and answers both [`ANSWER_DELAY`] later.
+    DelayedAnswers,
 }
 
 /// Chunk that [`StoreMode::Endless`] repeats.
 const ENDLESS_CHUNK: &[u8] = b"20\r\n{\"Events\":[{\"Key\":\"aaaaaaaaaaaaa\r\n";
 
-/// Delay of answers to writes in [`StoreMode::DelayedWriteAnswers`].
-pub const WRITE_ANSWER_DELAY: Duration = Duration::from_millis(400);
+/// Delay of answers in [`StoreMode::DelayedWriteAnswers`] and [`StoreMode::DelayedAnswers`].
+pub const ANSWER_DELAY: Duration = Duration::from_millis(400);
 
 #[derive(Debug, Clone)]
 struct Item {
@@ -320,7 +322,7 @@
         state.mode
     };
     match mode {
-        StoreMode::Normal | StoreMode::DelayedWriteAnswers => {}
+        StoreMode::Normal | StoreMode::DelayedWriteAnswers | StoreMode::DelayedAnswers => {}
         StoreMode::Unavailable => return json_answer(503, &json!({})),
         StoreMode::Reset => return vec![Step::Reset],
         StoreMode::NoAnswer => return wait_for_other_mode(shared).await,
@@ -330,13 +332,13 @@
         ("GET", "/api/kv-range") => list_range(shared, &request),
         ("GET", "/api/kv-watch") => watch(shared, &request).await,
         ("POST", "/api/kv-txn") => {
-            let mut steps = apply_writes(shared, &request);
-            if mode == StoreMode::DelayedWriteAnswers {
-                steps.insert(0, Step::Wait(WRITE_ANSWER_DELAY));
-            }
-            steps
+            let steps = apply_writes(shared, &request);
+            if mode == StoreMode::Normal { steps } else { delayed(steps) }
+        }
+        ("POST", "/api/kv-lease") => {
+            let steps = create_lease(shared, &request);
+            if mode == StoreMode::DelayedAnswers { delayed(steps) } else { steps }
         }
-        ("POST", "/api/kv-lease") => create_lease(shared, &request),
         ("POST", path) if path.starts_with("/api/kv-keep/") => renew_lease(shared, path),
         ("DELETE", path) if path.starts_with("/api/kv-lease-end/") => {
             shared.lock().end_lease(last_number(path));
@@ -347,6 +349,12 @@
     }
 }
 
+/// Returns the steps of an answer that begins [`ANSWER_DELAY`] later.
+fn delayed(mut steps: Vec<Step>) -> Vec<Step> {
+    steps.insert(0, Step::Wait(ANSWER_DELAY));
+    steps
+}
+
 /// Waits while the store doesn't answer, then resets the connection.
 async fn wait_for_other_mode(shared: &Shared) -> Vec<Step> {
     while shared.lock().mode == StoreMode::NoAnswer {
@@ -382,7 +390,11 @@
         let changed = shared.changed.notified();
         {
             let state = shared.lock();
-            if !matches!(state.mode, StoreMode::Normal | StoreMode::DelayedWriteAnswers) {
+            let is_answering = matches!(
+                state.mode,
+                StoreMode::Normal | StoreMode::DelayedWriteAnswers | StoreMode::DelayedAnswers
+            );
+            if !is_answering {
                 return vec![Step::Reset];
             }
             if state.era != era {
