lw-edge: an issuer whose key is gone ends its term

When another VM removes the key of the issuer, the lease can still be renewed, so that the holder goes on while the next VM acquires the key. VMs of an earlier release do remove it when they are stopped, which happens to all of them during an upgrade.

Change: once the view contains the write that began the term, a key that is absent or another VM's ends the term.

Ruled out: to note that the key was seen before. A key that is removed between two ticks is then never missed (tried, the test failed).

an_issuer_whose_key_is_gone_ends_its_term failed before (the term never ends).

--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -37,17 +37,35 @@
     (era << FENCE_REVISION_BITS) | revision
 }
 
-/// Ends the term of this VM if the store has returned from an older copy since it began: the lease is lost, or its id
-/// belongs to another holder.
+/// Ends the term of this VM if its lease is lost: the store has returned from an older copy since it began, so that its id
+/// may belong to another holder, or the issuer's key is gone, so that another VM can acquire it. In both cases the lease
+/// might still be renewed.
 pub(super) fn end_lost_term(edge: &Edge, now: Now) {
     let era = edge.store.latest_era();
-    let lost = edge.orders.state().term.take_if(|term| term.begun_at.era != era);
+    let lost = edge.orders.state().term.take_if(|term| {
+        let is_key_gone = !term.is_closed && is_key_gone(edge, term);
+        // The keys of one write are read one after the other, so that only the second check counts.
+        let was_key_gone = std::mem::replace(&mut term.is_key_gone, is_key_gone);
+        term.begun_at.era != era || is_key_gone && was_key_gone
+    });
     if let Some(term) = lost {
-        log::warn!(target: "order", fence = term.fence, era = era; "lease lost with the store's return");
+        log::warn!(target: "order", fence = term.fence, era = era; "lease lost");
         edge.orders.issuer().on_order_refused(now, term.fence);
     }
 }
 
+/// Whether this VM has read the write that began its term, and the issuer's key is not this VM's.
+fn is_key_gone(edge: &Edge, term: &Term) -> bool {
+    let view = edge.store_view();
+    let record = view.router_item(keys::LAST_ISSUER);
+    if record.is_none_or(|record| record.revision < term.begun_at.revision) {
+        return false;
+    }
+    let Some(item) = view.router_item(keys::ISSUER) else { return true };
+    let holder = serde_json::from_slice::<LastIssuer>(&item.value).map(IssuerRecord::from);
+    holder.is_ok_and(|record| record.holder != edge.settings.vm)
+}
+
 /// Returns whether this VM may hold the lease: it already does, or nobody does and few VMs precede this one. The longer
 /// the lease is free, the more VMs are eligible, since those that precede may not reach the store.
 pub(super) fn is_eligible(edge: &Edge, now: Now) -> bool {
@@ -276,7 +294,14 @@
     let history = begin(edge.timer.now_including_suspend());
     let is_after_loss =
         OrderHistory::has_unreleased_predecessor(record.as_ref().map(|(record, _)| record), vm);
-    let term = Term { fence: fence(begun_at), begun_at, lease, history, is_closed: false };
+    let term = Term {
+        fence: fence(begun_at),
+        begun_at,
+        lease,
+        history,
+        is_key_gone: false,
+        is_closed: false,
+    };
     Ok((term, is_after_loss))
 }
 
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -55,6 +55,8 @@
     begun_at: Position,
     lease: Lease,
     history: OrderHistory,
+    /// Whether the issuer's key was found gone at the last check.
+    is_key_gone: bool,
     /// Whether no further order may be sent, since the lease is about to be released.
     is_closed: bool,
 }
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -211,3 +211,22 @@
     assert_eq!(issuer(&simulation).as_deref(), Some("vm-2"));
     first_leaves.await.unwrap();
 }
+
+/// Guards against an issuer that goes on without its key, for instance after a VM of an earlier release has removed it: its
+/// lease can still be renewed, but another VM becomes the issuer too.
+#[tokio::test]
+async fn an_issuer_whose_key_is_gone_ends_its_term() {
+    let simulation = Simulation::start().await;
+    let edge = &simulation.vm.as_ref().expect("the first VM runs").edge;
+    let knows_key = async |_: &Simulation| {
+        edge.orders.fence().is_some()
+            && edge.store_view().router_item("lavenderwood/issuer").is_some()
+    };
+    simulation.wait_until("the VM is the issuer", knows_key).await;
+    let former = edge.orders.fence();
+    simulation.store.remove("lavenderwood/issuer");
+    let has_ended = async |_: &Simulation| edge.orders.fence() != former;
+    simulation.wait_until("the term has ended", has_ended).await;
+    simulation.wait_until("the VM is the issuer again", knows_key).await;
+    assert!(edge.orders.fence() > former);
+}
