lw-edge: a VM whose entry is gone registers again

The registration has the fault of the issuer's lease: a VM relied on the renewals of its lease, and never looked at its entry. The store may execute a write without an answer seconds later. A write of the entry under a former lease that arrives after the current one binds the entry to that lease, and it expires with it. The others then don't know the VM for as long as it runs: they send it no messages, and it is no candidate for orders and feeds.

Change: with each renewal the VM checks that its entry is in the view of the store once it has been there, and registers again if not.

a_vm_whose_entry_is_gone_registers_again failed before (never registered again).

Read on the same question, without a fault found: the key of the messages, the record of the settled era and the quarantined sets are written under the revision that was read; the lease of lw-daemon is never released, its key expires with it.

--- a/crates/lw-edge/src/register/mod.rs
+++ b/crates/lw-edge/src/register/mod.rs
@@ -51,7 +51,7 @@
     }
 }
 
-/// Registers this VM and renews the lease until it is lost.
+/// Registers this VM and renews the lease until it is lost, or the entry is gone.
 async fn maintain_entry(edge: &Edge) -> Result<std::convert::Infallible, Error> {
     let lease = edge
         .count_store_call("lease", edge.store.lease(LEASE_TIME.max(edge.settings.bounds.lease_min)))
@@ -66,11 +66,18 @@
     edge.count_store_call("write", edge.store.write(Vec::new(), vec![write], Vec::new())).await?;
     tokio::time::sleep(startup_delay(&edge.settings.vm)).await;
     create_peer_key(edge).await?;
+    let mut has_read_entry = false;
     loop {
         tokio::select! {
             () = tokio::time::sleep(RENEW_PERIOD) => {}
             () = edge.wait_for_era_after(lease.era) => return Err(Error::Absent),
         }
+        // A late write of a former entry takes the entry along when its lease expires.
+        let is_registered = edge.store_view().registered_at(&edge.settings.vm).is_some();
+        if has_read_entry && !is_registered {
+            return Err(Error::Absent);
+        }
+        has_read_entry |= is_registered;
         match edge.count_store_call("renew", edge.store.renew(&lease)).await {
             Ok(_) => {}
             Err(Error::Absent) => return Err(Error::Absent),
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -230,3 +230,18 @@
     simulation.wait_until("the VM is the issuer again", knows_key).await;
     assert!(edge.orders.fence() > former);
 }
+
+/// Guards against a VM that the others do not know for as long as it runs: its entry is gone, for instance since a late
+/// write has bound it to a former lease, but its lease can still be renewed.
+#[tokio::test]
+async fn a_vm_whose_entry_is_gone_registers_again() {
+    let simulation = Simulation::start().await;
+    let edge = &simulation.vm.as_ref().expect("the first VM runs").edge;
+    let is_known = async |_: &Simulation| edge.store_view().registered_at("vm-1").is_some();
+    simulation.wait_until("the VM is registered", is_known).await;
+    // The VM checks its entry whenever it renews the lease.
+    tokio::time::sleep(ms(3_000)).await;
+    simulation.store.remove("lavenderwood/vm/vm-1");
+    tokio::time::sleep(ms(100)).await;
+    simulation.wait_until("the VM is registered again", is_known).await;
+}
