lw-edge: a leaving VM answers the requests that outlast it

Could happen here: a leaving VM takes requests for the first 0.35 of the grace and refuses later ones, but a request that was taken and whose upstream had not answered 0.7 s before the kill was cut, as the process ended without another word. Its caller could not tell a call that may have run from a connection that failed.

Change: at that time the VM gives up the requests without an answer. A request that may have reached an upstream gets 502 (outcome unknown), one that has reached none 503 with the time to come back. Then the process waits up to 0.2 s until the answers are written. Streams that have begun still end with their connection, so that their callers see them as incomplete.

a_leaving_vm_answers_the_requests_that_outlast_it (calls of both kinds, streams of both kinds) failed before: no answer on any of them.

--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -6,6 +6,7 @@
 use lw_catalog::VmSettings;
 use lw_forward::listen::{self, Connections};
 use lw_observe::logs::Logs;
+use lw_types::prelude::*;
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
@@ -17,8 +18,10 @@
     serve, state::Edge,
 };
 
-/// Time before the platform kills the process at which a leaving VM ends, even if requests are in flight.
+/// Time before the platform kills the process at which a leaving VM gives up the requests in flight and ends.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// Longest time until the callers of these requests have their answers.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// Time between two checks of the open connections during a drain.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Limits of connections until the first configuration is received, and of connections that are not from callers.
@@ -195,18 +198,33 @@
     log::info!(target: "run", in_flight = edge.in_flight(); "leaving");
     orders::hand_over(edge).await;
     let time_max = edge.bounds().grace.saturating_sub(KILL_MARGIN);
+    let refuses = || edge.is_refusing_requests();
+    if !wait_until_closed(edge, connections, started + time_max, refuses).await {
+        edge.give_up_requests();
+        let end = edge.timer.now() + LAST_ANSWERS_TIME;
+        wait_until_closed(edge, connections, end, || true).await;
+    }
+    log::info!(target: "run", in_flight = edge.in_flight(); "ended");
+}
+
+/// Closes idle connections from when `may_close` holds, and waits until all are closed, at most until `end`. Returns
+/// whether they are.
+async fn wait_until_closed(
+    edge: &Edge,
+    connections: &Connections,
+    end: Now,
+    may_close: impl Fn() -> bool,
+) -> bool {
     loop {
         tokio::time::sleep(DRAIN_POLL).await;
-        let elapsed = edge.timer.now().saturating_sub(started);
-        if edge.is_refusing_requests() {
+        if may_close() {
             connections.close_when_idle();
             if connections.open_count() == 0 {
-                break;
+                return true;
             }
         }
-        if elapsed >= time_max {
-            break;
+        if edge.timer.now() >= end {
+            return false;
         }
     }
-    log::info!(target: "run", in_flight = edge.in_flight(); "ended");
 }
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -11,7 +11,7 @@
 use lw_types::prelude::*;
 
 use super::{
-    Call,
+    Call, RETRY_AFTER_LEAVING,
     answer::{self, Answer},
     attempt::{Attempt, IncomingAnswer, SendOutcome},
     record::RequestRecord,
@@ -30,7 +30,11 @@
 /// Forwards a request and returns the answer for the caller.
 pub(super) async fn run(edge: &Arc<Edge>, call: Arc<Call>, record: RequestRecord) -> Answer {
     let mut driver = Driver::new(edge, &call, record);
-    match driver.run_attempts().await {
+    let accepted = tokio::select! {
+        accepted = driver.run_attempts() => Some(accepted),
+        () = edge.wait_until_ending() => None,
+    };
+    match accepted.unwrap_or_else(|| Err(driver.ending_failure())) {
         Ok(Accepted::Complete(answer)) => answer,
         Ok(Accepted::Stream(incoming)) => driver.into_relay(*incoming),
         Err(failure) => {
@@ -232,6 +236,15 @@
         Failure::new(ResultCode::Overloaded, why).retry_after(RETRY_AFTER)
     }
 
+    /// Returns the failure of a request that is given up since the process ends.
+    fn ending_failure(&self) -> Failure {
+        let why = "this VM ends before the answer";
+        if self.attempts_sent > 0 {
+            return Failure::new(ResultCode::OutcomeUnknown, why);
+        }
+        Failure::new(ResultCode::Draining, why).retry_after(RETRY_AFTER_LEAVING)
+    }
+
     /// Records that an attempt may have run.
     ///
     /// # Errors
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -32,7 +32,7 @@
     timer::Timer,
 };
 use lw_types::prelude::*;
-use tokio::sync::{Notify, broadcast};
+use tokio::sync::{Notify, broadcast, watch};
 
 pub mod keys;
 mod store_view;
@@ -103,6 +103,8 @@
     /// Wakes the requests that are in flight at an upstream that has become unresponsive.
     unresponsive: broadcast::Sender<UpstreamId>,
     leaving_since: OnceLock<Now>,
+    /// Whether the process is about to end, so that requests without an answer must be given up.
+    is_ending: watch::Sender<bool>,
     in_flight: AtomicUsize,
 }
 
@@ -168,6 +170,7 @@
             version_age_query: peers::VersionAgeQuery::default(),
             era_changed: Notify::new(),
             unresponsive: broadcast::Sender::new(UNRESPONSIVE_PENDING_MAX),
+            is_ending: watch::Sender::new(false),
             leaving_since: OnceLock::new(),
             bounds: Mutex::new(settings.bounds),
             in_flight: AtomicUsize::new(0),
@@ -409,6 +412,17 @@
         self.leaving_since.get_or_init(|| self.timer.now());
     }
 
+    /// Gives up the requests without an answer, since the process is about to end.
+    pub fn give_up_requests(&self) {
+        self.is_ending.send_replace(true);
+    }
+
+    /// Waits until the process is about to end.
+    pub async fn wait_until_ending(&self) {
+        // The sender lives as long as this.
+        let _ = self.is_ending.subscribe().wait_for(|is_ending| *is_ending).await;
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     #[must_use]
     pub fn track_request(self: &Arc<Self>) -> InFlightGuard {
--- a/crates/lw-edge/tests/leaving.rs
+++ b/crates/lw-edge/tests/leaving.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Simulation, ms, request};
+use lw_catalog::settings::Bounds;
 use lw_standin::hosted::caller::Caller;
 use lw_standin::hosted::upstream::Behaviour;
 
@@ -45,3 +46,28 @@
     assert!(!simulation.is_ready().await);
     leaving.await.unwrap();
 }
+
+/// Guards against requests that are cut off without an answer when the process of a leaving VM ends while their upstreams
+/// still work on them.
+#[tokio::test]
+async fn a_leaving_vm_answers_the_requests_that_outlast_it() {
+    let bounds = Bounds { grace: ms(1_500), ..common::bounds() };
+    let mut simulation = Simulation::start_with(bounds).await;
+    let upstreams = simulation.servers.iter().chain(&simulation.engines);
+    upstreams.for_each(|upstream| upstream.set_behaviour(Behaviour::NoAnswer));
+    let leaving = tokio::spawn(simulation.vm.take().unwrap().leave());
+    tokio::time::sleep(ms(100)).await;
+    let mut callers = Vec::new();
+    for path in ["/look/x", "/book/x", "/long/x", "/short/x"] {
+        let mut caller = Caller::connect(simulation.settings.callers).await.unwrap();
+        caller.send(&request(&format!("unfinished{path}"), path)).await;
+        callers.push((path, caller));
+    }
+    leaving.await.unwrap();
+    for (path, mut caller) in callers {
+        let answer = tokio::time::timeout(ms(50), caller.read_answer()).await;
+        let answer = answer.ok().flatten().unwrap_or_else(|| panic!("{path}: no answer"));
+        assert_eq!((answer.status, answer.is_complete), (502, true), "{path}: {}", answer.head);
+        assert_eq!(simulation.run_count(&format!("unfinished{path}")), 1, "{path}");
+    }
+}
