lw-daemon: requests that arrive late in a drain are refused

Report of other operators, on the product's own interface: requests that came late in a planned stop were taken, and cut at its end.

Could happen here: a leaving VM took requests for as long as any was in flight. The load balancer sends none after 0.5 s, but callers with open connections do, so that the drain never ends under load and the platform's kill cuts whatever is in flight.

Change: from 0.5 s after the signal on, requests get 503 (draining, not run) with the time to come back, and their connection closes. Requests that were taken before are finished, however long that takes, as before.

requests_that_arrive_late_in_a_drain_are_refused failed before: a completion 1 s after the signal is served (200). The other tests of `shutdown` pass unchanged: a request right after the signal is still served.

--- a/crates/lw-daemon/src/callers/mod.rs
+++ b/crates/lw-daemon/src/callers/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use lw_config::document::Workspace;
 use lw_protocol::caller::{CLASS_HEADER, DEADLINE_HEADER, Endpoint, Failure, REQUEST_ID_HEADER};
 use lw_transport::{auth, server};
@@ -19,6 +19,8 @@
 pub mod rollout;
 
 const DEADLINE_MAX_MS: u64 = 600_000;
+/// `retry-after` of requests to a VM that is shutting down; the other VMs serve at once.
+const RETRY_AFTER_LEAVING: Duration = Duration::from_secs(1);
 const SERVICES_PREFIX: &str = "/v1/services/";
 
 /// The caller of a request and the settings that apply to the request.
@@ -59,6 +61,7 @@
     let mut response = match (req.method().as_str(), req.uri().path()) {
         ("GET", "/healthz") => text(StatusCode::OK, "ok"),
         ("GET", "/readyz") => readiness(&tables),
+        _ if tables.is_refusing_requests() => refuse(&tables, req).await,
         _ => respond(&tables, req, &id).await,
     };
     if let Ok(value) = HeaderValue::from_str(&id) {
@@ -67,6 +70,16 @@
     response
 }
 
+/// Refuses a request that arrives late in a drain. A connection that is kept in use would otherwise keep the VM from ending.
+async fn refuse(tables: &Tables, req: Request) -> Response {
+    server::discard(req.into_body()).await;
+    let failure = Failure::new(ResultCode::Draining, "this VM is shutting down");
+    tables.statsd.count_result(failure.code);
+    let mut response = server::failure(&failure.retry_after(RETRY_AFTER_LEAVING));
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 async fn respond(tables: &Arc<Tables>, req: Request, id: &str) -> Response {
     let guard = tables.track_request();
     route(tables, req, id, guard).await.unwrap_or_else(|failure| {
--- a/crates/lw-daemon/src/run/mod.rs
+++ b/crates/lw-daemon/src/run/mod.rs
@@ -17,15 +17,15 @@
 use volo::context::Context as _;
 use volo_http::{context::ServerContext, request::Request, response::Response, server::Server};
 
-use crate::{callers, claims, limits, members, observe, operators, orders, peers, tables::Tables};
+use crate::{
+    callers, claims, limits, members, observe, operators, orders, peers,
+    tables::{BALANCER_UPDATE_DELAY, Tables},
+};
 
 mod connections;
 
 use connections::{Acceptor, Connections};
 
-/// Time for which the load balancer still sends new requests after this VM is marked as leaving.
-const BALANCER_UPDATE_DELAY: Duration = Duration::from_millis(500);
-
 /// Longest wait at the end of a drain until the outcomes of claimed calls are recorded.
 const OUTCOMES_TIMEOUT: Duration = Duration::from_secs(5);
 const OUTCOMES_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -190,16 +190,11 @@
 
 /// Returns when this VM is leaving and has no request in flight.
 async fn wait_until_drained(tables: &Tables) {
-    let mut leaving_since = None;
     loop {
         let changed = tables.drain_changed.notified();
-        let now = tables.timer.now();
-        if tables.is_leaving() {
-            let since = *leaving_since.get_or_insert(now);
-            if tables.in_flight() == 0 && now >= since + BALANCER_UPDATE_DELAY {
-                wait_for_claim_outcomes(tables).await;
-                return;
-            }
+        if tables.is_refusing_requests() && tables.in_flight() == 0 {
+            wait_for_claim_outcomes(tables).await;
+            return;
         }
         let _ = tokio::time::timeout(BALANCER_UPDATE_DELAY, changed).await;
     }
--- a/crates/lw-daemon/src/tables/mod.rs
+++ b/crates/lw-daemon/src/tables/mod.rs
@@ -7,10 +7,10 @@
     collections::{BTreeMap, HashMap, HashSet},
     fmt::Write as _,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
     },
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use lw_config::{
@@ -30,6 +30,9 @@
 
 use decision_log::DecisionLog;
 
+/// Time for which the load balancer still sends new requests after this VM is marked as leaving.
+pub const BALANCER_UPDATE_DELAY: Duration = Duration::from_millis(500);
+
 /// The active configuration, with the lookup tables that requests need.
 #[derive(Debug)]
 pub struct ActiveConfig {
@@ -107,7 +110,7 @@
     claims: Mutex<Claims>,
     orders: Mutex<Orders>,
     decision_log: Mutex<DecisionLog>,
-    is_leaving: AtomicBool,
+    leaving_since: OnceLock<Now>,
     in_flight: AtomicU64,
     request_count: AtomicU64,
 }
@@ -154,7 +157,7 @@
             )),
             orders: Mutex::default(),
             decision_log: Mutex::new(DecisionLog::new(settings.limits.decision_log)),
-            is_leaving: AtomicBool::new(false),
+            leaving_since: OnceLock::new(),
             in_flight: AtomicU64::new(0),
             request_count: AtomicU64::new(0),
             settings,
@@ -284,12 +287,19 @@
     /// Whether this VM is leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Acquire)
+        self.leaving_since.get().is_some()
+    }
+
+    /// Whether this VM is leaving and refuses further requests, since the load balancer sends it none any more.
+    #[must_use]
+    pub fn is_refusing_requests(&self) -> bool {
+        let now = self.timer.now();
+        self.leaving_since.get().is_some_and(|since| now >= *since + BALANCER_UPDATE_DELAY)
     }
 
     /// Marks this VM as leaving.
     pub fn mark_leaving(&self) {
-        if !self.is_leaving.swap(true, Ordering::AcqRel) {
+        if self.leaving_since.set(self.timer.now()).is_ok() {
             log::info!("run: leaving, {} requests in flight", self.in_flight());
         }
         self.drain_changed.notify_waiters();
--- a/crates/lw-daemon/tests/shutdown.rs
+++ b/crates/lw-daemon/tests/shutdown.rs
@@ -70,6 +70,30 @@
     }
 }
 
+/// Guards against requests that are taken for as long as a drain lasts: the drain then never ends under load, and the last
+/// ones are cut off when the process is killed.
+#[tokio::test]
+async fn requests_that_arrive_late_in_a_drain_are_refused() {
+    let engine = engine::Options { token_time: Duration::from_millis(50), ..Default::default() };
+    let fleet = Fleet::start("drain-late", Options { engine, ..Options::default() }).await;
+    let stream = fleet.complete(CompletionRequest::new(0, "a reading", 60));
+    let late = async {
+        fleet.wait_until("the stream is in flight", async || in_flight(&fleet).await == 1).await;
+        fleet.vms[0].signal("-TERM");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let completion = fleet.complete(CompletionRequest::new(0, "a late request", 1)).await;
+        let headers = [("idempotency-key", "late")];
+        let booking = fleet.call_service(0, Method::POST, "/bookings", &headers, "{}").await;
+        (completion, booking)
+    };
+    let (answer, (completion, (status, booking))) = tokio::join!(stream, late);
+    assert!(answer.is_done, "{:?}", answer.error);
+    assert_eq!((completion.status, completion.error["code"].as_str()), (503, Some("draining")));
+    assert!(completion.retry_after.is_some());
+    assert_eq!((status, booking["error"]["code"].as_str()), (503, Some("draining")));
+    assert!(fleet.service_runs().await.is_empty());
+}
+
 async fn in_flight(fleet: &Fleet) -> u64 {
     fleet.status(0).await.and_then(|s| s["in_flight"].as_u64()).unwrap_or(0)
 }
