lw-daemon, lw-forward: bounded memory for answers of services, and an end of broken ones

Reports of other operators, on the product's own interface: bytes without end in a head or body, kept until the memory was used up; and answers that stop early.

Could happen here, shown by tests/faulty_answers.rs with plain sockets as upstreams: - 20 bookings, 20 lookups and 20 completions at a service and an engine that send without end: the daemon grew by 84 MB. Each booking kept up to 4 MiB with no limit over all of them, each connection up to 400 KiB in the HTTP library, and the accounting of lw-forward counted about two fifths of what many short chunks use. - A lookup whose answer broke off in its body: the caller got the head and the beginning, and then neither the rest nor the end of the connection. The HTTP library had closed its handle of the socket, but the second handle that the table of connections keeps for time-outs held it open for 75 s.

Change: answers of bookings are collected within one budget (lw_forward::collect, as on the platform), which copies short chunks into buffers of 16 KiB. Calls to services use the connections of lw-forward, whose buffers are 64 KiB at most. A connection whose answer broke off is shut down.

Tried: one growing buffer for each body (59 MB instead of 43, from reallocation), the same with a budget of 16 MiB (37 MB).

--- a/crates/lw-daemon/src/run/connections.rs
+++ b/crates/lw-daemon/src/run/connections.rs
@@ -69,6 +69,14 @@
     idle_since: Now,
 }
 
+impl Connection {
+    fn shut_down(&self) {
+        if let Err(e) = self.socket.shutdown(Shutdown::Both) {
+            log::debug!("http: a connection was not shut down: {e}");
+        }
+    }
+}
+
 impl Connections {
     pub(super) fn new(timer: Timer, open_max: usize, head_timeout: Duration) -> Self {
         let last_id = AtomicU64::new(0);
@@ -122,7 +130,8 @@
         connection.requests_in_progress += 1;
         connection.has_received_request = true;
         connection.has_unread_bytes = false;
-        Some(RequestGuard { connections: Arc::clone(self), peer, id: connection.id })
+        let id = connection.id;
+        Some(RequestGuard { connections: Arc::clone(self), peer, id, is_broken: false })
     }
 
     fn close_idle(&self, table: &mut ConnectionTable, now: Now) {
@@ -150,7 +159,7 @@
                 _ => {}
             }
             log::debug!("http: closed the connection of {peer}: no request head arrived in time");
-            let _ = connection.socket.shutdown(Shutdown::Both);
+            connection.shut_down();
             false
         });
     }
@@ -162,6 +171,8 @@
     connections: Arc<Connections>,
     peer: SocketAddr,
     id: u64,
+    /// Whether the answer broke off, so that the connection must not stay open.
+    is_broken: bool,
 }
 
 impl Drop for RequestGuard {
@@ -172,6 +183,11 @@
         if let Some(connection) = connection.filter(|connection| connection.id == self.id) {
             connection.requests_in_progress -= 1;
             connection.idle_since = now;
+            // The library closes only its own handle, so that the caller would wait for the rest.
+            if self.is_broken {
+                connection.shut_down();
+                table.connections.remove(&self.peer);
+            }
         }
     }
 }
@@ -179,12 +195,12 @@
 /// Body of a response that holds the guard of its request up to the last byte.
 struct GuardedBody {
     body: Body,
-    _guard: RequestGuard,
+    guard: RequestGuard,
 }
 
 /// Attaches the guard of a request to its response body, so that the guard lasts until the body is sent.
 pub(super) fn guard_body(body: Body, guard: RequestGuard) -> Body {
-    Body::from_body(GuardedBody { body, _guard: guard })
+    Body::from_body(GuardedBody { body, guard })
 }
 
 impl http_body::Body for GuardedBody {
@@ -195,7 +211,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        self.guard.is_broken |= matches!(polled, Poll::Ready(Some(Err(_))));
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -3,14 +3,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, Method, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, header};
+use http_body_util::Full;
 use lw_config::document::UpstreamKind;
+use lw_forward::pool::{Error, Reuse, UpstreamAnswer};
 use lw_limit::retry::{AttemptContext, Kind};
 use lw_protocol::caller::{Failure, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER};
-use lw_transport::{
-    client::{Call, Error, Reuse},
-    server,
-};
+use lw_transport::server;
 use lw_types::prelude::*;
 use volo_http::{body::Body, response::Response};
 use xxhash_rust::xxh3::xxh3_64;
@@ -130,16 +129,16 @@
     for (i, (id, addr)) in targets.into_iter().enumerate() {
         tables.record_step("http", &caller.request_id, &format!("service call at {id}"));
         let (reuse, timeout) = match i {
-            0 => (Reuse::Pooled, caller.deadline.mul_f64(FIRST_ATTEMPT_FRACTION)),
-            _ => (Reuse::Fresh, SERVICE_TIMEOUT),
+            0 => (Reuse::Any, caller.deadline.mul_f64(FIRST_ATTEMPT_FRACTION)),
+            _ => (Reuse::Never, SERVICE_TIMEOUT),
         };
-        let e = match send(tables, addr, call, reuse, timeout).await {
+        let e = match send(tables, (&id, addr), call, reuse, timeout).await {
             Ok(response) => return Ok(response),
             Err(e) => e,
         };
         log::warn!("http: {} service call at {id} failed: {e}", caller.request_id);
         last_failure = to_failure(&e);
-        if !e.is_unsent() {
+        if matches!(e, Error::Broken(_)) {
             let now = tables.timer.now();
             let next_context = tables.limits().budget.spend(now, Kind::Retry, context);
             match next_context {
@@ -174,26 +173,26 @@
 
 async fn send(
     tables: &Tables,
-    addr: SocketAddr,
+    (id, addr): (&UpstreamId, SocketAddr),
     call: &ServiceCall,
     reuse: Reuse,
     timeout: Duration,
 ) -> Result<Response, Error> {
-    let out = Call {
-        method: call.method.clone(),
-        addr,
-        path: &call.path,
-        headers: call.headers.clone(),
-        body: call.body.clone(),
-        timeout,
-        reuse,
-    };
-    let response = tables.clients.send(out).await?;
-    let (parts, body) = response.into_parts();
+    let mut req = http::Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.method.clone();
+    let uri = call.path.parse();
+    *req.uri_mut() = uri.map_err(|e: http::uri::InvalidUri| Error::NotSent(e.to_string()))?;
+    *req.headers_mut() = call.headers.clone();
+    let host = HeaderValue::from_str(&addr.to_string());
+    req.headers_mut().insert(header::HOST, host.map_err(|e| Error::NotSent(e.to_string()))?);
+    let key = (addr, id.as_str().into());
+    let sent = tokio::time::timeout(timeout, tables.service_connections.send(&key, req, reuse));
+    let no_answer = || Error::Broken(format!("no answer within {timeout:?}"));
+    let UpstreamAnswer { head, body } = sent.await.unwrap_or_else(|_| Err(no_answer()))?;
     let mut answer = Response::new(Body::from_body(body));
-    *answer.status_mut() = parts.status;
+    *answer.status_mut() = head.status;
     for name in [header::CONTENT_TYPE, header::RETRY_AFTER] {
-        if let Some(value) = parts.headers.get(&name) {
+        if let Some(value) = head.headers.get(&name) {
             answer.headers_mut().insert(name, value.clone());
         }
     }
@@ -203,6 +202,6 @@
 fn to_failure(e: &Error) -> Failure {
     match e {
         Error::NotSent(_) => Failure::new(ResultCode::NotSent, "the service could not be reached"),
-        _ => Failure::new(ResultCode::OutcomeUnknown, "the service did not answer"),
+        Error::Broken(_) => Failure::new(ResultCode::OutcomeUnknown, "the service did not answer"),
     }
 }
--- a/crates/lw-daemon/src/services/once.rs
+++ b/crates/lw-daemon/src/services/once.rs
@@ -7,11 +7,9 @@
     executor::CallDecision,
     record::{BodyDigest, ClaimKey, Outcome},
 };
+use lw_forward::pool::{Error, Reuse};
 use lw_protocol::caller::{Failure, IDEMPOTENCY_HEADER};
-use lw_transport::{
-    client::{self, Error, Reuse},
-    server,
-};
+use lw_transport::server;
 use lw_types::prelude::*;
 use volo_http::{body::Body, response::Response};
 
@@ -24,8 +22,6 @@
 
 /// Longest idempotency key in bytes.
 const KEY_MAX_BYTES: usize = 255;
-/// Largest answer of a call that may not be repeated, in bytes.
-const ANSWER_MAX_BYTES: usize = 4 << 20;
 /// Header that marks a replayed answer: it was recorded when the call ran earlier.
 const REPLAYED_HEADER: &str = "idempotency-replayed";
 
@@ -123,8 +119,8 @@
         Failure::new(ResultCode::NoUpstream, "no instance of the service is available");
     for (id, addr) in instances(tables, caller, name) {
         tables.record_step("claim", &caller.request_id, &format!("call sent to {id}"));
-        match send(tables, addr, call, Reuse::Fresh, SERVICE_TIMEOUT).await {
-            Ok(response) => return record_outcome(response, claim).await,
+        match send(tables, (&id, addr), call, Reuse::Never, SERVICE_TIMEOUT).await {
+            Ok(response) => return record_outcome(tables, response, claim).await,
             // Only a failed connect proves that the call was not sent, so only then another instance is tried.
             Err(e @ Error::NotSent(_)) => last_failure = to_failure(&e),
             Err(e) => {
@@ -138,16 +134,21 @@
     Err(last_failure)
 }
 
-async fn record_outcome(response: Response, claim: Claim) -> Result<Response, Failure> {
+async fn record_outcome(
+    tables: &Tables,
+    response: Response,
+    claim: Claim,
+) -> Result<Response, Failure> {
     let (parts, body) = response.into_parts();
-    match client::read_body(body, ANSWER_MAX_BYTES).await {
+    match tables.answer_memory.collect(body).await {
         Ok(bytes) => {
             claim.finish(claims::done_outcome(parts.status.as_u16(), &bytes));
             Ok(Response::from_parts(parts, Body::from(bytes)))
         }
         Err(e) => {
             claim.finish(Outcome::Unknown);
-            Err(to_failure(&e))
+            let text = format!("the service ran the call, but {e}");
+            Err(Failure::new(ResultCode::OutcomeUnknown, text))
         }
     }
 }
--- a/crates/lw-daemon/src/tables/mod.rs
+++ b/crates/lw-daemon/src/tables/mod.rs
@@ -17,6 +17,10 @@
     document::{Document, Model},
     settings::Settings,
 };
+use lw_forward::{
+    collect::AnswerMemory,
+    pool::{self, Pool},
+};
 use lw_metrics::{histograms::Histograms, statsd::Statsd};
 use lw_protocol::platform::VmList;
 use lw_route::Router;
@@ -32,6 +36,10 @@
 
 /// Time for which the load balancer still sends new requests after this VM is marked as leaving.
 pub const BALANCER_UPDATE_DELAY: Duration = Duration::from_millis(500);
+/// Time before the stated end of an idle connection to a service from which on it is not reused.
+const SERVICE_IDLE_MARGIN: Duration = Duration::from_millis(400);
+/// Memory for the answers of services that are being collected, over all requests: an eighth of the memory of a node.
+const ANSWER_MEMORY_MAX_BYTES: usize = 8 << 20;
 
 /// The active configuration, with the lookup tables that requests need.
 #[derive(Debug)]
@@ -110,6 +118,10 @@
     claims: Mutex<Claims>,
     orders: Mutex<Orders>,
     decision_log: Mutex<DecisionLog>,
+    /// Connections to plain services.
+    pub service_connections: Arc<Pool>,
+    /// Memory budget for answers that are being collected.
+    pub answer_memory: AnswerMemory,
     leaving_since: OnceLock<Now>,
     in_flight: AtomicU64,
     request_count: AtomicU64,
@@ -134,6 +146,12 @@
             kv_move: settings.kv_move.as_ref().map(kv_move),
             ..lw_route::Options::default()
         };
+        let service_connections = Pool::new(pool::Options {
+            connect_timeout: settings.timeouts.connect,
+            idle_timeout: settings.timeouts.pool_idle,
+            idle_margin: SERVICE_IDLE_MARGIN,
+            connections_max: settings.limits.connections_max,
+        });
         let store = Store::new(Arc::clone(&clients), settings.platform, settings.timeouts.platform);
         Self {
             incarnation,
@@ -157,6 +175,8 @@
             )),
             orders: Mutex::default(),
             decision_log: Mutex::new(DecisionLog::new(settings.limits.decision_log)),
+            service_connections,
+            answer_memory: AnswerMemory::new(ANSWER_MEMORY_MAX_BYTES),
             leaving_since: OnceLock::new(),
             in_flight: AtomicU64::new(0),
             request_count: AtomicU64::new(0),
