lw-forward: interim answers without end break the attempt

Could happen here: an upstream that sends 100 Continue without end held the request until its deadline (504), also where another upstream could have served it. The HTTP library skips interim answers and has no limit on them.

Change: more than 16 interim answers to one request count as a broken connection.

--- a/crates/lw-edge/tests/endless_answers/mod.rs
+++ b/crates/lw-edge/tests/endless_answers/mod.rs
@@ -35,6 +35,7 @@
             b"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
         ),
         Behaviour::Endless("", b"\x00\x01\x02 no answer at all, and without a line end "),
+        Behaviour::Endless("", b"HTTP/1.1 100 Continue\r\n\r\n"),
         Behaviour::Endless(
             UNFINISHED_TRAILERS,
             b"x-trailer: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
--- a/crates/lw-edge/tests/memory.rs
+++ b/crates/lw-edge/tests/memory.rs
@@ -4,10 +4,10 @@
 mod common;
 mod endless_answers;
 
-use common::{Simulation, bounds, request};
+use common::{Simulation, bounds, ms, request};
 use endless_answers::endless_answers;
 use lw_catalog::VmSettings;
-use lw_standin::hosted::store::StoreMode;
+use lw_standin::hosted::{store::StoreMode, upstream::Behaviour};
 
 /// Largest growth of the process in KiB while [`CONCURRENT_REQUESTS`] answers have no end: a quarter of the memory of
 /// a VM with 88 MB.
@@ -50,6 +50,15 @@
             "the memory for collected answers is released"
         );
     }
+    // Calls for cache events, of which each engine has one open at a time.
+    for endless in endless_answers() {
+        for engine in &simulation.engines {
+            engine.set_behaviour(Behaviour::Normal);
+            engine.set_internal_behaviour(Some(endless.clone()));
+        }
+        tokio::time::sleep(ms(600)).await;
+    }
+    simulation.engines.iter().for_each(|engine| engine.set_internal_behaviour(None));
     simulation.store.set_mode(StoreMode::Endless);
     let refused = async |simulation: &Simulation| {
         simulation.send(&request("e", "/look/x")).await.is_some_and(|reply| reply.status == 503)
--- a/crates/lw-edge/tests/streams.rs
+++ b/crates/lw-edge/tests/streams.rs
@@ -52,9 +52,11 @@
 #[tokio::test]
 async fn an_answer_that_is_cut_off_at_any_byte_is_incomplete() {
     let simulation = Simulation::start().await;
-    for (path, complete) in [("/look/x", b"ok".to_vec()), ("/short/x", events())] {
+    let calls = [("/look/x", b"ok".to_vec(), 1), ("/book/x", b"ok".to_vec(), 3)];
+    let streams = [("/short/x", events(), 3), ("/long/x", events(), 7)];
+    for (path, complete, step) in calls.into_iter().chain(streams) {
         // No answer is longer than this.
-        for cut in (0..700).step_by(if path == "/look/x" { 1 } else { 3 }) {
+        for cut in (0..700).step_by(step) {
             simulation.faults.push(Behaviour::CloseAfterBytes(cut));
             let id = format!("cut-{cut}{path}");
             let Some(reply) = simulation.send(&request(&id, path)).await else { continue };
@@ -70,6 +72,24 @@
     }
 }
 
+/// Guards against a stream that ends as complete, or with other bytes, since the engine that resumed it stopped within the
+/// head or the body of its answer.
+#[tokio::test]
+async fn a_resumed_answer_that_is_cut_off_at_any_byte_is_incomplete() {
+    let simulation = Simulation::start().await;
+    let complete = events();
+    for cut in (0..500).step_by(7) {
+        simulation.faults.push(Behaviour::ResetInEvent(2));
+        simulation.faults.push(Behaviour::CloseAfterBytes(cut));
+        let reply = simulation.send(&request(&format!("resumed-{cut}"), "/long/x")).await;
+        let reply = reply.expect("the head of the first answer");
+        let text = format!("{cut}: {}", reply.text());
+        assert!(complete.starts_with(&reply.body), "{text}");
+        assert!(!reply.is_complete || reply.body == complete, "{text}");
+        simulation.faults.clear();
+    }
+}
+
 /// Guards against a stream without a length that ends within an event and appears complete to its caller.
 #[tokio::test]
 async fn a_stream_without_a_length_is_complete_only_at_the_end_of_an_event() {
--- a/crates/lw-forward/src/pool/mod.rs
+++ b/crates/lw-forward/src/pool/mod.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -13,7 +16,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::JoinHandle, time::Instant};
+use tokio::{net::TcpStream, sync::Notify, task::JoinHandle, time::Instant};
 
 mod body;
 
@@ -46,6 +49,8 @@
 
 /// Largest head of an answer, and most bytes of an answer that are read ahead.
 const BUFFER_MAX_BYTES: usize = 64 << 10;
+/// Most interim answers (status 1xx) to one request. The HTTP library would read them without end.
+const INTERIM_ANSWERS_MAX: usize = 16;
 /// Idle time up to which a connection may be used with [`Reuse::Recent`]. It is short since upstreams that close idle
 /// connections within a second do not state their idle time.
 const RECENT_IDLE_MAX: Duration = Duration::from_millis(400);
@@ -163,23 +168,17 @@
             if conn.sender.ready().await.is_err() {
                 continue;
             }
-            match conn.sender.try_send_request(req).await {
-                Ok(response) => return Ok(to_answer(response, conn)),
-                Err(mut e) => match e.take_message() {
-                    Some(unsent) => req = unsent,
-                    None => return Err(Error::Broken(e.into_error().to_string())),
-                },
-            }
-        }
-        let mut conn = self.connect(key).await?;
-        match conn.sender.try_send_request(req).await {
-            Ok(response) => Ok(to_answer(response, conn)),
-            Err(mut e) => {
-                let is_unsent = e.take_message().is_some();
-                let text = e.into_error().to_string();
-                Err(if is_unsent { Error::NotSent(text) } else { Error::Broken(text) })
+            match exchange(conn, req).await {
+                Err((_, Some(unsent))) => req = unsent,
+                Err((e, None)) => return Err(Error::Broken(e)),
+                Ok(answer) => return Ok(answer),
             }
         }
+        let conn = self.connect(key).await?;
+        exchange(conn, req).await.map_err(|(e, unsent)| match unsent {
+            Some(_) => Error::NotSent(e),
+            None => Error::Broken(e),
+        })
     }
 
     fn check_out(&self, key: &HostKey, reuse: Reuse) -> Option<Conn> {
@@ -276,6 +275,34 @@
     }
 }
 
+/// Sends a request on a connection and waits for the head of the answer. Returns the error with the request if nothing of
+/// it was written.
+async fn exchange(
+    mut conn: Conn,
+    mut req: Request<Full<Bytes>>,
+) -> Result<UpstreamAnswer, (String, Option<Request<Full<Bytes>>>)> {
+    let is_flooded = Arc::new(Notify::new());
+    let (count, flooded) = (AtomicUsize::new(0), Arc::clone(&is_flooded));
+    hyper::ext::on_informational(&mut req, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= INTERIM_ANSWERS_MAX {
+            flooded.notify_one();
+        }
+    });
+    let sent = tokio::select! {
+        sent = conn.sender.try_send_request(req) => sent,
+        () = is_flooded.notified() => {
+            return Err((format!("more than {INTERIM_ANSWERS_MAX} interim answers"), None));
+        }
+    };
+    match sent {
+        Ok(response) => Ok(to_answer(response, conn)),
+        Err(mut e) => {
+            let unsent = e.take_message();
+            Err((e.into_error().to_string(), unsent))
+        }
+    }
+}
+
 fn to_answer(response: http::Response<hyper::body::Incoming>, conn: Conn) -> UpstreamAnswer {
     let (head, incoming) = response.into_parts();
     let body = UpstreamAnswerBody::new(incoming, conn, &head);
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -104,6 +104,8 @@
 struct State {
     queue: BehaviourQueue,
     behaviour: Behaviour,
+    /// How it answers calls for its report and its cache events, unless as it should.
+    internal_behaviour: Option<Behaviour>,
     received: Vec<ReceivedRequest>,
     version: u64,
     loading: Option<(u64, tokio::time::Instant)>,
@@ -209,6 +211,11 @@
         lock(&self.state).behaviour = behaviour;
     }
 
+    /// Sets how it answers calls for its report and its cache events.
+    pub fn set_internal_behaviour(&self, behaviour: Option<Behaviour>) {
+        lock(&self.state).internal_behaviour = behaviour;
+    }
+
     /// Sets the queue of behaviours, which other upstreams can share.
     pub fn set_queue(&self, queue: &BehaviourQueue) {
         lock(&self.state).queue = queue.clone();
@@ -312,10 +319,14 @@
         let attempt = request.header("x-attempt-id").unwrap_or_default();
         return answer(421, &[("x-attempt-id", attempt), ("x-instance-id", id)], b"");
     }
-    match (request.method.as_str(), request.path()) {
-        ("GET", "/api/report") => handle_report(state),
-        ("POST", "/api/order") => handle_order(state, request),
-        ("GET", "/api/kv-events") => {
+    let internal = lock(state).internal_behaviour.clone();
+    match (request.method.as_str(), request.path(), internal) {
+        ("GET", "/api/report" | "/api/kv-events", Some(behaviour)) => {
+            answer_steps(&behaviour, &[], request)
+        }
+        ("GET", "/api/report", _) => handle_report(state),
+        ("POST", "/api/order", _) => handle_order(state, request),
+        ("GET", "/api/kv-events", _) => {
             let body = json!({ "BootEpoch": 1, "NextToken": 1, "Lost": false, "Events": [] });
             let mut steps = vec![Step::Wait(Duration::from_millis(200))];
             steps.extend(answer(200, &[], body.to_string().as_bytes()));
