lw-edge: an upstream whose service changes leaves the pool of the former one

Cause: a changed entry put its upstream into the pool of the service that it names, and nothing removed it from the pool of the service that it named before. Pools are the only table that is kept by service and upstream; feeds are keyed by the service too.

an_upstream_whose_service_changes_leaves_the_former_one failed before (the engine got bookings).

--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -325,8 +325,13 @@
                         service = upstream.service.as_str(), addr = upstream.addr.to_string(),
                         stage = format!("{:?}", upstream.stage), weights = weights.join(",");
                         "upstream registered");
-                    if let Some(pool) = pools.get_mut(&upstream.service) {
-                        pool.put(&upstream);
+                    // Its entry may have named another service before.
+                    for (service, pool) in pools.iter_mut() {
+                        if *service == upstream.service {
+                            pool.put(&upstream);
+                        } else {
+                            pool.remove(&upstream.id);
+                        }
                     }
                 }
                 Change::Gone(id) => {
--- a/crates/lw-edge/tests/registry.rs
+++ b/crates/lw-edge/tests/registry.rs
@@ -100,6 +100,22 @@
     assert_eq!((simulation.run_count("moved"), other.received().len()), (0, 0));
 }
 
+/// Guards against requests that run at an upstream of another service, after its entry named their service for a while.
+#[tokio::test]
+async fn an_upstream_whose_service_changes_leaves_the_former_one() {
+    let simulation = Simulation::start().await;
+    let engine = &simulation.engines[0];
+    for service in ["desk", "llm"] {
+        simulation.store.put(&upstream_key(&engine.id), &engine.registry_entry(service, "kochi-a"));
+        tokio::time::sleep(ms(200)).await;
+    }
+    for n in 0..20 {
+        let reply = simulation.send(&request(&format!("n{n}"), "/book/x")).await.unwrap();
+        assert_eq!(reply.status, 200, "{}", reply.head);
+    }
+    assert!(engine.received().is_empty(), "the engine got bookings");
+}
+
 /// Guards against a change that is missed when the store has dropped the history that a watch continues from.
 #[tokio::test]
 async fn a_change_in_a_dropped_history_is_found() {
