--- a/crates/lw-catalog/src/upstreams/mod.rs
+++ b/crates/lw-catalog/src/upstreams/mod.rs
@@ -4,8 +4,9 @@
 
 use lw_types::prelude::*;
 
-/// Time after an outage of the store within which upstreams whose entries expired meanwhile register again. The
-/// platform promises about two seconds.
+/// Time after an outage of the store within which upstreams whose entries expired meanwhile register again, and after an
+/// unusable entry within which a running upstream writes its own. The platform promises about two seconds for the former,
+/// and heartbeats are more frequent.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(1900);
 
 /// Time after the return of the store from an older copy after which an entry that was gone before is used if it is still
@@ -117,7 +118,7 @@
 
     /// Applies an entry of the store and returns the changes. `None` stands for an entry without a usable upstream.
     pub fn put(&mut self, now: Now, id: &str, entry: Option<Upstream>) -> Vec<Change> {
-        let Some(mut entry) = entry else { return self.remove(now, id) };
+        let Some(mut entry) = entry else { return self.on_unusable_entry(now, id) };
         self.expired.remove(id);
         self.gone.remove(id);
         self.stale.remove(id);
@@ -134,6 +135,17 @@
         vec![Change::Present(entry)]
     }
 
+    /// Records that the entry of an upstream cannot be used. If another program wrote it, a running upstream writes its own
+    /// again with its next heartbeat.
+    fn on_unusable_entry(&mut self, now: Now, id: &str) -> Vec<Change> {
+        self.stale.remove(id);
+        if self.upstreams.get(id).is_some_and(|current| current.stage == Stage::Ready) {
+            self.expired.entry(id.to_owned()).or_insert(now + REREGISTRATION_TIME);
+            return Vec::new();
+        }
+        self.drop_entry(id)
+    }
+
     /// Records that an upstream reported in an answer of this run that it is leaving.
     pub fn mark_leaving(&mut self, id: &str, incarnation: Incarnation) -> Vec<Change> {
         let current = self.upstreams.get(id).filter(|current| current.incarnation == incarnation);
--- a/crates/lw-catalog/tests/upstreams.rs
+++ b/crates/lw-catalog/tests/upstreams.rs
@@ -72,3 +72,25 @@
     directory.apply_due_changes(at(30));
     assert_eq!(stage(&directory), None);
 }
+
+/// Guards against an upstream that gets no requests, or gets them for too long, since another writer has spoilt its entry.
+#[test]
+fn an_upstream_with_a_spoilt_entry_stays_until_its_next_entry_is_overdue() {
+    let half = Duration::from_millis(500);
+    let mut directory = Directory::default();
+    directory.put(at(1), ID, Some(upstream(Stage::Ready, 1)));
+    assert_eq!(directory.put(at(2), ID, None), []);
+    // A further spoilt entry does not extend the time.
+    assert_eq!(directory.put(at(3), ID, None), []);
+    assert_eq!(directory.apply_due_changes(at(3) + half), []);
+    assert_eq!(stage(&directory), Some(Stage::Ready));
+    assert_eq!(directory.apply_due_changes(at(4)), [Change::Gone(ID.to_owned())]);
+    directory.put(at(5), ID, Some(upstream(Stage::Ready, 1)));
+    directory.put(at(6), ID, None);
+    directory.put(at(7), ID, Some(upstream(Stage::Ready, 1)));
+    assert_eq!(directory.apply_due_changes(at(30)), []);
+    directory.put(at(31), ID, None);
+    assert_eq!(directory.remove(at(32), ID), [Change::Gone(ID.to_owned())], "its removal counts");
+    directory.put(at(33), ID, Some(upstream(Stage::Leaving, 1)));
+    assert_eq!(directory.put(at(34), ID, None), [Change::Gone(ID.to_owned())], "it is leaving");
+}
--- a/crates/lw-edge/tests/registry.rs
+++ b/crates/lw-edge/tests/registry.rs
@@ -116,6 +116,22 @@
     assert!(engine.received().is_empty(), "the engine got bookings");
 }
 
+/// Guards against a request that is refused since another writer has spoilt the entries of all upstreams of its service. They
+/// write their own again with the next heartbeat.
+#[tokio::test]
+async fn spoilt_entries_stay_in_use_until_the_next_heartbeat_is_due() {
+    let simulation = Simulation::start().await;
+    for id in ["desk-1", "desk-2"] {
+        simulation.store.put(&upstream_key(id), &json!({ "Service": "desk" }));
+    }
+    tokio::time::sleep(ms(200)).await;
+    assert_eq!(simulation.send(&request("kept", "/look/x")).await.unwrap().status, 200);
+    simulation
+        .store
+        .put(&upstream_key("desk-2"), &simulation.servers[1].registry_entry("desk", "kochi-a"));
+    wait_until_unused(&simulation, "desk-1").await;
+}
+
 /// Guards against a change that is missed when the store has dropped the history that a watch continues from.
 #[tokio::test]
 async fn a_change_in_a_dropped_history_is_found() {
