lw-place: an engine whose version is unknown gets no prompts

Cause: the salt names the version of the weights. Where the version at an engine was unknown, the request went there without a salt and without an expected version; what is cached without a salt is shared by all.

Change: such an engine is no candidate, unless a prompt names no model and belongs to no isolated workspace.

--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -46,6 +46,14 @@
     cost: f64,
 }
 
+/// Whether the salt of a prompt at an engine is known. The salt names the version of the weights, and segments that are
+/// cached without one are shared by all.
+fn has_known_salt(request: &PlacementRequest<'_>, state: &UpstreamState) -> bool {
+    let Some(prompt) = request.prompt else { return true };
+    let needs_salt = !prompt.model.is_empty() || prompt.isolated_workspace.is_some();
+    !needs_salt || state.versions.contains_key(&prompt.model)
+}
+
 impl UpstreamPool {
     /// Selects an upstream for a request.
     ///
@@ -55,7 +63,7 @@
     pub fn place(&self, now: Now, request: &PlacementRequest<'_>) -> Result<Placement, Refusal> {
         let ready = || self.upstreams.values().filter(|u| u.upstream.stage == Stage::Ready);
         let untried = || ready().filter(|u| !request.tried.contains(&u.upstream.id));
-        let open = untried().filter(|u| u.is_open(now));
+        let open = untried().filter(|u| u.is_open(now) && has_known_salt(request, u));
         let mut open: Vec<_> = open.filter(|u| self.has_turn(now, request, u)).collect();
         // If no engine serves newer weights, the rollout is stuck, and answers on stale weights are better than none.
         if ready().any(|state| !self.is_too_stale(now, request, state)) {
--- a/crates/lw-place/tests/versions.rs
+++ b/crates/lw-place/tests/versions.rs
@@ -93,3 +93,20 @@
     pool.put(&engine("e2", "m", 1));
     assert_eq!(placed_version(&pool, 2_100, &prompt), Some(2));
 }
+
+/// Guards against a prompt that is sent without a salt, which any request would share: the salt names the version of the
+/// weights, so that an engine whose version is unknown gets no prompts.
+#[test]
+fn an_engine_whose_version_is_unknown_gets_no_prompts() {
+    let mut pool = pool();
+    pool.put(&engine("e1", "other", 1));
+    let prompt = prompt("m");
+    assert!(pool.place(ms(0), &request(&prompt)).is_err());
+    pool.put(&engine("e2", "m", 1));
+    pool.on_load(ms(0), "e2", BUSY);
+    let placement = pool.place(ms(0), &request(&prompt)).unwrap();
+    assert_eq!((placement.upstream.id.as_str(), placement.version), ("e2", Some(1)));
+    assert!(placement.salt.is_some());
+    pool.record_version("e1", "m", 1);
+    assert_eq!(pool.place(ms(0), &request(&prompt)).unwrap().upstream.id, "e1");
+}
