lw-place: what a workspace cached before it became isolated is not used again

Cause: the salt that all other workspaces share did not depend on who is among them.

Change: it names the set of isolated workspaces, so that each change of the set begins a new shared cache. The cost: after such a change all shared segments are read again once.

what_a_workspace_cached_before_it_became_isolated_is_not_used_again failed before (the same salt).

--- a/crates/lw-catalog/src/routes/lookup.rs
+++ b/crates/lw-catalog/src/routes/lookup.rs
@@ -2,6 +2,8 @@
 
 use std::{cmp::Reverse, collections::HashMap, sync::Arc};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{Catalog, CatalogData, Route, Service, ServiceKind, Workspace};
 
 impl From<CatalogData> for Catalog {
@@ -21,11 +23,26 @@
         let services = data.services.into_iter();
         let services = services.map(|service| (service.name.clone(), Arc::new(service))).collect();
         let (version, limits) = (data.version, data.limits);
-        Self { version, limits, by_host, services, workspaces, by_key }
+        let isolated_set = isolated_set(&workspaces);
+        Self { version, limits, by_host, services, workspaces, by_key, isolated_set }
     }
 }
 
+/// Returns a number that identifies the set of isolated workspaces, whatever their order.
+fn isolated_set(workspaces: &[Arc<Workspace>]) -> u64 {
+    let isolated = workspaces.iter().filter(|workspace| workspace.is_isolated);
+    let mut names: Vec<_> = isolated.map(|workspace| workspace.name.as_str()).collect();
+    names.sort_unstable();
+    xxh3_64(names.join("\0").as_bytes())
+}
+
 impl Catalog {
+    /// Returns a number that identifies the set of isolated workspaces.
+    #[must_use]
+    pub fn isolated_set(&self) -> u64 {
+        self.isolated_set
+    }
+
     /// Returns the route of a request: among the routes of `host`, the one with the longest prefix of `path`.
     ///
     /// `host` may include a port and capital letters.
--- a/crates/lw-catalog/src/routes/mod.rs
+++ b/crates/lw-catalog/src/routes/mod.rs
@@ -209,6 +209,8 @@
     workspaces: Vec<Arc<Workspace>>,
     /// Index of the workspace of each key.
     by_key: HashMap<String, usize>,
+    /// Identifies the set of isolated workspaces.
+    isolated_set: u64,
 }
 
 /// The contents of a configuration, which a [`Catalog`] is built from.
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use lw_catalog::{Catalog, Route, Workspace};
-use lw_place::{Prompt, RANK_MAX};
+use lw_place::{CacheScope, Prompt, RANK_MAX};
 use lw_platform::headers::{self, CallerHead};
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
@@ -136,7 +136,8 @@
     })?;
     let service = service.to_owned();
     let has_engines = catalog.service(&service).is_some_and(|s| s.engines().is_some());
-    let prompt = has_engines.then(|| prompt(&head, &route, workspace.as_deref(), body.len()));
+    let prompt =
+        has_engines.then(|| prompt(&catalog, &head, &route, workspace.as_deref(), body.len()));
     let deadline = arrived + head.deadline.unwrap_or(route.timeout);
     Ok(Call {
         head,
@@ -217,14 +218,23 @@
     rank.min(RANK_MAX)
 }
 
-fn prompt(head: &CallerHead, route: &Route, workspace: Option<&Workspace>, bytes: usize) -> Prompt {
-    let isolated = workspace.filter(|workspace| workspace.is_isolated);
+fn prompt(
+    catalog: &Catalog,
+    head: &CallerHead,
+    route: &Route,
+    workspace: Option<&Workspace>,
+    bytes: usize,
+) -> Prompt {
+    let cache_scope = match workspace.filter(|workspace| workspace.is_isolated) {
+        Some(workspace) => CacheScope::Isolated(workspace.name.clone()),
+        None => CacheScope::Shared { isolated_set: catalog.isolated_set() },
+    };
     Prompt {
         model: head.model.clone().unwrap_or_default(),
         segments: head.segments.clone(),
         tokens: head.prompt_tokens,
         output_tokens: head.output_tokens_hint.unwrap_or(head.output_tokens_max),
-        isolated_workspace: isolated.map(|workspace| workspace.name.clone()),
+        cache_scope,
         rank: rank(route, workspace),
         bytes,
     }
--- a/crates/lw-edge/tests/requests.rs
+++ b/crates/lw-edge/tests/requests.rs
@@ -44,6 +44,31 @@
     assert_ne!(first, salt("s3", "key-of-the-quiz").await);
 }
 
+/// Guards against cached prompts that a workspace made before it became isolated and that others go on using.
+#[tokio::test]
+async fn what_a_workspace_cached_before_it_became_isolated_is_not_used_again() {
+    let simulation = Simulation::start().await;
+    let quiz = "key-of-the-quiz";
+    let salt = async |id: &str, key: &'static str| {
+        simulation.send(&CallerRequest { key, ..request(id, "/long/x") }).await.unwrap();
+        simulation.received(id)[0].request.header("x-cache-salt").map(str::to_owned).unwrap()
+    };
+    let set_isolated = async |version: u64, is_isolated: bool| {
+        let mut config = config(version);
+        config["Tenants"][1]["Isolated"] = is_isolated.into();
+        simulation.store.put("op/config", &config);
+        tokio::time::sleep(ms(200)).await;
+    };
+    set_isolated(4, false).await;
+    let shared = salt("s1", KEY).await;
+    assert_eq!(shared, salt("s2", quiz).await);
+    set_isolated(5, true).await;
+    let (own, others) = (salt("s3", quiz).await, salt("s4", KEY).await);
+    assert!(shared != own && shared != others && own != others, "{shared} {own} {others}");
+    set_isolated(6, true).await;
+    assert_eq!(others, salt("s5", KEY).await, "nothing has changed");
+}
+
 /// Guards against an upstream that receives the caller's full deadline instead of the time that is left.
 #[tokio::test]
 async fn the_remaining_time_is_forwarded() {
--- a/crates/lw-place/src/lib.rs
+++ b/crates/lw-place/src/lib.rs
@@ -14,4 +14,4 @@
     AnnouncedAttempt, AttemptId, Candidate, Ended, Fleet, LimitReport, Placement, PlacementRequest,
     Refusal, TurnRequest, UpstreamPool,
 };
-pub use prompt::{Prompt, RANK_MAX, Segment, salt};
+pub use prompt::{CacheScope, Prompt, RANK_MAX, Segment, salt};
--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -9,7 +9,7 @@
     Placement, PlacementRequest, Prompt, Refusal, UpstreamPool, UpstreamState, queue::NewRequest,
     source::Source, upstream_state::as_f64,
 };
-use crate::{RANK_MAX, cache::SegmentKey, salt};
+use crate::{CacheScope, RANK_MAX, cache::SegmentKey, salt};
 
 /// Cost of each millisecond of prefill, in addition to the latency of the request itself: a prefill that repeats the
 /// work of another engine takes time from other requests.
@@ -50,7 +50,8 @@
 /// cached without one are shared by all.
 fn has_known_salt(request: &PlacementRequest<'_>, state: &UpstreamState) -> bool {
     let Some(prompt) = request.prompt else { return true };
-    let needs_salt = !prompt.model.is_empty() || prompt.isolated_workspace.is_some();
+    let needs_salt =
+        !prompt.model.is_empty() || matches!(prompt.cache_scope, CacheScope::Isolated(_));
     !needs_salt || state.versions.contains_key(&prompt.model)
 }
 
@@ -177,7 +178,7 @@
 
     /// Finds the keys of a prompt's segments under a version of the weights, and who can provide them.
     fn look_up_segments(&self, now: Now, prompt: &Prompt, version: u64) -> SegmentLookup<'_> {
-        let salt = salt(&prompt.model, version, prompt.isolated_workspace.as_deref());
+        let salt = salt(&prompt.model, version, &prompt.cache_scope);
         let keys = prompt.keys(&salt);
         let sources = self.sources(now, &keys[..prompt.shared().len()]);
         SegmentLookup { salt, keys, sources }
--- a/crates/lw-place/src/prompt.rs
+++ b/crates/lw-place/src/prompt.rs
@@ -15,6 +15,25 @@
     pub tokens: u64,
 }
 
+/// The requests with which the cached segments of a prompt are shared.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CacheScope {
+    /// Those of all workspaces that are not isolated.
+    Shared {
+        /// Identifies the set of isolated workspaces. What was cached under another set may have been made by a workspace that
+        /// is isolated now.
+        isolated_set: u64,
+    },
+    /// Those of this isolated workspace.
+    Isolated(WorkspaceId),
+}
+
+impl Default for CacheScope {
+    fn default() -> Self {
+        Self::Shared { isolated_set: 0 }
+    }
+}
+
 /// A prompt and what it needs of an engine.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -26,8 +45,8 @@
     pub tokens: u64,
     /// Expected tokens of the answer.
     pub output_tokens: u64,
-    /// Workspace that shares no cached segments with other workspaces, if the request belongs to one.
-    pub isolated_workspace: Option<WorkspaceId>,
+    /// Requests that its cached segments are shared with.
+    pub cache_scope: CacheScope,
     /// Rank at an engine among the requests that can meet their target latency, from 0, the most urgent, to
     /// [`RANK_MAX`].
     pub rank: u8,
@@ -50,17 +69,20 @@
 }
 
 /// Returns the salt under which an engine caches the segments of a prompt: requests share segments only within one
-/// version of the weights, and an isolated workspace shares none with others.
+/// version of the weights and one scope.
 ///
 /// ```
-/// use lw_place::salt;
-/// assert_ne!(salt("m", 1, None), salt("m", 2, None));
-/// assert_ne!(salt("m", 1, None), salt("m", 1, Some("w")));
+/// use lw_place::{CacheScope, salt};
+/// let shared = CacheScope::default();
+/// assert_ne!(salt("m", 1, &shared), salt("m", 2, &shared));
+/// assert_ne!(salt("m", 1, &shared), salt("m", 1, &CacheScope::Isolated("w".into())));
+/// assert_ne!(salt("m", 1, &shared), salt("m", 1, &CacheScope::Shared { isolated_set: 7 }));
 /// ```
 #[must_use]
-pub fn salt(model: &str, version: u64, isolated_workspace: Option<&str>) -> String {
-    let suffix = isolated_workspace
-        .map(|workspace| format!("-{:016x}", xxh3_64(workspace.as_bytes())))
-        .unwrap_or_default();
+pub fn salt(model: &str, version: u64, scope: &CacheScope) -> String {
+    let suffix = match scope {
+        CacheScope::Shared { isolated_set } => format!("-s{isolated_set:016x}"),
+        CacheScope::Isolated(workspace) => format!("-{:016x}", xxh3_64(workspace.as_bytes())),
+    };
     format!("{:08x}-{version}{suffix}", xxh3_64(model.as_bytes()) >> 32)
 }
