lw-quarantine: a prompt that was at five crashes is blamed

Cause: a segment that was in one prompt only was blamed after eight crashes, since a sound request can meet failing engines by chance.

Change: five crashes, if no answer on the segment was ever sound. One request has two attempts, and its caller sends it once more: four. A segment with earlier sound answers in one prompt still needs eight. What is refused is that prompt alone.

--- a/crates/lw-daemon/tests/faulty_answers.rs
+++ b/crates/lw-daemon/tests/faulty_answers.rs
@@ -50,14 +50,14 @@
                     Answer::Bytes(bytes) => drop(stream.write_all(bytes).await),
                     Answer::Endless(first, repeated) => {
                         let repeated = repeated.repeat((16 << 10) / repeated.len());
-                        let send = async {
+                        let sending = async {
                             stream.write_all(first).await?;
                             loop {
                                 stream.write_all(&repeated).await?;
                             }
                         };
                         let sent: Result<std::io::Result<()>, _> =
-                            tokio::time::timeout(ENDLESS_TIME, send).await;
+                            tokio::time::timeout(ENDLESS_TIME, sending).await;
                         drop(sent);
                     }
                 }
--- a/crates/lw-quarantine/src/culprits.rs
+++ b/crates/lw-quarantine/src/culprits.rs
@@ -28,8 +28,11 @@
 /// Crashes of those that must be left without the prompt that was at most of them: a sound request can be sent to one
 /// failing engine after the other.
 const CRASHES_MIN_OTHER_PROMPTS: usize = 2;
-/// Crashes from which on a segment is blamed whatever prompts it was in.
-const CRASHES_MIN_ONE_PROMPT: usize = 8;
+/// Crashes from which on a segment without sound answers is blamed although it was in one prompt: more than the attempts
+/// of one request and of its caller's retry.
+const CRASHES_MIN_ONE_PROMPT: usize = 5;
+/// Crashes from which on a segment in one prompt is blamed that had sound answers before the first of them.
+const CRASHES_MIN_ONE_PROMPT_ONCE_SOUND: usize = 8;
 /// Crashes within this time count as one: a power failure or a network fault ends several engines at once, whereas a
 /// request crashes one engine after the other.
 const SAME_CAUSE_TIME: Duration = Duration::from_millis(30);
@@ -154,7 +157,8 @@
 impl Candidate<'_> {
     fn is_suspicious_enough(&self) -> bool {
         let causes_min = match (self.other_causes, self.is_once_sound) {
-            (..CRASHES_MIN_OTHER_PROMPTS, _) => CRASHES_MIN_ONE_PROMPT,
+            (..CRASHES_MIN_OTHER_PROMPTS, true) => CRASHES_MIN_ONE_PROMPT_ONCE_SOUND,
+            (..CRASHES_MIN_OTHER_PROMPTS, false) => CRASHES_MIN_ONE_PROMPT,
             (_, true) => CRASHES_MIN_ONCE_SOUND,
             (_, false) => CRASHES_MIN,
         };
