lw-edge: a VM that was paused does not report engines as unresponsive

Cause: calls for cache events have a time limit, which had passed while the VM stood still. It took its own pause for the silence of each engine that it follows.

Change: a call whose end comes 150 ms or more after its time limit says nothing about the engine, and is made again at once. Not changed: VMs still act on a report at once, also on one of a VM that alone has lost its path to the engine.

a_paused_vm_does_not_report_engines_as_unresponsive failed before (the stream runs at two engines).

--- a/crates/lw-edge/src/feeds/mod.rs
+++ b/crates/lw-edge/src/feeds/mod.rs
@@ -22,6 +22,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Delay of the end of a time limit from which on this VM itself was paused or overloaded, so that the call says nothing
+/// about the engine.
+const OWN_PAUSE_MIN: Duration = Duration::from_millis(150);
 /// Time for which an unresponsive engine gets no work, unless it answers before.
 const UNRESPONSIVE_TIME: Duration = Duration::from_secs(5);
 /// Number of VMs that follow the events of one holder, since holders limit the number of calls that wait.
@@ -127,6 +130,10 @@
                     report_responsive(&edge, &holder);
                 }
             }
+            Err(_) if edge.timer.now() >= called_at + wait + ANSWER_TIMEOUT + OWN_PAUSE_MIN => {
+                log::info!(target: "route", upstream = holder_name(&holder);
+                    "call for cache events ended late, this VM was paused");
+            }
             Err(e) => {
                 if !std::mem::replace(&mut is_unresponsive, true) {
                     log::warn!(target: "route", upstream = holder_name(&holder), why = e.to_string();
--- a/crates/lw-edge/tests/streams.rs
+++ b/crates/lw-edge/tests/streams.rs
@@ -116,3 +116,23 @@
         }
     }
 }
+
+/// Guards against sound streams that are cut and resumed elsewhere since a VM that was paused takes its own pause for the
+/// silence of the engines.
+#[tokio::test]
+async fn a_paused_vm_does_not_report_engines_as_unresponsive() {
+    let simulation = Simulation::start().await;
+    tokio::time::sleep(ms(500)).await;
+    simulation.faults.push(Behaviour::DelayedEvents(ms(120)));
+    let stream = async {
+        let reply = simulation.send(&request("paused", "/long/x")).await.expect("an answer");
+        assert!(reply.is_complete, "{}", reply.text());
+    };
+    let pause = async {
+        tokio::time::sleep(ms(200)).await;
+        // The whole process stands still, as after SIGSTOP.
+        std::thread::sleep(ms(700));
+    };
+    tokio::join!(stream, pause);
+    assert_eq!(simulation.run_count("paused"), 1);
+}
