lw-edge: a report of another VM does not cut a stream that is being sent

Change: a report that an engine is unresponsive cuts no stream whose engine has sent a part of it within 0.25 s. Of an engine that really is silent, the streams with younger bytes go on elsewhere at the next report, 0.6 s later by the time limits (not measured); the others at once as before. Requests without a first byte are cut at any report: an engine that is up and busy sends nothing for them either.

a_report_of_another_vm_cuts_only_silent_answers failed before (the sound stream ran twice); its second half, a silent engine that is left at once, passed before and after.

--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -24,6 +24,10 @@
 /// one that does crashes it as the answer begins.
 const SOUND_SENDING_TIME: Duration = Duration::from_millis(250);
 
+/// Time since the last bytes of an answer within which its engine is not unresponsive, whatever other VMs report: one of them
+/// may have lost its path to the engine. They report an engine that stays silent again after 0.6 s.
+const HEARD_TIME: Duration = Duration::from_millis(250);
+
 /// Outcome of sending a request to an upstream.
 #[derive(Debug)]
 pub(super) enum SendOutcome {
@@ -276,10 +280,15 @@
         }
     }
 
-    /// Returns when the upstream has become unresponsive. Waits forever if the request must not run again elsewhere.
+    /// Returns when the upstream is reported as unresponsive, unless it has just sent a part of this answer. Waits forever if
+    /// the request must not run again elsewhere.
     pub async fn upstream_unresponsive(&self) {
-        if self.call.route.kind.may_repeat() {
-            return self.edge.wait_until_unresponsive(&self.placement.upstream.id).await;
+        while self.call.route.kind.may_repeat() {
+            self.edge.wait_until_unresponsive(&self.placement.upstream.id).await;
+            let heard_at = self.progress.last_bytes_at.max(self.progress.head_at);
+            if heard_at.is_none_or(|at| self.edge.timer.now() >= at + HEARD_TIME) {
+                return;
+            }
         }
         std::future::pending::<()>().await;
     }
--- a/crates/lw-edge/tests/streams.rs
+++ b/crates/lw-edge/tests/streams.rs
@@ -6,7 +6,11 @@
 use std::time::Instant;
 
 use common::{Simulation, ms, request};
-use lw_standin::hosted::upstream::{Behaviour, STREAM_EVENTS, event};
+use lw_edge::{
+    peers::{self, Notice},
+    run::Vm,
+};
+use lw_standin::hosted::upstream::{Behaviour, STREAM_EVENTS, Upstream, event};
 
 /// Deadline of the requests of the tests.
 const DEADLINE_MS: u64 = 1_500;
@@ -136,3 +140,33 @@
     tokio::join!(stream, pause);
     assert_eq!(simulation.run_count("paused"), 1);
 }
+
+/// Guards against a sound stream that is cut and resumed elsewhere on the word of a VM that alone has lost its path to the
+/// engine, and against a request that stays at an engine that is silent.
+#[tokio::test]
+async fn a_report_of_another_vm_cuts_only_silent_answers() {
+    let simulation = Simulation::start().await;
+    let second = Vm::start(simulation.further_settings("vm-2"), simulation.logs.clone()).await;
+    let second = second.unwrap();
+    simulation.wait_until_joined(&second).await;
+    for (id, behaviour, runs) in
+        [("sound", Behaviour::DelayedEvents(ms(150)), 1), ("silent", Behaviour::NoAnswer, 2)]
+    {
+        simulation.faults.push(behaviour);
+        let sent = request(id, "/long/x");
+        let stream = simulation.send(&sent);
+        let report = async {
+            tokio::time::sleep(ms(400)).await;
+            let engine = |engine: &&Upstream| {
+                engine.received().iter().any(|got| got.request.header("x-attempt-id") == Some(id))
+            };
+            let upstream = simulation.engines.iter().find(engine).expect("it runs").id.clone();
+            peers::broadcast(&second.edge, Notice::Unresponsive { upstream, ms: 500 });
+        };
+        let (reply, ()) = tokio::join!(stream, report);
+        let reply = reply.expect("an answer");
+        assert!(reply.is_complete, "{id}: {}", reply.text());
+        assert_eq!(reply.body, events(), "{id}");
+        assert_eq!(simulation.run_count(id), runs, "{id}");
+    }
+}
