--- a/crates/lw-quarantine/tests/one_prompt.rs
+++ b/crates/lw-quarantine/tests/one_prompt.rs
@@ -1,6 +1,6 @@
 //! Guards against one prompt that crashes engine after engine, since its callers send it again and again.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use lw_quarantine::{CrashReport, Quarantine, Suspect};
 
@@ -25,7 +25,7 @@
         quarantine.record_report(seconds(n), &format!("vm-{n}"), &report);
         // Other requests show that the shared segment is sound.
         quarantine.record_sound(seconds(n) + Duration::from_millis(100), &[3, 200 + n]);
-        quarantine.poll(seconds(n) + Duration::from_millis(900), &Default::default(), 0);
+        quarantine.poll(seconds(n) + Duration::from_millis(900), &HashMap::default(), 0);
     }
     (quarantine, seconds(crashes + 1))
 }
@@ -56,7 +56,7 @@
         let upstream = format!("engine-{n}");
         let report = CrashReport { upstream, age: Duration::ZERO, suspects };
         quarantine.record_report(seconds(n), &format!("vm-{n}"), &report);
-        quarantine.poll(seconds(n) + Duration::from_millis(900), &Default::default(), 0);
+        quarantine.poll(seconds(n) + Duration::from_millis(900), &HashMap::default(), 0);
         assert!(quarantine.time_left(seconds(n + 1), &DEADLY).is_none(), "{n} crashes");
     }
 }
