lw-daemon: idle connections to services are closed

A call that may not be repeated always opens a new one, so that after connections_max such calls none could be opened.

connections_of_earlier_calls_to_services_do_not_count_for_long failed before (call 20 of 32 with 20 connections: not sent).

--- a/crates/lw-daemon/src/run/mod.rs
+++ b/crates/lw-daemon/src/run/mod.rs
@@ -18,7 +18,7 @@
 use volo_http::{context::ServerContext, request::Request, response::Response, server::Server};
 
 use crate::{
-    callers, claims, limits, members, observe, operators, orders, peers,
+    callers, claims, limits, members, observe, operators, orders, peers, services,
     tables::{BALANCER_UPDATE_DELAY, Tables},
 };
 
@@ -86,6 +86,7 @@
     tokio::spawn(claims::run(Arc::clone(&tables)));
     tokio::spawn(members::poll_vm_list(Arc::clone(&tables)));
     tokio::spawn(observe::poll_engines(Arc::clone(&tables)));
+    tokio::spawn(services::close_idle_connections(Arc::clone(&tables)));
     log::info!("run: {} serves callers on {}", tables.settings.vm, listen.callers);
     let (limits, timeouts) = (&tables.settings.limits, &tables.settings.timeouts);
     let connection_limits = Connections::new(tables.timer, limits.connections_max, timeouts.head);
--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -25,6 +25,9 @@
 /// Timeout for the response headers of a service.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time between two checks of the idle connections to services.
+const IDLE_CHECK_PERIOD: Duration = Duration::from_millis(500);
+
 /// A caller's request to a service.
 #[derive(Debug)]
 pub struct IncomingCall {
@@ -45,6 +48,19 @@
     body: Bytes,
 }
 
+/// Closes connections to services that have been idle for too long, or whose instance is gone, until the process ends.
+pub async fn close_idle_connections(tables: Arc<Tables>) {
+    let mut ticks = tables.timer.subscribe(IDLE_CHECK_PERIOD);
+    loop {
+        ticks.tick().await;
+        let Some(active) = tables.active_config() else { continue };
+        let upstreams = &active.document.upstreams;
+        tables.service_connections.close_unused(|(addr, id)| {
+            upstreams.get(&**id).is_some_and(|upstream| upstream.address == *addr)
+        });
+    }
+}
+
 /// Sends a call to an instance of the service and returns its answer.
 ///
 /// # Errors
--- a/crates/lw-daemon/tests/connections.rs
+++ b/crates/lw-daemon/tests/connections.rs
@@ -204,3 +204,22 @@
         .await;
     assert!(since.elapsed() < HEAD_TIMEOUT + CLOSE_DELAY_MAX, "{:?}", since.elapsed());
 }
+
+/// Guards against connections to services that stay open after a call that may not be repeated, until no further one can be
+/// opened: such a call always uses a new connection.
+#[tokio::test]
+async fn connections_of_earlier_calls_to_services_do_not_count_for_long() {
+    let settings = "timeouts:\n  pool_idle: 100ms\nlimits:\n  connections_max: 20\n";
+    let options = Options { settings: settings.to_owned(), ..Options::default() };
+    let fleet = Fleet::start("idle-services", options).await;
+    for n in 0..32 {
+        if n == 16 {
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+        }
+        let key = n.to_string();
+        let headers = [("idempotency-key", key.as_str())];
+        let (status, body) =
+            fleet.call_service(0, http::Method::POST, "/bookings", &headers, "{}").await;
+        assert_eq!(status, 200, "call {n}: {body}");
+    }
+}
