lw-daemon: a late request in a drain is refused as any other

The refusal in a drain wrote again what `respond` does with every failure, left out the line in the decision log, and named the time that is the default of `Failure::retry_after_secs`. It is a failure of `route` now; its answer still closes the connection.

--- a/crates/lw-daemon/src/callers/mod.rs
+++ b/crates/lw-daemon/src/callers/mod.rs
@@ -19,8 +19,6 @@
 pub mod rollout;
 
 const DEADLINE_MAX_MS: u64 = 600_000;
-/// `retry-after` of requests to a VM that is shutting down; the other VMs serve at once.
-const RETRY_AFTER_LEAVING: Duration = Duration::from_secs(1);
 const SERVICES_PREFIX: &str = "/v1/services/";
 
 /// The caller of a request and the settings that apply to the request.
@@ -61,7 +59,6 @@
     let mut response = match (req.method().as_str(), req.uri().path()) {
         ("GET", "/healthz") => text(StatusCode::OK, "ok"),
         ("GET", "/readyz") => readiness(&tables),
-        _ if tables.is_refusing_requests() => refuse(&tables, req).await,
         _ => respond(&tables, req, &id).await,
     };
     if let Ok(value) = HeaderValue::from_str(&id) {
@@ -70,26 +67,29 @@
     response
 }
 
-/// Refuses a request that arrives late in a drain. A connection that is kept in use would otherwise keep the VM from ending.
-async fn refuse(tables: &Tables, req: Request) -> Response {
-    server::discard(req.into_body()).await;
-    let failure = Failure::new(ResultCode::Draining, "this VM is shutting down");
-    tables.statsd.count_result(failure.code);
-    let mut response = server::failure(&failure.retry_after(RETRY_AFTER_LEAVING));
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
 async fn respond(tables: &Arc<Tables>, req: Request, id: &str) -> Response {
     let guard = tables.track_request();
     route(tables, req, id, guard).await.unwrap_or_else(|failure| {
         let (number, name) = (failure.code.number(), failure.code.name());
         tables.record_step("http", id, &format!("answered {number} {name}: {}", failure.message));
         tables.statsd.count_result(failure.code);
-        server::failure(&failure)
+        let mut response = server::failure(&failure);
+        // A connection that stays in use would keep a leaving VM from ending.
+        if failure.code == ResultCode::Draining {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
     })
 }
 
+/// Refuses requests that arrive late in a drain.
+fn check_accepting(tables: &Tables) -> Result<(), Failure> {
+    if tables.is_refusing_requests() {
+        return Err(Failure::new(ResultCode::Draining, "this VM is shutting down"));
+    }
+    Ok(())
+}
+
 async fn route(
     tables: &Arc<Tables>,
     req: Request,
@@ -97,13 +97,14 @@
     guard: crate::tables::InFlightGuard,
 ) -> Result<Response, Failure> {
     let (parts, body) = req.into_parts();
-    let caller = match authenticate(tables, &parts.headers, id) {
-        Ok(caller) => caller,
-        Err(failure) => {
-            server::discard(body).await;
-            return Err(failure);
-        }
-    };
+    let caller =
+        match check_accepting(tables).and_then(|()| authenticate(tables, &parts.headers, id)) {
+            Ok(caller) => caller,
+            Err(failure) => {
+                server::discard(body).await;
+                return Err(failure);
+            }
+        };
     let path = parts.uri.path();
     match (&parts.method, path) {
         (&Method::POST, "/v1/chat/completions") => {
