--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -177,6 +177,9 @@
 
 /// Tries to acquire the lease and reports the result to the issuer.
 pub(super) async fn acquire(edge: Arc<Edge>, op: u64) {
+    let report = |result| {
+        edge.orders.issuer().on_lease_result(edge.timer.now_including_suspend(), op, result);
+    };
     match create_lease(&edge).await {
         Ok((term, is_after_loss)) => {
             if let Err(term) = begin_term(&edge, op, term, is_after_loss) {
@@ -184,16 +187,10 @@
                 end_term(&edge, &term).await;
             }
         }
+        Err(Error::Conflict) => report(LeaseResult::Refused),
         Err(e) => {
-            let result = match e {
-                Error::Conflict => LeaseResult::Refused,
-                e => {
-                    log::debug!(target: "order", why = e.to_string(); "lease not acquired");
-                    LeaseResult::Failed
-                }
-            };
-            let now = edge.timer.now_including_suspend();
-            edge.orders.issuer().on_lease_result(now, op, result);
+            log::debug!(target: "order", why = e.to_string(); "lease not acquired");
+            report(LeaseResult::Failed);
         }
     }
     // The VM may have received the signal to terminate during the call.
