--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -42,6 +42,13 @@
     DelayedAnswers,
 }
 
+impl StoreMode {
+    /// Whether calls are answered as the platform's store does, if late.
+    fn is_answering(self) -> bool {
+        matches!(self, Self::Normal | Self::DelayedWriteAnswers | Self::DelayedAnswers)
+    }
+}
+
 /// Chunk that [`StoreMode::Endless`] repeats.
 const ENDLESS_CHUNK: &[u8] = b"20\r\n{\"Events\":[{\"Key\":\"aaaaaaaaaaaaa\r\n";
 
@@ -390,14 +397,7 @@
         let changed = shared.changed.notified();
         {
             let state = shared.lock();
-            let is_answering = matches!(
-                state.mode,
-                StoreMode::Normal | StoreMode::DelayedWriteAnswers | StoreMode::DelayedAnswers
-            );
-            if !is_answering {
-                return vec![Step::Reset];
-            }
-            if state.era != era {
+            if !state.mode.is_answering() || state.era != era {
                 return vec![Step::Reset];
             }
             if after < state.compacted || after > state.revision {
