lw-standin: upstreams that stand still for a while

An upstream that is stopped by a signal keeps its connections, but reads and sends nothing, reports included, and goes on later. No stand-in could do that: NoAnswer is for one request, a crash ends the connections.

--- a/crates/lw-standin/src/hosted/http.rs
+++ b/crates/lw-standin/src/hosted/http.rs
@@ -15,8 +15,9 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{mpsc, watch},
     task::JoinHandle,
+    time::Instant,
 };
 
 /// Maximum size of the head of a request.
@@ -112,6 +113,7 @@
     /// Address that it listens on.
     pub addr: SocketAddr,
     open: Arc<AtomicUsize>,
+    stalled_until: watch::Sender<Instant>,
     task: JoinHandle<()>,
 }
 
@@ -124,6 +126,12 @@
     pub fn open_requests(&self) -> usize {
         self.open.load(Ordering::Acquire)
     }
+
+    /// Lets the server stand still for this time, as a process that is stopped by a signal: it keeps its connections, but reads
+    /// and sends nothing.
+    pub fn stall(&self, time: Duration) {
+        self.stalled_until.send_replace(Instant::now() + time);
+    }
 }
 
 impl Drop for Server {
@@ -147,6 +155,8 @@
     let answer = Arc::new(answer);
     let open = Arc::new(AtomicUsize::new(0));
     let open_count = Arc::clone(&open);
+    let stalled_until = watch::Sender::new(Instant::now());
+    let stall = stalled_until.subscribe();
     let task = tokio::spawn(async move {
         let mut listener = listener;
         let (crash_tx, mut crash_rx) = mpsc::unbounded_channel();
@@ -171,61 +181,80 @@
             let answer = Arc::clone(&answer);
             let open_count = Arc::clone(&open_count);
             let crash_tx = crash_tx.clone();
+            let stall = stall.clone();
             connections.spawn(async move {
+                let connection = Connection { from, open: &open_count, crash_tx: &crash_tx, stall };
                 // A broken connection ends this task only; the caller detects it by itself.
-                let _ = serve_connection(stream, from, &open_count, &crash_tx, &*answer).await;
+                let _ = connection.serve(stream, &*answer).await;
             });
             while connections.try_join_next().is_some() {}
         }
     });
-    Ok(Server { addr, open, task })
+    Ok(Server { addr, open, stalled_until, task })
 }
 
-async fn serve_connection<F, R>(
-    mut stream: TcpStream,
+/// What one connection shares with its server.
+struct Connection<'a> {
     from: SocketAddr,
-    open: &AtomicUsize,
-    crash_tx: &CrashSender,
-    answer: &F,
-) -> io::Result<()>
-where
-    F: Fn(Request) -> R,
-    R: Future<Output = Vec<Step>>,
-{
-    stream.set_nodelay(true)?;
-    let mut buf = Vec::new();
-    while let Some(mut request) = read_request(&mut stream, &mut buf).await? {
-        request.from = Some(from);
-        let _guard = OpenGuard::new(open);
-        // Closing the connection cancels the request.
-        let steps = tokio::select! {
-            steps = answer(request) => steps,
-            () = wait_closed(&stream) => return Ok(()),
-        };
-        for step in steps {
-            match step {
-                Step::Send(bytes) => stream.write_all(&bytes).await?,
-                Step::Wait(time) => tokio::select! {
-                    () = tokio::time::sleep(time) => {}
-                    () = wait_closed(&stream) => return Ok(()),
-                },
-                Step::Repeat(bytes) => loop {
-                    stream.write_all(bytes).await?;
-                },
-                Step::Close => return Ok(()),
-                Step::Reset => {
-                    stream.set_zero_linger()?;
-                    return Ok(());
-                }
-                Step::Crash(down) => {
-                    // The receiver is dropped only with the server.
-                    let _ = crash_tx.send(down);
-                    std::future::pending::<()>().await;
+    open: &'a AtomicUsize,
+    crash_tx: &'a CrashSender,
+    stall: watch::Receiver<Instant>,
+}
+
+impl Connection<'_> {
+    async fn serve<F, R>(self, mut stream: TcpStream, answer: &F) -> io::Result<()>
+    where
+        F: Fn(Request) -> R,
+        R: Future<Output = Vec<Step>>,
+    {
+        stream.set_nodelay(true)?;
+        let mut buf = Vec::new();
+        while let Some(mut request) = read_request(&mut stream, &mut buf).await? {
+            request.from = Some(self.from);
+            let _guard = OpenGuard::new(self.open);
+            self.wait_until_running().await;
+            // Closing the connection cancels the request.
+            let steps = tokio::select! {
+                steps = answer(request) => steps,
+                () = wait_closed(&stream) => return Ok(()),
+            };
+            for step in steps {
+                self.wait_until_running().await;
+                match step {
+                    Step::Send(bytes) => stream.write_all(&bytes).await?,
+                    Step::Wait(time) => tokio::select! {
+                        () = tokio::time::sleep(time) => {}
+                        () = wait_closed(&stream) => return Ok(()),
+                    },
+                    Step::Repeat(bytes) => loop {
+                        stream.write_all(bytes).await?;
+                    },
+                    Step::Close => return Ok(()),
+                    Step::Reset => {
+                        stream.set_zero_linger()?;
+                        return Ok(());
+                    }
+                    Step::Crash(down) => {
+                        // The receiver is dropped only with the server.
+                        let _ = self.crash_tx.send(down);
+                        std::future::pending::<()>().await;
+                    }
                 }
             }
         }
+        Ok(())
+    }
+
+    /// Waits until the server no longer stands still.
+    async fn wait_until_running(&self) {
+        loop {
+            let until = *self.stall.borrow();
+            if Instant::now() >= until {
+                return;
+            }
+            tokio::time::sleep_until(until).await;
+        }
     }
-    Ok(())
 }
 
 /// Counts a request as open until it is dropped.
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -216,6 +216,11 @@
         lock(&self.state).internal_behaviour = behaviour;
     }
 
+    /// Lets it stand still for this time: it keeps its connections, but reads and sends nothing.
+    pub fn stall(&self, time: Duration) {
+        self.server.stall(time);
+    }
+
     /// Sets the queue of behaviours, which other upstreams can share.
     pub fn set_queue(&self, queue: &BehaviourQueue) {
         lock(&self.state).queue = queue.clone();
