lw-edge: streams that the end of their VM cuts are logged

A stream that is still running when its VM ends was cut without a line that names it, or logged as "caller left", so that the log could not tell the hypothesis "end of the grace" from a caller that closed its connection. Now such streams end after the last answers have been written, as before, with "stream broken off ... this VM ends before the stream".

a_stream_that_outlasts_its_vm_is_logged failed before. When requests are given up does not change.

--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     distribution, feeds, follow, limits, observe, orders, peers, quarantine, register, restore,
-    serve, state::Edge,
+    serve,
+    state::{Edge, GivenUp},
 };
 
 /// Time before the platform kills the process at which a leaving VM gives up the requests in flight and ends.
@@ -200,9 +201,12 @@
     let time_max = edge.bounds().grace.saturating_sub(KILL_MARGIN);
     let refuses = || edge.is_refusing_requests();
     if !wait_until_closed(edge, connections, started + time_max, refuses).await {
-        edge.give_up_requests();
+        edge.give_up(GivenUp::Unanswered);
         let end = edge.timer.now() + LAST_ANSWERS_TIME;
-        wait_until_closed(edge, connections, end, || true).await;
+        if !wait_until_closed(edge, connections, end, || true).await {
+            edge.give_up(GivenUp::Streams);
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
     }
     log::info!(target: "run", in_flight = edge.in_flight(); "ended");
 }
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -17,7 +17,7 @@
     record::RequestRecord,
     relay::Relay,
 };
-use crate::state::Edge;
+use crate::state::{Edge, GivenUp};
 
 /// `retry-after` of a refusal without a better estimate.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -32,7 +32,7 @@
     let mut driver = Driver::new(edge, &call, record);
     let accepted = tokio::select! {
         accepted = driver.run_attempts() => Some(accepted),
-        () = edge.wait_until_ending() => None,
+        () = edge.wait_until_given_up(GivenUp::Unanswered) => None,
     };
     match accepted.unwrap_or_else(|| Err(driver.ending_failure())) {
         Ok(Accepted::Complete(answer)) => answer,
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -1,6 +1,6 @@
 //! Relays a stream to its caller, and resumes it with another attempt if it breaks.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body::Frame;
@@ -14,6 +14,7 @@
     attempt::{Attempt, IncomingAnswer, SendOutcome},
     forward::Driver,
 };
+use crate::state::GivenUp;
 
 /// A stream that is being relayed to its caller.
 pub(super) struct Relay {
@@ -59,7 +60,12 @@
     pub fn into_body(self) -> AnswerBody {
         let frames = futures::stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
-            match relay.next().await {
+            let edge = Arc::clone(&relay.driver.edge);
+            let next = tokio::select! {
+                next = relay.next() => next,
+                () = edge.wait_until_given_up(GivenUp::Streams) => Err(relay.give_up()),
+            };
+            match next {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
                 Ok(None) => None,
                 Err(e) => Some((Err(e), None)),
@@ -68,6 +74,16 @@
         BodyExt::boxed_unsync(StreamBody::new(frames))
     }
 
+    /// Ends the stream since the process is about to end.
+    fn give_up(&mut self) -> BodyError {
+        let why = "this VM ends before the stream";
+        if let Some((_, attempt)) = self.current.take() {
+            attempt.end(Ended::Cancelled, why);
+        }
+        self.driver.record.record_broken_stream(why, self.relayed_bytes);
+        why.into()
+    }
+
     /// Returns the next bytes for the caller, or none at the end of the stream.
     ///
     /// # Errors
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -64,6 +64,17 @@
 /// Fraction of the fleet's retry budget that the VMs use. Less than 1, since each VM counts retries on its own.
 const RETRY_BUDGET_FRACTION: f64 = 0.8;
 
+/// Requests that a VM gives up, since its process is about to end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum GivenUp {
+    /// None.
+    Nothing,
+    /// Those without an answer.
+    Unanswered,
+    /// Streams that have begun as well.
+    Streams,
+}
+
 /// State that all requests and tasks of a VM share.
 #[derive(Debug)]
 pub struct Edge {
@@ -103,8 +114,8 @@
     /// Wakes the requests that are in flight at an upstream that has become unresponsive.
     unresponsive: broadcast::Sender<UpstreamId>,
     leaving_since: OnceLock<Now>,
-    /// Whether the process is about to end, so that requests without an answer must be given up.
-    is_ending: watch::Sender<bool>,
+    /// What is given up, since the process is about to end.
+    given_up: watch::Sender<GivenUp>,
     in_flight: AtomicUsize,
 }
 
@@ -170,7 +181,7 @@
             version_age_query: peers::VersionAgeQuery::default(),
             era_changed: Notify::new(),
             unresponsive: broadcast::Sender::new(UNRESPONSIVE_PENDING_MAX),
-            is_ending: watch::Sender::new(false),
+            given_up: watch::Sender::new(GivenUp::Nothing),
             leaving_since: OnceLock::new(),
             bounds: Mutex::new(settings.bounds),
             in_flight: AtomicUsize::new(0),
@@ -417,15 +428,15 @@
         self.leaving_since.get_or_init(|| self.timer.now());
     }
 
-    /// Gives up the requests without an answer, since the process is about to end.
-    pub fn give_up_requests(&self) {
-        self.is_ending.send_replace(true);
+    /// Gives requests up, since the process is about to end.
+    pub fn give_up(&self, given_up: GivenUp) {
+        self.given_up.send_replace(given_up);
     }
 
-    /// Waits until the process is about to end.
-    pub async fn wait_until_ending(&self) {
+    /// Waits until these requests, or more, are given up.
+    pub async fn wait_until_given_up(&self, awaited: GivenUp) {
         // The sender lives as long as this.
-        let _ = self.is_ending.subscribe().wait_for(|is_ending| *is_ending).await;
+        let _ = self.given_up.subscribe().wait_for(|given_up| *given_up >= awaited).await;
     }
 
     /// Counts a request as in flight until the guard is dropped.
--- a/crates/lw-edge/tests/leaving.rs
+++ b/crates/lw-edge/tests/leaving.rs
@@ -71,3 +71,31 @@
         assert_eq!(simulation.run_count(&format!("unfinished{path}")), 1, "{path}");
     }
 }
+
+/// Guards against a stream that the end of its VM cuts without a line in the log that names it.
+#[tokio::test]
+async fn a_stream_that_outlasts_its_vm_is_logged() {
+    let bounds = Bounds { grace: ms(1_500), ..common::bounds() };
+    let mut simulation = Simulation::start_with(bounds).await;
+    for engine in &simulation.engines {
+        engine.set_behaviour(Behaviour::DelayedEvents(ms(280)));
+    }
+    let leaving = tokio::spawn(simulation.vm.take().unwrap().leave());
+    let mut callers = Vec::new();
+    for path in ["/long/x", "/short/x"] {
+        let mut caller = Caller::connect(simulation.settings.callers).await.unwrap();
+        caller.send(&request(&format!("outlasting{path}"), path)).await;
+        callers.push((path, caller));
+    }
+    leaving.await.unwrap();
+    for (path, mut caller) in callers {
+        let answer = caller.read_answer().await.expect("the start of an answer");
+        assert!(!answer.is_complete, "{path}: {}", answer.text());
+        let is_logged = async |_: &Simulation| {
+            let log = common::log_output();
+            let mut lines = log.lines().filter(|line| line.contains("stream broken off"));
+            lines.any(|line| line.contains(&format!("outlasting{path}")))
+        };
+        simulation.wait_until("the cut stream is logged", is_logged).await;
+    }
+}
