lw-edge: a silent attempt is given up only for one that takes its place

Callers saw resumable streams that ended without a whole answer, up to seconds before their deadline, while their engine only stood still.

Cause: an engine that does not answer calls for cache events for 0.45 s is reported to all VMs, which gave up the attempts there that may run again, and only then looked for another engine. If none could take over (all silent, no attempt or retry left, the next one refuses), the stream ended, and a request without an answer got 502, though the engine would have gone on.

Change: a report makes another attempt beside the silent one, if an engine that does not count as failed itself is found within the limits on attempts and retries. Whichever sends first goes on. If none takes over, the silent attempt is kept until its deadline, and the next report, 0.6 s later, tries again. That an engine is silent still counts as evidence against the prompt at once.

Ruled out: waiting longer before a report counts (a dead engine would cost every caller that time, and a longer silence would still cut); checking for another engine before letting go, without an overlap (the other may still refuse).

--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -12,7 +12,11 @@
 
 use lw_types::prelude::*;
 
-use super::{Call, record::millis};
+use super::{
+    Call,
+    record::millis,
+    takeover::{SentAttempt, Signals},
+};
 use crate::{
     limits,
     peers::{self, Announcement},
@@ -24,7 +28,7 @@
 /// one that does crashes it as the answer begins.
 const SOUND_SENDING_TIME: Duration = Duration::from_millis(250);
 
-/// Time since the last bytes of an answer within which its engine is not unresponsive, whatever other VMs report: one of them
+/// Time since the last bytes of an answer within which its engine is not silent, whatever other VMs report: one of them
 /// may have lost its path to the engine. They report an engine that stays silent again after 0.6 s.
 const HEARD_TIME: Duration = Duration::from_millis(250);
 
@@ -62,6 +66,8 @@
     progress: Progress,
     /// Whether the attempt was announced to the other VMs, so that its end must be announced too.
     is_announced: bool,
+    /// Whether its prompt is recorded as one that may have crashed its upstream.
+    is_suspect: bool,
     is_ended: bool,
 }
 
@@ -84,7 +90,7 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.end_once(Ended::Cancelled, "the caller left");
+        self.end_once(Ended::Cancelled, "the caller left, or another attempt goes on");
     }
 }
 
@@ -109,6 +115,7 @@
             started_at: now,
             progress: Progress::default(),
             is_announced,
+            is_suspect: false,
             is_ended: false,
         };
         attempt.log_placement(number);
@@ -140,14 +147,20 @@
     }
 
     /// Ends an attempt whose answer the upstream broke off, or never began.
-    pub fn end_broken(self, why: &str) {
+    pub fn end_broken(mut self, why: &str) {
+        self.suspect_prompt();
+        self.end(Ended::Failed, why);
+    }
+
+    /// Records that the prompt may have crashed the upstream, unless the answer has shown that it is sound.
+    pub fn suspect_prompt(&mut self) {
         if let Some(prompt) = &self.call.prompt
             && self.progress.sending_time() < SOUND_SENDING_TIME
+            && !std::mem::replace(&mut self.is_suspect, true)
         {
             let upstream = &self.placement.upstream.id;
             quarantine::record_broken(&self.edge, upstream, self.id, prompt);
         }
-        self.end(Ended::Failed, why);
     }
 
     /// Ends an attempt whose successful answer is complete.
@@ -239,7 +252,11 @@
     }
 
     /// Sends the request. With `last_event` the upstream resumes the stream after the event of this id.
-    pub async fn send(self, last_event: Option<u64>) -> SendOutcome {
+    pub fn send(self, last_event: Option<u64>) -> SentAttempt {
+        SentAttempt::new(|signals| self.exchange(last_event, signals))
+    }
+
+    async fn exchange(mut self, last_event: Option<u64>, mut signals: Signals) -> SendOutcome {
         let (edge, call) = (Arc::clone(&self.edge), Arc::clone(&self.call));
         let now = edge.timer.now();
         let left = call.due.saturating_sub(now);
@@ -247,15 +264,21 @@
             (self.placement.upstream.addr, self.placement.upstream.id.as_str().into());
         let req = self.request(call.deadline.saturating_sub(now), last_event);
         let reuse = if call.route.kind.may_repeat() { Reuse::Any } else { Reuse::Recent };
-        let upstream = self.placement.upstream.id.clone();
         let sent = async {
-            let sent = tokio::select! {
-                sent = edge.connection_pool.send(&key, req, reuse) => sent,
-                () = self.upstream_unresponsive() =>
-                    Err(Error::Broken(format!("{upstream} is unresponsive"))),
-                () = self.quarantined() => return None,
-            };
-            Some(sent)
+            let answer = edge.connection_pool.send(&key, req, reuse);
+            tokio::pin!(answer);
+            loop {
+                tokio::select! {
+                    sent = &mut answer => return Some(sent),
+                    () = self.upstream_silent() => {
+                        self.suspect_prompt();
+                        signals.report_silence();
+                    }
+                    () = signals.given_up() =>
+                        return Some(Err(Error::Broken("the upstream is silent".into()))),
+                    () = self.quarantined() => return None,
+                }
+            }
         };
         match tokio::time::timeout(left, sent).await {
             Err(_) => {
@@ -280,9 +303,9 @@
         }
     }
 
-    /// Returns when the upstream is reported as unresponsive, unless it has just sent a part of this answer. Waits forever if
-    /// the request must not run again elsewhere.
-    pub async fn upstream_unresponsive(&self) {
+    /// Returns when the upstream is reported as silent and has sent nothing of this answer lately. Waits forever if the request
+    /// must not run again elsewhere.
+    pub async fn upstream_silent(&self) {
         while self.call.route.kind.may_repeat() {
             self.edge.wait_until_unresponsive(&self.placement.upstream.id).await;
             let heard_at = self.progress.last_bytes_at.max(self.progress.head_at);
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -16,6 +16,7 @@
     attempt::{Attempt, IncomingAnswer, SendOutcome},
     record::RequestRecord,
     relay::Relay,
+    takeover::{Overlap, SentAttempt, overlap},
 };
 use crate::state::{Edge, GivenUp};
 
@@ -52,6 +53,15 @@
     Stream(Box<IncomingAnswer>),
 }
 
+/// What an attempt is made for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Purpose {
+    /// The request has no other attempt in flight.
+    Serve,
+    /// Another attempt is in flight, whose upstream is silent. It is left only for an upstream that answers.
+    TakeOver,
+}
+
 /// Makes the attempts of one request, within the route's limit on attempts and the service's retry budget.
 #[derive(Debug)]
 pub(super) struct Driver {
@@ -87,7 +97,7 @@
     async fn run_attempts(&mut self) -> Result<Accepted, Failure> {
         loop {
             let attempt = self.next_attempt().await?;
-            match attempt.send(None).await {
+            match self.outcome(attempt.send(None), None).await {
                 SendOutcome::Answer(incoming) => {
                     if let Some(accepted) = self.accept_answer(*incoming).await? {
                         return Ok(accepted);
@@ -106,7 +116,76 @@
 
     /// Begins the next attempt, if there is an upstream for it and the limits on attempts allow it.
     pub async fn next_attempt(&mut self) -> Result<Attempt, Failure> {
-        let placement = self.place_in_turn().await?;
+        self.begin_attempt(Purpose::Serve).await
+    }
+
+    /// Begins an attempt beside one whose upstream is silent, if another upstream may take over.
+    pub async fn take_over(&mut self, last_event: Option<u64>) -> Option<SentAttempt> {
+        match self.begin_attempt(Purpose::TakeOver).await {
+            Ok(attempt) => Some(attempt.send(last_event)),
+            Err(e) => {
+                log::info!(target: "route", request = self.call.head.request.as_str(),
+                    why = e.message.as_str(); "no upstream takes over from a silent one");
+                None
+            }
+        }
+    }
+
+    /// Waits for the outcome of an attempt. While its upstream is silent, another attempt is made beside it if one can be.
+    pub async fn outcome(&mut self, mut sent: SentAttempt, last_event: Option<u64>) -> SendOutcome {
+        loop {
+            if let Some(outcome) = sent.outcome_or_silence().await {
+                return outcome;
+            }
+            let second = tokio::select! {
+                biased;
+                outcome = sent.outcome() => return outcome,
+                second = self.take_over(last_event) => second,
+            };
+            let Some(mut second) = second else { continue };
+            self.may_have_run = true;
+            match overlap(sent.outcome(), &mut second).await {
+                Overlap::First(SendOutcome::Answer(answer)) => return SendOutcome::Answer(answer),
+                Overlap::First(outcome) => {
+                    self.count_unreachable(&outcome);
+                    sent = second;
+                }
+                Overlap::Second(outcome) => {
+                    if let Some(answer) = self.success(outcome) {
+                        sent.give_up().await;
+                        return SendOutcome::Answer(answer);
+                    }
+                }
+                Overlap::SecondSilent => {}
+                Overlap::TimeOver => {
+                    sent.give_up().await;
+                    sent = second;
+                }
+            }
+        }
+    }
+
+    /// Returns the answer with which an upstream takes over from a silent one.
+    pub fn success(&mut self, outcome: SendOutcome) -> Option<Box<IncomingAnswer>> {
+        match outcome {
+            SendOutcome::Answer(answer) if answer.head.status.is_success() => return Some(answer),
+            SendOutcome::Answer(answer) => {
+                let why = format!("it answered {}, the silent one is kept", answer.head.status);
+                answer.attempt.end(Ended::Complete, &why);
+            }
+            outcome => self.count_unreachable(&outcome),
+        }
+        None
+    }
+
+    fn count_unreachable(&mut self, outcome: &SendOutcome) {
+        if matches!(outcome, SendOutcome::Unreachable) {
+            self.on_unreachable();
+        }
+    }
+
+    async fn begin_attempt(&mut self, purpose: Purpose) -> Result<Attempt, Failure> {
+        let placement = self.place_in_turn(purpose).await?;
         self.charge()?;
         self.attempts_sent += 1;
         self.tried.push(placement.upstream.id.clone());
@@ -115,10 +194,10 @@
     }
 
     /// Selects the upstream of the next attempt and waits until the upstream's limit allows it.
-    async fn place_in_turn(&self) -> Result<Placement, Failure> {
+    async fn place_in_turn(&self, purpose: Purpose) -> Result<Placement, Failure> {
         loop {
-            self.check_quarantine()?;
-            let placement = self.place()?;
+            self.check_quarantine(purpose)?;
+            let placement = self.place(purpose)?;
             let upstream = &placement.upstream.id;
             let now = self.edge.timer.now();
             let reserve = |pool: &mut UpstreamPool| pool.reserve_turn(now, upstream);
@@ -128,7 +207,7 @@
             let now = self.edge.timer.now();
             let may_send = |pool: &mut UpstreamPool| pool.may_send_in_turn(now, upstream, turn);
             if self.edge.with_upstream_pool(&self.call.service, may_send) == Some(true) {
-                self.check_quarantine()?;
+                self.check_quarantine(purpose)?;
                 return Ok(placement);
             }
             if now >= self.call.due {
@@ -138,14 +217,14 @@
     }
 
     /// Refuses a request whose prompt crashes engines.
-    fn check_quarantine(&self) -> Result<(), Failure> {
+    fn check_quarantine(&self, purpose: Purpose) -> Result<(), Failure> {
         let now = self.edge.timer.now_including_suspend();
         let time_left = self
             .call
             .prompt
             .as_ref()
             .and_then(|prompt| self.edge.quarantine.time_left(now, prompt));
-        let Some(time_left) = time_left else { return self.check_suspicion() };
+        let Some(time_left) = time_left else { return self.check_suspicion(purpose) };
         let why = "requests with segments of this prompt crashed engines";
         if self.may_have_run {
             return Err(Failure::new(ResultCode::OutcomeUnknown, why));
@@ -154,8 +233,9 @@
     }
 
     /// Refuses a further attempt at a request that may crash its engine.
-    fn check_suspicion(&self) -> Result<(), Failure> {
-        let prompt = self.call.prompt.as_ref().filter(|_| self.may_have_run);
+    fn check_suspicion(&self, purpose: Purpose) -> Result<(), Failure> {
+        let may_have_run = self.may_have_run || purpose == Purpose::TakeOver;
+        let prompt = self.call.prompt.as_ref().filter(|_| may_have_run);
         if prompt.is_none_or(|prompt| self.edge.quarantine.may_send_again(prompt)) {
             return Ok(());
         }
@@ -196,7 +276,7 @@
     }
 
     /// Selects the upstream of the next attempt.
-    fn place(&self) -> Result<Placement, Failure> {
+    fn place(&self, purpose: Purpose) -> Result<Placement, Failure> {
         let now = self.edge.timer.now();
         let target = self.call.arrived + self.call.route.target_latency;
         let request = PlacementRequest {
@@ -210,12 +290,16 @@
             suspended: self.edge.timer.now_including_suspend().saturating_sub(now),
             stale_weights_time: self.edge.bounds().version.saturating_sub(STALE_WEIGHTS_MARGIN),
         };
-        let place = |pool: &mut UpstreamPool| {
-            let placed = pool.place(now, &request);
-            if matches!(placed, Err(Refusal::Limited(_))) {
+        let place = |pool: &mut UpstreamPool| match (purpose, pool.place(now, &request)) {
+            (Purpose::Serve, Err(Refusal::Limited(time))) => {
                 pool.record_unserved(now);
+                Err(Refusal::Limited(time))
+            }
+            // An upstream that failed is selected only if all others did too.
+            (Purpose::TakeOver, Ok(placed)) if pool.is_deprioritized(now, &placed.upstream.id) => {
+                Err(Refusal::NoneUsable)
             }
-            placed
+            (_, placed) => placed,
         };
         let placed = self.edge.with_upstream_pool(&self.call.service, place);
         let placed = placed.ok_or_else(|| self.refusal("the service is not known"))?;
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -21,6 +21,7 @@
 mod forward;
 mod record;
 mod relay;
+mod takeover;
 
 pub(crate) use answer::full_body;
 pub use answer::{Answer, AnswerBody};
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -13,6 +13,7 @@
     answer::{AnswerBody, BodyError},
     attempt::{Attempt, IncomingAnswer, SendOutcome},
     forward::Driver,
+    takeover::{Overlap, SentAttempt, overlap},
 };
 use crate::state::GivenUp;
 
@@ -20,6 +21,8 @@
 pub(super) struct Relay {
     driver: Driver,
     current: Option<(UpstreamAnswerBody, Attempt)>,
+    /// An attempt that was sent to resume the stream while the current one was silent.
+    successor: Option<SentAttempt>,
     /// Splits the stream at ends of events: it may be resumed after one, and has broken off if it ends within one.
     splitter: Splitter,
     is_resumable: bool,
@@ -30,6 +33,9 @@
     awaits_first_event: bool,
 }
 
+/// What the HTTP library received of a body.
+type ReceivedFrame = Result<Frame<Bytes>, <UpstreamAnswerBody as http_body::Body>::Error>;
+
 /// What was received next from the upstream.
 enum Received {
     Bytes(Bytes),
@@ -49,6 +55,7 @@
         Self {
             driver,
             current: Some((incoming.body, incoming.attempt)),
+            successor: None,
             splitter,
             is_resumable,
             status,
@@ -91,7 +98,12 @@
     /// When the stream broke and cannot be resumed.
     async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
         loop {
-            match self.receive().await {
+            let mut received = self.receive().await;
+            if received.is_none() {
+                received = self.take_over().await;
+            }
+            let Some(received) = received else { continue };
+            match received {
                 Received::Bytes(bytes) => match self.splitter.push(&bytes) {
                     Ok(Some(ready)) => {
                         self.awaits_first_event = false;
@@ -136,23 +148,31 @@
         })
     }
 
-    async fn receive(&mut self) -> Received {
+    /// Returns what the upstream sends next, or `None` if it is reported as silent.
+    async fn receive(&mut self) -> Option<Received> {
         let Some((body, attempt)) = &mut self.current else {
-            return Received::Broken("no attempt".into());
+            return Some(Received::Broken("no attempt".into()));
         };
         let left = self.driver.call.due.saturating_sub(self.driver.edge.timer.now());
         let frame = async {
             tokio::select! {
-                frame = body.frame() => Ok(frame),
-                () = attempt.upstream_unresponsive() =>
-                    Err(Received::Broken("the engine is unresponsive".into())),
+                biased;
+                frame = body.frame() => Some(frame),
+                () = attempt.upstream_silent() => None,
             }
         };
-        let frame = match tokio::time::timeout(left, frame).await {
-            Err(_) => return Received::DeadlineExceeded,
-            Ok(Err(broken)) => return broken,
-            Ok(Ok(frame)) => frame,
-        };
+        match tokio::time::timeout(left, frame).await {
+            Err(_) => Some(Received::DeadlineExceeded),
+            Ok(None) => {
+                attempt.suspect_prompt();
+                None
+            }
+            Ok(Some(frame)) => Some(self.check_frame(frame)),
+        }
+    }
+
+    /// Checks what the upstream of the current attempt sent.
+    fn check_frame(&mut self, frame: Option<ReceivedFrame>) -> Received {
         match frame {
             None if self.splitter.incomplete_bytes() > 0 => {
                 Received::Broken("the stream ended within an event".into())
@@ -164,12 +184,46 @@
             None => Received::End,
             Some(Err(e)) => Received::Broken(e.to_string()),
             Some(Ok(frame)) => {
-                attempt.on_bytes();
+                if let Some((_, attempt)) = &mut self.current {
+                    attempt.on_bytes();
+                }
                 Received::Bytes(frame.into_data().unwrap_or_default())
             }
         }
     }
 
+    /// Sends an attempt that resumes the stream while the upstream of the current one is silent. Returns what the current one
+    /// sends, or why the other one is to go on instead, or `None` if the current one is kept and still silent.
+    async fn take_over(&mut self) -> Option<Received> {
+        let (body, _) = self.current.as_mut()?;
+        let last_event = self.splitter.last_id();
+        let second = tokio::select! {
+            biased;
+            frame = body.frame() => return Some(self.check_frame(frame)),
+            second = self.driver.take_over(last_event) => second,
+        };
+        let mut second = second?;
+        match overlap(body.frame(), &mut second).await {
+            Overlap::First(frame) => {
+                let received = self.check_frame(frame);
+                if matches!(received, Received::Broken(_)) {
+                    self.successor = Some(second);
+                }
+                Some(received)
+            }
+            Overlap::Second(outcome) => {
+                let answer = self.driver.success(outcome)?;
+                self.successor = Some(SentAttempt::answered(answer));
+                Some(Received::Broken("the engine is silent, another one answered".into()))
+            }
+            Overlap::SecondSilent => None,
+            Overlap::TimeOver => {
+                self.successor = Some(second);
+                Some(Received::Broken("the engine is silent".into()))
+            }
+        }
+    }
+
     /// Resumes the stream at another engine after the last complete event. `why` is the reason for which it broke.
     async fn resume(&mut self, why: &str) -> Result<(), BodyError> {
         if !self.is_resumable {
@@ -178,8 +232,11 @@
         self.splitter.discard_incomplete();
         let last_event = self.splitter.last_id();
         while self.driver.call.due > self.driver.edge.timer.now() + Duration::from_millis(50) {
-            let attempt = self.driver.next_attempt().await.map_err(|e| e.message)?;
-            match attempt.send(last_event).await {
+            let sent = match self.successor.take() {
+                Some(sent) => sent,
+                None => self.driver.next_attempt().await.map_err(|e| e.message)?.send(last_event),
+            };
+            match self.driver.outcome(sent, last_event).await {
                 SendOutcome::Answer(mut incoming) if incoming.head.status.is_success() => {
                     incoming.attempt.on_stream_started();
                     self.current = Some((incoming.body, incoming.attempt));
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -229,6 +229,12 @@
         }
     }
 
+    /// Whether an upstream failed or did not answer lately, so that it gets requests only if all others did too.
+    #[must_use]
+    pub fn is_deprioritized(&self, now: Now, id: &str) -> bool {
+        self.upstreams.get(id).is_none_or(|state| now < state.deprioritized_until)
+    }
+
     /// Returns the number of upstreams that are ready for new requests.
     #[must_use]
     pub fn ready_count(&self) -> usize {
