lw-edge: silence is no evidence that a prompt crashes engines

Engines that stood still together for 1.6 s made every VM refuse all prompts with their hot segment for ten minutes (503), and ended the requests in flight with 502; streams whose engines fell silent one after the other were cut, since the attempt that took over was then cancelled by the quarantine.

Cause: each attempt whose engine was reported as silent was recorded as broken by a crash. Engines are reported at different moments, so that they counted as several crashes with the same segment, and no sound answer could follow while they stood still.

Change: only attempts that break are evidence.

The stand-in's calls for cache events no longer end in step.

--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -47,6 +47,15 @@
     DeadlineExceeded,
 }
 
+/// Why an attempt that was sent is not waited for any more.
+#[derive(Debug, Clone, Copy)]
+enum Abandoned {
+    /// Its upstream is silent, and another attempt takes its place.
+    Silent,
+    /// A segment of its prompt was quarantined.
+    Quarantined,
+}
+
 /// An answer whose body is still being received.
 #[derive(Debug)]
 pub(super) struct IncomingAnswer {
@@ -66,8 +75,6 @@
     progress: Progress,
     /// Whether the attempt was announced to the other VMs, so that its end must be announced too.
     is_announced: bool,
-    /// Whether its prompt is recorded as one that may have crashed its upstream.
-    is_suspect: bool,
     is_ended: bool,
 }
 
@@ -115,7 +122,6 @@
             started_at: now,
             progress: Progress::default(),
             is_announced,
-            is_suspect: false,
             is_ended: false,
         };
         attempt.log_placement(number);
@@ -147,20 +153,20 @@
     }
 
     /// Ends an attempt whose answer the upstream broke off, or never began.
-    pub fn end_broken(mut self, why: &str) {
-        self.suspect_prompt();
-        self.end(Ended::Failed, why);
-    }
-
-    /// Records that the prompt may have crashed the upstream, unless the answer has shown that it is sound.
-    pub fn suspect_prompt(&mut self) {
+    pub fn end_broken(self, why: &str) {
         if let Some(prompt) = &self.call.prompt
             && self.progress.sending_time() < SOUND_SENDING_TIME
-            && !std::mem::replace(&mut self.is_suspect, true)
         {
             let upstream = &self.placement.upstream.id;
             quarantine::record_broken(&self.edge, upstream, self.id, prompt);
         }
+        self.end(Ended::Failed, why);
+    }
+
+    /// Ends an attempt that was given up since its upstream is silent. This is no evidence against its prompt: an upstream that
+    /// crashes breaks its connections, while one that stands still goes on later.
+    pub fn end_silent(self) {
+        self.end(Ended::Failed, "the upstream is silent");
     }
 
     /// Ends an attempt whose successful answer is complete.
@@ -256,7 +262,7 @@
         SentAttempt::new(|signals| self.exchange(last_event, signals))
     }
 
-    async fn exchange(mut self, last_event: Option<u64>, mut signals: Signals) -> SendOutcome {
+    async fn exchange(self, last_event: Option<u64>, mut signals: Signals) -> SendOutcome {
         let (edge, call) = (Arc::clone(&self.edge), Arc::clone(&self.call));
         let now = edge.timer.now();
         let left = call.due.saturating_sub(now);
@@ -269,14 +275,10 @@
             tokio::pin!(answer);
             loop {
                 tokio::select! {
-                    sent = &mut answer => return Some(sent),
-                    () = self.upstream_silent() => {
-                        self.suspect_prompt();
-                        signals.report_silence();
-                    }
-                    () = signals.given_up() =>
-                        return Some(Err(Error::Broken("the upstream is silent".into()))),
-                    () = self.quarantined() => return None,
+                    sent = &mut answer => return Ok(sent),
+                    () = self.upstream_silent() => signals.report_silence(),
+                    () = signals.given_up() => return Err(Abandoned::Silent),
+                    () = self.quarantined() => return Err(Abandoned::Quarantined),
                 }
             }
         };
@@ -285,21 +287,25 @@
                 self.end(Ended::Failed, "no answer before the deadline");
                 SendOutcome::DeadlineExceeded
             }
-            Ok(None) => {
+            Ok(Err(Abandoned::Silent)) => {
+                self.end_silent();
+                SendOutcome::OutcomeUnknown("the upstream is silent".into())
+            }
+            Ok(Err(Abandoned::Quarantined)) => {
                 let why = "a segment of its prompt was quarantined";
                 self.end(Ended::Cancelled, why);
                 SendOutcome::OutcomeUnknown(why.into())
             }
-            Ok(Some(Err(Error::NotSent(e)))) => {
+            Ok(Ok(Err(Error::NotSent(e)))) => {
                 quarantine::record_down(&edge, &self.placement.upstream.id);
                 self.end(Ended::Failed, &e);
                 SendOutcome::Unreachable
             }
-            Ok(Some(Err(Error::Broken(e)))) => {
+            Ok(Ok(Err(Error::Broken(e)))) => {
                 self.end_broken(&e);
                 SendOutcome::OutcomeUnknown(e)
             }
-            Ok(Some(Ok(reply))) => self.check_answer(reply.head, reply.body),
+            Ok(Ok(Ok(reply))) => self.check_answer(reply.head, reply.body),
         }
     }
 
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -43,6 +43,8 @@
     End,
     /// The stream broke, for this reason.
     Broken(String),
+    /// The upstream is silent, and a successor was sent.
+    Superseded,
     /// The deadline passed before the end of the stream.
     DeadlineExceeded,
 }
@@ -122,6 +124,12 @@
                     return Ok(None);
                 }
                 Received::Broken(why) => self.replace_attempt(&why).await?,
+                Received::Superseded => {
+                    if let Some((_, attempt)) = self.current.take() {
+                        attempt.end_silent();
+                    }
+                    self.resume_or_record("the upstream is silent").await?;
+                }
                 Received::DeadlineExceeded => {
                     let why = "the deadline passed";
                     if let Some((_, attempt)) = self.current.take() {
@@ -163,10 +171,7 @@
         };
         match tokio::time::timeout(left, frame).await {
             Err(_) => Some(Received::DeadlineExceeded),
-            Ok(None) => {
-                attempt.suspect_prompt();
-                None
-            }
+            Ok(None) => None,
             Ok(Some(frame)) => Some(self.check_frame(frame)),
         }
     }
@@ -214,12 +219,12 @@
             Overlap::Second(outcome) => {
                 let answer = self.driver.success(outcome)?;
                 self.successor = Some(SentAttempt::answered(answer));
-                Some(Received::Broken("the engine is silent, another one answered".into()))
+                Some(Received::Superseded)
             }
             Overlap::SecondSilent => None,
             Overlap::TimeOver => {
                 self.successor = Some(second);
-                Some(Received::Broken("the engine is silent".into()))
+                Some(Received::Superseded)
             }
         }
     }
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -24,6 +24,8 @@
     Reject,
     /// It states that it did not run the request, with a `retry-after` of this many seconds.
     RejectFor(u32),
+    /// It states after a delay that it did not run the request.
+    RejectAfter(Duration),
     /// It answers and states that it is leaving.
     Leaving,
     /// It sends this head, then repeats these bytes until the caller closes the connection.
@@ -333,7 +335,9 @@
         ("POST", "/api/order", _) => handle_order(state, request),
         ("GET", "/api/kv-events", _) => {
             let body = json!({ "BootEpoch": 1, "NextToken": 1, "Lost": false, "Events": [] });
-            let mut steps = vec![Step::Wait(Duration::from_millis(200))];
+            // The calls to different engines do not end at the same time.
+            let number: u64 = id.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+            let mut steps = vec![Step::Wait(Duration::from_millis(200 + number * 6 % 48))];
             steps.extend(answer(200, &[], body.to_string().as_bytes()));
             steps
         }
@@ -390,7 +394,10 @@
     let expected = request.header("x-expect-version").and_then(|text| text.parse().ok());
     let is_rejected = expected.is_some_and(|expected: u64| expected != version)
         || state.loading.is_some()
-        || matches!(behaviour, Behaviour::Reject | Behaviour::RejectFor(_));
+        || matches!(
+            behaviour,
+            Behaviour::Reject | Behaviour::RejectFor(_) | Behaviour::RejectAfter(_)
+        );
     state.received.push(ReceivedRequest {
         request: request.clone(),
         is_executed: !is_rejected,
@@ -409,7 +416,12 @@
             _ => None,
         };
         headers.extend(seconds.iter().map(|seconds| ("retry-after", seconds.as_str())));
-        return answer(503, &headers, b"");
+        let mut steps = Vec::new();
+        if let Behaviour::RejectAfter(time) = behaviour {
+            steps.push(Step::Wait(time));
+        }
+        steps.extend(answer(503, &headers, b""));
+        return steps;
     }
     let version = version.to_string();
     let mut headers =
@@ -425,7 +437,10 @@
 fn answer_steps(behaviour: &Behaviour, headers: &[(&str, &str)], request: &Request) -> Vec<Step> {
     let normal = || normal_answer(headers, request);
     match behaviour {
-        Behaviour::Normal | Behaviour::Reject | Behaviour::RejectFor(_) => normal(),
+        Behaviour::Normal
+        | Behaviour::Reject
+        | Behaviour::RejectFor(_)
+        | Behaviour::RejectAfter(_) => normal(),
         Behaviour::Leaving => {
             normal_answer(&[headers, &[("server-leaving", "1")]].concat(), request)
         }
