lw-edge: attempts to take over from a silent upstream are spaced

Up to four VMs follow an engine and each reports it every 0.6 s. With several of them, a stream of a dead engine spent its attempts within milliseconds on engines that refused it for a moment, and then waited for its deadline.

Change: a request makes at most one such attempt in 0.5 s. Also, the time in which two attempts are in flight is 0.32 s, above the connect timeout of 0.3 s: with equal times a silent engine was left at times for one that could not be reached.

a_silent_engine_is_left_within_400_ms_of_the_next_attempt passed only since its first engine had ceased to count as failed 20 ms before it was needed; the test now waits for that. Its checks are as they were.

--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -24,6 +24,9 @@
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Unreachable upstreams that one request tries besides its attempts. Each costs at most the connect timeout.
 const UNREACHABLE_MAX: usize = 2;
+/// Time between two attempts of a request to take over from a silent upstream. Several VMs report the same upstream, and those
+/// that refuse now may accept a moment later.
+const TAKEOVER_PERIOD: Duration = Duration::from_millis(500);
 /// Time before the bound on stale weights ends from which on requests are placed on engines with the new weights only.
 /// A request may wait in its engine's queue for most of it.
 const STALE_WEIGHTS_MARGIN: Duration = Duration::from_secs(2);
@@ -76,6 +79,8 @@
     is_charged: bool,
     context: AttemptContext,
     may_have_run: bool,
+    /// When another attempt may next be made to take over from a silent upstream.
+    takeover_at: Now,
 }
 
 impl Driver {
@@ -91,6 +96,7 @@
             is_charged: false,
             context,
             may_have_run: false,
+            takeover_at: Now::ZERO,
         }
     }
 
@@ -121,6 +127,11 @@
 
     /// Begins an attempt beside one whose upstream is silent, if another upstream may take over.
     pub async fn take_over(&mut self, last_event: Option<u64>) -> Option<SentAttempt> {
+        let now = self.edge.timer.now();
+        if now < self.takeover_at {
+            return None;
+        }
+        self.takeover_at = now + TAKEOVER_PERIOD;
         match self.begin_attempt(Purpose::TakeOver).await {
             Ok(attempt) => Some(attempt.send(last_event)),
             Err(e) => {
--- a/crates/lw-edge/src/serve/takeover.rs
+++ b/crates/lw-edge/src/serve/takeover.rs
@@ -10,8 +10,9 @@
 use super::attempt::{IncomingAnswer, SendOutcome};
 
 /// Longest time for which two attempts of a request are in flight. Within 0.4 s of the start of the second, the upstream of the
-/// first must have stopped working on it.
-const OVERLAP_TIME: Duration = Duration::from_millis(300);
+/// first must have stopped working on it. It is longer than the connect timeout, so that a silent upstream is not left for one
+/// that cannot be reached.
+const OVERLAP_TIME: Duration = Duration::from_millis(320);
 
 /// An attempt that was sent and has no answer yet. Dropping it closes its connection.
 pub(super) struct SentAttempt {
--- a/crates/lw-edge/tests/silence.rs
+++ b/crates/lw-edge/tests/silence.rs
@@ -100,6 +100,7 @@
     let (reply, ()) = tokio::join!(simulation.send(&req), stall);
     assert_complete(id, reply);
     assert_eq!(simulation.run_count(id), 1);
+    assert_eq!(simulation.received(id).len(), 2, "the other engine was asked");
 }
 
 /// Guards against a request that waits for a dead engine until its deadline.
@@ -128,6 +129,13 @@
     let second = second.unwrap();
     simulation.wait_until_joined(&second).await;
     for (id, other) in [("slow", Behaviour::Slow(ms(1_500))), ("quick", Behaviour::Normal)] {
+        let may_take_over = async |simulation: &Simulation| {
+            let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+            let candidates = |pool: &mut lw_place::UpstreamPool| pool.candidates(edge.timer.now());
+            let candidates = edge.with_upstream_pool("llm", candidates).expect("the engines' pool");
+            candidates.iter().all(|candidate| candidate.is_open)
+        };
+        simulation.wait_until("no engine counts as failed", may_take_over).await;
         for behaviour in [Behaviour::NoAnswer, other] {
             simulation.faults.push(behaviour);
         }
--- a/crates/lw-edge/tests/stalls.rs
+++ b/crates/lw-edge/tests/stalls.rs
@@ -3,7 +3,12 @@
 mod common;
 
 use common::{CallerRequest, Simulation, ms, request};
+use lw_edge::{
+    peers::{self, Notice},
+    run::Vm,
+};
 use lw_standin::hosted::{
+    caller::Caller,
     operator::config,
     upstream::{Behaviour, STREAM_EVENTS, Upstream, event},
 };
@@ -57,6 +62,27 @@
     req
 }
 
+/// Starts a second VM, which sends messages to the first.
+async fn start_second(simulation: &Simulation) -> Vm {
+    let settings = simulation.further_settings("vm-2");
+    let second = Vm::start(settings, simulation.logs.clone()).await.unwrap();
+    simulation.wait_until_joined(&second).await;
+    second
+}
+
+/// Returns the engine that received the request first.
+fn first_engine<'a>(simulation: &'a Simulation, id: &str) -> &'a Upstream {
+    let received = |engine: &&Upstream| {
+        engine.received().iter().any(|got| got.request.header("x-attempt-id") == Some(id))
+    };
+    simulation.engines.iter().find(received).expect("an engine runs it")
+}
+
+/// Lets the second VM report an engine as unresponsive.
+fn report(second: &Vm, engine: &Upstream) {
+    peers::broadcast(&second.edge, Notice::Unresponsive { upstream: engine.id.clone(), ms: 500 });
+}
+
 /// Sends requests with a common segment, one each 10 ms, and returns the ids and statuses of those without a whole answer.
 async fn send_with_common_segment(simulation: &Simulation) -> Vec<(String, u16)> {
     let send = async |n: u64| {
@@ -113,3 +139,139 @@
     let (failed, ()) = tokio::join!(send_with_common_segment(&simulation), stall);
     assert!(failed.is_empty(), "{failed:?}");
 }
+
+/// Guards against a stream of a dead engine that spends all attempts on engines that refuse it for a moment, since several VMs report
+/// the dead one.
+#[tokio::test]
+async fn a_stream_of_a_dead_engine_goes_on_after_refusals() {
+    let mut simulation = start().await;
+    let _second = start_second(&simulation).await;
+    add_engines(&mut simulation).await;
+    for engine in &simulation.engines {
+        engine.set_behaviour(Behaviour::DelayedEvents(ms(250)));
+    }
+    let id = "dead";
+    let stall = async {
+        tokio::time::sleep(ms(600)).await;
+        let first = first_engine(&simulation, id);
+        first.stall(ms(60_000));
+        let others = || simulation.engines.iter().filter(|engine| engine.id != first.id);
+        others().for_each(|engine| engine.set_behaviour(Behaviour::Reject));
+        tokio::time::sleep(ms(800)).await;
+        others().for_each(|engine| engine.set_behaviour(Behaviour::Normal));
+    };
+    let req = CallerRequest { deadline_ms: 4_000, ..long_request(id, "a1:1000,b2:200") };
+    let (reply, ()) = tokio::join!(simulation.send(&req), stall);
+    let reply = reply.expect("an answer");
+    assert!(reply.is_complete, "{} {}", reply.head, reply.text());
+    assert_eq!(reply.body, events());
+}
+
+/// Guards against streams that are cut since their silent engine was left for one that cannot be reached.
+#[tokio::test]
+async fn a_stream_stays_at_its_silent_engine_while_another_one_cannot_be_reached() {
+    let simulation = start().await;
+    let second = start_second(&simulation).await;
+    for engine in &simulation.engines {
+        engine.set_behaviour(Behaviour::DelayedEvents(ms(900)));
+    }
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let full = socket.listen(1).unwrap();
+    let addr = full.local_addr().unwrap();
+    // Its queue of new connections is full, so that further ones get no reply.
+    let mut queued = Vec::new();
+    for _ in 0..4 {
+        let conn = tokio::time::timeout(ms(100), tokio::net::TcpStream::connect(addr)).await;
+        queued.extend(conn.ok().and_then(Result::ok));
+    }
+    let send = async |n: u64| {
+        let id = format!("kept-{n}");
+        let reply = simulation.send(&long_request(&id, "a1:1000,b2:200")).await;
+        (!reply.is_some_and(|reply| reply.is_complete)).then_some(id)
+    };
+    let unreachable = async {
+        tokio::time::sleep(ms(1_100)).await;
+        let first = simulation.engines.iter().max_by_key(|engine| engine.received().len()).unwrap();
+        let other = simulation.engines.iter().find(|engine| engine.id != first.id).unwrap();
+        let mut entry = other.registry_entry("llm", "kochi-b");
+        entry["Address"] = addr.to_string().into();
+        simulation.store.put(&format!("servers/{}", other.id), &entry);
+        tokio::time::sleep(ms(150)).await;
+        report(&second, first);
+    };
+    let requests = futures::future::join_all((0..16).map(send));
+    let (cut, ()) = tokio::join!(requests, unreachable);
+    let cut: Vec<_> = cut.into_iter().flatten().collect();
+    assert!(cut.is_empty(), "{cut:?}");
+}
+
+/// Guards against engines that go on to work for a caller who left while two attempts were in flight.
+#[tokio::test]
+async fn both_attempts_end_when_the_caller_leaves() {
+    let simulation = start().await;
+    let second = start_second(&simulation).await;
+    let id = "left";
+    simulation.faults.push(Behaviour::DelayedEvents(ms(500)));
+    simulation.faults.push(Behaviour::NoAnswer);
+    let mut caller = Caller::connect(simulation.settings.callers).await.unwrap();
+    caller.send(&long_request(id, "a1:1000,b2:200")).await;
+    tokio::time::sleep(ms(850)).await;
+    report(&second, first_engine(&simulation, id));
+    let is_sent_again = async |simulation: &Simulation| simulation.run_count(id) == 2;
+    simulation.wait_until("another engine is asked", is_sent_again).await;
+    drop(caller);
+    tokio::time::sleep(ms(80)).await;
+    // Each VM may have one open call for cache events.
+    let open: Vec<_> = simulation.engines.iter().map(Upstream::open_requests).collect();
+    assert!(open.iter().all(|open| *open <= 2), "{open:?}");
+    let pools = simulation.vm.as_ref().unwrap().edge.upstream_pools();
+    assert_eq!(pools.values().map(lw_place::UpstreamPool::in_flight).sum::<usize>(), 0);
+}
+
+/// Guards against a stream that runs at two engines, since the one that fell silent within it is not left.
+#[tokio::test]
+async fn an_engine_that_fell_silent_in_a_stream_is_left_within_400_ms() {
+    let simulation = start().await;
+    let second = start_second(&simulation).await;
+    let id = "silent-within";
+    simulation.faults.push(Behaviour::DelayedEvents(ms(1_400)));
+    simulation.faults.push(Behaviour::Slow(ms(1_500)));
+    let check = async {
+        tokio::time::sleep(ms(1_900)).await;
+        let first = first_engine(&simulation, id);
+        report(&second, first);
+        let is_sent_again = async |simulation: &Simulation| simulation.run_count(id) == 2;
+        simulation.wait_until("another engine is asked", is_sent_again).await;
+        tokio::time::sleep(ms(370)).await;
+        assert!(first.open_requests() <= 2, "{} open", first.open_requests());
+    };
+    let req = long_request(id, "a1:1000,b2:200");
+    let (reply, ()) = tokio::join!(simulation.send(&req), check);
+    let reply = reply.expect("an answer");
+    assert!(reply.is_complete, "{} {}", reply.head, reply.text());
+    assert_eq!(reply.body, events());
+}
+
+/// Guards against a failure of the engine that is to take over, which its caller gets although the silent engine goes on.
+#[tokio::test]
+async fn a_failed_answer_does_not_replace_a_silent_one() {
+    let simulation = start().await;
+    let second = start_second(&simulation).await;
+    for (id, behaviour) in
+        [("head", Behaviour::Slow(ms(900))), ("events", Behaviour::DelayedEvents(ms(700)))]
+    {
+        simulation.faults.push(behaviour);
+        simulation.faults.push(Behaviour::Status(500));
+        let check = async {
+            tokio::time::sleep(ms(400)).await;
+            report(&second, first_engine(&simulation, id));
+        };
+        let req = long_request(id, "a1:1000,b2:200");
+        let (reply, ()) = tokio::join!(simulation.send(&req), check);
+        let reply = reply.expect("an answer");
+        assert_eq!(simulation.run_count(id), 2, "{id}");
+        assert!(reply.is_complete, "{id}: {} {}", reply.head, reply.text());
+        assert_eq!(reply.body, events(), "{id}");
+    }
+}
