lw-edge: a request returns to the silent upstream that it left when no other one serves it

A report was wrong, the engine that took over had not answered when the 0.32 s of two attempts were over, and refused later: the stream was cut, though the first engine would have gone on.

Two attempts at a time for longer are not possible: the first engine may still work on the request (TWICE). So the upstream that was left is remembered, and when no other upstream serves the request, it gets another attempt there, after the last event. It is no further upstream and counts against the retry budget only.

--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -129,6 +129,11 @@
         attempt
     }
 
+    /// Returns where the request was sent.
+    pub fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
     /// Records that the head of a successful stream was received.
     pub fn on_stream_started(&mut self) {
         let upstream = &self.placement.upstream.id;
@@ -259,7 +264,7 @@
 
     /// Sends the request. With `last_event` the upstream resumes the stream after the event of this id.
     pub fn send(self, last_event: Option<u64>) -> SentAttempt {
-        SentAttempt::new(|signals| self.exchange(last_event, signals))
+        SentAttempt::new(self.placement.clone(), |signals| self.exchange(last_event, signals))
     }
 
     async fn exchange(self, last_event: Option<u64>, mut signals: Signals) -> SendOutcome {
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -81,6 +81,8 @@
     may_have_run: bool,
     /// When another attempt may next be made to take over from a silent upstream.
     takeover_at: Now,
+    /// Where the last attempt was that was given up since its upstream was silent.
+    left: Option<Placement>,
 }
 
 impl Driver {
@@ -97,6 +99,7 @@
             context,
             may_have_run: false,
             takeover_at: Now::ZERO,
+            left: None,
         }
     }
 
@@ -122,7 +125,25 @@
 
     /// Begins the next attempt, if there is an upstream for it and the limits on attempts allow it.
     pub async fn next_attempt(&mut self) -> Result<Attempt, Failure> {
-        self.begin_attempt(Purpose::Serve).await
+        match self.begin_attempt(Purpose::Serve).await {
+            Ok(attempt) => Ok(attempt),
+            Err(failure) => self.return_to_silent().ok_or(failure),
+        }
+    }
+
+    /// Records that an attempt is given up since its upstream is silent.
+    pub fn leave(&mut self, placement: &Placement) {
+        self.left = Some(placement.clone());
+    }
+
+    /// Begins another attempt at the upstream that was left while it was silent: it may have gone on since, and no other one
+    /// serves the request. It is no further upstream, so the limit on attempts allows it.
+    fn return_to_silent(&mut self) -> Option<Attempt> {
+        let placement = self.left.take()?;
+        self.check_quarantine(Purpose::TakeOver).ok()?;
+        self.spend_retry().ok()?;
+        self.record.count_attempt();
+        Some(Attempt::begin(&self.edge, &self.call, placement, self.tried.len() + 1))
     }
 
     /// Begins an attempt beside one whose upstream is silent, if another upstream may take over.
@@ -163,12 +184,14 @@
                 }
                 Overlap::Second(outcome) => {
                     if let Some(answer) = self.success(outcome) {
+                        self.leave(&sent.placement);
                         sent.give_up().await;
                         return SendOutcome::Answer(answer);
                     }
                 }
                 Overlap::SecondSilent => {}
                 Overlap::TimeOver => {
+                    self.leave(&sent.placement);
                     sent.give_up().await;
                     sent = second;
                 }
@@ -269,8 +292,8 @@
         if std::mem::take(&mut self.is_charged) {
             return Ok(());
         }
-        let (now, context) = (self.edge.timer.now(), self.context);
         if self.attempts_sent == 0 {
+            let (now, context) = (self.edge.timer.now(), self.context);
             let arrive = |budget: &mut retry::Budget| budget.record_arrival(now, context);
             return match self.edge.with_retry_budget(&self.call.service, arrive) {
                 Ok(()) => Ok(()),
@@ -280,6 +303,12 @@
         if self.attempts_sent >= attempts {
             return Err(self.refusal("no attempts left"));
         }
+        self.spend_retry()
+    }
+
+    /// Charges another attempt to the retry budget of the service.
+    fn spend_retry(&mut self) -> Result<(), Failure> {
+        let (now, context) = (self.edge.timer.now(), self.context);
         let spend = |budget: &mut retry::Budget| budget.spend(now, retry::Kind::Retry, context);
         let charged = self.edge.with_retry_budget(&self.call.service, spend);
         self.context = charged.map_err(|e| self.refusal(&e.to_string()))?;
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -126,6 +126,7 @@
                 Received::Broken(why) => self.replace_attempt(&why).await?,
                 Received::Superseded => {
                     if let Some((_, attempt)) = self.current.take() {
+                        self.driver.leave(attempt.placement());
                         attempt.end_silent();
                     }
                     self.resume_or_record("the upstream is silent").await?;
--- a/crates/lw-edge/src/serve/takeover.rs
+++ b/crates/lw-edge/src/serve/takeover.rs
@@ -7,6 +7,8 @@
 
 use tokio::sync::watch;
 
+use lw_place::Placement;
+
 use super::attempt::{IncomingAnswer, SendOutcome};
 
 /// Longest time for which two attempts of a request are in flight. Within 0.4 s of the start of the second, the upstream of the
@@ -16,6 +18,7 @@
 
 /// An attempt that was sent and has no answer yet. Dropping it closes its connection.
 pub(super) struct SentAttempt {
+    pub placement: Placement,
     outcome: Pin<Box<dyn Future<Output = SendOutcome> + Send>>,
     /// Changes with each report that its upstream is silent.
     reports: watch::Receiver<()>,
@@ -45,19 +48,20 @@
 
 impl SentAttempt {
     /// Returns the attempt that `send` sends when it is polled.
-    pub fn new<F>(send: impl FnOnce(Signals) -> F) -> Self
+    pub fn new<F>(placement: Placement, send: impl FnOnce(Signals) -> F) -> Self
     where
         F: Future<Output = SendOutcome> + Send + 'static,
     {
         let (reports_tx, reports) = watch::channel(());
         let (give_up, give_up_rx) = watch::channel(false);
         let outcome = Box::pin(send(Signals { reports: reports_tx, give_up: give_up_rx }));
-        Self { outcome, reports, give_up }
+        Self { placement, outcome, reports, give_up }
     }
 
     /// Returns an attempt that has this answer already.
     pub fn answered(answer: Box<IncomingAnswer>) -> Self {
-        Self::new(|_| std::future::ready(SendOutcome::Answer(answer)))
+        let placement = answer.attempt.placement().clone();
+        Self::new(placement, |_| std::future::ready(SendOutcome::Answer(answer)))
     }
 
     /// Waits for the outcome. Must not be called again after it has returned.
--- a/crates/lw-edge/tests/stalls.rs
+++ b/crates/lw-edge/tests/stalls.rs
@@ -275,3 +275,26 @@
         assert_eq!(reply.body, events(), "{id}");
     }
 }
+
+/// Guards against a stream that is cut since its silent engine was left before another one answered, and that one refuses it.
+#[tokio::test]
+async fn a_stream_stays_at_its_silent_engine_while_another_one_refuses_it_late() {
+    let simulation = start().await;
+    let second = start_second(&simulation).await;
+    let id = "refused-late";
+    simulation.faults.push(Behaviour::DelayedEvents(ms(900)));
+    simulation.faults.push(Behaviour::RejectAfter(ms(400)));
+    let check = async {
+        tokio::time::sleep(ms(1_300)).await;
+        report(&second, first_engine(&simulation, id));
+    };
+    let req = long_request(id, "a1:1000,b2:200");
+    let (reply, ()) = tokio::join!(simulation.send(&req), check);
+    let reply = reply.expect("an answer");
+    let received = |engine: &&Upstream| {
+        engine.received().iter().any(|got| got.request.header("x-attempt-id") == Some(id))
+    };
+    assert_eq!(simulation.engines.iter().filter(received).count(), 2, "another engine is asked");
+    assert!(reply.is_complete, "{} {}", reply.head, reply.text());
+    assert_eq!(reply.body, events());
+}
