lw-stream: a silent attempt runs on until another one takes its place

Callers saw answers that ended with `stream_broken` as soon as their engine had been silent for `timeouts.stream_silence`, or had given no first token within 0.6 of the deadline, although the engine went on afterwards. The same happened to the streams of a VM that was stopped for longer than that.

Cause: on silence the assembler cancelled the attempt first and then requested another. Where none could be made (no retry in the budget, no attempt left, or each engine refused it), nothing was left to wait for. After a pause of the VM its timers expired before the tokens that had arrived meanwhile were read.

Silence now only starts a replacement. The silent attempt runs on beside it, as the first attempt does beside a hedge, and the first of them to produce the next token cancels the other; tokens carry their position and attempt, so the caller gets each once. Without a replacement, another is requested every 250 ms, and the silent attempt ends 10 s later or, if that is longer, after the request's deadline. Retries are charged after an engine is found, so that repeated requests cost nothing where none can take over.

Also `answer_completes_although_every_engine_pauses` covers pauses of up to 9 s of all attempts.

Ruled out: cancelling the silent attempt when the engine of the replacement accepts the request. An engine that accepts it may still fail it or fall silent, with no attempt left. Racing costs at most the work of one attempt until a first token, within the retry budget. Refusing engines that count as slow as replacements: after a stall every engine counts as suspect, also one whose connection alone was lost. A gap that does not fill, another version or incarnation, and an engine's error still end an attempt at once.

--- a/crates/lw-daemon/src/generate/mod.rs
+++ b/crates/lw-daemon/src/generate/mod.rs
@@ -98,6 +98,8 @@
         let options = Options {
             first_event_timeout: deadline.mul_f64(FIRST_EVENT_FRACTION),
             idle_timeout: tables.settings.timeouts.stream_silence,
+            // Before the first token the deadline ends the stream, so a silent attempt may run up to it.
+            replacement_timeout: placement::RESUME_DEADLINE.max(deadline),
             ..Options::default()
         };
         let version = job.request.scope.model_version.clone();
--- a/crates/lw-daemon/src/generate/placement.rs
+++ b/crates/lw-daemon/src/generate/placement.rs
@@ -10,7 +10,7 @@
 use super::Driver;
 
 /// Time within which an interrupted answer must continue at another engine.
-const RESUME_DEADLINE: Duration = Duration::from_secs(10);
+pub(super) const RESUME_DEADLINE: Duration = Duration::from_secs(10);
 
 /// Why an attempt is not made, and the time after which the caller may retry.
 pub(super) type Denial = (ResultCode, Option<Duration>);
@@ -47,12 +47,11 @@
         if resume_from > 0 {
             self.context.deadline = now + RESUME_DEADLINE;
         }
+        // Placed first, so that a request that no engine can take costs no retry.
+        let candidate = self.place_again(now)?;
         let next_context = self.tables.limits().budget.spend(now, Kind::Retry, self.context);
-        match next_context {
-            Ok(context) => self.context = context,
-            Err(e) => return Err(self.denial(e)),
-        }
-        self.place_again(now)
+        self.context = next_context.map_err(|e| self.denial(e))?;
+        Ok(candidate)
     }
 
     fn denial(&self, e: retry::Error) -> Denial {
--- a/crates/lw-daemon/tests/streams.rs
+++ b/crates/lw-daemon/tests/streams.rs
@@ -1,6 +1,10 @@
 //! Guards against streams that reach the caller incomplete, or with events of another stream, duplicate or reordered
 //! events.
 
+use std::time::Duration;
+
+use futures::future::join_all;
+use lw_protocol::upstream::RefusalReason;
 use lw_standin::{
     engine::{self, Faults, StreamFaults, answer_text},
     serve::HttpFaults,
@@ -11,6 +15,12 @@
 use common::{CompletionRequest, Fleet, Options};
 
 const TOKENS: u64 = 40;
+/// Settings under which a pause of 1.2 s counts as silence and no retry is allowed.
+const NO_RETRIES: &str = "timeouts:\n  stream_silence: 300ms\nlimits:\n  min_retries: 0\n";
+/// The same with enough retries.
+const MANY_RETRIES: &str = "timeouts:\n  stream_silence: 300ms\nlimits:\n  min_retries: 1000\n";
+/// One token takes 1.2 s instead of 2 ms.
+const PAUSE_PERCENT: u32 = 60_000;
 
 /// Faults of an engine's next streams, each with its name, which is also part of the prompt.
 fn stream_faults() -> Vec<(&'static str, StreamFaults)> {
@@ -39,7 +49,7 @@
 
 #[tokio::test]
 async fn answers_are_complete_and_correct_despite_stream_faults() {
-    let settings = "timeouts:\n  stream_silence: 300ms\nlimits:\n  min_retries: 1000\n".to_owned();
+    let settings = MANY_RETRIES.to_owned();
     let fleet =
         Fleet::start("streams", Options { engines: 5, settings, ..Options::default() }).await;
     for (name, stream) in stream_faults() {
@@ -102,3 +112,79 @@
         assert!(started.elapsed().as_millis() < 2000, "round {round}: {:?}", started.elapsed());
     }
 }
+
+async fn set_engine_faults(fleet: &Fleet, faults: &Faults) {
+    for engine in &fleet.engines {
+        fleet.set_faults(engine.address(), faults).await;
+    }
+}
+
+/// Requests eight streams that last at least 400 ms, carries out `disturb` in their middle and checks the answers.
+async fn check_streams_during(fleet: &Fleet, disturb: impl AsyncFnOnce()) {
+    let prompts: Vec<String> = (0..8).map(|i| format!("prompt {i}")).collect();
+    let requests = prompts.iter().map(|prompt| CompletionRequest::new(0, prompt, 5 * TOKENS));
+    let answers = join_all(requests.map(|request| fleet.complete(request)));
+    let disturbed = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        disturb().await;
+    };
+    let (answers, ()) = tokio::join!(answers, disturbed);
+    for (prompt, answer) in prompts.iter().zip(answers) {
+        assert_eq!(answer.text, answer_text(prompt, 5 * TOKENS), "{prompt}: {:?}", answer.error);
+        assert!(answer.is_done, "{prompt}");
+    }
+}
+
+/// Each engine takes 1.2 s for the next token of each stream and then goes on; `faults` apply until then.
+async fn pause_engines(fleet: &Fleet, faults: Faults) {
+    set_engine_faults(fleet, &Faults { slow_percent: PAUSE_PERCENT, ..faults }).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    set_engine_faults(fleet, &Faults::default()).await;
+}
+
+#[tokio::test]
+async fn pause_of_all_engines_cuts_no_stream_when_no_retry_is_left() {
+    let settings = NO_RETRIES.to_owned();
+    let fleet = Fleet::start("pause", Options { engines: 4, settings, ..Options::default() }).await;
+    check_streams_during(&fleet, async || pause_engines(&fleet, Faults::default()).await).await;
+}
+
+#[tokio::test]
+async fn pause_of_all_engines_cuts_no_stream_when_they_refuse_its_replacement() {
+    let settings = MANY_RETRIES.to_owned();
+    let fleet =
+        Fleet::start("refusing", Options { engines: 4, settings, ..Options::default() }).await;
+    let faults = Faults { refuse: Some(RefusalReason::Busy), ..Faults::default() };
+    check_streams_during(&fleet, async || pause_engines(&fleet, faults).await).await;
+}
+
+#[tokio::test]
+async fn pause_of_the_vm_cuts_no_stream() {
+    let settings = NO_RETRIES.to_owned();
+    let fleet =
+        Fleet::start("stopped", Options { engines: 4, settings, ..Options::default() }).await;
+    let pause = async || {
+        fleet.vms[0].signal("-STOP");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        fleet.vms[0].signal("-CONT");
+    };
+    check_streams_during(&fleet, pause).await;
+}
+
+#[tokio::test]
+async fn late_first_token_is_awaited_until_the_deadline_when_no_retry_is_left() {
+    let settings = NO_RETRIES.to_owned();
+    let fleet = Fleet::start("late", Options { settings, ..Options::default() }).await;
+    let faults = Faults { slow_percent: PAUSE_PERCENT, ..Faults::default() };
+    set_engine_faults(&fleet, &faults).await;
+    let headers = [("x-lavenderwood-deadline-ms", "1700")];
+    let request =
+        CompletionRequest { headers: &headers, ..CompletionRequest::new(0, "late", TOKENS) };
+    let recovery = async {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        set_engine_faults(&fleet, &Faults::default()).await;
+    };
+    let (answer, ()) = tokio::join!(fleet.complete(request), recovery);
+    assert_eq!(answer.text, answer_text("late", TOKENS), "{:?}", answer.error);
+    assert!(answer.is_done);
+}
--- a/crates/lw-stream/src/assembler.rs
+++ b/crates/lw-stream/src/assembler.rs
@@ -9,15 +9,20 @@
     event::{Action, Cause, End, Event, EventSource},
 };
 
+/// Time between two requests for a replacement of a silent attempt.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Limits of one stream.
 #[derive(Debug, Clone)]
 pub struct Options {
     /// Largest number of attempts, including the first one and hedges.
     pub max_attempts: u32,
-    /// Longest time from the start of an attempt to its first event.
+    /// Time from the start of an attempt to its first event after which it counts as silent.
     pub first_event_timeout: Duration,
-    /// Longest time between two events that carry a new token or the end of the answer.
+    /// Time between two events that carry a new token or the end of the answer after which an attempt counts as silent.
     pub idle_timeout: Duration,
+    /// Longest time for which an attempt that counts as silent may still go on, unless another one takes its place.
+    pub replacement_timeout: Duration,
     /// Longest time for which a missing token may delay the delivery of later ones.
     pub gap_timeout: Duration,
     /// Largest number of out-of-order tokens buffered for one attempt.
@@ -34,6 +39,7 @@
             max_attempts: 4,
             first_event_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(1),
+            replacement_timeout: Duration::from_secs(10),
             gap_timeout: Duration::from_millis(250),
             buffer_tokens: 64,
             buffer_bytes: 4 << 10,
@@ -45,6 +51,9 @@
 ///
 /// It does no input or output: its user passes events to [`Assembler::step`] and carries out the returned actions.
 ///
+/// Silence does not prove that an engine has stopped, and another engine may refuse to take over. A silent attempt
+/// therefore keeps running beside its replacement, and the first to produce the next token wins.
+///
 /// ```
 /// use std::time::Duration;
 /// use lw_stream::{assembler::{Assembler, Options}, event::{Action, Event, EventSource}};
@@ -72,6 +81,8 @@
     /// Number of the next attempt to start.
     next_attempt: Attempt,
     remaining_attempts: u32,
+    /// Earliest time of the next request for a replacement of a silent attempt.
+    next_replacement: Now,
     /// Whether an attempt that has ended may have run at its engine.
     may_have_run: bool,
     is_over: bool,
@@ -95,6 +106,7 @@
             next_index: 0,
             attempts: Vec::with_capacity(1),
             next_attempt: 0,
+            next_replacement: now,
             may_have_run: false,
             is_over: false,
         };
@@ -136,13 +148,34 @@
             Event::Tick => {}
         }
         self.cancel_expired(now, &mut out);
+        if self.replacement_due().is_some_and(|due| due <= now) {
+            self.next_replacement = now + REPLACEMENT_INTERVAL;
+            self.start_attempt(now, Cause::Unresponsive, &mut out);
+        }
         out
     }
 
     /// Returns when the next [`Event::Tick`] is due, or `None` after the stream ended.
     #[must_use]
     pub fn next_tick(&self) -> Option<Now> {
-        self.attempts.iter().map(|running| running.expiry(&self.options).0).min()
+        let expiries = self.attempts.iter().flat_map(|running| {
+            [Some(running.expires_at(&self.options)), running.gap_expires_at(&self.options)]
+        });
+        expiries.chain([self.replacement_due()]).flatten().min()
+    }
+
+    /// Returns when the next replacement of silent attempts is due, or `None` if no attempt is running or left.
+    fn replacement_due(&self) -> Option<Now> {
+        if self.has_no_attempts_left() {
+            return None;
+        }
+        let all_silent_at =
+            self.attempts.iter().map(|running| running.silent_at(&self.options)).max()?;
+        Some(all_silent_at.max(self.next_replacement))
+    }
+
+    fn all_silent(&self, now: Now) -> bool {
+        self.attempts.iter().all(|running| running.silent_at(&self.options) <= now)
     }
 
     /// Returns the number of tokens delivered so far.
@@ -268,7 +301,7 @@
         out.push(Action::Start { attempt, resume_from: self.next_index, cause });
     }
 
-    /// Cancels an attempt that an engine may still work on, and starts another one when none is left.
+    /// Cancels an attempt that an engine may still work on, and starts another one when none is left but silent ones.
     fn cancel_and_replace(
         &mut self,
         now: Now,
@@ -282,7 +315,8 @@
         }
     }
 
-    /// Removes an attempt that ended early. When no attempt is left, starts another one or fails the stream.
+    /// Removes an attempt that ended early. When none is left but silent ones, starts another one. Fails the stream if
+    /// that is not possible and none is left at all.
     fn replace_lost(&mut self, now: Now, attempt: Attempt, cause: Cause, out: &mut Vec<Action>) {
         let Some(at) = self.position(attempt) else { return };
         self.attempts.swap_remove(at);
@@ -291,13 +325,15 @@
             _ => ResultCode::StreamBroken,
         };
         self.may_have_run |= code.executed() != Executed::No;
-        if !self.attempts.is_empty() {
+        if !self.all_silent(now) {
             return;
         }
-        if self.has_no_attempts_left() || !code.may_retry() {
-            return self.fail(code, out);
+        if !self.has_no_attempts_left() && code.may_retry() {
+            return self.start_attempt(now, cause, out);
+        }
+        if self.attempts.is_empty() {
+            self.fail(code, out);
         }
-        self.start_attempt(now, cause, out);
     }
 
     /// Removes an attempt that was not made; it does not count against the largest number of attempts.
@@ -320,16 +356,20 @@
         out.push(Action::Fail(if is_refusal_after_run { ResultCode::StreamBroken } else { code }));
     }
 
+    /// Cancels attempts with a missing token, and those that were silent for too long.
     fn cancel_expired(&mut self, now: Now, out: &mut Vec<Action>) {
-        let mut at = 0;
-        while let Some(running) = self.attempts.get(at) {
-            let (due, cause) = running.expiry(&self.options);
-            if due <= now {
-                self.cancel_and_replace(now, running.number, cause, out);
-                at = 0;
-            } else {
-                at += 1;
-            }
+        while let Some((attempt, cause)) = self.find_expired(now) {
+            self.cancel_and_replace(now, attempt, cause, out);
         }
     }
+
+    fn find_expired(&self, now: Now) -> Option<(Attempt, Cause)> {
+        self.attempts.iter().find_map(|running| {
+            if running.gap_expires_at(&self.options).is_some_and(|at| at <= now) {
+                return Some((running.number, Cause::Gap));
+            }
+            let has_expired = running.expires_at(&self.options) <= now;
+            has_expired.then_some((running.number, Cause::Unresponsive))
+        })
+    }
 }
--- a/crates/lw-stream/src/attempt.rs
+++ b/crates/lw-stream/src/attempt.rs
@@ -1,12 +1,12 @@
 //! State of one attempt that was started and has not ended.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use lw_types::prelude::*;
 
 use crate::{
     assembler::Options,
-    event::{Cause, End, EventSource},
+    event::{End, EventSource},
 };
 
 /// How the source of an event compares with the engine of the attempt.
@@ -124,15 +124,21 @@
             || self.buffer.keys().next_back().is_some_and(|&last| last >= end.tokens)
     }
 
-    /// Returns when the attempt expires unless something new arrives, and the cause to report then.
-    pub(crate) fn expiry(&self, options: &Options) -> (Duration, Cause) {
-        let idle_expiry = match self.last_progress {
+    /// Returns when the attempt counts as silent unless something new arrives.
+    pub(crate) fn silent_at(&self, options: &Options) -> Now {
+        match self.last_progress {
             None => self.started_at + options.first_event_timeout,
             Some(at) => at + options.idle_timeout,
-        };
-        match self.waiting_since.map(|since| since + options.gap_timeout) {
-            Some(gap_expiry) if gap_expiry < idle_expiry => (gap_expiry, Cause::Gap),
-            _ => (idle_expiry, Cause::Unresponsive),
         }
     }
+
+    /// Returns when the attempt is cancelled for its silence unless something new arrives.
+    pub(crate) fn expires_at(&self, options: &Options) -> Now {
+        self.silent_at(options) + options.replacement_timeout
+    }
+
+    /// Returns when the attempt is cancelled because of a missing token, if later ones wait for it.
+    pub(crate) fn gap_expires_at(&self, options: &Options) -> Option<Now> {
+        self.waiting_since.map(|since| since + options.gap_timeout)
+    }
 }
--- a/crates/lw-stream/src/event.rs
+++ b/crates/lw-stream/src/event.rs
@@ -109,7 +109,7 @@
     /// The previous attempt failed with this code.
     #[display("failed: {}", _0.name())]
     Failed(ResultCode),
-    /// The previous attempt sent nothing new within its time limit.
+    /// The running attempts have sent nothing new for some time. They run on beside the new one.
     #[display("silence")]
     Unresponsive,
     /// A token of the previous attempt did not arrive in time, or too many arrived out of order.
--- a/crates/lw-stream/tests/assembler.rs
+++ b/crates/lw-stream/tests/assembler.rs
@@ -86,6 +86,19 @@
             prop_assert_eq!(&simulation.delivered_text, &simulation.expected_text());
         }
     }
+
+    /// Guards against a stream that is cut although each engine would have gone on after a pause.
+    #[test]
+    fn answer_completes_although_every_engine_pauses(
+        tokens in 8..40_u64, pauses in prop::collection::vec((any::<u8>(), 0..9_000_u16), 5),
+        hedge in prop::option::of(0..60_u32),
+    ) {
+        let plans = pauses.into_iter().map(|(at, ms)| vec![Fault::Pause(at, ms)]).collect();
+        let simulation = Simulation::run(tokens, plans, hedge);
+        prop_assert!(matches!(simulation.result, Some(Ok(_))), "{:?}", simulation.result);
+        prop_assert_eq!(&simulation.delivered_text, &simulation.expected_text());
+        prop_assert!(simulation.open_attempts.is_empty());
+    }
 }
 
 fn token<'a>(attempt: Attempt, index: TokenIndex) -> Event<'a> {
@@ -118,6 +131,69 @@
     }
 }
 
+/// Guards against an attempt that is cancelled before its replacement has produced anything, and against tokens of both
+/// in one stream.
+#[test]
+fn silent_attempt_races_its_replacement() {
+    let silent_at = MS + Options::default().idle_timeout;
+    for (winner, loser) in [(0, 1), (1, 0)] {
+        let mut assembler = start(Options::default());
+        assembler.step(MS, token(0, 0));
+        assert_eq!(assembler.next_tick(), Some(silent_at));
+        let replacement = Action::Start { attempt: 1, resume_from: 1, cause: Cause::Unresponsive };
+        assert_eq!(assembler.step(silent_at, Event::Tick), [replacement]);
+        let deliver = |index| Action::Deliver { index, text: "x".into() };
+        assert_eq!(
+            assembler.step(silent_at + MS, token(winner, 1)),
+            [Action::Cancel { attempt: loser }, deliver(1)]
+        );
+        assert_eq!(assembler.step(silent_at + MS, token(loser, 2)), []);
+        assert_eq!(assembler.step(silent_at + MS, token(winner, 2)), [deliver(2)]);
+    }
+}
+
+/// Guards against a stream that ends before the replacement timeout because no replacement is allowed, and against one
+/// that never ends.
+#[test]
+fn silent_attempt_without_replacement_runs_until_the_timeout() {
+    let options = Options::default();
+    let expires_at = options.first_event_timeout + options.replacement_timeout;
+    let mut assembler = start(options);
+    let mut requests = 0;
+    while let Some(now) = assembler.next_tick().filter(|now| *now < expires_at) {
+        let [Action::Start { attempt, .. }] = assembler.step(now, Event::Tick)[..] else {
+            panic!("no replacement requested at {now:?}")
+        };
+        let refused = Event::StartRefused { attempt, code: ResultCode::StreamBroken };
+        assert_eq!(assembler.step(now, refused), []);
+        requests += 1;
+    }
+    assert!((2..100).contains(&requests), "{requests} requests for a replacement");
+    let [Action::Cancel { attempt: 0 }, Action::Start { attempt, .. }] =
+        assembler.step(expires_at, Event::Tick)[..]
+    else {
+        panic!("not cancelled at {expires_at:?}")
+    };
+    let refused = Event::StartRefused { attempt, code: ResultCode::StreamBroken };
+    assert_eq!(assembler.step(expires_at, refused), [Action::Fail(ResultCode::StreamBroken)]);
+}
+
+/// Guards against a stream that is cut when its last attempt is silent, or when engines refuse to replace it.
+#[test]
+fn silent_attempt_goes_on_after_its_replacements_failed() {
+    let mut assembler = start(Options { max_attempts: 3, ..Options::default() });
+    assembler.step(MS, token(0, 0));
+    let now = MS + Options::default().idle_timeout;
+    assembler.step(now, Event::Tick);
+    let next =
+        Action::Start { attempt: 2, resume_from: 1, cause: Cause::Failed(ResultCode::NotSent) };
+    let failed = |attempt| Event::Failed { attempt, code: ResultCode::NotSent };
+    assert_eq!(assembler.step(now, failed(1)), [next]);
+    assert_eq!(assembler.step(now, failed(2)), []);
+    let deliver = Action::Deliver { index: 1, text: "x".into() };
+    assert_eq!(assembler.step(now + 5 * MS, token(0, 1)), [deliver]);
+}
+
 /// Guards against unbounded memory for tokens that arrive out of order, counted in tokens or in bytes.
 #[test]
 fn buffer_is_bounded() {
--- a/crates/lw-stream/tests/simulation/mod.rs
+++ b/crates/lw-stream/tests/simulation/mod.rs
@@ -25,6 +25,8 @@
     Duplicate(u8),
     /// The token arrives later by this number of milliseconds.
     Delay(u8, u16),
+    /// The engine pauses for this number of milliseconds before the token.
+    Pause(u8, u16),
     /// A corrupt token and a corrupt end event arrive from another source.
     StrayEvents(u8, Source),
     /// All events of the attempt come from another engine than expected.
@@ -242,6 +244,7 @@
         let mut delay = BTreeMap::new();
         let (mut stop, mut dropped, mut has_end) = (self.tokens, None, true);
         let (mut end_at, mut end_tokens) = (at(self.tokens), self.tokens);
+        let (mut pause_from, mut pause) = (self.tokens, Time::ZERO);
         for fault in plan {
             match fault {
                 // The close is processed before tokens that were sent earlier.
@@ -259,6 +262,10 @@
                     );
                 }
                 Fault::Delay(n, ms) => drop(delay.insert(token(n), Time::from_millis(ms.into()))),
+                Fault::Pause(n, ms) => {
+                    pause_from = token(n);
+                    pause = Time::from_millis(ms.into());
+                }
                 Fault::StrayEvents(n, stray) => {
                     self.push(just_before(n), attempt, Scheduled::Token(token(n), stray));
                     self.push(just_before(n), attempt, Scheduled::End(token(n), stray));
@@ -272,14 +279,17 @@
             }
         }
         for index in (resume_from..stop).filter(|&index| Some(index) != dropped) {
-            let late_by = delay.get(&index).copied().unwrap_or_default();
+            let mut late_by = delay.get(&index).copied().unwrap_or_default();
+            if index >= pause_from {
+                late_by += pause;
+            }
             self.push(at(index) + late_by, attempt, Scheduled::Token(index, source));
         }
         if has_end {
             // A count that is too low is sent after all tokens, which contradict it. Sent earlier, it could not be
             // distinguished from a correct one.
             let end_at = if end_tokens < self.tokens { at(self.tokens) } else { end_at };
-            self.push(end_at, attempt, Scheduled::End(end_tokens, source));
+            self.push(end_at + pause, attempt, Scheduled::End(end_tokens, source));
         }
     }
 }
