lw-daemon: a silent call to a service runs on beside its repetition

Callers of a plain service got 502 once a call that may be repeated had been without an answer for 0.6 of their deadline: `outcome_unknown` without a retry in the budget, and `not_sent` (`ran: no`) where the other instance was down, although the first instance was at work and answered in time. The second answer was also untrue.

Cause: the first attempt was dropped on its silence before it was known whether a second one was allowed and could be sent.

Now the retry is secured first, and both attempts run on; the first answer counts. Without a retry the first attempt is awaited. When both fail after a silence, the outcome is unknown. Calls that may not be repeated are sent once as before.

Ruled out: a longer share of the deadline for the first attempt, which only moves the moment; an answer of 0.9 of the deadline would still be lost, and a lost connection would cost more.

--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures::future::select_ok;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, header};
 use http_body_util::Full;
 use lw_config::document::UpstreamKind;
@@ -18,9 +19,8 @@
 
 mod once;
 
-/// Maximum number of attempts of a call that may be repeated.
-const REPEATABLE_ATTEMPTS_MAX: usize = 2;
-/// Fraction of the deadline that the first attempt may take, so that an unresponsive connection costs no more.
+/// Fraction of the deadline after which a second attempt is made beside the first, so that an unresponsive connection
+/// costs no more.
 const FIRST_ATTEMPT_FRACTION: f64 = 0.6;
 /// Timeout for the response headers of a service.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -129,6 +129,8 @@
     out
 }
 
+/// Sends a call that may be repeated. It is repeated once, at another instance if there is one, when the first attempt
+/// fails or is silent for too long.
 async fn send_repeatable(
     tables: &Tables,
     caller: &Caller,
@@ -138,32 +140,51 @@
     let mut targets = instances(tables, caller, name);
     // A single instance also receives the retry: its pooled connection may have become unresponsive.
     targets.extend_from_within(..);
-    targets.truncate(REPEATABLE_ATTEMPTS_MAX);
-    let mut context = AttemptContext::received(caller.arrived, 0, SERVICE_TIMEOUT);
-    let mut last_failure =
-        Failure::new(ResultCode::NoUpstream, "no instance of the service is available");
-    for (i, (id, addr)) in targets.into_iter().enumerate() {
-        tables.record_step("http", &caller.request_id, &format!("service call at {id}"));
-        let (reuse, timeout) = match i {
-            0 => (Reuse::Any, caller.deadline.mul_f64(FIRST_ATTEMPT_FRACTION)),
-            _ => (Reuse::Never, SERVICE_TIMEOUT),
-        };
-        let e = match send(tables, (&id, addr), call, reuse, timeout).await {
-            Ok(response) => return Ok(response),
-            Err(e) => e,
-        };
+    let [first, second, ..] = &targets[..] else {
+        let text = "no instance of the service is available";
+        return Err(Failure::new(ResultCode::NoUpstream, text));
+    };
+    let mut first = Box::pin(send_logged(tables, caller, first, call, Reuse::Any));
+    let silence = caller.deadline.mul_f64(FIRST_ATTEMPT_FRACTION);
+    let first_error = match tokio::time::timeout(silence, first.as_mut()).await {
+        Ok(Ok(response)) => return Ok(response),
+        Ok(Err(e)) => Some(e),
+        Err(_) => None,
+    };
+    let may_repeat = matches!(first_error, Some(Error::NotSent(_))) || spend_retry(tables, caller);
+    let second = send_logged(tables, caller, second, call, Reuse::Never);
+    let result = match (first_error, may_repeat) {
+        (Some(e), false) => Err(e),
+        (Some(_), true) => second.await,
+        (None, false) => first.await,
+        // The silent instance may still answer, and the other one may fail.
+        (None, true) => match select_ok([first, Box::pin(second)]).await {
+            Ok((response, _)) => Ok(response),
+            Err(_) => Err(Error::Broken("neither attempt was answered".to_owned())),
+        },
+    };
+    result.map_err(|e| to_failure(&e))
+}
+
+/// Charges a retry to the budget and returns whether it is allowed.
+fn spend_retry(tables: &Tables, caller: &Caller) -> bool {
+    let context = AttemptContext::received(caller.arrived, 0, SERVICE_TIMEOUT);
+    tables.limits().budget.spend(tables.timer.now(), Kind::Retry, context).is_ok()
+}
+
+async fn send_logged(
+    tables: &Tables,
+    caller: &Caller,
+    (id, addr): &(UpstreamId, SocketAddr),
+    call: &ServiceCall,
+    reuse: Reuse,
+) -> Result<Response, Error> {
+    tables.record_step("http", &caller.request_id, &format!("service call at {id}"));
+    let result = send(tables, (id, *addr), call, reuse, SERVICE_TIMEOUT).await;
+    if let Err(e) = &result {
         log::warn!("http: {} service call at {id} failed: {e}", caller.request_id);
-        last_failure = to_failure(&e);
-        if matches!(e, Error::Broken(_)) {
-            let now = tables.timer.now();
-            let next_context = tables.limits().budget.spend(now, Kind::Retry, context);
-            match next_context {
-                Ok(next) => context = next,
-                Err(_) => break,
-            }
-        }
     }
-    Err(last_failure)
+    result
 }
 
 /// Returns the instances in the order in which to try them: those in the failure domain of this VM first.
