lw-daemon: a call that may have run is not reported as not run

Callers of a plain service got `not_sent` (`ran: no`) although the first instance had run the call and its answer was lost, if the other instance could then not be reached.

Cause: the answer was that of the last attempt alone. Now "not run" is reported only if neither attempt was sent.

Completions are not affected: the assembler and `failure_for_caller` combine the results of all attempts already.

--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -151,11 +151,13 @@
         Ok(Err(e)) => Some(e),
         Err(_) => None,
     };
-    let may_repeat = matches!(first_error, Some(Error::NotSent(_))) || spend_retry(tables, caller);
+    let is_unsent = matches!(first_error, Some(Error::NotSent(_)));
+    let may_repeat = is_unsent || spend_retry(tables, caller);
     let second = send_logged(tables, caller, second, call, Reuse::Never);
     let result = match (first_error, may_repeat) {
         (Some(e), false) => Err(e),
-        (Some(_), true) => second.await,
+        // "Not run" may be reported only if it holds for both attempts.
+        (Some(e), true) => second.await.map_err(|next| if is_unsent { next } else { e }),
         (None, false) => first.await,
         // The silent instance may still answer, and the other one may fail.
         (None, true) => match select_ok([first, Box::pin(second)]).await {
