lw-daemon: an answer is resumed at an engine of a later configuration

Callers whose engine broke off got `stream_broken` where the router selected an engine that was added to the configuration after their request had arrived.

Cause: the router knows the engines of the active configuration, but the address was read from that with which the request began. An engine missing there was reported as if none were available. An engine whose address had changed was called at its former one.

Now the address comes from the active configuration, as the selection does. Limits, models and permissions still follow the configuration of the request.

Evidence: `cut_stream_is_resumed_at_an_engine_of_a_later_configuration` failed before with `stream_broken` (4001), and passes now. Ruled out: the retry budget, which has 10 retries in that test, and the former configuration's version of the model, which is the same.

--- a/crates/lw-daemon/src/generate/mod.rs
+++ b/crates/lw-daemon/src/generate/mod.rs
@@ -340,9 +340,7 @@
     ) -> Result<(), Denial> {
         let candidate = self.candidate_for(cause, resume_from)?;
         self.record_step("stream", &format!("attempt {attempt} ({cause}) at {}", candidate.engine));
-        let upstreams = &self.job.caller.active.document.upstreams;
-        let upstream = upstreams.get(&candidate.engine).ok_or((ResultCode::NoUpstream, None))?;
-        let addr = upstream.address;
+        let addr = self.engine_address(&candidate.engine).ok_or((ResultCode::NoUpstream, None))?;
         let sent = RouterEvent::Sent { request: &self.job.request, attempt, candidate: &candidate };
         self.tables.router().record(self.tables.timer.now(), sent);
         let resume =
@@ -373,7 +371,7 @@
         body: &GenerateRequest,
     ) -> Option<kv::KvMove> {
         let import = candidate.import.as_ref()?;
-        let from = self.job.caller.active.document.upstreams.get(&import.from)?.address;
+        let from = self.engine_address(&import.from)?;
         let what = format!("moves {} tokens of KV cache from {}", import.tokens, import.from);
         self.record_step("route", &what);
         Some(kv::KvMove {
--- a/crates/lw-daemon/src/generate/placement.rs
+++ b/crates/lw-daemon/src/generate/placement.rs
@@ -1,6 +1,6 @@
 //! Selects the engine for the next attempt of a request, within the retry budget.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use lw_limit::retry::{self, Kind};
 use lw_route::{Candidate, Decision, Hedge};
@@ -86,6 +86,13 @@
         request
     }
 
+    /// Returns the address of an engine that the router has selected. The router may know engines that were added or moved
+    /// after the request arrived.
+    pub(super) fn engine_address(&self, engine: &UpstreamId) -> Option<SocketAddr> {
+        let active = self.tables.active_config()?;
+        active.document.upstreams.get(engine).map(|upstream| upstream.address)
+    }
+
     /// Returns whether the router and the retry budget allow a hedge now. If so, charges it to the budget and stores
     /// the engine for it.
     pub(super) fn prepare_hedge(&mut self, now: Now) -> bool {
--- a/crates/lw-daemon/tests/streams.rs
+++ b/crates/lw-daemon/tests/streams.rs
@@ -9,6 +9,7 @@
     engine::{self, Faults, StreamFaults, answer_text},
     serve::HttpFaults,
 };
+use serde_json::json;
 
 mod common;
 
@@ -188,3 +189,26 @@
     assert_eq!(answer.text, answer_text("late", TOKENS), "{:?}", answer.error);
     assert!(answer.is_done);
 }
+
+#[tokio::test]
+async fn cut_stream_is_resumed_at_an_engine_of_a_later_configuration() {
+    let engine = engine::Options { token_time: Duration::from_millis(10), ..Default::default() };
+    let fleet = Fleet::start("added", Options { engines: 2, engine, ..Options::default() }).await;
+    let added = fleet.initial_config()["upstreams"]["engine-1"].clone();
+    let removal = json!({ "upstreams": { "engine-1": null } });
+    assert_eq!(fleet.apply_patch(0, 1, &removal).await.0, 200);
+    fleet.wait_for_version(0, 2).await;
+    let stream = StreamFaults { drop_after: Some(2 * TOKENS), ..StreamFaults::default() };
+    let faults = Faults { stream, ..Faults::default() };
+    fleet.set_faults(fleet.engines[0].address(), &faults).await;
+    let addition = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let patch = json!({ "upstreams": { "engine-1": added } });
+        assert_eq!(fleet.apply_patch(0, 2, &patch).await.0, 200);
+        fleet.wait_for_version(0, 3).await;
+    };
+    let request = CompletionRequest::new(0, "added", 3 * TOKENS);
+    let (answer, ()) = tokio::join!(fleet.complete(request), addition);
+    assert_eq!(answer.text, answer_text("added", 3 * TOKENS), "{:?}", answer.error);
+    assert!(answer.is_done);
+}
