lw-quarantine: hold a prompt that crashed three engines

Callers send the same request again and again, at any VM, and each copy crashed the engine that began to run it, together with the answers of others there. The users' bound: after the third crash and the time to react, at most three further copies reach engines.

Nothing bounded the copies between the third crash and the blame at the fifth: each VM sent each copy that it received. Crashes within 30 ms counted as one, although copies that are sent together crash their engines together, so that a prompt could need several bursts to be blamed.

A prompt that was at three crashes as a whole, with a segment that has no sound answer, is now held: the two VMs that registered last take turns of 2 s from its last crash on, and send one copy in each; the others refuse it with a retry-after of 1 s. One sound answer releases it at all VMs. The crashes and sound answers of held prompts are reported again each second, with the messages that exist, so that a VM that started or missed a message knows of them. In the rule on one prompt, five crashes count if three of them are at different moments.

lw-edge claims each attempt with SharedQuarantine::try_begin, those beside a silent one too.

--- a/crates/lw-edge/src/quarantine/mod.rs
+++ b/crates/lw-edge/src/quarantine/mod.rs
@@ -67,6 +67,15 @@
         self.lock().time_left(now, &segment_ids(prompt))
     }
 
+    /// Claims an attempt at a request with this prompt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller may send the request again, if no attempt may begin now.
+    pub fn try_begin(&self, now: Now, prompt: &Prompt) -> Result<(), Duration> {
+        self.lock().try_begin(now, &segment_ids(prompt))
+    }
+
     /// Whether a request with this prompt, whose attempt broke with its engine, may be sent to another one.
     #[must_use]
     pub fn may_send_again(&self, prompt: &Prompt) -> bool {
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -141,6 +141,7 @@
     fn return_to_silent(&mut self) -> Option<Attempt> {
         let placement = self.left.take()?;
         self.check_quarantine(Purpose::TakeOver).ok()?;
+        self.check_held().ok()?;
         self.spend_retry().ok()?;
         self.record.count_attempt();
         Some(Attempt::begin(&self.edge, &self.call, placement, self.tried.len() + 1))
@@ -219,6 +220,7 @@
     }
 
     async fn begin_attempt(&mut self, purpose: Purpose) -> Result<Attempt, Failure> {
+        self.check_held()?;
         let placement = self.place_in_turn(purpose).await?;
         self.charge()?;
         self.attempts_sent += 1;
@@ -266,6 +268,19 @@
         Err(Failure::new(ResultCode::Quarantined, why).retry_after(time_left))
     }
 
+    /// Refuses an attempt at a request whose prompt crashed engines, unless this VM may send one copy of it now.
+    fn check_held(&self) -> Result<(), Failure> {
+        let Some(prompt) = &self.call.prompt else { return Ok(()) };
+        let now = self.edge.timer.now_including_suspend();
+        self.edge.quarantine.try_begin(now, prompt).map_err(|time_left| {
+            let why = "engines crashed with this prompt, and another copy of it may be in flight";
+            if self.may_have_run {
+                return Failure::new(ResultCode::OutcomeUnknown, why);
+            }
+            Failure::new(ResultCode::Quarantined, why).retry_after(time_left)
+        })
+    }
+
     /// Refuses a further attempt at a request that may crash its engine.
     fn check_suspicion(&self, purpose: Purpose) -> Result<(), Failure> {
         let may_have_run = self.may_have_run || purpose == Purpose::TakeOver;
--- a/crates/lw-quarantine/src/culprits.rs
+++ b/crates/lw-quarantine/src/culprits.rs
@@ -30,9 +30,12 @@
 const CRASHES_MIN_OTHER_PROMPTS: usize = 2;
 /// Crashes from which on a segment without sound answers is blamed although it was in one prompt: more than the attempts
 /// of one request and of its caller's retry.
-const CRASHES_MIN_ONE_PROMPT: usize = 5;
+const CRASHES_MIN_ONE_PROMPT: u32 = 5;
 /// Crashes from which on a segment in one prompt is blamed that had sound answers before the first of them.
 const CRASHES_MIN_ONE_PROMPT_ONCE_SOUND: usize = 8;
+/// Crashes from which on copies of a prompt are sent one at a time. Those at the same moment count too, since copies may
+/// be sent together.
+const CRASHES_MIN_REPEATED: usize = 3;
 /// Crashes within this time count as one: a power failure or a network fault ends several engines at once, whereas a
 /// request crashes one engine after the other.
 const SAME_CAUSE_TIME: Duration = Duration::from_millis(30);
@@ -95,6 +98,30 @@
     found
 }
 
+/// Returns the prompts without a sound answer that were at several crashes as a whole, each with the time of the last one.
+/// Crashes that a quarantined set explains do not count.
+#[must_use]
+pub fn find_repeated(
+    crashes: &[&Crash],
+    sound_at: impl Fn(SegmentId) -> Option<Now>,
+    known: &[&SegmentSet],
+) -> HashMap<Vec<SegmentId>, Now> {
+    let mut repeated: HashMap<&[SegmentId], (usize, Now)> = HashMap::new();
+    for crash in crashes.iter().map(|crash| CrashView::new(crash, known)) {
+        let suspects: HashSet<_> = crash.suspects.iter().copied().collect();
+        for prompt in suspects.into_iter().filter(|_| crash.known_causes.is_empty()) {
+            let (count, last) = repeated.entry(prompt).or_default();
+            *count += 1;
+            *last = crash.at.max(*last);
+        }
+    }
+    let is_unsound = |prompt: &[SegmentId]| prompt.iter().any(|part| sound_at(*part).is_none());
+    let repeated = repeated
+        .into_iter()
+        .filter(|(prompt, (count, _))| *count >= CRASHES_MIN_REPEATED && is_unsound(prompt));
+    repeated.map(|(prompt, (_, last))| (prompt.to_vec(), last)).collect()
+}
+
 /// Drops the crashes at which a segment without sound answers was that was at another crash too, in another prompt:
 /// with the next crash it may explain them.
 fn drop_undecided(
@@ -156,9 +183,12 @@
 
 impl Candidate<'_> {
     fn is_suspicious_enough(&self) -> bool {
+        // Copies of a prompt may be sent together and crash several engines at the same moment.
+        let is_at_many = self.crashes.count_ones() >= CRASHES_MIN_ONE_PROMPT;
         let causes_min = match (self.other_causes, self.is_once_sound) {
             (..CRASHES_MIN_OTHER_PROMPTS, true) => CRASHES_MIN_ONE_PROMPT_ONCE_SOUND,
-            (..CRASHES_MIN_OTHER_PROMPTS, false) => CRASHES_MIN_ONE_PROMPT,
+            (..CRASHES_MIN_OTHER_PROMPTS, false) if is_at_many => CRASHES_MIN,
+            (..CRASHES_MIN_OTHER_PROMPTS, false) => return false,
             (_, true) => CRASHES_MIN_ONCE_SOUND,
             (_, false) => CRASHES_MIN,
         };
--- a/crates/lw-quarantine/src/evidence.rs
+++ b/crates/lw-quarantine/src/evidence.rs
@@ -6,6 +6,7 @@
 };
 
 use lw_types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Longest time between the breaks of two attempts, or a break and the report that the engine is down, that belong to
 /// the same crash.
@@ -132,6 +133,10 @@
 
     /// Records a report of another VM.
     pub fn record_report(&mut self, now: Now, vm: &VmId, report: &CrashReport) {
+        // Reports are repeated, and VMs must not tell each other of a crash for ever.
+        if report.age > EVIDENCE_TIME {
+            return;
+        }
         let at = now.saturating_sub(report.age);
         for suspect in &report.suspects {
             self.add_suspect(at, vm, &report.upstream, suspect.clone());
@@ -215,6 +220,21 @@
         reports
     }
 
+    /// Returns a report on each crash with this prompt, at whichever VM its attempts broke.
+    #[must_use]
+    pub fn reports_of(&self, now: Now, prompt: &[SegmentId]) -> Vec<CrashReport> {
+        // The number is the same in each report, and no attempt of this VM has it.
+        let bytes: Vec<u8> = prompt.iter().flat_map(|segment| segment.to_be_bytes()).collect();
+        let suspect = Suspect { attempt_id: xxh3_64(&bytes), segments: prompt.to_vec() };
+        let crashes = self.crashes.iter().filter(|crash| crash.suspects().any(|own| own == prompt));
+        let report = |crash: &Crash| CrashReport {
+            upstream: crash.upstream.clone(),
+            age: now.saturating_sub(crash.at),
+            suspects: vec![suspect.clone()],
+        };
+        crashes.map(report).filter(|report| report.age <= EVIDENCE_TIME).collect()
+    }
+
     /// Returns the number of engines that went down, or broke own attempts, while prompts with a segment were in flight.
     #[must_use]
     pub fn suspicion(&self, segment: SegmentId) -> usize {
--- a/crates/lw-quarantine/src/quarantine/mod.rs
+++ b/crates/lw-quarantine/src/quarantine/mod.rs
@@ -13,8 +13,10 @@
     culprits::{self, CRASHES_MIN_ONCE_SOUND},
     evidence::Evidence,
 };
+use held::HeldPrompts;
 
 mod action;
+mod held;
 mod store;
 
 pub use action::{Action, Basis, ReleaseReason, StoredSet};
@@ -86,6 +88,7 @@
     vm: VmId,
     evidence: Evidence,
     entries: HashMap<SegmentSet, Entry>,
+    held: HeldPrompts,
     /// Actions that follow from what was recorded since the last poll.
     pending: Vec<Action>,
     /// When the newest crash became known, until the segments of its suspects were vouched for.
@@ -103,6 +106,7 @@
             vm,
             evidence: Evidence::default(),
             entries: HashMap::new(),
+            held: HeldPrompts::default(),
             pending: Vec::new(),
             vouch_at: None,
             decide_at: None,
@@ -159,6 +163,9 @@
     /// Records a report of another VM.
     pub fn record_report(&mut self, now: Now, vm: &VmId, report: &CrashReport) {
         self.evidence.record_report(now, vm, report);
+        for suspect in &report.suspects {
+            self.held.record_report(now, &suspect.segments, stagger(&self.vm));
+        }
         self.schedule(now);
     }
 
@@ -170,6 +177,10 @@
     /// Records that the answer to a prompt with these segments went on after its start.
     pub fn record_sound(&mut self, now: Now, prompt: &[SegmentId]) {
         self.evidence.record_sound(now, prompt);
+        if self.held.remove(prompt) {
+            // The other VMs hold it too.
+            self.vouch_at = Some(now);
+        }
         let cleared: Vec<_> = self
             .active()
             .filter(|(set, _)| set.is_within(prompt))
@@ -195,6 +206,7 @@
                 self.release(now, &set, ReleaseReason::Sound);
             }
         }
+        self.release_sound_prompts();
     }
 
     /// Records that another VM quarantines a set.
@@ -234,6 +246,7 @@
         for segment in set.iter() {
             self.evidence.record_shared_sound(now, now, segment);
         }
+        self.release_sound_prompts();
     }
 
     fn adopt(
@@ -263,6 +276,7 @@
         for other in covered {
             self.release(now, &other, ReleaseReason::Covered);
         }
+        self.held.retain(|prompt| !set.is_within(prompt));
         self.entries.insert(set, Entry { state, store_at: now });
     }
 
@@ -283,6 +297,7 @@
         !self.pending.is_empty()
             || self.vouch_at.is_some()
             || self.decide_at.is_some()
+            || !self.held.is_empty()
             || self.evidence.has_open_reports()
     }
 
@@ -294,8 +309,10 @@
         stored: &HashMap<SegmentSet, StoredSet>,
         rank: u32,
     ) -> Vec<Action> {
+        self.held.set_rank(rank);
         let reports = self.evidence.due_reports(now);
         let mut actions: Vec<_> = reports.into_iter().map(Action::Report).collect();
+        actions.extend(self.repeated_reports(now));
         if self.vouch_at.is_some_and(|at| at <= now) {
             self.vouch_at = None;
             actions.extend(self.vouch(now));
@@ -312,6 +329,7 @@
         if now >= self.cleanup_at {
             self.cleanup_at = now + CLEANUP_PERIOD;
             self.evidence.remove_expired(now);
+            self.held.remove_expired(now);
             self.forget_released(now, stored);
         }
         actions
@@ -348,6 +366,9 @@
         self.decide_at = (crashes.len() < known).then_some(now + SETTLE_TIME / 3);
         let active: Vec<_> = self.active().map(|(set, _)| set).collect();
         let culprits = culprits::find(&crashes, |segment| self.evidence.sound_at(segment), &active);
+        let repeated =
+            culprits::find_repeated(&crashes, |segment| self.evidence.sound_at(segment), &active);
+        self.held.update(now, repeated);
         for culprit in culprits {
             self.blame(now, culprit.segments, culprit.crashes, culprit.since);
         }
--- a/crates/lw-quarantine/tests/fleet.rs
+++ b/crates/lw-quarantine/tests/fleet.rs
@@ -13,7 +13,7 @@
 const CASES: u32 = 48;
 
 fn assert_blamed_in_time(options: &Options, outcome: &Outcome) {
-    let late = outcome.late_arrivals(ms(REACTION_MS));
+    let late = outcome.late_arrivals(5, ms(REACTION_MS));
     let allowed = LATE_ARRIVALS_MAX * outcome.crashes.len();
     assert!(late <= allowed, "{late} late arrivals, crashes {:?}, {options:?}", outcome.crashes);
 }
--- a/crates/lw-quarantine/tests/fleet_sim/mod.rs
+++ b/crates/lw-quarantine/tests/fleet_sim/mod.rs
@@ -24,6 +24,17 @@
     Duration::from_millis(ms)
 }
 
+/// Copies of one request that crashes engines.
+#[derive(Debug, Clone)]
+pub struct Copies {
+    /// Segments before the one that crashes engines.
+    pub prefix: Vec<u64>,
+    /// Time between two bursts.
+    pub period: Duration,
+    /// Copies that are sent at the same moment.
+    pub burst: usize,
+}
+
 /// Load and faults of one run.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -38,6 +49,8 @@
     pub deadly_from: Duration,
     /// Segments that crash engines.
     pub deadly_segments: u64,
+    /// Copies of one request with the first of these segments, sent from `deadly_from` on.
+    pub copies: Option<Copies>,
     /// First segments that prompts share.
     pub first_segments: u64,
     /// Whether deadly requests always have the same first segment.
@@ -69,6 +82,7 @@
             deadly_rate: 2.0,
             deadly_from: ms(3_000),
             deadly_segments: 1,
+            copies: None,
             first_segments: 60,
             has_fixed_first: true,
             attempts: 2,
@@ -100,18 +114,18 @@
 }
 
 impl Outcome {
-    /// Deadly requests that reached engines later than `reaction` after the fifth crash by their segment, from VMs
-    /// that had been running for that time.
-    pub fn late_arrivals(&self, reaction: Duration) -> usize {
+    /// Deadly requests that reached engines later than `reaction` after this crash by their segment, counted from one,
+    /// from VMs that had been running for that time.
+    pub fn late_arrivals(&self, crash: usize, reaction: Duration) -> usize {
         let late = |(segment, arrivals): (&u64, &Vec<(Duration, usize)>)| {
-            let fifth = self.crashes.get(segment).and_then(|crashes| crashes.get(4));
-            let Some(fifth) = fifth else { return 0 };
+            let crash = self.crashes.get(segment).and_then(|crashes| crashes.get(crash - 1));
+            let Some(crash) = crash else { return 0 };
             let is_in_touch = |at: Duration, vm: usize| {
                 let started = self.starts[vm].iter().rev().find(|start| **start <= at);
                 started.is_some_and(|start| start.is_zero() || *start + reaction <= at)
             };
             let is_late =
-                |(at, vm): &&(Duration, usize)| *at > *fifth + reaction && is_in_touch(*at, *vm);
+                |(at, vm): &&(Duration, usize)| *at > *crash + reaction && is_in_touch(*at, *vm);
             arrivals.iter().filter(is_late).count()
         };
         self.arrivals.iter().map(late).sum()
@@ -248,6 +262,7 @@
                 self.receive(vec![first, DEADLY + deadly, own]);
             }
         }
+        self.send_copies();
         let mut left = self.options.sound_rate * STEP.as_secs_f64();
         while self.rng.f64() < left {
             left -= 1.0;
@@ -257,6 +272,15 @@
         }
     }
 
+    fn send_copies(&mut self) {
+        let Some(copies) = self.options.copies.clone() else { return };
+        let since = self.now.checked_sub(self.options.deadly_from);
+        if since.is_some_and(|since| since.as_millis().is_multiple_of(copies.period.as_millis())) {
+            let segments = [copies.prefix, vec![DEADLY]].concat();
+            (0..copies.burst).for_each(|_| self.receive(segments.clone()));
+        }
+    }
+
     /// A quarter of the requests have the first segment that the deadly ones may have too.
     fn first_segment(&mut self) -> u64 {
         if self.rng.u8(..) < 64 { 1 } else { self.rng.u64(1..=self.options.first_segments) }
@@ -274,7 +298,9 @@
 
     fn place(&mut self, request: Request) {
         let deadly = deadly_segment(&request.segments);
-        if self.vms[request.vm].time_left(self.now, &request.segments).is_some() {
+        let vm = &mut self.vms[request.vm];
+        let is_quarantined = vm.time_left(self.now, &request.segments).is_some();
+        if is_quarantined || vm.try_begin(self.now, &request.segments).is_err() {
             if deadly.is_none() {
                 self.outcome.sound_refused.push(self.now);
             }
