--- a/crates/lw-quarantine/src/culprits.rs
+++ b/crates/lw-quarantine/src/culprits.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
@@ -69,7 +69,7 @@
     }
     let crashes: Vec<CrashView<'_>> =
         crashes.iter().map(|crash| CrashView::new(crash, known)).collect();
-    let mut places: HashMap<SegmentId, Vec<Place>> = HashMap::new();
+    let mut places: BTreeMap<SegmentId, Vec<Place>> = BTreeMap::new();
     for (n, crash) in crashes.iter().enumerate() {
         for (m, segments) in crash.suspects.iter().enumerate() {
             for segment in *segments {
@@ -105,10 +105,10 @@
     crashes: &[&Crash],
     sound_at: impl Fn(SegmentId) -> Option<Now>,
     known: &[&SegmentSet],
-) -> HashMap<Vec<SegmentId>, Now> {
-    let mut repeated: HashMap<&[SegmentId], (usize, Now)> = HashMap::new();
+) -> BTreeMap<Vec<SegmentId>, Now> {
+    let mut repeated: BTreeMap<&[SegmentId], (usize, Now)> = BTreeMap::new();
     for crash in crashes.iter().map(|crash| CrashView::new(crash, known)) {
-        let suspects: HashSet<_> = crash.suspects.iter().copied().collect();
+        let suspects: BTreeSet<_> = crash.suspects.iter().copied().collect();
         for prompt in suspects.into_iter().filter(|_| crash.known_causes.is_empty()) {
             let (count, last) = repeated.entry(prompt).or_default();
             *count += 1;
@@ -126,7 +126,7 @@
 /// with the next crash it may explain them.
 fn drop_undecided(
     crashes: &[CrashView<'_>],
-    places: &mut HashMap<SegmentId, Vec<Place>>,
+    places: &mut BTreeMap<SegmentId, Vec<Place>>,
     is_once_sound: &impl Fn(SegmentId) -> bool,
 ) {
     let is_undecided = |(segment, places): &(&SegmentId, &Vec<Place>)| {
@@ -135,7 +135,7 @@
             && by_prompt(crashes, places).len() > 1
     };
     let undecided = places.iter().filter(is_undecided).flat_map(|(_, places)| places);
-    let undecided: HashSet<usize> = undecided.map(|(n, _)| *n).collect();
+    let undecided: BTreeSet<usize> = undecided.map(|(n, _)| *n).collect();
     for places in places.values_mut() {
         places.retain(|(n, _)| !undecided.contains(n));
     }
@@ -212,7 +212,7 @@
 /// none if they explain too few, or if other segments explain the same crashes as well.
 fn best_explanation(
     crashes: &[CrashView<'_>],
-    places: &HashMap<SegmentId, Vec<Place>>,
+    places: &BTreeMap<SegmentId, Vec<Place>>,
     is_once_sound: &impl Fn(SegmentId) -> bool,
     once_sound: bool,
 ) -> Option<Culprit> {
@@ -256,8 +256,8 @@
 fn by_prompt<'a>(
     crashes: &[CrashView<'a>],
     places: &[Place],
-) -> HashMap<&'a [SegmentId], Vec<Place>> {
-    let mut prompts: HashMap<_, Vec<_>> = HashMap::new();
+) -> BTreeMap<&'a [SegmentId], Vec<Place>> {
+    let mut prompts: BTreeMap<_, Vec<_>> = BTreeMap::new();
     for (n, m) in places {
         prompts.entry(crashes[*n].suspects[*m]).or_default().push((*n, *m));
     }
--- a/crates/lw-quarantine/src/evidence.rs
+++ b/crates/lw-quarantine/src/evidence.rs
@@ -1,7 +1,7 @@
 //! Crashes of engines with the prompts that were in flight, and answers that show that a segment is sound.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
@@ -50,7 +50,7 @@
     upstream: UpstreamId,
     /// When the first attempt broke.
     pub at: Now,
-    suspects: HashMap<(VmId, u64), Vec<SegmentId>>,
+    suspects: BTreeMap<(VmId, u64), Vec<SegmentId>>,
 }
 
 impl Crash {
@@ -96,8 +96,8 @@
     crashes: VecDeque<Crash>,
     unconfirmed: Vec<Broken>,
     unreported: Vec<Unreported>,
-    down: HashMap<UpstreamId, Now>,
-    sound: HashMap<SegmentId, SoundAnswers>,
+    down: BTreeMap<UpstreamId, Now>,
+    sound: BTreeMap<SegmentId, SoundAnswers>,
 }
 
 impl Evidence {
@@ -154,7 +154,7 @@
             }
             return;
         }
-        let suspects = HashMap::from([(attempt, suspect.segments)]);
+        let suspects = BTreeMap::from([(attempt, suspect.segments)]);
         self.crashes.push_back(Crash { upstream: upstream.to_owned(), at, suspects });
         if self.crashes.len() > CRASHES_MAX {
             self.crashes.pop_front();
@@ -198,7 +198,7 @@
 
     /// Returns the reports that are to be sent now.
     pub fn due_reports(&mut self, now: Now) -> Vec<CrashReport> {
-        let mut by_upstream: HashMap<UpstreamId, Vec<(Now, Suspect)>> = HashMap::new();
+        let mut by_upstream: BTreeMap<UpstreamId, Vec<(Now, Suspect)>> = BTreeMap::new();
         for unreported in self.unreported.iter_mut().filter(|unreported| unreported.due <= now) {
             unreported.due = now + REPORT_REPEAT_TIME;
             unreported.sends_left -= 1;
--- a/crates/lw-quarantine/src/quarantine/held.rs
+++ b/crates/lw-quarantine/src/quarantine/held.rs
@@ -1,7 +1,7 @@
 //! Prompts that were at several crashes, but not at enough to be blamed. Few VMs send them, one copy at a time, so that a
 //! sound one is released by an answer and a deadly one does not reach an engine from each VM at once.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use lw_types::prelude::*;
 
@@ -21,7 +21,7 @@
 /// Prompts of which single copies are sent.
 #[derive(Debug, Default)]
 pub(super) struct HeldPrompts {
-    prompts: HashMap<Vec<SegmentId>, Held>,
+    prompts: BTreeMap<Vec<SegmentId>, Held>,
     /// Position of this VM among those that take turns.
     rank: u32,
 }
@@ -37,7 +37,7 @@
 
 impl HeldPrompts {
     /// Replaces the prompts by those that are at several crashes now, each with the time of its last crash.
-    pub(super) fn update(&mut self, now: Now, repeated: HashMap<Vec<SegmentId>, Now>) {
+    pub(super) fn update(&mut self, now: Now, repeated: BTreeMap<Vec<SegmentId>, Now>) {
         let mut former = std::mem::take(&mut self.prompts);
         let held = repeated.into_iter().map(|(prompt, last_crash)| {
             let report_at = now + REPORT_TIME;
--- a/crates/lw-quarantine/src/quarantine/mod.rs
+++ b/crates/lw-quarantine/src/quarantine/mod.rs
@@ -1,7 +1,7 @@
 //! The quarantined sets of segments, and what has to be sent and stored about them.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -87,7 +87,7 @@
 pub struct Quarantine {
     vm: VmId,
     evidence: Evidence,
-    entries: HashMap<SegmentSet, Entry>,
+    entries: BTreeMap<SegmentSet, Entry>,
     held: HeldPrompts,
     /// Actions that follow from what was recorded since the last poll.
     pending: Vec<Action>,
@@ -105,7 +105,7 @@
         Self {
             vm,
             evidence: Evidence::default(),
-            entries: HashMap::new(),
+            entries: BTreeMap::new(),
             held: HeldPrompts::default(),
             pending: Vec::new(),
             vouch_at: None,
@@ -338,9 +338,9 @@
     /// Returns the own sound answers that other VMs need to know: those on segments that were suspects at two or more
     /// crashes.
     fn vouch(&mut self, now: Now) -> Option<Action> {
-        let mut crashes: HashMap<SegmentId, usize> = HashMap::new();
+        let mut crashes: BTreeMap<SegmentId, usize> = BTreeMap::new();
         for crash in self.evidence.crashes() {
-            let segments: HashSet<_> = crash.suspects().flatten().copied().collect();
+            let segments: BTreeSet<_> = crash.suspects().flatten().copied().collect();
             for segment in segments {
                 *crashes.entry(segment).or_default() += 1;
             }
--- a/crates/lw-quarantine/src/quarantine/store.rs
+++ b/crates/lw-quarantine/src/quarantine/store.rs
@@ -38,7 +38,7 @@
                 }
             }
         }
-        new.sort_by_key(|(set, _)| set.len());
+        new.sort_by(|(a, _), (b, _)| a.len().cmp(&b.len()).then_with(|| a.cmp(b)));
         for (set, crashes) in new {
             let sound_at = set.single().and_then(|segment| self.evidence.sound_at(segment));
             let is_cleared = sound_at.is_some_and(|at| clears(at, now, crashes));
