lw-standin: the store can stand still

A soak can then let a whole machine stand still. Its documentation has an example that shows the delay.

--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -170,6 +170,25 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Lets it stand still for this time: it keeps its connections, but reads and sends nothing.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use lw_standin::hosted::{caller::get, store::Store};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> std::io::Result<()> {
+    /// let store = Store::start().await?;
+    /// let (started_at, stall_time) = (Instant::now(), Duration::from_millis(300));
+    /// store.stall(stall_time);
+    /// let answer = get(store.addr(), "/api/kv-range?Prefix=op").await.expect("an answer");
+    /// assert!(answer.is_complete && started_at.elapsed() >= stall_time);
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn stall(&self, time: Duration) {
+        self.server.stall(time);
+    }
+
     /// Writes a key, without a lease, as operators and upstreams do.
     pub fn put(&self, key: &str, value: &Value) {
         self.put_bytes(key, value.to_string().as_bytes());
