lw-standin: a resumed stream that is reset has no event beyond the last

ResetInEvent counted its events from where the stream was resumed, so that an engine sent events 6 and 7 of five. Streams that begin at the first event are reset as before.

--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -36,7 +36,7 @@
     NoAnswer,
     /// It resets the connection without an answer.
     Reset,
-    /// It sends this many events and the start of another, then resets the connection.
+    /// It sends this many events and the start of another, or of the last one, then resets the connection.
     ResetInEvent(u64),
     /// It sends events with a pause before each.
     DelayedEvents(Duration),
@@ -558,9 +558,12 @@
 
 fn reset_in_event(events: u64, headers: &[(&str, &str)], request: &Request) -> Vec<Step> {
     let first = first_event(request);
+    let broken = (first + events).min(STREAM_EVENTS);
     let mut steps = vec![chunked_head(200, headers)];
-    steps.extend((first..first + events).map(|id| chunk(&event(id))));
-    steps.push(chunk(&event(first + events)[..7]));
+    steps.extend((first..broken).map(|id| chunk(&event(id))));
+    if first <= broken {
+        steps.push(chunk(&event(broken)[..7]));
+    }
     steps.push(Step::Wait(Duration::from_millis(30)));
     steps.push(Step::Reset);
     steps
