--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -85,6 +85,8 @@
     pub request: Request,
     /// Whether the upstream ran it.
     pub is_executed: bool,
+    /// How the upstream handled it.
+    pub behaviour: Behaviour,
     /// When it was received.
     pub at: tokio::time::Instant,
 }
@@ -401,6 +403,7 @@
     state.received.push(ReceivedRequest {
         request: request.clone(),
         is_executed: !is_rejected,
+        behaviour: behaviour.clone(),
         at: tokio::time::Instant::now(),
     });
     let deadly = state.deadly_segment;
