lw-standin: requests may ask for a pause before each event of their stream

The stand-in's streams end at once unless a behaviour is set for the next request, whichever comes. With pause-ms in the query a caller chooses which of its streams last, so that a soak has streams in flight whenever a fault begins.

--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -165,6 +165,8 @@
 const SLOW_BYTES_MAX: usize = 1000;
 /// Time from a repeated refusal to the answer that follows it.
 const REPEATED_REFUSAL_DELAY: Duration = Duration::from_millis(100);
+/// Query parameter of a request with the pause before each event of its stream, in milliseconds.
+const EVENT_PAUSE_PARAMETER: &str = "pause-ms";
 /// Number of events of one stream.
 pub const STREAM_EVENTS: u64 = 5;
 
@@ -529,7 +531,8 @@
 
 fn normal_answer(headers: &[(&str, &str)], request: &Request) -> Vec<Step> {
     if is_stream(request) {
-        return stream(headers, request, Duration::ZERO);
+        let pause_ms = request.query(EVENT_PAUSE_PARAMETER).and_then(|text| text.parse().ok());
+        return stream(headers, request, Duration::from_millis(pause_ms.unwrap_or(0)));
     }
     answer(200, headers, b"ok")
 }
