lw-soak: callers whose streams last 1.5 s

All streams of the soak but those of a fault ended at once, so that hardly any was in flight when a fault began. Three more callers of each VM send only streams with pauses, half of them on the route that may be resumed. Streams have 4 s, so that they may outlast a silence of their engine. The other callers draw their requests as before.

--- a/crates/lw-soak/src/callers/mod.rs
+++ b/crates/lw-soak/src/callers/mod.rs
@@ -17,8 +17,13 @@
 /// A path for each route: repeatable calls, calls that run at most once, streams that can be resumed, and
 /// streams that cannot.
 pub const PATHS: [&str; 4] = ["/look/x", "/book/x", "/long/x", "/short/x"];
-/// Longest wait of a caller for an answer; longer than the time limit of any route.
-const ANSWER_WAIT_MAX: Duration = Duration::from_secs(6);
+/// Paths of streams of 1.5 s, with a pause before each event: those that can be resumed, and those that cannot.
+pub const PACED_STREAM_PATHS: [&str; 2] = ["/long/x?pause-ms=300", "/short/x?pause-ms=300"];
+/// Deadline of streams, and the time limit of their routes.
+pub const STREAM_DEADLINE: Duration = Duration::from_secs(4);
+/// Longest wait of a caller for an answer: the longest time limit of a route and the longest time for which a machine
+/// stands still.
+const ANSWER_WAIT_MAX: Duration = Duration::from_secs(8);
 /// Interval between checks of a VM that is not ready.
 const READINESS_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -61,17 +66,29 @@
     }
 }
 
+/// Whether requests with this path are answered with a stream.
+///
+/// ```
+/// use lw_soak::callers::{PACED_STREAM_PATHS, is_stream};
+/// assert!(PACED_STREAM_PATHS.into_iter().all(is_stream) && !is_stream("/look/x"));
+/// ```
+#[must_use]
+pub fn is_stream(path: &str) -> bool {
+    path.starts_with("/long/") || path.starts_with("/short/")
+}
+
 /// Whether a VM answers its readiness check with status 200 within a second.
 pub async fn is_ready(place: &VmOptions) -> bool {
     let reply = timeout(Duration::from_secs(1), get(place.readiness, "/api/readiness")).await;
     reply.ok().flatten().is_some_and(|reply| reply.status == 200)
 }
 
-/// Sends requests to one VM, one after the other, until the group is stopped; `name` begins their ids.
+/// Sends requests for random `paths` to one VM, one after the other, until the group is stopped; `name` begins their ids.
 pub async fn run_caller(
     group: Arc<CallerGroup>,
     vm: usize,
     place: VmOptions,
+    paths: &[&'static str],
     name: String,
     seed: u64,
 ) {
@@ -89,11 +106,14 @@
             continue;
         };
         number += 1;
-        let path = PATHS[rng.usize(0..PATHS.len())];
+        let path = paths[rng.usize(0..paths.len())];
         let key = if rng.u8(0..4) == 0 { OTHER_KEY } else { KEY };
         let mut req = CallerRequest { key, ..request(&format!("{name}-{number}"), path) };
         // The prompt's first piece is one of six, so that requests share prompts.
         req.headers = req.headers.replace("a1:", &format!("a{}:", rng.u8(0..6)));
+        if is_stream(path) {
+            req.deadline_ms = u64::try_from(STREAM_DEADLINE.as_millis()).unwrap_or(u64::MAX);
+        }
         let sent_at = Instant::now();
         let exchange = async {
             caller.send(&req).await;
--- a/crates/lw-soak/src/run/mod.rs
+++ b/crates/lw-soak/src/run/mod.rs
@@ -21,7 +21,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
-    callers::{self, CallerGroup, PATHS, is_ready},
+    callers::{self, CallerGroup, PACED_STREAM_PATHS, PATHS, STREAM_DEADLINE, is_ready},
     checks::{ActiveFault, Trace},
     proxy::Proxy,
     schedule::{Options, draw_events},
@@ -40,8 +40,9 @@
 const RECOVERY_TIME_MAX: Duration = Duration::from_secs(15);
 /// Longest time for all VMs to become ready at the start.
 const START_TIME_MAX: Duration = Duration::from_secs(20);
-/// Number of callers of each VM.
+/// Number of callers of each VM, and of those that send only paced streams.
 const CALLERS_PER_VM: usize = 4;
+const STREAM_CALLERS_PER_VM: usize = 3;
 /// Failure domains of the VMs and upstreams, assigned in turn.
 const DOMAINS: [&str; 3] = ["kochi-a", "kochi-b", "kochi-c"];
 
@@ -116,11 +117,17 @@
     let group = Arc::new(CallerGroup::default());
     let mut caller_tasks = tokio::task::JoinSet::new();
     for (i, vm) in deployment.vms.iter().enumerate() {
-        for n in 0..CALLERS_PER_VM {
+        for n in 0..CALLERS_PER_VM + STREAM_CALLERS_PER_VM {
             let (name, place) = (format!("{}-{n}", vm.place.vm), vm.place.clone());
-            let seed = options.seed.wrapping_mul(1000)
-                + u64::try_from(i * CALLERS_PER_VM + n).unwrap_or(0);
-            caller_tasks.spawn(callers::run_caller(Arc::clone(&group), i, place, name, seed));
+            let (paths, number): (&[_], _) = if n < CALLERS_PER_VM {
+                (&PATHS, i * CALLERS_PER_VM + n)
+            } else {
+                (&PACED_STREAM_PATHS, (options.vms + i) * CALLERS_PER_VM + n)
+            };
+            let seed =
+                options.seed.wrapping_mul(1000).wrapping_add(u64::try_from(number).unwrap_or(0));
+            let group = Arc::clone(&group);
+            caller_tasks.spawn(callers::run_caller(group, i, place, paths, name, seed));
         }
     }
     let registrations = tokio::spawn(register_loaded_versions(Arc::clone(&deployment)));
@@ -171,7 +178,7 @@
 impl Deployment {
     async fn start(options: &Options, daemon: &Path, dir: &Path) -> io::Result<Self> {
         let store = Store::start().await?;
-        store.put("op/config", &config(1));
+        store.put("op/config", &with_stream_timeout(config(1)));
         let behaviours = BehaviourQueue::default();
         let (mut upstreams, mut upstream_paths) = (Vec::new(), Vec::new());
         for n in 0..options.engines + options.servers {
@@ -250,7 +257,7 @@
         let version = operators.config_version;
         let config =
             if operators.has_other_key { config(version) } else { revoked_config(version) };
-        self.store.put("op/config", &config);
+        self.store.put("op/config", &with_stream_timeout(config));
     }
 
     fn add_finding(&self, finding: String) {
@@ -336,6 +343,15 @@
     }
 }
 
+/// Returns a configuration whose streams may last longer than those of other tests.
+fn with_stream_timeout(mut config: Value) -> Value {
+    let routes = config["Routes"].as_array_mut().into_iter().flatten();
+    for route in routes.filter(|route| route["Kind"] == "streaming") {
+        route["TimeoutMs"] = json!(STREAM_DEADLINE.as_millis());
+    }
+    config
+}
+
 /// Whether the VM answers a request completely with status 200 within 3 s.
 async fn serves(vm: &Vm, id: &str, path: &'static str) -> bool {
     let req = request(id, path);
