--- a/crates/lw-soak/src/run/faults.rs
+++ b/crates/lw-soak/src/run/faults.rs
@@ -32,6 +32,7 @@
         let duration = event.duration;
         match event.fault {
             Fault::Pause(vm) => self.vms[vm].pause(duration).await?,
+            Fault::StallMachine => self.stall_machine(duration).await?,
             Fault::Kill(vm) => self.restart(vm, duration, true).await?,
             Fault::Drain(vm) => self.restart(vm, duration, false).await?,
             Fault::ReloadSettings(vm) => self.vms[vm].signal("-HUP").await?,
@@ -49,6 +50,12 @@
             Fault::CompactStore => self.store.compact(),
             Fault::RestoreStore(rewrite_delay) => self.restore_store(duration, rewrite_delay).await,
             Fault::UpstreamAnswers(all) => all.into_iter().for_each(|b| self.behaviours.push(b)),
+            Fault::StallEngines(engines) => {
+                for engine in engines {
+                    self.upstreams[engine].stall(duration);
+                }
+                sleep(duration).await;
+            }
             Fault::EngineLimit(engine, limit) => {
                 self.upstreams[engine].set_limit(Some(&limit.to_string()));
                 sleep(duration).await;
@@ -66,6 +73,21 @@
         Ok(())
     }
 
+    /// Lets all VMs, all upstreams and the store stand still for a time.
+    async fn stall_machine(&self, time: Duration) -> io::Result<()> {
+        let mut pids = Vec::new();
+        for vm in &self.vms {
+            pids.push(vm.suspend().await?);
+        }
+        self.upstreams.iter().for_each(|upstream| upstream.stall(time));
+        self.store.stall(time);
+        sleep(time).await;
+        for (vm, pid) in self.vms.iter().zip(pids) {
+            vm.resume(pid).await?;
+        }
+        Ok(())
+    }
+
     /// Lets the store return from a copy of this age, and writes again later what it lost.
     async fn restore_store(&self, age: Duration, rewrite_delay: Duration) {
         let copy = self.store.copy();
--- a/crates/lw-soak/src/schedule/mod.rs
+++ b/crates/lw-soak/src/schedule/mod.rs
@@ -4,6 +4,8 @@
 
 use lw_standin::hosted::{store::StoreMode, upstream::Behaviour};
 
+mod stalls;
+
 /// A fault of a network path: what a proxy does to the connections through it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathFault {
@@ -26,6 +28,8 @@
 pub enum Fault {
     /// A VM's process is stopped for the duration (SIGSTOP).
     Pause(usize),
+    /// All VMs (SIGSTOP), all upstreams and the store stand still for the duration.
+    StallMachine,
     /// A VM is killed and restarted after the duration.
     Kill(usize),
     /// A VM is drained (SIGTERM) and restarted after the duration.
@@ -45,6 +49,8 @@
     RestoreStore(Duration),
     /// The next requests at any upstreams are answered with these behaviours, one each.
     UpstreamAnswers(Vec<Behaviour>),
+    /// These engines stand still together for the duration: they send neither answers nor reports nor status checks.
+    StallEngines(Vec<usize>),
     /// An engine names this limit in its answers, in requests a second, for the duration.
     EngineLimit(usize, f64),
     /// An upstream is registered as leaving.
@@ -125,6 +131,7 @@
         at += options.mean_interval.mul_f64(0.2 + 1.6 * rng.f64());
         if at > options.fault_window {
             events.extend(draw_limits(options));
+            events.extend(stalls::draw_stalls(options));
             return events;
         }
         events.push(draw_event(&mut rng, options, at));
--- a/crates/lw-soak/src/vm/mod.rs
+++ b/crates/lw-soak/src/vm/mod.rs
@@ -104,10 +104,29 @@
     ///
     /// When the command `kill` cannot be run.
     pub async fn pause(&self, time: Duration) -> io::Result<()> {
-        let paused_pid = self.pid();
-        self.signal("-STOP").await?;
+        let pid = self.suspend().await?;
         tokio::time::sleep(time).await;
-        if paused_pid == self.pid() { self.signal("-CONT").await } else { Ok(()) }
+        self.resume(pid).await
+    }
+
+    /// Stops the process until it is resumed, and returns its id.
+    ///
+    /// # Errors
+    ///
+    /// When the command `kill` cannot be run.
+    pub async fn suspend(&self) -> io::Result<Option<u32>> {
+        let pid = self.pid();
+        self.signal("-STOP").await?;
+        Ok(pid)
+    }
+
+    /// Resumes the process, unless it is no longer the one with this id.
+    ///
+    /// # Errors
+    ///
+    /// When the command `kill` cannot be run.
+    pub async fn resume(&self, pid: Option<u32>) -> io::Result<()> {
+        if pid == self.pid() { self.signal("-CONT").await } else { Ok(()) }
     }
 
     /// Kills the process.
