lw-soak: streams that are cut before their deadline are found

A stream may end early, or be answered 502 or 504 by its VM before its deadline, only if one of its upstreams was set to fail, the VM was killed or is in the last sixth of its grace, or a path to an upstream was reset. Silence of engines, pauses of the VM, of the machine and of bytes on a path, limits, versions and reloads are no reason. Before, streams could be cut whatever had happened.

--- a/crates/lw-soak/src/checks/mod.rs
+++ b/crates/lw-soak/src/checks/mod.rs
@@ -17,6 +17,8 @@
     schedule::Fault,
 };
 
+mod streams;
+
 /// Longest time after a fault of a VM or of its path to the store in which the VM may still act on stale state.
 const RECONNECT_TIME_MAX: Duration = Duration::from_secs(3);
 /// Time before and after a kill or pause in which connections may end without an answer.
@@ -68,6 +70,8 @@
     pub revocation_time_max: Duration,
     /// Time after which a leaving upstream must receive no further requests.
     pub leaving_time_max: Duration,
+    /// Time after SIGTERM at which a VM has ended.
+    pub grace: Duration,
 }
 
 impl Trace {
@@ -95,6 +99,7 @@
                 None => findings.push(format!("no answer received: {}", describe(record))),
             }
         }
+        findings.extend(self.streams_without_answer());
         findings.extend(self.accepted_revoked_keys());
         findings.extend(self.requests_to_leaving_upstreams());
         findings.extend(self.requests_beyond_limits());
--- a/crates/lw-soak/src/run/mod.rs
+++ b/crates/lw-soak/src/run/mod.rs
@@ -34,6 +34,8 @@
 const REVOCATION_TIME_MAX: Duration = Duration::from_secs(3);
 /// Time after which a leaving upstream must receive no further requests.
 const LEAVING_TIME_MAX: Duration = Duration::from_secs(2);
+/// Grace period of the VMs' settings, after which the platform kills a VM that drains.
+const GRACE: Duration = Duration::from_secs(8);
 /// Longest time for a VM to end after SIGTERM: its grace period before a kill plus the longest pause fault.
 const SHUTDOWN_TIME_MAX: Duration = Duration::from_secs(12);
 /// Longest time after the last fault until every VM serves all routes and all engines have the target version.
@@ -339,6 +341,7 @@
             leaving: operators.leaving.clone(),
             revocation_time_max: REVOCATION_TIME_MAX,
             leaving_time_max: LEAVING_TIME_MAX,
+            grace: GRACE,
         }
     }
 }
