--- a/crates/lw-daemon/tests/soak.rs
+++ b/crates/lw-daemon/tests/soak.rs
@@ -1,8 +1,8 @@
 //! Runs `lw-soak` briefly with a fixed seed and with every seed that once had findings.
 //!
 //! Guards against calls that run twice, calls that ran but are reported as not run, answers of other requests,
-//! incomplete answers, requests lost around a restart, accepted revoked keys, requests to leaving upstreams, two
-//! issuers of orders with one fencing number, and VMs that do not recover.
+//! incomplete answers, streams given up while their engines are silent, requests lost around a restart, accepted revoked
+//! keys, requests to leaving upstreams, two issuers of orders with one fencing number, and VMs that do not recover.
 
 use std::{path::Path, time::Duration};
 
