--- a/crates/lw-edge/src/distribution/journal.rs
+++ b/crates/lw-edge/src/distribution/journal.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use lw_platform::config::CONFIG_KEY;
 use lw_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -27,7 +28,8 @@
     }
 }
 
-/// All changes of one era after one revision, except those that make no difference to any VM, such as heartbeats.
+/// All changes of one era after one revision, except those that make no difference to any VM, such as heartbeats and
+/// configurations that a newer one replaces.
 ///
 /// ```
 /// use lw_edge::distribution::journal::{Change, Journal};
@@ -63,6 +65,9 @@
     pub fn advance(&mut self, revision: Revision, changes: Vec<Change>) {
         self.revision = self.revision.max(revision);
         for change in changes {
+            if change.key == CONFIG_KEY {
+                self.drop_configurations();
+            }
             self.bytes += change.bytes();
             self.changes.push_back(change);
         }
@@ -76,6 +81,19 @@
         }
     }
 
+    /// Drops the configurations. Each contains all routes and keys, so that many of them exceed what a VM with a narrow link
+    /// can send to the others in time.
+    fn drop_configurations(&mut self) {
+        let bytes = &mut self.bytes;
+        self.changes.retain(|change| {
+            let is_kept = change.key != CONFIG_KEY;
+            if !is_kept {
+                *bytes -= change.bytes();
+            }
+            is_kept
+        });
+    }
+
     /// Returns the revision up to which the journal is complete.
     #[must_use]
     pub fn revision(&self) -> Revision {
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -52,6 +52,27 @@
     assert_eq!(journal.revision(), 15);
 }
 
+/// Guards against replies with each of several configurations, which a VM with a narrow link cannot send to all others in time.
+#[test]
+fn a_journal_keeps_only_the_newest_configuration() {
+    let mut journal = Journal::default();
+    journal.reset(at(10));
+    let config = |revision| change(lw_platform::config::CONFIG_KEY, revision);
+    let other = |revision| change("op/version/m", revision);
+    journal.advance(12, vec![config(11), other(12)]);
+    journal.advance(16, vec![config(13), other(14), config(15), other(16)]);
+    let after = |revision| journal.changes_after(at(revision)).expect("all changes");
+    assert_eq!(after(10), [other(12), other(14), config(15), other(16)]);
+    assert_eq!(after(14), [config(15), other(16)]);
+    assert_eq!(after(15), [other(16)]);
+    // Configurations that are dropped make room for other changes.
+    let config = |revision| Change { value: Some(vec![0; 100_000]), ..config(revision) };
+    for revision in 17..100 {
+        journal.advance(revision, vec![config(revision)]);
+    }
+    assert_eq!(journal.changes_after(at(10)).expect("all changes").len(), 4);
+}
+
 /// Guards against a full journal that drops changes and still returns the others as if they were all.
 #[test]
 fn a_full_journal_returns_nothing_from_before_the_dropped_changes() {
