--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -18,7 +18,7 @@
     },
     loopback::free_address,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Longest wait for a condition that must become true.
 const WAIT_MAX: Duration = Duration::from_secs(10);
@@ -112,6 +112,28 @@
         simulation
     }
 
+    /// Starts with this change of each route.
+    pub async fn start_with_routes(change: impl Fn(&mut Value)) -> Self {
+        let simulation = Self::start().await;
+        let mut config = config(4);
+        config["Routes"].as_array_mut().expect("routes").iter_mut().for_each(change);
+        simulation.store.put("op/config", &config);
+        let is_applied = async |simulation: &Self| {
+            let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+            edge.store_view().catalog().is_some_and(|catalog| catalog.version == 4)
+        };
+        simulation.wait_until("the configuration is in force", is_applied).await;
+        simulation
+    }
+
+    /// Returns the engine that received a request first.
+    pub fn engine_of(&self, id: &str) -> &Upstream {
+        let received = |engine: &&Upstream| {
+            engine.received().iter().any(|got| got.request.header("x-attempt-id") == Some(id))
+        };
+        self.engines.iter().find(received).expect("an engine runs it")
+    }
+
     pub async fn is_ready(&self) -> bool {
         let reply = get(self.settings.readiness, "/api/readiness").await;
         reply.is_some_and(|reply| reply.status == 200)
--- a/crates/lw-edge/tests/silence.rs
+++ b/crates/lw-edge/tests/silence.rs
@@ -9,10 +9,7 @@
     peers::{self, Notice},
     run::Vm,
 };
-use lw_standin::hosted::{
-    operator::config,
-    upstream::{Behaviour, STREAM_EVENTS, Upstream, event},
-};
+use lw_standin::hosted::upstream::{Behaviour, STREAM_EVENTS, event};
 
 /// Pause before each event of a stream.
 const EVENT_PAUSE_MS: u64 = 250;
@@ -25,17 +22,7 @@
 
 /// Starts a VM whose routes leave time for a silence.
 async fn start() -> Simulation {
-    let simulation = Simulation::start().await;
-    let mut config = config(4);
-    for route in config["Routes"].as_array_mut().expect("routes") {
-        route["TimeoutMs"] = 6_000.into();
-    }
-    simulation.store.put("op/config", &config);
-    let is_applied = async |simulation: &Simulation| {
-        let vm = simulation.vm.as_ref().expect("the VM runs");
-        vm.edge.store_view().catalog().is_some_and(|catalog| catalog.version == 4)
-    };
-    simulation.wait_until("the configuration is in force", is_applied).await;
+    let simulation = Simulation::start_with_routes(|route| route["TimeoutMs"] = 6_000.into()).await;
     for engine in &simulation.engines {
         engine.set_behaviour(Behaviour::DelayedEvents(ms(EVENT_PAUSE_MS)));
     }
@@ -46,14 +33,6 @@
     CallerRequest { deadline_ms: 6_000, ..request(id, "/long/x") }
 }
 
-/// Returns the engine that received the request first.
-fn first_engine<'a>(simulation: &'a Simulation, id: &str) -> &'a Upstream {
-    let received = |engine: &&Upstream| {
-        engine.received().iter().any(|got| got.request.header("x-attempt-id") == Some(id))
-    };
-    simulation.engines.iter().find(received).expect("an engine runs it")
-}
-
 fn assert_complete(id: &str, reply: Option<Reply>) {
     let reply = reply.unwrap_or_else(|| panic!("{id}: no answer"));
     assert!(reply.status == 200 && reply.is_complete, "{id}: {} {}", reply.head, reply.text());
@@ -90,7 +69,7 @@
     let id = "refused";
     let stall = async {
         tokio::time::sleep(ms(600)).await;
-        let first = first_engine(&simulation, id);
+        let first = simulation.engine_of(id);
         first.stall(ms(STALL_MS));
         for other in simulation.engines.iter().filter(|engine| engine.id != first.id) {
             other.set_behaviour(Behaviour::Reject);
@@ -110,7 +89,7 @@
     let id = "dead";
     let stall = async {
         tokio::time::sleep(ms(600)).await;
-        first_engine(&simulation, id).stall(ms(60_000));
+        simulation.engine_of(id).stall(ms(60_000));
         Instant::now()
     };
     let req = long_request(id);
@@ -141,7 +120,7 @@
         }
         let check = async {
             tokio::time::sleep(ms(300)).await;
-            let first = first_engine(&simulation, id);
+            let first = simulation.engine_of(id);
             let upstream = first.id.clone();
             peers::broadcast(&second.edge, Notice::Unresponsive { upstream, ms: 500 });
             let is_sent_again = async |simulation: &Simulation| simulation.run_count(id) == 2;
--- a/crates/lw-edge/tests/stalls.rs
+++ b/crates/lw-edge/tests/stalls.rs
@@ -9,7 +9,6 @@
 };
 use lw_standin::hosted::{
     caller::Caller,
-    operator::config,
     upstream::{Behaviour, STREAM_EVENTS, Upstream, event},
 };
 
@@ -22,19 +21,11 @@
 
 /// Starts a VM whose routes leave time for a silence and allow three attempts.
 async fn start() -> Simulation {
-    let simulation = Simulation::start().await;
-    let mut config = config(4);
-    for route in config["Routes"].as_array_mut().expect("routes") {
+    Simulation::start_with_routes(|route| {
         route["TimeoutMs"] = 6_000.into();
         route["MaxAttempts"] = 3.into();
-    }
-    simulation.store.put("op/config", &config);
-    let is_applied = async |simulation: &Simulation| {
-        let vm = simulation.vm.as_ref().expect("the VM runs");
-        vm.edge.store_view().catalog().is_some_and(|catalog| catalog.version == 4)
-    };
-    simulation.wait_until("the configuration is in force", is_applied).await;
-    simulation
+    })
+    .await
 }
 
 /// Adds engines until there are eight.
@@ -70,14 +61,6 @@
     second
 }
 
-/// Returns the engine that received the request first.
-fn first_engine<'a>(simulation: &'a Simulation, id: &str) -> &'a Upstream {
-    let received = |engine: &&Upstream| {
-        engine.received().iter().any(|got| got.request.header("x-attempt-id") == Some(id))
-    };
-    simulation.engines.iter().find(received).expect("an engine runs it")
-}
-
 /// Lets the second VM report an engine as unresponsive.
 fn report(second: &Vm, engine: &Upstream) {
     peers::broadcast(&second.edge, Notice::Unresponsive { upstream: engine.id.clone(), ms: 500 });
@@ -153,7 +136,7 @@
     let id = "dead";
     let stall = async {
         tokio::time::sleep(ms(600)).await;
-        let first = first_engine(&simulation, id);
+        let first = simulation.engine_of(id);
         first.stall(ms(60_000));
         let others = || simulation.engines.iter().filter(|engine| engine.id != first.id);
         others().for_each(|engine| engine.set_behaviour(Behaviour::Reject));
@@ -217,7 +200,7 @@
     let mut caller = Caller::connect(simulation.settings.callers).await.unwrap();
     caller.send(&long_request(id, "a1:1000,b2:200")).await;
     tokio::time::sleep(ms(850)).await;
-    report(&second, first_engine(&simulation, id));
+    report(&second, simulation.engine_of(id));
     let is_sent_again = async |simulation: &Simulation| simulation.run_count(id) == 2;
     simulation.wait_until("another engine is asked", is_sent_again).await;
     drop(caller);
@@ -239,7 +222,7 @@
     simulation.faults.push(Behaviour::Slow(ms(1_500)));
     let check = async {
         tokio::time::sleep(ms(1_900)).await;
-        let first = first_engine(&simulation, id);
+        let first = simulation.engine_of(id);
         report(&second, first);
         let is_sent_again = async |simulation: &Simulation| simulation.run_count(id) == 2;
         simulation.wait_until("another engine is asked", is_sent_again).await;
@@ -265,7 +248,7 @@
         simulation.faults.push(Behaviour::Status(500));
         let check = async {
             tokio::time::sleep(ms(400)).await;
-            report(&second, first_engine(&simulation, id));
+            report(&second, simulation.engine_of(id));
         };
         let req = long_request(id, "a1:1000,b2:200");
         let (reply, ()) = tokio::join!(simulation.send(&req), check);
@@ -286,7 +269,7 @@
     simulation.faults.push(Behaviour::RejectAfter(ms(400)));
     let check = async {
         tokio::time::sleep(ms(1_300)).await;
-        report(&second, first_engine(&simulation, id));
+        report(&second, simulation.engine_of(id));
     };
     let req = long_request(id, "a1:1000,b2:200");
     let (reply, ()) = tokio::join!(simulation.send(&req), check);
