--- a/crates/lw-edge/src/serve/takeover.rs
+++ b/crates/lw-edge/src/serve/takeover.rs
@@ -1,13 +1,13 @@
 //! Attempts beside one whose upstream is silent.
 //!
 //! Silence does not tell a dead upstream from one that stands still for a moment and goes on. So a silent attempt is given up
-//! only once another one can take its place: until that has an answer, whichever upstream sends first serves the request.
+//! only for another one that was sent already: for a short time both are in flight, and whichever upstream sends first serves
+//! the request.
 
 use std::{future::Future, pin::Pin, time::Duration};
 
-use tokio::sync::watch;
-
 use lw_place::Placement;
+use tokio::sync::watch;
 
 use super::attempt::{IncomingAnswer, SendOutcome};
 
