--- a/crates/lw-edge/tests/silence.rs
+++ b/crates/lw-edge/tests/silence.rs
@@ -60,6 +60,10 @@
     let early = futures::future::join_all((0..6).map(early));
     let late = futures::future::join_all((0..4).map(late));
     tokio::join!(early, late, stall);
+    assert!(
+        common::log_output().contains("call for cache events failed"),
+        "no engine was reported"
+    );
 }
 
 /// Guards against a stream that is cut since its engine was silent for a moment and the others did not run it.
