lw-edge: a request returns to a silent upstream only with the checks of a placement

Callers of a resumable stream: when the engine that took over refused late, the request went back to the silent engine that it had left, with the placement of its first attempt. Meanwhile the engine may have begun to leave (DRAIN), asked for a pause (BUDGET), named a limit (LIMIT), or got other weights than its salt names (STALE).

Cause: return_to_silent began an attempt directly; all checks of an upstream's state are in UpstreamPool::place and in the reservation of turns. Class: a decision is reused after the facts that it was based on may have changed.

Fix: the return is a purpose of an attempt like the others. PlacementRequest::returns_to limits the choice to this upstream, and the turn, the quarantine and the retry budget are checked as for any attempt. The limit on attempts is checked before an attempt that is already charged is let through, since a return may be sent beyond it and may not reach its upstream.

Ruled out: a check of leaving only, which would leave pauses and limits.

--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -63,6 +63,8 @@
     Serve,
     /// Another attempt is in flight, whose upstream is silent. It is left only for an upstream that answers.
     TakeOver,
+    /// No other upstream serves the request than the silent one that it left, which may have gone on since.
+    Return,
 }
 
 /// Makes the attempts of one request, within the route's limit on attempts and the service's retry budget.
@@ -81,8 +83,8 @@
     may_have_run: bool,
     /// When another attempt may next be made to take over from a silent upstream.
     takeover_at: Now,
-    /// Where the last attempt was that was given up since its upstream was silent.
-    left: Option<Placement>,
+    /// Upstream of the last attempt that was given up since it was silent.
+    left: Option<UpstreamId>,
 }
 
 impl Driver {
@@ -127,24 +129,26 @@
     pub async fn next_attempt(&mut self) -> Result<Attempt, Failure> {
         match self.begin_attempt(Purpose::Serve).await {
             Ok(attempt) => Ok(attempt),
-            Err(failure) => self.return_to_silent().ok_or(failure),
+            Err(failure) => self.return_to_silent().await.ok_or(failure),
         }
     }
 
     /// Records that an attempt is given up since its upstream is silent.
     pub fn leave(&mut self, placement: &Placement) {
-        self.left = Some(placement.clone());
+        self.left = Some(placement.upstream.id.clone());
     }
 
-    /// Begins another attempt at the upstream that was left while it was silent: it may have gone on since, and no other one
-    /// serves the request. It is no further upstream, so the limit on attempts allows it.
-    fn return_to_silent(&mut self) -> Option<Attempt> {
-        let placement = self.left.take()?;
-        self.check_quarantine(Purpose::TakeOver).ok()?;
-        self.check_held().ok()?;
-        self.spend_retry().ok()?;
-        self.record.count_attempt();
-        Some(Attempt::begin(&self.edge, &self.call, placement, self.tried.len() + 1))
+    /// Begins another attempt at the upstream that was left while it was silent.
+    async fn return_to_silent(&mut self) -> Option<Attempt> {
+        self.left.as_ref()?;
+        let attempt = self.begin_attempt(Purpose::Return).await;
+        self.left = None;
+        attempt
+            .inspect_err(|e| {
+                log::info!(target: "route", request = self.call.head.request.as_str(),
+                    why = e.message.as_str(); "the request does not return to the upstream it left");
+            })
+            .ok()
     }
 
     /// Begins an attempt beside one whose upstream is silent, if another upstream may take over.
@@ -222,7 +226,7 @@
     async fn begin_attempt(&mut self, purpose: Purpose) -> Result<Attempt, Failure> {
         self.check_held()?;
         let placement = self.place_in_turn(purpose).await?;
-        self.charge()?;
+        self.charge(purpose)?;
         self.attempts_sent += 1;
         self.tried.push(placement.upstream.id.clone());
         self.record.count_attempt();
@@ -283,7 +287,7 @@
 
     /// Refuses a further attempt at a request that may crash its engine.
     fn check_suspicion(&self, purpose: Purpose) -> Result<(), Failure> {
-        let may_have_run = self.may_have_run || purpose == Purpose::TakeOver;
+        let may_have_run = self.may_have_run || purpose != Purpose::Serve;
         let prompt = self.call.prompt.as_ref().filter(|_| may_have_run);
         if prompt.is_none_or(|prompt| self.edge.quarantine.may_send_again(prompt)) {
             return Ok(());
@@ -298,12 +302,18 @@
         self.is_charged = true;
     }
 
-    /// Charges the next attempt to the limits on attempts.
-    fn charge(&mut self) -> Result<(), Failure> {
+    /// Charges the next attempt to the limits on attempts. One that returns is at no further upstream, so that it needs the
+    /// retry budget only.
+    fn charge(&mut self, purpose: Purpose) -> Result<(), Failure> {
         let attempts = self.call.route.attempts;
-        if self.tried.len() >= usize::try_from(attempts).unwrap_or(usize::MAX) + UNREACHABLE_MAX {
+        let is_further = purpose != Purpose::Return;
+        let upstreams_max = usize::try_from(attempts).unwrap_or(usize::MAX) + UNREACHABLE_MAX;
+        if is_further && self.tried.len() >= upstreams_max {
             return Err(self.refusal("too many upstreams cannot be reached"));
         }
+        if is_further && self.attempts_sent > 0 && self.attempts_sent >= attempts {
+            return Err(self.refusal("no attempts left"));
+        }
         if std::mem::take(&mut self.is_charged) {
             return Ok(());
         }
@@ -315,14 +325,6 @@
                 Err(e) => Err(self.refusal(&e.to_string())),
             };
         }
-        if self.attempts_sent >= attempts {
-            return Err(self.refusal("no attempts left"));
-        }
-        self.spend_retry()
-    }
-
-    /// Charges another attempt to the retry budget of the service.
-    fn spend_retry(&mut self) -> Result<(), Failure> {
         let (now, context) = (self.edge.timer.now(), self.context);
         let spend = |budget: &mut retry::Budget| budget.spend(now, retry::Kind::Retry, context);
         let charged = self.edge.with_retry_budget(&self.call.service, spend);
@@ -338,6 +340,7 @@
             prompt: self.call.prompt.as_ref(),
             request_hash: self.call.id_hash,
             tried: &self.tried,
+            returns_to: self.left.as_deref().filter(|_| purpose == Purpose::Return),
             peers: self.edge.store_view().vms_max().saturating_sub(1),
             time_left: self.call.due.saturating_sub(now),
             time_to_target: target.saturating_sub(now),
@@ -346,7 +349,7 @@
             stale_weights_time: self.edge.bounds().version.saturating_sub(STALE_WEIGHTS_MARGIN),
         };
         let place = |pool: &mut UpstreamPool| match (purpose, pool.place(now, &request)) {
-            (Purpose::Serve, Err(Refusal::Limited(time))) => {
+            (Purpose::Serve | Purpose::Return, Err(Refusal::Limited(time))) => {
                 pool.record_unserved(now);
                 Err(Refusal::Limited(time))
             }
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -43,6 +43,8 @@
     pub request_hash: u64,
     /// Upstreams that earlier attempts were sent to.
     pub tried: &'a [UpstreamId],
+    /// The only upstream to consider, although it was tried: the request returns to it.
+    pub returns_to: Option<&'a str>,
     /// Other VMs that send requests to the same upstreams.
     pub peers: usize,
     /// Time until the deadline of the answer.
--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -55,6 +55,16 @@
     !needs_salt || state.versions.contains_key(&prompt.model)
 }
 
+impl PlacementRequest<'_> {
+    /// Whether the request may be placed on an upstream, as far as its earlier attempts tell.
+    fn considers(&self, id: &UpstreamId) -> bool {
+        match self.returns_to {
+            Some(left) => id == left,
+            None => !self.tried.contains(id),
+        }
+    }
+}
+
 impl UpstreamPool {
     /// Selects an upstream for a request.
     ///
@@ -63,17 +73,17 @@
     /// Returns why no upstream is used.
     pub fn place(&self, now: Now, request: &PlacementRequest<'_>) -> Result<Placement, Refusal> {
         let ready = || self.upstreams.values().filter(|u| u.upstream.stage == Stage::Ready);
-        let untried = || ready().filter(|u| !request.tried.contains(&u.upstream.id));
-        let open = untried().filter(|u| u.is_open(now) && has_known_salt(request, u));
+        let considered = || ready().filter(|u| request.considers(&u.upstream.id));
+        let open = considered().filter(|u| u.is_open(now) && has_known_salt(request, u));
         let mut open: Vec<_> = open.filter(|u| self.has_turn(now, request, u)).collect();
         // If no engine serves newer weights, the rollout is stuck, and answers on stale weights are better than none.
         if ready().any(|state| !self.is_too_stale(now, request, state)) {
             open.retain(|state| !self.is_too_stale(now, request, state));
         }
         if open.is_empty() {
-            let backoff = untried().filter_map(|u| u.backoff_until.checked_sub(now)).min();
+            let backoff = considered().filter_map(|u| u.backoff_until.checked_sub(now)).min();
             let backoff = backoff.filter(|time| !time.is_zero());
-            let limited = untried().filter(|u| u.is_open(now));
+            let limited = considered().filter(|u| u.is_open(now));
             let refusal = backoff.map_or(Refusal::NoneUsable, Refusal::BackingOff);
             let refusal = self.refuse_by_limit(now, request, limited).unwrap_or(refusal);
             return Err(if self.ready_count() == 0 { Refusal::NoneReady } else { refusal });
--- a/crates/lw-place/tests/common/mod.rs
+++ b/crates/lw-place/tests/common/mod.rs
@@ -59,6 +59,7 @@
         prompt: Some(prompt),
         request_hash: 7,
         tried: &[],
+        returns_to: None,
         peers: 0,
         time_left: ms(6_000),
         time_to_target: ms(500),
--- a/crates/lw-place/tests/limit_fleet/mod.rs
+++ b/crates/lw-place/tests/limit_fleet/mod.rs
@@ -512,6 +512,7 @@
             prompt: None,
             request_hash: hash,
             tried: &[],
+            returns_to: None,
             peers: self.options.vms - 1,
             time_left,
             time_to_target: (since + TARGET_LATENCY).saturating_sub(self.now),
