lw-edge: a copy of a held prompt takes its turn only when it is sent

Callers of a sound prompt that is held (three engines crashed with it for other reasons): a request that no engine accepted used up the VM's turn, so that the next copies were refused with 503 for up to 4 s although none was in flight.

Cause: check_held claimed the turn before an upstream was selected. A return to a silent upstream after a failed placement met the same refusal. Fix: the turn is claimed after the placement and the wait for the upstream's limit, which also puts the claim next to the send. Weighed: a request that is refused then has used a turn of a limited upstream; that takes a held prompt and a limit at once.

Evidence: a_copy_without_an_engine_does_not_use_up_the_turn_of_its_prompt failed before (503 "another copy of it may be in flight", expected 200) and passes; a_held_prompt_is_sent_once_in_a_turn guards that the prompt is held in that test.

--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -224,8 +224,8 @@
     }
 
     async fn begin_attempt(&mut self, purpose: Purpose) -> Result<Attempt, Failure> {
-        self.check_held()?;
         let placement = self.place_in_turn(purpose).await?;
+        self.check_held()?;
         self.charge(purpose)?;
         self.attempts_sent += 1;
         self.tried.push(placement.upstream.id.clone());
