lw-edge: retries made before a reload count against the new retry bounds

Upstreams: after a reload that changed the ratio or the window of retries, a VM could make twice the retries that a window allows (BUDGET). Cause: reconfigure cleared the retry budgets, so that each began anew, with its floor. Now the limits of a budget are set in place, and what was counted stays. Class: state that bounds others is dropped with the options that it was made from.

Ruled out: keeping the old limits until the window has passed, which is no simpler and follows the new settings late.

--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -206,11 +206,7 @@
         if !fixed.is_empty() {
             return Err(format!("a restart is needed to change: {}", fixed.join(", ")));
         }
-        let old = std::mem::replace(&mut *lock(&self.bounds), new.bounds);
-        let retry_bounds = |bounds: &Bounds| (bounds.retry_ratio.to_bits(), bounds.retry_window);
-        if retry_bounds(&old) != retry_bounds(&new.bounds) {
-            lock(&self.retry_budgets).clear();
-        }
+        *lock(&self.bounds) = new.bounds;
         Ok(())
     }
 
@@ -266,16 +262,13 @@
         service: &str,
         f: impl FnOnce(&mut retry::Budget) -> T,
     ) -> T {
-        let vms = u64::try_from(self.store_view().vms_max()).unwrap_or(u64::MAX);
+        let options = self.retry_options();
         let mut budgets = lock(&self.retry_budgets);
-        let with_floor = |budget: &mut retry::Budget| {
-            budget.set_min_retries(self.bounds().retry_floor / vms.max(1));
-            f(budget)
-        };
         if let Some(budget) = budgets.get_mut(service) {
-            return with_floor(budget);
+            budget.set_options(options);
+            return f(budget);
         }
-        with_floor(budgets.entry(service.to_owned()).or_insert_with(|| self.new_budget()))
+        f(budgets.entry(service.to_owned()).or_insert_with(|| retry::Budget::new(options)))
     }
 
     /// Returns the number of retries left, by service name.
@@ -285,14 +278,16 @@
         budgets.iter().map(|(service, budget)| (service.clone(), budget.remaining(now))).collect()
     }
 
-    fn new_budget(&self) -> retry::Budget {
+    fn retry_options(&self) -> retry::Options {
+        let vms = u64::try_from(self.store_view().vms_max()).unwrap_or(u64::MAX);
         let bounds = self.bounds();
-        retry::Budget::new(retry::Options {
+        retry::Options {
             ratio: bounds.retry_ratio * RETRY_BUDGET_FRACTION,
+            min_retries: bounds.retry_floor / vms.max(1),
             hedge_ratio: bounds.retry_ratio * RETRY_BUDGET_FRACTION,
             window_seconds: bounds.retry_window.as_secs(),
             ..retry::Options::default()
-        })
+        }
     }
 
     /// Puts a configuration in force if it is newer than the previous one.
--- a/crates/lw-limit/src/retry.rs
+++ b/crates/lw-limit/src/retry.rs
@@ -131,8 +131,8 @@
 }
 
 impl Budget {
-    /// Sets the number of retries allowed in each window at any load, for example when the number of VMs that share
-    /// them has changed.
+    /// Sets other limits, for example when the number of VMs that share `min_retries` has changed. Retries made before count
+    /// against the new limits.
     ///
     /// ```
     /// use std::time::Duration;
@@ -140,12 +140,12 @@
     /// let now = Duration::ZERO;
     /// let request = AttemptContext::received(now, 0, Duration::from_secs(1));
     /// let mut budget = Budget::new(Options::default());
-    /// budget.set_min_retries(1);
+    /// budget.set_options(Options { min_retries: 1, ..Options::default() });
     /// assert!(budget.spend(now, Kind::Retry, request).is_ok());
     /// assert!(budget.spend(now, Kind::Retry, request).is_err());
     /// ```
-    pub fn set_min_retries(&mut self, retries: u64) {
-        self.options.min_retries = retries;
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
     }
 
     /// Creates an empty budget. A restarted VM may retry only after first attempts have added to its budget.
