lw-edge: a request may return to each silent upstream that it left

Callers of a resumable request that left two silent upstreams: when the third refused and the one left last accepted none, the request ended with 502 although the one left first would have served it. Cause: only the upstream of the last attempt given up was kept.

--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -83,8 +83,8 @@
     may_have_run: bool,
     /// When another attempt may next be made to take over from a silent upstream.
     takeover_at: Now,
-    /// Upstream of the last attempt that was given up since it was silent.
-    left: Option<UpstreamId>,
+    /// Upstreams whose attempts were given up since they were silent, the last one at the end.
+    left: Vec<UpstreamId>,
 }
 
 impl Driver {
@@ -101,7 +101,7 @@
             context,
             may_have_run: false,
             takeover_at: Now::ZERO,
-            left: None,
+            left: Vec::new(),
         }
     }
 
@@ -135,20 +135,22 @@
 
     /// Records that an attempt is given up since its upstream is silent.
     pub fn leave(&mut self, placement: &Placement) {
-        self.left = Some(placement.upstream.id.clone());
+        self.left.push(placement.upstream.id.clone());
     }
 
-    /// Begins another attempt at the upstream that was left while it was silent.
+    /// Begins another attempt at one of the upstreams that were left while they were silent.
     async fn return_to_silent(&mut self) -> Option<Attempt> {
-        self.left.as_ref()?;
-        let attempt = self.begin_attempt(Purpose::Return).await;
-        self.left = None;
-        attempt
-            .inspect_err(|e| {
-                log::info!(target: "route", request = self.call.head.request.as_str(),
-                    why = e.message.as_str(); "the request does not return to the upstream it left");
-            })
-            .ok()
+        while !self.left.is_empty() {
+            let attempt = self.begin_attempt(Purpose::Return).await;
+            let left = self.left.pop();
+            match attempt {
+                Ok(attempt) => return Some(attempt),
+                Err(e) => log::info!(target: "route", request = self.call.head.request.as_str(),
+                    upstream = left.as_deref().unwrap_or_default(), why = e.message.as_str();
+                    "the request does not return to the upstream that it left"),
+            }
+        }
+        None
     }
 
     /// Begins an attempt beside one whose upstream is silent, if another upstream may take over.
@@ -340,7 +342,10 @@
             prompt: self.call.prompt.as_ref(),
             request_hash: self.call.id_hash,
             tried: &self.tried,
-            returns_to: self.left.as_deref().filter(|_| purpose == Purpose::Return),
+            returns_to: match purpose {
+                Purpose::Serve | Purpose::TakeOver => None,
+                Purpose::Return => self.left.last().map(String::as_str),
+            },
             peers: self.edge.store_view().vms_max().saturating_sub(1),
             time_left: self.call.due.saturating_sub(now),
             time_to_target: target.saturating_sub(now),
--- a/crates/lw-edge/tests/returns.rs
+++ b/crates/lw-edge/tests/returns.rs
@@ -1,4 +1,5 @@
-//! Guards against requests that return to the silent upstream that they left, although it accepts none by then.
+//! Guards against requests that return to a silent upstream that they left although it accepts none by then, that reach more
+//! upstreams than their route allows, or none.
 
 mod common;
 
@@ -26,29 +27,56 @@
     edge.with_upstream_pool("llm", change).expect("the engines' pool")
 }
 
-/// Lets a stream leave its silent engine for one that refuses it late, and applies `change` to the VM's view of the silent one
-/// in between. Returns how often the silent one received the request.
-async fn count_requests(id: &str, change: impl Fn(&Edge, &Upstream)) -> usize {
-    let simulation = Simulation::start_with_routes(|route| {
+/// Starts two VMs and this many engines, with routes that allow this many attempts.
+async fn start(engines: usize, attempts: u64) -> (Simulation, Vm) {
+    let mut simulation = Simulation::start_with_routes(|route| {
         route["TimeoutMs"] = 6_000.into();
-        route["MaxAttempts"] = 3.into();
+        route["MaxAttempts"] = attempts.into();
     })
     .await;
+    for n in 3..=engines {
+        let engine = Upstream::start(&format!("engine-{n}")).await.unwrap();
+        let entry = engine.registry_entry("llm", "kochi-a");
+        simulation.store.put(&format!("servers/{}", engine.id), &entry);
+        engine.set_queue(&simulation.faults);
+        simulation.engines.push(engine);
+    }
     let settings = simulation.further_settings("vm-2");
     let second = Vm::start(settings, simulation.logs.clone()).await.unwrap();
     simulation.wait_until_joined(&second).await;
+    let is_known = async |simulation: &Simulation| {
+        let vm = simulation.vm.as_ref().expect("the VM runs");
+        vm.edge.store_view().directory.iter().count() == engines + 2
+    };
+    simulation.wait_until("all engines are known", is_known).await;
+    tokio::time::sleep(ms(1_500)).await;
+    (simulation, second)
+}
+
+fn long_request(id: &str) -> CallerRequest {
+    CallerRequest { deadline_ms: 6_000, ..request(id, "/long/x") }
+}
+
+fn report_silence(second: &Vm, upstream: &str) {
+    let notice = Notice::Unresponsive { upstream: upstream.to_owned(), ms: 500 };
+    peers::broadcast(&second.edge, notice);
+}
+
+/// Lets a stream leave its silent engine for one that refuses it late, and applies `change` to the VM's view of the silent one
+/// in between. Returns how often the silent one received the request.
+async fn count_requests(id: &str, change: impl Fn(&Edge, &Upstream)) -> usize {
+    let (simulation, second) = start(2, 3).await;
     simulation.faults.push(Behaviour::DelayedEvents(ms(900)));
     simulation.faults.push(Behaviour::RejectAfter(REFUSAL_TIME));
     let check = async {
         tokio::time::sleep(REPORT_TIME).await;
         let first = simulation.engine_of(id);
-        let upstream = first.id.clone();
-        peers::broadcast(&second.edge, Notice::Unresponsive { upstream, ms: 500 });
+        report_silence(&second, &first.id);
         tokio::time::sleep(OVERLAP_TIME).await;
         change(&simulation.vm.as_ref().expect("the VM runs").edge, first);
         first
     };
-    let req = CallerRequest { deadline_ms: 6_000, ..request(id, "/long/x") };
+    let req = long_request(id);
     let (_, first) = tokio::join!(simulation.send(&req), check);
     let received = |engine: &Upstream| {
         let received = engine.received().into_iter();
@@ -100,3 +128,63 @@
     };
     assert_eq!(count_requests("limited", change).await, 1);
 }
+
+/// Waits until the request was sent this many times, and returns to which engines, in order.
+async fn wait_until_sent(simulation: &Simulation, id: &str, times: usize) -> Vec<String> {
+    let sent = |simulation: &Simulation| {
+        let mut sent: Vec<_> = simulation
+            .engines
+            .iter()
+            .flat_map(|engine| engine.received().into_iter().map(|got| (got, engine.id.clone())))
+            .filter(|(got, _)| got.request.header("x-attempt-id") == Some(id))
+            .map(|(got, id)| (got.at, id))
+            .collect();
+        sent.sort();
+        sent.into_iter().map(|(_, id)| id).collect::<Vec<_>>()
+    };
+    let is_sent = async |simulation: &Simulation| sent(simulation).len() >= times;
+    simulation.wait_until(&format!("{id} was sent {times} times"), is_sent).await;
+    sent(simulation)
+}
+
+/// Guards against a return that is not charged to the attempts, and is given back as it does not reach its upstream.
+#[tokio::test]
+async fn a_return_to_an_upstream_that_is_gone_allows_no_further_upstream() {
+    let (mut simulation, second) = start(4, 2).await;
+    simulation.faults.push(Behaviour::NoAnswer);
+    simulation.faults.push(Behaviour::RejectAfter(ms(1_000)));
+    let callers = simulation.settings.callers;
+    let reply = tokio::spawn(async move { common::send(callers, &long_request("gone")).await });
+    let first = wait_until_sent(&simulation, "gone", 1).await.remove(0);
+    report_silence(&second, &first);
+    wait_until_sent(&simulation, "gone", 2).await;
+    tokio::time::sleep(ms(500)).await;
+    simulation.engines.retain(|engine| engine.id != first);
+    let reply = reply.await.unwrap();
+    let sent = simulation.received("gone").len() + 1;
+    assert!(sent <= 2, "sent to {sent} upstreams, 2 attempts: {:?}", reply.map(|r| r.status));
+}
+
+/// Guards against a request that is lost since the upstream that it left last accepts none, although the one before would.
+#[tokio::test]
+async fn a_request_returns_to_each_upstream_that_it_left() {
+    let (simulation, second) = start(4, 3).await;
+    for behaviour in [Behaviour::NoAnswer, Behaviour::NoAnswer, Behaviour::RejectAfter(ms(600))] {
+        simulation.faults.push(behaviour);
+    }
+    let callers = simulation.settings.callers;
+    let reply = tokio::spawn(async move { common::send(callers, &long_request("left")).await });
+    let first = wait_until_sent(&simulation, "left", 1).await.remove(0);
+    report_silence(&second, &first);
+    let other = wait_until_sent(&simulation, "left", 2).await.remove(1);
+    tokio::time::sleep(ms(600)).await;
+    report_silence(&second, &other);
+    wait_until_sent(&simulation, "left", 3).await;
+    let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+    let until = edge.timer.now() + ms(10_000);
+    with_pool(edge, |pool| pool.back_off(&other, until));
+    let reply = reply.await.unwrap().expect("an answer");
+    let sent = wait_until_sent(&simulation, "left", 4).await;
+    assert_eq!(sent[3], first, "{sent:?}");
+    assert_eq!(reply.status, 200, "{} {}, sent to {sent:?}", reply.head, reply.text());
+}
