lw-edge: an upstream is checked for a crash as soon as an attempt at it broke

Upstreams: copies of a request that crashes engines went on to reach them, 10 of 15 after the time to react to the third crash (at most 3 are allowed, BUDGET), if the engines name a limit, or are in a failure domain without a VM.

Cause: a broken attempt is evidence only if its engine is reported down within a second. That came from calls for cache events, which engines of a domain without a VM do not get, and limited ones get each 5 s. Now the VM whose attempt broke opens a connection at once and 0.3 s later, one check per upstream at a time; a refused connection is the report. A connection is no request, so no limit counts it.

Weighed: a broadcast of the refusal is not needed, since the crash itself is reported to the other VMs; VMs of other domains as followers cost bytes between domains. Remains: without a VM in its domain, an engine that falls silent is not reported.

--- a/crates/lw-edge/src/quarantine/mod.rs
+++ b/crates/lw-edge/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use lw_catalog::Upstream;
 use lw_place::{AttemptId, Prompt};
 use lw_platform::store::{Error, KeyWrite, Precondition};
 use lw_quarantine::{Action, Quarantine, SegmentSet, StoredSet, Suspect};
@@ -21,6 +22,8 @@
     },
 };
 
+mod confirm;
+
 /// Period of the decisions while there is evidence to decide on.
 const BUSY_PERIOD: Duration = Duration::from_millis(50);
 /// Period of the decisions otherwise: sets that other VMs wrote to the store are taken from it.
@@ -34,6 +37,7 @@
     evidence: Notify,
     /// Wakes the requests in flight when a set is quarantined.
     changed: Notify,
+    checks: confirm::Checks,
 }
 
 impl SharedQuarantine {
@@ -44,6 +48,7 @@
             quarantine: Mutex::new(Quarantine::new(vm)),
             evidence: Notify::new(),
             changed: Notify::new(),
+            checks: confirm::Checks::default(),
         }
     }
 
@@ -99,11 +104,18 @@
     prompt.segments.iter().map(|segment| segment.id).collect()
 }
 
-/// Records that an attempt at an engine broke before its answer showed that its prompt is sound.
-pub(crate) fn record_broken(edge: &Edge, upstream: &str, attempt_id: AttemptId, prompt: &Prompt) {
+/// Records that an attempt at an engine broke before its answer showed that its prompt is sound, and finds out whether the
+/// engine is down.
+pub(crate) fn record_broken(
+    edge: &Arc<Edge>,
+    upstream: &Upstream,
+    attempt_id: AttemptId,
+    prompt: &Prompt,
+) {
     let now = edge.timer.now_including_suspend();
     let suspect = Suspect { attempt_id, segments: segment_ids(prompt) };
-    edge.quarantine.record(|quarantine| quarantine.record_broken(now, upstream, suspect));
+    edge.quarantine.record(|quarantine| quarantine.record_broken(now, &upstream.id, suspect));
+    confirm::spawn(edge, upstream);
 }
 
 /// Records that the answer to a prompt went on after its start.
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -162,8 +162,7 @@
         if let Some(prompt) = &self.call.prompt
             && self.progress.sending_time() < SOUND_SENDING_TIME
         {
-            let upstream = &self.placement.upstream.id;
-            quarantine::record_broken(&self.edge, upstream, self.id, prompt);
+            quarantine::record_broken(&self.edge, &self.placement.upstream, self.id, prompt);
         }
         self.end(Ended::Failed, why);
     }
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -36,6 +36,10 @@
     NoAnswer,
     /// It resets the connection without an answer.
     Reset,
+    /// It crashes, and is down for this time.
+    Crash(Duration),
+    /// It answers nothing, calls for its events included, for the first time, then crashes and is down for the second.
+    HangThenCrash(Duration, Duration),
     /// It sends this many events and the start of another, or of the last one, then resets the connection.
     ResetInEvent(u64),
     /// It sends events with a pause before each.
@@ -323,7 +327,7 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn handle_call(state: &Mutex<State>, id: &str, request: &Request) -> Vec<Step> {
+fn handle_call(state: &Arc<Mutex<State>>, id: &str, request: &Request) -> Vec<Step> {
     lock(state).calls.push(tokio::time::Instant::now());
     let expected = request.header("x-expect-instance");
     if expected.is_some_and(|expected| expected != id) {
@@ -391,7 +395,7 @@
     shared.split(',').any(|entry| entry.split(':').next() == Some(segment))
 }
 
-fn handle_request(shared_state: &Mutex<State>, id: &str, request: &Request) -> Vec<Step> {
+fn handle_request(shared_state: &Arc<Mutex<State>>, id: &str, request: &Request) -> Vec<Step> {
     let mut state = lock(shared_state);
     let version = state.update_version();
     let behaviour = state.queue.pop().unwrap_or_else(|| state.behaviour.clone());
@@ -410,6 +414,14 @@
     });
     let deadly = state.deadly_segment;
     let limit = state.limit.clone();
+    if let Behaviour::HangThenCrash(hang, down) = behaviour {
+        state.internal_behaviour = Some(Behaviour::NoAnswer);
+        let hung = Arc::clone(shared_state);
+        tokio::spawn(async move {
+            tokio::time::sleep(hang + down).await;
+            lock(&hung).internal_behaviour = None;
+        });
+    }
     drop(state);
     let limit = limit.iter().map(|limit| ("server-limit", limit.as_str()));
     let attempt = request.header("x-attempt-id").unwrap_or_default();
@@ -458,6 +470,8 @@
         Behaviour::Status(status) => answer(*status, headers, b"failed"),
         Behaviour::NoAnswer => vec![Step::Wait(Duration::from_secs(60))],
         Behaviour::Reset => vec![Step::Reset],
+        Behaviour::Crash(down) => vec![Step::Crash(*down)],
+        Behaviour::HangThenCrash(hang, down) => vec![Step::Wait(*hang), Step::Crash(*down)],
         Behaviour::ResetInEvent(events) => reset_in_event(*events, headers, request),
         Behaviour::DelayedEvents(pause) => stream(headers, request, *pause),
         Behaviour::SlowBytes(pause) => {
