lw-edge: copies of a request without a prompt that crash servers are held and refused

Upstreams: a request to a plain service that crashes each server which runs it reached 19 and 20 servers after the time to react to the third crash (at most 3, BUDGET). Cause: only segments of prompts are evidence, and such a request has none. Now one segment stands for its workspace, path and body, so that the same decisions hold its copies after three crashes and refuse them after five. Its sound answers are recorded only while it is suspected, as no other request shares the segment. Attempts in flight without a prompt are not ended by a quarantine.

Not done: the product's own interface.

--- a/crates/lw-edge/src/quarantine/mod.rs
+++ b/crates/lw-edge/src/quarantine/mod.rs
@@ -8,7 +8,7 @@
 };
 
 use lw_catalog::Upstream;
-use lw_place::{AttemptId, Prompt};
+use lw_place::AttemptId;
 use lw_platform::store::{Error, KeyWrite, Precondition};
 use lw_quarantine::{Action, Quarantine, SegmentSet, StoredSet, Suspect};
 use lw_types::prelude::*;
@@ -66,32 +66,32 @@
         }
     }
 
-    /// Returns the time until a request with this prompt may be served, if it must not be now.
+    /// Returns the time until a request with these segments may be served, if it must not be now.
     #[must_use]
-    pub fn time_left(&self, now: Now, prompt: &Prompt) -> Option<Duration> {
-        self.lock().time_left(now, &segment_ids(prompt))
+    pub fn time_left(&self, now: Now, segments: &[SegmentId]) -> Option<Duration> {
+        self.lock().time_left(now, segments)
     }
 
-    /// Claims an attempt at a request with this prompt.
+    /// Claims an attempt at a request with these segments.
     ///
     /// # Errors
     ///
     /// Returns the time after which the caller may send the request again, if no attempt may begin now.
-    pub fn try_begin(&self, now: Now, prompt: &Prompt) -> Result<(), Duration> {
-        self.lock().try_begin(now, &segment_ids(prompt))
+    pub fn try_begin(&self, now: Now, segments: &[SegmentId]) -> Result<(), Duration> {
+        self.lock().try_begin(now, segments)
     }
 
-    /// Whether a request with this prompt, whose attempt broke with its engine, may be sent to another one.
+    /// Whether a request with these segments, whose attempt broke with its engine, may be sent to another one.
     #[must_use]
-    pub fn may_send_again(&self, prompt: &Prompt) -> bool {
-        self.lock().may_send_again(&segment_ids(prompt))
+    pub fn may_send_again(&self, segments: &[SegmentId]) -> bool {
+        self.lock().may_send_again(segments)
     }
 
-    /// Waits until a request with this prompt must not be served.
-    pub async fn wait_until_quarantined(&self, now: impl Fn() -> Now, prompt: &Prompt) {
+    /// Waits until a request with these segments must not be served.
+    pub async fn wait_until_quarantined(&self, now: impl Fn() -> Now, segments: &[SegmentId]) {
         loop {
             let changed = self.changed.notified();
-            if self.time_left(now(), prompt).is_some() {
+            if self.time_left(now(), segments).is_some() {
                 return;
             }
             changed.await;
@@ -99,29 +99,29 @@
     }
 }
 
-/// Returns the ids of the segments of a prompt.
-fn segment_ids(prompt: &Prompt) -> Vec<SegmentId> {
-    prompt.segments.iter().map(|segment| segment.id).collect()
-}
-
-/// Records that an attempt at an engine broke before its answer showed that its prompt is sound, and finds out whether the
+/// Records that an attempt at an engine broke before its answer showed that its request is sound, and finds out whether the
 /// engine is down.
 pub(crate) fn record_broken(
     edge: &Arc<Edge>,
     upstream: &Upstream,
     attempt_id: AttemptId,
-    prompt: &Prompt,
+    segments: &[SegmentId],
 ) {
     let now = edge.timer.now_including_suspend();
-    let suspect = Suspect { attempt_id, segments: segment_ids(prompt) };
+    let suspect = Suspect { attempt_id, segments: segments.to_vec() };
     edge.quarantine.record(|quarantine| quarantine.record_broken(now, &upstream.id, suspect));
     confirm::spawn(edge, upstream);
 }
 
-/// Records that the answer to a prompt went on after its start.
-pub(crate) fn record_sound(edge: &Edge, prompt: &Prompt) {
+/// Records that the answer to a request went on after its start. Requests without a prompt share no segments, so that theirs
+/// are recorded only while they are suspected.
+pub(crate) fn record_sound(edge: &Edge, segments: &[SegmentId], has_prompt: bool) {
     let now = edge.timer.now_including_suspend();
-    edge.quarantine.record(|quarantine| quarantine.record_sound(now, &segment_ids(prompt)));
+    edge.quarantine.record(|quarantine| {
+        if has_prompt || quarantine.is_suspected(segments) {
+            quarantine.record_sound(now, segments);
+        }
+    });
 }
 
 /// Records that an engine is down.
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -152,17 +152,21 @@
         let before = self.progress.sending_time();
         self.progress.last_bytes_at = Some(self.edge.timer.now());
         let is_sound_now = (before..self.progress.sending_time()).contains(&SOUND_SENDING_TIME);
-        if let Some(prompt) = self.call.prompt.as_ref().filter(|_| is_sound_now) {
-            quarantine::record_sound(&self.edge, prompt);
+        if is_sound_now {
+            self.record_sound();
         }
     }
 
+    fn record_sound(&self) {
+        let has_prompt = self.call.prompt.is_some();
+        quarantine::record_sound(&self.edge, &self.call.segments, has_prompt);
+    }
+
     /// Ends an attempt whose answer the upstream broke off, or never began.
     pub fn end_broken(self, why: &str) {
-        if let Some(prompt) = &self.call.prompt
-            && self.progress.sending_time() < SOUND_SENDING_TIME
-        {
-            quarantine::record_broken(&self.edge, &self.placement.upstream, self.id, prompt);
+        if self.progress.sending_time() < SOUND_SENDING_TIME {
+            let (upstream, segments) = (&self.placement.upstream, &self.call.segments);
+            quarantine::record_broken(&self.edge, upstream, self.id, segments);
         }
         self.end(Ended::Failed, why);
     }
@@ -175,9 +179,7 @@
 
     /// Ends an attempt whose successful answer is complete.
     pub fn end_complete(self) {
-        if let Some(prompt) = &self.call.prompt {
-            quarantine::record_sound(&self.edge, prompt);
-        }
+        self.record_sound();
         self.end(Ended::Complete, "");
     }
 
@@ -225,8 +227,7 @@
 
     /// Returns the ids of the prompt's segments, for log lines.
     fn segments(&self) -> String {
-        let segments = self.call.prompt.iter().flat_map(|prompt| &prompt.segments);
-        let ids: Vec<_> = segments.map(|segment| format!("{:x}", segment.id)).collect();
+        let ids: Vec<_> = self.call.segments.iter().map(|id| format!("{id:x}")).collect();
         ids.join(",")
     }
 
@@ -328,9 +329,11 @@
 
     /// Returns when a segment of the prompt is quarantined: the engine would crash when it begins to answer.
     async fn quarantined(&self) {
-        let Some(prompt) = &self.call.prompt else { return std::future::pending().await };
+        if self.call.prompt.is_none() {
+            return std::future::pending().await;
+        }
         let now = || self.edge.timer.now_including_suspend();
-        self.edge.quarantine.wait_until_quarantined(now, prompt).await;
+        self.edge.quarantine.wait_until_quarantined(now, &self.call.segments).await;
     }
 
     fn request(&self, left: Duration, last_event: Option<u64>) -> Request<Full<bytes::Bytes>> {
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -258,28 +258,24 @@
         }
     }
 
-    /// Refuses a request whose prompt crashes engines.
+    /// Refuses a request that crashes upstreams.
     fn check_quarantine(&self, purpose: Purpose) -> Result<(), Failure> {
         let now = self.edge.timer.now_including_suspend();
-        let time_left = self
-            .call
-            .prompt
-            .as_ref()
-            .and_then(|prompt| self.edge.quarantine.time_left(now, prompt));
+        let time_left = self.edge.quarantine.time_left(now, &self.call.segments);
         let Some(time_left) = time_left else { return self.check_suspicion(purpose) };
-        let why = "requests with segments of this prompt crashed engines";
+        let why = "requests with segments of this one crashed upstreams";
         if self.may_have_run {
             return Err(Failure::new(ResultCode::OutcomeUnknown, why));
         }
         Err(Failure::new(ResultCode::Quarantined, why).retry_after(time_left))
     }
 
-    /// Refuses an attempt at a request whose prompt crashed engines, unless this VM may send one copy of it now.
+    /// Refuses an attempt at a request that crashed upstreams, unless this VM may send one copy of it now.
     fn check_held(&self) -> Result<(), Failure> {
-        let Some(prompt) = &self.call.prompt else { return Ok(()) };
         let now = self.edge.timer.now_including_suspend();
-        self.edge.quarantine.try_begin(now, prompt).map_err(|time_left| {
-            let why = "engines crashed with this prompt, and another copy of it may be in flight";
+        self.edge.quarantine.try_begin(now, &self.call.segments).map_err(|time_left| {
+            let why =
+                "upstreams crashed with this request, and another copy of it may be in flight";
             if self.may_have_run {
                 return Failure::new(ResultCode::OutcomeUnknown, why);
             }
@@ -290,11 +286,10 @@
     /// Refuses a further attempt at a request that may crash its engine.
     fn check_suspicion(&self, purpose: Purpose) -> Result<(), Failure> {
         let may_have_run = self.may_have_run || purpose != Purpose::Serve;
-        let prompt = self.call.prompt.as_ref().filter(|_| may_have_run);
-        if prompt.is_none_or(|prompt| self.edge.quarantine.may_send_again(prompt)) {
+        if !may_have_run || self.edge.quarantine.may_send_again(&self.call.segments) {
             return Ok(());
         }
-        let why = "engines crashed with segments of this prompt";
+        let why = "upstreams crashed with segments of this request";
         Err(Failure::new(ResultCode::OutcomeUnknown, why))
     }
 
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -55,6 +55,8 @@
     pub workspace: Option<Arc<Workspace>>,
     /// Prompt, if the service has engines.
     pub prompt: Option<Prompt>,
+    /// Segments of its prompt, or one that stands for the whole request. If it crashes upstreams, one of them is the cause.
+    pub segments: Vec<SegmentId>,
     /// Hash of its id. It distributes requests over services and upstreams that are equally good.
     pub id_hash: u64,
     /// When it arrived.
@@ -140,10 +142,12 @@
     let prompt =
         has_engines.then(|| prompt(&catalog, &head, &route, workspace.as_deref(), body.len()));
     let deadline = arrived + head.deadline.unwrap_or(route.timeout);
+    let target = target(parts.uri);
+    let segments = segments(prompt.as_ref(), workspace.as_deref(), &target, &body);
     Ok(Call {
         head,
         method: parts.method,
-        target: target(parts.uri),
+        target,
         headers: parts.headers,
         body,
         due: deadline.min(arrived + route.timeout),
@@ -151,6 +155,7 @@
         service,
         workspace,
         prompt,
+        segments,
         id_hash,
         arrived,
         deadline,
@@ -164,6 +169,26 @@
     path_and_query.map_or_else(|| Uri::from_static("/"), Uri::from)
 }
 
+/// Returns the segments of a prompt. Without any, copies of a request are recognized by their workspace, path and body.
+fn segments(
+    prompt: Option<&Prompt>,
+    workspace: Option<&Workspace>,
+    target: &Uri,
+    body: &[u8],
+) -> Vec<SegmentId> {
+    let segments = prompt.map(|prompt| &prompt.segments).filter(|segments| !segments.is_empty());
+    if let Some(segments) = segments {
+        return segments.iter().map(|segment| segment.id).collect();
+    }
+    let workspace = workspace.map_or("", |workspace| workspace.name.as_str());
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for part in [workspace.as_bytes(), target.to_string().as_bytes(), body] {
+        hasher.update(&u64::try_from(part.len()).unwrap_or(u64::MAX).to_be_bytes());
+        hasher.update(part);
+    }
+    vec![hasher.digest()]
+}
+
 fn find_route(catalog: &Catalog, parts: &http::request::Parts) -> Result<Arc<Route>, Failure> {
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = parts.uri.host().or(host).unwrap_or_default();
--- a/crates/lw-edge/tests/deadly_copies.rs
+++ b/crates/lw-edge/tests/deadly_copies.rs
@@ -42,6 +42,18 @@
     (late, arrivals.len())
 }
 
+/// Guards against requests without a prompt that crash one server after the other.
+#[tokio::test]
+async fn copies_of_a_request_that_crashed_three_plain_servers_reach_no_more() {
+    let simulation = Simulation::start().await;
+    for server in &simulation.servers {
+        server.set_behaviour(Behaviour::Crash(ms(1_000)));
+    }
+    let req = request("copy", "/look/x");
+    let (late, all) = late_arrivals(&simulation, &simulation.servers, &req, 500).await;
+    assert!(late <= LATE_ARRIVALS_MAX, "{late} late arrivals of {all}");
+}
+
 /// Starts a VM with this many engines of a failure domain.
 async fn start_engines(failure_domain: &str, count: usize) -> Simulation {
     let mut simulation =
--- a/crates/lw-types/src/code.rs
+++ b/crates/lw-types/src/code.rs
@@ -131,7 +131,7 @@
     InProgress = 3006, "in_progress", 409, Unknown, true;
     /// The upstream could not be reached and did not receive the call.
     NotSent = 3007, "not_sent", 502, No, true;
-    /// Requests with segments of this prompt crashed engines.
+    /// Requests with segments of this request crashed upstreams.
     Quarantined = 3008, "quarantined", 503, No, true;
     /// The deadline passed before the answer was complete.
     DeadlineExceeded = 4000, "deadline_exceeded", 504, Yes, true;
