lw-order: the terms of the issuer are decided without sockets

Which VM tries to acquire the issuer's lease, on what a claim and a release are conditional, when a term begins, may order, closes and ends was decided in lw_edge::orders::lease, between awaited calls. `lw_order::tenure` decides it now on events with their times, and names the calls to make; `lw_edge::orders` carries these out. The issuer and its term have one lock instead of two.

No change of behaviour is meant. One check moved: the send window of an order and its term are checked in one step directly before the sending, where the window was checked first before.

--- a/crates/lw-edge/src/orders/load.rs
+++ b/crates/lw-edge/src/orders/load.rs
@@ -4,7 +4,7 @@
 
 use lw_catalog::Upstream;
 use lw_observe::metrics;
-use lw_order::message::Order;
+use lw_order::{message::Order, tenure::NotSent};
 use lw_platform::engine::{Error, LoadOrder, OrderOutcome, SwapMode};
 use lw_types::prelude::*;
 
@@ -81,9 +81,6 @@
         poll_until_served(edge, upstream, model, version).await;
         return;
     }
-    if edge.timer.now_including_suspend() >= order.send_before {
-        return log_expired(order);
-    }
     let load = LoadOrder {
         model,
         version,
@@ -94,17 +91,24 @@
     };
     let now = edge.timer.now_including_suspend();
     let id = &upstream.id;
-    // The lease may have been released since the issuer decided on this order, and another VM may be the issuer.
-    if !edge.orders.begin_order(now, order.fence, edge.store.latest_era()) {
-        log::info!(target: "order", upstream = id.as_str(), fence = order.fence;
-            "order not sent, the lease was released");
-        return;
+    let begun = edge.orders.tenure().begin_order(now, order, edge.store.latest_era());
+    match begun {
+        Ok(()) => {}
+        Err(NotSent::Expired) => return log_expired(order),
+        Err(NotSent::TermEnded) => {
+            log::info!(target: "order", upstream = id.as_str(), fence = order.fence;
+                "order not sent, the lease was released");
+            return;
+        }
     }
     let result = edge.engines.send_order(upstream.addr, id, &load).await;
-    edge.orders.end_order(edge.timer.now_including_suspend(), order.fence);
+    let ended_at = edge.timer.now_including_suspend();
+    edge.orders.tenure().end_order(ended_at, order.fence);
     count_and_log_answer(edge, order, (model, version), &result);
     match result {
-        Ok(OrderOutcome::Fenced) => edge.orders.issuer().on_order_refused(now, order.fence),
+        Ok(OrderOutcome::Fenced) => {
+            edge.orders.tenure().issuer().on_order_refused(now, order.fence);
+        }
         Ok(outcome) => {
             edge.orders.record_answer(upstream, outcome, expected_orders);
             if poll_until_served(edge, upstream, model, version).await
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -6,18 +6,18 @@
     time::Duration,
 };
 
-use lw_catalog::{Stage, Upstream, settings::Bounds};
+use lw_catalog::{Stage, Upstream, VmSettings, settings::Bounds};
 use lw_order::{
-    handover::OrderHistory,
-    issuer::{Action, Issuer},
+    issuer::Action,
     message::{EngineState, ModelState, Report},
     options::Options,
     plan::Plan,
+    tenure::Tenure,
 };
-use lw_platform::{engine::OrderOutcome, store::Lease};
+use lw_platform::engine::OrderOutcome;
 use lw_types::prelude::*;
 
-use crate::state::Edge;
+use crate::{register, state::Edge};
 
 mod lease;
 mod load;
@@ -41,39 +41,18 @@
 /// The issuer of one VM and the state of its orders.
 #[derive(Debug)]
 pub struct Orders {
-    issuer: Mutex<Issuer>,
+    tenure: Mutex<Tenure>,
     options: Options,
     state: Mutex<State>,
 }
 
-/// A period in which this VM is the issuer, from the grant of the lease until it is released, lost or runs out.
-#[derive(Debug)]
-struct Term {
-    /// Fencing number.
-    fence: Revision,
-    /// Position of the write that began the term.
-    begun_at: Position,
-    lease: Lease,
-    history: OrderHistory,
-    /// Whether the issuer's key was found gone at the last check.
-    is_key_gone: bool,
-    /// Whether no further order may be sent, since the lease is about to be released.
-    is_closed: bool,
-}
-
 #[derive(Debug, Default)]
 struct State {
-    /// The current term, if this VM is the issuer.
-    term: Option<Term>,
     plan: Plan,
     /// Engines that were reported to the issuer.
     engines: Vec<UpstreamId>,
     /// Number of the last report to the issuer.
     reports: u64,
-    /// When this VM first saw that nobody holds the lease, while that is so.
-    free_since: Option<Now>,
-    /// Whether this process has seen any VM hold the lease.
-    has_seen_issuer: bool,
     /// Whether engines are loading, by their last answers.
     loading: HashMap<UpstreamId, bool>,
     /// Time from the last order that took effect to the end of its load. It grows while too many engines load at once.
@@ -92,7 +71,8 @@
 
     /// Creates an issuer that has issued no orders.
     #[must_use]
-    pub fn new(bounds: &Bounds) -> Self {
+    pub fn new(settings: &VmSettings) -> Self {
+        let (vm, bounds) = (&settings.vm, &settings.bounds);
         let ms = Duration::from_millis;
         let lease_ttl = Self::lease_ttl(bounds);
         let options = Options {
@@ -108,31 +88,15 @@
             store_window: Duration::ZERO,
             ..Options::default()
         };
-        Self { issuer: Mutex::new(Issuer::new(options.clone())), options, state: Mutex::default() }
+        let startup_delay = register::startup_delay(vm);
+        let tenure = Tenure::new(vm, options.clone(), bounds.is_fenced, startup_delay);
+        Self { tenure: Mutex::new(tenure), options, state: Mutex::default() }
     }
 
     /// Returns the fencing number, if this VM holds the issuer's lease.
     #[must_use]
     pub fn fence(&self) -> Option<Revision> {
-        self.state().term.as_ref().map(|term| term.fence)
-    }
-
-    /// Records that an order is about to be sent under this fencing number. `era` is the latest era of the store.
-    /// Returns false if that term has ended, so that the order must not be sent.
-    fn begin_order(&self, now: Now, fence: Revision, era: Era) -> bool {
-        let mut state = self.state();
-        let term = state
-            .term
-            .as_mut()
-            .filter(|term| term.fence == fence && !term.is_closed && term.begun_at.era == era);
-        term.map(|term| term.history.begin_order(now)).is_some()
-    }
-
-    /// Records that an order under this fencing number was answered, or that no answer is awaited any more.
-    fn end_order(&self, now: Now, fence: Revision) {
-        if let Some(term) = self.state().term.as_mut().filter(|term| term.fence == fence) {
-            term.history.end_order(now);
-        }
+        self.tenure().fence()
     }
 
     /// Records an engine's answer to an order, of which the engine had accepted `expected_orders` before.
@@ -153,8 +117,8 @@
         self.state().load_time = Some(time);
     }
 
-    fn issuer(&self) -> MutexGuard<'_, Issuer> {
-        self.issuer.lock().unwrap_or_else(PoisonError::into_inner)
+    fn tenure(&self) -> MutexGuard<'_, Tenure> {
+        self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -168,14 +132,21 @@
     loop {
         ticks.tick().await;
         let now = edge.timer.now_including_suspend();
-        lease::end_lost_term(&edge, now);
-        let is_eligible = lease::is_eligible(&edge, now);
-        edge.orders.issuer().set_eligible(is_eligible);
+        let view = lease::lease_view(&edge);
+        let lost = edge.orders.tenure().end_lost_term(now, &view);
+        if let Some(fence) = lost {
+            log::warn!(target: "order", fence = fence, era = view.latest_era; "lease lost");
+        }
+        let is_eligible = edge.orders.tenure().update_eligibility(now, &view);
         // The plan and the reports grow with the engines, and only an issuer needs them.
         if is_eligible {
             update_issuer(&edge, now);
         }
-        for action in tick_issuer(&edge, now) {
+        let ticked = edge.orders.tenure().tick(now);
+        if let Some(fence) = ticked.ran_out {
+            log::warn!(target: "order", fence = fence; "lease ran out");
+        }
+        for action in ticked.actions {
             match action {
                 Action::Acquire { op } => drop(tokio::spawn(lease::acquire(Arc::clone(&edge), op))),
                 Action::Renew { op, fence } => {
@@ -187,20 +158,6 @@
     }
 }
 
-/// Ticks the issuer and returns what is to be done. Ends the term if its lease is no longer held.
-fn tick_issuer(edge: &Edge, now: Now) -> Vec<Action> {
-    let mut state = edge.orders.state();
-    let mut issuer = edge.orders.issuer();
-    let actions = issuer.tick(now);
-    let held = issuer.held_fence(now);
-    // A closed term is about to release its lease, although the issuer has given it up.
-    let ended = state.term.take_if(|term| !term.is_closed && held != Some(term.fence));
-    if let Some(term) = ended {
-        log::warn!(target: "order", fence = term.fence; "lease ran out");
-    }
-    actions
-}
-
 /// Passes the plan and the states of the engines to the issuer.
 fn update_issuer(edge: &Edge, now: Now) {
     let (plan, reports) = {
@@ -232,7 +189,8 @@
         (plan, reports)
     };
     let mut state = edge.orders.state();
-    let mut issuer = edge.orders.issuer();
+    let mut tenure = edge.orders.tenure();
+    let issuer = tenure.issuer();
     let listed: HashSet<&str> = reports.iter().map(|(upstream, _)| upstream.id.as_str()).collect();
     for id in state.engines.iter().filter(|id| !listed.contains(id.as_str())) {
         issuer.remove_engine(id);
--- a/crates/lw-edge/src/state/keys.rs
+++ b/crates/lw-edge/src/state/keys.rs
@@ -110,16 +110,11 @@
         }
     }
 
-    /// Whether the issuer released its lease.
+    /// Returns the record, and the era in which it was written. The store may have lost later records of an earlier one.
     #[must_use]
-    pub fn is_released(&self) -> bool {
-        self.is_released
-    }
-
-    /// Whether the record was written in this era. The store may have lost later records of an earlier one.
-    #[must_use]
-    pub fn is_of_era(&self, era: Era) -> bool {
-        self.era == era
+    pub fn into_record_and_era(self) -> (IssuerRecord, Era) {
+        let era = self.era;
+        (self.into(), era)
     }
 }
 
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -177,7 +177,7 @@
                     .unwrap_or(usize::MAX),
             ),
             quarantine: SharedQuarantine::new(settings.vm.clone()),
-            orders: Orders::new(&settings.bounds),
+            orders: Orders::new(&settings),
             datagrams: OnceLock::new(),
             version_age_query: peers::VersionAgeQuery::default(),
             era_changed: Notify::new(),
