lw-edge: a load that could not be polled does not count as a long one

What would be seen: after an issuer was cut off from an engine, or paused, while the engine loaded, each later load took as long as that cut. The first poll of the next load waited that long, the engine counted as loading until then, and the next order waited for it. The time fell by 0.25 s with each load, so that a roll-out of three engines was not over 12 s after the last version was named.

Cause: the time of a load was measured up to the report that showed its end, whenever that report came.

Change: `lw_order::load_watch` measures a load only if the answer to the order, and the poll that shows the end, come within 0.5 s of when they are due. Otherwise the time of the last load measured stays.

--- a/crates/lw-edge/src/orders/load.rs
+++ b/crates/lw-edge/src/orders/load.rs
@@ -4,7 +4,7 @@
 
 use lw_catalog::Upstream;
 use lw_observe::metrics;
-use lw_order::{message::Order, tenure::NotSent};
+use lw_order::{load_watch::LoadWatch, message::Order, tenure::NotSent};
 use lw_platform::engine::{Error, LoadOrder, OrderOutcome, SwapMode};
 use lw_types::prelude::*;
 
@@ -18,8 +18,6 @@
 const PAUSE_TIME: Duration = Duration::from_secs(2);
 /// Time between two pause notices. They are repeated during a load for VMs that start, or missed the ones before.
 const PAUSE_PERIOD: Duration = Duration::from_millis(500);
-/// Time from an order to the first poll of its engine, unless the last load took longer: then the time of that load.
-const FIRST_POLL_MIN: Duration = Duration::from_millis(500);
 /// Time between two polls.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
 /// Longest time between two polls of an engine that names a limit.
@@ -78,7 +76,8 @@
     if edge.orders.state().loading.get(&upstream.id) == Some(&true) {
         log::info!(target: "order", upstream = upstream.id.as_str();
             "order not sent, the engine is loading for a former issuer");
-        poll_until_served(edge, upstream, model, version).await;
+        let now = edge.timer.now_including_suspend();
+        poll_until_served(edge, upstream, (model, version), now).await;
         return;
     }
     let load = LoadOrder {
@@ -111,16 +110,14 @@
         }
         Ok(outcome) => {
             edge.orders.record_answer(upstream, outcome, expected_orders);
-            if poll_until_served(edge, upstream, model, version).await
-                && outcome == OrderOutcome::Accepted
-            {
-                edge.orders
-                    .record_load_time(edge.timer.now_including_suspend().saturating_sub(now));
+            let time = poll_until_served(edge, upstream, (model, version), now).await;
+            if let Some(time) = time.filter(|_| outcome == OrderOutcome::Accepted) {
+                edge.orders.state().load_time = Some(time);
             }
         }
         Err(_) => {
             edge.orders.state().accepted.remove(&incarnation_key(upstream));
-            poll_until_served(edge, upstream, model, version).await;
+            poll_until_served(edge, upstream, (model, version), now).await;
         }
     }
 }
@@ -172,16 +169,17 @@
     Ok(report.accepted_orders)
 }
 
-/// Polls an engine until it serves the new weights, the load has ended without them or takes too long. Returns whether
-/// it serves them.
+/// Polls an engine until it serves the new weights, the load has ended without them or takes too long. Returns the time of
+/// the load since `ordered_at`, if the polls show it.
 async fn poll_until_served(
     edge: &Arc<Edge>,
     upstream: &Upstream,
-    model: &str,
-    version: u64,
-) -> bool {
-    let load_time = edge.orders.state().load_time;
-    tokio::time::sleep(load_time.map_or(FIRST_POLL_MIN, |time| time.max(FIRST_POLL_MIN))).await;
+    (model, version): (&str, u64),
+    ordered_at: Now,
+) -> Option<Duration> {
+    let now = edge.timer.now_including_suspend();
+    let mut watch = LoadWatch::new(ordered_at, now, edge.orders.state().load_time);
+    tokio::time::sleep(watch.next_poll_at().saturating_sub(now)).await;
     let until = edge.timer.now() + edge.orders.options.load_time_max;
     while edge.timer.now() < until && edge.store_view().directory.get(&upstream.id).is_some() {
         match edge.engines.fetch_report(upstream.addr, &upstream.id).await {
@@ -198,11 +196,13 @@
                         weights = loaded.version; "engine serves new weights");
                     edge.orders.state().loading.remove(&upstream.id);
                     peers::broadcast(edge, notice);
-                    return true;
+                    return watch.load_time(edge.timer.now_including_suspend());
                 }
                 if !report.is_loading {
-                    return false;
+                    return None;
                 }
+                let now = edge.timer.now_including_suspend();
+                watch.on_loading(now + poll_period(edge, upstream));
             }
             Err(e) => log::debug!(target: "order", upstream = upstream.id.as_str(),
                 why = e.to_string(); "engine does not answer a poll"),
@@ -210,7 +210,7 @@
         tokio::time::sleep(poll_period(edge, upstream)).await;
     }
     edge.orders.state().loading.remove(&upstream.id);
-    false
+    None
 }
 
 /// Returns the time between two polls of an engine. Polls count towards a limit that it names.
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -30,8 +30,6 @@
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 /// Time before an order for which its engine gets no new work, so that short requests can finish.
 const PAUSE_BEFORE_ORDER: Duration = Duration::from_millis(120);
-/// Usual time from the end of a load until a report shows it.
-const REPORT_DELAY: Duration = Duration::from_millis(250);
 /// One in this many engines loads at once. All loads together must end within a fraction of the time in which all
 /// engines must serve a new version, while the remaining engines serve all requests.
 const LOADING_DIVISOR: usize = 6;
@@ -110,13 +108,6 @@
         }
     }
 
-    /// Records the time of a load, measured from its order to the report that showed its end.
-    fn record_load_time(&self, time: Duration) {
-        // The delay is subtracted so that the next engine's pause before its order overlaps with the end of a load.
-        let time = time.saturating_sub(REPORT_DELAY);
-        self.state().load_time = Some(time);
-    }
-
     fn tenure(&self) -> MutexGuard<'_, Tenure> {
         self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -245,3 +245,28 @@
     tokio::time::sleep(ms(100)).await;
     simulation.wait_until("the VM is registered again", is_known).await;
 }
+
+/// Guards against an issuer that takes the time for which an engine could not be polled for the time of its load: all later
+/// loads of the roll-out are then polled, and followed by the next one, that much later.
+#[tokio::test]
+async fn a_load_that_could_not_be_polled_does_not_delay_the_next_ones() {
+    let simulation = Simulation::start().await;
+    simulation.engines.iter().for_each(|engine| engine.set_load_time(ms(400)));
+    set_target_version(&simulation, 2);
+    let loads = async |simulation: &Simulation| simulation.engines.iter().any(Upstream::is_loading);
+    simulation.wait_until("an engine loads", loads).await;
+    tokio::time::sleep(ms(100)).await;
+    let loading = simulation.engines.iter().find(|engine| engine.is_loading());
+    loading.expect("an engine loads").stall(ms(4_000));
+    simulation.wait_until_served(2).await;
+    let issued = async |simulation: &Simulation| {
+        simulation.engines.iter().all(|engine| !engine.accepted_orders().is_empty())
+    };
+    simulation.wait_until("all orders are accepted", issued).await;
+    tokio::time::sleep(ms(1_000)).await;
+    let named_at = tokio::time::Instant::now();
+    set_target_version(&simulation, 3);
+    simulation.wait_until_served(3).await;
+    let time = named_at.elapsed();
+    assert!(time < ms(2_500), "a roll-out of two loads of 0.4 s took {time:?}");
+}
--- a/crates/lw-order/src/lib.rs
+++ b/crates/lw-order/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod handover;
 pub mod issuer;
 pub mod kv;
+pub mod load_watch;
 pub mod message;
 pub mod options;
 pub mod plan;
