lw-edge: an answer counts only with the request's id

Callers got 200, 304, 400, 404 and 500 without the request's id as final answers on every kind of route, a 200 with an authentication code too.

Cause: check_answer compared the id only if there was one, and required one only of refusals.

Now any answer without the id leaves open what became of the request: an idempotent call or a resumable stream goes to another upstream, the others get 502, and the connection is closed.

an_answer_without_the_request_id_does_not_count failed before (the caller's answer had no id) and passes. answers, endless and streams of lw-edge pass.

--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -430,16 +430,13 @@
             }
         }
         self.apply_upstream_state(&head, &answer);
-        let answered_request = answer.request.as_deref();
-        let is_own = answered_request == Some(self.call.head.request.as_str());
-        if answered_request.is_some() && !is_own {
-            return self.end_unknown(body, "answer to another request");
+        match answer.request.as_deref() {
+            Some(id) if id == self.call.head.request => {}
+            Some(_) => return self.end_unknown(body, "answer to another request"),
+            // It may be a second answer to an earlier request, and the answer to this one follows.
+            None => return self.end_unknown(body, "answer without the request's id"),
         }
         match refusal(head.status, &answer) {
-            // Without an id it may be a copy of an earlier refusal, and the answer to this request follows.
-            Some(_) if !is_own => {
-                return self.end_unknown(body, "refusal without the request's id");
-            }
             Some(Executed::No) => {
                 let text = format!("{} from {}", head.status, self.placement.upstream.id);
                 self.end(Ended::NotRun, &text);
--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -9,6 +9,7 @@
 use lw_standin::{
     hosted::{
         caller::Caller,
+        raw::{AnswerId, End, Framing, RawAnswer},
         upstream::{Behaviour, RefusalId, STREAM_EVENTS, event},
     },
     loopback::free_address,
@@ -139,6 +140,28 @@
     check_rows(&rows).await;
 }
 
+/// Guards against an answer without an id, which may be a second answer to an earlier request, that is relayed as the answer to
+/// this one.
+#[tokio::test]
+async fn an_answer_without_the_request_id_does_not_count() {
+    use Expected::{Complete, Failed};
+    let mut rows = Vec::new();
+    for status in [200, 304, 400, 404, 500] {
+        for (framing, end) in [(Framing::Length, End::Kept), (Framing::None, End::Closed)] {
+            let raw =
+                RawAnswer { status, framing, end, id: AnswerId::Missing, ..Default::default() };
+            let answer = Behaviour::Raw(Box::new(raw));
+            rows.extend([
+                (IDEMPOTENT, answer.clone(), Complete, 2),
+                (AT_MOST_ONCE, answer.clone(), Failed(502), 1),
+                (RESUMABLE, answer.clone(), Complete, 2),
+                (NOT_RESUMABLE, answer, Failed(502), 1),
+            ]);
+        }
+    }
+    check_rows(&rows).await;
+}
+
 /// Guards against a connection that is used again although the answer to the request before is still to come on it.
 #[tokio::test]
 async fn a_connection_with_a_repeated_refusal_is_not_used_again() {
--- a/crates/lw-standin/src/hosted/caller.rs
+++ b/crates/lw-standin/src/hosted/caller.rs
@@ -130,7 +130,9 @@
         self.buf.drain(..end);
         let status = head.split(' ').nth(1)?.parse().ok()?;
         let mut reply = Reply { status, head, body: Vec::new(), is_complete: false };
-        if reply.header("transfer-encoding").is_some() {
+        if matches!(status, 204 | 304) {
+            reply.is_complete = true;
+        } else if reply.header("transfer-encoding").is_some() {
             self.read_chunks(&mut reply).await;
         } else {
             let length = reply.header("content-length").map_or(0, |text| text.parse().unwrap_or(0));
--- a/crates/lw-standin/src/hosted/http.rs
+++ b/crates/lw-standin/src/hosted/http.rs
@@ -7,7 +7,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -113,6 +113,7 @@
     /// Address that it listens on.
     pub addr: SocketAddr,
     open: Arc<AtomicUsize>,
+    endless_bytes: Arc<AtomicU64>,
     stalled_until: watch::Sender<Instant>,
     task: JoinHandle<()>,
 }
@@ -121,6 +122,12 @@
 type CrashSender = mpsc::UnboundedSender<Duration>;
 
 impl Server {
+    /// Returns the number of bytes that were sent with [`Step::Repeat`].
+    #[must_use]
+    pub fn endless_bytes(&self) -> u64 {
+        self.endless_bytes.load(Ordering::Acquire)
+    }
+
     /// Returns the number of requests that are being answered.
     #[must_use]
     pub fn open_requests(&self) -> usize {
@@ -155,6 +162,8 @@
     let answer = Arc::new(answer);
     let open = Arc::new(AtomicUsize::new(0));
     let open_count = Arc::clone(&open);
+    let endless_bytes = Arc::new(AtomicU64::new(0));
+    let endless_count = Arc::clone(&endless_bytes);
     let stalled_until = watch::Sender::new(Instant::now());
     let stall = stalled_until.subscribe();
     let task = tokio::spawn(async move {
@@ -180,23 +189,31 @@
             let Ok((stream, from)) = accepted else { return };
             let answer = Arc::clone(&answer);
             let open_count = Arc::clone(&open_count);
+            let endless = Arc::clone(&endless_count);
             let crash_tx = crash_tx.clone();
             let stall = stall.clone();
             connections.spawn(async move {
-                let connection = Connection { from, open: &open_count, crash_tx: &crash_tx, stall };
+                let connection = Connection {
+                    from,
+                    open: &open_count,
+                    endless_bytes: &endless,
+                    crash_tx: &crash_tx,
+                    stall,
+                };
                 // A broken connection ends this task only; the caller detects it by itself.
                 let _ = connection.serve(stream, &*answer).await;
             });
             while connections.try_join_next().is_some() {}
         }
     });
-    Ok(Server { addr, open, stalled_until, task })
+    Ok(Server { addr, open, endless_bytes, stalled_until, task })
 }
 
 /// What one connection shares with its server.
 struct Connection<'a> {
     from: SocketAddr,
     open: &'a AtomicUsize,
+    endless_bytes: &'a AtomicU64,
     crash_tx: &'a CrashSender,
     stall: watch::Receiver<Instant>,
 }
@@ -228,6 +245,8 @@
                     },
                     Step::Repeat(bytes) => loop {
                         stream.write_all(bytes).await?;
+                        let count = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+                        self.endless_bytes.fetch_add(count, Ordering::AcqRel);
                     },
                     Step::Close => return Ok(()),
                     Step::Reset => {
--- a/crates/lw-standin/src/hosted/mod.rs
+++ b/crates/lw-standin/src/hosted/mod.rs
@@ -6,5 +6,6 @@
 pub mod http;
 pub mod limit;
 pub mod operator;
+pub mod raw;
 pub mod store;
 pub mod upstream;
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -11,6 +11,7 @@
 
 use super::http::{Request, Server, Step, answer, chunk, chunked_head, head, serve};
 use super::limit::LimitHistory;
+use super::raw::RawAnswer;
 
 /// How an upstream handles a request.
 #[derive(Debug, Clone, Default)]
@@ -71,6 +72,8 @@
     Truncated,
     /// It sends bytes that are not an HTTP answer.
     InvalidBytes,
+    /// It sends this answer.
+    Raw(Box<RawAnswer>),
 }
 
 /// The id that a refusal carries.
@@ -236,6 +239,12 @@
         lock(&self.state).queue = queue.clone();
     }
 
+    /// Returns the number of bytes that it sent in answers without end.
+    #[must_use]
+    pub fn endless_bytes(&self) -> u64 {
+        self.server.endless_bytes()
+    }
+
     /// Returns the number of requests that it is answering.
     #[must_use]
     pub fn open_requests(&self) -> usize {
@@ -406,9 +415,10 @@
             behaviour,
             Behaviour::Reject | Behaviour::RejectFor(_) | Behaviour::RejectAfter(_)
         );
+    let is_raw_rejection = matches!(&behaviour, Behaviour::Raw(raw) if !raw.is_executed());
     state.received.push(ReceivedRequest {
         request: request.clone(),
-        is_executed: !is_rejected,
+        is_executed: !is_rejected && !is_raw_rejection,
         behaviour: behaviour.clone(),
         at: tokio::time::Instant::now(),
     });
@@ -535,11 +545,12 @@
             steps.push(Step::Close);
             steps
         }
+        Behaviour::Raw(raw) => raw.steps(request),
         Behaviour::InvalidBytes => vec![Step::Send(b"\x00\x01 no answer\r\n\r\n".to_vec())],
     }
 }
 
-fn is_stream(request: &Request) -> bool {
+pub(super) fn is_stream(request: &Request) -> bool {
     request.header("x-model").is_some()
 }
 
@@ -562,7 +573,7 @@
     format!("id: {id}\ndata: piece {id}\n\n").into_bytes()
 }
 
-fn first_event(request: &Request) -> u64 {
+pub(super) fn first_event(request: &Request) -> u64 {
     request.header("last-event-id").and_then(|text| text.parse::<u64>().ok()).map_or(1, |id| id + 1)
 }
 
