lw-forward: a switch to another protocol breaks the attempt

An upstream that answered 101 with the request's id: the caller got 101 as its answer, on each kind of route, after which an HTTP client takes the connection as one of another protocol. No request asks for an upgrade (`Upgrade` concerns one connection and is not forwarded).

Cause: the HTTP library returns 101 as the final answer, unlike all other interim ones, and nothing checked for it.

Now the attempt counts as broken and its connection is closed: another upstream serves what may be repeated, the rest gets 502. The fix lies in lw-forward, so that calls of the daemon to services have it too.

a_switch_of_protocols_is_no_answer failed before (101 instead of 200 from the other upstream) and passes, with the other tests of answers.rs.

--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -162,6 +162,20 @@
     check_rows(&rows).await;
 }
 
+/// Guards against a switch to another protocol, which no caller asked for, that is relayed as the answer to a request.
+#[tokio::test]
+async fn a_switch_of_protocols_is_no_answer() {
+    use Expected::{Complete, Failed};
+    let switch = Behaviour::Raw(Box::new(RawAnswer { status: 101, ..Default::default() }));
+    check_rows(&[
+        (IDEMPOTENT, switch.clone(), Complete, 2),
+        (AT_MOST_ONCE, switch.clone(), Failed(502), 1),
+        (RESUMABLE, switch.clone(), Complete, 2),
+        (NOT_RESUMABLE, switch, Failed(502), 1),
+    ])
+    .await;
+}
+
 /// Guards against a connection that is used again although the answer to the request before is still to come on it.
 #[tokio::test]
 async fn a_connection_with_a_repeated_refusal_is_not_used_again() {
--- a/crates/lw-forward/src/pool/mod.rs
+++ b/crates/lw-forward/src/pool/mod.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{Request, response::Parts};
+use http::{Request, StatusCode, response::Parts};
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -295,6 +295,10 @@
         }
     };
     match sent {
+        // No request asks for an upgrade.
+        Ok(response) if response.status() == StatusCode::SWITCHING_PROTOCOLS => {
+            Err(("it switched to another protocol".into(), None))
+        }
         Ok(response) => Ok(to_answer(response, conn)),
         Err(mut e) => {
             let unsent = e.take_message();
