platform: an authentication code that is not relayed does not count

An upstream that named X-Response-Seal in its `Connection` header: callers got a complete 200 without the code, on each kind of route. With X-Attempt-Id named there, they got an answer without the id.

Cause: the code and the id were checked in the head as received, and removed afterwards with the headers that concern one connection. Keeping them in spite of that would not be HTTP/1.1.

--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -176,6 +176,25 @@
     .await;
 }
 
+/// Guards against a success that reaches its caller without the authentication code or the id, since the upstream names that
+/// header as one for its connection only.
+#[tokio::test]
+async fn an_answer_whose_authentication_code_is_not_relayed_does_not_count() {
+    use Expected::{Complete, Failed};
+    let mut rows = Vec::new();
+    for name in ["X-Response-Seal", "keep-alive, x-attempt-id"] {
+        let raw = RawAnswer { lines: format!("Connection: {name}\r\n"), ..Default::default() };
+        let answer = Behaviour::Raw(Box::new(raw));
+        rows.extend([
+            (IDEMPOTENT, answer.clone(), Complete, 2),
+            (AT_MOST_ONCE, answer.clone(), Failed(502), 1),
+            (RESUMABLE, answer.clone(), Complete, 2),
+            (NOT_RESUMABLE, answer, Failed(502), 1),
+        ]);
+    }
+    check_rows(&rows).await;
+}
+
 /// Guards against a connection that is used again although the answer to the request before is still to come on it.
 #[tokio::test]
 async fn a_connection_with_a_repeated_refusal_is_not_used_again() {
