platform: an answer with two request ids belongs to no request

Found by the generator of answers ( and others of any_bytes.rs). An upstream sent X-Attempt-Id twice, with the id of the request and with another one: the caller got the answer with both.

--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -195,6 +195,24 @@
     check_rows(&rows).await;
 }
 
+/// Guards against an answer to another request that is relayed since it has the id of this one as well.
+#[tokio::test]
+async fn an_answer_with_two_request_ids_does_not_count() {
+    use Expected::{Complete, Failed};
+    let mut rows = Vec::new();
+    for status in [200, 404] {
+        let raw = RawAnswer { status, id: AnswerId::Two, ..Default::default() };
+        let answer = Behaviour::Raw(Box::new(raw));
+        rows.extend([
+            (IDEMPOTENT, answer.clone(), Complete, 2),
+            (AT_MOST_ONCE, answer.clone(), Failed(502), 1),
+            (RESUMABLE, answer.clone(), Complete, 2),
+            (NOT_RESUMABLE, answer, Failed(502), 1),
+        ]);
+    }
+    check_rows(&rows).await;
+}
+
 /// Guards against a connection that is used again although the answer to the request before is still to come on it.
 #[tokio::test]
 async fn a_connection_with_a_repeated_refusal_is_not_used_again() {
