platform: a body with a transfer encoding besides chunks does not count

An upstream sent `transfer-encoding: gzip, chunked`: the caller got the encoded bytes as the whole body of a 200, without the header that says so.

Cause: the HTTP library removes the chunks only, and `transfer-encoding` concerns one connection, so that it is not relayed.

--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -195,6 +195,21 @@
     check_rows(&rows).await;
 }
 
+/// Guards against an encoded body that reaches its caller without the header which says so.
+#[tokio::test]
+async fn an_answer_with_a_transfer_encoding_besides_chunks_does_not_count() {
+    use Expected::{Complete, Failed};
+    let framing = Framing::ChunkedWith("transfer-encoding: gzip, chunked\r\n");
+    let answer = Behaviour::Raw(Box::new(RawAnswer { framing, ..Default::default() }));
+    check_rows(&[
+        (IDEMPOTENT, answer.clone(), Complete, 2),
+        (AT_MOST_ONCE, answer.clone(), Failed(502), 1),
+        (RESUMABLE, answer.clone(), Complete, 2),
+        (NOT_RESUMABLE, answer, Failed(502), 1),
+    ])
+    .await;
+}
+
 /// Guards against an answer to another request that is relayed since it has the id of this one as well.
 #[tokio::test]
 async fn an_answer_with_two_request_ids_does_not_count() {
--- a/crates/lw-standin/src/hosted/http.rs
+++ b/crates/lw-standin/src/hosted/http.rs
@@ -36,6 +36,8 @@
     pub body: Vec<u8>,
     /// Address of the caller.
     pub from: Option<SocketAddr>,
+    /// Number of the connection at its server.
+    pub connection: u64,
 }
 
 impl Request {
@@ -171,6 +173,7 @@
         let (crash_tx, mut crash_rx) = mpsc::unbounded_channel();
         // Dropping the server aborts this task, which drops the set and ends all connections.
         let mut connections = tokio::task::JoinSet::new();
+        let mut number = 0;
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -187,6 +190,7 @@
                 }
             };
             let Ok((stream, from)) = accepted else { return };
+            number += 1;
             let answer = Arc::clone(&answer);
             let open_count = Arc::clone(&open_count);
             let endless = Arc::clone(&endless_count);
@@ -195,6 +199,7 @@
             connections.spawn(async move {
                 let connection = Connection {
                     from,
+                    number,
                     open: &open_count,
                     endless_bytes: &endless,
                     crash_tx: &crash_tx,
@@ -212,6 +217,7 @@
 /// What one connection shares with its server.
 struct Connection<'a> {
     from: SocketAddr,
+    number: u64,
     open: &'a AtomicUsize,
     endless_bytes: &'a AtomicU64,
     crash_tx: &'a CrashSender,
@@ -228,6 +234,7 @@
         let mut buf = Vec::new();
         while let Some(mut request) = read_request(&mut stream, &mut buf).await? {
             request.from = Some(self.from);
+            request.connection = self.number;
             let _guard = OpenGuard::new(self.open);
             self.wait_until_running().await;
             // Closing the connection cancels the request.
