lw-edge: callers get one length of an answer

An upstream that states its length as a list of equal values (`content-length: 2, 2`), which HTTP allows to accept: the caller got that list, which it may reject or take for no length. RFC 9112, 6.3: such a list is replaced by a single value before a message is forwarded.

Cause: the header of the upstream was relayed, and the HTTP library writes it as it is. For streams it was removed already.

Now the HTTP library states the length of the body that was collected. For HEAD, whose answer has no body, the header is still relayed.

a_length_that_is_stated_twice_reaches_the_caller_once failed before ("2, 2" instead of "2") and passes, with the other tests of answers.rs.

--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::Response;
+use http::{Method, Response};
 use lw_catalog::RouteKind;
 use lw_limit::retry::{self, AttemptContext};
 use lw_place::{Ended, Placement, PlacementRequest, Refusal, UpstreamPool};
@@ -442,7 +442,12 @@
         self.record.record_answer(status.as_u16());
         let mut response = Response::new(answer::full_body(bytes));
         *response.status_mut() = status;
-        *response.headers_mut() = headers::end_to_end(&head.headers);
+        let mut headers = headers::end_to_end(&head.headers);
+        if self.call.method != Method::HEAD {
+            // The HTTP library states the length of the body.
+            headers.remove(http::header::CONTENT_LENGTH);
+        }
+        *response.headers_mut() = headers;
         Ok(Some(Accepted::Complete(response)))
     }
 
--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -210,6 +210,22 @@
     .await;
 }
 
+/// Guards against a length that callers cannot read, since the upstream stated it as a list.
+#[tokio::test]
+async fn a_length_that_is_stated_twice_reaches_the_caller_once() {
+    let simulation = Simulation::start().await;
+    let framings =
+        ["content-length: LEN, LEN\r\n", "content-length: LEN\r\nContent-Length: LEN\r\n"];
+    for (row, lines) in framings.into_iter().enumerate() {
+        let raw = RawAnswer { framing: Framing::Lines(lines), ..Default::default() };
+        simulation.faults.push(Behaviour::Raw(Box::new(raw)));
+        let reply = simulation.send(&request(&format!("twice-{row}"), IDEMPOTENT)).await.unwrap();
+        assert_eq!(reply.header("content-length"), Some("2"), "{}", reply.head);
+        assert_eq!(reply.head.to_ascii_lowercase().matches("content-length").count(), 1);
+        assert_eq!(reply.body, b"ok", "{}", reply.head);
+    }
+}
+
 /// Guards against an answer to another request that is relayed since it has the id of this one as well.
 #[tokio::test]
 async fn an_answer_with_two_request_ids_does_not_count() {
--- a/crates/lw-standin/src/hosted/http.rs
+++ b/crates/lw-standin/src/hosted/http.rs
@@ -115,6 +115,7 @@
     /// Address that it listens on.
     pub addr: SocketAddr,
     open: Arc<AtomicUsize>,
+    open_callers: Arc<AtomicUsize>,
     endless_bytes: Arc<AtomicU64>,
     stalled_until: watch::Sender<Instant>,
     task: JoinHandle<()>,
@@ -136,6 +137,12 @@
         self.open.load(Ordering::Acquire)
     }
 
+    /// Returns the number of requests that are being answered, without calls to the interfaces of upstreams.
+    #[must_use]
+    pub fn open_caller_requests(&self) -> usize {
+        self.open_callers.load(Ordering::Acquire)
+    }
+
     /// Lets the server stand still for this time, as a process that is stopped by a signal: it keeps its connections, but reads
     /// and sends nothing.
     pub fn stall(&self, time: Duration) {
@@ -164,6 +171,8 @@
     let answer = Arc::new(answer);
     let open = Arc::new(AtomicUsize::new(0));
     let open_count = Arc::clone(&open);
+    let open_callers = Arc::new(AtomicUsize::new(0));
+    let open_callers_count = Arc::clone(&open_callers);
     let endless_bytes = Arc::new(AtomicU64::new(0));
     let endless_count = Arc::clone(&endless_bytes);
     let stalled_until = watch::Sender::new(Instant::now());
@@ -193,6 +202,7 @@
             number += 1;
             let answer = Arc::clone(&answer);
             let open_count = Arc::clone(&open_count);
+            let open_callers = Arc::clone(&open_callers_count);
             let endless = Arc::clone(&endless_count);
             let crash_tx = crash_tx.clone();
             let stall = stall.clone();
@@ -201,6 +211,7 @@
                     from,
                     number,
                     open: &open_count,
+                    open_callers: &open_callers,
                     endless_bytes: &endless,
                     crash_tx: &crash_tx,
                     stall,
@@ -211,7 +222,7 @@
             while connections.try_join_next().is_some() {}
         }
     });
-    Ok(Server { addr, open, endless_bytes, stalled_until, task })
+    Ok(Server { addr, open, open_callers, endless_bytes, stalled_until, task })
 }
 
 /// What one connection shares with its server.
@@ -219,6 +230,7 @@
     from: SocketAddr,
     number: u64,
     open: &'a AtomicUsize,
+    open_callers: &'a AtomicUsize,
     endless_bytes: &'a AtomicU64,
     crash_tx: &'a CrashSender,
     stall: watch::Receiver<Instant>,
@@ -236,6 +248,8 @@
             request.from = Some(self.from);
             request.connection = self.number;
             let _guard = OpenGuard::new(self.open);
+            let is_internal = request.path().starts_with("/api/");
+            let _caller_guard = (!is_internal).then(|| OpenGuard::new(self.open_callers));
             self.wait_until_running().await;
             // Closing the connection cancels the request.
             let steps = tokio::select! {
--- a/crates/lw-standin/src/hosted/raw.rs
+++ b/crates/lw-standin/src/hosted/raw.rs
@@ -142,10 +142,14 @@
     "HTTP/1.1 503 X\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
     "HTTP/1.1 408 X\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
     "HTTP/1.1 100 Continue\r\n\r\n",
-    "\r\n\0\x01 no answer",
+    "\0\x01 no answer",
 ];
+/// The right length, stated twice.
+const LENGTH_TWICE: &str = "content-length: LEN\r\ncontent-length: LEN\r\n";
+const LENGTH_LIST: &str = "content-length: LEN, LEN\r\n";
 /// An encoding of the body that no receiver asked for.
 const GZIP: &str = "transfer-encoding: gzip, chunked\r\n";
+const GZIP_UNTIL_CLOSE: &str = "transfer-encoding: gzip\r\nconnection: close\r\n";
 /// Bytes without end after a part of a head.
 const ENDLESS: [&str; 4] = [
     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
@@ -227,13 +231,18 @@
     /// Whether the connection must not be used again after this answer.
     #[must_use]
     pub fn ends_connection(&self, request: &Request) -> bool {
-        // Bytes that are no event do not hide where the answer ends.
-        let framed = Self { junk_after: None, ..self.clone() };
         !matches!(self.end, End::Kept | End::Silent)
-            || matches!(framed.meaning(request), Meaning::Nothing | Meaning::Silence)
+            || self.has_unknown_end(request)
             || self.lines.contains("connection: close")
     }
 
+    /// Whether a receiver cannot tell where it ends, or whether it is an answer to the request. Bytes that are no event do not
+    /// matter for that.
+    fn has_unknown_end(&self, request: &Request) -> bool {
+        let framed = Self { junk_after: None, ..self.clone() };
+        matches!(framed.meaning(request), Meaning::Nothing | Meaning::Silence)
+    }
+
     /// Whether its head, if it is complete, is that of an answer to the request which may be passed on.
     #[must_use]
     pub fn is_relayable(&self) -> bool {
@@ -289,7 +298,11 @@
         let one_chunk =
             || [format!("{:x}\r\n", body.len()).as_bytes(), &body, b"\r\n0\r\n"].concat();
         let (lines, framed) = match self.framing {
-            Framing::Length => (format!("content-length: {}\r\n", body.len()), body.clone()),
+            Framing::Length => {
+                // With 304, it is the length that the body would have.
+                let len = if self.status == 304 { BODY.len() } else { body.len() };
+                (format!("content-length: {len}\r\n"), body.clone())
+            }
             Framing::Chunked(len) => {
                 let chunk = |part: &[u8]| {
                     [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat()
@@ -336,9 +349,7 @@
         match self.end {
             End::Closed => steps.push(Step::Close),
             End::Reset => steps.extend([Step::Wait(DELAY), Step::Reset]),
-            End::Silent if matches!(self.meaning(request), Meaning::Nothing | Meaning::Silence) => {
-                steps.push(Step::Wait(SILENCE));
-            }
+            End::Silent if self.has_unknown_end(request) => steps.push(Step::Wait(SILENCE)),
             End::ThenLate(extra) => {
                 steps.extend([Step::Wait(DELAY), Step::Send(extra.as_bytes().to_vec())]);
             }
@@ -365,7 +376,9 @@
             421 => Meaning::NotRun,
             101 | 408 | 429 | 503 => Meaning::Nothing,
             200..=299 if !is_sealed || self.lines.contains("content-encoding") => Meaning::Nothing,
-            200..=299 if is_stream(request) && self.junk_after.is_some() => Meaning::Nothing,
+            200..=299 if is_stream(request) && self.junk_after.is_some() && self.has_body() => {
+                Meaning::Nothing
+            }
             600.. => Meaning::Doubtful(self.status, framed),
             status => Meaning::Answer(status, framed),
         }
@@ -380,8 +393,11 @@
             || self.lines.contains('\u{7f}')
             || self.lines.len() > 2_000;
         let is_chunked_wrong = matches!(self.framing, Framing::ChunkSize(_));
+        let is_encoded = self.framing == Framing::ChunkedWith(GZIP)
+            || self.framing == Framing::Lines(GZIP_UNTIL_CLOSE);
+        let is_repeated = matches!(self.framing, Framing::Lines(LENGTH_TWICE | LENGTH_LIST));
         let is_length_wrong =
-            matches!(self.framing, Framing::Lines(_) | Framing::ChunkedWith(GZIP));
+            matches!(self.framing, Framing::Lines(_)) && !is_repeated || is_encoded;
         let until_close = self.framing == Framing::None && self.has_body();
         if is_cut && (in_head || !until_close) {
             return if self.end == End::Silent { Framed::Silent } else { Framed::Broken };
@@ -389,17 +405,20 @@
         if is_malformed || self.status == 101 {
             return Framed::Broken;
         }
-        if is_flood || self.lines.contains('\t') {
+        let is_failure = !(200..300).contains(&self.status);
+        if is_flood || self.lines.contains('\t') || is_failure && is_encoded {
             return Framed::Doubtful;
         }
         if !self.has_body() {
-            let is_sound = !is_length_wrong && !matches!(self.framing, Framing::ChunkedWith(_));
+            let is_sound = !is_length_wrong
+                && !is_repeated
+                && !matches!(self.framing, Framing::ChunkedWith(_));
             return if is_sound { Framed::Whole(Vec::new()) } else { Framed::Doubtful };
         }
         if is_length_wrong || is_chunked_wrong {
             return Framed::Broken;
         }
-        if matches!(self.framing, Framing::ChunkedWith(_)) {
+        if matches!(self.framing, Framing::ChunkedWith(_)) || is_repeated {
             return Framed::Doubtful;
         }
         match self.end {
@@ -429,6 +448,8 @@
 fn random_framing(rng: &mut fastrand::Rng) -> Framing {
     let wrong = [
         Framing::Lines("content-length: LEN\r\ncontent-length: 1\r\n"),
+        Framing::Lines(LENGTH_TWICE),
+        Framing::Lines(LENGTH_LIST),
         Framing::Lines("content-length: -1\r\n"),
         Framing::Lines("content-length: 1, LEN\r\n"),
         Framing::Lines("content-length: 99999999999999999999999\r\n"),
@@ -439,7 +460,7 @@
         Framing::ChunkedWith("content-length: 1\r\ntransfer-encoding: chunked\r\n"),
         Framing::ChunkedWith("transfer-encoding: chunked, chunked\r\n"),
         Framing::ChunkedWith(GZIP),
-        Framing::Lines("transfer-encoding: gzip\r\nconnection: close\r\n"),
+        Framing::Lines(GZIP_UNTIL_CLOSE),
         Framing::ChunkSize("zz\r\n"),
         Framing::ChunkSize("ffffffffffffffffff\r\n"),
         Framing::ChunkSize("-2\r\n"),
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -251,6 +251,12 @@
         self.server.open_requests()
     }
 
+    /// Returns the number of callers' requests that it is answering.
+    #[must_use]
+    pub fn open_caller_requests(&self) -> usize {
+        self.server.open_caller_requests()
+    }
+
     /// Returns the callers' requests that it received.
     #[must_use]
     pub fn received(&self) -> Vec<ReceivedRequest> {
