lw-edge: copies of a request that crashes engines, through real VMs

No test of lw-edge sent copies of one request, with the same path, caller and body, although callers send them again and the users' bound counts them: at most three that reach engines later than the time to react to the third crash. Only lw-quarantine/tests/copies.rs did, in virtual time and without sockets.

tests/copies.rs starts three VMs and six engines. In one test, copies arrive at all VMs at the same moment, again and again, beside sound requests that share their first segment and must be answered. In the other, a VM ends after the third crash and a new one, which knows nothing, gets bursts of six copies once it has run for 3 s.

An engine is down for 1.3 s here. Engines of the platform are back after some seconds.

--- a/crates/lw-edge/tests/quarantine.rs
+++ b/crates/lw-edge/tests/quarantine.rs
@@ -2,151 +2,28 @@
 //! of them.
 
 mod common;
+mod deadly_fleet;
 
 use std::{sync::Arc, time::Instant};
 
-use common::{Simulation, ms, request};
+use common::{Simulation, ms};
+use deadly_fleet::{Fleet, REACTION_MS, deadly_segments, prompt_request};
 use lw_catalog::settings::Bounds;
-use lw_edge::{run::Vm, state::Edge};
-use lw_standin::hosted::{
-    caller::{CallerRequest, Reply, send},
-    store::StoreMode,
-    upstream::Upstream,
-};
+use lw_edge::state::Edge;
+use lw_standin::hosted::store::StoreMode;
 
-/// Segment that crashes engines.
-const DEADLY: &str = "dead";
-/// Time for which an engine is down after a crash.
-const DOWN_MS: u64 = 300;
 /// Crashes after which requests with the segment must be recognized.
 const CRASHES_MAX: usize = 5;
-/// Time that the VMs have to react to the last of these crashes.
-const REACTION_MS: u64 = 3_000;
-/// Requests with the segment that may still reach engines afterwards.
-const LATE_REQUESTS_MAX: usize = 3;
-
-/// Two VMs and six engines that a segment crashes.
-struct Fleet {
-    simulation: Simulation,
-    second: Option<Vm>,
-    further_engines: Vec<Upstream>,
-}
-
-impl Fleet {
-    async fn start() -> Self {
-        Self::start_with(common::bounds()).await
-    }
-
-    async fn start_with(bounds: Bounds) -> Self {
-        let simulation = Simulation::start_with(bounds).await;
-        let mut further_engines = Vec::new();
-        for n in 3..=6 {
-            let engine = Upstream::start(&format!("engine-{n}")).await.unwrap();
-            let entry = engine.registry_entry("llm", "kochi-a");
-            simulation.store.put(&format!("servers/{}", engine.id), &entry);
-            further_engines.push(engine);
-        }
-        let second = Vm::start(simulation.further_settings("vm-2"), simulation.logs.clone()).await;
-        let second = second.unwrap();
-        simulation.wait_until_joined(&second).await;
-        let fleet = Self { simulation, second: Some(second), further_engines };
-        fleet.engines().for_each(|engine| engine.set_deadly_segment(DEADLY, ms(DOWN_MS)));
-        fleet
-    }
-
-    fn engines(&self) -> impl Iterator<Item = &Upstream> {
-        self.simulation.engines.iter().chain(&self.further_engines)
-    }
-
-    fn callers_addr(&self, vm: usize) -> std::net::SocketAddr {
-        let second = || self.second.as_ref().expect("the second VM runs");
-        if vm == 0 { self.simulation.settings.callers } else { second().edge.settings.callers }
-    }
-
-    /// Times of all crashes, in order.
-    fn crashes(&self) -> Vec<tokio::time::Instant> {
-        let mut crashes: Vec<_> = self.engines().flat_map(Upstream::crashes).collect();
-        crashes.sort();
-        crashes
-    }
-
-    /// Times at which requests with the deadly segment reached engines.
-    fn deadly_arrivals(&self) -> Vec<tokio::time::Instant> {
-        let received = self.engines().flat_map(Upstream::received);
-        let deadly = received.filter(|got| {
-            got.request.header("x-prompt-prefix").is_some_and(|text| text.contains(DEADLY))
-        });
-        deadly.map(|got| got.at).collect()
-    }
-
-    async fn send(&self, vm: usize, request: &CallerRequest) -> Option<Reply> {
-        send(self.callers_addr(vm), request).await
-    }
-
-    /// Sends deadly requests to both VMs in turn, none alike, for a while. Each has a first segment that sound requests
-    /// have too.
-    async fn send_deadly(&self, tag: &str, time_ms: u64) {
-        let end = Instant::now() + ms(time_ms);
-        let mut n = 0;
-        while Instant::now() < end {
-            n += 1;
-            self.send(n % 2, &prompt_request(&format!("{tag}-{n}"), &deadly_segments(tag, n)))
-                .await;
-            tokio::time::sleep(ms(60)).await;
-        }
-    }
-}
-
-fn deadly_segments(tag: &str, n: usize) -> String {
-    format!("a{}:800,{DEADLY}:200,{:x}:200", n % 3, xxhash(&format!("{tag}-{n}")))
-}
-
-fn xxhash(text: &str) -> u64 {
-    lw_platform::headers::segment_id(&format!("not-hexadecimal-{text}"))
-}
-
-/// A request for a resumable stream whose prompt has these segments.
-fn prompt_request(id: &str, segments: &str) -> CallerRequest {
-    let mut req = request(id, "/long/x");
-    req.headers =
-        format!("X-Model: m\r\nX-Token-Count: 1200,20\r\nX-Prompt-Prefix: {segments}\r\n");
-    req
-}
 
 #[tokio::test]
 async fn requests_with_a_segment_that_crashes_engines_stop_reaching_them() {
     let fleet = Fleet::start().await;
     let run_ms = 2 * REACTION_MS + 2_500;
-    let (mut sound, mut answered) = (0, 0);
-    let send_sound = async {
-        let end = Instant::now() + ms(run_ms);
-        while Instant::now() < end {
-            sound += 1;
-            let segments = format!("a{}:800,{sound:x}:200", sound % 3);
-            let sound_request = prompt_request(&format!("sound-{sound}"), &segments);
-            let fifth_crash = fleet.crashes().get(CRASHES_MAX - 1).copied();
-            let is_late = fifth_crash.is_some_and(|at| at.elapsed() >= ms(2 * REACTION_MS));
-            let reply = fleet.send(sound % 2, &sound_request).await;
-            let is_complete = reply.is_some_and(|reply| reply.status == 200 && reply.is_complete);
-            assert!(is_complete || !is_late, "sound request {sound} failed long after the crashes");
-            answered += usize::from(is_complete);
-            tokio::time::sleep(ms(20)).await;
-        }
-    };
-    tokio::join!(fleet.send_deadly("deadly", run_ms), send_sound);
-    let crashes = fleet.crashes();
-    let fifth = *crashes.get(CRASHES_MAX - 1).or(crashes.last()).expect("a crash");
-    let is_late = |at: &tokio::time::Instant| *at > fifth + ms(REACTION_MS);
-    let late = fleet.deadly_arrivals().iter().filter(|at| is_late(at)).count();
-    assert!(late <= LATE_REQUESTS_MAX, "{late} late requests, {} crashes", crashes.len());
-    assert!(answered * 2 >= sound, "{answered} of {sound} sound requests were answered");
+    tokio::join!(fleet.send_deadly("deadly", run_ms), fleet.send_sound(run_ms, CRASHES_MAX));
+    fleet.assert_few_late_arrivals(CRASHES_MAX);
 }
 
 impl Fleet {
-    fn edges(&self) -> impl Iterator<Item = &Arc<Edge>> {
-        self.simulation.vm.iter().chain(&self.second).map(|vm| &vm.edge)
-    }
-
     /// Sends deadly requests until all VMs refuse them.
     async fn quarantine(&self) {
         let end = Instant::now() + ms(10_000);
@@ -183,13 +60,8 @@
     let mut fleet = Fleet::start().await;
     fleet.quarantine().await;
     fleet.wait_until_stored().await;
-    drop(fleet.second.take());
-    let settings = fleet.simulation.further_settings("vm-3");
-    let started = Vm::start(settings, fleet.simulation.logs.clone()).await.unwrap();
-    let edge = Arc::clone(&started.edge);
-    fleet.second = Some(started);
-    let is_serving = async |_: &Simulation| edge.is_ready();
-    fleet.simulation.wait_until("the VM serves", is_serving).await;
+    drop(fleet.further_vms.pop());
+    fleet.start_vm("vm-3").await;
     tokio::time::sleep(ms(400)).await;
     fleet.assert_refused(1, "after-start").await;
 }
@@ -198,7 +70,7 @@
 #[tokio::test]
 async fn a_quarantine_is_shared_and_kept_while_the_store_is_away() {
     let bounds = Bounds { revoke: ms(60_000), ..common::bounds() };
-    let fleet = Fleet::start_with(bounds).await;
+    let fleet = Fleet::start_with(bounds, 2).await;
     fleet.simulation.store.set_mode(StoreMode::Unavailable);
     fleet.quarantine().await;
     for vm in 0..2 {
