lw-quarantine: one pass over the crashes finds culprits and repeated prompts

Each decision built the same views of the crashes twice, once for the segments to blame and once for the prompts to hold. `culprits::find` returns both. No change of behaviour: the evidence keeps no more than the 64 crashes that are considered.

--- a/crates/lw-quarantine/src/culprits.rs
+++ b/crates/lw-quarantine/src/culprits.rs
@@ -51,24 +51,41 @@
     pub since: Now,
 }
 
+/// What crashes show about the prompts that were in flight.
+#[derive(Debug)]
+pub struct Findings {
+    /// Segments that explain crashes, those that explain most first.
+    pub culprits: Vec<Culprit>,
+    /// Prompts without a sound answer that were at several crashes as a whole, each with the time of the last one.
+    pub repeated: BTreeMap<Vec<SegmentId>, Now>,
+}
+
 /// A suspect of a crash: index of the crash, and index of the suspect there.
 type Place = (usize, usize);
 
-/// Returns the segments that explain the crashes, those that explain most first. `sound_at` returns when the latest sound
-/// answer on a segment was received, and `known` contains the sets that are quarantined already. Only the last 64 crashes
-/// count.
+/// Returns what the crashes show. `sound_at` returns when the latest sound answer on a segment was received, and `known`
+/// contains the sets that are quarantined already. Only the last 64 crashes count.
 #[must_use]
 pub fn find(
     crashes: &[&Crash],
     sound_at: impl Fn(SegmentId) -> Option<Now>,
     known: &[&SegmentSet],
-) -> Vec<Culprit> {
+) -> Findings {
     let crashes = &crashes[crashes.len().saturating_sub(CRASHES_MAX)..];
+    let crashes: Vec<_> = crashes.iter().map(|crash| CrashView::new(crash, known)).collect();
+    Findings {
+        culprits: find_culprits(&crashes, &sound_at),
+        repeated: find_repeated(&crashes, &sound_at),
+    }
+}
+
+fn find_culprits(
+    crashes: &[CrashView<'_>],
+    sound_at: &impl Fn(SegmentId) -> Option<Now>,
+) -> Vec<Culprit> {
     if crashes.len() < CRASHES_MIN {
         return Vec::new();
     }
-    let crashes: Vec<CrashView<'_>> =
-        crashes.iter().map(|crash| CrashView::new(crash, known)).collect();
     let mut places: BTreeMap<SegmentId, Vec<Place>> = BTreeMap::new();
     for (n, crash) in crashes.iter().enumerate() {
         for (m, segments) in crash.suspects.iter().enumerate() {
@@ -85,9 +102,9 @@
     let is_once_sound = |segment: SegmentId| sound_at(segment).is_some();
     for once_sound in [false, true] {
         if once_sound {
-            drop_undecided(&crashes, &mut places, &is_once_sound);
+            drop_undecided(crashes, &mut places, &is_once_sound);
         }
-        while let Some(culprit) = best_explanation(&crashes, &places, &is_once_sound, once_sound) {
+        while let Some(culprit) = best_explanation(crashes, &places, &is_once_sound, once_sound) {
             let is_explained = |(n, _): &Place| crashes[*n].holds(&culprit.segments);
             for places in places.values_mut() {
                 places.retain(|place| !is_explained(place));
@@ -98,16 +115,13 @@
     found
 }
 
-/// Returns the prompts without a sound answer that were at several crashes as a whole, each with the time of the last one.
 /// Crashes that a quarantined set explains do not count.
-#[must_use]
-pub fn find_repeated(
-    crashes: &[&Crash],
-    sound_at: impl Fn(SegmentId) -> Option<Now>,
-    known: &[&SegmentSet],
+fn find_repeated(
+    crashes: &[CrashView<'_>],
+    sound_at: &impl Fn(SegmentId) -> Option<Now>,
 ) -> BTreeMap<Vec<SegmentId>, Now> {
     let mut repeated: BTreeMap<&[SegmentId], (usize, Now)> = BTreeMap::new();
-    for crash in crashes.iter().map(|crash| CrashView::new(crash, known)) {
+    for crash in crashes {
         let suspects: BTreeSet<_> = crash.suspects.iter().copied().collect();
         for prompt in suspects.into_iter().filter(|_| crash.known_causes.is_empty()) {
             let (count, last) = repeated.entry(prompt).or_default();
--- a/crates/lw-quarantine/src/quarantine/mod.rs
+++ b/crates/lw-quarantine/src/quarantine/mod.rs
@@ -374,11 +374,9 @@
         crashes.retain(|crash| is_settled(crash.at));
         self.decide_at = (crashes.len() < known).then_some(now + SETTLE_TIME / 3);
         let active: Vec<_> = self.active().map(|(set, _)| set).collect();
-        let culprits = culprits::find(&crashes, |segment| self.evidence.sound_at(segment), &active);
-        let repeated =
-            culprits::find_repeated(&crashes, |segment| self.evidence.sound_at(segment), &active);
-        self.held.update(now, repeated);
-        for culprit in culprits {
+        let found = culprits::find(&crashes, |segment| self.evidence.sound_at(segment), &active);
+        self.held.update(now, found.repeated);
+        for culprit in found.culprits {
             self.blame(now, culprit.segments, culprit.crashes, culprit.since);
         }
     }
