lw-quarantine: properties of the simulated fleet share how they run

tests/copies.rs and tests/fleet.rs had the same function but for the seed, which each still states, with its number of cases. No change of the generated cases.

--- a/crates/lw-quarantine/tests/copies.rs
+++ b/crates/lw-quarantine/tests/copies.rs
@@ -2,8 +2,8 @@
 
 mod fleet_sim;
 
-use fleet_sim::{Copies, DEADLY, Fleet, Options, Outcome, ms};
-use proptest::{prelude::*, test_runner::RngSeed};
+use fleet_sim::{Copies, DEADLY, Fleet, Options, Outcome, config, ms};
+use proptest::prelude::*;
 
 /// Crashes by the request after which the VMs have to react.
 const CRASHES: usize = 3;
@@ -13,6 +13,8 @@
 const LATE_ARRIVALS_MAX: usize = 3;
 /// Cases of each property in an ordinary run. More run with the environment variable `PROPTEST_CASES`.
 const CASES: u32 = 24;
+/// Seed of the generated cases.
+const SEED: u64 = 20_261_206;
 
 fn run_and_check(options: &Options) -> Outcome {
     let outcome = Fleet::run(options.clone());
@@ -22,17 +24,6 @@
     outcome
 }
 
-fn config() -> ProptestConfig {
-    let config = ProptestConfig::default();
-    let cases = if std::env::var_os("PROPTEST_CASES").is_some() { config.cases } else { CASES };
-    ProptestConfig {
-        cases,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(20_261_206),
-        ..config
-    }
-}
-
 /// One copy every few seconds, up to bursts.
 fn copies() -> impl Strategy<Value = Copies> {
     let rates =
@@ -62,7 +53,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(CASES, SEED))]
 
     #[test]
     fn copies_of_a_request_that_crashed_three_engines_reach_no_more(options in fleets()) {
--- a/crates/lw-quarantine/tests/fleet.rs
+++ b/crates/lw-quarantine/tests/fleet.rs
@@ -2,8 +2,8 @@
 
 mod fleet_sim;
 
-use fleet_sim::{DEADLY, Fleet, Options, Outcome, ms};
-use proptest::{prelude::*, test_runner::RngSeed};
+use fleet_sim::{DEADLY, Fleet, Options, Outcome, config, ms};
+use proptest::prelude::*;
 
 /// Time that the VMs have to react to the fifth crash.
 const REACTION_MS: u64 = 3_000;
@@ -11,6 +11,8 @@
 const LATE_ARRIVALS_MAX: usize = 3;
 /// Cases of each property in an ordinary run. More run with the environment variable `PROPTEST_CASES`.
 const CASES: u32 = 48;
+/// Seed of the generated cases.
+const SEED: u64 = 20_261_204;
 
 fn assert_blamed_in_time(options: &Options, outcome: &Outcome) {
     let late = outcome.late_arrivals(5, ms(REACTION_MS));
@@ -35,17 +37,6 @@
     outcome
 }
 
-fn config() -> ProptestConfig {
-    let config = ProptestConfig::default();
-    let cases = if std::env::var_os("PROPTEST_CASES").is_some() { config.cases } else { CASES };
-    ProptestConfig {
-        cases,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(20_261_204),
-        ..config
-    }
-}
-
 fn fleets() -> impl Strategy<Value = Options> {
     let sizes = prop_oneof![Just((1, 12)), Just((2, 12)), Just((9, 14)), Just((30, 40))];
     (any::<u64>(), sizes, 0.2..4.0_f64, any::<bool>(), 1_u32..=3, 0.0..0.2_f64, 5_u64..300)
@@ -74,7 +65,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(CASES, SEED))]
 
     #[test]
     fn a_deadly_segment_is_blamed_in_time_and_nothing_else(options in fleets()) {
--- a/crates/lw-quarantine/tests/fleet_sim/mod.rs
+++ b/crates/lw-quarantine/tests/fleet_sim/mod.rs
@@ -8,6 +8,7 @@
 
 use fastrand::Rng;
 use lw_quarantine::{Action, Quarantine, SegmentSet, StoredSet, Suspect};
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
 /// Step of the virtual time.
 const STEP: Duration = Duration::from_millis(10);
@@ -20,6 +21,13 @@
 /// First of the segments that crash engines.
 pub const DEADLY: u64 = 900_000;
 
+/// Returns how a property runs: with this many cases, unless `PROPTEST_CASES` is set.
+pub fn config(cases: u32, seed: u64) -> ProptestConfig {
+    let config = ProptestConfig::default();
+    let cases = if std::env::var_os("PROPTEST_CASES").is_some() { config.cases } else { cases };
+    ProptestConfig { cases, failure_persistence: None, rng_seed: RngSeed::Fixed(seed), ..config }
+}
+
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
