lw-quarantine: each VM may send a held prompt once, soon after the third crash

A sound prompt that three engines crashed with for other reasons is held like a deadly one, and its caller returns at any VM.

The users' bound counts copies that arrive later than the time to react to the third crash, 3 s. In the first 2 s each VM now sends one copy; then the VMs take turns as before. Why 2 s and not 3: a VM that learns of the crash by message dates it up to one delay late.

A caller that returns later than 2 s waits as before. Weighed and not done: two VMs in turn at a time, a shorter retry time, and a turn that a VM asks for by message; see docs/platform.md, section 8.

--- a/crates/lw-quarantine/src/culprits.rs
+++ b/crates/lw-quarantine/src/culprits.rs
@@ -56,8 +56,17 @@
 pub struct Findings {
     /// Segments that explain crashes, those that explain most first.
     pub culprits: Vec<Culprit>,
-    /// Prompts without a sound answer that were at several crashes as a whole, each with the time of the last one.
-    pub repeated: BTreeMap<Vec<SegmentId>, Now>,
+    /// Prompts without a sound answer that were at several crashes as a whole.
+    pub repeated: BTreeMap<Vec<SegmentId>, Repeated>,
+}
+
+/// Crashes with a prompt.
+#[derive(Debug, Clone, Copy)]
+pub struct Repeated {
+    /// When the crash happened from which on single copies are sent.
+    pub since: Now,
+    /// When the last one happened.
+    pub last: Now,
 }
 
 /// A suspect of a crash: index of the crash, and index of the suspect there.
@@ -119,21 +128,22 @@
 fn find_repeated(
     crashes: &[CrashView<'_>],
     sound_at: &impl Fn(SegmentId) -> Option<Now>,
-) -> BTreeMap<Vec<SegmentId>, Now> {
-    let mut repeated: BTreeMap<&[SegmentId], (usize, Now)> = BTreeMap::new();
-    for crash in crashes {
+) -> BTreeMap<Vec<SegmentId>, Repeated> {
+    let mut times: BTreeMap<&[SegmentId], Vec<Now>> = BTreeMap::new();
+    for crash in crashes.iter().filter(|crash| crash.known_causes.is_empty()) {
         let suspects: BTreeSet<_> = crash.suspects.iter().copied().collect();
-        for prompt in suspects.into_iter().filter(|_| crash.known_causes.is_empty()) {
-            let (count, last) = repeated.entry(prompt).or_default();
-            *count += 1;
-            *last = crash.at.max(*last);
+        for prompt in suspects {
+            times.entry(prompt).or_default().push(crash.at);
         }
     }
     let is_unsound = |prompt: &[SegmentId]| prompt.iter().any(|part| sound_at(*part).is_none());
-    let repeated = repeated
-        .into_iter()
-        .filter(|(prompt, (count, _))| *count >= CRASHES_MIN_REPEATED && is_unsound(prompt));
-    repeated.map(|(prompt, (_, last))| (prompt.to_vec(), last)).collect()
+    let repeated = times.into_iter().filter_map(|(prompt, mut times)| {
+        times.sort();
+        let since = times.get(CRASHES_MIN_REPEATED - 1).filter(|_| is_unsound(prompt))?;
+        let last = times.last()?;
+        Some((prompt.to_vec(), Repeated { since: *since, last: *last }))
+    });
+    repeated.collect()
 }
 
 /// Drops the crashes at which a segment without sound answers was that was at another crash too, in another prompt:
--- a/crates/lw-quarantine/src/quarantine/held.rs
+++ b/crates/lw-quarantine/src/quarantine/held.rs
@@ -1,13 +1,15 @@
-//! Prompts that were at several crashes, but not at enough to be blamed. Few VMs send them, one copy at a time, so that a
-//! sound one is released by an answer and a deadly one does not reach an engine from each VM at once.
+//! Prompts that were at several crashes, but not at enough to be blamed. Each VM may send one copy at first, then few VMs do,
+//! one copy at a time, so that a sound one is released by an answer and a deadly one does not reach engines again and again.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use lw_types::prelude::*;
 
 use super::{Action, Quarantine};
-use crate::evidence::EVIDENCE_TIME;
+use crate::{culprits::Repeated, evidence::EVIDENCE_TIME};
 
+/// Time after the crash from which on a prompt is held in which each VM may send one copy: its caller returns at any VM.
+const OPEN_TIME: Duration = Duration::from_secs(2);
 /// Time for which a VM may send the next copy, before it is another one's turn.
 const TURN_TIME: Duration = Duration::from_secs(2);
 /// VMs that take turns, so that the loss of one does not hold a sound prompt for long.
@@ -28,7 +30,7 @@
 
 #[derive(Debug)]
 struct Held {
-    last_crash: Now,
+    crashes: Repeated,
     /// When this VM sent the last copy.
     sent_at: Option<Now>,
     /// When this VM reports the crashes again, unless another one does before.
@@ -36,14 +38,14 @@
 }
 
 impl HeldPrompts {
-    /// Replaces the prompts by those that are at several crashes now, each with the time of its last crash.
-    pub(super) fn update(&mut self, now: Now, repeated: BTreeMap<Vec<SegmentId>, Now>) {
+    /// Replaces the prompts by those that are at several crashes now, each with its crashes.
+    pub(super) fn update(&mut self, now: Now, repeated: BTreeMap<Vec<SegmentId>, Repeated>) {
         let mut former = std::mem::take(&mut self.prompts);
-        let held = repeated.into_iter().map(|(prompt, last_crash)| {
+        let held = repeated.into_iter().map(|(prompt, crashes)| {
             let report_at = now + REPORT_TIME;
             let held = former.remove(&prompt);
-            let held = held.unwrap_or(Held { last_crash, sent_at: None, report_at });
-            (prompt, Held { last_crash, ..held })
+            let held = held.unwrap_or(Held { crashes, sent_at: None, report_at });
+            (prompt, Held { crashes, ..held })
         });
         self.prompts = held.collect();
     }
@@ -75,8 +77,12 @@
 
     pub(super) fn try_begin(&mut self, now: Now, prompt: &[SegmentId]) -> Result<(), Duration> {
         let Some(held) = self.prompts.get_mut(prompt) else { return Ok(()) };
+        if now < held.crashes.since + OPEN_TIME && held.sent_at.is_none() {
+            held.sent_at = Some(now);
+            return Ok(());
+        }
         // All VMs know about the same time of the last crash, so that their turns do not overlap by much.
-        let since = now.saturating_sub(held.last_crash);
+        let since = now.saturating_sub(held.crashes.last);
         let turns = since.as_millis() / TURN_TIME.as_millis();
         let is_own_turn = turns % TURNS == u128::from(self.rank);
         let has_sent = held.sent_at.is_some_and(|at| now < at + TURN_TIME);
@@ -99,7 +105,7 @@
 
     /// Removes the prompts whose last crashes no longer count.
     pub(super) fn remove_expired(&mut self, now: Now) {
-        self.prompts.retain(|_, held| now.saturating_sub(held.last_crash) <= EVIDENCE_TIME);
+        self.prompts.retain(|_, held| now.saturating_sub(held.crashes.last) <= EVIDENCE_TIME);
     }
 }
 
--- a/crates/lw-quarantine/tests/fleet_sim/mod.rs
+++ b/crates/lw-quarantine/tests/fleet_sim/mod.rs
@@ -1,6 +1,8 @@
 //! VMs, engines and callers in virtual time. Messages between VMs are delayed and lost, VMs restart, the store is away,
 //! and engines crash by requests and for other reasons.
 
+#![allow(dead_code, reason = "each test file uses only some of these")]
+
 use std::{
     collections::{BTreeMap, HashMap},
     time::Duration,
@@ -10,6 +12,10 @@
 use lw_quarantine::{Action, Quarantine, SegmentSet, StoredSet, Suspect};
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
+pub use unlucky::Unlucky;
+
+mod unlucky;
+
 /// Step of the virtual time.
 const STEP: Duration = Duration::from_millis(10);
 /// Time for which an engine is down after a crash.
@@ -59,6 +65,8 @@
     pub deadly_segments: u64,
     /// Copies of one request with the first of these segments, sent from `deadly_from` on.
     pub copies: Option<Copies>,
+    /// A sound prompt whose engines crash for other reasons.
+    pub unlucky: Option<Unlucky>,
     /// First segments that prompts share.
     pub first_segments: u64,
     /// Whether deadly requests always have the same first segment.
@@ -91,6 +99,7 @@
             deadly_from: ms(3_000),
             deadly_segments: 1,
             copies: None,
+            unlucky: None,
             first_segments: 60,
             has_fixed_first: true,
             attempts: 2,
@@ -119,6 +128,7 @@
     pub sound_sent: usize,
     /// Sets that are quarantined at the end, by VM.
     pub quarantined: Vec<Vec<SegmentSet>>,
+    pub unlucky: unlucky::Seen,
 }
 
 impl Outcome {
@@ -215,7 +225,7 @@
             },
             options,
         };
-        while fleet.now < fleet.options.run_time {
+        while fleet.now < fleet.options.run_time && fleet.outcome.unlucky.answered_at.is_none() {
             fleet.step();
         }
         let sets = |vm: &Quarantine| vm.sets(fleet.now).map(|(set, _)| set.clone()).collect();
@@ -271,6 +281,7 @@
             }
         }
         self.send_copies();
+        self.send_unlucky();
         let mut left = self.options.sound_rate * STEP.as_secs_f64();
         while self.rng.f64() < left {
             left -= 1.0;
@@ -307,12 +318,13 @@
     fn place(&mut self, request: Request) {
         let deadly = deadly_segment(&request.segments);
         let vm = &mut self.vms[request.vm];
-        let is_quarantined = vm.time_left(self.now, &request.segments).is_some();
-        if is_quarantined || vm.try_begin(self.now, &request.segments).is_err() {
+        let time_left = vm.time_left(self.now, &request.segments);
+        let begun = time_left.map_or_else(|| vm.try_begin(self.now, &request.segments), Err);
+        if let Err(retry_time) = begun {
             if deadly.is_none() {
                 self.outcome.sound_refused.push(self.now);
             }
-            return;
+            return self.on_unlucky_refused(&request, retry_time);
         }
         let up: Vec<_> =
             (0..self.engines.len()).filter(|n| self.engines[*n].down_until <= self.now).collect();
@@ -336,10 +348,14 @@
             self.outcome.crashes.entry(segment).or_default().push(now);
             return self.crash(engine);
         }
+        if self.is_unlucky(engine) {
+            return self.crash(engine);
+        }
         for attempt in &self.engines[engine].in_flight {
             if attempt.begins_at + SOUND_TIME <= now && now < attempt.begins_at + SOUND_TIME + STEP
             {
                 self.vms[attempt.request.vm].record_sound(now, &attempt.request.segments);
+                self.outcome.unlucky.record_sound(now, &attempt.request.segments);
             }
         }
         let in_flight = std::mem::take(&mut self.engines[engine].in_flight);
@@ -348,6 +364,7 @@
         self.engines[engine].in_flight = rest;
         for attempt in done {
             self.vms[attempt.request.vm].record_sound(now, &attempt.request.segments);
+            self.outcome.unlucky.record_sound(now, &attempt.request.segments);
         }
     }
 
@@ -391,6 +408,8 @@
             }
             if request.attempts > 0 {
                 self.place(request);
+            } else {
+                self.on_unlucky_broken(&request);
             }
         }
     }
--- a/crates/lw-quarantine/tests/one_prompt.rs
+++ b/crates/lw-quarantine/tests/one_prompt.rs
@@ -101,6 +101,16 @@
     assert!(quarantine.try_begin(now, &[3, 101]).is_ok(), "it shares no crash but one");
 }
 
+/// Each VM may send a copy soon after the third crash, and a burst at it must not crash several engines.
+#[test]
+fn a_vm_that_is_not_in_turn_sends_one_copy_soon_after_the_third_crash() {
+    let (mut quarantine, now) = after_crashes(3);
+    quarantine.poll(now, &HashMap::default(), 7);
+    let mut count = |at| (0..10).filter(|_| quarantine.try_begin(at, &DEADLY).is_ok()).count();
+    assert_eq!(count(now), 1);
+    assert_eq!(count(now + seconds(2)), 0);
+}
+
 /// A VM that restarted, or missed a message, would send each copy.
 #[test]
 fn a_vm_without_evidence_learns_which_prompts_are_held() {
