lw-quarantine: reports of one crash count once, however late they are received

Callers saw a sound prompt refused for 600 s, by the whole fleet, after it had been in flight at three crashes and a VM had been stopped for some seconds (SIGSTOP, a frozen machine). The socket keeps what arrives meanwhile, and a report was dated `now - age` on receipt. Reports of held prompts are repeated each second, so those of one crash lay up to the pause apart, more than the 1 s within which they are merged, and counted as several crashes.

A crash is now recognised by its attempts first, and by its time only if none is known. An attempt has an id that is the same at all VMs: a hash of its VM, number, engine and segments, with the highest bit set. Repeated reports name the attempts with the prompt (at most 16) by it, instead of one hash of the prompt that was the same for all crashes. The smallest time of a crash is kept; crashes that a report shows to be the same are merged.

The wire form is unchanged, as a field that is added would not be read by VMs of the earlier release: own attempts are numbered from 1, so the highest bit tells an id that all VMs use. Repeats of VMs of the earlier release are accepted; their id is the same for each crash of one engine with that prompt, so that two such crashes count once while they last.

Ruled out: dating by the time of the last poll (what is known of the pause is not when the message was sent), and a longer span of time (an engine can crash again within it).

--- a/crates/lw-quarantine/src/evidence.rs
+++ b/crates/lw-quarantine/src/evidence.rs
@@ -24,16 +24,33 @@
 /// Suspects in one report, which must fit into one datagram.
 const REPORT_SUSPECTS_MAX: usize = 16;
 
+/// Bit that marks ids of attempts that are the same at all VMs. The numbers that a VM gives its own attempts are small.
+const SHARED_ID_BIT: u64 = 1 << 63;
+
 /// An attempt that broke when its engine went down, before its answer showed that its prompt is sound.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
-    /// Number of the attempt, unique at the VM that made it.
+    /// Number of the attempt, unique at the VM that made it. With the highest bit, an id that all VMs use for it.
     pub attempt_id: u64,
     /// Segments of its prompt.
     pub segments: Vec<SegmentId>,
 }
 
-/// Attempts of one VM that broke when an engine went down.
+impl Suspect {
+    /// Returns an id that is the same at all VMs, whichever of them reports the attempt. A VM that restarts numbers its
+    /// attempts anew, hence the upstream and the segments.
+    fn shared_id(&self, vm: &str, upstream: &str) -> u64 {
+        if self.attempt_id & SHARED_ID_BIT != 0 {
+            return self.attempt_id;
+        }
+        let mut bytes = [vm.as_bytes(), &[0], upstream.as_bytes(), &[0]].concat();
+        bytes.extend(self.attempt_id.to_be_bytes());
+        bytes.extend(self.segments.iter().flat_map(|segment| segment.to_be_bytes()));
+        xxh3_64(&bytes) | SHARED_ID_BIT
+    }
+}
+
+/// Attempts that broke when an engine went down: of the VM that reports them, or of any with ids that all VMs use.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashReport {
     /// The engine.
@@ -50,7 +67,8 @@
     upstream: UpstreamId,
     /// When the first attempt broke.
     pub at: Now,
-    suspects: BTreeMap<(VmId, u64), Vec<SegmentId>>,
+    /// Segments of the attempts by the ids that all VMs use.
+    suspects: BTreeMap<u64, Vec<SegmentId>>,
 }
 
 impl Crash {
@@ -127,7 +145,7 @@
     }
 
     fn confirm(&mut self, now: Now, vm: &VmId, broken: Broken) {
-        self.add_suspect(broken.at, vm, &broken.upstream, broken.suspect.clone());
+        self.add_suspects(broken.at, vm, &broken.upstream, std::slice::from_ref(&broken.suspect));
         self.unreported.push(Unreported { broken, due: now, sends_left: REPORT_SENDS });
     }
 
@@ -138,24 +156,41 @@
             return;
         }
         let at = now.saturating_sub(report.age);
-        for suspect in &report.suspects {
-            self.add_suspect(at, vm, &report.upstream, suspect.clone());
-        }
+        self.add_suspects(at, vm, &report.upstream, &report.suspects);
     }
 
-    fn add_suspect(&mut self, at: Now, vm: &VmId, upstream: &str, suspect: Suspect) {
-        let is_same =
-            |crash: &&mut Crash| crash.upstream == upstream && crash.at.abs_diff(at) <= CRASH_SPAN;
-        let attempt = (vm.clone(), suspect.attempt_id);
-        if let Some(crash) = self.crashes.iter_mut().rev().find(is_same) {
-            crash.at = crash.at.min(at);
-            if crash.suspects.len() < SUSPECTS_MAX {
-                crash.suspects.insert(attempt, suspect.segments);
+    /// Adds attempts that broke with one crash. A message that is received late dates them too late, so that the crash is
+    /// recognised by its attempts first.
+    fn add_suspects(&mut self, at: Now, vm: &str, upstream: &str, suspects: &[Suspect]) {
+        let shared = |own: &Suspect| (own.shared_id(vm, upstream), own.segments.clone());
+        let mut crash = Crash {
+            upstream: upstream.to_owned(),
+            at,
+            suspects: suspects.iter().take(SUSPECTS_MAX).map(shared).collect(),
+        };
+        let has_same = |known: &Crash| {
+            known.upstream == upstream
+                && crash.suspects.keys().any(|id| known.suspects.contains_key(id))
+        };
+        let is_close =
+            |known: &Crash| known.upstream == upstream && known.at.abs_diff(at) <= CRASH_SPAN;
+        let mut same: Vec<_> =
+            (0..self.crashes.len()).filter(|n| has_same(&self.crashes[*n])).collect();
+        if same.is_empty() {
+            same.extend(self.crashes.iter().rposition(is_close));
+        }
+        let place = same.first().copied();
+        for n in same.into_iter().rev() {
+            let Some(known) = self.crashes.remove(n) else { continue };
+            crash.at = crash.at.min(known.at);
+            let added = std::mem::replace(&mut crash.suspects, known.suspects);
+            for (id, segments) in added {
+                if crash.suspects.len() < SUSPECTS_MAX {
+                    crash.suspects.insert(id, segments);
+                }
             }
-            return;
         }
-        let suspects = BTreeMap::from([(attempt, suspect.segments)]);
-        self.crashes.push_back(Crash { upstream: upstream.to_owned(), at, suspects });
+        self.crashes.insert(place.unwrap_or(self.crashes.len()), crash);
         if self.crashes.len() > CRASHES_MAX {
             self.crashes.pop_front();
         }
@@ -223,16 +258,23 @@
     /// Returns a report on each crash with this prompt, at whichever VM its attempts broke.
     #[must_use]
     pub fn reports_of(&self, now: Now, prompt: &[SegmentId]) -> Vec<CrashReport> {
-        // The number is the same in each report, and no attempt of this VM has it.
-        let bytes: Vec<u8> = prompt.iter().flat_map(|segment| segment.to_be_bytes()).collect();
-        let suspect = Suspect { attempt_id: xxh3_64(&bytes), segments: prompt.to_vec() };
-        let crashes = self.crashes.iter().filter(|crash| crash.suspects().any(|own| own == prompt));
-        let report = |crash: &Crash| CrashReport {
-            upstream: crash.upstream.clone(),
-            age: now.saturating_sub(crash.at),
-            suspects: vec![suspect.clone()],
+        let report = |crash: &Crash| {
+            let is_same = |(_, segments): &(&u64, &Vec<SegmentId>)| *segments == prompt;
+            let suspects = crash.suspects.iter().filter(is_same).take(REPORT_SUSPECTS_MAX);
+            let suspect = |(id, segments): (&u64, &Vec<SegmentId>)| Suspect {
+                attempt_id: *id,
+                segments: segments.clone(),
+            };
+            CrashReport {
+                upstream: crash.upstream.clone(),
+                age: now.saturating_sub(crash.at),
+                suspects: suspects.map(suspect).collect(),
+            }
         };
-        crashes.map(report).filter(|report| report.age <= EVIDENCE_TIME).collect()
+        let reports = self.crashes.iter().map(report);
+        reports
+            .filter(|report| !report.suspects.is_empty() && report.age <= EVIDENCE_TIME)
+            .collect()
     }
 
     /// Returns the number of engines that went down, or broke own attempts, while prompts with a segment were in flight.
