--- a/crates/lw-edge/tests/deadly_copies.rs
+++ b/crates/lw-edge/tests/deadly_copies.rs
@@ -134,6 +134,18 @@
     assert!(late <= LATE_ARRIVALS_MAX, "{late} late arrivals of {all}");
 }
 
+/// Guards against crashes that count for nothing since the engine hung beyond the deadline of the request before.
+#[tokio::test]
+async fn copies_whose_engines_crash_after_their_deadline_reach_no_more() {
+    let simulation = start_engines("kochi-a", 12).await;
+    for engine in &simulation.engines {
+        engine.set_behaviour(Behaviour::HangThenCrash(ms(2_500), ms(1_500)));
+    }
+    let req = CallerRequest { deadline_ms: 2_000, ..deadly_request() };
+    let (late, all) = late_arrivals(&simulation, &simulation.engines, &req, 1_000).await;
+    assert!(late <= LATE_ARRIVALS_MAX, "{late} late arrivals of {all}");
+}
+
 /// Guards against crashes that count for nothing since engines that name a limit get few calls for their cache events.
 #[tokio::test]
 async fn copies_that_crash_engines_with_a_limit_reach_no_more() {
