lw-quarantine: a VM vouches for a set of several segments that it knows to be sound

Callers saw 502 for an answer in flight, and refusals for 600 s, on a prompt that their VM knew to be sound, when another VM announced that its two segments crash engines. With one of the segments the VM held the answer and told the others.

Cause: record_announced, compare_with_store and record_vouched looked at sound answers only of sets of one segment. The blame of one whole prompt is mostly a set of several.

A set whose segments all have sound answers that clear it is not adopted, the VM vouches for all of them, and a VM that has adopted it releases it when the last of them is vouched for. For a set of several only answers since the first crash clear it: with few crashes, which burst copies bring (several crashes within 30 ms are one cause), an answer before the first crash clears a single segment.

As with single segments, a set that is first seen in the store has no time of its first crash: it is adopted, and released when the VM that wrote it, or another one that knows that time, is told of the sound answers and removes it from the store.

--- a/crates/lw-quarantine/src/quarantine/mod.rs
+++ b/crates/lw-quarantine/src/quarantine/mod.rs
@@ -206,15 +206,18 @@
         for (segment, age) in segments {
             let at = now.saturating_sub(*age);
             self.evidence.record_shared_sound(now, at, *segment);
-            let set = SegmentSet::from_iter([*segment]);
-            let is_cleared = self.entries.get(&set).is_some_and(|entry| match entry.state {
-                State::Active { evidence_from, crashes, .. } => clears(at, evidence_from, crashes),
-                State::Released { .. } => false,
-            });
-            if is_cleared {
-                self.release(now, &set, ReleaseReason::Sound);
+        }
+        let is_vouched = |set: &SegmentSet| segments.iter().any(|(own, _)| set.contains(*own));
+        let mut cleared = Vec::new();
+        for (set, entry) in self.entries.iter().filter(|(set, _)| is_vouched(set)) {
+            let State::Active { evidence_from, crashes, .. } = entry.state else { continue };
+            if self.is_cleared(set, evidence_from, crashes) {
+                cleared.push(set.clone());
             }
         }
+        for set in cleared {
+            self.release(now, &set, ReleaseReason::Sound);
+        }
         self.release_sound_prompts();
     }
 
@@ -232,16 +235,30 @@
             Some(State::Released { at, .. }) if *at >= evidence_from => return,
             _ => {}
         }
-        // This VM may have had a sound answer that the other one did not know of.
-        let sound_at = set.single().and_then(|segment| self.evidence.sound_at(segment));
-        let sound_at = sound_at.filter(|at| clears(*at, evidence_from, basis.crashes));
-        if let Some((segment, at)) = set.single().zip(sound_at) {
-            self.pending.push(Action::Vouch(vec![(segment, now.saturating_sub(at))]));
+        // This VM may have had sound answers that the other one did not know of.
+        if self.is_cleared(&set, evidence_from, basis.crashes) {
+            self.vouch_for(now, &set);
             return;
         }
         self.adopt(now, set, evidence_from, basis.crashes, false);
     }
 
+    /// Whether each segment of a set that is blamed for this number of crashes has a sound answer that clears it.
+    fn is_cleared(&self, set: &SegmentSet, evidence_from: Now, crashes: usize) -> bool {
+        // Segments that are always in flight together may have become deadly in one prompt, of which few crashes are enough.
+        let crashes = if set.single().is_some() { crashes } else { CRASHES_MIN_ONCE_SOUND };
+        set.iter().all(|segment| {
+            let sound_at = self.evidence.sound_at(segment);
+            sound_at.is_some_and(|at| clears(at, evidence_from, crashes))
+        })
+    }
+
+    /// Tells the other VMs of the sound answers on the segments of a set.
+    fn vouch_for(&mut self, now: Now, set: &SegmentSet) {
+        let age = |segment| Some((segment, now.saturating_sub(self.evidence.sound_at(segment)?)));
+        self.pending.push(Action::Vouch(set.iter().filter_map(age).collect()));
+    }
+
     /// Records that another VM released a set.
     pub fn record_released(&mut self, now: Now, set: &SegmentSet) {
         self.discard_evidence(now, set);
--- a/crates/lw-quarantine/src/quarantine/store.rs
+++ b/crates/lw-quarantine/src/quarantine/store.rs
@@ -4,7 +4,7 @@
 
 use lw_types::prelude::*;
 
-use super::{Action, Entry, Quarantine, ReleaseReason, State, StoredSet, clears};
+use super::{Action, Entry, Quarantine, ReleaseReason, State, StoredSet};
 use crate::SegmentSet;
 
 /// Delay before a VM writes to the store what those before it should have written.
@@ -40,10 +40,9 @@
         }
         new.sort_by(|(a, _), (b, _)| a.len().cmp(&b.len()).then_with(|| a.cmp(b)));
         for (set, crashes) in new {
-            let sound_at = set.single().and_then(|segment| self.evidence.sound_at(segment));
-            let is_cleared = sound_at.is_some_and(|at| clears(at, now, crashes));
-            if let Some((segment, at)) = set.single().zip(sound_at.filter(|_| is_cleared)) {
-                self.pending.push(Action::Vouch(vec![(segment, now.saturating_sub(at))]));
+            let is_cleared = self.is_cleared(&set, now, crashes);
+            if is_cleared {
+                self.vouch_for(now, &set);
             }
             if is_cleared || self.active().any(|(known, _)| known.covers(&set)) {
                 let state = State::Released { at: now, revision: None, is_on_probation: false };
