lw-quarantine: a VM disputes a blamed segment with its own sound answers only

A VM that was stopped reads the messages that arrived meanwhile when it goes on, so that the sound answers of others seem younger than they are. If another VM then announced a segment that was sound once and became deadly, it took such an answer for one since the first crash, vouched for it with that age, and the whole fleet served the segment again, until five more crashes. Found by reading, shown by the new test in tests/late_messages.rs, which failed before with Vouch([(7, 100ms)]).

Now a VM vouches only for answers of its own, whose times it knows; the VM that had the answer gets the announcement too. Ruled out: dating such answers by the last decision before the pause. The crashes in the same messages are dated late as well, so that answers to sound prompts would no longer clear them.

What a late sound answer can still do: a segment without any is never hidden. For one that was sound before, crashes until the receipt do not count at that VM, and if it holds the prompt it repeats the answer to others with that age: blame is late by one round of crashes for each pause. A VM that had adopted the set before the pause may release it on a late message; not bounded.

--- a/crates/lw-quarantine/src/evidence.rs
+++ b/crates/lw-quarantine/src/evidence.rs
@@ -217,6 +217,12 @@
         sound.own.max(sound.shared)
     }
 
+    /// Returns when the latest own sound answer on a segment was received.
+    #[must_use]
+    pub fn own_sound_at(&self, segment: SegmentId) -> Option<Now> {
+        self.sound.get(&segment)?.own
+    }
+
     /// Returns the time of an own sound answer on a segment if other VMs may not know of it.
     #[must_use]
     pub fn unshared_sound_at(&self, now: Now, segment: SegmentId) -> Option<Now> {
--- a/crates/lw-quarantine/src/quarantine/mod.rs
+++ b/crates/lw-quarantine/src/quarantine/mod.rs
@@ -211,7 +211,8 @@
         let mut cleared = Vec::new();
         for (set, entry) in self.entries.iter().filter(|(set, _)| is_vouched(set)) {
             let State::Active { evidence_from, crashes, .. } = entry.state else { continue };
-            if self.is_cleared(set, evidence_from, crashes) {
+            let sound_at = |segment| self.evidence.sound_at(segment);
+            if is_cleared(set, sound_at, evidence_from, crashes) {
                 cleared.push(set.clone());
             }
         }
@@ -236,26 +237,19 @@
             _ => {}
         }
         // This VM may have had sound answers that the other one did not know of.
-        if self.is_cleared(&set, evidence_from, basis.crashes) {
+        let own = |segment| self.evidence.own_sound_at(segment);
+        if is_cleared(&set, own, evidence_from, basis.crashes) {
             self.vouch_for(now, &set);
             return;
         }
         self.adopt(now, set, evidence_from, basis.crashes, false);
     }
 
-    /// Whether each segment of a set that is blamed for this number of crashes has a sound answer that clears it.
-    fn is_cleared(&self, set: &SegmentSet, evidence_from: Now, crashes: usize) -> bool {
-        // Segments that are always in flight together may have become deadly in one prompt, of which few crashes are enough.
-        let crashes = if set.single().is_some() { crashes } else { CRASHES_MIN_ONCE_SOUND };
-        set.iter().all(|segment| {
-            let sound_at = self.evidence.sound_at(segment);
-            sound_at.is_some_and(|at| clears(at, evidence_from, crashes))
-        })
-    }
-
-    /// Tells the other VMs of the sound answers on the segments of a set.
+    /// Tells the other VMs of the own sound answers on the segments of a set. Those of other VMs may have been received late,
+    /// so that they seem to be younger than the crashes.
     fn vouch_for(&mut self, now: Now, set: &SegmentSet) {
-        let age = |segment| Some((segment, now.saturating_sub(self.evidence.sound_at(segment)?)));
+        let age =
+            |segment| Some((segment, now.saturating_sub(self.evidence.own_sound_at(segment)?)));
         self.pending.push(Action::Vouch(set.iter().filter_map(age).collect()));
     }
 
@@ -480,6 +474,18 @@
     sound_at > evidence_from || crashes < CRASHES_MIN_ONCE_SOUND
 }
 
+/// Whether each segment of a set that is blamed for this number of crashes has a sound answer that clears it.
+fn is_cleared(
+    set: &SegmentSet,
+    sound_at: impl Fn(SegmentId) -> Option<Now>,
+    evidence_from: Now,
+    crashes: usize,
+) -> bool {
+    // Segments that are always in flight together may have become deadly in one prompt, of which few crashes are enough.
+    let crashes = if set.single().is_some() { crashes } else { CRASHES_MIN_ONCE_SOUND };
+    set.iter().all(|segment| sound_at(segment).is_some_and(|at| clears(at, evidence_from, crashes)))
+}
+
 /// Returns the delay with which this VM reports what others may report too.
 fn stagger(vm: &str) -> Duration {
     const STEPS: u64 = 1024;
--- a/crates/lw-quarantine/src/quarantine/store.rs
+++ b/crates/lw-quarantine/src/quarantine/store.rs
@@ -4,7 +4,7 @@
 
 use lw_types::prelude::*;
 
-use super::{Action, Entry, Quarantine, ReleaseReason, State, StoredSet};
+use super::{Action, Entry, Quarantine, ReleaseReason, State, StoredSet, is_cleared};
 use crate::SegmentSet;
 
 /// Delay before a VM writes to the store what those before it should have written.
@@ -40,7 +40,8 @@
         }
         new.sort_by(|(a, _), (b, _)| a.len().cmp(&b.len()).then_with(|| a.cmp(b)));
         for (set, crashes) in new {
-            let is_cleared = self.is_cleared(&set, now, crashes);
+            let own = |segment| self.evidence.own_sound_at(segment);
+            let is_cleared = is_cleared(&set, own, now, crashes);
             if is_cleared {
                 self.vouch_for(now, &set);
             }
--- a/crates/lw-quarantine/tests/late_messages.rs
+++ b/crates/lw-quarantine/tests/late_messages.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use lw_quarantine::{Action, CrashReport, Quarantine, Suspect};
+use lw_quarantine::{Action, Basis, CrashReport, Quarantine, Suspect};
 
 /// A prompt that was in flight when three engines failed.
 const PROMPT: [u64; 2] = [1, 2];
@@ -67,3 +67,16 @@
     let time_left = running.time_left(ms(wake + 1_000), &PROMPT);
     assert!(time_left.is_none(), "refused for three crashes, {time_left:?} left");
 }
+
+/// A segment may have become deadly after a sound answer, which then seems to be younger than the crashes.
+#[test]
+fn a_vm_that_was_paused_does_not_let_others_serve_a_segment_with_sound_answers_before_the_crashes()
+{
+    let mut paused = Quarantine::new("vm-2".into());
+    let wake = ms(PAUSE.1);
+    paused.record_vouched(wake, &[(7, ms(100))]);
+    paused.record_announced(wake, [7].into_iter().collect(), Basis { age: ms(2_000), crashes: 5 });
+    let actions = paused.poll(wake, &HashMap::default(), 9);
+    let is_vouched = actions.iter().any(|action| matches!(action, Action::Vouch(_)));
+    assert!(!is_vouched && paused.time_left(wake, &[7]).is_some(), "{actions:?}");
+}
