lw-order: a report from before a pause does not show that a load still lasts

The fault of the load that could not be polled, a third way: an engine reports that it loads, the VM is paused before it reads that, and the next poll shows the end. The pause of 5.7 s was then measured as a load, and the next loads were polled 6.3 s after their orders.

Cause: the lateness of an answer was judged for the order and for the last poll only.

--- a/crates/lw-edge/src/orders/load.rs
+++ b/crates/lw-edge/src/orders/load.rs
@@ -202,7 +202,7 @@
                     return None;
                 }
                 let now = edge.timer.now_including_suspend();
-                watch.on_loading(now + poll_period(edge, upstream));
+                watch.on_loading(now, now + poll_period(edge, upstream));
             }
             Err(e) => log::debug!(target: "order", upstream = upstream.id.as_str(),
                 why = e.to_string(); "engine does not answer a poll"),
--- a/crates/lw-order/src/load_watch.rs
+++ b/crates/lw-order/src/load_watch.rs
@@ -18,8 +18,8 @@
     ordered_at: Now,
     /// When the next poll is due.
     next_poll_at: Now,
-    /// Whether the order was answered so late that the load may have begun, or ended, at any time since.
-    is_answered_late: bool,
+    /// Whether the last answer came so late that the load may have ended, or begun, at any time before it.
+    is_late: bool,
 }
 
 impl LoadWatch {
@@ -34,8 +34,8 @@
     #[must_use]
     pub fn new(ordered_at: Now, now: Now, load_time: Option<Duration>) -> Self {
         let delay = load_time.map_or(FIRST_POLL_MIN, |time| time.max(FIRST_POLL_MIN));
-        let is_answered_late = now > ordered_at + ANSWER_DELAY_MAX;
-        Self { ordered_at, next_poll_at: now + delay, is_answered_late }
+        let is_late = now > ordered_at + ANSWER_DELAY_MAX;
+        Self { ordered_at, next_poll_at: now + delay, is_late }
     }
 
     /// Returns when the next poll is due.
@@ -44,13 +44,14 @@
         self.next_poll_at
     }
 
-    /// Records that the engine still loads, and when it is polled next.
-    pub fn on_loading(&mut self, next_poll_at: Now) {
+    /// Records an answer at `now` by which the engine still loads, and when it is polled next.
+    pub fn on_loading(&mut self, now: Now, next_poll_at: Now) {
+        self.is_late = self.is_late_at(now);
         self.next_poll_at = next_poll_at;
     }
 
-    /// Returns the time of the load, after an answer at `now` showed its end. None if the answer to the order, or this one,
-    /// is so late that they do not show it: the VM was paused, or earlier polls were not answered.
+    /// Returns the time of the load, after an answer at `now` showed its end. None if this answer or the one before it is so
+    /// late that they do not show it: the VM was paused, or earlier polls were not answered.
     ///
     /// ```
     /// use std::time::Duration;
@@ -63,7 +64,11 @@
     #[must_use]
     pub fn load_time(&self, now: Now) -> Option<Duration> {
         // The delay is subtracted so that the next engine's pause before its order overlaps with the end of a load.
-        let is_late = self.is_answered_late || now > self.next_poll_at + ANSWER_DELAY_MAX;
-        (!is_late).then(|| now.saturating_sub(self.ordered_at + REPORT_DELAY))
+        (!self.is_late && !self.is_late_at(now))
+            .then(|| now.saturating_sub(self.ordered_at + REPORT_DELAY))
+    }
+
+    fn is_late_at(&self, now: Now) -> bool {
+        now > self.next_poll_at + ANSWER_DELAY_MAX
     }
 }
--- a/crates/lw-order/tests/fleet/orders.rs
+++ b/crates/lw-order/tests/fleet/orders.rs
@@ -82,7 +82,7 @@
                     let time = poll.watch.load_time(ms(now)).filter(|_| poll.is_accepted);
                     self.load_time = time.or(self.load_time);
                 } else if is_loading {
-                    poll.watch.on_loading(ms(now + POLL_PERIOD));
+                    poll.watch.on_loading(ms(now), ms(now + POLL_PERIOD));
                     self.later(POLL_PERIOD, Event::Poll(poll));
                 } else {
                     self.loading.remove(&poll.engine);
--- a/crates/lw-order/tests/issuers.rs
+++ b/crates/lw-order/tests/issuers.rs
@@ -112,4 +112,16 @@
             trouble(Kind::StoreDownLeasesPause, 15_144, 303, Target::Issuer),
         ],
     });
+    check(&Case {
+        seed: 13_471_978_038_105_358_340,
+        vms: 3,
+        engines: 2,
+        is_fenced: true,
+        load_ms: 985,
+        version_period: 3_431,
+        troubles: vec![
+            trouble(Kind::Pause, 8_573, 5_716, Target::Issuer),
+            trouble(Kind::AnswersLate, 10_000, 5_689, Target::Issuer),
+        ],
+    });
 }
