--- a/crates/lw-standin/src/hosted/raw.rs
+++ b/crates/lw-standin/src/hosted/raw.rs
@@ -151,12 +151,8 @@
 const GZIP: &str = "transfer-encoding: gzip, chunked\r\n";
 const GZIP_UNTIL_CLOSE: &str = "transfer-encoding: gzip\r\nconnection: close\r\n";
 /// Bytes without end after a part of a head.
-const ENDLESS: [&str; 4] = [
-    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
-    "x-pad: aaaaaaaaaaaaaaaa\r\n",
-    "\r\r\r\r",
-    "HTTP/1.1 100 Continue\r\n\r\n",
-];
+const ENDLESS: [&str; 3] =
+    ["aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", "x-pad: aaaaaaaaaaaaaaaa\r\n", "\r\r\r\r"];
 /// Number of headers above that which receivers accept.
 const HEADERS_MANY: usize = 200;
 /// Length of a line above that which receivers accept.
@@ -186,6 +182,10 @@
             0 => {
                 let count = if rng.usize(..5) == 0 { 60 } else { rng.usize(1..=INTERIM_MAX) };
                 self.before = (0..count).map(|_| pick(rng, &INTERIM)).collect();
+                if rng.usize(..5) == 0 {
+                    self.cut = Some(0);
+                    self.end = End::Endless(pick(rng, &INTERIM));
+                }
             }
             1 => {
                 let statuses = [
