lw-edge: sound answers to requests without a prompt are recorded always

Callers of a lookup that many repeat (same workspace, path and body): after servers broke two attempts at it within a second, the next one that broke was not tried elsewhere and its caller got 502. Cause, of: sound answers to requests without a prompt counted only once the request was suspected, so that none was known of by then.

--- a/crates/lw-edge/src/quarantine/mod.rs
+++ b/crates/lw-edge/src/quarantine/mod.rs
@@ -113,15 +113,10 @@
     confirm::spawn(edge, upstream);
 }
 
-/// Records that the answer to a request went on after its start. Requests without a prompt share no segments, so that theirs
-/// are recorded only while they are suspected.
-pub(crate) fn record_sound(edge: &Edge, segments: &[SegmentId], has_prompt: bool) {
+/// Records that the answer to a request went on after its start.
+pub(crate) fn record_sound(edge: &Edge, segments: &[SegmentId]) {
     let now = edge.timer.now_including_suspend();
-    edge.quarantine.record(|quarantine| {
-        if has_prompt || quarantine.is_suspected(segments) {
-            quarantine.record_sound(now, segments);
-        }
-    });
+    edge.quarantine.record(|quarantine| quarantine.record_sound(now, segments));
 }
 
 /// Records that an engine is down.
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -158,8 +158,7 @@
     }
 
     fn record_sound(&self) {
-        let has_prompt = self.call.prompt.is_some();
-        quarantine::record_sound(&self.edge, &self.call.segments, has_prompt);
+        quarantine::record_sound(&self.edge, &self.call.segments);
     }
 
     /// Ends an attempt whose answer the upstream broke off, or never began.
--- a/crates/lw-edge/tests/deadly_copies.rs
+++ b/crates/lw-edge/tests/deadly_copies.rs
@@ -168,3 +168,18 @@
         late_arrivals(&simulation, &simulation.engines, &deadly_request(), 1_000).await;
     assert!(late <= LATE_ARRIVALS_MAX, "{late} late arrivals of {all}, before {before:?}");
 }
+
+/// Guards against a lookup that many callers repeat and that is no longer retried, since servers broke a few answers to it.
+#[tokio::test]
+async fn a_repeated_lookup_is_retried_after_servers_broke_answers_to_it() {
+    let simulation = Simulation::start().await;
+    let sound = simulation.send(&request("sound", "/look/x")).await.expect("an answer");
+    assert_eq!(sound.status, 200);
+    for n in 0..3 {
+        simulation.faults.push(Behaviour::Reset);
+        let reply = simulation.send(&request(&format!("broken-{n}"), "/look/x")).await;
+        let reply = reply.expect("an answer");
+        assert_eq!(reply.status, 200, "{n}: {} {}", reply.head, reply.text());
+        tokio::time::sleep(ms(350)).await;
+    }
+}
--- a/crates/lw-quarantine/src/quarantine/mod.rs
+++ b/crates/lw-quarantine/src/quarantine/mod.rs
@@ -132,15 +132,6 @@
         !prompt.iter().any(is_suspected)
     }
 
-    /// Whether engines crashed while requests with one of these segments were in flight, or a quarantined set holds one.
-    #[must_use]
-    pub fn is_suspected(&self, segments: &[SegmentId]) -> bool {
-        let is_active = |segment: &SegmentId| {
-            self.active().any(|(set, _)| set.iter().any(|active| active == *segment))
-        };
-        segments.iter().any(|segment| self.evidence.suspicion(*segment) > 0 || is_active(segment))
-    }
-
     /// Returns the quarantined sets with the time until their release.
     pub fn sets(&self, now: Now) -> impl Iterator<Item = (&SegmentSet, Duration)> {
         self.active().map(move |(set, since)| (set, (since + QUARANTINE_TIME).saturating_sub(now)))
