lw-quarantine: a sound answer does not become younger when VMs repeat it

VMs that hold a prompt repeat the sound answers on its segments each second, also those of other VMs, with the age since they were received. Each repetition added the delay of one message, so that an answer moved past crashes that came after it, which then no longer counted against its segment at any VM. Callers' requests with a segment that became deadly reached engines for longer.

Evidence: the new test in tests/late_messages.rs failed before (an answer at 0.5 s is told as one at 0.7 s after one repetition).

An answer of another VM is now repeated as one second older, which is more than a message takes; own answers keep their age. A VM that was stopped for longer still tells an answer too young. Ruled out: repeating only own answers, since a VM that has just started would suspect the segments that prompts share until their VMs tell it.

--- a/crates/lw-quarantine/src/quarantine/held.rs
+++ b/crates/lw-quarantine/src/quarantine/held.rs
@@ -149,8 +149,12 @@
         let mut actions = Vec::new();
         for prompt in self.held.due_reports(now) {
             // Without the sound answers, a VM that has just started would suspect the segments that other prompts share.
+            // Those of others were received later than they were sent, and must not seem younger with each repetition.
             let age = |segment: &SegmentId| {
-                self.evidence.sound_at(*segment).map(|at| (*segment, now.saturating_sub(at)))
+                let own = self.evidence.own_sound_at(*segment);
+                let at = self.evidence.sound_at(*segment)?;
+                let margin = if own == Some(at) { Duration::ZERO } else { REPORT_TIME };
+                Some((*segment, now.saturating_sub(at) + margin))
             };
             let sound: Vec<_> = prompt.iter().filter_map(age).collect();
             actions.extend((!sound.is_empty()).then_some(Action::Vouch(sound)));
--- a/crates/lw-quarantine/tests/late_messages.rs
+++ b/crates/lw-quarantine/tests/late_messages.rs
@@ -80,3 +80,27 @@
     let is_vouched = actions.iter().any(|action| matches!(action, Action::Vouch(_)));
     assert!(!is_vouched && paused.time_left(wake, &[7]).is_some(), "{actions:?}");
 }
+
+/// VMs that repeat each other's sound answers could move them past the crashes.
+#[test]
+fn a_sound_answer_does_not_become_younger_when_vms_repeat_it() {
+    let mut vms = [after_three_crashes("vm-1"), after_three_crashes("vm-2")];
+    let answered = ms(500);
+    for vm in &mut vms {
+        vm.record_vouched(ms(3_600), &[(PROMPT[0], ms(3_100))]);
+    }
+    for now in (4_000..34_000).step_by(50) {
+        for (from, to) in [(0, 1), (1, 0)] {
+            for action in vms[from].poll(ms(now), &HashMap::default(), 9) {
+                let Action::Vouch(segments) = action else { continue };
+                for (segment, age) in &segments {
+                    assert!(
+                        ms(now).saturating_sub(*age) <= answered,
+                        "{segment} at {now} ms: {age:?} ago"
+                    );
+                }
+                vms[to].record_vouched(ms(now + 200), &segments);
+            }
+        }
+    }
+}
