lw-quarantine: hold and blame a prompt by its crashes since the last sound answer

Copies of a request that crashes engines reached engines again and again (44 to 58 after the third crash, bound 3) if all its segments had been answered soundly before, as the last one is when it belongs to a session. Such a prompt was never held, and blamed after eight crashes only. If copies had crashed engines within 30 ms, it was blamed for fewer causes than five, and the answer from before the first crash, told again after 5 s, released it at all VMs.

A prompt is held after three crashes since answers on all its segments were sound, and blamed after five of one prompt, with or without earlier answers. The number of crashes for which one prompt is blamed includes those at the same moment, so that only answers since the first crash clear it.

a_prompt_with_earlier_sound_answers_is_quarantined_later required that seven crashes since an answer blame nothing, which is the fault. It is replaced by three: such a prompt is held after three and four crashes and not yet blamed, is blamed after five, and one with answers between its crashes is neither held nor blamed after ten.

--- a/crates/lw-quarantine/src/culprits.rs
+++ b/crates/lw-quarantine/src/culprits.rs
@@ -28,11 +28,9 @@
 /// Crashes of those that must be left without the prompt that was at most of them: a sound request can be sent to one
 /// failing engine after the other.
 const CRASHES_MIN_OTHER_PROMPTS: usize = 2;
-/// Crashes from which on a segment without sound answers is blamed although it was in one prompt: more than the attempts
-/// of one request and of its caller's retry.
+/// Crashes since the last sound answer from which on a segment is blamed although it was in one prompt: more than the
+/// attempts of one request and of its caller's retry.
 const CRASHES_MIN_ONE_PROMPT: u32 = 5;
-/// Crashes from which on a segment in one prompt is blamed that had sound answers before the first of them.
-const CRASHES_MIN_ONE_PROMPT_ONCE_SOUND: usize = 8;
 /// Crashes from which on copies of a prompt are sent one at a time. Those at the same moment count too, since copies may
 /// be sent together.
 const CRASHES_MIN_REPEATED: usize = 3;
@@ -124,7 +122,8 @@
     found
 }
 
-/// Crashes that a quarantined set explains do not count.
+/// Returns the prompts that were at several crashes as a whole since answers on all their segments were sound. Crashes that a
+/// quarantined set explains do not count.
 fn find_repeated(
     crashes: &[CrashView<'_>],
     sound_at: &impl Fn(SegmentId) -> Option<Now>,
@@ -132,14 +131,15 @@
     let mut times: BTreeMap<&[SegmentId], Vec<Now>> = BTreeMap::new();
     for crash in crashes.iter().filter(|crash| crash.known_causes.is_empty()) {
         let suspects: BTreeSet<_> = crash.suspects.iter().copied().collect();
-        for prompt in suspects {
+        let is_unsound =
+            |prompt: &&[SegmentId]| prompt.iter().any(|part| sound_at(*part) < Some(crash.at));
+        for prompt in suspects.into_iter().filter(is_unsound) {
             times.entry(prompt).or_default().push(crash.at);
         }
     }
-    let is_unsound = |prompt: &[SegmentId]| prompt.iter().any(|part| sound_at(*part).is_none());
     let repeated = times.into_iter().filter_map(|(prompt, mut times)| {
         times.sort();
-        let since = times.get(CRASHES_MIN_REPEATED - 1).filter(|_| is_unsound(prompt))?;
+        let since = times.get(CRASHES_MIN_REPEATED - 1)?;
         let last = times.last()?;
         Some((prompt.to_vec(), Repeated { since: *since, last: *last }))
     });
@@ -210,15 +210,23 @@
         // Copies of a prompt may be sent together and crash several engines at the same moment.
         let is_at_many = self.crashes.count_ones() >= CRASHES_MIN_ONE_PROMPT;
         let causes_min = match (self.other_causes, self.is_once_sound) {
-            (..CRASHES_MIN_OTHER_PROMPTS, true) => CRASHES_MIN_ONE_PROMPT_ONCE_SOUND,
-            (..CRASHES_MIN_OTHER_PROMPTS, false) if is_at_many => CRASHES_MIN,
-            (..CRASHES_MIN_OTHER_PROMPTS, false) => return false,
+            (..CRASHES_MIN_OTHER_PROMPTS, _) if is_at_many => CRASHES_MIN,
+            (..CRASHES_MIN_OTHER_PROMPTS, _) => return false,
             (_, true) => CRASHES_MIN_ONCE_SOUND,
             (_, false) => CRASHES_MIN,
         };
         self.causes >= causes_min
     }
 
+    /// Returns the number of crashes for which it is blamed: in one prompt also those at the same moment, so that sound
+    /// answers before the first one do not clear it.
+    fn evidence(&self) -> usize {
+        match self.other_causes {
+            ..CRASHES_MIN_OTHER_PROMPTS => self.crashes.count_ones() as usize,
+            _ => self.causes,
+        }
+    }
+
     /// Whether `other` explains the same crashes at least as well, so that this one must not be blamed yet.
     fn has_rival(&self, other: &Self) -> bool {
         if other.is_once_sound || other.places == self.places || other.causes < self.causes {
@@ -271,7 +279,7 @@
         .filter(|other| other.is_once_sound == once_sound && other.places == best.places);
     Some(Culprit {
         segments: same.map(|candidate| candidate.segment).collect(),
-        crashes: best.causes,
+        crashes: best.evidence(),
         since: best.places.iter().map(|(n, _)| crashes[*n].at).min().unwrap_or_default(),
     })
 }
--- a/crates/lw-quarantine/src/quarantine/held.rs
+++ b/crates/lw-quarantine/src/quarantine/held.rs
@@ -98,9 +98,9 @@
         self.prompts.remove(prompt).is_some()
     }
 
-    /// Keeps the prompts that are still to be held.
-    pub(super) fn retain(&mut self, is_held: impl Fn(&[SegmentId]) -> bool) {
-        self.prompts.retain(|prompt, _| is_held(prompt));
+    /// Keeps the prompts that are still to be held, on their segments and the times of their last crashes.
+    pub(super) fn retain(&mut self, is_held: impl Fn(&[SegmentId], Now) -> bool) {
+        self.prompts.retain(|prompt, held| is_held(prompt, held.crashes.last));
     }
 
     /// Removes the prompts whose last crashes no longer count.
@@ -138,10 +138,10 @@
         self.held.try_begin(now, prompt)
     }
 
-    /// Releases the prompts on each of whose segments an answer was sound.
+    /// Releases the prompts on each of whose segments an answer was sound since their last crash.
     pub(super) fn release_sound_prompts(&mut self) {
-        let is_unsound = |segment: &SegmentId| self.evidence.sound_at(*segment).is_none();
-        self.held.retain(|prompt| prompt.iter().any(is_unsound));
+        let sound_at = |segment: &SegmentId| self.evidence.sound_at(*segment);
+        self.held.retain(|prompt, crash| prompt.iter().any(|part| sound_at(part) < Some(crash)));
     }
 
     /// Returns the reports on crashes with held prompts that are to be repeated now.
--- a/crates/lw-quarantine/src/quarantine/mod.rs
+++ b/crates/lw-quarantine/src/quarantine/mod.rs
@@ -287,7 +287,7 @@
         for other in covered {
             self.release(now, &other, ReleaseReason::Covered);
         }
-        self.held.retain(|prompt| !set.is_within(prompt));
+        self.held.retain(|prompt, _| !set.is_within(prompt));
         self.entries.insert(set, Entry { state, store_at: now });
     }
 
--- a/crates/lw-quarantine/tests/copies.rs
+++ b/crates/lw-quarantine/tests/copies.rs
@@ -78,6 +78,20 @@
         run_and_check(&Options { vms, restart_period: Some(ms(period * 10)), ..options });
     }
 
+    #[test]
+    fn copies_that_wait_at_their_engines_reach_no_more_engines(
+        options in fleets(), wait in 1_000_u64..4_000,
+    ) {
+        run_and_check(&Options { wait_max: ms(wait), ..options });
+    }
+
+    #[test]
+    fn copies_of_a_request_of_a_session_with_sound_answers_reach_no_more_engines(
+        options in fleets(),
+    ) {
+        run_and_check(&Options { copies_once_sound: true, ..options });
+    }
+
     #[test]
     fn copies_reach_no_more_engines_beside_crashes_for_other_reasons(
         options in fleets(), rate in 0.05..0.6_f64,
--- a/crates/lw-quarantine/tests/fleet_sim/mod.rs
+++ b/crates/lw-quarantine/tests/fleet_sim/mod.rs
@@ -67,6 +67,10 @@
     pub copies: Option<Copies>,
     /// A sound prompt whose engines crash for other reasons.
     pub unlucky: Option<Unlucky>,
+    /// Whether an answer to a request with the prompt of the copies was sound before, as to one of the same session.
+    pub copies_once_sound: bool,
+    /// Longest time for which a request waits at its engine.
+    pub wait_max: Duration,
     /// First segments that prompts share.
     pub first_segments: u64,
     /// Whether deadly requests always have the same first segment.
@@ -100,6 +104,8 @@
             deadly_segments: 1,
             copies: None,
             unlucky: None,
+            copies_once_sound: false,
+            wait_max: ms(400),
             first_segments: 60,
             has_fixed_first: true,
             attempts: 2,
@@ -293,6 +299,11 @@
 
     fn send_copies(&mut self) {
         let Some(copies) = self.options.copies.clone() else { return };
+        if self.options.copies_once_sound && self.now + ms(1_000) == self.options.deadly_from {
+            let segments = [&copies.prefix[..], &[DEADLY]].concat();
+            let vm = self.rng.usize(..self.vms.len());
+            self.vms[vm].record_sound(self.now, &segments);
+        }
         let since = self.now.checked_sub(self.options.deadly_from);
         if since.is_some_and(|since| since.as_millis().is_multiple_of(copies.period.as_millis())) {
             let segments = [copies.prefix, vec![DEADLY]].concat();
@@ -333,7 +344,8 @@
             self.outcome.arrivals.entry(segment).or_default().push((self.now, request.vm));
         }
         self.attempt_count += 1;
-        let begins_at = self.now + ms(self.rng.u64(40..400));
+        let wait_max = u64::try_from(self.options.wait_max.as_millis()).unwrap();
+        let begins_at = self.now + ms(self.rng.u64(40..wait_max));
         let ends_at = begins_at + ms(self.rng.u64(100..1_500));
         let attempt = Attempt { id: self.attempt_count, request, begins_at, ends_at };
         self.engines[engine].in_flight.push(attempt);
--- a/crates/lw-quarantine/tests/one_prompt.rs
+++ b/crates/lw-quarantine/tests/one_prompt.rs
@@ -149,17 +149,49 @@
     }
 }
 
-/// A prompt whose answers went on before may have met failing engines by chance more often.
-#[test]
-fn a_prompt_with_earlier_sound_answers_is_quarantined_later() {
+/// Returns a quarantine after this many crashes with the deadly prompt, one a second, on which answers are sound at these times.
+fn after_crashes_and_answers(crashes: u64, sound_ms: &[u64]) -> Quarantine {
     let mut quarantine = Quarantine::new("vm-0".into());
-    quarantine.record_sound(Duration::from_millis(100), &DEADLY);
-    for n in 1..=7 {
-        let suspects = vec![Suspect { attempt_id: n, segments: DEADLY.to_vec() }];
-        let upstream = format!("engine-{n}");
-        let report = CrashReport { upstream, age: Duration::ZERO, suspects };
-        quarantine.record_report(seconds(n), &format!("vm-{n}"), &report);
+    for n in 0..=crashes {
+        if n > 0 {
+            let suspects = vec![Suspect { attempt_id: n, segments: DEADLY.to_vec() }];
+            let upstream = format!("engine-{n}");
+            let report = CrashReport { upstream, age: Duration::ZERO, suspects };
+            quarantine.record_report(seconds(n), &format!("vm-{n}"), &report);
+        }
+        for sound in sound_ms.iter().filter(|at| **at / 1_000 == n) {
+            quarantine.record_sound(Duration::from_millis(*sound), &DEADLY);
+        }
         quarantine.poll(seconds(n) + Duration::from_millis(900), &HashMap::default(), 0);
-        assert!(quarantine.time_left(seconds(n + 1), &DEADLY).is_none(), "{n} crashes");
+    }
+    quarantine
+}
+
+/// The last segment of a prompt may belong to a session, so that earlier answers on all segments say little of a request.
+#[test]
+fn a_prompt_with_earlier_sound_answers_is_held_after_three_crashes() {
+    for crashes in [3, 4] {
+        let mut quarantine = after_crashes_and_answers(crashes, &[100]);
+        let now = seconds(crashes + 1);
+        assert!(quarantine.time_left(now, &DEADLY).is_none(), "{crashes} crashes");
+        let begun = (0..10).filter(|_| quarantine.try_begin(now, &DEADLY).is_ok()).count();
+        assert_eq!(begun, 1, "{crashes} crashes");
+    }
+}
+
+#[test]
+fn a_prompt_with_earlier_sound_answers_is_quarantined_after_five_crashes() {
+    let quarantine = after_crashes_and_answers(5, &[100]);
+    assert!(quarantine.time_left(seconds(6), &DEADLY).is_some());
+}
+
+/// A prompt whose answers go on may meet failing engines by chance again and again.
+#[test]
+fn a_prompt_with_sound_answers_between_its_crashes_is_neither_held_nor_quarantined() {
+    for crashes in 1..=10 {
+        let mut quarantine = after_crashes_and_answers(crashes, &[100, 2_500, 4_500, 6_500, 8_500]);
+        let now = seconds(crashes + 1);
+        assert!(quarantine.time_left(now, &DEADLY).is_none(), "{crashes} crashes");
+        assert!((0..10).all(|_| quarantine.try_begin(now, &DEADLY).is_ok()), "{crashes} crashes");
     }
 }
