--- a/crates/lw-quarantine/tests/copies.rs
+++ b/crates/lw-quarantine/tests/copies.rs
@@ -24,6 +24,24 @@
     outcome
 }
 
+/// As [`run_and_check`], with the bound for each of two requests.
+fn run_and_check_each(options: &Options) {
+    let outcome = Fleet::run(options.clone());
+    for segment in [DEADLY, DEADLY + 1] {
+        let only = |times: &std::collections::BTreeMap<u64, Vec<_>>| {
+            times.get(&segment).cloned().unwrap_or_default()
+        };
+        let crashes = only(&outcome.crashes);
+        let Some(third) = crashes.get(CRASHES - 1) else { continue };
+        let arrivals = &outcome.arrivals[&segment];
+        let late = arrivals.iter().filter(|(at, _)| *at > *third + ms(REACTION_MS)).count();
+        assert!(
+            late <= LATE_ARRIVALS_MAX,
+            "{late} late arrivals, crashes {crashes:?}, {options:?}"
+        );
+    }
+}
+
 /// One copy every few seconds, up to bursts.
 fn copies() -> impl Strategy<Value = Copies> {
     let rates =
@@ -78,6 +96,28 @@
         run_and_check(&Options { vms, restart_period: Some(ms(period * 10)), ..options });
     }
 
+    /// Guards against copies that are no longer held, since another request that was in flight at the same crashes is blamed.
+    #[test]
+    fn copies_of_two_requests_at_once_reach_no_more_engines(options in fleets()) {
+        run_and_check_each(&Options { has_twin_copies: true, ..options });
+    }
+
+    #[test]
+    fn copies_reach_no_more_engines_while_the_turns_pass_to_vms_that_start(
+        options in fleets(), period in 100_u64..400,
+    ) {
+        let vms = options.vms.max(5);
+        let restart_period = Some(ms(period * 10));
+        run_and_check(&Options { vms, restart_period, are_ranked_by_start: true, ..options });
+    }
+
+    #[test]
+    fn copies_reach_no_more_engines_while_messages_are_slow(
+        options in fleets(), delay in 500_u64..2_500,
+    ) {
+        run_and_check(&Options { delay_max: ms(delay), ..options });
+    }
+
     #[test]
     fn copies_that_wait_at_their_engines_reach_no_more_engines(
         options in fleets(), wait in 1_000_u64..4_000,
--- a/crates/lw-quarantine/tests/fleet_sim/mod.rs
+++ b/crates/lw-quarantine/tests/fleet_sim/mod.rs
@@ -51,6 +51,7 @@
 
 /// Load and faults of one run.
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "each is an option of its own")]
 pub struct Options {
     pub seed: u64,
     pub vms: usize,
@@ -69,6 +70,10 @@
     pub unlucky: Option<Unlucky>,
     /// Whether an answer to a request with the prompt of the copies was sound before, as to one of the same session.
     pub copies_once_sound: bool,
+    /// Whether copies of a second request are sent beside them, with another deadly segment.
+    pub has_twin_copies: bool,
+    /// Whether VMs are ranked by when they started, the latest first, as in the store.
+    pub are_ranked_by_start: bool,
     /// Longest time for which a request waits at its engine.
     pub wait_max: Duration,
     /// First segments that prompts share.
@@ -105,6 +110,8 @@
             copies: None,
             unlucky: None,
             copies_once_sound: false,
+            has_twin_copies: false,
+            are_ranked_by_start: false,
             wait_max: ms(400),
             first_segments: 60,
             has_fixed_first: true,
@@ -308,6 +315,10 @@
         if since.is_some_and(|since| since.as_millis().is_multiple_of(copies.period.as_millis())) {
             let segments = [copies.prefix, vec![DEADLY]].concat();
             (0..copies.burst).for_each(|_| self.receive(segments.clone()));
+            if self.options.has_twin_copies {
+                let segments = [&segments[..segments.len() - 1], &[DEADLY + 1]].concat();
+                (0..copies.burst).for_each(|_| self.receive(segments.clone()));
+            }
         }
     }
 
@@ -466,7 +477,11 @@
         if !is_away && self.rng.u8(..) < 50 {
             self.views[vm] = self.store.clone();
         }
-        let rank = u32::try_from(vm).unwrap();
+        let starts = &self.outcome.starts;
+        let start = |vm: usize| (starts[vm].last().copied(), vm);
+        let later = (0..starts.len()).filter(|other| start(*other) > start(vm)).count();
+        let is_ranked_by_start = self.options.are_ranked_by_start;
+        let rank = u32::try_from(if is_ranked_by_start { later } else { vm }).unwrap();
         for action in self.vms[vm].poll(self.now, &self.views[vm], rank) {
             match action {
                 Action::Store(set, crashes) if !is_away && !self.store.contains_key(&set) => {
