lw-order: the VMs before one are counted only while the lease is free

The count is used only while nobody holds it. No change of behaviour; the tests of lw-order and lw-edge pass.

--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -28,7 +28,6 @@
     let view = edge.store_view();
     let issuer = view.router_item(keys::ISSUER);
     let decode = |item: &RouterItem| serde_json::from_slice::<LastIssuer>(&item.value).ok();
-    let registered = view.vms().filter_map(|(vm, _)| view.registered_at(vm));
     LeaseView {
         latest_era,
         era: view.era(),
@@ -45,10 +44,16 @@
             revision: item.revision,
             read_at: item.read_at,
         }),
-        preceding: preceding_vms(view.registered_at(&edge.settings.vm), registered),
     }
 }
 
+/// Returns the number of VMs that precede this one as issuers.
+pub(super) fn preceding(edge: &Edge) -> usize {
+    let view = edge.store_view();
+    let registered = view.vms().filter_map(|(vm, _)| view.registered_at(vm));
+    preceding_vms(view.registered_at(&edge.settings.vm), registered)
+}
+
 /// Releases the lease of a leaving VM once no order is open. Another VM can then become the issuer at once, and learns
 /// how long it must wait before its first order.
 pub async fn hand_over(edge: &Edge) {
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -128,7 +128,8 @@
         if let Some(fence) = lost {
             log::warn!(target: "order", fence = fence, era = view.latest_era; "lease lost");
         }
-        let is_eligible = edge.orders.tenure().update_eligibility(now, &view);
+        let preceding = || lease::preceding(&edge);
+        let is_eligible = edge.orders.tenure().update_eligibility(now, &view, preceding);
         // The plan and the reports grow with the engines, and only an issuer needs them.
         if is_eligible {
             update_issuer(&edge, now);
--- a/crates/lw-order/src/tenure/mod.rs
+++ b/crates/lw-order/src/tenure/mod.rs
@@ -100,8 +100,6 @@
     pub issuer: IssuerKey,
     /// The record of the last issuer.
     pub record: Option<StoredRecord>,
-    /// Number of VMs that precede this one as issuers, see [`preceding_vms`].
-    pub preceding: usize,
 }
 
 /// Returns the number of VMs that precede one that registered at the revision `own` as issuers. VMs restart one after
@@ -222,14 +220,25 @@
     }
 
     /// Decides whether this VM may hold the lease: it already does, or nobody does and few VMs precede this one. The
-    /// longer the lease is free, the more VMs are eligible, since those that precede may not reach the store.
-    pub fn update_eligibility(&mut self, now: Now, view: &LeaseView) -> bool {
-        let is_eligible = self.is_eligible(now, view);
+    /// longer the lease is free, the more VMs are eligible, since those that precede may not reach the store. `preceding`
+    /// counts these, see [`preceding_vms`]; it is called only while the lease is free.
+    pub fn update_eligibility(
+        &mut self,
+        now: Now,
+        view: &LeaseView,
+        preceding: impl FnOnce() -> usize,
+    ) -> bool {
+        let is_eligible = self.is_eligible(now, view, preceding);
         self.issuer.set_eligible(is_eligible);
         is_eligible
     }
 
-    fn is_eligible(&mut self, now: Now, view: &LeaseView) -> bool {
+    fn is_eligible(
+        &mut self,
+        now: Now,
+        view: &LeaseView,
+        preceding: impl FnOnce() -> usize,
+    ) -> bool {
         // The holder of a lease that the store has lost relies on it for as long as it lasts.
         let is_lease_free = view.is_settled
             || view.has_been_current && view.former_leases_end.is_some_and(|end| now >= end);
@@ -253,7 +262,7 @@
             return false;
         }
         let further = free.as_millis() / CANDIDATE_PERIOD.as_millis();
-        view.preceding < CANDIDATES + usize::try_from(further).unwrap_or(usize::MAX)
+        preceding() < CANDIDATES + usize::try_from(further).unwrap_or(usize::MAX)
     }
 
     /// Returns the calls and orders that are due. Ends the term if its lease has run out.
--- a/crates/lw-order/tests/fleet/vm.rs
+++ b/crates/lw-order/tests/fleet/vm.rs
@@ -218,8 +218,6 @@
     fn lease_view(&self) -> LeaseView {
         let view = self.view.as_ref();
         let content = view.map(|view| &view.content);
-        let revisions = content.map(|content| content.vms.values().map(|(revision, _)| *revision));
-        let own = content.and_then(|content| content.vms.get(&self.number));
         let issuer = content.and_then(|content| content.issuer.as_ref());
         let last_issuer = content.and_then(|content| content.last_issuer.as_ref());
         LeaseView {
@@ -237,18 +235,22 @@
                 revision: item.revision,
                 read_at: ms(view.map_or(0, |view| view.record_read_at)),
             }),
-            preceding: preceding_vms(
-                own.map(|(revision, _)| *revision),
-                revisions.into_iter().flatten(),
-            ),
         }
     }
 
+    fn preceding(&self) -> usize {
+        let content = self.view.as_ref().map(|view| &view.content);
+        let revisions = content.map(|content| content.vms.values().map(|(revision, _)| *revision));
+        let own = content.and_then(|content| content.vms.get(&self.number));
+        preceding_vms(own.map(|(revision, _)| *revision), revisions.into_iter().flatten())
+    }
+
     fn tick(&mut self, now: u64) {
         self.later(TICK_PERIOD, Event::Tick);
         let view = self.lease_view();
         self.tenure.end_lost_term(ms(now), &view);
-        if self.tenure.update_eligibility(ms(now), &view) {
+        let preceding = self.preceding();
+        if self.tenure.update_eligibility(ms(now), &view, || preceding) {
             self.update_issuer(now);
         }
         for action in self.tenure.tick(ms(now)).actions {
