lw-edge: a stream subscribes once to what is given up

The body of a stream took a reference to the VM's state and a new subscription for each chunk, to learn that the process is about to end. It keeps one subscription now. No change of behaviour; the tests of lw-edge pass.

--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -1,6 +1,6 @@
 //! Relays a stream to its caller, and resumes it with another attempt if it breaks.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::Frame;
@@ -67,15 +67,18 @@
     }
 
     pub fn into_body(self) -> AnswerBody {
-        let frames = futures::stream::unfold(Some(self), |relay| async move {
-            let mut relay = relay?;
-            let edge = Arc::clone(&relay.driver.edge);
+        // One subscription for all chunks.
+        let given_up = self.driver.edge.watch_given_up();
+        let frames = futures::stream::unfold(Some((self, given_up)), |state| async move {
+            let (mut relay, mut given_up) = state?;
             let next = tokio::select! {
                 next = relay.next() => next,
-                () = edge.wait_until_given_up(GivenUp::Streams) => Err(relay.give_up()),
+                _ = given_up.wait_for(|given_up| *given_up >= GivenUp::Streams) => {
+                    Err(relay.give_up())
+                }
             };
             match next {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some((relay, given_up)))),
                 Ok(None) => None,
                 Err(e) => {
                     // The HTTP library writes what it has, the head of the answer too, before it polls the body again. It ends
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -432,7 +432,13 @@
     /// Waits until these requests, or more, are given up.
     pub async fn wait_until_given_up(&self, awaited: GivenUp) {
         // The sender lives as long as this.
-        let _ = self.given_up.subscribe().wait_for(|given_up| *given_up >= awaited).await;
+        let _ = self.watch_given_up().wait_for(|given_up| *given_up >= awaited).await;
+    }
+
+    /// Watches which requests are given up.
+    #[must_use]
+    pub fn watch_given_up(&self) -> watch::Receiver<GivenUp> {
+        self.given_up.subscribe()
     }
 
     /// Counts a request as in flight until the guard is dropped.
