lw-edge: tests of answers that do not count share their rows

Five tests stated the same four rows: the request runs elsewhere where it may run again, and fails with 502 otherwise. The rows are the same as before, from one function.

--- a/crates/lw-edge/tests/answers.rs
+++ b/crates/lw-edge/tests/answers.rs
@@ -75,8 +75,23 @@
     .await;
 }
 
+type Row = (&'static str, Behaviour, Expected, usize);
+
+/// Returns what is expected on each kind of route of an answer that does not count as one: the request runs elsewhere if it may run
+/// again.
+fn rows_of_no_answer(raw: RawAnswer) -> [Row; 4] {
+    use Expected::{Complete, Failed};
+    let answer = Behaviour::Raw(Box::new(raw));
+    [
+        (IDEMPOTENT, answer.clone(), Complete, 2),
+        (AT_MOST_ONCE, answer.clone(), Failed(502), 1),
+        (RESUMABLE, answer.clone(), Complete, 2),
+        (NOT_RESUMABLE, answer, Failed(502), 1),
+    ]
+}
+
 /// Sends a request for each row: its path, the fault of the upstream, what the caller must get, and how often it must run.
-async fn check_rows(rows: &[(&'static str, Behaviour, Expected, usize)]) {
+async fn check_rows(rows: &[Row]) {
     use Expected::{Complete, Failed, Incomplete, Refused, Signed};
     let simulation = Simulation::start().await;
     for (row, (path, behaviour, expected, run_count)) in rows.iter().enumerate() {
@@ -144,19 +159,12 @@
 /// this one.
 #[tokio::test]
 async fn an_answer_without_the_request_id_does_not_count() {
-    use Expected::{Complete, Failed};
     let mut rows = Vec::new();
     for status in [200, 304, 400, 404, 500] {
         for (framing, end) in [(Framing::Length, End::Kept), (Framing::None, End::Closed)] {
             let raw =
                 RawAnswer { status, framing, end, id: AnswerId::Missing, ..Default::default() };
-            let answer = Behaviour::Raw(Box::new(raw));
-            rows.extend([
-                (IDEMPOTENT, answer.clone(), Complete, 2),
-                (AT_MOST_ONCE, answer.clone(), Failed(502), 1),
-                (RESUMABLE, answer.clone(), Complete, 2),
-                (NOT_RESUMABLE, answer, Failed(502), 1),
-            ]);
+            rows.extend(rows_of_no_answer(raw));
         }
     }
     check_rows(&rows).await;
@@ -165,32 +173,17 @@
 /// Guards against a switch to another protocol, which no caller asked for, that is relayed as the answer to a request.
 #[tokio::test]
 async fn a_switch_of_protocols_is_no_answer() {
-    use Expected::{Complete, Failed};
-    let switch = Behaviour::Raw(Box::new(RawAnswer { status: 101, ..Default::default() }));
-    check_rows(&[
-        (IDEMPOTENT, switch.clone(), Complete, 2),
-        (AT_MOST_ONCE, switch.clone(), Failed(502), 1),
-        (RESUMABLE, switch.clone(), Complete, 2),
-        (NOT_RESUMABLE, switch, Failed(502), 1),
-    ])
-    .await;
+    check_rows(&rows_of_no_answer(RawAnswer { status: 101, ..Default::default() })).await;
 }
 
 /// Guards against a success that reaches its caller without the authentication code or the id, since the upstream names that
 /// header as one for its connection only.
 #[tokio::test]
 async fn an_answer_whose_authentication_code_is_not_relayed_does_not_count() {
-    use Expected::{Complete, Failed};
     let mut rows = Vec::new();
     for name in ["X-Response-Seal", "keep-alive, x-attempt-id"] {
         let raw = RawAnswer { lines: format!("Connection: {name}\r\n"), ..Default::default() };
-        let answer = Behaviour::Raw(Box::new(raw));
-        rows.extend([
-            (IDEMPOTENT, answer.clone(), Complete, 2),
-            (AT_MOST_ONCE, answer.clone(), Failed(502), 1),
-            (RESUMABLE, answer.clone(), Complete, 2),
-            (NOT_RESUMABLE, answer, Failed(502), 1),
-        ]);
+        rows.extend(rows_of_no_answer(raw));
     }
     check_rows(&rows).await;
 }
@@ -198,16 +191,8 @@
 /// Guards against an encoded body that reaches its caller without the header which says so.
 #[tokio::test]
 async fn an_answer_with_a_transfer_encoding_besides_chunks_does_not_count() {
-    use Expected::{Complete, Failed};
     let framing = Framing::ChunkedWith("transfer-encoding: gzip, chunked\r\n");
-    let answer = Behaviour::Raw(Box::new(RawAnswer { framing, ..Default::default() }));
-    check_rows(&[
-        (IDEMPOTENT, answer.clone(), Complete, 2),
-        (AT_MOST_ONCE, answer.clone(), Failed(502), 1),
-        (RESUMABLE, answer.clone(), Complete, 2),
-        (NOT_RESUMABLE, answer, Failed(502), 1),
-    ])
-    .await;
+    check_rows(&rows_of_no_answer(RawAnswer { framing, ..Default::default() })).await;
 }
 
 /// Guards against a length that callers cannot read, since the upstream stated it as a list.
@@ -229,17 +214,10 @@
 /// Guards against an answer to another request that is relayed since it has the id of this one as well.
 #[tokio::test]
 async fn an_answer_with_two_request_ids_does_not_count() {
-    use Expected::{Complete, Failed};
     let mut rows = Vec::new();
     for status in [200, 404] {
         let raw = RawAnswer { status, id: AnswerId::Two, ..Default::default() };
-        let answer = Behaviour::Raw(Box::new(raw));
-        rows.extend([
-            (IDEMPOTENT, answer.clone(), Complete, 2),
-            (AT_MOST_ONCE, answer.clone(), Failed(502), 1),
-            (RESUMABLE, answer.clone(), Complete, 2),
-            (NOT_RESUMABLE, answer, Failed(502), 1),
-        ]);
+        rows.extend(rows_of_no_answer(raw));
     }
     check_rows(&rows).await;
 }
