lw-edge: tests share how engines and a second VM are added and silence is reported

stalls.rs, returns.rs and deadly_copies.rs each added engines, five files started a second VM and four reported an engine as unresponsive in the same way. Simulation::add_engines, Simulation::start_second and report_silence of the common module serve all.

--- a/crates/lw-edge/tests/blamed_in_flight.rs
+++ b/crates/lw-edge/tests/blamed_in_flight.rs
@@ -3,10 +3,7 @@
 mod common;
 
 use common::{Simulation, ms, request};
-use lw_edge::{
-    peers::{self, Announcement},
-    run::Vm,
-};
+use lw_edge::peers::{self, Announcement};
 use lw_quarantine::{Basis, SegmentSet};
 use lw_standin::hosted::upstream::Behaviour;
 
@@ -14,9 +11,7 @@
 /// the same prompt was sound.
 async fn status_after_announcement(segments: &[u64]) -> Option<u16> {
     let simulation = Simulation::start().await;
-    let second = Vm::start(simulation.further_settings("vm-2"), simulation.logs.clone()).await;
-    let second = second.unwrap();
-    simulation.wait_until_joined(&second).await;
+    let second = simulation.start_second().await;
     let sound = simulation.send(&request("sound", "/long/x")).await.expect("an answer");
     assert_eq!(sound.status, 200);
     simulation.faults.push(Behaviour::Slow(ms(600)));
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -9,7 +9,11 @@
 };
 
 use lw_catalog::{VmSettings, settings::Bounds};
-use lw_edge::{run::Vm, state::Edge};
+use lw_edge::{
+    peers::{self, Notice},
+    run::Vm,
+    state::Edge,
+};
 use lw_observe::logs::{Logs, Options};
 use lw_standin::{
     hosted::{
@@ -126,6 +130,29 @@
         simulation
     }
 
+    /// Adds engines until there are `count`, and waits until the VM knows them.
+    pub async fn add_engines(&mut self, count: usize) {
+        for n in self.engines.len() + 1..=count {
+            let engine = Upstream::start(&format!("engine-{n}")).await.unwrap();
+            let entry = engine.registry_entry("llm", "kochi-a");
+            self.store.put(&format!("servers/{}", engine.id), &entry);
+            engine.set_queue(&self.faults);
+            self.engines.push(engine);
+        }
+        let is_known = async |simulation: &Self| {
+            let vm = simulation.vm.as_ref().expect("the VM runs");
+            vm.edge.store_view().directory.iter().count() == count + simulation.servers.len()
+        };
+        self.wait_until("all engines are known", is_known).await;
+    }
+
+    /// Starts a second VM, which sends messages to the first.
+    pub async fn start_second(&self) -> Vm {
+        let second = Vm::start(self.further_settings("vm-2"), self.logs.clone()).await.unwrap();
+        self.wait_until_joined(&second).await;
+        second
+    }
+
     /// Returns the engine that received a request first.
     pub fn engine_of(&self, id: &str) -> &Upstream {
         let received = |engine: &&Upstream| {
@@ -241,3 +268,8 @@
         .store
         .put(&format!("op/version/{MODEL}"), &json!({ "Model": MODEL, "Version": version }));
 }
+
+/// Lets a VM report an engine as unresponsive to the others.
+pub fn report_silence(vm: &Vm, engine: &str) {
+    peers::broadcast(&vm.edge, Notice::Unresponsive { upstream: engine.to_owned(), ms: 500 });
+}
--- a/crates/lw-edge/tests/deadly_copies.rs
+++ b/crates/lw-edge/tests/deadly_copies.rs
@@ -58,10 +58,7 @@
 async fn start_engines(failure_domain: &str, count: usize) -> Simulation {
     let mut simulation =
         Simulation::start_with_routes(|route| route["TimeoutMs"] = 6_000.into()).await;
-    for n in 3..=count {
-        let engine = Upstream::start(&format!("engine-{n}")).await.unwrap();
-        simulation.engines.push(engine);
-    }
+    simulation.add_engines(count).await;
     for engine in &simulation.engines {
         let entry = engine.registry_entry("llm", failure_domain);
         simulation.store.put(&format!("servers/{}", engine.id), &entry);
--- a/crates/lw-edge/tests/returns.rs
+++ b/crates/lw-edge/tests/returns.rs
@@ -5,12 +5,8 @@
 
 use std::time::Duration;
 
-use common::{CallerRequest, Simulation, ms, request};
-use lw_edge::{
-    peers::{self, Notice},
-    run::Vm,
-    state::Edge,
-};
+use common::{CallerRequest, Simulation, ms, report_silence, request};
+use lw_edge::{run::Vm, state::Edge};
 use lw_limit::upstream::{Evidence, Origin};
 use lw_place::{LimitReport, UpstreamPool};
 use lw_standin::hosted::upstream::{Behaviour, Upstream};
@@ -34,21 +30,8 @@
         route["MaxAttempts"] = attempts.into();
     })
     .await;
-    for n in 3..=engines {
-        let engine = Upstream::start(&format!("engine-{n}")).await.unwrap();
-        let entry = engine.registry_entry("llm", "kochi-a");
-        simulation.store.put(&format!("servers/{}", engine.id), &entry);
-        engine.set_queue(&simulation.faults);
-        simulation.engines.push(engine);
-    }
-    let settings = simulation.further_settings("vm-2");
-    let second = Vm::start(settings, simulation.logs.clone()).await.unwrap();
-    simulation.wait_until_joined(&second).await;
-    let is_known = async |simulation: &Simulation| {
-        let vm = simulation.vm.as_ref().expect("the VM runs");
-        vm.edge.store_view().directory.iter().count() == engines + 2
-    };
-    simulation.wait_until("all engines are known", is_known).await;
+    simulation.add_engines(engines).await;
+    let second = simulation.start_second().await;
     tokio::time::sleep(ms(1_500)).await;
     (simulation, second)
 }
@@ -57,11 +40,6 @@
     CallerRequest { deadline_ms: 6_000, ..request(id, "/long/x") }
 }
 
-fn report_silence(second: &Vm, upstream: &str) {
-    let notice = Notice::Unresponsive { upstream: upstream.to_owned(), ms: 500 };
-    peers::broadcast(&second.edge, notice);
-}
-
 /// Lets a stream leave its silent engine for one that refuses it late, and applies `change` to the VM's view of the silent one
 /// in between. Returns how often the silent one received the request.
 async fn count_requests(id: &str, change: impl Fn(&Edge, &Upstream)) -> usize {
--- a/crates/lw-edge/tests/silence.rs
+++ b/crates/lw-edge/tests/silence.rs
@@ -4,11 +4,7 @@
 
 use std::time::Instant;
 
-use common::{CallerRequest, Reply, Simulation, ms, request};
-use lw_edge::{
-    peers::{self, Notice},
-    run::Vm,
-};
+use common::{CallerRequest, Reply, Simulation, ms, report_silence, request};
 use lw_standin::hosted::upstream::{Behaviour, STREAM_EVENTS, event};
 
 /// Pause before each event of a stream.
@@ -108,9 +104,7 @@
 #[tokio::test]
 async fn a_silent_engine_is_left_within_400_ms_of_the_next_attempt() {
     let simulation = start().await;
-    let second = Vm::start(simulation.further_settings("vm-2"), simulation.logs.clone()).await;
-    let second = second.unwrap();
-    simulation.wait_until_joined(&second).await;
+    let second = simulation.start_second().await;
     for (id, other) in [("slow", Behaviour::Slow(ms(1_500))), ("quick", Behaviour::Normal)] {
         let may_take_over = async |simulation: &Simulation| {
             let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
@@ -125,8 +119,7 @@
         let check = async {
             tokio::time::sleep(ms(300)).await;
             let first = simulation.engine_of(id);
-            let upstream = first.id.clone();
-            peers::broadcast(&second.edge, Notice::Unresponsive { upstream, ms: 500 });
+            report_silence(&second, &first.id);
             let is_sent_again = async |simulation: &Simulation| simulation.run_count(id) == 2;
             simulation.wait_until("another engine is asked", is_sent_again).await;
             tokio::time::sleep(ms(380)).await;
--- a/crates/lw-edge/tests/stalls.rs
+++ b/crates/lw-edge/tests/stalls.rs
@@ -2,11 +2,7 @@
 
 mod common;
 
-use common::{CallerRequest, Simulation, ms, request};
-use lw_edge::{
-    peers::{self, Notice},
-    run::Vm,
-};
+use common::{CallerRequest, Simulation, ms, report_silence, request};
 use lw_standin::hosted::{
     caller::Caller,
     upstream::{Behaviour, STREAM_EVENTS, Upstream, event},
@@ -30,18 +26,7 @@
 
 /// Adds engines until there are eight.
 async fn add_engines(simulation: &mut Simulation) {
-    for n in 3..=8 {
-        let engine = Upstream::start(&format!("engine-{n}")).await.unwrap();
-        let entry = engine.registry_entry("llm", "kochi-a");
-        simulation.store.put(&format!("servers/{}", engine.id), &entry);
-        engine.set_queue(&simulation.faults);
-        simulation.engines.push(engine);
-    }
-    let is_known = async |simulation: &Simulation| {
-        let vm = simulation.vm.as_ref().expect("the VM runs");
-        vm.edge.store_view().directory.iter().count() == 10
-    };
-    simulation.wait_until("all engines are known", is_known).await;
+    simulation.add_engines(8).await;
     // The calls for the cache events of all engines have begun by then.
     tokio::time::sleep(ms(1_500)).await;
 }
@@ -53,19 +38,6 @@
     req
 }
 
-/// Starts a second VM, which sends messages to the first.
-async fn start_second(simulation: &Simulation) -> Vm {
-    let settings = simulation.further_settings("vm-2");
-    let second = Vm::start(settings, simulation.logs.clone()).await.unwrap();
-    simulation.wait_until_joined(&second).await;
-    second
-}
-
-/// Lets the second VM report an engine as unresponsive.
-fn report(second: &Vm, engine: &Upstream) {
-    peers::broadcast(&second.edge, Notice::Unresponsive { upstream: engine.id.clone(), ms: 500 });
-}
-
 /// Sends requests with a common segment, one each 10 ms, and returns the ids and statuses of those without a whole answer.
 async fn send_with_common_segment(simulation: &Simulation) -> Vec<(String, u16)> {
     let send = async |n: u64| {
@@ -128,7 +100,7 @@
 #[tokio::test]
 async fn a_stream_of_a_dead_engine_goes_on_after_refusals() {
     let mut simulation = start().await;
-    let _second = start_second(&simulation).await;
+    let _second = simulation.start_second().await;
     add_engines(&mut simulation).await;
     for engine in &simulation.engines {
         engine.set_behaviour(Behaviour::DelayedEvents(ms(250)));
@@ -154,7 +126,7 @@
 #[tokio::test]
 async fn a_stream_stays_at_its_silent_engine_while_another_one_cannot_be_reached() {
     let simulation = start().await;
-    let second = start_second(&simulation).await;
+    let second = simulation.start_second().await;
     for engine in &simulation.engines {
         engine.set_behaviour(Behaviour::DelayedEvents(ms(900)));
     }
@@ -181,7 +153,7 @@
         entry["Address"] = addr.to_string().into();
         simulation.store.put(&format!("servers/{}", other.id), &entry);
         tokio::time::sleep(ms(150)).await;
-        report(&second, first);
+        report_silence(&second, &first.id);
     };
     let requests = futures::future::join_all((0..16).map(send));
     let (cut, ()) = tokio::join!(requests, unreachable);
@@ -193,14 +165,14 @@
 #[tokio::test]
 async fn both_attempts_end_when_the_caller_leaves() {
     let simulation = start().await;
-    let second = start_second(&simulation).await;
+    let second = simulation.start_second().await;
     let id = "left";
     simulation.faults.push(Behaviour::DelayedEvents(ms(500)));
     simulation.faults.push(Behaviour::NoAnswer);
     let mut caller = Caller::connect(simulation.settings.callers).await.unwrap();
     caller.send(&long_request(id, "a1:1000,b2:200")).await;
     tokio::time::sleep(ms(850)).await;
-    report(&second, simulation.engine_of(id));
+    report_silence(&second, &simulation.engine_of(id).id);
     let is_sent_again = async |simulation: &Simulation| simulation.run_count(id) == 2;
     simulation.wait_until("another engine is asked", is_sent_again).await;
     drop(caller);
@@ -216,14 +188,14 @@
 #[tokio::test]
 async fn an_engine_that_fell_silent_in_a_stream_is_left_within_400_ms() {
     let simulation = start().await;
-    let second = start_second(&simulation).await;
+    let second = simulation.start_second().await;
     let id = "silent-within";
     simulation.faults.push(Behaviour::DelayedEvents(ms(1_400)));
     simulation.faults.push(Behaviour::Slow(ms(1_500)));
     let check = async {
         tokio::time::sleep(ms(1_900)).await;
         let first = simulation.engine_of(id);
-        report(&second, first);
+        report_silence(&second, &first.id);
         let is_sent_again = async |simulation: &Simulation| simulation.run_count(id) == 2;
         simulation.wait_until("another engine is asked", is_sent_again).await;
         tokio::time::sleep(ms(370)).await;
@@ -240,7 +212,7 @@
 #[tokio::test]
 async fn a_failed_answer_does_not_replace_a_silent_one() {
     let simulation = start().await;
-    let second = start_second(&simulation).await;
+    let second = simulation.start_second().await;
     for (id, behaviour) in
         [("head", Behaviour::Slow(ms(900))), ("events", Behaviour::DelayedEvents(ms(700)))]
     {
@@ -248,7 +220,7 @@
         simulation.faults.push(Behaviour::Status(500));
         let check = async {
             tokio::time::sleep(ms(400)).await;
-            report(&second, simulation.engine_of(id));
+            report_silence(&second, &simulation.engine_of(id).id);
         };
         let req = long_request(id, "a1:1000,b2:200");
         let (reply, ()) = tokio::join!(simulation.send(&req), check);
@@ -263,13 +235,13 @@
 #[tokio::test]
 async fn a_stream_stays_at_its_silent_engine_while_another_one_refuses_it_late() {
     let simulation = start().await;
-    let second = start_second(&simulation).await;
+    let second = simulation.start_second().await;
     let id = "refused-late";
     simulation.faults.push(Behaviour::DelayedEvents(ms(900)));
     simulation.faults.push(Behaviour::RejectAfter(ms(400)));
     let check = async {
         tokio::time::sleep(ms(1_300)).await;
-        report(&second, simulation.engine_of(id));
+        report_silence(&second, &simulation.engine_of(id).id);
     };
     let req = long_request(id, "a1:1000,b2:200");
     let (reply, ()) = tokio::join!(simulation.send(&req), check);
--- a/crates/lw-edge/tests/streams.rs
+++ b/crates/lw-edge/tests/streams.rs
@@ -5,11 +5,7 @@
 
 use std::time::Instant;
 
-use common::{Simulation, ms, request};
-use lw_edge::{
-    peers::{self, Notice},
-    run::Vm,
-};
+use common::{Simulation, ms, report_silence, request};
 use lw_standin::hosted::upstream::{Behaviour, STREAM_EVENTS, Upstream, event};
 
 /// Deadline of the requests of the tests.
@@ -147,9 +143,7 @@
 #[tokio::test]
 async fn a_report_of_another_vm_cuts_only_silent_answers() {
     let simulation = Simulation::start().await;
-    let second = Vm::start(simulation.further_settings("vm-2"), simulation.logs.clone()).await;
-    let second = second.unwrap();
-    simulation.wait_until_joined(&second).await;
+    let second = simulation.start_second().await;
     for (id, behaviour, runs) in
         [("sound", Behaviour::DelayedEvents(ms(150)), 1), ("silent", Behaviour::NoAnswer, 2)]
     {
@@ -161,8 +155,8 @@
             let engine = |engine: &&Upstream| {
                 engine.received().iter().any(|got| got.request.header("x-attempt-id") == Some(id))
             };
-            let upstream = simulation.engines.iter().find(engine).expect("it runs").id.clone();
-            peers::broadcast(&second.edge, Notice::Unresponsive { upstream, ms: 500 });
+            let upstream = simulation.engines.iter().find(engine).expect("it runs");
+            report_silence(&second, &upstream.id);
         };
         let (reply, ()) = tokio::join!(stream, report);
         let reply = reply.expect("an answer");
