--- a/crates/lw-quarantine/src/culprits.rs
+++ b/crates/lw-quarantine/src/culprits.rs
@@ -54,7 +54,7 @@
 pub struct Findings {
     /// Segments that explain crashes, those that explain most first.
     pub culprits: Vec<Culprit>,
-    /// Prompts without a sound answer that were at several crashes as a whole.
+    /// Prompts that were at several crashes as a whole since answers on all their segments were sound.
     pub repeated: BTreeMap<Vec<SegmentId>, Repeated>,
 }
 
--- a/crates/lw-quarantine/src/quarantine/held.rs
+++ b/crates/lw-quarantine/src/quarantine/held.rs
@@ -110,8 +110,8 @@
 }
 
 impl Quarantine {
-    /// Claims an attempt at a request with this prompt. A prompt that was at several crashes and has no sound answer is sent
-    /// by few VMs, one copy at a time.
+    /// Claims an attempt at a request with this prompt. A prompt that was at several crashes since its last sound answer is sent
+    /// by each VM once at first, then by few VMs, one copy at a time.
     ///
     /// # Errors
     ///
