lw-soak: upstreams leave with the state that the platform names

Traced in the log of vm-1: "unusable entry of an upstream ... unknown variant `leaving`, expected `ready` or `draining`". The soak wrote a state that the platform does not have. Since entries are decoded as a whole or not at all, VMs kept the entry before, and went on to use the upstream. So the soak has not tested upstreams that leave since then, except for requests that other faults excuse.

Now the entry is written in one place, which derives the state from whether the upstream leaves; the three copies of that choice go.

--- a/crates/lw-soak/src/run/faults.rs
+++ b/crates/lw-soak/src/run/faults.rs
@@ -101,7 +101,7 @@
         self.write_config(&mut operators);
         self.set_target_version(operators.target_version);
         for n in 0..self.upstreams.len() {
-            self.register_upstream(n, if operators.is_leaving[n] { "leaving" } else { "ready" });
+            self.register_upstream(n, &operators);
         }
     }
 
@@ -126,19 +126,19 @@
 
     /// Registers an upstream as leaving, and as ready again later. Does nothing while it is leaving.
     async fn mark_leaving(&self, n: usize, duration: Duration) {
-        if std::mem::replace(&mut lock(&self.operators).is_leaving[n], true) {
-            return;
-        }
         let from = Instant::now();
         {
-            let _operators = lock(&self.operators);
-            self.register_upstream(n, "leaving");
+            let mut operators = lock(&self.operators);
+            if std::mem::replace(&mut operators.is_leaving[n], true) {
+                return;
+            }
+            self.register_upstream(n, &operators);
         }
         sleep(LEAVING_TIME_MAX + duration).await;
         let mut operators = lock(&self.operators);
         operators.is_leaving[n] = false;
         operators.leaving.push((n, from, Instant::now()));
-        self.register_upstream(n, "ready");
+        self.register_upstream(n, &operators);
     }
 
     /// Revokes the other workspace's key and restores it later. Does nothing while it is revoked.
--- a/crates/lw-soak/src/run/mod.rs
+++ b/crates/lw-soak/src/run/mod.rs
@@ -164,10 +164,7 @@
             let version = deployment.upstreams[n].version();
             if std::mem::replace(registered_version, version) != version {
                 let operators = lock(&deployment.operators);
-                deployment.register_upstream(
-                    n,
-                    if operators.is_leaving[n] { "leaving" } else { "ready" },
-                );
+                deployment.register_upstream(n, &operators);
             }
         }
     }
@@ -230,7 +227,7 @@
         };
         deployment.set_target_version(1);
         for n in 0..deployment.upstreams.len() {
-            deployment.register_upstream(n, "ready");
+            deployment.register_upstream(n, &lock(&deployment.operators));
         }
         for vm in &deployment.vms {
             vm.start().await?;
@@ -239,11 +236,12 @@
     }
 
     /// Writes the registry entry of an upstream, with the address of its proxy.
-    fn register_upstream(&self, n: usize, state: &str) {
+    fn register_upstream(&self, n: usize, operators: &OperatorState) {
         let service = if n < self.engines { "llm" } else { "desk" };
         let upstream = &self.upstreams[n];
         let mut entry = upstream.registry_entry(service, DOMAINS[n % DOMAINS.len()]);
         entry["Address"] = Value::from(self.upstream_paths[n].addr.to_string());
+        let state = if operators.is_leaving[n] { "draining" } else { "ready" };
         entry["State"] = Value::from(state);
         self.store.put(&format!("servers/{}", upstream.id), &entry);
     }
