lw-place: all KV cache stores of a configuration are used

Cause: of several KV cache stores only the first by name was used, so that a third of the memory was available where a configuration names three stores. Change: each prompt has one store, by rendezvous hashing of its last shared segment; requests fetch from any store.

--- a/crates/lw-catalog/src/routes/lookup.rs
+++ b/crates/lw-catalog/src/routes/lookup.rs
@@ -67,12 +67,11 @@
         self.services.values()
     }
 
-    /// Returns the KV cache store, if there is one.
-    #[must_use]
-    pub fn cache_store(&self) -> Option<&Arc<Service>> {
+    /// Returns the KV cache stores.
+    pub fn cache_stores(&self) -> impl Iterator<Item = &Arc<Service>> {
         let is_store =
             |service: &&Arc<Service>| matches!(service.kind, ServiceKind::CacheStore { .. });
-        self.services.values().filter(is_store).min_by(|a, b| a.name.cmp(&b.name))
+        self.services.values().filter(is_store)
     }
 
     /// Whether requests need a key on routes that are not anonymous.
--- a/crates/lw-edge/src/feeds/mod.rs
+++ b/crates/lw-edge/src/feeds/mod.rs
@@ -1,4 +1,4 @@
-//! Feeds of cache events from engines and from the KV cache store. A failed call for events also shows early that an
+//! Feeds of cache events from engines and from KV cache stores. A failed call for events also shows early that an
 //! engine is unresponsive.
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -53,7 +53,7 @@
     }
 }
 
-/// Returns those engines of this failure domain, and the KV cache store, that this VM is to follow.
+/// Returns those engines of this failure domain, and those KV cache stores, that this VM is to follow.
 fn holders(edge: &Edge) -> Vec<Holder> {
     let view = edge.store_view();
     let Some(catalog) = view.catalog() else { return Vec::new() };
@@ -67,11 +67,11 @@
         service: upstream.service.clone(),
         addr: upstream.addr,
     });
-    let store = catalog.cache_store().and_then(|service| match service.kind {
+    let stores = catalog.cache_stores().filter_map(|service| match service.kind {
         ServiceKind::CacheStore { addr, .. } => Some(Holder::Store { addr }),
         _ => None,
     });
-    let mut holders: Vec<_> = engines.chain(store).collect();
+    let mut holders: Vec<_> = engines.chain(stores).collect();
     holders.retain(|holder| followers_before(edge, &view, holder) < FOLLOWERS_MAX);
     holders
 }
@@ -174,10 +174,10 @@
         Holder::Engine { id, service, .. } => {
             edge.with_upstream_pool(service, |pool| pool.apply_cache_page(now, id, page));
         }
-        Holder::Store { .. } => {
+        Holder::Store { addr } => {
             edge.upstream_pools()
                 .values_mut()
-                .for_each(|pool| pool.apply_store_cache_page(now, page));
+                .for_each(|pool| pool.apply_store_cache_page(now, *addr, page));
         }
     }
 }
@@ -188,9 +188,10 @@
             let ms = u64::try_from(UNRESPONSIVE_TIME.as_millis()).unwrap_or(u64::MAX);
             peers::broadcast(edge, Notice::Unresponsive { upstream: id.clone(), ms });
         }
-        Holder::Store { .. } => {
+        Holder::Store { addr } => {
             let until = edge.timer.now() + UNRESPONSIVE_TIME;
-            edge.upstream_pools().values_mut().for_each(|pool| pool.on_store_failure(until));
+            let mut pools = edge.upstream_pools();
+            pools.values_mut().for_each(|pool| pool.on_store_failure(*addr, until));
         }
     }
 }
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -21,7 +21,7 @@
     logs::Logs,
     metrics::{Metrics, StoreCallLabels},
 };
-use lw_place::UpstreamPool;
+use lw_place::{CacheStoreSpec, UpstreamPool};
 use lw_platform::{
     engine::EngineClient,
     store::{self, Store},
@@ -298,17 +298,15 @@
         }
         let Some(catalog) = view.catalog() else { return };
         log::info!(target: "config", config = catalog.version; "configuration in force");
-        let store = catalog.cache_store().map(|store| &store.kind);
+        let stores: Vec<_> =
+            catalog.cache_stores().filter_map(|service| cache_store(&service.kind)).collect();
         let mut pools = self.upstream_pools();
         for service in catalog.services() {
             let pool = pools
                 .entry(service.name.clone())
                 .or_insert_with(|| UpstreamPool::new(self.settings.failure_domain.clone()));
             pool.configure(service.engines().cloned());
-            if let Some(ServiceKind::CacheStore { addr, failure_domain, tokens, link_bits }) = store
-            {
-                pool.set_cache_store(*addr, failure_domain, *tokens, *link_bits);
-            }
+            pool.set_cache_stores(stores.iter().cloned());
             for (model, target) in view.target_versions() {
                 pool.set_target_version(target.since, model, target.version);
             }
@@ -468,3 +466,18 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// Returns the specification of a KV cache store for placement.
+fn cache_store(kind: &ServiceKind) -> Option<CacheStoreSpec> {
+    match kind {
+        ServiceKind::CacheStore { addr, failure_domain, tokens, link_bits } => {
+            Some(CacheStoreSpec {
+                addr: *addr,
+                failure_domain: failure_domain.clone(),
+                tokens: *tokens,
+                link_bits: *link_bits,
+            })
+        }
+        ServiceKind::Plain | ServiceKind::Engines(_) => None,
+    }
+}
--- a/crates/lw-place/src/lib.rs
+++ b/crates/lw-place/src/lib.rs
@@ -11,7 +11,7 @@
 pub use cache::{CacheChange, CachePage, CacheView};
 pub use load::Load;
 pub use pool::{
-    AnnouncedAttempt, AttemptId, Candidate, Ended, Fleet, LimitReport, Placement, PlacementRequest,
-    Refusal, TurnRequest, UpstreamPool,
+    AnnouncedAttempt, AttemptId, CacheStoreSpec, Candidate, Ended, Fleet, LimitReport, Placement,
+    PlacementRequest, Refusal, TurnRequest, UpstreamPool,
 };
 pub use prompt::{CacheScope, Prompt, RANK_MAX, Segment, salt};
--- a/crates/lw-place/src/pool/in_flight.rs
+++ b/crates/lw-place/src/pool/in_flight.rs
@@ -36,7 +36,7 @@
     pub segments: Vec<(SegmentKey, u64)>,
     /// Time until the segments that the engine fetches are there.
     pub fetch_time: Duration,
-    /// Whether the engine sends the segments to the KV cache store.
+    /// Whether the engine sends the segments to a KV cache store.
     pub is_saved: bool,
 }
 
@@ -104,9 +104,9 @@
             state.link_free_at = state.link_free_at.max(attempt.fetched_at);
         }
         state.in_flight.insert((vm, sent.attempt_id), attempt);
-        if let Some(store) = self.store.as_mut().filter(|_| sent.is_saved) {
+        if let Some(home) = self.home_store(&sent.segments).filter(|_| sent.is_saved) {
             for (key, tokens) in &sent.segments {
-                store.view.insert(now, *key, *tokens, false);
+                self.stores[home].view.insert(now, *key, *tokens, false);
             }
         }
     }
@@ -136,7 +136,7 @@
         for (key, tokens) in &attempt.segments {
             state.cache.insert(now, *key, *tokens, true);
         }
-        if let Some(store) = &mut self.store {
+        for store in &mut self.stores {
             store.mark_saved(now, &attempt.segments);
         }
     }
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -24,6 +24,7 @@
 use limit::Unserved;
 pub use limit::{Fleet, LimitReport, TurnRequest};
 use source::CacheStore;
+pub use source::CacheStoreSpec;
 use upstream_state::UpstreamState;
 
 /// Number of an attempt, unique at the VM that sends it.
@@ -131,7 +132,7 @@
 pub struct UpstreamPool {
     failure_domain: Domain,
     spec: Option<EngineSpec>,
-    store: Option<CacheStore>,
+    stores: Vec<CacheStore>,
     upstreams: HashMap<UpstreamId, UpstreamState>,
     /// Limits that upstreams name. They outlast the entry of an upstream, which may expire while it runs.
     limits: HashMap<UpstreamId, RunLimit>,
@@ -149,7 +150,7 @@
         Self {
             failure_domain,
             spec: None,
-            store: None,
+            stores: Vec::new(),
             upstreams: HashMap::new(),
             limits: HashMap::new(),
             unserved: Unserved::default(),
--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -145,7 +145,7 @@
             let uncached_tokens = prompt
                 .shared_tokens()
                 .saturating_sub(placement.cached_tokens + placement.fetched_tokens);
-            placement.save_to = self.save_to(now, uncached_tokens);
+            placement.save_to = self.save_to(now, &lookup.keys, uncached_tokens);
             placement.salt = Some(lookup.salt.clone());
         }
         let prefill_tokens =
--- a/crates/lw-place/src/pool/source.rs
+++ b/crates/lw-place/src/pool/source.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lw_types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{UpstreamPool, UpstreamState, upstream_state::as_f64};
 use crate::{CacheView, cache::SegmentKey};
@@ -17,13 +18,23 @@
 /// Engines start no transfer that waits longer than this.
 const TRANSFER_MAX_WAIT: Duration = Duration::from_millis(1500);
 
-/// The KV cache store behind the engines.
-#[derive(Debug)]
-pub(super) struct CacheStore {
+/// A KV cache store behind the engines, as the configuration names it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CacheStoreSpec {
+    /// Address.
     pub addr: SocketAddr,
+    /// Failure domain.
     pub failure_domain: Domain,
+    /// Capacity in tokens.
+    pub tokens: u64,
     /// Speed of its link, in bits per second.
     pub link_bits: f64,
+}
+
+/// A KV cache store and its view.
+#[derive(Debug)]
+pub(super) struct CacheStore {
+    pub spec: CacheStoreSpec,
     pub view: CacheView,
     /// When all recorded transfers over its link are complete.
     pub link_free_at: Now,
@@ -32,6 +43,15 @@
 }
 
 impl CacheStore {
+    fn new(spec: CacheStoreSpec) -> Self {
+        Self {
+            view: CacheView::new(spec.tokens),
+            spec,
+            link_free_at: Now::ZERO,
+            unavailable_until: Now::ZERO,
+        }
+    }
+
     /// Marks segments that were being sent to the store as complete.
     pub fn mark_saved(&mut self, now: Now, segments: &[(SegmentKey, u64)]) {
         for (key, tokens) in segments {
@@ -42,10 +62,10 @@
     }
 }
 
-/// An engine or the store, which has cached leading segments of a prompt.
+/// An engine or a store, which has cached leading segments of a prompt.
 #[derive(Debug)]
 pub(super) struct Source<'a> {
-    /// Id of the engine; `None` for the KV cache store.
+    /// Id of the engine; `None` for a KV cache store.
     engine: Option<&'a str>,
     addr: SocketAddr,
     failure_domain: &'a Domain,
@@ -66,46 +86,54 @@
 }
 
 impl UpstreamPool {
-    /// Sets the KV cache store that the configuration names. The speed of its link is in bits per second.
-    pub fn set_cache_store(
-        &mut self,
-        addr: SocketAddr,
-        failure_domain: &str,
-        capacity_tokens: u64,
-        link_bits: f64,
-    ) {
-        if self.store.as_ref().is_some_and(|store| store.addr == addr) {
-            return;
+    /// Sets the KV cache stores that the configuration names. One that stays keeps its view.
+    pub fn set_cache_stores(&mut self, specs: impl IntoIterator<Item = CacheStoreSpec>) {
+        let mut former = std::mem::take(&mut self.stores);
+        for spec in specs {
+            let known = former.iter().position(|store| store.spec == spec);
+            let store = known.map(|index| former.swap_remove(index));
+            self.stores.push(store.unwrap_or_else(|| CacheStore::new(spec)));
         }
-        self.store = Some(CacheStore {
-            addr,
-            failure_domain: failure_domain.to_owned(),
-            link_bits,
-            view: CacheView::new(capacity_tokens),
-            link_free_at: Now::ZERO,
-            unavailable_until: Now::ZERO,
-        });
     }
 
-    /// Applies changes of the KV cache store, which shows that it answers.
-    pub fn apply_store_cache_page(&mut self, now: Now, page: &crate::CachePage) {
-        if let Some(store) = &mut self.store {
+    /// Applies changes of the KV cache store at `addr`, which shows that it answers.
+    pub fn apply_store_cache_page(&mut self, now: Now, addr: SocketAddr, page: &crate::CachePage) {
+        for store in self.stores.iter_mut().filter(|store| store.spec.addr == addr) {
             store.view.apply(now, page);
             store.unavailable_until = Now::ZERO;
         }
     }
 
-    /// Records that the KV cache store does not answer; it is not used until `until`.
-    pub fn on_store_failure(&mut self, until: Now) {
-        if let Some(store) = &mut self.store {
+    /// Records that the KV cache store at `addr` does not answer; it is not used until `until`.
+    pub fn on_store_failure(&mut self, addr: SocketAddr, until: Now) {
+        for store in self.stores.iter_mut().filter(|store| store.spec.addr == addr) {
             store.unavailable_until = until;
         }
     }
 
+    /// Returns the KV cache store that keeps a prompt with these segments, by rendezvous hashing of the last shared one: all
+    /// VMs select the same one without a message, and the stores together keep each prompt once.
+    pub(super) fn home_store(&self, keys: &[(SegmentKey, u64)]) -> Option<usize> {
+        let (_, shared) = keys.split_last()?;
+        let (key, _) = shared.last()?;
+        let rank =
+            |store: &CacheStore| xxh3_64_with_seed(store.spec.addr.to_string().as_bytes(), *key);
+        let ranked = self.stores.iter().enumerate().max_by_key(|(_, store)| rank(store));
+        ranked.map(|(index, _)| index)
+    }
+
     /// Returns the address that an engine sends its prefilled segments to, if that is worthwhile.
-    pub(super) fn save_to(&self, now: Now, uncached_tokens: u64) -> Option<SocketAddr> {
-        let store = self.store.as_ref().filter(|store| now >= store.unavailable_until)?;
-        (uncached_tokens >= TRANSFER_MIN_TOKENS).then_some(store.addr)
+    pub(super) fn save_to(
+        &self,
+        now: Now,
+        keys: &[(SegmentKey, u64)],
+        uncached_tokens: u64,
+    ) -> Option<SocketAddr> {
+        if uncached_tokens < TRANSFER_MIN_TOKENS {
+            return None;
+        }
+        let store = &self.stores[self.home_store(keys)?];
+        (now >= store.unavailable_until).then_some(store.spec.addr)
     }
 
     /// Returns who can provide leading segments of a prompt to any engine.
@@ -120,16 +148,16 @@
             link_free_at: source.link_free_at,
             tokens: source.cache.fetchable_tokens(keys),
         });
-        let store = self.store.as_ref().filter(|store| now >= store.unavailable_until);
-        let store = store.map(|store| Source {
+        let stores = self.stores.iter().filter(|store| now >= store.unavailable_until);
+        let stores = stores.map(|store| Source {
             engine: None,
-            addr: store.addr,
-            failure_domain: &store.failure_domain,
-            link_bits: store.link_bits,
+            addr: store.spec.addr,
+            failure_domain: &store.spec.failure_domain,
+            link_bits: store.spec.link_bits,
             link_free_at: store.link_free_at,
             tokens: store.view.fetchable_tokens(keys),
         });
-        engines.chain(store).filter(|source| source.tokens >= TRANSFER_MIN_TOKENS).collect()
+        engines.chain(stores).filter(|source| source.tokens >= TRANSFER_MIN_TOKENS).collect()
     }
 
     /// Returns the best transfer of shared segments to `target`, if any is worthwhile.
@@ -164,7 +192,7 @@
 
     /// Reserves the link of the source until a transfer is complete.
     pub(super) fn reserve_link(&mut self, from: SocketAddr, done: Now) {
-        if let Some(store) = self.store.as_mut().filter(|store| store.addr == from) {
+        for store in self.stores.iter_mut().filter(|store| store.spec.addr == from) {
             store.link_free_at = store.link_free_at.max(done);
         }
         for state in self.upstreams.values_mut().filter(|u| u.upstream.addr == from) {
--- a/crates/lw-place/tests/common/mod.rs
+++ b/crates/lw-place/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lw_catalog::{EngineSpec, Stage, Upstream, upstreams::LoadedModel};
-use lw_place::{PlacementRequest, Prompt, Segment, UpstreamPool};
+use lw_place::{CacheStoreSpec, PlacementRequest, Prompt, Segment, UpstreamPool};
 
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -23,11 +23,21 @@
     }
 }
 
+/// Returns the KV cache store with this number in its address.
+pub fn cache_store(number: u8) -> CacheStoreSpec {
+    CacheStoreSpec {
+        addr: ([10, 0, 9, number], 1).into(),
+        failure_domain: "a".into(),
+        tokens: 3_000_000,
+        link_bits: 48e9,
+    }
+}
+
 /// Returns an empty pool of engines for a VM in failure domain `a`, with a KV cache store.
 pub fn pool() -> UpstreamPool {
     let mut pool = UpstreamPool::new("a".into());
     pool.configure(Some(spec()));
-    pool.set_cache_store("10.0.9.9:1".parse().unwrap(), "a", 3_000_000, 48e9);
+    pool.set_cache_stores([cache_store(9)]);
     pool
 }
 
