lw-limit: usage caps by token buckets at a few VMs

An even split of a cap over 85 VMs leaves 553 tokens a second for each, while a mean prompt has 17,000.

--- a/crates/lw-limit/src/lib.rs
+++ b/crates/lw-limit/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod admission;
 pub mod bucket;
 pub mod grant;
+pub mod quota;
 pub mod retry;
 pub mod upstream;
