lw-platform: usage caps of workspaces and their bounds

RatePerS, Burst, Unit and UncachedTokens of a tenant, and QuotaWindowS, QuotaOvershoot and QuotaSlack of the settings were not read. Without a rate there is no cap; absent bounds are the strictest that may be meant.

--- a/crates/lw-catalog/src/routes/lookup.rs
+++ b/crates/lw-catalog/src/routes/lookup.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Catalog, CatalogData, Route, Service, ServiceKind, Workspace};
+use super::{Catalog, CatalogData, Route, Service, ServiceKind, UsageCap, Workspace};
 
 impl From<CatalogData> for Catalog {
     fn from(data: CatalogData) -> Self {
@@ -81,6 +81,11 @@
         !self.workspaces.is_empty()
     }
 
+    /// Returns the workspaces with a cap on their usage.
+    pub fn capped_workspaces(&self) -> impl Iterator<Item = (&Workspace, UsageCap)> {
+        self.workspaces.iter().filter_map(|workspace| Some((&**workspace, workspace.cap?)))
+    }
+
     /// Returns the workspace that `key` belongs to.
     #[must_use]
     pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
--- a/crates/lw-catalog/src/routes/mod.rs
+++ b/crates/lw-catalog/src/routes/mod.rs
@@ -171,8 +171,49 @@
     }
 }
 
+/// Unit in which the usage of a workspace is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UsageUnit {
+    /// Each request counts as one.
+    Requests,
+    /// The tokens of the prompt and the most tokens of the answer.
+    Tokens {
+        /// Tokens that a request counts as if it does not state them.
+        unstated: u64,
+    },
+}
+
+/// Cap on the usage of a workspace, over all VMs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct UsageCap {
+    /// Units a second.
+    pub rate: f64,
+    /// Units that may be used at once.
+    pub burst: f64,
+    /// The unit.
+    pub unit: UsageUnit,
+}
+
+impl UsageCap {
+    /// Returns the cost of a request that states this number of tokens, 0 if it states none. It is at least one unit.
+    ///
+    /// ```
+    /// use lw_catalog::routes::{UsageCap, UsageUnit};
+    /// let cap = UsageCap { rate: 1.0, burst: 1.0, unit: UsageUnit::Tokens { unstated: 200 } };
+    /// assert_eq!((cap.cost(17_000), cap.cost(0)), (17_000, 200));
+    /// ```
+    #[must_use]
+    pub fn cost(&self, tokens: u64) -> u64 {
+        match self.unit {
+            UsageUnit::Requests => 1,
+            UsageUnit::Tokens { unstated } if tokens == 0 => unstated.max(1),
+            UsageUnit::Tokens { .. } => tokens,
+        }
+    }
+}
+
 /// A workspace of callers.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Workspace {
     /// Name of the workspace.
     pub name: WorkspaceId,
@@ -182,6 +223,8 @@
     pub priority: Option<u8>,
     /// Whether it shares no KV cache with other workspaces.
     pub is_isolated: bool,
+    /// Cap on its usage, if it has one.
+    pub cap: Option<UsageCap>,
 }
 
 /// Limits on what callers may send.
--- a/crates/lw-catalog/src/settings.rs
+++ b/crates/lw-catalog/src/settings.rs
@@ -86,6 +86,7 @@
                 retry_floor: 50,
                 retry_window: seconds(10),
                 lease_min: seconds(1),
+                quota: QuotaBounds::default(),
             },
         }
     }
@@ -114,4 +115,25 @@
     pub retry_window: Duration,
     /// Shortest lifetime of a lease in the store.
     pub lease_min: Duration,
+    /// How far workspaces may exceed their usage caps.
+    pub quota: QuotaBounds,
+}
+
+/// How far workspaces may exceed their usage caps: in any window the usage is at most
+/// `(rate * window + burst) * (1 + overshoot) + slack`.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaBounds {
+    /// Time in which usage is counted.
+    pub window: Duration,
+    /// Fraction by which usage may exceed the rate and the burst.
+    pub overshoot: f64,
+    /// Tokens by which usage may exceed them in addition, if the settings state it.
+    pub slack: Option<f64>,
+}
+
+impl Default for QuotaBounds {
+    /// Returns the strictest bounds that may be meant by a deployment that states none.
+    fn default() -> Self {
+        Self { window: Duration::from_secs(8), overshoot: 0.0, slack: None }
+    }
 }
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -63,6 +63,7 @@
         retry_floor: 90,
         retry_window: ms(10_000),
         lease_min: ms(200),
+        quota: lw_catalog::settings::QuotaBounds::default(),
     }
 }
 
