lw-edge: a request of a capped workspace needs a grant

A capped request is charged before its first attempt is placed: the VM asks one of the two holders of the workspace's slots, then the other. Above the cap it gets 429 with the time at which the cap allows it; without a holder 503. Slots are keys that are bound to the lease of the registration, which now states until when it is certain. A leaving VM hands its slots over with the levels of their buckets.

--- a/crates/lw-edge/src/lib.rs
+++ b/crates/lw-edge/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod orders;
 pub mod peers;
 pub mod quarantine;
+pub mod quota;
 pub mod register;
 pub mod restore;
 pub mod run;
--- a/crates/lw-edge/src/observe/mod.rs
+++ b/crates/lw-edge/src/observe/mod.rs
@@ -94,6 +94,8 @@
         metrics.retries_left.get_or_create(&ServiceLabel { service }).set(as_gauge(left));
     }
     let sets = edge.quarantine.lock().sets(edge.timer.now_including_suspend()).count();
+    let slots = u64::try_from(edge.quota.slot_count()).unwrap_or(u64::MAX);
+    metrics.quota_slots.set(as_gauge(slots));
     metrics.quarantined_sets.set(as_gauge(u64::try_from(sets).unwrap_or(u64::MAX)));
     let dropped = edge.logs.dropped_lines();
     for (kind, lines) in [("successes", dropped.successes), ("failures", dropped.failures)] {
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -12,17 +12,20 @@
 
 use crate::{
     quarantine,
+    quota::QuotaNotice,
     serve::millis,
     state::{Edge, keys},
 };
 
 mod limits;
+mod quota;
 pub mod route;
 mod suspicion;
 mod versions;
 
 pub use limits::{LimitWire, TurnWire};
 pub(crate) use limits::{ask_for_turn, request as request_limits};
+pub(crate) use quota::{ask_for_grant, charge, return_grants};
 use route::Recipient;
 use suspicion::{SoundWire, SuspectWire};
 pub use versions::VersionAgeQuery;
@@ -206,6 +209,8 @@
     TurnRequest(TurnWire),
     /// Lends a turn on such a request.
     Turn(TurnWire),
+    /// Usage of a workspace that has a cap.
+    Quota(QuotaNotice),
     /// An engine serves a version of a model's weights.
     Serves {
         /// The engine.
@@ -274,6 +279,7 @@
         Notice::LimitsRequest { addr } => return limits::reply(edge, *addr),
         Notice::TurnRequest(turn) => return limits::lend_turn(edge, &message.vm, turn),
         Notice::Turn(turn) => return limits::accept_turn(edge, turn),
+        Notice::Quota(notice) => return quota::apply(edge, notice),
         Notice::VersionAgesRequest { addr, nonce } => return versions::reply(edge, *addr, *nonce),
         Notice::VersionAges { nonce, versions } => {
             return versions::apply_reply(edge, *nonce, versions);
@@ -303,6 +309,7 @@
             | Notice::LimitsRequest { .. }
             | Notice::TurnRequest(_)
             | Notice::Turn(_)
+            | Notice::Quota(_)
             | Notice::VersionAgesRequest { .. }
             | Notice::VersionAges { .. } => {}
             Notice::Slowdown { upstream, percent } => {
--- /dev/null
+++ b/crates/lw-edge/src/quota/mod.rs
@@ -0,0 +1,237 @@
+//! Usage caps of workspaces: the wait of a request for its grant, and the slots that this VM holds.
+//!
+//! [`lw_limit::quota`] decides. What a VM is told of the store and of the fleet are arguments, and so is how messages are sent.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use lw_catalog::{
+    routes::{UsageCap, UsageUnit},
+    settings::QuotaBounds,
+};
+use lw_limit::quota::{
+    Cap, REPLY_TIMEOUT, Rule, Share,
+    holder::{Claim, Reply, Return},
+    keeper::Keeper,
+    requester::{Ask, Decision, Grant, Requester},
+};
+use lw_transport::timer::Timer;
+use lw_types::prelude::*;
+use tokio::sync::oneshot;
+
+mod slots;
+mod wire;
+
+pub use wire::{ClaimWire, QuotaNotice, ReplyWire, ReturnWire, SlotEntry};
+
+/// Usage caps as one VM enforces them: the slots that it holds, and its requests for grants.
+#[derive(Debug, Default)]
+pub struct Quota {
+    timer: Timer,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    keeper: Keeper,
+    requester: Requester,
+    /// Bounds that the holder's shares were computed with.
+    bounds: Option<QuotaBounds>,
+    /// Wakes the request that waits for the reply of this number.
+    waiting: HashMap<u64, oneshot::Sender<()>>,
+}
+
+/// Where a request for a grant goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    /// This VM holds the slot.
+    Own,
+    /// The request was sent to the holder.
+    Sent,
+    /// The slot has no holder that this VM knows.
+    NoHolder,
+}
+
+/// Outcome of a request for its grant.
+#[derive(Debug)]
+pub enum Outcome {
+    /// It may be sent.
+    Admitted(Grant),
+    /// It is above the cap.
+    Refused {
+        /// Time until the cap allows it.
+        retry_after: Duration,
+    },
+    /// No holder replied.
+    Unavailable,
+}
+
+/// A request while it asks for its grant. If it is dropped, a grant that still arrives is given back.
+struct Asking<'a> {
+    quota: &'a Quota,
+    ask: Ask,
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        let now = self.quota.now();
+        self.quota.lock().requester.abandon(now, &mut self.ask);
+    }
+}
+
+/// Returns what each slot grants for a usage cap. The slack of the settings is in tokens, so that a cap in requests has none.
+#[must_use]
+pub fn share(cap: UsageCap, bounds: &QuotaBounds) -> Share {
+    let slack = match cap.unit {
+        UsageUnit::Tokens { .. } => bounds.slack,
+        UsageUnit::Requests => None,
+    };
+    let rule = Rule { window: bounds.window, overshoot: bounds.overshoot, slack };
+    Share::new(Cap { rate: cap.rate, burst: cap.burst }, &rule)
+}
+
+impl Quota {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the time by the clock that counts suspended time.
+    fn now(&self) -> Now {
+        self.timer.now_including_suspend()
+    }
+
+    /// Asks for a grant. `send` sends a request to the holder of its slot, unless that is this VM.
+    pub async fn acquire(&self, ask: Ask, send: impl Fn(&Claim) -> Route) -> Outcome {
+        let mut asking = Asking { quota: self, ask };
+        loop {
+            let (claim, woken) = {
+                let mut state = self.lock();
+                let now = self.now();
+                match state.requester.decide(now, &mut asking.ask, fastrand::u64(..)) {
+                    Decision::Admitted(grant) => return Outcome::Admitted(grant),
+                    Decision::Refused { retry_after } => return Outcome::Refused { retry_after },
+                    Decision::Unavailable => return Outcome::Unavailable,
+                    Decision::Ask(claim) => {
+                        let (wake, woken) = oneshot::channel();
+                        state.waiting.insert(claim.number, wake);
+                        (claim, woken)
+                    }
+                }
+            };
+            match send(&claim) {
+                Route::Sent => {
+                    // The result is an error if no reply arrived in time.
+                    let _ = tokio::time::timeout(REPLY_TIMEOUT, woken).await;
+                }
+                Route::Own => {
+                    let reply = self.decide(&claim);
+                    self.on_reply(claim.number, reply);
+                }
+                Route::NoHolder => self.on_reply(claim.number, Reply::NotHolder),
+            }
+            self.lock().waiting.remove(&claim.number);
+        }
+    }
+
+    /// Whether a grant may still be used.
+    #[must_use]
+    pub fn is_valid(&self, grant: &Grant) -> bool {
+        self.now() < grant.valid_until
+    }
+
+    /// Gives back a grant that was not used.
+    pub fn give_back(&self, grant: Grant) {
+        let now = self.now();
+        self.lock().requester.give_back(now, grant);
+    }
+
+    /// Decides on a request for a grant from this VM or another one.
+    pub fn decide(&self, claim: &Claim) -> Reply {
+        let now = self.now();
+        self.lock().keeper.holder.decide(now, claim)
+    }
+
+    /// Charges a further attempt, if this VM holds the slot.
+    pub fn charge(&self, claim: &Claim) {
+        let now = self.now();
+        self.lock().keeper.holder.charge(now, claim);
+    }
+
+    /// Records the reply of a holder.
+    pub fn on_reply(&self, number: u64, reply: Reply) {
+        let now = self.now();
+        let mut state = self.lock();
+        if state.requester.on_reply(now, number, reply)
+            && let Some(wake) = state.waiting.remove(&number)
+        {
+            // The result is an error if the request does not wait any more.
+            let _ = wake.send(());
+        }
+    }
+
+    /// Takes back a grant, if this VM holds its slot.
+    pub fn take_back(&self, returned: &Return) {
+        let now = self.now();
+        self.lock().keeper.holder.take_back(now, returned);
+    }
+
+    /// Returns the grants that are to be returned to their holders now.
+    pub fn returns(&self) -> Vec<Return> {
+        let now = self.now();
+        self.lock().requester.returns(now)
+    }
+
+    /// Returns the last known level of a bucket and its age, for log lines.
+    #[must_use]
+    pub fn known_level(&self, workspace: &str, slot: u8) -> Option<(f64, Duration)> {
+        self.lock().requester.known_level(self.now(), workspace, slot)
+    }
+
+    /// Returns the number of slots that this VM holds.
+    #[must_use]
+    pub fn slot_count(&self) -> usize {
+        self.lock().keeper.holder.slots().count()
+    }
+}
+
+/// A grant of a request. If it is dropped before it was used, it is given back.
+#[derive(Debug)]
+pub struct Charge {
+    quota: Arc<Quota>,
+    grant: Option<Grant>,
+}
+
+impl Charge {
+    /// Returns the charge of a request that got this grant.
+    #[must_use]
+    pub fn new(quota: Arc<Quota>, grant: Grant) -> Self {
+        Self { quota, grant: Some(grant) }
+    }
+
+    /// Whether the request may still be sent with it.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.grant.as_ref().is_some_and(|grant| self.quota.is_valid(grant))
+    }
+
+    /// Returns the grant, which is then not given back.
+    pub fn take(&mut self) -> Option<Grant> {
+        self.grant.take()
+    }
+
+    /// Restores a grant whose request was sent and has not run.
+    pub fn restore(&mut self, grant: Grant) {
+        self.grant = Some(grant);
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if let Some(grant) = self.grant.take() {
+            self.quota.give_back(grant);
+        }
+    }
+}
--- a/crates/lw-edge/src/register/mod.rs
+++ b/crates/lw-edge/src/register/mod.rs
@@ -1,8 +1,12 @@
 //! Registers this VM in the platform's store, so that other VMs find it.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
-use lw_platform::store::{Error, KeyWrite, Precondition};
+use lw_platform::store::{Error, KeyWrite, Lease, Precondition};
+use lw_types::prelude::*;
 
 use crate::state::{
     Edge,
@@ -22,6 +26,40 @@
 const STARTUP_DELAY_MAX: Duration = Duration::from_secs(1);
 /// Length of the key that authenticates messages between VMs.
 const PEER_KEY_BYTES: usize = 16;
+/// Fraction of the lease's lifetime that counts as certain. The rest covers clocks that run at different rates.
+const CERTAIN_FRACTION: f64 = 0.95;
+
+/// The registration of this VM, as far as it is certain.
+#[derive(Debug, Default)]
+pub struct Registration {
+    registered: Mutex<Option<Registered>>,
+}
+
+/// A lease on the entry of this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Registered {
+    /// The lease.
+    pub lease: Lease,
+    /// Until when it has certainly not ended, by the clock that counts suspended time.
+    pub valid_until: Now,
+}
+
+impl Registration {
+    /// Returns the lease on the entry of this VM, unless the VM knows that it is lost.
+    #[must_use]
+    pub fn get(&self) -> Option<Registered> {
+        *self.registered.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records the lease, which was created or renewed by a call that was sent at `sent`; none if it is lost.
+    fn set(&self, lease: Option<(Lease, Now)>) {
+        let registered = lease.map(|(lease, sent)| Registered {
+            lease,
+            valid_until: sent + lease.ttl.mul_f64(CERTAIN_FRACTION),
+        });
+        *self.registered.lock().unwrap_or_else(PoisonError::into_inner) = registered;
+    }
+}
 
 /// Returns the delay after a start before this VM does what only one VM of the fleet needs to do. It depends on the
 /// VM's id: if all VMs start together, one of the first does it, and the others see the result in the store.
@@ -40,6 +78,7 @@
         }
         let began = edge.timer.now();
         let Err(e) = maintain_entry(&edge).await;
+        edge.registration.set(None);
         log::warn!(target: "member", why = e.to_string();
             "cannot keep this VM registered; trying again");
         // The pause starts at its shortest again if the entry was kept for longer than its lease.
@@ -53,6 +92,7 @@
 
 /// Registers this VM and renews the lease until it is lost, or the entry is gone.
 async fn maintain_entry(edge: &Edge) -> Result<std::convert::Infallible, Error> {
+    let sent = edge.timer.now_including_suspend();
     let lease = edge
         .count_store_call("lease", edge.store.lease(LEASE_TIME.max(edge.settings.bounds.lease_min)))
         .await?;
@@ -64,6 +104,7 @@
         lease: lease.id,
     };
     edge.count_store_call("write", edge.store.write(Vec::new(), vec![write], Vec::new())).await?;
+    edge.registration.set(Some((lease, sent)));
     tokio::time::sleep(startup_delay(&edge.settings.vm)).await;
     create_peer_key(edge).await?;
     let mut has_read_entry = false;
@@ -78,8 +119,9 @@
             return Err(Error::Absent);
         }
         has_read_entry |= is_registered;
+        let sent = edge.timer.now_including_suspend();
         match edge.count_store_call("renew", edge.store.renew(&lease)).await {
-            Ok(_) => {}
+            Ok(_) => edge.registration.set(Some((lease, sent))),
             Err(Error::Absent) => return Err(Error::Absent),
             Err(e) => {
                 log::debug!(target: "member", why = e.to_string();
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -19,6 +19,8 @@
     state::{Edge, GivenUp},
 };
 
+mod quota;
+
 /// Time before the platform kills the process at which a leaving VM gives up the requests in flight and ends.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// Longest time until the callers of these requests have their answers.
@@ -116,6 +118,7 @@
         tasks.spawn(orders::run(Arc::clone(&edge)));
         tasks.spawn(quarantine::run(Arc::clone(&edge)));
         tasks.spawn(limits::run(Arc::clone(&edge)));
+        tasks.spawn(quota::run(Arc::clone(&edge)));
         tasks.spawn(restore::run(Arc::clone(&edge)));
         tasks.spawn(update_upstreams(Arc::clone(&edge)));
         tasks.spawn(serve_callers(Arc::clone(&edge), callers, connections.clone()));
@@ -197,7 +200,7 @@
     let started = edge.timer.now();
     edge.mark_leaving();
     log::info!(target: "run", in_flight = edge.in_flight(); "leaving");
-    orders::hand_over(edge).await;
+    tokio::join!(Box::pin(orders::hand_over(edge)), Box::pin(quota::leave(edge)));
     let time_max = edge.bounds().grace.saturating_sub(KILL_MARGIN);
     let refuses = || edge.is_refusing_requests();
     if !wait_until_closed(edge, connections, started + time_max, refuses).await {
--- /dev/null
+++ b/crates/lw-edge/src/run/quota.rs
@@ -0,0 +1,138 @@
+//! Carries out what [`crate::quota`] decides on the store, and returns unused grants.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use lw_limit::quota::{
+    SLOTS,
+    keeper::{Fleet, Lease, SlotItem, SlotValue, SlotWrite},
+};
+use lw_platform::store::{Error, KeyWrite, Precondition};
+use lw_types::prelude::*;
+
+use crate::{
+    peers,
+    quota::SlotEntry,
+    register::{self, Registered},
+    state::{
+        Edge, StoreView,
+        keys::{self, QuotaEra},
+    },
+};
+
+/// Time between two updates of the slots. A lower cap is applied within it.
+const UPDATE_PERIOD: Duration = Duration::from_millis(50);
+/// Longest time for which a leaving VM waits until its slots are released.
+const RELEASE_WAIT_MAX: Duration = Duration::from_millis(800);
+
+/// Keeps the slots of this VM up to date until the process ends.
+pub(super) async fn run(edge: Arc<Edge>) {
+    let mut ticks = edge.timer.subscribe(UPDATE_PERIOD);
+    loop {
+        ticks.tick().await;
+        if let Some(write) = update(&edge) {
+            let edge = Arc::clone(&edge);
+            tokio::spawn(async move { execute(&edge, write).await });
+        }
+        let returns = edge.quota.returns();
+        if !returns.is_empty() {
+            peers::return_grants(&edge, edge.quota.take_back_own(returns));
+        }
+    }
+}
+
+/// Releases the slots of a leaving VM, so that other VMs take them at once.
+pub(super) async fn leave(edge: &Edge) {
+    edge.quota.leave();
+    let end = edge.timer.now() + RELEASE_WAIT_MAX;
+    if let Some(write) = update(edge) {
+        execute(edge, write).await;
+    }
+    while !edge.quota.is_idle() && edge.timer.now() < end {
+        tokio::time::sleep(UPDATE_PERIOD).await;
+    }
+}
+
+/// Decides which slots are taken or released now.
+fn update(edge: &Edge) -> Option<SlotWrite> {
+    let bounds = edge.bounds();
+    let view = edge.store_view();
+    let catalog = view.catalog();
+    let has_caps = edge.quota.configure(catalog.as_deref(), &bounds.quota);
+    if !has_caps && edge.quota.slot_count() == 0 {
+        return None;
+    }
+    let registered = edge.registration.get();
+    let mut vms: Vec<_> = view.vms().map(|(vm, _)| vm.as_str()).collect();
+    if !vms.contains(&edge.settings.vm.as_str()) {
+        vms.push(&edge.settings.vm);
+    }
+    let items: HashMap<_, _> = (0..SLOTS)
+        .filter_map(|slot| {
+            let item = view.router_item(&keys::quota(slot))?;
+            let entry: Result<SlotEntry, _> = serde_json::from_slice(&item.value);
+            let value = entry.ok().map(SlotValue::from);
+            Some((slot, SlotItem { revision: item.revision, value }))
+        })
+        .collect();
+    let lease_time = register::LEASE_TIME.max(bounds.lease_min);
+    let fleet = Fleet {
+        own: &edge.settings.vm,
+        vms: &vms,
+        era: view.era().unwrap_or_default(),
+        recorded_era: recorded_era(&view),
+        former_leases_end: view.former_leases_end_at(lease_time),
+        is_current: view.is_settled() && view.has_been_current(),
+        lease: registered.map(|Registered { lease, valid_until }| Lease {
+            id: lease.id,
+            era: lease.era,
+            valid_until,
+        }),
+        items: &items,
+        has_caps,
+    };
+    edge.quota.update_slots(&fleet)
+}
+
+/// Returns the last era in which a VM has taken slots.
+fn recorded_era(view: &StoreView) -> Option<Era> {
+    let item = view.router_item(keys::QUOTA_ERA)?;
+    serde_json::from_slice::<QuotaEra>(&item.value).ok().map(|record| record.era)
+}
+
+/// Writes the keys of slots and records the outcome.
+async fn execute(edge: &Edge, write: SlotWrite) {
+    let written = write_keys(edge, &write).await.inspect_err(|e| {
+        log::debug!(target: "quota", why = e.to_string(); "quota slots not written");
+    });
+    edge.quota.on_written(write, written.ok());
+}
+
+async fn write_keys(edge: &Edge, write: &SlotWrite) -> Result<Position, Error> {
+    let encode_error = |e: serde_json::Error| Error::Unreadable(e.to_string());
+    let SlotWrite { entries, is_taking, lease, records_era, .. } = write;
+    let expected = entries
+        .iter()
+        .map(|(slot, revision, _)| Precondition { key: keys::quota(*slot), revision: *revision })
+        .collect();
+    let mut writes = Vec::new();
+    for (slot, _, value) in entries {
+        let value = serde_json::to_vec(&SlotEntry::from(value)).map_err(encode_error)?;
+        let lease = if *is_taking { lease.id } else { 0 };
+        writes.push(KeyWrite { key: keys::quota(*slot), value, lease });
+    }
+    if *records_era {
+        let value = serde_json::to_vec(&QuotaEra { era: lease.era }).map_err(encode_error)?;
+        writes.push(KeyWrite { key: keys::QUOTA_ERA.to_owned(), value, lease: 0 });
+    }
+    let written =
+        edge.count_store_call("write", edge.store.write(expected, writes, Vec::new())).await?;
+    if written.era != lease.era && *is_taking {
+        // The keys are bound to a lease of the next era, which may be another VM's and would keep them forever.
+        let revision = written.revision;
+        let slots = entries.iter().map(|(slot, ..)| keys::quota(*slot));
+        let (expected, remove) =
+            slots.map(|key| (Precondition { key: key.clone(), revision }, key)).unzip();
+        edge.count_store_call("write", edge.store.write(expected, Vec::new(), remove)).await?;
+    }
+    Ok(written)
+}
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -14,6 +14,7 @@
     Call, RETRY_AFTER_LEAVING,
     answer::{self, Answer},
     attempt::{Attempt, IncomingAnswer, SendOutcome},
+    quota::Usage,
     record::RequestRecord,
     relay::Relay,
     takeover::{Overlap, SentAttempt, overlap},
@@ -81,6 +82,8 @@
     is_charged: bool,
     context: AttemptContext,
     may_have_run: bool,
+    /// Charges to the usage cap of the workspace.
+    usage: Usage,
     /// When another attempt may next be made to take over from a silent upstream.
     takeover_at: Now,
     /// Upstreams whose attempts were given up since they were silent, the last one at the end.
@@ -100,6 +103,7 @@
             is_charged: false,
             context,
             may_have_run: false,
+            usage: Usage::new(),
             takeover_at: Now::ZERO,
             left: Vec::new(),
         }
@@ -115,7 +119,7 @@
                     }
                 }
                 SendOutcome::Unreachable => self.on_unreachable(),
-                SendOutcome::NotRun => {}
+                SendOutcome::NotRun => self.usage.on_not_run(),
                 SendOutcome::OutcomeUnknown(why) => self.on_outcome_unknown(&why)?,
                 SendOutcome::DeadlineExceeded => {
                     let text = "no answer before the deadline";
@@ -226,9 +230,17 @@
     }
 
     async fn begin_attempt(&mut self, purpose: Purpose) -> Result<Attempt, Failure> {
-        let placement = self.place_in_turn(purpose).await?;
+        let may_have_run = self.may_have_run || purpose != Purpose::Serve;
+        self.usage.acquire(&self.edge, &self.call, may_have_run).await?;
+        let mut placement = self.place_in_turn(purpose).await?;
+        // The wait for the turn of a limited upstream may take longer than the grant is valid.
+        while !self.usage.is_ready(&self.edge, &self.call, may_have_run) {
+            self.usage.acquire(&self.edge, &self.call, may_have_run).await?;
+            placement = self.place_in_turn(purpose).await?;
+        }
         self.check_held()?;
         self.charge(purpose)?;
+        self.usage.on_attempt(&self.edge, &self.call);
         self.attempts_sent += 1;
         self.tried.push(placement.upstream.id.clone());
         self.record.count_attempt();
@@ -295,6 +307,7 @@
 
     /// Excludes the last attempt from the limits on attempts, since it did not reach its upstream.
     pub fn on_unreachable(&mut self) {
+        self.usage.on_not_run();
         self.attempts_sent -= 1;
         self.is_charged = true;
     }
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -19,6 +19,7 @@
 mod answer;
 mod attempt;
 mod forward;
+mod quota;
 mod record;
 mod relay;
 mod takeover;
@@ -53,6 +54,8 @@
     pub service: String,
     /// Workspace of the caller.
     pub workspace: Option<Arc<Workspace>>,
+    /// Version of the configuration that route and workspace are of.
+    pub config: ConfigVersion,
     /// Prompt, if the service has engines.
     pub prompt: Option<Prompt>,
     /// Segments of its prompt, or one that stands for the whole request. If it crashes upstreams, one of them is the cause.
@@ -154,6 +157,7 @@
         route,
         service,
         workspace,
+        config: catalog.version,
         prompt,
         segments,
         id_hash,
--- a/crates/lw-edge/src/state/keys.rs
+++ b/crates/lw-edge/src/state/keys.rs
@@ -21,6 +21,25 @@
 /// Store key of [`SettledEra`].
 pub const SETTLED_ERA: &str = "lavenderwood/settled-era";
 
+/// Prefix of the keys of quota slots.
+pub const QUOTA_PREFIX: &str = "lavenderwood/quota/";
+
+/// Returns the key of a quota slot.
+#[must_use]
+pub fn quota(slot: u8) -> String {
+    format!("{QUOTA_PREFIX}{slot:02}")
+}
+
+/// Store key of [`QuotaEra`], which is written without a lease.
+pub const QUOTA_ERA: &str = "lavenderwood/quota-era";
+
+/// The last era in which a VM has taken quota slots. All leases of earlier eras had ended then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaEra {
+    /// The era.
+    pub era: Era,
+}
+
 /// Prefix of the keys of quarantined sets of segments.
 pub const QUARANTINE_PREFIX: &str = "lavenderwood/quarantine/";
 
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -44,6 +44,8 @@
     orders::Orders,
     peers,
     quarantine::{self, SharedQuarantine},
+    quota::Quota,
+    register::Registration,
 };
 
 /// Time limit for establishing a connection to an upstream or the store. Failure domains are a few milliseconds apart.
@@ -107,6 +109,10 @@
     pub quarantine: SharedQuarantine,
     /// State of issuing orders to engines.
     pub orders: Orders,
+    /// Registration of this VM in the store.
+    pub registration: Registration,
+    /// Usage caps of workspaces.
+    pub quota: Arc<Quota>,
     datagrams: OnceLock<Arc<Datagrams>>,
     /// The open query of this VM to others for the ages of versions of weights.
     pub version_age_query: peers::VersionAgeQuery,
@@ -178,6 +184,8 @@
             ),
             quarantine: SharedQuarantine::new(settings.vm.clone()),
             orders: Orders::new(&settings),
+            registration: Registration::default(),
+            quota: Arc::default(),
             datagrams: OnceLock::new(),
             version_age_query: peers::VersionAgeQuery::default(),
             era_changed: Notify::new(),
--- /dev/null
+++ b/crates/lw-edge/tests/quota.rs
@@ -0,0 +1,131 @@
+//! Guards against requests above a usage cap that are sent, and against messages and store keys for caps where there are none.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{CallerRequest, Simulation, config, get, log_output, ms, request};
+use lw_edge::run::Vm;
+use lw_standin::hosted::caller::OTHER_KEY;
+use serde_json::json;
+
+/// Tokens a second, and at once, of the workspace `station`. A request for the route `short` costs 1,220.
+const RATE: u32 = 20_000;
+const COST: u32 = 1_220;
+
+/// Starts a VM with a cap, and waits until it holds the slots: all leases of an earlier era might exist for 4 s.
+async fn start_capped() -> Simulation {
+    let simulation = Simulation::start().await;
+    let mut config = config(4);
+    config["Tenants"][0]["RatePerS"] = json!(RATE);
+    config["Tenants"][0]["Burst"] = json!(RATE);
+    config["Tenants"][0]["Unit"] = json!("tokens");
+    simulation.store.put("op/config", &config);
+    let holds_slots = async |simulation: &Simulation| {
+        simulation.vm.as_ref().expect("the VM runs").edge.quota.slot_count() == 24
+    };
+    simulation.wait_until("the slots are taken", holds_slots).await;
+    // Until the buckets are full.
+    tokio::time::sleep(ms(1_500)).await;
+    simulation
+}
+
+fn quota_keys(simulation: &Simulation) -> usize {
+    simulation.store.keys().iter().filter(|key| key.contains("quota")).count()
+}
+
+/// Sends requests for this time, one each 10 ms, and returns how many were served. The others must get 429.
+async fn send_steadily(simulation: &Simulation, vm: &Vm, name: &str, time: Duration) -> u32 {
+    let started = Instant::now();
+    let mut served = 0;
+    for n in 0.. {
+        if started.elapsed() >= time {
+            break;
+        }
+        let id = format!("{name}-{n}");
+        let reply = common::send(vm.edge.settings.callers, &request(&id, "/short/x")).await;
+        let reply = reply.expect("an answer");
+        match reply.status {
+            200 => served += 1,
+            429 => {
+                let retry_after = reply.header("retry-after").and_then(|s| s.parse::<f64>().ok());
+                assert!(retry_after.is_some_and(|s| s > 0.0 && s < 3.0), "{}", reply.head);
+                assert!(reply.text().contains("workspace_limit"), "{}", reply.text());
+                assert_eq!(simulation.received(&id).len(), 0, "{id} was sent");
+            }
+            _ => panic!("{id}: {} {}", reply.head, reply.text()),
+        }
+        tokio::time::sleep(ms(10)).await;
+    }
+    served
+}
+
+#[tokio::test]
+async fn requests_above_the_cap_are_refused_and_not_sent() {
+    let simulation = start_capped().await;
+    let vm = simulation.vm.as_ref().expect("the VM runs");
+    let time = ms(2_000);
+    let started = Instant::now();
+    let served = send_steadily(&simulation, vm, "capped", time).await;
+    let elapsed = started.elapsed().as_secs_f64();
+    let allowed = f64::from(RATE) * (elapsed + 1.0);
+    assert!(f64::from(served * COST) <= allowed, "{served} served in {elapsed} s");
+    assert!(f64::from(served * COST) >= 0.8 * f64::from(RATE) * elapsed, "{served} served");
+    assert!(log_output().contains("above the usage cap"), "no line about the refusal");
+    // Another workspace has no cap.
+    for n in 0..50 {
+        let request =
+            CallerRequest { key: OTHER_KEY, ..request(&format!("other-{n}"), "/short/x") };
+        let reply = simulation.send(&request).await.expect("an answer");
+        assert_eq!(reply.status, 200, "{}", reply.head);
+    }
+    let metrics = get(simulation.settings.metrics.unwrap(), "/metrics").await.expect("metrics");
+    for counted in ["quota_total{kind=\"granted\"}", "quota_total{kind=\"refused\"}"] {
+        assert!(metrics.text().contains(counted), "{}", metrics.text());
+    }
+    assert!(metrics.text().contains("lavenderwood_quota_slots 24"), "{}", metrics.text());
+}
+
+/// Guards against VMs that each grant the whole cap, and against slots that are lost when their holder leaves.
+#[tokio::test]
+async fn two_vms_keep_a_cap_together_and_hand_the_slots_over() {
+    let mut simulation = start_capped().await;
+    let second = simulation.start_second().await;
+    let first = simulation.vm.take().expect("the VM runs");
+    let knows_holder = async |_: &Simulation| {
+        let view = second.edge.store_view();
+        view.router_items_below("lavenderwood/quota/").count() == 24
+    };
+    simulation.wait_until("the second VM knows the holder", knows_holder).await;
+    let (started, time) = (Instant::now(), ms(2_000));
+    let (a, b) = tokio::join!(
+        send_steadily(&simulation, &first, "a", time),
+        send_steadily(&simulation, &second, "b", time)
+    );
+    let elapsed = started.elapsed().as_secs_f64();
+    let used = f64::from((a + b) * COST);
+    assert!(used <= f64::from(RATE) * (elapsed + 1.0), "{a} and {b} served in {elapsed} s");
+    assert!(used >= 0.8 * f64::from(RATE) * elapsed, "{a} and {b} served in {elapsed} s");
+    assert!(b > 2, "the second VM gets grants of the first: {a}, {b}");
+    first.leave().await;
+    let is_holder = async |_: &Simulation| second.edge.quota.slot_count() == 24;
+    simulation.wait_until("the second VM holds the slots", is_holder).await;
+    assert!(send_steadily(&simulation, &second, "after", ms(1_000)).await > 5);
+}
+
+#[tokio::test]
+async fn without_caps_there_are_no_messages_and_no_keys() {
+    let simulation = Simulation::start().await;
+    let second = simulation.start_second().await;
+    for n in 0..20 {
+        for callers in [simulation.settings.callers, second.edge.settings.callers] {
+            let reply = common::send(callers, &request(&format!("free-{n}"), "/short/x")).await;
+            assert_eq!(reply.expect("an answer").status, 200);
+        }
+    }
+    // The time after which slots would be taken.
+    tokio::time::sleep(ms(4_500)).await;
+    assert_eq!(quota_keys(&simulation), 0);
+    let metrics = get(simulation.settings.metrics.unwrap(), "/metrics").await.expect("metrics");
+    assert!(!metrics.text().contains("quota_total{"), "{}", metrics.text());
+}
--- a/crates/lw-observe/src/metrics/mod.rs
+++ b/crates/lw-observe/src/metrics/mod.rs
@@ -116,6 +116,10 @@
     pub limited_upstreams: Family<ServiceLabel, Gauge>,
     /// Quarantined sets of prompt segments.
     pub quarantined_sets: Gauge,
+    /// Decisions about requests of workspaces with a usage cap.
+    pub quota: Family<KindLabel, Counter>,
+    /// Quota slots that this VM holds.
+    pub quota_slots: Gauge,
     /// Dropped log lines by kind.
     pub dropped_log_lines: Family<KindLabel, Gauge>,
 }
@@ -149,6 +153,8 @@
             ready_upstreams: Family::default(),
             limited_upstreams: Family::default(),
             quarantined_sets: Gauge::default(),
+            quota: Family::default(),
+            quota_slots: Gauge::default(),
             dropped_log_lines: Family::default(),
         };
         metrics.register();
@@ -191,6 +197,10 @@
         registry.register("limited_upstreams", help, self.limited_upstreams.clone());
         let help = "Sets of prompt segments whose requests are refused";
         registry.register("quarantined_sets", help, self.quarantined_sets.clone());
+        let help = "Decisions about requests of workspaces with a usage cap";
+        registry.register("quota", help, self.quota.clone());
+        let help = "Quota slots that this VM holds";
+        registry.register("quota_slots", help, self.quota_slots.clone());
         registry.register(
             "log_lines_left_out",
             "Dropped log lines",
