--- a/crates/lw-soak/src/vm/mod.rs
+++ b/crates/lw-soak/src/vm/mod.rs
@@ -84,7 +84,9 @@
         *self.pid.lock().unwrap_or_else(PoisonError::into_inner) = pid;
     }
 
-    fn pid(&self) -> Option<u32> {
+    /// Returns the id of the process until it has ended.
+    #[must_use]
+    pub fn pid(&self) -> Option<u32> {
         *self.pid.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
