lw-forward: an answer with a status above 599 is a broken answer

HTTP defines statuses from 100 to 599. 600 and 999 were passed through to callers, who cannot know what they mean, on both interfaces; 000, 00, 099 and 1000 were already refused by the HTTP library. They are now handled like these: the outcome of the request is unknown, a request that may be repeated is tried again, and the caller gets 502.

--- a/crates/lw-forward/src/pool/mod.rs
+++ b/crates/lw-forward/src/pool/mod.rs
@@ -51,6 +51,8 @@
 const BUFFER_MAX_BYTES: usize = 64 << 10;
 /// Most interim answers (status 1xx) to one request. The HTTP library would read them without end.
 const INTERIM_ANSWERS_MAX: usize = 16;
+/// Largest status that HTTP defines.
+const STATUS_MAX: u16 = 599;
 /// Idle time up to which a connection may be used with [`Reuse::Recent`]. It is short since upstreams that close idle
 /// connections within a second do not state their idle time.
 const RECENT_IDLE_MAX: Duration = Duration::from_millis(400);
@@ -299,6 +301,10 @@
         Ok(response) if response.status() == StatusCode::SWITCHING_PROTOCOLS => {
             Err(("it switched to another protocol".into(), None))
         }
+        // HTTP defines 100 to 599, and no caller knows what another status means.
+        Ok(response) if response.status().as_u16() > STATUS_MAX => {
+            Err((format!("it sent the status {}", response.status().as_u16()), None))
+        }
         Ok(response) => Ok(to_answer(response, conn)),
         Err(mut e) => {
             let unsent = e.take_message();
