lw-edge, lw-forward: one accounting of all bytes held for callers

Each body had a limit and all of them together had none; a body was kept as slices of read buffers, so that a byte by itself cost up to 8 KiB; a body that stopped had no end; an answer that its caller did not read no longer counted.

`lw_forward::intake` accounts for bodies that arrive, wait or are in flight, and for answers that are collected or not read yet, by the memory that their buffers use. Collected answers use the same buffers. A body without a byte for IdleTimeoutMs, or incomplete at its request's deadline, is abandoned with 408; without room it gets 503 (new code 3009, memory_exhausted). The connection closes after a refusal, and what the caller still sends is dropped for a moment so that it can read the refusal. A connection whose caller reads nothing for IdleTimeoutMs is reset. Each refusal has a counter with its reason and a log line.

--- a/crates/lw-edge/src/lib.rs
+++ b/crates/lw-edge/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod distribution;
 pub mod feeds;
 pub mod follow;
+pub mod intake;
 pub mod limits;
 pub mod observe;
 pub mod orders;
--- a/crates/lw-edge/src/observe/mod.rs
+++ b/crates/lw-edge/src/observe/mod.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 
 use crate::{
+    intake,
     serve::{Answer, full_body, millis},
     state::Edge,
 };
@@ -82,6 +83,7 @@
     drop(view);
     metrics.issuer_fence.set(edge.orders.fence().map_or(0, as_gauge));
     metrics.in_flight.set(as_gauge(u64::try_from(edge.in_flight()).unwrap_or(u64::MAX)));
+    intake::update_gauges(metrics, &edge.caller_memory, &edge.closed_connections);
     let now = edge.timer.now();
     for (service, pool) in edge.upstream_pools().iter() {
         let label = ServiceLabel { service: service.clone() };
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -14,8 +14,8 @@
 };
 
 use crate::{
-    distribution, feeds, follow, limits, observe, orders, peers, quarantine, register, restore,
-    serve,
+    distribution, feeds, follow, intake, limits, observe, orders, peers, quarantine, register,
+    restore, serve,
     state::{Edge, GivenUp},
 };
 
@@ -106,7 +106,7 @@
         log::info!(target: "run", vm = edge.settings.vm.as_str(),
             failure_domain = edge.settings.failure_domain.as_str(),
             build = env!("CARGO_PKG_VERSION"); "started");
-        let connections = Connections::default();
+        let connections = Connections::counting(Arc::clone(&edge.closed_connections));
         let mut tasks = JoinSet::new();
         tasks.spawn(follow::run(Arc::clone(&edge)));
         tasks.spawn(register::run(Arc::clone(&edge)));
@@ -145,7 +145,11 @@
             listen::Options {
                 head_timeout: limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time),
                 head_max_bytes: limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes),
-                connections_max: edge.settings.sockets_max / 2,
+                unread_max: limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time),
+                connections_max: intake::connections_max(
+                    edge.settings.sockets_max,
+                    edge.settings.memory_bytes,
+                ),
             }
         }
     };
@@ -158,6 +162,7 @@
     listen::Options {
         head_timeout: DEFAULT_IDLE_TIME,
         head_max_bytes: DEFAULT_HEAD_BYTES,
+        unread_max: DEFAULT_IDLE_TIME,
         connections_max: 64,
     }
 }
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -5,15 +5,18 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, Uri, header};
 use http_body::Body as _;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use lw_catalog::{Catalog, Route, Workspace};
+use lw_forward::intake::BodyLimits;
 use lw_place::{CacheScope, Prompt, RANK_MAX};
 use lw_platform::headers::{self, CallerHead};
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
 
-use crate::state::{Edge, InFlightGuard};
+use crate::{
+    intake,
+    state::{Edge, InFlightGuard},
+};
 use record::RequestRecord;
 
 mod answer;
@@ -77,14 +80,15 @@
     let head = headers::caller_head(req.headers());
     let id = head.request.clone();
     let mut record = RequestRecord::new(&edge, &id, edge.timer.now());
-    let mut response = match accept(&edge, req, head, &mut record).await {
-        Ok(call) => forward::run(&edge, Arc::new(call), record).await,
+    let has_body = !req.body().is_end_stream();
+    let (mut response, is_body_unread) = match accept(&edge, req, head, &mut record).await {
+        Ok(call) => (forward::run(&edge, Arc::new(call), record).await, false),
         Err(failure) => {
             record.record_failure(&failure);
-            answer::failure_answer(&id, &failure)
+            (answer::failure_answer(&id, &failure), has_body)
         }
     };
-    if edge.is_leaving() {
+    if edge.is_leaving() || is_body_unread {
         response
             .headers_mut()
             .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
@@ -132,7 +136,15 @@
     let route = find_route(&catalog, &parts)?;
     let workspace = authenticate(edge, &catalog, &route, &head)?;
     record.set_labels(route.kind, workspace.as_deref().map(|w| w.name.as_str()));
-    let body = read_body(body, catalog.limits.body_bytes).await?;
+    let deadline = arrived + head.deadline.unwrap_or(route.timeout);
+    let due = deadline.min(arrived + route.timeout);
+    let limits = BodyLimits {
+        bytes_max: catalog.limits.body_bytes,
+        idle_max: catalog.limits.idle_time,
+        time_max: due.saturating_sub(arrived),
+    };
+    let body =
+        intake::read_body(&edge.caller_memory, &edge.metrics, &head.request, body, limits).await?;
     let id_hash = xxhash_rust::xxh3::xxh3_64(head.request.as_bytes());
     let service = route.target(id_hash).ok_or_else(|| {
         Failure::new(ResultCode::NoUpstream, format!("route {} has no service", route.name))
@@ -141,7 +153,6 @@
     let has_engines = catalog.service(&service).is_some_and(|s| s.engines().is_some());
     let prompt =
         has_engines.then(|| prompt(&catalog, &head, &route, workspace.as_deref(), body.len()));
-    let deadline = arrived + head.deadline.unwrap_or(route.timeout);
     let target = target(parts.uri);
     let segments = segments(prompt.as_ref(), workspace.as_deref(), &target, &body);
     Ok(Call {
@@ -150,7 +161,7 @@
         target,
         headers: parts.headers,
         body,
-        due: deadline.min(arrived + route.timeout),
+        due,
         route,
         service,
         workspace,
@@ -221,19 +232,6 @@
         .ok_or_else(|| Failure::new(ResultCode::UnknownKey, "the API key is missing or unknown"))
 }
 
-async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Failure> {
-    let too_large =
-        || Failure::new(ResultCode::BodyTooLarge, format!("the body is larger than {max} bytes"));
-    if body.size_hint().lower() > u64::try_from(max).unwrap_or(u64::MAX) {
-        return Err(too_large());
-    }
-    match Limited::new(body, max).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Err(e) => Err(Failure::new(ResultCode::MalformedBody, e.to_string())),
-    }
-}
-
 /// Returns the rank at the engine: by the priority of the workspace first, then by that of the route.
 fn rank(route: &Route, workspace: Option<&Workspace>) -> u8 {
     const ROUTE_RANKS: u8 = 2;
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -14,6 +14,8 @@
 use lw_catalog::{Catalog, ServiceKind, VmSettings, settings::Bounds, upstreams::Change};
 use lw_forward::{
     collect::AnswerMemory,
+    intake::CallerMemory,
+    listen::ClosedCounts,
     pool::{self, Pool},
 };
 use lw_limit::retry;
@@ -41,6 +43,7 @@
 
 use crate::{
     distribution::ChangeDistribution,
+    intake,
     orders::Orders,
     peers,
     quarantine::{self, SharedQuarantine},
@@ -58,8 +61,6 @@
 /// balancer has removed the VM by then, and most requests end in the remaining time, also at a VM that notices the signal a
 /// sixteenth of that time late.
 const ACCEPTING_FRACTION: f64 = 0.3;
-/// The memory of this process divided by this number is available for answers that are being collected.
-const ANSWER_MEMORY_DIVISOR: u64 = 16;
 /// Notices of unresponsive upstreams that may be pending for one request.
 const UNRESPONSIVE_PENDING_MAX: usize = 64;
 /// Fraction of the fleet's retry budget that the VMs use. Less than 1, since each VM counts retries on its own.
@@ -101,8 +102,12 @@
     store_view: Mutex<StoreView>,
     upstream_pools: Mutex<HashMap<String, UpstreamPool>>,
     retry_budgets: Mutex<HashMap<String, retry::Budget>>,
-    /// Memory budget for answers that are being collected.
+    /// Memory for callers' bytes.
+    pub caller_memory: Arc<CallerMemory>,
+    /// Collects answers in this memory.
     pub answer_memory: AnswerMemory,
+    /// Counts of callers' connections that were closed.
+    pub closed_connections: Arc<ClosedCounts>,
     /// Segments of prompts that crash engines.
     pub quarantine: SharedQuarantine,
     /// State of issuing orders to engines.
@@ -160,6 +165,7 @@
             idle_margin: IDLE_MARGIN,
             connections_max: settings.sockets_max / 2,
         });
+        let caller_memory = intake::caller_memory(settings.memory_bytes);
         Self {
             timer: Timer::default(),
             connection_pool,
@@ -172,10 +178,9 @@
             store_view: Mutex::new(StoreView::new(Orders::lease_ttl(&settings.bounds))),
             upstream_pools: Mutex::default(),
             retry_budgets: Mutex::default(),
-            answer_memory: AnswerMemory::new(
-                usize::try_from(settings.memory_bytes / ANSWER_MEMORY_DIVISOR)
-                    .unwrap_or(usize::MAX),
-            ),
+            answer_memory: AnswerMemory::new(Arc::clone(&caller_memory)),
+            caller_memory,
+            closed_connections: Arc::default(),
             quarantine: SharedQuarantine::new(settings.vm.clone()),
             orders: Orders::new(&settings),
             datagrams: OnceLock::new(),
--- a/crates/lw-forward/src/collect.rs
+++ b/crates/lw-forward/src/collect.rs
@@ -1,23 +1,17 @@
 //! Collects answers of upstreams within limits on their size, since a faulty upstream may send bytes without end.
 
-use std::{
-    fmt::Display,
-    sync::atomic::{AtomicUsize, Ordering},
-};
+use std::{fmt::Display, sync::Arc};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body::Body;
 use http_body_util::BodyExt;
 
+use crate::intake::{Buffer, CallerMemory, Holder};
+
 /// Largest body of an answer that is collected before it is forwarded.
 pub const ANSWER_MAX_BYTES: usize = 4 << 20;
 
-/// Length below which the data of chunks is copied.
-const SHORT_CHUNK_MAX_BYTES: usize = 4 << 10;
-/// Length of the buffers into which it is copied.
-const SHORT_CHUNKS_BYTES: usize = 4 * SHORT_CHUNK_MAX_BYTES;
-
 /// Why an answer was not collected.
 #[derive(Debug, Display, Error)]
 pub enum CollectError {
@@ -32,27 +26,27 @@
     MemoryExhausted,
 }
 
-/// Limits the memory of the answers that are being collected, over all requests.
+/// Collects answers in the memory for callers' bytes.
 #[derive(Debug)]
 pub struct AnswerMemory {
-    used_bytes: AtomicUsize,
-    max_bytes: usize,
+    memory: Arc<CallerMemory>,
 }
 
 impl AnswerMemory {
-    /// Returns a limit of `max_bytes`.
+    /// Returns a collector that accounts for its answers in `memory`.
     #[must_use]
-    pub fn new(max_bytes: usize) -> Self {
-        Self { used_bytes: AtomicUsize::new(0), max_bytes }
+    pub fn new(memory: Arc<CallerMemory>) -> Self {
+        Self { memory }
     }
 
-    /// Bytes that are in use.
+    /// Bytes of answers that are in use: of those that are being collected, and of those that callers have not read.
     #[must_use]
     pub fn used_bytes(&self) -> usize {
-        self.used_bytes.load(Ordering::Acquire)
+        self.memory.used().answers
     }
 
-    /// Collects a complete body. Its connection is closed at once when the body is too large.
+    /// Collects a complete body. Its connection is closed at once when the body is too large. The memory of the result is
+    /// accounted for until its last copy is dropped.
     ///
     /// # Errors
     ///
@@ -64,90 +58,17 @@
         if body.size_hint().lower() > u64::try_from(ANSWER_MAX_BYTES).unwrap_or(u64::MAX) {
             return Err(CollectError::TooLarge);
         }
-        let mut collected = Collected::new(self);
+        let announced = body.size_hint().exact();
+        let mut buffer = Buffer::new(self.memory.hold(Holder::Answer, announced), announced);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|e| CollectError::Broken(e.to_string()))?;
             // Trailers are not forwarded.
-            if let Ok(data) = frame.into_data() {
-                collected.push(data)?;
+            let Ok(data) = frame.into_data() else { continue };
+            if buffer.len() + data.len() > ANSWER_MAX_BYTES {
+                return Err(CollectError::TooLarge);
             }
+            buffer.push(&data).map_err(|_| CollectError::MemoryExhausted)?;
         }
-        Ok(collected.into_bytes())
-    }
-}
-
-/// The part of a body that was received so far.
-struct Collected<'a> {
-    reservation: Reservation<'a>,
-    chunks: Vec<Bytes>,
-    /// Data of short chunks after `chunks`. Each chunk of its own would use much more memory than its data.
-    short: BytesMut,
-    len: usize,
-}
-
-impl<'a> Collected<'a> {
-    fn new(memory: &'a AnswerMemory) -> Self {
-        let reservation = Reservation { memory, bytes: 0 };
-        Self { reservation, chunks: Vec::new(), short: BytesMut::new(), len: 0 }
-    }
-
-    fn push(&mut self, data: Bytes) -> Result<(), CollectError> {
-        self.len += data.len();
-        if self.len > ANSWER_MAX_BYTES {
-            return Err(CollectError::TooLarge);
-        }
-        let is_first = self.chunks.is_empty() && self.short.is_empty();
-        if is_first || data.len() >= SHORT_CHUNK_MAX_BYTES {
-            self.reservation.extend(data.len())?;
-            self.flush_short();
-            self.chunks.push(data);
-            return Ok(());
-        }
-        if self.short.capacity() - self.short.len() < data.len() {
-            self.reservation.extend(SHORT_CHUNKS_BYTES)?;
-            self.flush_short();
-            self.short = BytesMut::with_capacity(SHORT_CHUNKS_BYTES);
-        }
-        self.short.extend_from_slice(&data);
-        Ok(())
-    }
-
-    fn flush_short(&mut self) {
-        if !self.short.is_empty() {
-            self.chunks.push(std::mem::take(&mut self.short).freeze());
-        }
-    }
-
-    fn into_bytes(mut self) -> Bytes {
-        self.flush_short();
-        match self.chunks.as_slice() {
-            [] => Bytes::new(),
-            [only] => only.clone(),
-            chunks => chunks.concat().into(),
-        }
-    }
-}
-
-/// The memory that one body uses, which is released on drop.
-struct Reservation<'a> {
-    memory: &'a AnswerMemory,
-    bytes: usize,
-}
-
-impl Reservation<'_> {
-    fn extend(&mut self, bytes: usize) -> Result<(), CollectError> {
-        self.bytes += bytes;
-        let before = self.memory.used_bytes.fetch_add(bytes, Ordering::AcqRel);
-        if before + bytes > self.memory.max_bytes {
-            Err(CollectError::MemoryExhausted)
-        } else {
-            Ok(())
-        }
-    }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        self.memory.used_bytes.fetch_sub(self.bytes, Ordering::AcqRel);
+        Ok(buffer.into_bytes())
     }
 }
--- /dev/null
+++ b/crates/lw-forward/src/intake/mod.rs
@@ -0,0 +1,118 @@
+//! Memory for callers' bytes: accounting over all of them, and reading of bodies within it.
+
+use std::{fmt::Display, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use derive_more::{Display as DisplayText, Error};
+use http_body::Body;
+use http_body_util::BodyExt;
+
+mod buffer;
+mod memory;
+
+pub use buffer::Buffer;
+pub use memory::{CallerMemory, Hold, Holder, NoRoom, SMALL_MAX_BYTES, Shares, Used};
+
+/// Limits on one body of a caller.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyLimits {
+    /// Largest body in bytes.
+    pub bytes_max: usize,
+    /// Longest time without any byte of it.
+    pub idle_max: Duration,
+    /// Longest time until its end. Its request cannot be served afterwards.
+    pub time_max: Duration,
+}
+
+/// Why a body was not read to its end. Its request has not run.
+#[derive(Debug, Clone, PartialEq, Eq, DisplayText, Error)]
+pub enum BodyError {
+    /// It is larger than the limit.
+    #[display("the body is larger than {_0} bytes")]
+    TooLarge(#[error(not(source))] usize),
+    /// No byte of it arrived for this time.
+    #[display("no byte of the body arrived for {_0:?}")]
+    Stalled(#[error(not(source))] Duration),
+    /// It was not complete after this time.
+    #[display("the body did not arrive within {_0:?}")]
+    Late(#[error(not(source))] Duration),
+    /// There is no memory for it.
+    #[display("{_0}")]
+    NoRoom(NoRoom),
+    /// The connection broke, or the body violates the protocol.
+    #[display("{_0}")]
+    Broken(#[error(not(source))] String),
+}
+
+impl BodyError {
+    /// Returns the name of the reason, for counters and log lines.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::TooLarge(_) => "body_too_large",
+            Self::Stalled(_) => "body_stalled",
+            Self::Late(_) => "body_late",
+            Self::NoRoom(_) => "no_memory",
+            Self::Broken(_) => "body_broken",
+        }
+    }
+}
+
+/// Reads a body of a caller. The memory of the result is accounted for until its last copy is dropped.
+///
+/// # Errors
+///
+/// Any [`enum@BodyError`]. The rest of the body is not read.
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+/// use lw_forward::intake::{BodyError, BodyLimits, CallerMemory, Shares, read_body};
+/// let second = std::time::Duration::from_secs(1);
+/// let limits = BodyLimits { bytes_max: 3, idle_max: second, time_max: second };
+/// let memory = CallerMemory::new(Shares::of_total(1 << 20));
+/// let mut body = http_body_util::Full::new(bytes::Bytes::from("abc"));
+/// let read = read_body(&memory, &mut body, limits).await.unwrap();
+/// assert_eq!((&*read, memory.used().requests), (&b"abc"[..], 3));
+/// let mut body = http_body_util::Full::new(bytes::Bytes::from("abcd"));
+/// assert_eq!(read_body(&memory, &mut body, limits).await, Err(BodyError::TooLarge(3)));
+/// # });
+/// ```
+pub async fn read_body<B>(
+    memory: &Arc<CallerMemory>,
+    body: &mut B,
+    limits: BodyLimits,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
+    let read = tokio::time::timeout(limits.time_max, read(memory, body, limits));
+    read.await.unwrap_or(Err(BodyError::Late(limits.time_max)))
+}
+
+async fn read<B>(
+    memory: &Arc<CallerMemory>,
+    body: &mut B,
+    limits: BodyLimits,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
+    let announced = body.size_hint().exact();
+    if body.size_hint().lower() > u64::try_from(limits.bytes_max).unwrap_or(u64::MAX) {
+        return Err(BodyError::TooLarge(limits.bytes_max));
+    }
+    let mut buffer = Buffer::new(memory.hold(Holder::Request, announced), announced);
+    loop {
+        let frame = tokio::time::timeout(limits.idle_max, body.frame());
+        let frame = frame.await.map_err(|_| BodyError::Stalled(limits.idle_max))?;
+        let Some(frame) = frame else { return Ok(buffer.into_bytes()) };
+        // Trailers are not forwarded.
+        let Ok(data) = frame.map_err(|e| BodyError::Broken(e.to_string()))?.into_data() else {
+            continue;
+        };
+        if buffer.len() + data.len() > limits.bytes_max {
+            return Err(BodyError::TooLarge(limits.bytes_max));
+        }
+        buffer.push(&data).map_err(BodyError::NoRoom)?;
+    }
+}
--- a/crates/lw-forward/src/lib.rs
+++ b/crates/lw-forward/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod collect;
 pub mod events;
+pub mod intake;
 pub mod listen;
 pub mod pool;
--- a/crates/lw-forward/src/listen/mod.rs
+++ b/crates/lw-forward/src/listen/mod.rs
@@ -4,12 +4,12 @@
     future::Future,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body::Body;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -18,6 +18,10 @@
     sync::watch,
 };
 
+mod stream;
+
+use stream::CallerStream;
+
 /// Pause after a failed accept, since accepting fails again at once for as long as no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Smallest read buffer that the HTTP library accepts.
@@ -30,24 +34,42 @@
     pub head_timeout: Duration,
     /// Largest request head in bytes.
     pub head_max_bytes: usize,
+    /// Longest time for which a caller may read nothing of an answer while bytes of it wait to be written.
+    pub unread_max: Duration,
     /// Maximum number of open connections; further ones are closed at once.
     pub connections_max: usize,
 }
 
+/// Counts connections that were closed for their callers' sake, by reason.
+#[derive(Debug, Default)]
+pub struct ClosedCounts {
+    /// The maximum number was open.
+    pub too_many: AtomicU64,
+    /// The caller did not read its answer.
+    pub unread: AtomicU64,
+}
+
 /// Counts the connections of a listener and closes them.
 #[derive(Debug, Clone)]
 pub struct Connections {
     open_count: Arc<AtomicUsize>,
+    closed_counts: Arc<ClosedCounts>,
     is_closing: watch::Sender<bool>,
 }
 
 impl Default for Connections {
     fn default() -> Self {
-        Self { open_count: Arc::default(), is_closing: watch::Sender::new(false) }
+        Self::counting(Arc::default())
     }
 }
 
 impl Connections {
+    /// Returns a listener's connections without any open one, which counts those that it closes in `closed_counts`.
+    #[must_use]
+    pub fn counting(closed_counts: Arc<ClosedCounts>) -> Self {
+        Self { open_count: Arc::default(), closed_counts, is_closing: watch::Sender::new(false) }
+    }
+
     /// Number of open connections.
     #[must_use]
     pub fn open_count(&self) -> usize {
@@ -85,14 +107,16 @@
         };
         let options = options();
         if connections.open_count() >= options.connections_max {
+            connections.closed_counts.too_many.fetch_add(1, Ordering::Relaxed);
             log::warn!("http: connection closed at once, {} are open", connections.open_count());
             continue;
         }
         let open_guard = OpenGuard::new(&connections);
         let handler = handler.clone();
         let is_closing = connections.is_closing.subscribe();
+        let closed_counts = Arc::clone(&connections.closed_counts);
         tokio::spawn(async move {
-            serve_connection(stream, options, is_closing, handler).await;
+            serve_connection(stream, options, is_closing, &closed_counts, handler).await;
             drop(open_guard);
         });
     }
@@ -102,6 +126,7 @@
     stream: TcpStream,
     options: Options,
     mut is_closing: watch::Receiver<bool>,
+    closed_counts: &ClosedCounts,
     handler: S,
 ) where
     S: Fn(Request<Incoming>) -> F,
@@ -122,7 +147,21 @@
     // VM is leaving.
     let is_after_closing = *is_closing.borrow();
     builder.keep_alive(!is_after_closing);
-    let connection = builder.serve_connection(TokioIo::new(stream), service_fn(handler));
+    let is_refusing = Arc::new(AtomicBool::new(false));
+    let is_unread = Arc::new(AtomicBool::new(false));
+    let stream = CallerStream::new(stream, options.unread_max, &is_refusing, &is_unread);
+    let service = service_fn(move |req: Request<Incoming>| {
+        let has_body = !req.body().is_end_stream();
+        let answer = handler(req);
+        let is_refusing = Arc::clone(&is_refusing);
+        async move {
+            let answer = answer.await;
+            let is_refused = matches!(&answer, Ok(answer) if is_error(answer.status()));
+            is_refusing.store(has_body && is_refused, Ordering::Release);
+            answer
+        }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let closing = async {
         if is_after_closing {
@@ -137,11 +176,18 @@
             connection.await
         }
     };
-    if let Err(e) = result {
+    if is_unread.load(Ordering::Acquire) {
+        closed_counts.unread.fetch_add(1, Ordering::Relaxed);
+        log::warn!("http: connection closed, its caller read nothing for {:?}", options.unread_max);
+    } else if let Err(e) = result {
         log::debug!("http: connection of a caller failed: {e}");
     }
 }
 
+fn is_error(status: StatusCode) -> bool {
+    status.is_client_error() || status.is_server_error()
+}
+
 /// Counts one connection as open until it is dropped.
 struct OpenGuard(Arc<AtomicUsize>);
 
--- /dev/null
+++ b/crates/lw-forward/src/listen/stream.rs
@@ -0,0 +1,146 @@
+//! The socket of a caller's connection: gives up callers that do not read, and lets a refused caller read its refusal.
+
+use std::{
+    io::{self, IoSlice},
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Sleep, sleep},
+};
+
+/// Longest time for which the rest of a refused request is read and dropped. Closing a socket with unread data resets the
+/// connection, and a caller that is still sending would lose the refusal.
+const LINGER_MAX: Duration = Duration::from_millis(500);
+/// Maximum number of bytes that are dropped then.
+const LINGER_MAX_BYTES: usize = 1 << 20;
+const SCRATCH_BYTES: usize = 4 << 10;
+
+/// Socket of a caller.
+#[derive(Debug)]
+pub(super) struct CallerStream {
+    stream: TcpStream,
+    unread_max: Duration,
+    /// Ends when the caller has read nothing for too long; present while bytes wait to be written.
+    unread: Option<Pin<Box<Sleep>>>,
+    /// Set while a request with a body is refused.
+    is_refusing: Arc<AtomicBool>,
+    linger: Option<Linger>,
+    /// Set when the connection ends since its caller did not read.
+    is_unread: Arc<AtomicBool>,
+}
+
+#[derive(Debug)]
+struct Linger {
+    end: Pin<Box<Sleep>>,
+    dropped_bytes: usize,
+}
+
+impl CallerStream {
+    pub(super) fn new(
+        stream: TcpStream,
+        unread_max: Duration,
+        is_refusing: &Arc<AtomicBool>,
+        is_unread: &Arc<AtomicBool>,
+    ) -> Self {
+        Self {
+            stream,
+            unread_max,
+            unread: None,
+            is_refusing: Arc::clone(is_refusing),
+            linger: None,
+            is_unread: Arc::clone(is_unread),
+        }
+    }
+
+    /// Passes on the result of a write, or fails if the socket has accepted nothing for too long.
+    fn check_progress<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.unread = None;
+            return written;
+        }
+        let unread_max = self.unread_max;
+        let timer = self.unread.get_or_insert_with(|| Box::pin(sleep(unread_max)));
+        ready!(timer.as_mut().poll(cx));
+        self.is_unread.store(true, Ordering::Release);
+        // What the kernel still holds is dropped, instead of kept until the caller's system gives up.
+        let _ = self.stream.set_zero_linger();
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "the caller does not read")))
+    }
+
+    /// Reads and drops what the caller still sends, until it closes its side or a limit is reached.
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let linger = self
+            .linger
+            .get_or_insert_with(|| Linger { end: Box::pin(sleep(LINGER_MAX)), dropped_bytes: 0 });
+        let mut scratch = [0; SCRATCH_BYTES];
+        while linger.dropped_bytes < LINGER_MAX_BYTES && linger.end.as_mut().poll(cx).is_pending() {
+            let mut buf = ReadBuf::new(&mut scratch);
+            match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf)) {
+                Ok(()) if !buf.filled().is_empty() => linger.dropped_bytes += buf.filled().len(),
+                _ => break,
+            }
+        }
+        Poll::Ready(())
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check_progress(cx, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check_progress(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        }
+        if self.is_refusing.load(Ordering::Acquire) {
+            ready!(self.poll_linger(cx));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/lw-observe/src/metrics/mod.rs
+++ b/crates/lw-observe/src/metrics/mod.rs
@@ -84,6 +84,12 @@
     pub requests: Family<OutcomeLabels, Counter>,
     /// Refusals by kind.
     pub refusals: Family<KindLabel, Counter>,
+    /// Bodies of callers that were not read to their end, by reason.
+    pub body_refusals: Family<KindLabel, Counter>,
+    /// Bytes held for callers: of all requests, of large ones, of all answers, of large ones.
+    pub caller_bytes: Family<KindLabel, Gauge>,
+    /// Connections of callers that were closed for their callers' sake, by reason, since the start.
+    pub closed_connections: Family<KindLabel, Gauge>,
     /// Attempts at upstreams by outcome.
     pub attempts: Family<KindLabel, Counter>,
     /// Time from the arrival of a request to the head of its answer. The head of a stream is sent with its first event.
@@ -133,6 +139,9 @@
             registry: Registry::with_prefix("lavenderwood"),
             requests: Family::default(),
             refusals: Family::default(),
+            body_refusals: Family::default(),
+            caller_bytes: Family::default(),
+            closed_connections: Family::default(),
             attempts: Family::default(),
             first_byte_time: Family::new_with_constructor(times),
             answer_time: Family::new_with_constructor(times),
@@ -161,6 +170,11 @@
         let registry = &mut self.registry;
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("refusals", "Refusals by kind", self.refusals.clone());
+        let help = "Bodies of callers that were not read to their end";
+        registry.register("body_refusals", help, self.body_refusals.clone());
+        registry.register("caller_bytes", "Bytes held for callers", self.caller_bytes.clone());
+        let help = "Connections closed since their callers did not read, or too many were open";
+        registry.register("closed_connections", help, self.closed_connections.clone());
         registry.register("attempts", "Attempts at upstreams by outcome", self.attempts.clone());
         let help = "Time to the head of the answer, in seconds";
         registry.register("first_byte_seconds", help, self.first_byte_time.clone());
--- a/crates/lw-types/src/code.rs
+++ b/crates/lw-types/src/code.rs
@@ -133,6 +133,8 @@
     NotSent = 3007, "not_sent", 502, No, true;
     /// Requests with segments of this request crashed upstreams.
     Quarantined = 3008, "quarantined", 503, No, true;
+    /// The memory for callers' bytes has no room for the body.
+    MemoryExhausted = 3009, "memory_exhausted", 503, No, true;
     /// The deadline passed before the answer was complete.
     DeadlineExceeded = 4000, "deadline_exceeded", 504, Yes, true;
     /// The stream ended early and could not be resumed.
