lw-daemon: callers' bytes are accounted for on the native interface

As on the platform, with the new setting limits.memory (48 MiB, at least 8 times body_max by default). The limit of time on a body is timeouts.body as before. A prompt counts twice while it runs, for the copies of the request and of its attempts. A connection whose caller takes nothing of an answer for 75 s is closed. Statsd counts the refusals by reason.

--- a/crates/lw-config/src/settings/mod.rs
+++ b/crates/lw-config/src/settings/mod.rs
@@ -56,6 +56,8 @@
 pub struct Limits {
     /// Largest request body in bytes.
     pub body_max: usize,
+    /// Limit on all bytes that are held for callers.
+    pub memory: usize,
     /// Largest number of headers of a request.
     pub headers_max: usize,
     /// Largest number of open connections of callers; further ones are closed at once.
@@ -254,8 +256,12 @@
     fn read(fields: &mut Fields<'_>) -> Self {
         const KIB: usize = 1 << 10;
         const MIB: usize = 1 << 20;
+        let body_max = fields.size("body_max", 2 * MIB, KIB..=64 * MIB);
+        // Half of the memory is for large requests, of which four of the largest size fit.
+        let memory_default = (8 * body_max).max(48 * MIB);
         Self {
-            body_max: fields.size("body_max", 2 * MIB, KIB..=64 * MIB),
+            body_max,
+            memory: fields.size("memory", memory_default, 4 * body_max..=64 << 30),
             headers_max: usize::try_from(fields.uint("headers_max", 64, 16..=1000)).unwrap_or(64),
             connections_max: usize::try_from(fields.uint("connections_max", 4096, 1..=1_000_000))
                 .unwrap_or(4096),
--- a/crates/lw-daemon/src/callers/completion.rs
+++ b/crates/lw-daemon/src/callers/completion.rs
@@ -9,6 +9,7 @@
 use futures::stream;
 use http::StatusCode;
 use http_body::Frame;
+use lw_forward::intake::Hold;
 use lw_limit::retry::AttemptContext;
 use lw_protocol::{
     caller::{Answer, ChunkWriter, CompletionRequest, DONE, Endpoint, Failure, Usage},
@@ -27,7 +28,7 @@
 };
 use crate::{
     generate::{AnswerEvent, Driver, Job},
-    limits,
+    intake, limits,
     tables::{InFlightGuard, Tables},
 };
 
@@ -39,8 +40,19 @@
     guard: InFlightGuard,
 ) -> Result<Response, Failure> {
     let settings = &tables.settings;
-    let bytes = server::read_body(body, settings.limits.body_max, settings.timeouts.body).await?;
+    let bytes = intake::read_body(
+        &tables.caller_memory,
+        &tables.statsd,
+        &caller.request_id,
+        body,
+        settings.limits.body_max,
+        settings.timeouts.body,
+    )
+    .await?;
     let completion = CompletionRequest::parse(endpoint, &bytes)?;
+    drop(bytes);
+    let prompt_hold = intake::hold_prompt(&tables.caller_memory, &completion.prompt)?;
+    let guards = Guards { _in_flight: guard, _prompt: prompt_hold };
     let mut context = AttemptContext::received(caller.arrived, 0, caller.deadline);
     let mut last_failure = None;
     for versions in versions(tables, &caller, &completion)? {
@@ -52,7 +64,9 @@
             request.deadline = limits::record_offered(tables, &caller, tokens);
         }
         match start_answer(tables, &caller, &completion, request, context).await {
-            Ok((first, driver)) => return answer(&caller, &completion, first, driver, guard).await,
+            Ok((first, driver)) => {
+                return answer(&caller, &completion, first, driver, guards).await;
+            }
             Err(StartFailure { failure, context: next_context }) => {
                 let may_continue = may_try_other_version(failure.code);
                 context = next_context;
@@ -66,6 +80,14 @@
     Err(last_failure.unwrap_or_else(missing_result))
 }
 
+/// What a request holds until its last event is sent.
+struct Guards {
+    /// Counts the request as in flight.
+    _in_flight: InFlightGuard,
+    /// Accounts for the memory of its prompt.
+    _prompt: Hold,
+}
+
 /// Failure of an answer before its first event.
 struct StartFailure {
     failure: Failure,
@@ -111,7 +133,7 @@
     completion: &CompletionRequest,
     first: AnswerEvent,
     driver: Driver,
-    guard: InFlightGuard,
+    guards: Guards,
 ) -> Result<Response, Failure> {
     let answer = Answer {
         endpoint: completion.endpoint,
@@ -120,7 +142,7 @@
         created: unix_seconds(),
     };
     if completion.stream {
-        Ok(stream_answer(&answer, first, driver, guard))
+        Ok(stream_answer(&answer, first, driver, guards))
     } else {
         collect_answer(&answer, first, driver).await
     }
@@ -254,8 +276,7 @@
     chunks: ChunkWriter,
     first: Option<AnswerEvent>,
     driver: Driver,
-    // Counts the request as in flight until its last event is sent.
-    _guard: InFlightGuard,
+    _guards: Guards,
 }
 
 impl CompletionStream {
@@ -275,19 +296,14 @@
     }
 }
 
-fn stream_answer(
-    answer: &Answer,
-    first: AnswerEvent,
-    driver: Driver,
-    guard: InFlightGuard,
-) -> Response {
+fn stream_answer(answer: &Answer, first: AnswerEvent, driver: Driver, guards: Guards) -> Response {
     let chunks = answer.chunk_writer();
     let stream = CompletionStream {
         answer: answer.clone(),
         chunks,
         first: Some(first),
         driver,
-        _guard: guard,
+        _guards: guards,
     };
     // Boxed, since each event moves this state into a future and back.
     let events = stream::unfold(Box::new(stream), async |mut stream: Box<CompletionStream>| {
--- a/crates/lw-daemon/src/callers/mod.rs
+++ b/crates/lw-daemon/src/callers/mod.rs
@@ -11,7 +11,7 @@
 use volo_http::{body::Body, request::Request, response::Response};
 
 use crate::{
-    services,
+    intake, services,
     tables::{ActiveConfig, Tables},
 };
 
@@ -75,7 +75,7 @@
         tables.statsd.count_result(failure.code);
         let mut response = server::failure(&failure);
         // A connection that stays in use would keep a leaving VM from ending.
-        if failure.code == ResultCode::Draining {
+        if failure.code == ResultCode::Draining || intake::leaves_body_unread(failure.code) {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- /dev/null
+++ b/crates/lw-daemon/src/intake/mod.rs
@@ -0,0 +1,89 @@
+//! Reads callers' bodies within the memory for callers' bytes.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use lw_config::settings::Limits;
+use lw_forward::intake::{self, BodyError, BodyLimits, CallerMemory, Hold, Holder, Shares};
+use lw_metrics::statsd::Statsd;
+use lw_protocol::caller::Failure;
+use lw_transport::server;
+use lw_types::prelude::*;
+use volo_http::body::Body;
+
+/// `Retry-After` of a refusal for lack of memory.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Returns the memory for callers' bytes.
+#[must_use]
+pub fn caller_memory(limits: &Limits) -> Arc<CallerMemory> {
+    CallerMemory::new(Shares::of_total(limits.memory))
+}
+
+/// Reads the body of a caller's request within a size limit and a time limit.
+///
+/// # Errors
+///
+/// A failure that says that the request has not run.
+pub(crate) async fn read_body(
+    memory: &Arc<CallerMemory>,
+    statsd: &Statsd,
+    request: &str,
+    mut body: Body,
+    bytes_max: usize,
+    time_max: Duration,
+) -> Result<Bytes, Failure> {
+    let limits = BodyLimits { bytes_max, idle_max: time_max, time_max };
+    let error = match intake::read_body(memory, &mut body, limits).await {
+        Ok(bytes) => return Ok(bytes),
+        Err(e) => e,
+    };
+    let used = memory.used();
+    statsd.count(&format!("body_refusals.{}", error.kind()), 1);
+    log::warn!(
+        "http: {request} body not read ({}): {error}; {} of {} bytes are held, {} of large requests, {} of large answers",
+        error.kind(),
+        used.total(),
+        memory.shares().total,
+        used.large_requests,
+        used.large_answers
+    );
+    if matches!(error, BodyError::TooLarge(_) | BodyError::NoRoom(_)) {
+        server::discard(body).await;
+    }
+    Err(failure(&error))
+}
+
+/// Accounts for the copies of a prompt: that of the request and that of the attempts to answer it.
+///
+/// # Errors
+///
+/// A failure that says that the request has not run, if there is no memory for them.
+pub(crate) fn hold_prompt(memory: &Arc<CallerMemory>, prompt: &str) -> Result<Hold, Failure> {
+    let bytes = 2 * prompt.len();
+    let mut hold = memory.hold(Holder::Request, u64::try_from(prompt.len()).ok());
+    match hold.grow(bytes) {
+        Ok(()) => Ok(hold),
+        Err(e) => Err(failure(&BodyError::NoRoom(e))),
+    }
+}
+
+fn failure(e: &BodyError) -> Failure {
+    let code = match e {
+        BodyError::TooLarge(_) => ResultCode::BodyTooLarge,
+        BodyError::Stalled(_) | BodyError::Late(_) => ResultCode::BodyTimeout,
+        BodyError::NoRoom(_) => ResultCode::MemoryExhausted,
+        BodyError::Broken(_) => ResultCode::MalformedBody,
+    };
+    let failure = Failure::new(code, e.to_string());
+    match e {
+        BodyError::NoRoom(_) => failure.retry_after(RETRY_AFTER),
+        _ => failure,
+    }
+}
+
+/// Whether the body of a request with this failure was not read to its end, so that its connection has to be closed.
+#[must_use]
+pub fn leaves_body_unread(code: ResultCode) -> bool {
+    matches!(code, ResultCode::BodyTooLarge | ResultCode::BodyTimeout | ResultCode::MemoryExhausted)
+}
--- a/crates/lw-daemon/src/lib.rs
+++ b/crates/lw-daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod callers;
 pub mod claims;
 pub mod generate;
+pub mod intake;
 pub mod limits;
 pub mod members;
 pub mod observe;
--- a/crates/lw-daemon/src/run/connections.rs
+++ b/crates/lw-daemon/src/run/connections.rs
@@ -32,6 +32,10 @@
 /// Time without a request after which a connection that has carried one is closed. Load balancers commonly keep idle
 /// connections for 60 s, and a request that is sent on a connection while it closes has to be sent again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Time for which a caller may take nothing of an answer before its connection is closed. As long as the idle time, so
+/// that a caller is never closed earlier for reading slowly than for sending nothing. The HTTP library buffers about 400 KB,
+/// so a caller that takes 6 KB/s or more is not affected.
+const UNREAD_TIMEOUT: Duration = IDLE_TIMEOUT;
 /// Longest time between two checks of the open connections.
 const CHECK_INTERVAL_MAX: Duration = Duration::from_secs(1);
 /// Shortest time between two checks caused by new connections while the maximum number is open.
@@ -47,6 +51,8 @@
     open_max: usize,
     head_timeout: Duration,
     last_id: AtomicU64,
+    /// Number of connections that were closed since their callers did not read.
+    unread_count: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -67,6 +73,21 @@
     has_unread_bytes: bool,
     /// When the time without a request began.
     idle_since: Now,
+    unread: Arc<Unread>,
+}
+
+/// When the HTTP library took the last frame of an answer, while it has not asked for the next one: its caller does not read.
+#[derive(Debug, Default)]
+struct Unread(Mutex<Option<Now>>);
+
+impl Unread {
+    fn set(&self, since: Option<Now>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = since;
+    }
+
+    fn get(&self) -> Option<Now> {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Connection {
@@ -80,16 +101,27 @@
 impl Connections {
     pub(super) fn new(timer: Timer, open_max: usize, head_timeout: Duration) -> Self {
         let last_id = AtomicU64::new(0);
-        Self { table: Mutex::default(), timer, open_max, head_timeout, last_id }
+        Self {
+            table: Mutex::default(),
+            timer,
+            open_max,
+            head_timeout,
+            last_id,
+            unread_count: AtomicU64::new(0),
+        }
     }
 
-    /// Closes idle connections until the process ends.
-    pub(super) async fn run_idle_checks(self: Arc<Self>) {
+    /// Closes idle connections, and those whose callers do not read, until the process ends. Counts the latter.
+    pub(super) async fn run_idle_checks(self: Arc<Self>, count_unread: impl Fn(u64)) {
         let period = (self.head_timeout / 4).min(CHECK_INTERVAL_MAX);
         let mut ticks = self.timer.subscribe(period);
         loop {
             let now = ticks.tick().await;
             self.close_idle(&mut self.lock(), now);
+            match self.unread_count.swap(0, Ordering::Relaxed) {
+                0 => {}
+                count => count_unread(count),
+            }
         }
     }
 
@@ -117,6 +149,7 @@
             has_received_request: false,
             has_unread_bytes: false,
             idle_since: now,
+            unread: Arc::default(),
         };
         table.connections.insert(peer, connection);
         Ok(true)
@@ -130,15 +163,25 @@
         connection.requests_in_progress += 1;
         connection.has_received_request = true;
         connection.has_unread_bytes = false;
-        let id = connection.id;
-        Some(RequestGuard { connections: Arc::clone(self), peer, id, is_broken: false })
+        let (id, unread) = (connection.id, Arc::clone(&connection.unread));
+        unread.set(None);
+        Some(RequestGuard { connections: Arc::clone(self), peer, id, unread, is_broken: false })
     }
 
     fn close_idle(&self, table: &mut ConnectionTable, now: Now) {
         table.last_check = now;
         table.connections.retain(|peer, connection| {
             if connection.requests_in_progress > 0 {
-                return true;
+                let is_read =
+                    connection.unread.get().is_none_or(|since| now < since + UNREAD_TIMEOUT);
+                if !is_read {
+                    log::warn!(
+                        "http: closed the connection of {peer}: it read nothing for {UNREAD_TIMEOUT:?}"
+                    );
+                    self.unread_count.fetch_add(1, Ordering::Relaxed);
+                    connection.shut_down();
+                }
+                return is_read;
             }
             // Does not block: the socket shares the non-blocking mode of the HTTP library's handle.
             let peeked = connection.socket.peek(&mut [0]);
@@ -171,6 +214,7 @@
     connections: Arc<Connections>,
     peer: SocketAddr,
     id: u64,
+    unread: Arc<Unread>,
     /// Whether the answer broke off, so that the connection must not stay open.
     is_broken: bool,
 }
@@ -213,6 +257,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         self.guard.is_broken |= matches!(polled, Poll::Ready(Some(Err(_))));
+        let has_frame = matches!(polled, Poll::Ready(Some(Ok(_))));
+        self.guard.unread.set(has_frame.then(|| self.guard.connections.timer.now()));
         polled
     }
 
--- a/crates/lw-daemon/src/run/mod.rs
+++ b/crates/lw-daemon/src/run/mod.rs
@@ -91,7 +91,13 @@
     let (limits, timeouts) = (&tables.settings.limits, &tables.settings.timeouts);
     let connection_limits = Connections::new(tables.timer, limits.connections_max, timeouts.head);
     let connection_limits = Arc::new(connection_limits);
-    tokio::spawn(Arc::clone(&connection_limits).run_idle_checks());
+    let count_tables = Arc::clone(&tables);
+    let count_unread = move |count| {
+        count_tables
+            .statsd
+            .count("closed_connections.unread", i64::try_from(count).unwrap_or(i64::MAX));
+    };
+    tokio::spawn(Arc::clone(&connection_limits).run_idle_checks(count_unread));
     let callers = Acceptor { listener: callers, connections: Some(connection_limits) };
     let peer_listener = Acceptor { listener: peer_listener, connections: None };
     let operators = Acceptor { listener: operators, connections: None };
--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -15,7 +15,7 @@
 use volo_http::{body::Body, response::Response};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{callers::Caller, limits, tables::Tables};
+use crate::{callers::Caller, intake, limits, tables::Tables};
 
 mod once;
 
@@ -82,9 +82,15 @@
             return Err(failure);
         }
     };
-    let limits = &tables.settings.limits;
-    let body =
-        server::read_body(incoming.body, limits.body_max, tables.settings.timeouts.body).await?;
+    let body = intake::read_body(
+        &tables.caller_memory,
+        &tables.statsd,
+        &caller.request_id,
+        incoming.body,
+        tables.settings.limits.body_max,
+        tables.settings.timeouts.body,
+    )
+    .await?;
     let headers = forwarded_headers(&incoming.headers, caller);
     let call = ServiceCall { method: incoming.method, path, headers, body };
     if may_repeat {
--- a/crates/lw-daemon/src/tables/mod.rs
+++ b/crates/lw-daemon/src/tables/mod.rs
@@ -19,6 +19,7 @@
 };
 use lw_forward::{
     collect::AnswerMemory,
+    intake::CallerMemory,
     pool::{self, Pool},
 };
 use lw_metrics::{histograms::Histograms, statsd::Statsd};
@@ -28,6 +29,8 @@
 use lw_types::prelude::*;
 use tokio::sync::Notify;
 
+use crate::intake;
+
 use crate::{claims::Claims, limits::Limits, members::Members, orders::Orders};
 
 pub mod decision_log;
@@ -38,8 +41,6 @@
 pub const BALANCER_UPDATE_DELAY: Duration = Duration::from_millis(500);
 /// Time before the stated end of an idle connection to a service from which on it is not reused.
 const SERVICE_IDLE_MARGIN: Duration = Duration::from_millis(400);
-/// Memory for the answers of services that are being collected, over all requests: an eighth of the memory of a node.
-const ANSWER_MEMORY_MAX_BYTES: usize = 8 << 20;
 
 /// The active configuration, with the lookup tables that requests need.
 #[derive(Debug)]
@@ -120,7 +121,9 @@
     decision_log: Mutex<DecisionLog>,
     /// Connections to plain services.
     pub service_connections: Arc<Pool>,
-    /// Memory budget for answers that are being collected.
+    /// Memory for callers' bytes.
+    pub caller_memory: Arc<CallerMemory>,
+    /// Collects answers in this memory.
     pub answer_memory: AnswerMemory,
     leaving_since: OnceLock<Now>,
     in_flight: AtomicU64,
@@ -152,6 +155,7 @@
             idle_margin: SERVICE_IDLE_MARGIN,
             connections_max: settings.limits.connections_max,
         });
+        let caller_memory = intake::caller_memory(&settings.limits);
         let store = Store::new(Arc::clone(&clients), settings.platform, settings.timeouts.platform);
         Self {
             incarnation,
@@ -176,7 +180,8 @@
             orders: Mutex::default(),
             decision_log: Mutex::new(DecisionLog::new(settings.limits.decision_log)),
             service_connections,
-            answer_memory: AnswerMemory::new(ANSWER_MEMORY_MAX_BYTES),
+            answer_memory: AnswerMemory::new(Arc::clone(&caller_memory)),
+            caller_memory,
             leaving_since: OnceLock::new(),
             in_flight: AtomicU64::new(0),
             request_count: AtomicU64::new(0),
