lw-place: costs and speeds of engines learned, small requests spread

Cause: prefill and decode rates were fixed values with narrow bounds for each engine, and every VM sent its small requests, which others do not see, to the same engine that looked free.

Change: one cost model for each service, a lasting speed factor for each engine (robust mean of ratios, without samples near a reported slowdown), lengths of answers by kind of request. The queue, the interference and the wait use them. Redundant work counts at usual speed. A prefill also costs what waits behind it and the streams that are only reported. Small requests are spread over upstreams whose costs differ by less than 80 ms.

lw-edge, lw-observe: learned speeds between VMs, error of the estimates as a metric (not tested yet).

--- a/crates/lw-edge/src/observe/mod.rs
+++ b/crates/lw-edge/src/observe/mod.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use lw_observe::{
     logs,
-    metrics::{KindLabel, ServiceLabel},
+    metrics::{KindLabel, ServiceLabel, ServiceQuantileLabels},
 };
 use lw_protocol::operator::{
     Explanation, PeerStatus, QuarantineStatus, Status, Step, UpstreamStatus,
@@ -89,6 +89,12 @@
         metrics.ready_upstreams.get_or_create(&label).set(as_gauge(ready));
         let limited = u64::try_from(pool.limited_count()).unwrap_or(u64::MAX);
         metrics.limited_upstreams.get_or_create(&label).set(as_gauge(limited));
+        if let Some((p50, p95)) = pool.estimate_errors() {
+            for (quantile, ratio) in [("0.5", p50), ("0.95", p95)] {
+                let labels = ServiceQuantileLabels { service: service.clone(), quantile };
+                metrics.estimate_error.get_or_create(&labels).set(percent(ratio));
+            }
+        }
     }
     for (service, left) in edge.retries_left(now) {
         metrics.retries_left.get_or_create(&ServiceLabel { service }).set(as_gauge(left));
@@ -101,6 +107,12 @@
     }
 }
 
+/// Returns a ratio in percent. The quantiles of errors are bounded.
+#[expect(clippy::cast_possible_truncation, reason = "bounded far below 2^52")]
+fn percent(ratio: f64) -> i64 {
+    (ratio * 100.0).round() as i64
+}
+
 fn status(edge: &Edge) -> Status {
     let view = edge.store_view();
     let state = match (edge.is_leaving(), view.catalog()) {
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -18,12 +18,14 @@
 
 mod limits;
 pub mod route;
+mod speeds;
 mod suspicion;
 mod versions;
 
 pub use limits::{LimitWire, TurnWire};
 pub(crate) use limits::{ask_for_turn, request as request_limits};
 use route::Recipient;
+pub use speeds::SpeedsWire;
 use suspicion::{SoundWire, SuspectWire};
 pub use versions::VersionAgeQuery;
 
@@ -206,6 +208,13 @@
     TurnRequest(TurnWire),
     /// Lends a turn on such a request.
     Turn(TurnWire),
+    /// Requests the speeds of upstreams that the receiver has learned.
+    SpeedsRequest {
+        /// Address to which the reply is sent.
+        addr: SocketAddr,
+    },
+    /// Answers [`Notice::SpeedsRequest`], in one message or several.
+    Speeds(SpeedsWire),
     /// An engine serves a version of a model's weights.
     Serves {
         /// The engine.
@@ -232,7 +241,7 @@
         tokio::time::sleep(RETRY_PAUSE).await;
     };
     edge.set_datagrams(Arc::clone(&datagrams));
-    tokio::join!(versions::request_ages(&edge), receive(&edge, &datagrams));
+    tokio::join!(versions::request_ages(&edge), speeds::request(&edge), receive(&edge, &datagrams));
 }
 
 async fn receive(edge: &Edge, datagrams: &Datagrams) {
@@ -274,6 +283,8 @@
         Notice::LimitsRequest { addr } => return limits::reply(edge, *addr),
         Notice::TurnRequest(turn) => return limits::lend_turn(edge, &message.vm, turn),
         Notice::Turn(turn) => return limits::accept_turn(edge, turn),
+        Notice::SpeedsRequest { addr } => return speeds::reply(edge, *addr),
+        Notice::Speeds(speeds) => return speeds::apply(edge, &message.vm, speeds),
         Notice::VersionAgesRequest { addr, nonce } => return versions::reply(edge, *addr, *nonce),
         Notice::VersionAges { nonce, versions } => {
             return versions::apply_reply(edge, *nonce, versions);
@@ -303,6 +314,8 @@
             | Notice::LimitsRequest { .. }
             | Notice::TurnRequest(_)
             | Notice::Turn(_)
+            | Notice::SpeedsRequest { .. }
+            | Notice::Speeds(_)
             | Notice::VersionAgesRequest { .. }
             | Notice::VersionAges { .. } => {}
             Notice::Slowdown { upstream, percent } => {
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -176,6 +176,14 @@
         self.end(Ended::Failed, "the upstream is silent");
     }
 
+    /// Records how many events of the answer have arrived.
+    pub fn record_output(&self, events: u64) {
+        let upstream = &self.placement.upstream.id;
+        self.edge.with_upstream_pool(&self.call.service, |pool| {
+            pool.record_output(upstream, self.id, events);
+        });
+    }
+
     /// Ends an attempt whose successful answer is complete.
     pub fn end_complete(self) {
         self.record_sound();
@@ -245,6 +253,8 @@
             held = placement.cached_tokens, fetched = placement.fetched_tokens,
             fetch_from = placement.fetch_from.map(|addr| addr.to_string()).unwrap_or_default(),
             rank = placement.rank, expected_ms = millis(placement.expected_latency),
+            wait_ms = millis(placement.wait),
+            load_age_ms = placement.load_age.map_or(-1, |age| i64::try_from(millis(age)).unwrap_or(i64::MAX)),
             left_ms = millis(call.due.saturating_sub(self.started_at)), config = config,
             known_ms = age; "request sent");
     }
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -263,5 +263,13 @@
         cache_scope,
         rank: rank(route, workspace),
         bytes,
+        kind: kind(route, workspace),
     }
 }
+
+/// Returns what identifies the requests of one route and workspace.
+fn kind(route: &Route, workspace: Option<&Workspace>) -> u64 {
+    let workspace = workspace.map_or("", |workspace| workspace.name.as_str());
+    let seed = xxhash_rust::xxh3::xxh3_64(workspace.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(route.name.as_bytes(), seed)
+}
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -31,6 +31,8 @@
     relayed_bytes: u64,
     /// Whether another engine has resumed the stream and has not sent an event yet.
     awaits_first_event: bool,
+    /// Whether several attempts sent parts of the stream.
+    is_resumed: bool,
 }
 
 /// What the HTTP library received of a body.
@@ -63,6 +65,7 @@
             status,
             relayed_bytes: 0,
             awaits_first_event: false,
+            is_resumed: false,
         }
     }
 
@@ -126,6 +129,9 @@
                 },
                 Received::End => {
                     if let Some((_, attempt)) = self.current.take() {
+                        if let Some(events) = self.whole_events() {
+                            attempt.record_output(events);
+                        }
                         attempt.end_complete();
                     }
                     self.driver.record.record_answer(self.status);
@@ -150,6 +156,12 @@
         }
     }
 
+    /// Returns the number of events of the answer, if one attempt sent all of them. Ids of events count from 1.
+    fn whole_events(&self) -> Option<u64> {
+        let is_whole = !self.is_resumed && self.driver.call.head.last_event.is_none();
+        self.splitter.last_id().filter(|_| is_whole)
+    }
+
     /// Ends the current attempt, whose stream broke, and resumes the stream with another one.
     async fn replace_attempt(&mut self, why: &str) -> Result<(), BodyError> {
         if let Some((_, attempt)) = self.current.take() {
@@ -255,6 +267,7 @@
                     incoming.attempt.on_stream_started();
                     self.current = Some((incoming.body, incoming.attempt));
                     self.awaits_first_event = true;
+                    self.is_resumed = true;
                     return Ok(());
                 }
                 SendOutcome::Answer(incoming) => {
--- a/crates/lw-observe/src/metrics/mod.rs
+++ b/crates/lw-observe/src/metrics/mod.rs
@@ -56,6 +56,15 @@
     pub service: String,
 }
 
+/// Labels of a quantile of metrics about one service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceQuantileLabels {
+    /// Name of the service.
+    pub service: String,
+    /// The quantile.
+    pub quantile: &'static str,
+}
+
 /// Increments the counter of one kind.
 ///
 /// ```
@@ -114,6 +123,8 @@
     pub ready_upstreams: Family<ServiceLabel, Gauge>,
     /// Upstreams that name a limit, by service.
     pub limited_upstreams: Family<ServiceLabel, Gauge>,
+    /// Actual over expected time to the first event or the answer, in percent.
+    pub estimate_error: Family<ServiceQuantileLabels, Gauge>,
     /// Quarantined sets of prompt segments.
     pub quarantined_sets: Gauge,
     /// Dropped log lines by kind.
@@ -148,6 +159,7 @@
             retries_left: Family::default(),
             ready_upstreams: Family::default(),
             limited_upstreams: Family::default(),
+            estimate_error: Family::default(),
             quarantined_sets: Gauge::default(),
             dropped_log_lines: Family::default(),
         };
@@ -189,6 +201,8 @@
         registry.register("ready_upstreams", help, self.ready_upstreams.clone());
         let help = "Upstreams that name a limit on the requests that they take";
         registry.register("limited_upstreams", help, self.limited_upstreams.clone());
+        let help = "Actual over expected latency, in percent";
+        registry.register("estimate_error_percent", help, self.estimate_error.clone());
         let help = "Sets of prompt segments whose requests are refused";
         registry.register("quarantined_sets", help, self.quarantined_sets.clone());
         registry.register(
--- a/crates/lw-place/src/lib.rs
+++ b/crates/lw-place/src/lib.rs
@@ -7,11 +7,12 @@
 pub mod load;
 pub mod pool;
 pub mod prompt;
+mod work;
 
 pub use cache::{CacheChange, CachePage, CacheView};
 pub use load::Load;
 pub use pool::{
-    AnnouncedAttempt, AttemptId, Candidate, Ended, Fleet, LimitReport, Placement, PlacementRequest,
-    Refusal, TurnRequest, UpstreamPool,
+    AnnouncedAttempt, AttemptId, Candidate, Ended, Fleet, Learned, LearnedCosts, LimitReport,
+    Placement, PlacementRequest, Refusal, TurnRequest, UpstreamPool,
 };
 pub use prompt::{CacheScope, Prompt, RANK_MAX, Segment, salt};
--- a/crates/lw-place/src/pool/candidates.rs
+++ b/crates/lw-place/src/pool/candidates.rs
@@ -5,7 +5,7 @@
 use lw_catalog::Stage;
 use lw_types::prelude::*;
 
-use super::{UpstreamPool, UpstreamState};
+use super::{Learned, UpstreamPool, UpstreamState};
 
 /// An upstream that requests may be placed on, as this VM sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,12 +50,25 @@
     let limit = limit.map(|(limit, share)| {
         format!(", limited to {limit} requests a second, {share:.2} from this VM")
     });
+    let speed = state.speed.learned(now);
+    let speed = (speed.weight > 0.0).then(|| {
+        let Learned { ratio, weight, age } = speed;
+        format!(
+            ", takes {ratio:.2} of the usual time ({weight:.1} samples, {} s old)",
+            age.as_secs()
+        )
+    });
     let versions = weights.iter().map(|(model, version)| format!(", {model} {version}"));
     Candidate {
         id: state.upstream.id.clone(),
         addr: state.upstream.addr,
         is_open: status == "open",
-        reason: format!("{status}{}{}", limit.unwrap_or_default(), versions.collect::<String>()),
+        reason: format!(
+            "{status}{}{}{}",
+            limit.unwrap_or_default(),
+            speed.unwrap_or_default(),
+            versions.collect::<String>()
+        ),
         weights,
         in_flight: state.in_flight.len(),
     }
--- a/crates/lw-place/src/pool/in_flight.rs
+++ b/crates/lw-place/src/pool/in_flight.rs
@@ -2,7 +2,7 @@
 
 use super::{
     AttemptId, Ended, InFlightId, Now, Placement, Prompt, SegmentKey, UpstreamPool, UpstreamState,
-    upstream_state::InFlight,
+    upstream_state::{Expected, InFlight},
 };
 use lw_types::prelude::*;
 
@@ -17,6 +17,9 @@
 /// Age at which an attempt of another VM is removed, since the message about its end may be lost.
 const REMOTE_ATTEMPT_MAX_AGE: Duration = Duration::from_secs(7);
 
+/// Time before an attempt within which a reported slowdown may have affected it.
+const SLOWDOWN_TIME: Duration = Duration::from_millis(300);
+
 /// An attempt as it is announced to other VMs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AnnouncedAttempt {
@@ -50,7 +53,8 @@
     ) -> (AttemptId, Option<AnnouncedAttempt>) {
         self.last_attempt_id += 1;
         let announced = self.announcement(now, placement, prompt);
-        self.insert_attempt(now, VmId::new(), &announced);
+        let expected = self.expected(now, placement, prompt);
+        self.insert_attempt(now, VmId::new(), &announced, expected);
         if let Some(from) = placement.fetch_from {
             self.reserve_link(from, placement.fetched_at);
         }
@@ -66,13 +70,15 @@
     ) -> AnnouncedAttempt {
         let segments = prompt.zip(placement.salt.as_ref()).map(|(prompt, salt)| prompt.keys(salt));
         let available_tokens = placement.cached_tokens + placement.fetched_tokens;
+        let output_tokens =
+            prompt.map_or(0, |prompt| self.lengths.expected(prompt.kind, prompt.output_tokens));
         AnnouncedAttempt {
             upstream: placement.upstream.id.clone(),
             attempt_id: self.last_attempt_id,
-            tokens: prompt.map_or(0, |prompt| prompt.tokens + prompt.output_tokens),
+            tokens: prompt.map_or(0, |prompt| prompt.tokens + output_tokens),
             prefill_tokens: prompt
                 .map_or(0, |prompt| prompt.tokens.saturating_sub(available_tokens)),
-            output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens),
+            output_tokens,
             rank: placement.rank,
             segments: segments.unwrap_or_default(),
             fetch_time: placement.fetched_at.saturating_sub(now),
@@ -80,12 +86,34 @@
         }
     }
 
+    fn expected(
+        &self,
+        now: Now,
+        placement: &Placement,
+        prompt: Option<&Prompt>,
+    ) -> Option<Expected> {
+        let state = self.upstreams.get(&placement.upstream.id)?;
+        Some(Expected {
+            latency_ms: placement.expected_latency.as_secs_f64() * 1000.0,
+            kind: prompt.map_or(0, |prompt| prompt.kind),
+            hint: prompt.map_or(0, |prompt| prompt.output_tokens),
+            output_tokens: 0,
+            has_free_slot: state.active_count(now) < u64::from(state.upstream.slots),
+        })
+    }
+
     /// Records an attempt that another VM announced.
     pub fn record_remote_sent(&mut self, now: Now, vm: &str, announced: &AnnouncedAttempt) {
-        self.insert_attempt(now, vm.to_owned(), announced);
+        self.insert_attempt(now, vm.to_owned(), announced, None);
     }
 
-    fn insert_attempt(&mut self, now: Now, vm: VmId, sent: &AnnouncedAttempt) {
+    fn insert_attempt(
+        &mut self,
+        now: Now,
+        vm: VmId,
+        sent: &AnnouncedAttempt,
+        expected: Option<Expected>,
+    ) {
         let Some(state) = self.upstreams.get_mut(&sent.upstream) else { return };
         let attempt = InFlight {
             tokens: sent.tokens,
@@ -96,6 +124,7 @@
             fetched_at: now + sent.fetch_time,
             started_at: None,
             segments: sent.segments.clone(),
+            expected,
         };
         for (key, tokens) in &sent.segments {
             state.cache.insert(now, *key, *tokens, false);
@@ -129,7 +158,15 @@
         }
         attempt.started_at = Some(now);
         let prefill_began = attempt.sent_at.max(attempt.fetched_at).max(state.last_first_event);
-        state.rate.observe_prefill(attempt.prefill_tokens, now.saturating_sub(prefill_began));
+        let prefill_ms = now.saturating_sub(prefill_began).as_secs_f64() * 1000.0;
+        if state.slowdown.is_clear_since(attempt.sent_at.saturating_sub(SLOWDOWN_TIME)) {
+            let (speed, tokens) = (&mut state.speed, attempt.prefill_tokens);
+            self.costs.observe_prefill(now, speed, tokens, prefill_ms);
+        }
+        if let Some(expected) = attempt.expected {
+            let actual = now.saturating_sub(attempt.sent_at);
+            self.errors.observe(expected.latency_ms, actual.as_secs_f64() * 1000.0);
+        }
         if attempt.prefill_tokens >= ANNOUNCED_MIN_TOKENS {
             state.last_first_event = now;
         }
@@ -164,13 +201,41 @@
         self.remove_attempt(now, id, &(vm.to_owned(), attempt_id), ended);
     }
 
+    /// Records how many events of the answer to a local attempt have arrived so far.
+    pub fn record_output(&mut self, id: &str, attempt_id: AttemptId, events: u64) {
+        let tokens_per_event = self.spec.as_ref().map_or(0, |spec| spec.tokens_per_event);
+        let tokens = events.saturating_mul(u64::from(tokens_per_event));
+        let state = self.upstreams.get_mut(id);
+        let attempt = state.and_then(|s| s.in_flight.get_mut(&(VmId::new(), attempt_id)));
+        if let Some(expected) = attempt.and_then(|attempt| attempt.expected.as_mut()) {
+            expected.output_tokens = tokens;
+        }
+    }
+
     fn remove_attempt(&mut self, now: Now, id: &str, attempt: &InFlightId, ended: Ended) {
         let Some(state) = self.upstreams.get_mut(id) else { return };
         let Some(attempt) = state.in_flight.remove(attempt) else { return };
-        if let Some(started) = attempt.started_at.filter(|_| ended == Ended::Complete) {
-            let time = now.saturating_sub(started);
-            state.rate.observe_decode(attempt.output_tokens, time);
-            state.rate.observe_slot_time(time);
+        if ended == Ended::Complete {
+            let is_clear =
+                state.slowdown.is_clear_since(attempt.sent_at.saturating_sub(SLOWDOWN_TIME));
+            let time = now.saturating_sub(attempt.started_at.unwrap_or(attempt.sent_at));
+            let ms = time.as_secs_f64() * 1000.0;
+            let actual_tokens = attempt.expected.map_or(0, |expected| expected.output_tokens);
+            if attempt.started_at.is_some() {
+                let tokens = if actual_tokens > 0 { actual_tokens } else { attempt.output_tokens };
+                if is_clear {
+                    self.costs.observe_decode(now, &mut state.speed, tokens, ms);
+                }
+                state.speed.observe_slot_time(time);
+            } else if let Some(expected) = attempt.expected {
+                self.errors.observe(expected.latency_ms, ms);
+                if is_clear && expected.has_free_slot && attempt.tokens == 0 {
+                    self.costs.observe_plain(now, &mut state.speed, ms);
+                }
+            }
+            if let Some(expected) = attempt.expected.filter(|e| e.output_tokens > 0) {
+                self.lengths.observe(expected.kind, expected.hint, expected.output_tokens);
+            }
         }
         if attempt.started_at.is_none() && ended != Ended::Complete {
             remove_unfinished_segments(state, &attempt);
@@ -193,7 +258,8 @@
     }
 }
 
-fn is_large(tokens: u64) -> bool {
+/// Whether an attempt of this size is announced to the other VMs.
+pub(super) fn is_large(tokens: u64) -> bool {
     tokens >= ANNOUNCED_MIN_TOKENS
 }
 
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -6,25 +6,31 @@
 use lw_catalog::{EngineSpec, Stage, Upstream};
 use lw_types::prelude::*;
 
-use crate::{CachePage, Load, Prompt, cache::SegmentKey};
+use crate::{
+    CachePage, Load, Prompt,
+    cache::SegmentKey,
+    work::{CostModel, EngineCost, EstimateErrors, OutputLengths},
+};
 
 mod candidates;
 mod in_flight;
+mod learned;
 mod limit;
 mod placement;
 mod queue;
-mod rate;
 mod slowdown;
 mod source;
 mod upstream_state;
 
 pub use candidates::Candidate;
 pub use in_flight::AnnouncedAttempt;
+pub use learned::{Learned, LearnedCosts};
 use limit::RunLimit;
 use limit::Unserved;
 pub use limit::{Fleet, LimitReport, TurnRequest};
 use source::CacheStore;
 use upstream_state::UpstreamState;
+pub(crate) use upstream_state::as_f64;
 
 /// Number of an attempt, unique at the VM that sends it.
 pub type AttemptId = u64;
@@ -82,6 +88,10 @@
     pub save_to: Option<SocketAddr>,
     /// Expected time to the first event or the answer.
     pub expected_latency: Duration,
+    /// Expected time until the upstream has done the work that is ahead of the request.
+    pub wait: Duration,
+    /// Age of the load that the upstream reported last, if it ever did.
+    pub load_age: Option<Duration>,
 }
 
 /// Why a request is not placed on any upstream.
@@ -140,6 +150,10 @@
     /// Target versions of weights by model, in ascending order.
     targets: HashMap<ModelId, Vec<TargetVersion>>,
     last_attempt_id: AttemptId,
+    /// What work costs at the upstreams of this service.
+    costs: CostModel,
+    lengths: OutputLengths,
+    errors: EstimateErrors,
 }
 
 impl UpstreamPool {
@@ -155,6 +169,9 @@
             unserved: Unserved::default(),
             targets: HashMap::new(),
             last_attempt_id: 0,
+            costs: CostModel::default(),
+            lengths: OutputLengths::default(),
+            errors: EstimateErrors::default(),
         }
     }
 
@@ -163,7 +180,7 @@
         self.spec = spec;
     }
 
-    /// Adds or updates an upstream. Another incarnation starts with an empty cache and without any history.
+    /// Adds or updates an upstream. Another incarnation starts with an empty cache and without any history but its speed.
     pub fn put(&mut self, upstream: &Arc<Upstream>) {
         let current = self.upstreams.get_mut(&upstream.id);
         if let Some(current) = current.filter(|u| u.upstream.incarnation == upstream.incarnation) {
@@ -175,7 +192,23 @@
         }
         self.forget_limit_of_former_run(upstream);
         let capacity_tokens = self.spec.as_ref().map_or(0, |spec| spec.cache_tokens);
-        self.upstreams.insert(upstream.id.clone(), UpstreamState::new(upstream, capacity_tokens));
+        let mut state = UpstreamState::new(upstream, capacity_tokens);
+        // It probably runs on the same machine as before.
+        state.speed =
+            self.upstreams.get(&upstream.id).map(|former| former.speed).unwrap_or_default();
+        self.upstreams.insert(upstream.id.clone(), state);
+    }
+
+    /// Returns what work costs at an upstream.
+    fn cost(&self, state: &UpstreamState) -> EngineCost<'_> {
+        self.costs.at(&state.speed)
+    }
+
+    /// Returns the median and the 95th percentile of the actual over the expected time to the first event or the answer,
+    /// of the requests that this VM sent lately.
+    #[must_use]
+    pub fn estimate_errors(&self) -> Option<(f64, f64)> {
+        self.errors.quantiles()
     }
 
     /// Removes an upstream that is no longer registered.
--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -6,13 +6,14 @@
 use lw_types::prelude::*;
 
 use super::{
-    Placement, PlacementRequest, Prompt, Refusal, UpstreamPool, UpstreamState, queue::NewRequest,
-    source::Source, upstream_state::as_f64,
+    Placement, PlacementRequest, Prompt, Refusal, UpstreamPool, UpstreamState, in_flight::is_large,
+    queue::NewRequest, source::Source, upstream_state::as_f64,
 };
 use crate::{CacheScope, RANK_MAX, cache::SegmentKey, salt};
 
 /// Cost of each millisecond of prefill, in addition to the latency of the request itself: a prefill that repeats the
-/// work of another engine takes time from other requests.
+/// work of another engine takes time from other requests. It is the prefill at usual speed, since the same work at a slow
+/// engine takes no more from others.
 const WORK_WEIGHT: f64 = 1.0;
 /// Cost of a request to another failure domain: it crosses domains twice, on links that are more expensive.
 const CROSS_DOMAIN_COST_MS: f64 = 30.0;
@@ -33,6 +34,9 @@
 /// Most that a hash adds to the cost, so that VMs do not all select the same one of several upstreams of equal cost.
 const TIE_BREAK_COST_MS: f64 = 2.0;
 
+/// Number of other VMs from which on the spread of small requests does not grow.
+const SPREAD_PEERS_MAX: f64 = 40.0;
+
 /// The segments of a prompt under one version of the weights.
 struct SegmentLookup<'a> {
     salt: String,
@@ -113,10 +117,15 @@
         request: &PlacementRequest<'_>,
         state: &UpstreamState,
     ) -> Estimate {
-        let wait_ms = state.plain_wait_ms(now).max(self.turn_ms(now, state));
-        let cost =
-            wait_ms + self.cross_domain_ms(state, 1) + tie_break_ms(state, request.request_hash);
-        Estimate { placement: initial_placement(now, state, wait_ms), cost }
+        let server = self.cost(state);
+        let wait_ms = state.plain_wait_ms(now, server).max(self.turn_ms(now, state));
+        let service_ms = if server.has_plain_samples(now) { server.plain_ms() } else { 0.0 };
+        let expected_ms = wait_ms + service_ms;
+        let cost = expected_ms
+            + self.cross_domain_ms(state, 1)
+            + tie_break_ms(state, request.request_hash);
+        let placement = initial_placement(now, state, expected_ms);
+        Estimate { placement: Placement { wait: duration(wait_ms), ..placement }, cost }
     }
 
     fn estimate_engine<'a>(
@@ -150,14 +159,18 @@
         }
         let prefill_tokens =
             prompt.tokens.saturating_sub(placement.cached_tokens + placement.fetched_tokens);
-        let prefill_ms = state.rate.prefill_ms(prefill_tokens);
+        let engine_cost = self.cost(state);
+        let prefill_ms = engine_cost.prefill_ms(prefill_tokens);
         let fetch_ms = millis(placement.fetched_at.saturating_sub(now));
         let capacity_tokens = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
-        let tokens = prompt.tokens + prompt.output_tokens;
+        let output_tokens = self.lengths.expected(prompt.kind, prompt.output_tokens);
+        let decode_ms = engine_cost.decode_ms(output_tokens);
+        let tokens = prompt.tokens + output_tokens;
         let wait_at_rank = |rank: u8| {
             let new = NewRequest { rank, tokens, peers: request.peers };
-            let wait = state.wait_ms(now, new, capacity_tokens).max(fetch_ms).max(turn_ms);
-            wait + state.delay_ms(now, wait + prefill_ms, prompt.output_tokens)
+            let wait =
+                state.wait_ms(now, new, capacity_tokens, engine_cost).max(fetch_ms).max(turn_ms);
+            wait + state.delay_ms(now, wait + prefill_ms, decode_ms)
         };
         placement.rank = prompt.rank.min(RANK_MAX);
         let mut wait_ms = wait_at_rank(placement.rank);
@@ -169,15 +182,18 @@
         }
         placement.expected_latency = Duration::try_from_secs_f64((wait_ms + prefill_ms) / 1000.0)
             .unwrap_or(request.time_left);
+        placement.wait = duration(wait_ms);
         let kilobytes = u64::try_from(prompt.bytes / 1024).unwrap_or(u64::MAX);
         let cost = wait_ms
             + late_cost_ms
-            + prefill_ms * (1.0 + WORK_WEIGHT)
+            + prefill_ms
+            + engine_cost.usual_prefill_ms(prefill_tokens) * WORK_WEIGHT
             + fetch_ms * TRANSFER_WEIGHT
-            + state.interference_ms(prefill_ms, prompt.output_tokens)
+            + state.interference_ms(now, engine_cost, prefill_ms, output_tokens, placement.rank)
             + self.cross_domain_ms(state, kilobytes)
             + self.stale_weights_ms(now, request, state)
-            + tie_break_ms(state, affinity_seed(request, prompt));
+            + tie_break_ms(state, affinity_seed(request, prompt))
+            + spread_ms(state, request, tokens);
         Estimate { placement, cost }
     }
 
@@ -235,6 +251,11 @@
     }
 }
 
+/// Returns a duration of `ms`; the longest one if it is infinite.
+fn duration(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::MAX)
+}
+
 fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1000.0
 }
@@ -250,7 +271,9 @@
         fetch_from: None,
         fetched_at: now,
         save_to: None,
-        expected_latency: Duration::from_secs_f64(expected_ms / 1000.0),
+        expected_latency: duration(expected_ms),
+        wait: Duration::ZERO,
+        load_age: state.load.map(|(at, _)| now.saturating_sub(at)),
     }
 }
 
@@ -260,6 +283,16 @@
     prompt.shared().last().map_or(request.request_hash, |segment| segment.id)
 }
 
+/// Returns what spreads requests that other VMs do not see over upstreams whose costs differ little. All VMs have the same
+/// view of the announced requests, so without it they would all select the same upstream until it reports its load.
+fn spread_ms(state: &UpstreamState, request: &PlacementRequest<'_>, tokens: u64) -> f64 {
+    if is_large(tokens) {
+        return 0.0;
+    }
+    let peers = as_f64(u64::try_from(request.peers).unwrap_or(u64::MAX)).min(SPREAD_PEERS_MAX);
+    tie_break_ms(state, request.request_hash) * peers
+}
+
 fn tie_break_ms(state: &UpstreamState, seed: u64) -> f64 {
     const STEPS: u64 = 1024;
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(state.upstream.id.as_bytes(), seed);
--- a/crates/lw-place/src/pool/queue.rs
+++ b/crates/lw-place/src/pool/queue.rs
@@ -13,7 +13,7 @@
     in_flight::is_announced,
     upstream_state::{InFlight, STEP_MS, as_f64},
 };
-use crate::cache::SegmentKey;
+use crate::{cache::SegmentKey, work::EngineCost};
 
 /// Largest fraction of its expected time that counts as done for a prefill whose first event has not arrived.
 const PREFILL_PROGRESS_MAX_FRACTION: f64 = 0.9;
@@ -64,7 +64,13 @@
 impl UpstreamState {
     /// Returns the milliseconds until the prefill of a new request starts at an engine with memory for
     /// `capacity_tokens`, or infinity if it never can. Less urgent requests yield at once.
-    pub fn wait_ms(&self, now: Now, new: NewRequest, capacity_tokens: u64) -> f64 {
+    pub fn wait_ms(
+        &self,
+        now: Now,
+        new: NewRequest,
+        capacity_tokens: u64,
+        cost: EngineCost<'_>,
+    ) -> f64 {
         let NewRequest { rank, tokens, peers } = new;
         let competing: Vec<_> = self.in_flight.values().filter(|f| f.rank <= rank).collect();
         let mut queue =
@@ -72,7 +78,7 @@
         let mut shared = Vec::new();
         for attempt in competing.iter().filter(|f| f.started_at.is_some()) {
             queue.add_running(
-                self.remaining_ms(now, attempt),
+                self.remaining_ms(now, attempt, cost),
                 unshared_tokens(attempt, &mut shared),
             );
         }
@@ -83,17 +89,14 @@
             let tokens = unshared_tokens(attempt, &mut shared);
             let Some(start_ms) = queue.next_start_ms(tokens) else { continue };
             let fetch_ms = attempt.fetched_at.saturating_sub(now).as_secs_f64() * 1000.0;
-            let prefill_ms = self.rate.prefill_ms(attempt.prefill_tokens);
+            let prefill_ms = cost.prefill_ms(attempt.prefill_tokens);
             let progress_ms = if position == 0 {
                 self.prefill_progress_ms(now, attempt, prefill_ms)
             } else {
                 0.0
             };
             queue.prefill_end_ms = start_ms.max(fetch_ms) + prefill_ms - progress_ms;
-            queue.add_running(
-                queue.prefill_end_ms + self.rate.decode_ms(attempt.output_tokens),
-                tokens,
-            );
+            queue.add_running(queue.prefill_end_ms + cost.decode_ms(attempt.output_tokens), tokens);
         }
         let start_ms = queue.next_start_ms(tokens).unwrap_or(f64::INFINITY);
         start_ms.max(self.slot_wait_ms(now, rank, peers)) + self.step_ms(now)
@@ -122,7 +125,7 @@
         let slots = f64::from(reported.map_or(self.upstream.slots, |load| load.slots).max(1));
         let running = running.max(tracked_running).min(slots);
         let excess = (running + untracked + ahead + unannounced_remote + 1.0 - slots).max(0.0);
-        excess * self.rate.slot_time_ms() / slots
+        excess * self.speed.slot_time_ms() / slots
     }
 
     /// Returns the milliseconds for which the first prefill has been running.
@@ -133,10 +136,10 @@
     }
 
     /// Returns the milliseconds until an answer that has started is complete.
-    fn remaining_ms(&self, now: Now, attempt: &InFlight) -> f64 {
+    fn remaining_ms(&self, now: Now, attempt: &InFlight, cost: EngineCost<'_>) -> f64 {
         let elapsed =
             attempt.started_at.map_or(Duration::ZERO, |started| now.saturating_sub(started));
-        (self.rate.decode_ms(attempt.output_tokens) - elapsed.as_secs_f64() * 1000.0).max(STEP_MS)
+        (cost.decode_ms(attempt.output_tokens) - elapsed.as_secs_f64() * 1000.0).max(STEP_MS)
     }
 }
 
--- a/crates/lw-place/src/pool/slowdown.rs
+++ b/crates/lw-place/src/pool/slowdown.rs
@@ -24,11 +24,16 @@
 pub(super) struct Slowdown {
     /// When it was received, and the time that work takes in percent of the normal time.
     reported: Option<(Now, u32)>,
+    /// When the last report of a slowdown was received.
+    slow_at: Option<Now>,
 }
 
 impl Slowdown {
     /// Records a report. Returns whether it should be sent to VMs that have received the same reports so far.
     pub fn update(&mut self, now: Now, percent: u32) -> bool {
+        if percent >= SLOW_PERCENT {
+            self.slow_at = Some(now);
+        }
         let before = self.reported.replace((now, percent));
         let before = before.map(|(at, percent)| (now.saturating_sub(at), percent >= SLOW_PERCENT));
         if percent >= SLOW_PERCENT {
@@ -38,6 +43,11 @@
         }
     }
 
+    /// Whether no slowdown was reported since a time.
+    pub fn is_clear_since(self, time: Now) -> bool {
+        self.slow_at.is_none_or(|at| at < time)
+    }
+
     /// Returns the milliseconds by which work of `work_ms` is expected to exceed its normal time.
     pub fn delay_ms(self, now: Now, work_ms: f64) -> f64 {
         let Some((at, percent)) = self.reported.filter(|(_, p)| *p >= SLOW_PERCENT) else {
--- a/crates/lw-place/src/pool/upstream_state.rs
+++ b/crates/lw-place/src/pool/upstream_state.rs
@@ -5,8 +5,12 @@
 use lw_catalog::{Stage, Upstream};
 use lw_types::prelude::*;
 
-use super::{InFlightId, rate::Rate, slowdown::Slowdown};
-use crate::{CacheView, Load, cache::SegmentKey};
+use super::{InFlightId, slowdown::Slowdown};
+use crate::{
+    CacheView, Load,
+    cache::SegmentKey,
+    work::{EngineCost, Speed},
+};
 
 /// Age from which a reported load is ignored.
 const LOAD_MAX_AGE: Duration = Duration::from_secs(1);
@@ -14,10 +18,10 @@
 pub(super) const STEP_MS: f64 = 10.0;
 /// Cost of each millisecond for which the stream of a new request runs beside the prefill of others.
 const OWN_STREAM_WEIGHT: f64 = 0.5;
+/// Cost, for each request that waits behind a new one, of each millisecond of the new one's prefill.
+const DELAYED_WEIGHT: f64 = 0.3;
 /// Cost, for each running stream, of each millisecond of a new request's prefill.
 const OTHER_STREAMS_WEIGHT: f64 = 0.1;
-/// Assumed duration of one request at a plain server.
-const PLAIN_REQUEST_MS: f64 = 25.0;
 
 /// An attempt in flight at an upstream, sent by this VM or another one.
 #[derive(Debug, Clone)]
@@ -37,6 +41,22 @@
     pub started_at: Option<Now>,
     /// Keys and tokens of its segments.
     pub segments: Vec<(SegmentKey, u64)>,
+    /// What this VM expected of it; none for an attempt of another VM.
+    pub expected: Option<Expected>,
+}
+
+/// What this VM expected of an attempt that it sent.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Expected {
+    /// Time to the first event or the answer, in milliseconds.
+    pub latency_ms: f64,
+    /// Kind of the request, and the tokens that its caller expected of the answer.
+    pub kind: u64,
+    pub hint: u64,
+    /// Tokens of the answer so far.
+    pub output_tokens: u64,
+    /// Whether a slot of the server was free as far as known.
+    pub has_free_slot: bool,
 }
 
 #[derive(Debug)]
@@ -54,7 +74,8 @@
     pub cache: CacheView,
     /// Version of the weights by model, the newest that any source reported.
     pub versions: HashMap<ModelId, u64>,
-    pub rate: Rate,
+    /// Its lasting speed.
+    pub speed: Speed,
     /// When all recorded transfers over its link are complete.
     pub link_free_at: Now,
     /// When the last first event after a large prefill arrived.
@@ -73,7 +94,7 @@
             backoff_until: Now::ZERO,
             cache: CacheView::new(capacity_tokens),
             versions: upstream.models.iter().map(|m| (m.model.clone(), m.version)).collect(),
-            rate: Rate::default(),
+            speed: Speed::default(),
             link_free_at: Now::ZERO,
             last_first_event: Now::ZERO,
         }
@@ -94,16 +115,39 @@
         }
     }
 
-    /// Returns the cost of prefill beside running streams, in milliseconds. During a prefill the steps of an engine,
-    /// and so the pauses of all its streams, are several times as long. This keeps long prefills away from engines with
-    /// many short streams.
-    pub fn interference_ms(&self, prefill_ms: f64, output_tokens: u64) -> f64 {
-        let waiting = self.in_flight.values().filter(|f| f.started_at.is_none());
-        let backlog: f64 = waiting.map(|f| self.rate.prefill_ms(f.prefill_tokens)).sum();
-        let streams = self.in_flight.values().filter(|f| f.started_at.is_some()).count();
-        let streams = as_f64(u64::try_from(streams).unwrap_or(u64::MAX));
-        let own_stream_ms = backlog.min(self.rate.decode_ms(output_tokens)) * OWN_STREAM_WEIGHT;
-        own_stream_ms + prefill_ms * streams * OTHER_STREAMS_WEIGHT
+    /// Returns the cost of a prefill to others, in milliseconds. During a prefill the steps of an engine, and so the pauses
+    /// of all its streams, are several times as long, and what waits behind it starts later. This keeps long prefills
+    /// away from engines with many short requests.
+    pub fn interference_ms(
+        &self,
+        now: Now,
+        cost: EngineCost<'_>,
+        prefill_ms: f64,
+        output_tokens: u64,
+        rank: u8,
+    ) -> f64 {
+        let (mut backlog, mut streams, mut waiting, mut delayed) = (0.0, 0.0, 0.0, 0.0);
+        for attempt in self.in_flight.values() {
+            if attempt.started_at.is_some() {
+                streams += 1.0;
+                continue;
+            }
+            waiting += 1.0;
+            backlog += cost.prefill_ms(attempt.prefill_tokens);
+            delayed += if attempt.rank > rank { 1.0 } else { 0.0 };
+        }
+        // Short requests of other VMs are seen only in the reported load.
+        if let Some((at, load)) = self.load {
+            let age = now.saturating_sub(at).as_secs_f64() / LOAD_MAX_AGE.as_secs_f64();
+            let weight = (1.0 - age).max(0.0);
+            // The request whose answer carries the report is one of those that run.
+            let others = load.running.min(load.slots).saturating_sub(1);
+            streams = f64::max(streams, f64::from(others) * weight);
+            delayed += (f64::from(load.waiting.min(load.slots)) * weight - waiting).max(0.0);
+        }
+        let own_stream_ms = f64::min(backlog, cost.decode_ms(output_tokens)) * OWN_STREAM_WEIGHT;
+        let others = streams * OTHER_STREAMS_WEIGHT + delayed * DELAYED_WEIGHT;
+        own_stream_ms + prefill_ms * others
     }
 
     /// Returns the duration of one step of the engine, in milliseconds. It grows with the number of requests.
@@ -122,19 +166,36 @@
     }
 
     /// Returns the milliseconds until a plain server can start a new request.
-    pub fn plain_wait_ms(&self, now: Now) -> f64 {
+    pub fn plain_wait_ms(&self, now: Now, cost: EngineCost<'_>) -> f64 {
         let slots = f64::from(self.upstream.slots.max(1));
-        let wait = PLAIN_REQUEST_MS * (as_f64(self.active_count(now)) / slots).powi(2);
-        wait + self.slowdown.delay_ms(now, wait + PLAIN_REQUEST_MS)
+        let usage = as_f64(self.active_count(now) + self.sent_since_report(now)) / slots;
+        // With free slots the wait is that behind requests which the report does not include yet.
+        let is_learned = cost.has_plain_samples(now);
+        let requests = if is_learned && usage > 1.0 { usage } else { usage.powi(2) };
+        let wait = cost.plain_ms() * requests;
+        wait + self.slowdown.delay_ms(now, wait + cost.plain_ms())
+    }
+
+    /// Returns the number of own attempts that the reported load does not include, beyond those that are tracked anyway.
+    fn sent_since_report(&self, now: Now) -> u64 {
+        let Some((at, load)) = self.load.filter(|(at, _)| now.saturating_sub(*at) < LOAD_MAX_AGE)
+        else {
+            return 0;
+        };
+        let tracked = u64::try_from(self.in_flight.len()).unwrap_or(u64::MAX);
+        let reported = u64::from(load.running) + u64::from(load.waiting);
+        let sent = self.in_flight.values().filter(|attempt| attempt.sent_at >= at).count();
+        let all = reported.saturating_add(u64::try_from(sent).unwrap_or(u64::MAX));
+        all.saturating_sub(tracked.max(reported))
     }
 
     /// Returns the milliseconds that the slowdown adds to a request that waits and is prefilled for `work_before_ms`.
-    pub fn delay_ms(&self, now: Now, work_before_ms: f64, output_tokens: u64) -> f64 {
-        self.slowdown.delay_ms(now, work_before_ms + self.rate.decode_ms(output_tokens))
+    pub fn delay_ms(&self, now: Now, work_before_ms: f64, decode_ms: f64) -> f64 {
+        self.slowdown.delay_ms(now, work_before_ms + decode_ms)
     }
 }
 
 #[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
-pub(super) fn as_f64(count: u64) -> f64 {
+pub(crate) fn as_f64(count: u64) -> f64 {
     count as f64
 }
--- a/crates/lw-place/src/prompt.rs
+++ b/crates/lw-place/src/prompt.rs
@@ -52,6 +52,8 @@
     pub rank: u8,
     /// Size of the request in bytes.
     pub bytes: usize,
+    /// Identifies requests whose answers have similar lengths: those of one route and workspace.
+    pub kind: u64,
 }
 
 impl Prompt {
