--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod quota;
 pub mod route;
+mod speeds;
 mod suspicion;
 mod versions;
 
@@ -27,6 +28,7 @@
 pub(crate) use limits::{ask_for_turn, request as request_limits};
 pub(crate) use quota::{ask_for_grant, charge, return_grants};
 use route::Recipient;
+pub use speeds::SpeedsWire;
 use suspicion::{SoundWire, SuspectWire};
 pub use versions::VersionAgeQuery;
 
@@ -211,6 +213,13 @@
     Turn(TurnWire),
     /// Usage of a workspace that has a cap.
     Quota(QuotaNotice),
+    /// Requests the speeds of upstreams that the receiver has learned.
+    SpeedsRequest {
+        /// Address to which the reply is sent.
+        addr: SocketAddr,
+    },
+    /// Answers [`Notice::SpeedsRequest`], in one message or several.
+    Speeds(SpeedsWire),
     /// An engine serves a version of a model's weights.
     Serves {
         /// The engine.
@@ -237,7 +246,7 @@
         tokio::time::sleep(RETRY_PAUSE).await;
     };
     edge.set_datagrams(Arc::clone(&datagrams));
-    tokio::join!(versions::request_ages(&edge), receive(&edge, &datagrams));
+    tokio::join!(versions::request_ages(&edge), speeds::request(&edge), receive(&edge, &datagrams));
 }
 
 async fn receive(edge: &Edge, datagrams: &Datagrams) {
@@ -280,6 +289,8 @@
         Notice::TurnRequest(turn) => return limits::lend_turn(edge, &message.vm, turn),
         Notice::Turn(turn) => return limits::accept_turn(edge, turn),
         Notice::Quota(notice) => return quota::apply(edge, notice),
+        Notice::SpeedsRequest { addr } => return speeds::reply(edge, *addr),
+        Notice::Speeds(speeds) => return speeds::apply(edge, &message.vm, speeds),
         Notice::VersionAgesRequest { addr, nonce } => return versions::reply(edge, *addr, *nonce),
         Notice::VersionAges { nonce, versions } => {
             return versions::apply_reply(edge, *nonce, versions);
@@ -310,6 +321,8 @@
             | Notice::TurnRequest(_)
             | Notice::Turn(_)
             | Notice::Quota(_)
+            | Notice::SpeedsRequest { .. }
+            | Notice::Speeds(_)
             | Notice::VersionAgesRequest { .. }
             | Notice::VersionAges { .. } => {}
             Notice::Slowdown { upstream, percent } => {
