lw-edge: calls for the events of a KV cache store are at least 100 ms apart

Cause: a busy store has new events all the time, so that each call returned at once and the next one followed after a round trip, at four VMs for each store. With three stores in use instead of one the calls became three times as many. Change: a call to a store follows the one before after 100 ms at the earliest.

--- a/crates/lw-edge/src/feeds/mod.rs
+++ b/crates/lw-edge/src/feeds/mod.rs
@@ -16,8 +16,11 @@
 /// Time for which a call for the events of an engine waits. It bounds the time until an unresponsive engine is
 /// detected; calls that wait less than 200 ms count as probes.
 const ENGINE_WAIT: Duration = Duration::from_millis(250);
-/// Time for which a call for the events of the KV cache store waits.
+/// Time for which a call for the events of a KV cache store waits.
 const STORE_WAIT: Duration = Duration::from_secs(1);
+/// Shortest time between two calls to a KV cache store. A busy store has new events all the time, so that each call would be
+/// answered at once and the next one follow after a round trip.
+const STORE_PERIOD: Duration = Duration::from_millis(100);
 /// Time limit for an answer in addition to the wait. Links between failure domains take a few milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Pause after a failed call.
@@ -149,7 +152,10 @@
 /// Waits until the next call to a holder is allowed. Calls to an engine that names a limit count like requests: one VM makes
 /// them, and seldom.
 async fn wait_for_call(edge: &Edge, holder: &Holder, last: Now) {
-    let Holder::Engine { id, service, .. } = holder else { return };
+    let Holder::Engine { id, service, .. } = holder else {
+        let next = last + STORE_PERIOD;
+        return tokio::time::sleep(next.saturating_sub(edge.timer.now())).await;
+    };
     loop {
         let period = edge.with_upstream_pool(service, |pool| pool.feed_period(id)).flatten();
         let Some(period) = period else { return };
