--- a/crates/lw-limit/src/quota/mod.rs
+++ b/crates/lw-limit/src/quota/mod.rs
@@ -22,7 +22,7 @@
 //!   would be without that grant, and the bound holds for what is not returned.
 //!
 //! For both slots, with *2 r = min(R, R W (1 + o) / (W + V))*, the rule leaves
-//! *E = (R W + B) (1 + o) + S - 2 r (W + V)* for *2 (C + D)*, which is never negative. [`USED_FRACTION`] of it is used.
+//! *E = (R W + B) (1 + o) + S - 2 r (W + V)* for *2 (C + D)*, which is never negative. Nine tenths of it are used.
 //! For *W* = 8 s and *o* = 0.1 this is *0.9 (0.14 R + 1.1 B + S)*, and the rate is not reduced.
 //!
 //! *C* is 0.6 of the burst for each slot, so that two buckets whose levels differ admit a burst, but no more than 0.75 of what
