--- a/crates/lw-place/src/pool/queue.rs
+++ b/crates/lw-place/src/pool/queue.rs
@@ -78,7 +78,7 @@
         let mut shared = Vec::new();
         for attempt in competing.iter().filter(|f| f.started_at.is_some()) {
             queue.add_running(
-                self.remaining_ms(now, attempt, cost),
+                Self::remaining_ms(now, attempt, cost),
                 unshared_tokens(attempt, &mut shared),
             );
         }
@@ -136,7 +136,7 @@
     }
 
     /// Returns the milliseconds until an answer that has started is complete.
-    fn remaining_ms(&self, now: Now, attempt: &InFlight, cost: EngineCost<'_>) -> f64 {
+    fn remaining_ms(now: Now, attempt: &InFlight, cost: EngineCost<'_>) -> f64 {
         let elapsed =
             attempt.started_at.map_or(Duration::ZERO, |started| now.saturating_sub(started));
         (cost.decode_ms(attempt.output_tokens) - elapsed.as_secs_f64() * 1000.0).max(STEP_MS)
--- a/crates/lw-place/src/work/ratio.rs
+++ b/crates/lw-place/src/work/ratio.rs
@@ -11,7 +11,9 @@
 /// Largest logarithm by which a sample below the mean moves it.
 const BELOW_MAX: f64 = 0.7;
 /// Time after which the samples so far count half. Lasting speeds change when an engine moves to another machine.
-const HALF_LIFE: Duration = Duration::from_mins(5);
+const HALF_LIFE: Duration = Duration::from_secs(300);
+/// Least ratio of the samples of another VM to the own ones for which its mean is adopted.
+const ADOPTED_MIN_RATIO: f64 = 1.1;
 /// Bounds of a learned ratio.
 const RATIO_MAX: f64 = 20.0;
 
@@ -24,11 +26,19 @@
     /// Number of samples, each discounted by its age.
     weight: f64,
     updated_at: Now,
+    /// Age of the last sample at that time, if another VM has learned the mean.
+    adopted_age: Duration,
 }
 
 impl Default for LogRatio {
     fn default() -> Self {
-        Self { mean: 0.0, ratio: 1.0, weight: 0.0, updated_at: Now::ZERO }
+        Self {
+            mean: 0.0,
+            ratio: 1.0,
+            weight: 0.0,
+            updated_at: Now::ZERO,
+            adopted_age: Duration::ZERO,
+        }
     }
 }
 
@@ -42,13 +52,12 @@
     pub fn adopt(&mut self, now: Now, learned: Learned, memory: f64) -> bool {
         let Learned { ratio, weight, age } = learned;
         let is_valid = ratio.is_finite() && ratio > 0.0 && weight.is_finite();
-        if !is_valid || weight.min(memory) <= self.weight(now) {
+        if !is_valid || weight.min(memory) <= self.weight(now) * ADOPTED_MIN_RATIO {
             return false;
         }
         self.weight = weight.min(memory);
-        // The weight is discounted up to now, which the time of the last sample must not repeat.
-        self.updated_at = now.saturating_sub(age);
-        self.weight /= self.weight_left(now);
+        self.updated_at = now;
+        self.adopted_age = age;
         self.set(ratio.ln());
         true
     }
@@ -65,16 +74,13 @@
 
     /// Returns the number of samples, discounted by their age.
     pub fn weight(&self, now: Now) -> f64 {
-        self.weight * self.weight_left(now)
-    }
-
-    fn weight_left(&self, now: Now) -> f64 {
-        0.5_f64.powf(self.age(now).as_secs_f64() / HALF_LIFE.as_secs_f64()).max(f64::MIN_POSITIVE)
+        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
+        self.weight * 0.5_f64.powf(elapsed / HALF_LIFE.as_secs_f64())
     }
 
     /// Returns the time since the last sample.
     pub fn age(&self, now: Now) -> Duration {
-        now.saturating_sub(self.updated_at)
+        now.saturating_sub(self.updated_at) + self.adopted_age
     }
 
     /// Records a ratio. `share` is the influence of the sample, and at most `memory` earlier ones count.
@@ -86,6 +92,7 @@
         let deviation = (ratio.ln() - self.mean).clamp(-BELOW_MAX, ABOVE_MAX);
         self.weight = weight + share;
         self.updated_at = now;
+        self.adopted_age = Duration::ZERO;
         self.set(self.mean + deviation * share / (weight + share));
     }
 
--- a/crates/lw-place/tests/work_fleet/mod.rs
+++ b/crates/lw-place/tests/work_fleet/mod.rs
@@ -3,10 +3,7 @@
 //! An engine processes steps. A step prefills up to one chunk of the waiting prompts, the most urgent first, and adds one
 //! event to each running stream. All times are in microseconds.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use fastrand::Rng;
 use lw_place::{
@@ -133,8 +130,6 @@
     events: BTreeMap<(u64, u64), Event>,
     pools: Vec<UpstreamPool>,
     engines: Vec<Engine>,
-    /// Requests that were placed and have no first event.
-    open: HashMap<u64, Job>,
     outcome: Outcome,
     killed: usize,
 }
@@ -254,7 +249,6 @@
             events: BTreeMap::new(),
             pools,
             engines,
-            open: HashMap::new(),
             outcome: Outcome::default(),
             killed: 0,
         };
@@ -321,7 +315,7 @@
         let normal = ((0..4).map(|_| self.rng.f64()).sum::<f64>() - 2.0) / 0.577;
         let (median, sigma, events) = if is_long { (12_300.0, 0.8, 24) } else { (340.0, 0.5, 9) };
         let tokens = us(median * (normal * sigma).exp() / 1_000.0).min(93_000);
-        let events = 1 + us(events as f64 * -self.rng.f64().max(0.01).ln() / 1_000.0);
+        let events = 1 + us(f64::from(events) * -self.rng.f64().max(0.01).ln() / 1_000.0);
         let hint =
             us(float(events * TOKENS_PER_EVENT) * 4_f64.powf(self.rng.f64() * 2.0 - 1.0) / 1e3);
         let id = self.order;
@@ -353,7 +347,6 @@
             self.count(&job, true);
             return;
         };
-        self.open.insert(id, job.clone());
         self.push(LINK_US, Event::Deliver(engine, job));
     }
 
@@ -464,7 +457,6 @@
     }
 
     fn count(&mut self, job: &Job, is_late: bool) {
-        self.open.remove(&job.id);
         if job.arrived < WARM_UP_US {
             return;
         }
