lw-limit, lw-edge: refuse by share of the fleet's engine work under overload

Cause: a request was refused only if its own expected wait was too long, with that wait as the time to return. Requests queued until they were late, urgent ones behind others at other VMs, and no workspace was limited.

Change: each VM estimates the demand of the fleet by workspace and level and the work that the engines can do, and admits a fraction of each. lw-limit has the decision, lw-place the load of the engines, lw-edge decides before the first attempt and sends digests of the demand to four VMs each 200 ms under pressure. The refusal for a wait that is too long takes its time to return from the same schedule.

--- a/crates/lw-edge/src/lib.rs
+++ b/crates/lw-edge/src/lib.rs
@@ -1,6 +1,7 @@
 //! A router VM on the platform: forwards callers' requests to the upstreams that are registered in the platform's
 //! store.
 
+pub mod admission;
 pub mod distribution;
 pub mod feeds;
 pub mod follow;
--- a/crates/lw-edge/src/observe/mod.rs
+++ b/crates/lw-edge/src/observe/mod.rs
@@ -90,6 +90,11 @@
         let limited = u64::try_from(pool.limited_count()).unwrap_or(u64::MAX);
         metrics.limited_upstreams.get_or_create(&label).set(as_gauge(limited));
     }
+    for (service, engines) in edge.admission.capacities() {
+        #[expect(clippy::cast_possible_truncation, reason = "a service has few engines")]
+        let millis = (engines * 1_000.0) as i64;
+        metrics.capacity.get_or_create(&ServiceLabel { service }).set(millis);
+    }
     for (service, left) in edge.retries_left(now) {
         metrics.retries_left.get_or_create(&ServiceLabel { service }).set(as_gauge(left));
     }
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -16,11 +16,14 @@
     state::{Edge, keys},
 };
 
+mod demand;
 mod limits;
 pub mod route;
 mod suspicion;
 mod versions;
 
+pub use demand::DemandWire;
+pub(crate) use demand::send as send_demand;
 pub use limits::{LimitWire, TurnWire};
 pub(crate) use limits::{ask_for_turn, request as request_limits};
 use route::Recipient;
@@ -206,6 +209,13 @@
     TurnRequest(TurnWire),
     /// Lends a turn on such a request.
     Turn(TurnWire),
+    /// Demand for the engines of a service under pressure.
+    Demand {
+        /// Hash of the service's name.
+        service: u32,
+        /// Demand that the sender sees, by workspace and level.
+        entries: Vec<DemandWire>,
+    },
     /// An engine serves a version of a model's weights.
     Serves {
         /// The engine.
@@ -271,6 +281,9 @@
             return;
         }
         Notice::Limits(reports) => return limits::apply(edge, reports),
+        Notice::Demand { service, entries } => {
+            return demand::apply(edge, &message.vm, *service, entries);
+        }
         Notice::LimitsRequest { addr } => return limits::reply(edge, *addr),
         Notice::TurnRequest(turn) => return limits::lend_turn(edge, &message.vm, turn),
         Notice::Turn(turn) => return limits::accept_turn(edge, turn),
@@ -300,6 +313,7 @@
             | Notice::Quarantined { .. }
             | Notice::Released { .. }
             | Notice::Limits(_)
+            | Notice::Demand { .. }
             | Notice::LimitsRequest { .. }
             | Notice::TurnRequest(_)
             | Notice::Turn(_)
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -14,8 +14,8 @@
 };
 
 use crate::{
-    distribution, feeds, follow, limits, observe, orders, peers, quarantine, register, restore,
-    serve,
+    admission, distribution, feeds, follow, limits, observe, orders, peers, quarantine, register,
+    restore, serve,
     state::{Edge, GivenUp},
 };
 
@@ -116,6 +116,7 @@
         tasks.spawn(orders::run(Arc::clone(&edge)));
         tasks.spawn(quarantine::run(Arc::clone(&edge)));
         tasks.spawn(limits::run(Arc::clone(&edge)));
+        tasks.spawn(update_admission(Arc::clone(&edge)));
         tasks.spawn(restore::run(Arc::clone(&edge)));
         tasks.spawn(update_upstreams(Arc::clone(&edge)));
         tasks.spawn(serve_callers(Arc::clone(&edge), callers, connections.clone()));
@@ -182,6 +183,26 @@
 }
 
 /// Updates the states of upstreams, and closes idle connections and those to upstreams that are gone.
+/// Tells admission the load of the engines, and other VMs the demand under pressure.
+async fn update_admission(edge: Arc<Edge>) {
+    let mut ticks = edge.timer.subscribe(admission::UPDATE_PERIOD);
+    loop {
+        ticks.tick().await;
+        let now = edge.timer.now();
+        let vms = edge.store_view().vms().count();
+        let loads: Vec<_> = {
+            let pools = edge.upstream_pools();
+            let load = |(service, pool): (&String, &lw_place::UpstreamPool)| {
+                Some((service.clone(), pool.pressure(now)?))
+            };
+            pools.iter().filter_map(load).collect()
+        };
+        for digest in edge.admission.update(now, &loads, vms) {
+            peers::send_demand(&edge, &digest);
+        }
+    }
+}
+
 async fn update_upstreams(edge: Arc<Edge>) {
     let mut ticks = edge.timer.subscribe(UPSTREAMS_PERIOD);
     loop {
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -11,7 +11,7 @@
 use lw_types::prelude::*;
 
 use super::{
-    Call, RETRY_AFTER_LEAVING,
+    Call, RETRY_AFTER_LEAVING, admit,
     answer::{self, Answer},
     attempt::{Attempt, IncomingAnswer, SendOutcome},
     record::RequestRecord,
@@ -106,6 +106,7 @@
     }
 
     async fn run_attempts(&mut self) -> Result<Accepted, Failure> {
+        admit::admit(&self.edge, &self.call)?;
         loop {
             let attempt = self.next_attempt().await?;
             match self.outcome(attempt.send(None), None).await {
@@ -362,7 +363,11 @@
         let placed = self.edge.with_upstream_pool(&self.call.service, place);
         let placed = placed.ok_or_else(|| self.refusal("the service is not known"))?;
         placed.map_err(|e| match e {
-            Refusal::WaitTooLong(time) | Refusal::BackingOff(time) | Refusal::Limited(time) => {
+            Refusal::WaitTooLong(wait) => {
+                let time = admit::retry_after(&self.edge, &self.call, wait);
+                self.refusal(&e.to_string()).retry_after(time)
+            }
+            Refusal::BackingOff(time) | Refusal::Limited(time) => {
                 self.refusal(&e.to_string()).retry_after(time)
             }
             Refusal::NoneReady | Refusal::NoneUsable => self.refusal(&e.to_string()),
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -16,6 +16,7 @@
 use crate::state::{Edge, InFlightGuard};
 use record::RequestRecord;
 
+mod admit;
 mod answer;
 mod attempt;
 mod forward;
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -40,6 +40,7 @@
 pub use store_view::{RouterItem, StoreView, TargetVersion};
 
 use crate::{
+    admission::SharedAdmission,
     distribution::ChangeDistribution,
     orders::Orders,
     peers,
@@ -103,6 +104,8 @@
     retry_budgets: Mutex<HashMap<String, retry::Budget>>,
     /// Memory budget for answers that are being collected.
     pub answer_memory: AnswerMemory,
+    /// Admission to engines under overload.
+    pub admission: SharedAdmission,
     /// Segments of prompts that crash engines.
     pub quarantine: SharedQuarantine,
     /// State of issuing orders to engines.
@@ -176,6 +179,7 @@
                 usize::try_from(settings.memory_bytes / ANSWER_MEMORY_DIVISOR)
                     .unwrap_or(usize::MAX),
             ),
+            admission: SharedAdmission::default(),
             quarantine: SharedQuarantine::new(settings.vm.clone()),
             orders: Orders::new(&settings),
             datagrams: OnceLock::new(),
--- a/crates/lw-limit/src/admission/mod.rs
+++ b/crates/lw-limit/src/admission/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::bucket::TokenBucket;
 
+pub mod overload;
 pub mod share;
 
 /// Fraction of its deadline that a request of a workspace above its share may wait. With 0.6, the return to normal
--- /dev/null
+++ b/crates/lw-limit/src/admission/overload/mod.rs
@@ -0,0 +1,301 @@
+//! Admission to the engines of one service under overload.
+//!
+//! Each VM estimates the demand of the fleet by workspace and level, and the work that the engines can do in time, from
+//! their number and from the wait there. What exceeds it is refused: less urgent levels first, and within a level what
+//! exceeds the fair share of its workspace. A VM applies the fraction that is admitted to its own requests, so that
+//! decisions need no message; digests of other VMs make the estimate more precise.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use lw_types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
+
+pub mod demand;
+pub mod returns;
+pub mod shares;
+
+use demand::{Demand, Entry};
+use returns::{Outlook, Returns};
+
+/// Fraction of the target latency that requests may wait under overload. The rest is for their prefill, and for load
+/// reports that are up to 200 ms old.
+const TARGET_WAIT_FRACTION: f64 = 0.3;
+/// Target latency that is assumed until a request names one.
+const TARGET_LATENCY: Duration = Duration::from_millis(500);
+/// Fraction of the target wait at which requests are refused.
+const LIMIT_WAIT_FRACTION: f64 = 0.5;
+/// Time within which a wait above the target is to return to it.
+const RECOVERY_TIME: f64 = 0.5;
+/// Time constant with which the estimated work of the engines is corrected while the wait differs from its target.
+const CORRECTION_TIME: f64 = 1.5;
+/// Time constant with which the correction is forgotten while there is room.
+const FORGET_TIME: f64 = 30.0;
+/// Bounds of the correction: estimates of the work of a request err by less.
+const CORRECTION: std::ops::RangeInclusive<f64> = 0.2..=5.0;
+/// Part of the capacity that is assumed to be left for returns at least.
+const SPARE_MIN: f64 = 0.1;
+/// Weight of a request in the average of the target latency.
+const TARGET_WEIGHT: f64 = 0.02;
+
+/// Urgency of a request; 0 is the most urgent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Level {
+    /// Priority of the workspace.
+    pub workspace: u8,
+    /// Priority of the route.
+    pub route: u8,
+}
+
+/// Requests that are counted together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key {
+    /// Hash of the workspace's name.
+    pub workspace: u32,
+    /// Level.
+    pub level: Level,
+}
+
+impl Key {
+    /// Returns the key of a workspace, empty for callers without one, and a level.
+    #[must_use]
+    pub fn new(workspace: &str, level: Level) -> Self {
+        let hash = xxh3_64(workspace.as_bytes());
+        Self { workspace: u32::try_from(hash >> 32).unwrap_or_default(), level }
+    }
+}
+
+/// Load of the engines that a VM may use.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Pressure {
+    /// Usable engines.
+    pub engines: u32,
+    /// Their slots.
+    pub slots: u32,
+    /// Slots that are taken.
+    pub taken: u32,
+    /// Requests that wait for a slot or for another prefill.
+    pub waiting: u32,
+    /// Expected wait of the least urgent request at the median engine.
+    pub wait: Duration,
+    /// Mean age of the load that engines reported.
+    pub age: Duration,
+}
+
+impl Pressure {
+    /// Whether less than half of the slots are taken and nothing waits, so that no request may be refused.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.waiting == 0 && self.taken * 2 < self.slots
+    }
+}
+
+/// An arriving request.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    /// Hash of its id.
+    pub id_hash: u64,
+    /// Workspace and level.
+    pub key: Key,
+    /// Expected engine work, in milliseconds.
+    pub work_ms: f64,
+    /// Target latency.
+    pub target_latency: Duration,
+    /// Time until its deadline.
+    pub time_left: Duration,
+}
+
+/// Whether a request is admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// It may be sent to an engine.
+    Admitted,
+    /// It is refused, since its workspace and level have used their share of the capacity.
+    Refused {
+        /// When its caller may return.
+        retry_after: Duration,
+    },
+}
+
+/// What decided about a request, for the log.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Inputs {
+    /// Load of the engines.
+    pub pressure: Pressure,
+    /// When it was recorded.
+    pub recorded_at: Now,
+    /// Estimated work of the fleet in engines that are busy all the time.
+    pub capacity: f64,
+    /// Estimated demand, in the same unit.
+    pub offered: f64,
+    /// Fraction of the requests of this workspace and level that are admitted.
+    pub fraction: f64,
+    /// VMs whose demand is known.
+    pub sampled: usize,
+}
+
+/// Admission of one VM to the engines of one service.
+///
+/// ```
+/// use std::time::Duration;
+/// use lw_limit::admission::overload::{Arrival, Decision, Key, Level, Overload, Pressure};
+/// let mut overload = Overload::default();
+/// overload.update(Duration::ZERO, Pressure { engines: 4, slots: 48, ..Pressure::default() }, 9);
+/// let arrival = Arrival {
+///     id_hash: 1,
+///     key: Key::new("station", Level::default()),
+///     work_ms: 40.0,
+///     target_latency: Duration::from_millis(500),
+///     time_left: Duration::from_secs(6),
+/// };
+/// assert_eq!(overload.decide(Duration::ZERO, &arrival), Decision::Admitted);
+/// ```
+#[derive(Debug)]
+pub struct Overload {
+    demand: Demand,
+    pressure: Pressure,
+    updated_at: Now,
+    vms: usize,
+    /// Actual over estimated work of the engines.
+    correction: f64,
+    /// Average target latency of the requests, weighted towards the shortest.
+    target_latency: Duration,
+    /// Fractions that are admitted; all of the others.
+    fractions: BTreeMap<Key, f64>,
+    offered: f64,
+    /// Since when more is offered than the engines can do.
+    overloaded_since: Option<Now>,
+    returns: Returns,
+}
+
+impl Default for Overload {
+    fn default() -> Self {
+        Self {
+            demand: Demand::default(),
+            pressure: Pressure::default(),
+            updated_at: Now::ZERO,
+            vms: 1,
+            correction: 1.0,
+            target_latency: TARGET_LATENCY,
+            fractions: BTreeMap::new(),
+            offered: 0.0,
+            overloaded_since: None,
+            returns: Returns::default(),
+        }
+    }
+}
+
+impl Overload {
+    /// Records the load of the engines and the number of VMs, and decides what is admitted until the next update.
+    pub fn update(&mut self, now: Now, pressure: Pressure, vms: usize) {
+        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64().min(1.0);
+        self.updated_at = now;
+        self.vms = vms.max(1);
+        self.pressure = pressure;
+        self.demand.update(now);
+        if pressure.has_room() {
+            self.correction += (1.0 - self.correction) * (elapsed / FORGET_TIME);
+            self.overloaded_since = None;
+            self.fractions.clear();
+            return;
+        }
+        let demand = self.demand.fleet(self.vms);
+        self.offered = demand.values().map(|estimate| estimate.offered).sum::<f64>() / 1_000.0;
+        let error = self.wait_error();
+        // Without refusals a short wait only shows that less is offered than the engines can do.
+        if error > 0.0 || !self.fractions.is_empty() {
+            let change = (-error * elapsed / CORRECTION_TIME).exp();
+            self.correction =
+                (self.correction * change).clamp(*CORRECTION.start(), *CORRECTION.end());
+        }
+        let is_limiting = !self.fractions.is_empty()
+            || pressure.wait >= self.target_wait().mul_f64(LIMIT_WAIT_FRACTION);
+        self.fractions.clear();
+        if is_limiting {
+            let allowed = self.capacity() * (1.0 - error) * 1_000.0;
+            self.fractions = shares::fractions(&demand, allowed);
+        }
+        self.overloaded_since =
+            self.overloaded_since.or(Some(now)).filter(|_| !self.fractions.is_empty());
+    }
+
+    /// Admits or refuses a request, and counts it.
+    pub fn decide(&mut self, now: Now, arrival: &Arrival) -> Decision {
+        self.demand.record(arrival.key, arrival.work_ms);
+        let target = arrival.target_latency.min(self.target_latency * 4);
+        self.target_latency = if target < self.target_latency {
+            target
+        } else {
+            self.target_latency + (target - self.target_latency).mul_f64(TARGET_WEIGHT)
+        };
+        let is_admitted =
+            self.pressure.has_room() || unit_interval(arrival.id_hash) < self.fraction(arrival.key);
+        if is_admitted {
+            return Decision::Admitted;
+        }
+        Decision::Refused { retry_after: self.retry_after(now, arrival) }
+    }
+
+    /// Returns the time after which a refused request may return.
+    pub fn retry_after(&mut self, now: Now, arrival: &Arrival) -> Duration {
+        let capacity = self.capacity();
+        // An overload lasts as long again as it has lasted, on average over its duration.
+        let lasting =
+            self.overloaded_since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        let excess = self.pressure.wait.saturating_sub(self.target_wait());
+        let spare = (capacity - self.offered).max(capacity * SPARE_MIN) * 1_000.0;
+        let spare = spare / f64::from(u32::try_from(self.vms).unwrap_or(u32::MAX));
+        let outlook = Outlook { room: lasting + excess, spare: spare.max(1.0) };
+        self.returns.schedule(now, outlook, arrival.work_ms, arrival.time_left, arrival.id_hash)
+    }
+
+    /// Returns what decides about requests of a workspace and level.
+    #[must_use]
+    pub fn inputs(&self, key: Key) -> Inputs {
+        Inputs {
+            pressure: self.pressure,
+            recorded_at: self.updated_at,
+            capacity: self.capacity(),
+            offered: self.offered,
+            fraction: self.fraction(key),
+            sampled: self.demand.sampled(),
+        }
+    }
+
+    /// Returns what this VM tells others, if there is pressure.
+    #[must_use]
+    pub fn digest(&self) -> Option<Vec<Entry>> {
+        (!self.pressure.has_room())
+            .then(|| self.demand.entries())
+            .filter(|entries| !entries.is_empty())
+    }
+
+    /// Stores the digest of another VM.
+    pub fn apply(&mut self, now: Now, vm: &str, entries: Vec<Entry>) {
+        self.demand.apply(now, vm, entries);
+    }
+
+    /// Returns the estimated work of the engines, as a number of engines that are busy all the time.
+    #[must_use]
+    pub fn capacity(&self) -> f64 {
+        self.correction * f64::from(self.pressure.engines)
+    }
+
+    fn fraction(&self, key: Key) -> f64 {
+        self.fractions.get(&key).copied().unwrap_or(1.0)
+    }
+
+    fn target_wait(&self) -> Duration {
+        self.target_latency.mul_f64(TARGET_WAIT_FRACTION)
+    }
+
+    /// Returns by how much the wait differs from its target, relative to what can be corrected within [`RECOVERY_TIME`].
+    fn wait_error(&self) -> f64 {
+        let error = self.pressure.wait.as_secs_f64() - self.target_wait().as_secs_f64();
+        (error / RECOVERY_TIME).clamp(-0.3, 0.8)
+    }
+}
+
+/// Maps a hash to a number from 0 to less than 1.
+fn unit_interval(hash: u64) -> f64 {
+    f64::from(u32::try_from(hash >> 32).unwrap_or_default()) / 4_294_967_296.0
+}
--- a/crates/lw-observe/src/metrics/mod.rs
+++ b/crates/lw-observe/src/metrics/mod.rs
@@ -40,6 +40,15 @@
     pub kind: &'static str,
 }
 
+/// Labels of decisions on admission to engines.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AdmissionLabels {
+    /// `admitted`, or why the request was refused.
+    pub outcome: &'static str,
+    /// Priority of the workspace and of the route.
+    pub level: String,
+}
+
 /// Labels of calls to the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCallLabels {
@@ -84,6 +93,12 @@
     pub requests: Family<OutcomeLabels, Counter>,
     /// Refusals by kind.
     pub refusals: Family<KindLabel, Counter>,
+    /// Decisions on admission to engines.
+    pub admission: Family<AdmissionLabels, Counter>,
+    /// Estimated capacity of a service's engines, in thousandths of an engine.
+    pub capacity: Family<ServiceLabel, Gauge>,
+    /// Digests of demand that were sent to other VMs.
+    pub demand_digests: Counter,
     /// Attempts at upstreams by outcome.
     pub attempts: Family<KindLabel, Counter>,
     /// Time from the arrival of a request to the head of its answer. The head of a stream is sent with its first event.
@@ -133,6 +148,9 @@
             registry: Registry::with_prefix("lavenderwood"),
             requests: Family::default(),
             refusals: Family::default(),
+            admission: Family::default(),
+            capacity: Family::default(),
+            demand_digests: Counter::default(),
             attempts: Family::default(),
             first_byte_time: Family::new_with_constructor(times),
             answer_time: Family::new_with_constructor(times),
@@ -161,6 +179,12 @@
         let registry = &mut self.registry;
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("refusals", "Refusals by kind", self.refusals.clone());
+        let help = "Decisions on admission to engines";
+        registry.register("admission", help, self.admission.clone());
+        let help = "Estimated capacity of the engines, in thousandths of an engine";
+        registry.register("capacity_millis", help, self.capacity.clone());
+        let help = "Digests of demand sent to other VMs";
+        registry.register("demand_digests", help, self.demand_digests.clone());
         registry.register("attempts", "Attempts at upstreams by outcome", self.attempts.clone());
         let help = "Time to the head of the answer, in seconds";
         registry.register("first_byte_seconds", help, self.first_byte_time.clone());
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -12,6 +12,7 @@
 mod in_flight;
 mod limit;
 mod placement;
+mod pressure;
 mod queue;
 mod rate;
 mod slowdown;
--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -99,8 +99,8 @@
         let best = estimates.min_by(|a, b| a.cost.total_cmp(&b.cost));
         let placement = best.map(|estimate| estimate.placement).ok_or(Refusal::NoneReady)?;
         // A request that was sent before may have run: a late answer is better for its caller than none.
-        let is_wait_too_long =
-            placement.expected_latency > request.max_wait.mul_f64(MAX_WAIT_FRACTION);
+        let wait_max = request.max_wait.mul_f64(MAX_WAIT_FRACTION).min(request.time_left);
+        let is_wait_too_long = placement.expected_latency > wait_max;
         if placement.rank > RANK_MAX && is_wait_too_long && request.tried.is_empty() {
             return Err(Refusal::WaitTooLong(placement.expected_latency));
         }
--- /dev/null
+++ b/crates/lw-place/src/pool/pressure.rs
@@ -0,0 +1,83 @@
+//! Load of the engines of a service, and the work that a request is expected to take there, for admission.
+
+use std::time::Duration;
+
+use lw_limit::admission::overload::Pressure;
+use lw_types::prelude::*;
+
+use super::{UpstreamPool, UpstreamState, queue::NewRequest, upstream_state::LOAD_MAX_AGE};
+use crate::{Prompt, RANK_MAX};
+
+/// Rank behind all others.
+const LAST_RANK: u8 = 2 * RANK_MAX + 1;
+/// Prefill from which on attempts at the same engine wait for each other, in tokens.
+const LONG_PREFILL_TOKENS: u64 = 1500;
+/// Attempts that have not begun to answer and yet do not wait: the prefill of one is running.
+const PREFILLS: usize = 1;
+
+impl UpstreamPool {
+    /// Returns the load of the engines that may get requests now; none if the service has no engines. Without pressure
+    /// the wait is 0, since it is not needed.
+    #[must_use]
+    pub fn pressure(&self, now: Now) -> Option<Pressure> {
+        let capacity_tokens = self.spec.as_ref()?.cache_tokens;
+        let usable = self.upstreams.values();
+        let usable: Vec<_> =
+            usable.filter(|u| u.is_open(now) && now >= u.deprioritized_until).collect();
+        let mut pressure = Pressure { engines: saturating(usable.len()), ..Pressure::default() };
+        let mut ages = Duration::ZERO;
+        for state in &usable {
+            let slots = state.load.map_or(state.upstream.slots, |(_, load)| load.slots).max(1);
+            let (running, waiting) = state.running_and_waiting(now);
+            pressure.slots += slots;
+            pressure.taken += running.min(slots);
+            pressure.waiting += waiting;
+            ages += state.load.map_or(LOAD_MAX_AGE, |(at, _)| now.saturating_sub(at));
+        }
+        pressure.age = ages / pressure.engines.max(1);
+        if !pressure.has_room() {
+            let new = NewRequest { rank: LAST_RANK, tokens: 0, peers: 0 };
+            let wait = |state: &&UpstreamState| state.wait_ms(now, new, capacity_tokens);
+            let mut waits: Vec<_> = usable.iter().map(wait).collect();
+            waits.sort_by(f64::total_cmp);
+            let median = waits.get(waits.len() / 2).copied().unwrap_or_default();
+            pressure.wait = Duration::try_from_secs_f64(median / 1000.0).unwrap_or_default();
+        }
+        Some(pressure)
+    }
+
+    /// Returns the milliseconds for which a request is expected to keep one engine busy, if its shared segments are
+    /// cached there. Engines decode as many requests at a time as they have slots.
+    #[must_use]
+    pub fn expected_work_ms(&self, prompt: &Prompt) -> f64 {
+        let (mut prefill_ms, mut decode_ms, mut engines) = (0.0, 0.0, 0.0_f64);
+        let tokens = prompt.tokens.saturating_sub(prompt.shared_tokens());
+        for state in self.upstreams.values() {
+            let slots = state.load.map_or(state.upstream.slots, |(_, load)| load.slots).max(1);
+            prefill_ms += state.rate.prefill_ms(tokens);
+            decode_ms += state.rate.decode_ms(prompt.output_tokens) / f64::from(slots);
+            engines += 1.0;
+        }
+        (prefill_ms + decode_ms) / engines.max(1.0)
+    }
+}
+
+impl UpstreamState {
+    /// Returns the requests that run and those that wait, as tracked here or as reported lately, whichever is more.
+    fn running_and_waiting(&self, now: Now) -> (u32, u32) {
+        let load = self.load.filter(|(at, _)| now.saturating_sub(*at) < LOAD_MAX_AGE);
+        let (running, waiting) = load.map_or((0, 0), |(_, load)| (load.running, load.waiting));
+        let begun = self.in_flight.values().filter(|f| f.started_at.is_some()).count();
+        let tracked = saturating(self.in_flight.len() - begun);
+        let long = self
+            .in_flight
+            .values()
+            .filter(|f| f.started_at.is_none() && f.prefill_tokens >= LONG_PREFILL_TOKENS);
+        let queued = saturating(long.count().saturating_sub(PREFILLS));
+        (running.max(saturating(begun) + tracked), waiting.max(queued))
+    }
+}
+
+fn saturating(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- a/crates/lw-place/src/pool/upstream_state.rs
+++ b/crates/lw-place/src/pool/upstream_state.rs
@@ -9,7 +9,7 @@
 use crate::{CacheView, Load, cache::SegmentKey};
 
 /// Age from which a reported load is ignored.
-const LOAD_MAX_AGE: Duration = Duration::from_secs(1);
+pub(super) const LOAD_MAX_AGE: Duration = Duration::from_secs(1);
 /// Duration of one decoding step of an engine that prefills nothing.
 pub(super) const STEP_MS: f64 = 10.0;
 /// Cost of each millisecond for which the stream of a new request runs beside the prefill of others.
