lw-limit: learn the capacity from the growth of the wait, and keep shares apart from the reduction of a long wait

Cause: while a long wait was reduced, the fair share fell with it and workspaces below their share were refused; the estimated capacity fell on for as long as the wait was above its target, and engines idled afterwards; digests up to 1 s old hid a sudden peak from 84 VMs.

Change: shares are those of the capacity, and only workspaces above them give up what reduces the wait. The estimate is corrected by the growth of the wait against the growth that the admitted work should have caused. Digests count for 0.5 s and go to six VMs. The model knows the long requests at engines, as VMs do from announcements; short ones from reports 200 ms old.

--- a/crates/lw-edge/src/admission/mod.rs
+++ b/crates/lw-edge/src/admission/mod.rs
@@ -2,10 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -16,8 +13,6 @@
 
 /// Time between two updates of the load.
 pub const UPDATE_PERIOD: Duration = Duration::from_millis(100);
-/// Updates from one digest to the next.
-const DIGEST_UPDATES: u32 = 2;
 
 /// Demand for the engines of one service that a VM tells others.
 #[derive(Debug, Clone, PartialEq)]
@@ -32,19 +27,17 @@
 #[derive(Debug, Default)]
 pub struct SharedAdmission {
     services: Mutex<HashMap<String, Overload>>,
-    updates: AtomicU32,
 }
 
 impl SharedAdmission {
     /// Records the load of the engines of each service and the number of registered VMs. Returns the digests that are due:
     /// those of services under pressure.
     pub fn update(&self, now: Now, loads: &[(String, Pressure)], vms: usize) -> Vec<Digest> {
-        let updates = self.updates.fetch_add(1, Ordering::Relaxed);
         let mut digests = Vec::new();
         for (service, pressure) in loads {
             let update = |overload: &mut Overload| {
                 overload.update(now, *pressure, vms);
-                overload.digest().filter(|_| updates.is_multiple_of(DIGEST_UPDATES))
+                overload.digest(now)
             };
             let entries = self.with(service, update);
             digests.extend(entries.map(|entries| Digest { service: hash(service), entries }));
--- a/crates/lw-edge/src/peers/demand.rs
+++ b/crates/lw-edge/src/peers/demand.rs
@@ -10,8 +10,8 @@
 use crate::{admission::Digest, state::Edge};
 
 /// VMs of the own failure domain that get a digest, and VMs of all others.
-const LOCAL_RECIPIENTS: usize = 3;
-const OTHER_RECIPIENTS: usize = 1;
+const LOCAL_RECIPIENTS: usize = 4;
+const OTHER_RECIPIENTS: usize = 2;
 /// Units of the encoded numbers: work is in tenths of a millisecond.
 const SCALE: f64 = 10.0;
 
--- a/crates/lw-limit/src/admission/overload/demand.rs
+++ b/crates/lw-limit/src/admission/overload/demand.rs
@@ -9,11 +9,12 @@
 /// Time constant of the average that shows a sudden change.
 const SHORT_AVERAGE: Duration = Duration::from_millis(250);
 /// Time constant of the average that is used while there is none.
-const LONG_AVERAGE: Duration = Duration::from_millis(1_500);
+const LONG_AVERAGE: Duration = Duration::from_millis(1_000);
 /// Standard deviations by which the short average must exceed the long one to replace it.
 const CHANGE_DEVIATIONS: f64 = 2.0;
-/// Age from which the digest of another VM is not used. Digests arrive each 250 ms from a VM that selects this one again.
-const SAMPLE_MAX_AGE: Duration = Duration::from_millis(1_000);
+/// Age from which the digest of another VM is not used. Older ones hide a sudden change: with 1 s, 84 VMs needed 0.5 s
+/// longer to limit a peak.
+const SAMPLE_MAX_AGE: Duration = Duration::from_millis(500);
 /// Offered work below which a workspace is forgotten, in ms of engine work a second.
 const OFFERED_MIN: f64 = 0.01;
 /// Most entries of a digest, those with the most work. The VMs that hold the rest report it with their own.
--- a/crates/lw-limit/src/admission/overload/mod.rs
+++ b/crates/lw-limit/src/admission/overload/mod.rs
@@ -26,12 +26,20 @@
 const LIMIT_WAIT_FRACTION: f64 = 0.5;
 /// Time within which a wait above the target is to return to it.
 const RECOVERY_TIME: f64 = 0.5;
-/// Time constant with which the estimated work of the engines is corrected while the wait differs from its target.
-const CORRECTION_TIME: f64 = 1.5;
+/// Time constant with which the estimated work of the engines is corrected, in seconds.
+const CORRECTION_TIME: f64 = 1.0;
+/// Part that a wait other than its target has in the correction. It removes what is left of the difference.
+const ERROR_WEIGHT: f64 = 0.2;
+/// Growth of the wait that is assumed to be missing where requests are refused and nothing waits.
+const IDLE_EXCESS: f64 = 0.5;
 /// Time constant with which the correction is forgotten while there is room.
 const FORGET_TIME: f64 = 30.0;
 /// Bounds of the correction: estimates of the work of a request err by less.
 const CORRECTION: std::ops::RangeInclusive<f64> = 0.2..=5.0;
+/// Largest age of load reports over which the wait is extrapolated.
+const REPORT_AGE_MAX: Duration = Duration::from_millis(300);
+/// Time between two digests under pressure, a little less than two updates.
+const DIGEST_PERIOD: Duration = Duration::from_millis(180);
 /// Part of the capacity that is assumed to be left for returns at least.
 const SPARE_MIN: f64 = 0.1;
 /// Weight of a request in the average of the target latency.
@@ -75,7 +83,7 @@
     pub taken: u32,
     /// Requests that wait for a slot or for another prefill.
     pub waiting: u32,
-    /// Expected wait of the least urgent request at the median engine.
+    /// Expected wait of the least urgent request, as the mean over the middle half of the engines.
     pub wait: Duration,
     /// Mean age of the load that engines reported.
     pub age: Duration,
@@ -161,10 +169,14 @@
     target_latency: Duration,
     /// Fractions that are admitted; all of the others.
     fractions: BTreeMap<Key, f64>,
+    /// Offered work in engines that are busy all the time.
     offered: f64,
+    /// Admitted work since the load was reported, on average, in the same unit.
+    admitted: f64,
     /// Since when more is offered than the engines can do.
     overloaded_since: Option<Now>,
     returns: Returns,
+    next_digest: Now,
 }
 
 impl Default for Overload {
@@ -178,8 +190,10 @@
             target_latency: TARGET_LATENCY,
             fractions: BTreeMap::new(),
             offered: 0.0,
+            admitted: 0.0,
             overloaded_since: None,
             returns: Returns::default(),
+            next_digest: Now::ZERO,
         }
     }
 }
@@ -190,30 +204,30 @@
         let elapsed = now.saturating_sub(self.updated_at).as_secs_f64().min(1.0);
         self.updated_at = now;
         self.vms = vms.max(1);
-        self.pressure = pressure;
+        let last_wait = std::mem::replace(&mut self.pressure, pressure).wait;
         self.demand.update(now);
         if pressure.has_room() {
             self.correction += (1.0 - self.correction) * (elapsed / FORGET_TIME);
             self.overloaded_since = None;
             self.fractions.clear();
+            self.admitted = 0.0;
             return;
         }
         let demand = self.demand.fleet(self.vms);
         self.offered = demand.values().map(|estimate| estimate.offered).sum::<f64>() / 1_000.0;
         let error = self.wait_error();
-        // Without refusals a short wait only shows that less is offered than the engines can do.
-        if error > 0.0 || !self.fractions.is_empty() {
-            let change = (-error * elapsed / CORRECTION_TIME).exp();
-            self.correction =
-                (self.correction * change).clamp(*CORRECTION.start(), *CORRECTION.end());
-        }
+        self.correct(elapsed, last_wait, error);
         let is_limiting = !self.fractions.is_empty()
-            || pressure.wait >= self.target_wait().mul_f64(LIMIT_WAIT_FRACTION);
+            || self.expected_wait() >= self.target_wait().mul_f64(LIMIT_WAIT_FRACTION);
         self.fractions.clear();
         if is_limiting {
-            let allowed = self.capacity() * (1.0 - error) * 1_000.0;
-            self.fractions = shares::fractions(&demand, allowed);
+            let capacity = self.capacity() * 1_000.0;
+            self.fractions = shares::fractions(&demand, capacity, capacity * (1.0 - error));
         }
+        let admitted = demand.iter().map(|(key, work)| work.offered * self.fraction(*key));
+        let admitted = admitted.sum::<f64>() / 1_000.0;
+        let weight = 1.0 - (-elapsed / pressure.age.as_secs_f64().max(0.001)).exp();
+        self.admitted += (admitted - self.admitted) * weight;
         self.overloaded_since =
             self.overloaded_since.or(Some(now)).filter(|_| !self.fractions.is_empty());
     }
@@ -261,12 +275,13 @@
         }
     }
 
-    /// Returns what this VM tells others, if there is pressure.
-    #[must_use]
-    pub fn digest(&self) -> Option<Vec<Entry>> {
-        (!self.pressure.has_room())
-            .then(|| self.demand.entries())
-            .filter(|entries| !entries.is_empty())
+    /// Returns what this VM tells others, if there is pressure and it is due.
+    pub fn digest(&mut self, now: Now) -> Option<Vec<Entry>> {
+        if self.pressure.has_room() || now < self.next_digest {
+            return None;
+        }
+        self.next_digest = now + DIGEST_PERIOD;
+        Some(self.demand.entries()).filter(|entries| !entries.is_empty())
     }
 
     /// Stores the digest of another VM.
@@ -288,9 +303,33 @@
         self.target_latency.mul_f64(TARGET_WAIT_FRACTION)
     }
 
+    /// Corrects the estimated work of the engines: the wait should have changed as the admitted work exceeds it.
+    fn correct(&mut self, elapsed: f64, last_wait: Duration, error: f64) {
+        let wait = self.pressure.wait;
+        let excess = if wait.is_zero() || last_wait.is_zero() {
+            // A wait of 0 only shows, if requests are refused, that the engines can do more.
+            if self.fractions.is_empty() || !wait.is_zero() { 0.0 } else { -IDLE_EXCESS }
+        } else {
+            let growth = (wait.as_secs_f64() - last_wait.as_secs_f64()) / elapsed.max(0.001);
+            let expected = self.admitted / self.capacity().max(0.001) - 1.0;
+            (growth - expected).clamp(-1.0, 1.0) + error * ERROR_WEIGHT
+        };
+        let change = (-excess * elapsed / CORRECTION_TIME).exp();
+        self.correction = (self.correction * change).clamp(*CORRECTION.start(), *CORRECTION.end());
+    }
+
+    /// Returns the wait now: it has changed since the load was reported, as more or less was admitted than the engines
+    /// can do.
+    fn expected_wait(&self) -> Duration {
+        let age = self.pressure.age.min(REPORT_AGE_MAX).as_secs_f64();
+        let growth = self.admitted / self.capacity().max(0.001) - 1.0;
+        let wait = self.pressure.wait.as_secs_f64() + age * growth;
+        Duration::try_from_secs_f64(wait).unwrap_or_default()
+    }
+
     /// Returns by how much the wait differs from its target, relative to what can be corrected within [`RECOVERY_TIME`].
     fn wait_error(&self) -> f64 {
-        let error = self.pressure.wait.as_secs_f64() - self.target_wait().as_secs_f64();
+        let error = self.expected_wait().as_secs_f64() - self.target_wait().as_secs_f64();
         (error / RECOVERY_TIME).clamp(-0.3, 0.8)
     }
 }
--- a/crates/lw-limit/src/admission/overload/shares.rs
+++ b/crates/lw-limit/src/admission/overload/shares.rs
@@ -6,14 +6,18 @@
 use super::{Key, demand::Estimate};
 use crate::admission::share;
 
-/// Standard deviations by which the estimated demand of a workspace must exceed its share before it is limited.
-const SIGNIFICANT_DEVIATIONS: f64 = 2.0;
+/// Standard deviations by which the estimated demand of a workspace must exceed its share before it is limited. The
+/// smaller ones are used where those workspaces alone cannot give up enough.
+const SIGNIFICANT_DEVIATIONS: [f64; 3] = [2.0, 1.0, 0.0];
+
+/// Part of its share that a limited workspace keeps while a long wait is reduced.
+const LIMITED_MIN: f64 = 0.1;
 
 /// Demand of one workspace and its routes, most urgent first.
 type WorkspaceDemand<'a> = (f64, f64, Vec<(&'a Key, f64)>);
 
-/// Returns the fraction of the demand that is admitted, for each key for which that is not all. `allowed` is the work to
-/// admit, in the unit of the demand.
+/// Returns the fraction of the demand that is admitted, for each key for which that is not all. Shares are those of the
+/// `capacity`; `allowed` is the work to admit, which is less while a long wait is reduced. All are in the unit of the demand.
 ///
 /// ```
 /// use std::collections::BTreeMap;
@@ -25,11 +29,15 @@
 ///     (key(2, 0), work(20.0)),
 ///     (key(2, 2), work(60.0)),
 /// ]);
-/// let admitted = fractions(&demand, 50.0);
+/// let admitted = fractions(&demand, 50.0, 50.0);
 /// assert_eq!(admitted, BTreeMap::from([(key(2, 2), 20.0 / 60.0)]));
 /// ```
 #[must_use]
-pub fn fractions(demand: &BTreeMap<Key, Estimate>, allowed: f64) -> BTreeMap<Key, f64> {
+pub fn fractions(
+    demand: &BTreeMap<Key, Estimate>,
+    capacity: f64,
+    allowed: f64,
+) -> BTreeMap<Key, f64> {
     let mut levels: BTreeMap<u8, BTreeMap<u32, WorkspaceDemand<'_>>> = BTreeMap::new();
     // Keys are sorted by level within a workspace.
     for (key, estimate) in demand {
@@ -39,55 +47,64 @@
         *variance += estimate.deviation * estimate.deviation;
         routes.push((key, estimate.offered));
     }
-    let mut left = allowed.max(0.0);
+    let mut left = (capacity.max(allowed), allowed);
     let mut admitted = BTreeMap::new();
     for workspaces in levels.values() {
-        let total: f64 = workspaces.values().map(|(offered, ..)| offered).sum();
-        if let Some(level) = share_above(workspaces, left) {
-            for (_, _, routes) in workspaces.values().filter(|workspace| level.limits(workspace)) {
-                admit_routes(routes, level.share, &mut admitted);
+        if let Some(share) = Share::of(workspaces, left.0, left.1) {
+            for (_, _, routes) in workspaces.values().filter(|workspace| share.limits(workspace)) {
+                admit_routes(routes, share.limited, &mut admitted);
             }
         }
-        left = (left - total).max(0.0);
+        let total: f64 = workspaces.values().map(|(offered, ..)| offered).sum();
+        left = ((left.0 - total).max(0.0), (left.1 - total).max(0.0));
     }
     admitted
 }
 
-/// Share of each workspace whose demand is limited.
+/// Share of each workspace of one priority.
 struct Share {
-    share: f64,
-    /// Standard deviations that a demand must be above the share in which it is not limited.
-    deviations: f64,
-    /// Largest demand that is not limited in any case.
+    /// Demand up to which a workspace is not limited.
     fair: f64,
+    /// Standard deviations by which a demand must be higher for its workspace to be limited.
+    deviations: f64,
+    /// Work that is admitted of each limited workspace.
+    limited: f64,
 }
 
 impl Share {
-    fn limits(&self, (offered, variance, _): &WorkspaceDemand<'_>) -> bool {
-        offered - self.deviations * variance.sqrt() > self.fair
+    /// Returns the shares, or none if all demand fits. Random variation alone puts a workspace above its share now and
+    /// then, so it is limited only if its demand is significantly higher. What the others get too much is taken from those
+    /// that are limited, as is what must not be admitted while a long wait is reduced.
+    fn of(
+        workspaces: &BTreeMap<u32, WorkspaceDemand<'_>>,
+        capacity: f64,
+        allowed: f64,
+    ) -> Option<Self> {
+        let level = |demands: Vec<f64>, allowed| {
+            let demands: Vec<_> =
+                demands.into_iter().map(|offered| share::demand(offered, 1)).collect();
+            share::level(&demands, allowed)
+        };
+        let fair = level(workspaces.values().map(|(offered, ..)| *offered).collect(), capacity)?;
+        for deviations in SIGNIFICANT_DEVIATIONS {
+            let share = Self { fair, deviations, limited: fair };
+            let (limited, others): (Vec<_>, Vec<_>) =
+                workspaces.values().partition(|workspace| share.limits(workspace));
+            let others: f64 = others.iter().map(|(offered, ..)| offered).sum();
+            let floor = fair * LIMITED_MIN * usize_as_f64(limited.len());
+            if limited.is_empty() || allowed - others < floor && deviations > 0.0 {
+                continue;
+            }
+            let offered = limited.iter().map(|(offered, ..)| *offered).collect();
+            let limited = level(offered, (allowed - others).max(floor))?;
+            return Some(Self { limited, ..share });
+        }
+        None
     }
-}
 
-/// Returns the share of workspaces that are limited, or none if all demand fits. Random variation alone puts a workspace
-/// above its share now and then, so it is limited only if its demand is significantly higher. What it gets too much is
-/// taken from those that are.
-fn share_above(workspaces: &BTreeMap<u32, WorkspaceDemand<'_>>, allowed: f64) -> Option<Share> {
-    let demands = |workspaces: Vec<f64>| -> Vec<_> {
-        workspaces.into_iter().map(|offered| share::demand(offered, 1)).collect()
-    };
-    let all = workspaces.values().map(|(offered, ..)| *offered).collect();
-    let fair = share::level(&demands(all), allowed)?;
-    let significant = Share { share: fair, deviations: SIGNIFICANT_DEVIATIONS, fair };
-    let (limited, others): (Vec<_>, Vec<_>) =
-        workspaces.values().partition(|workspace| significant.limits(workspace));
-    let others: f64 = others.iter().map(|(offered, ..)| offered).sum();
-    let offered: Vec<_> = limited.iter().map(|(offered, ..)| *offered).collect();
-    let rest = allowed - others;
-    // Where the significantly higher ones cannot give up enough, all above their share are limited.
-    if limited.is_empty() || rest < 0.5 * fair * usize_as_f64(limited.len()) {
-        return Some(Share { share: fair, deviations: 0.0, fair });
+    fn limits(&self, (offered, variance, _): &WorkspaceDemand<'_>) -> bool {
+        offered - self.deviations * variance.sqrt() > self.fair
     }
-    share::level(&demands(offered), rest).map(|share| Share { share, ..significant })
 }
 
 /// Admits the routes of a workspace in the sequence of their urgency, up to its share.
--- a/crates/lw-limit/tests/overload_fleet/mod.rs
+++ b/crates/lw-limit/tests/overload_fleet/mod.rs
@@ -26,7 +26,7 @@
 /// Time after which silent engines are known.
 const SILENCE_KNOWN_MS: u64 = 600;
 const DIGEST_LOSS: f64 = 0.1;
-const DIGEST_PEERS: usize = 4;
+const DIGEST_PEERS: usize = 6;
 
 /// A kind of requests: priority of the route, work, part of the normal work, target latency, longest wait, deadline.
 pub struct Kind {
@@ -98,22 +98,14 @@
     waiting: Vec<Request>,
     /// Ends of the requests that run.
     running: Vec<(f64, Request)>,
-    slot_time_ms: f64,
     is_silent: bool,
 }
 
+/// Short requests at an engine as it reported them; long ones are announced by the VMs that send them.
 #[derive(Clone, Copy, Default)]
 struct Report {
     running: usize,
     waiting: usize,
-    slot_time_ms: f64,
-}
-
-impl Report {
-    fn wait_ms(self, sent: usize) -> f64 {
-        let excess = (self.running + self.waiting + sent + 1).saturating_sub(SLOTS);
-        as_f64(excess) * self.slot_time_ms / as_f64(SLOTS)
-    }
 }
 
 struct Vm {
@@ -164,7 +156,7 @@
             rng: Rng::with_seed(case.seed),
             now: 0,
             vms: (0..case.vms).map(|_| vm()).collect(),
-            engines: vec![Engine { slot_time_ms: 100.0, ..Engine::default() }; ENGINES],
+            engines: vec![Engine::default(); ENGINES],
             reports: VecDeque::new(),
             returns: Vec::new(),
             results: Results::default(),
@@ -186,9 +178,8 @@
             self.run_engine(engine);
         }
         let report = |e: &Engine| Report {
-            running: e.running.len(),
-            waiting: e.waiting.len(),
-            slot_time_ms: e.slot_time_ms,
+            running: e.running.iter().filter(|(_, r)| r.kind == 1).count(),
+            waiting: e.waiting.iter().filter(|r| r.kind == 1).count(),
         };
         self.reports.push_back(self.engines.iter().map(report).collect());
         if self.reports.len() as u64 > REPORT_AGE_MS / STEP_MS {
@@ -198,8 +189,6 @@
             // The VMs update at different times.
             if (self.now + 5 * vm as u64) % 100 == 0 {
                 self.update(vm);
-            }
-            if (self.now + 5 * vm as u64) % 200 == 0 {
                 self.send_digest(vm);
             }
         }
@@ -243,7 +232,7 @@
 
     fn run_engine(&mut self, engine: usize) {
         let now = self.now as f64;
-        let Engine { waiting, running, slot_time_ms, is_silent } = &mut self.engines[engine];
+        let Engine { waiting, running, is_silent } = &mut self.engines[engine];
         if *is_silent {
             return;
         }
@@ -257,7 +246,6 @@
                 continue;
             }
             let time = request.work_ms * as_f64(SLOTS);
-            *slot_time_ms += 0.05 * (time - *slot_time_ms);
             running.push((now + time, request));
             let results = &mut self.results;
             let is_in_time = waited <= kind.target_ms;
@@ -275,22 +263,38 @@
         }
     }
 
+    /// Returns how many requests run and wait at an engine and for how long another one would wait, as a VM sees it that
+    /// has sent so many short ones since the report.
+    fn load(&self, engine: usize, sent: usize) -> (usize, usize, f64) {
+        let (report, engine) = (self.reports[0][engine], &self.engines[engine]);
+        let long = engine.waiting.iter().filter(|request| request.kind == 0);
+        let long_ms: f64 = long.clone().map(|request| request.work_ms / WORK_BIAS).sum();
+        let running = engine.running.iter().filter(|(_, r)| r.kind == 0).count() + report.running;
+        let waiting = long.count() + report.waiting + sent;
+        let short_ms = as_f64(report.waiting + sent) * KINDS[1].work_ms;
+        let is_free = running + waiting < SLOTS;
+        (running.min(SLOTS), waiting, if is_free { 0.0 } else { long_ms + short_ms })
+    }
+
     fn update(&mut self, vm: usize) {
-        let reports = &self.reports[0];
         let sent = &mut self.vms[vm].sent;
         let oldest = self.now.saturating_sub(REPORT_AGE_MS);
         sent.iter_mut().for_each(|sent| sent.retain(|at| *at > oldest));
         let usable: Vec<_> = (0..ENGINES).filter(|engine| self.is_usable(*engine)).collect();
-        let mut waits: Vec<_> = usable.iter().map(|e| reports[*e].wait_ms(0)).collect();
+        let mut waits: Vec<_> = usable.iter().map(|e| self.load(*e, 0).2).collect();
         waits.sort_by(f64::total_cmp);
-        let sum =
-            |f: fn(&Report) -> usize| usable.iter().map(|e| f(&reports[*e])).sum::<usize>() as u32;
+        let middle = &waits[waits.len() / 4..waits.len() - waits.len() / 4];
+        let sum = |f: fn((usize, usize, f64)) -> usize| {
+            usable.iter().map(|e| f(self.load(*e, 0))).sum::<usize>() as u32
+        };
         let pressure = Pressure {
             engines: usable.len() as u32,
             slots: (usable.len() * SLOTS) as u32,
-            taken: sum(|r| r.running),
-            waiting: sum(|r| r.waiting),
-            wait: Duration::from_secs_f64(waits[waits.len() / 2] / 1_000.0),
+            taken: sum(|load| load.0),
+            waiting: sum(|load| load.1),
+            wait: Duration::from_secs_f64(
+                middle.iter().sum::<f64>() / as_f64(middle.len()) / 1_000.0,
+            ),
             age: Duration::from_millis(REPORT_AGE_MS),
         };
         self.vms[vm].overload.update(Duration::from_millis(self.now), pressure, self.case.vms);
@@ -298,7 +302,8 @@
 
     fn send_digest(&mut self, from: usize) {
         let vms = self.vms.len();
-        let Some(entries) = self.vms[from].overload.digest().filter(|_| self.vms[from].is_up)
+        let now = Duration::from_millis(self.now);
+        let Some(entries) = self.vms[from].overload.digest(now).filter(|_| self.vms[from].is_up)
         else {
             return;
         };
@@ -310,7 +315,6 @@
                 _ => to == from || self.rng.f64() < DIGEST_LOSS,
             };
             if !is_lost {
-                let now = Duration::from_millis(self.now);
                 self.vms[to].overload.apply(now, &format!("vm-{from}"), entries.clone());
             }
         }
@@ -394,11 +398,11 @@
     /// Sends a request to the best of three engines. Returns the expected wait if that is too long.
     fn send(&mut self, vm: usize, mut request: Request) -> Option<Duration> {
         let kind = &KINDS[request.kind];
-        let best = (0..4).filter_map(|_| {
+        let best = (0..8).filter_map(|_| {
             let engine = self.rng.usize(..ENGINES);
             let sent =
                 self.vms[vm].sent[engine].iter().filter(|at| **at + REPORT_AGE_MS > self.now);
-            let wait = self.reports[0][engine].wait_ms(sent.count());
+            let wait = self.load(engine, sent.count()).2;
             self.is_usable(engine).then_some((wait, engine))
         });
         let (wait, engine) = best.min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -407,7 +411,9 @@
             return Some(Duration::from_secs_f64(wait / 1_000.0));
         }
         request.rank = kind.route + if is_late { 5 } else { 0 };
-        self.vms[vm].sent[engine].push_back(self.now);
+        if request.kind == 1 {
+            self.vms[vm].sent[engine].push_back(self.now);
+        }
         self.engines[engine].waiting.push(request);
         None
     }
--- a/crates/lw-place/src/pool/pressure.rs
+++ b/crates/lw-place/src/pool/pressure.rs
@@ -40,8 +40,10 @@
             let wait = |state: &&UpstreamState| state.wait_ms(now, new, capacity_tokens);
             let mut waits: Vec<_> = usable.iter().map(wait).collect();
             waits.sort_by(f64::total_cmp);
-            let median = waits.get(waits.len() / 2).copied().unwrap_or_default();
-            pressure.wait = Duration::try_from_secs_f64(median / 1000.0).unwrap_or_default();
+            // Without the engines that are slow or silent, and those that have just been used less.
+            let middle = &waits[waits.len() / 4..waits.len() - waits.len() / 4];
+            let mean = middle.iter().sum::<f64>() / f64::from(saturating(middle.len().max(1)));
+            pressure.wait = Duration::try_from_secs_f64(mean / 1000.0).unwrap_or_default();
         }
         Some(pressure)
     }
