lw-limit: react to a sudden peak by the growth of the wait

Cause: the averages of the demand show a peak a few hundred milliseconds late; until then all was admitted and engines then worked on late answers.

Change: where the wait grows faster than the admitted work explains, the demand counts as higher by that factor until the averages show it. No share is less than an equal part of the capacity. The size of requests is weighted by work, so that heavy-tailed sizes make the estimate of small workspaces as uncertain as it is.

--- a/crates/lw-limit/src/admission/overload/demand.rs
+++ b/crates/lw-limit/src/admission/overload/demand.rs
@@ -9,12 +9,14 @@
 /// Time constant of the average that shows a sudden change.
 const SHORT_AVERAGE: Duration = Duration::from_millis(250);
 /// Time constant of the average that is used while there is none.
-const LONG_AVERAGE: Duration = Duration::from_millis(1_000);
+const LONG_AVERAGE: Duration = Duration::from_secs(1);
 /// Standard deviations by which the short average must exceed the long one to replace it.
 const CHANGE_DEVIATIONS: f64 = 2.0;
 /// Age from which the digest of another VM is not used. Older ones hide a sudden change: with 1 s, 84 VMs needed 0.5 s
 /// longer to limit a peak.
 const SAMPLE_MAX_AGE: Duration = Duration::from_millis(500);
+/// Weight of a request of mean size in the average size.
+const SIZE_WEIGHT: f64 = 0.1;
 /// Offered work below which a workspace is forgotten, in ms of engine work a second.
 const OFFERED_MIN: f64 = 0.01;
 /// Most entries of a digest, those with the most work. The VMs that hold the rest report it with their own.
@@ -69,7 +71,9 @@
     pub fn record(&mut self, key: Key, work_ms: f64) {
         *self.arrived.entry(key).or_default() += work_ms;
         let size = &mut self.own.entry(key).or_default().size;
-        *size = if *size > 0.0 { *size + (work_ms - *size) * 0.1 } else { work_ms };
+        // Weighted by work, since the large requests of a heavy-tailed distribution make most of its variation.
+        let weight = (SIZE_WEIGHT * work_ms / size.max(0.1)).min(1.0);
+        *size += (work_ms - *size) * weight;
     }
 
     /// Updates the averages of this VM.
@@ -148,9 +152,11 @@
 
 impl Averages {
     fn estimate(&self, scale: f64) -> Estimate {
-        // The variance of an average of a Poisson process of requests of one size; twice the time constant counts.
+        // The variance of an average of a Poisson process of requests of one size; twice the time constant counts. With one
+        // request more than was seen, few requests are not taken for certain.
         let deviation = |offered: f64, time: Duration| {
-            (offered * self.size / (2.0 * time.as_secs_f64())).sqrt()
+            let request = self.size / (2.0 * time.as_secs_f64());
+            ((offered + request) * request).sqrt()
         };
         let short = deviation(self.long.max(self.short), SHORT_AVERAGE);
         let has_changed = (self.short - self.long).abs() > CHANGE_DEVIATIONS * short;
--- a/crates/lw-limit/src/admission/overload/mod.rs
+++ b/crates/lw-limit/src/admission/overload/mod.rs
@@ -30,6 +30,10 @@
 const CORRECTION_TIME: f64 = 1.0;
 /// Part that a wait other than its target has in the correction. It removes what is left of the difference.
 const ERROR_WEIGHT: f64 = 0.2;
+/// Bound on the actual over the estimated demand in a sudden peak.
+const SURGE_MAX: f64 = 4.0;
+/// Weight of the newest growth of the wait in it.
+const SURGE_WEIGHT: f64 = 0.5;
 /// Growth of the wait that is assumed to be missing where requests are refused and nothing waits.
 const IDLE_EXCESS: f64 = 0.5;
 /// Time constant with which the correction is forgotten while there is room.
@@ -165,6 +169,8 @@
     vms: usize,
     /// Actual over estimated work of the engines.
     correction: f64,
+    /// Actual over estimated demand in a sudden peak, which the averages show later than the wait does.
+    surge: f64,
     /// Average target latency of the requests, weighted towards the shortest.
     target_latency: Duration,
     /// Fractions that are admitted; all of the others.
@@ -187,6 +193,7 @@
             updated_at: Now::ZERO,
             vms: 1,
             correction: 1.0,
+            surge: 1.0,
             target_latency: TARGET_LATENCY,
             fractions: BTreeMap::new(),
             offered: 0.0,
@@ -222,7 +229,8 @@
         self.fractions.clear();
         if is_limiting {
             let capacity = self.capacity() * 1_000.0;
-            self.fractions = shares::fractions(&demand, capacity, capacity * (1.0 - error));
+            let allowed = capacity / self.surge * (1.0 - error);
+            self.fractions = shares::fractions(&demand, capacity, self.surge, allowed);
         }
         let admitted = demand.iter().map(|(key, work)| work.offered * self.fraction(*key));
         let admitted = admitted.sum::<f64>() / 1_000.0;
@@ -239,7 +247,7 @@
         self.target_latency = if target < self.target_latency {
             target
         } else {
-            self.target_latency + (target - self.target_latency).mul_f64(TARGET_WEIGHT)
+            self.target_latency + target.saturating_sub(self.target_latency).mul_f64(TARGET_WEIGHT)
         };
         let is_admitted =
             self.pressure.has_room() || unit_interval(arrival.id_hash) < self.fraction(arrival.key);
@@ -311,9 +319,14 @@
             if self.fractions.is_empty() || !wait.is_zero() { 0.0 } else { -IDLE_EXCESS }
         } else {
             let growth = (wait.as_secs_f64() - last_wait.as_secs_f64()) / elapsed.max(0.001);
-            let expected = self.admitted / self.capacity().max(0.001) - 1.0;
-            (growth - expected).clamp(-1.0, 1.0) + error * ERROR_WEIGHT
+            let expected = self.admitted / self.capacity().max(0.001);
+            let surge = (1.0 + growth) / expected.max(0.1);
+            self.surge += (surge.clamp(1.0, SURGE_MAX) - self.surge) * SURGE_WEIGHT;
+            (growth + 1.0 - expected).clamp(-1.0, 1.0) / self.surge + error * ERROR_WEIGHT
         };
+        if wait.is_zero() {
+            self.surge = 1.0;
+        }
         let change = (-excess * elapsed / CORRECTION_TIME).exp();
         self.correction = (self.correction * change).clamp(*CORRECTION.start(), *CORRECTION.end());
     }
--- a/crates/lw-limit/src/admission/overload/shares.rs
+++ b/crates/lw-limit/src/admission/overload/shares.rs
@@ -17,7 +17,9 @@
 type WorkspaceDemand<'a> = (f64, f64, Vec<(&'a Key, f64)>);
 
 /// Returns the fraction of the demand that is admitted, for each key for which that is not all. Shares are those of the
-/// `capacity`; `allowed` is the work to admit, which is less while a long wait is reduced. All are in the unit of the demand.
+/// `capacity`; In a sudden
+/// peak the demand is higher than its averages, by a factor of `surge`. `allowed` is the work to admit, which is less while a
+/// long wait is reduced. All are in the unit of the demand.
 ///
 /// ```
 /// use std::collections::BTreeMap;
@@ -29,13 +31,14 @@
 ///     (key(2, 0), work(20.0)),
 ///     (key(2, 2), work(60.0)),
 /// ]);
-/// let admitted = fractions(&demand, 50.0, 50.0);
+/// let admitted = fractions(&demand, 50.0, 1.0, 50.0);
 /// assert_eq!(admitted, BTreeMap::from([(key(2, 2), 20.0 / 60.0)]));
 /// ```
 #[must_use]
 pub fn fractions(
     demand: &BTreeMap<Key, Estimate>,
     capacity: f64,
+    surge: f64,
     allowed: f64,
 ) -> BTreeMap<Key, f64> {
     let mut levels: BTreeMap<u8, BTreeMap<u32, WorkspaceDemand<'_>>> = BTreeMap::new();
@@ -47,16 +50,16 @@
         *variance += estimate.deviation * estimate.deviation;
         routes.push((key, estimate.offered));
     }
-    let mut left = (capacity.max(allowed), allowed);
+    let mut left = [capacity.max(allowed), (capacity / surge).max(allowed), allowed];
     let mut admitted = BTreeMap::new();
     for workspaces in levels.values() {
-        if let Some(share) = Share::of(workspaces, left.0, left.1) {
+        if let Some(share) = Share::of(workspaces, left) {
             for (_, _, routes) in workspaces.values().filter(|workspace| share.limits(workspace)) {
                 admit_routes(routes, share.limited, &mut admitted);
             }
         }
         let total: f64 = workspaces.values().map(|(offered, ..)| offered).sum();
-        left = ((left.0 - total).max(0.0), (left.1 - total).max(0.0));
+        left = left.map(|left| (left - total).max(0.0));
     }
     admitted
 }
@@ -77,22 +80,23 @@
     /// that are limited, as is what must not be admitted while a long wait is reduced.
     fn of(
         workspaces: &BTreeMap<u32, WorkspaceDemand<'_>>,
-        capacity: f64,
-        allowed: f64,
+        [capacity, in_surge, allowed]: [f64; 3],
     ) -> Option<Self> {
         let level = |demands: Vec<f64>, allowed| {
             let demands: Vec<_> =
                 demands.into_iter().map(|offered| share::demand(offered, 1)).collect();
             share::level(&demands, allowed)
         };
-        let fair = level(workspaces.values().map(|(offered, ..)| *offered).collect(), capacity)?;
+        let fair = level(workspaces.values().map(|(offered, ..)| *offered).collect(), in_surge)?;
+        // No share is less than an equal part.
+        let fair = fair.max(capacity / usize_as_f64(workspaces.len()));
         for deviations in SIGNIFICANT_DEVIATIONS {
             let share = Self { fair, deviations, limited: fair };
             let (limited, others): (Vec<_>, Vec<_>) =
                 workspaces.values().partition(|workspace| share.limits(workspace));
             let others: f64 = others.iter().map(|(offered, ..)| offered).sum();
             let floor = fair * LIMITED_MIN * usize_as_f64(limited.len());
-            if limited.is_empty() || allowed - others < floor && deviations > 0.0 {
+            if limited.is_empty() || capacity - others < floor && deviations > 0.0 {
                 continue;
             }
             let offered = limited.iter().map(|(offered, ..)| *offered).collect();
