lw-limit, lw-place: learn nothing about the capacity from short waits

Cause: at an engine some wait is also seen while it has room, so the estimate would have followed the load down and refused at the next small peak. The wait of the pool also had the engine's step in it, left out its memory, and was 0 where no request could fit.

Change: the estimate and the factor of a sudden peak change only while the wait is near its target. The wait of the pool is without the step, for a request of the mean size in flight, and bounded.

--- a/crates/lw-limit/src/admission/overload/mod.rs
+++ b/crates/lw-limit/src/admission/overload/mod.rs
@@ -224,8 +224,7 @@
         self.offered = demand.values().map(|estimate| estimate.offered).sum::<f64>() / 1_000.0;
         let error = self.wait_error();
         self.correct(elapsed, last_wait, error);
-        let is_limiting = !self.fractions.is_empty()
-            || self.expected_wait() >= self.target_wait().mul_f64(LIMIT_WAIT_FRACTION);
+        let is_limiting = !self.fractions.is_empty() || self.expected_wait() >= self.limit_wait();
         self.fractions.clear();
         if is_limiting {
             let capacity = self.capacity() * 1_000.0;
@@ -311,22 +310,26 @@
         self.target_latency.mul_f64(TARGET_WAIT_FRACTION)
     }
 
-    /// Corrects the estimated work of the engines: the wait should have changed as the admitted work exceeds it.
+    /// Corrects the estimated work of the engines: the wait should have changed as the admitted work exceeds it. A short
+    /// wait says nothing about that, since it is also seen while the engines have room.
     fn correct(&mut self, elapsed: f64, last_wait: Duration, error: f64) {
         let wait = self.pressure.wait;
-        let excess = if wait.is_zero() || last_wait.is_zero() {
-            // A wait of 0 only shows, if requests are refused, that the engines can do more.
-            if self.fractions.is_empty() || !wait.is_zero() { 0.0 } else { -IDLE_EXCESS }
+        let expected = self.admitted / self.capacity().max(0.001);
+        let growth = (wait.as_secs_f64() - last_wait.as_secs_f64()) / elapsed.max(0.001);
+        let surge = if wait >= self.target_wait() {
+            ((1.0 + growth) / expected.max(0.1)).clamp(1.0, SURGE_MAX)
         } else {
-            let growth = (wait.as_secs_f64() - last_wait.as_secs_f64()) / elapsed.max(0.001);
-            let expected = self.admitted / self.capacity().max(0.001);
-            let surge = (1.0 + growth) / expected.max(0.1);
-            self.surge += (surge.clamp(1.0, SURGE_MAX) - self.surge) * SURGE_WEIGHT;
+            1.0
+        };
+        self.surge += (surge - self.surge) * SURGE_WEIGHT;
+        let excess = if wait.min(last_wait) >= self.limit_wait() {
             (growth + 1.0 - expected).clamp(-1.0, 1.0) / self.surge + error * ERROR_WEIGHT
+        } else if self.fractions.is_empty() {
+            0.0
+        } else {
+            // Requests are refused although hardly any waits: the engines can do more.
+            -IDLE_EXCESS
         };
-        if wait.is_zero() {
-            self.surge = 1.0;
-        }
         let change = (-excess * elapsed / CORRECTION_TIME).exp();
         self.correction = (self.correction * change).clamp(*CORRECTION.start(), *CORRECTION.end());
     }
@@ -340,6 +343,11 @@
         Duration::try_from_secs_f64(wait).unwrap_or_default()
     }
 
+    /// Returns the wait from which on requests are refused.
+    fn limit_wait(&self) -> Duration {
+        self.target_wait().mul_f64(LIMIT_WAIT_FRACTION)
+    }
+
     /// Returns by how much the wait differs from its target, relative to what can be corrected within [`RECOVERY_TIME`].
     fn wait_error(&self) -> f64 {
         let error = self.expected_wait().as_secs_f64() - self.target_wait().as_secs_f64();
--- a/crates/lw-place/src/pool/pressure.rs
+++ b/crates/lw-place/src/pool/pressure.rs
@@ -10,6 +10,8 @@
 
 /// Rank behind all others.
 const LAST_RANK: u8 = 2 * RANK_MAX + 1;
+/// Longest wait at one engine that counts; a request that never fits waits forever.
+const WAIT_MAX_MS: f64 = 10_000.0;
 /// Prefill from which on attempts at the same engine wait for each other, in tokens.
 const LONG_PREFILL_TOKENS: u64 = 1500;
 /// Attempts that have not begun to answer and yet do not wait: the prefill of one is running.
@@ -36,8 +38,7 @@
         }
         pressure.age = ages / pressure.engines.max(1);
         if !pressure.has_room() {
-            let new = NewRequest { rank: LAST_RANK, tokens: 0, peers: 0 };
-            let wait = |state: &&UpstreamState| state.wait_ms(now, new, capacity_tokens);
+            let wait = |state: &&UpstreamState| state.wait_behind_all_ms(now, capacity_tokens);
             let mut waits: Vec<_> = usable.iter().map(wait).collect();
             waits.sort_by(f64::total_cmp);
             // Without the engines that are slow or silent, and those that have just been used less.
@@ -65,6 +66,17 @@
 }
 
 impl UpstreamState {
+    /// Returns the milliseconds until an engine can start the prefill of a request that is less urgent than all others and
+    /// takes as much memory as they do on average.
+    fn wait_behind_all_ms(&self, now: Now, capacity_tokens: u64) -> f64 {
+        let in_flight = u64::try_from(self.in_flight.len()).unwrap_or(u64::MAX);
+        let tokens = self.in_flight.values().map(|f| f.tokens).sum::<u64>();
+        let tokens = tokens.checked_div(in_flight).unwrap_or_default();
+        let new = NewRequest { rank: LAST_RANK, tokens, peers: 0 };
+        let wait_ms = self.wait_ms(now, new, capacity_tokens) - self.step_ms(now);
+        wait_ms.clamp(0.0, WAIT_MAX_MS)
+    }
+
     /// Returns the requests that run and those that wait, as tracked here or as reported lately, whichever is more.
     fn running_and_waiting(&self, now: Now) -> (u32, u32) {
         let load = self.load.filter(|(at, _)| now.saturating_sub(*at) < LOAD_MAX_AGE);
