--- a/crates/lw-edge/tests/demand.rs
+++ b/crates/lw-edge/tests/demand.rs
@@ -1,8 +1,13 @@
 //! Guards against digests of demand whose bytes grow with the fleet or that change on their way.
 
-use lw_edge::peers::{DemandWire, Message, Notice};
+use std::time::Duration;
+
+use lw_edge::{
+    admission::SharedAdmission,
+    peers::{DemandWire, Message, Notice},
+};
 use lw_limit::admission::overload::{
-    Key, Level,
+    Arrival, Decision, Key, Level, Pressure,
     demand::{Demand, ENTRIES_MAX, Entry},
 };
 use lw_types::prelude::*;
@@ -20,7 +25,7 @@
     for workspace in 0..300_u32 {
         demand.record(Key { workspace: u32::MAX - workspace, ..entry(0).key }, 10_000.0);
     }
-    demand.update(std::time::Duration::from_millis(100));
+    demand.update(Duration::from_millis(100));
     let entries: Vec<_> = demand.entries().iter().map(DemandWire::from).collect();
     assert_eq!(entries.len(), ENTRIES_MAX);
     let notice = Notice::Demand { service: u32::MAX, entries };
@@ -37,3 +42,33 @@
     let sent = entry(7);
     assert_eq!(Entry::from(&DemandWire::from(&sent)), sent);
 }
+
+/// Guards against digests that are sent in calm, that are applied to another service, or that do not count.
+#[test]
+fn digests_are_sent_under_pressure_and_count_at_the_receiver() {
+    let (sender, receiver) = (SharedAdmission::default(), SharedAdmission::default());
+    let arrival = Arrival {
+        id_hash: 0,
+        key: entry(7).key,
+        work_ms: 50.0,
+        target_latency: Duration::from_millis(500),
+        time_left: Duration::from_secs(6),
+    };
+    let full = Pressure { engines: 2, slots: 16, taken: 16, waiting: 9, ..Pressure::default() };
+    let calm = Pressure { taken: 7, waiting: 0, ..full };
+    let load = |pressure| [("other".to_owned(), calm), ("llm".to_owned(), pressure)];
+    let at = |step: u32| Duration::from_millis(100) * step;
+    for step in 0..10 {
+        assert!(sender.update(at(step), &load(calm), 2).is_empty(), "sent in calm");
+        assert_eq!(sender.decide(at(step), "llm", &arrival).0, Decision::Admitted);
+    }
+    let digests: Vec<_> =
+        (10..20).flat_map(|step| sender.update(at(step), &load(full), 2)).collect();
+    assert_eq!(digests.len(), 5, "one each 200 ms");
+    receiver.update(at(19), &load(full), 2);
+    receiver.apply(at(19), "vm-1", &digests[0]);
+    let (_, inputs) = receiver.decide(at(19), "llm", &arrival);
+    assert_eq!(inputs.sampled, 2);
+    let (_, inputs) = receiver.decide(at(19), "other", &arrival);
+    assert_eq!(inputs.sampled, 1);
+}
