--- a/crates/lw-edge/src/observe/mod.rs
+++ b/crates/lw-edge/src/observe/mod.rs
@@ -98,6 +98,11 @@
             }
         }
     }
+    for (service, engines) in edge.admission.capacities() {
+        #[expect(clippy::cast_possible_truncation, reason = "a service has few engines")]
+        let millis = (engines * 1_000.0) as i64;
+        metrics.capacity.get_or_create(&ServiceLabel { service }).set(millis);
+    }
     for (service, left) in edge.retries_left(now) {
         metrics.retries_left.get_or_create(&ServiceLabel { service }).set(as_gauge(left));
     }
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -17,6 +17,8 @@
     state::{Edge, keys},
 };
 
+mod attempt;
+mod demand;
 mod limits;
 mod quota;
 pub mod route;
@@ -24,6 +26,9 @@
 mod suspicion;
 mod versions;
 
+pub use attempt::SentAttempt;
+pub use demand::DemandWire;
+pub(crate) use demand::send as send_demand;
 pub use limits::{LimitWire, TurnWire};
 pub(crate) use limits::{ask_for_turn, request as request_limits};
 pub(crate) use quota::{ask_for_grant, charge, return_grants};
@@ -49,55 +54,6 @@
     pub is_for_relay: bool,
 }
 
-/// An attempt as it is encoded in [`Notice::Sent`].
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct SentAttempt {
-    upstream: UpstreamId,
-    #[serde(rename = "ticket")]
-    attempt_id: u64,
-    tokens: u64,
-    #[serde(rename = "to_read")]
-    prefill_tokens: u64,
-    output_tokens: u64,
-    rank: u8,
-    #[serde(rename = "parts")]
-    segments: Vec<(u64, u64)>,
-    fetch_ms: u64,
-    is_saved: bool,
-}
-
-impl From<&AnnouncedAttempt> for SentAttempt {
-    fn from(sent: &AnnouncedAttempt) -> Self {
-        Self {
-            upstream: sent.upstream.clone(),
-            attempt_id: sent.attempt_id,
-            tokens: sent.tokens,
-            prefill_tokens: sent.prefill_tokens,
-            output_tokens: sent.output_tokens,
-            rank: sent.rank,
-            segments: sent.segments.clone(),
-            fetch_ms: u64::try_from(sent.fetch_time.as_millis()).unwrap_or(u64::MAX),
-            is_saved: sent.is_saved,
-        }
-    }
-}
-
-impl From<&SentAttempt> for AnnouncedAttempt {
-    fn from(sent: &SentAttempt) -> Self {
-        Self {
-            upstream: sent.upstream.clone(),
-            attempt_id: sent.attempt_id,
-            tokens: sent.tokens,
-            prefill_tokens: sent.prefill_tokens,
-            output_tokens: sent.output_tokens,
-            rank: sent.rank,
-            segments: sent.segments.clone(),
-            fetch_time: Duration::from_millis(sent.fetch_ms),
-            is_saved: sent.is_saved,
-        }
-    }
-}
-
 /// Content of a message to other VMs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Notice {
@@ -220,6 +176,13 @@
     },
     /// Answers [`Notice::SpeedsRequest`], in one message or several.
     Speeds(SpeedsWire),
+    /// Demand for the engines of a service under pressure.
+    Demand {
+        /// Hash of the service's name.
+        service: u32,
+        /// Demand that the sender sees, by workspace and level.
+        entries: Vec<DemandWire>,
+    },
     /// An engine serves a version of a model's weights.
     Serves {
         /// The engine.
@@ -285,6 +248,9 @@
             return;
         }
         Notice::Limits(reports) => return limits::apply(edge, reports),
+        Notice::Demand { service, entries } => {
+            return demand::apply(edge, &message.vm, *service, entries);
+        }
         Notice::LimitsRequest { addr } => return limits::reply(edge, *addr),
         Notice::TurnRequest(turn) => return limits::lend_turn(edge, &message.vm, turn),
         Notice::Turn(turn) => return limits::accept_turn(edge, turn),
@@ -317,6 +283,7 @@
             | Notice::Quarantined { .. }
             | Notice::Released { .. }
             | Notice::Limits(_)
+            | Notice::Demand { .. }
             | Notice::LimitsRequest { .. }
             | Notice::TurnRequest(_)
             | Notice::Turn(_)
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -19,6 +19,7 @@
 };
 use record::RequestRecord;
 
+mod admit;
 mod answer;
 mod attempt;
 mod forward;
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -42,6 +42,7 @@
 pub use store_view::{RouterItem, StoreView, TargetVersion};
 
 use crate::{
+    admission::SharedAdmission,
     distribution::ChangeDistribution,
     intake,
     orders::Orders,
@@ -110,6 +111,8 @@
     pub answer_memory: AnswerMemory,
     /// Counts of callers' connections that were closed.
     pub closed_connections: Arc<ClosedCounts>,
+    /// Admission to engines under overload.
+    pub admission: SharedAdmission,
     /// Segments of prompts that crash engines.
     pub quarantine: SharedQuarantine,
     /// State of issuing orders to engines.
@@ -187,6 +190,7 @@
             answer_memory: AnswerMemory::new(Arc::clone(&caller_memory)),
             caller_memory,
             closed_connections: Arc::default(),
+            admission: SharedAdmission::default(),
             quarantine: SharedQuarantine::new(settings.vm.clone()),
             orders: Orders::new(&settings),
             registration: Registration::default(),
--- a/crates/lw-observe/src/metrics/mod.rs
+++ b/crates/lw-observe/src/metrics/mod.rs
@@ -40,6 +40,15 @@
     pub kind: &'static str,
 }
 
+/// Labels of decisions on admission to engines.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AdmissionLabels {
+    /// `admitted`, or why the request was refused.
+    pub outcome: &'static str,
+    /// Priority of the workspace and of the route.
+    pub level: String,
+}
+
 /// Labels of calls to the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCallLabels {
@@ -99,6 +108,12 @@
     pub caller_bytes: Family<KindLabel, Gauge>,
     /// Connections of callers that were closed for their callers' sake, by reason, since the start.
     pub closed_connections: Family<KindLabel, Gauge>,
+    /// Decisions on admission to engines.
+    pub admission: Family<AdmissionLabels, Counter>,
+    /// Estimated capacity of a service's engines, in thousandths of an engine.
+    pub capacity: Family<ServiceLabel, Gauge>,
+    /// Digests of demand that were sent to other VMs.
+    pub demand_digests: Counter,
     /// Attempts at upstreams by outcome.
     pub attempts: Family<KindLabel, Counter>,
     /// Time from the arrival of a request to the head of its answer. The head of a stream is sent with its first event.
@@ -157,6 +172,9 @@
             body_refusals: Family::default(),
             caller_bytes: Family::default(),
             closed_connections: Family::default(),
+            admission: Family::default(),
+            capacity: Family::default(),
+            demand_digests: Counter::default(),
             attempts: Family::default(),
             first_byte_time: Family::new_with_constructor(times),
             answer_time: Family::new_with_constructor(times),
@@ -193,6 +211,12 @@
         registry.register("caller_bytes", "Bytes held for callers", self.caller_bytes.clone());
         let help = "Connections closed since their callers did not read, or too many were open";
         registry.register("closed_connections", help, self.closed_connections.clone());
+        let help = "Decisions on admission to engines";
+        registry.register("admission", help, self.admission.clone());
+        let help = "Estimated capacity of the engines, in thousandths of an engine";
+        registry.register("capacity_millis", help, self.capacity.clone());
+        let help = "Digests of demand sent to other VMs";
+        registry.register("demand_digests", help, self.demand_digests.clone());
         registry.register("attempts", "Attempts at upstreams by outcome", self.attempts.clone());
         let help = "Time to the head of the answer, in seconds";
         registry.register("first_byte_seconds", help, self.first_byte_time.clone());
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -17,6 +17,7 @@
 mod learned;
 mod limit;
 mod placement;
+mod pressure;
 mod queue;
 mod slowdown;
 mod source;
