lw-limit: holders of quota slots that are killed again and again

Cause: with a new holder that begins with a full bucket the generated fleets still passed (150 and 100 cases), since few of them kill the holders of a loaded workspace. Change: a test that kills them in turn each 0.7 s, and generated fleets with such kills and with demand that begins when the buckets are full. Measured, debug: with that fault 760,132 units run in a window that allows 655,300; without it the test passes, as do the 5 tests (31 s beside other jobs, load above 16). The generated fleets alone still do not find that fault in 100 cases.

--- a/crates/lw-limit/tests/quota.rs
+++ b/crates/lw-limit/tests/quota.rs
@@ -36,7 +36,7 @@
 
 fn workspace(cap: Cap, demand: f64, costs: Costs, spread: Spread) -> Workspace {
     let caps = CapHistory(vec![(Now::ZERO, Some(cap))]);
-    Workspace { caps, demand: cap.rate * demand, costs, spread, is_shaped: false }
+    Workspace { caps, demand: cap.rate * demand, costs, spread, start: ms(600), is_shaped: false }
 }
 
 fn options(vms: usize, workspaces: Vec<Workspace>) -> Options {
@@ -146,6 +146,19 @@
     }
 }
 
+/// Guards against holders that begin with more than their predecessors may have left: each new one would grant it again.
+#[test]
+fn holders_that_are_killed_again_and_again_keep_the_rule() {
+    let demand = workspace(cap(47_000.0), 12.0, Costs::Mixed(0.9), Spread::All);
+    let kills = (0..14).map(|n| {
+        let slot = usize::from(n % 2 == 1);
+        (ms(14_000 + 700 * n), Fault::KillHolder { slot, down: ms(20) })
+    });
+    let workspaces = vec![Workspace { start: ms(13_000), ..demand }];
+    let options = Options { faults: kills.collect(), ..options(9, workspaces) };
+    assert_rule(&options, &mut Simulation::run(&options), BINDING);
+}
+
 fn spread() -> impl Strategy<Value = Spread> {
     prop_oneof![Just(Spread::All), Just(Spread::Third), Just(Spread::One), Just(Spread::Moving)]
 }
@@ -161,14 +174,15 @@
         Just(Costs::Fixed(17_000)),
         Just(Costs::Fixed(93_000)),
     ];
-    (caps, changes, 0.5..4.0_f64, costs, spread()).prop_map(
-        |(first, mut changes, demand, costs, spread)| {
+    let start = prop_oneof![Just(600), 6_000_u64..14_000].prop_map(ms);
+    (caps, changes, 0.5..4.0_f64, costs, spread(), start).prop_map(
+        |(first, mut changes, demand, costs, spread, start)| {
             changes.sort_unstable_by_key(|(at, _)| *at);
             let changes = changes.into_iter().map(|(at, cap)| (ms(at), cap));
             let caps = CapHistory(std::iter::once((Now::ZERO, first)).chain(changes).collect());
             let rate = first.map_or(100_000.0, |cap| cap.rate);
             let demand = (rate * demand).min(costs.mean() * REQUESTS_MAX);
-            Workspace { caps, demand, costs, spread, is_shaped: false }
+            Workspace { caps, demand, costs, spread, start, is_shaped: false }
         },
     )
 }
@@ -176,24 +190,25 @@
 fn faults() -> impl Strategy<Value = (Now, Fault)> {
     let vm = 0_usize..300;
     let time = (100_u64..6_000).prop_map(ms);
-    let fault =
-        prop_oneof![
-            (vm.clone(), time.clone()).prop_map(|(vm, down)| Fault::Kill { vm, down }),
-            vm.clone().prop_map(|vm| Fault::Leave { vm }),
-            (vm.clone(), time.clone()).prop_map(|(vm, time)| Fault::Freeze { vm, time }),
-            (vm.clone(), any::<bool>(), time.clone())
-                .prop_map(|(vm, is_inbound, time)| Fault::Cut { vm, is_inbound, time }),
-            (vm, time.clone()).prop_map(|(vm, time)| Fault::CutFromStore { vm, time }),
-            time.clone().prop_map(|time| Fault::StoreDown { time }),
-            (time, 0_u64..4_000).prop_map(|(time, age)| Fault::OlderCopy { time, age: ms(age) }),
-        ];
+    let fault = prop_oneof![
+    4 => (0_usize..2, 20_u64..600)
+        .prop_map(|(slot, down)| Fault::KillHolder { slot, down: ms(down) }),
+         1 => (vm.clone(), time.clone()).prop_map(|(vm, down)| Fault::Kill { vm, down }),
+         1 => vm.clone().prop_map(|vm| Fault::Leave { vm }),
+         1 => (vm.clone(), time.clone()).prop_map(|(vm, time)| Fault::Freeze { vm, time }),
+         1 => (vm.clone(), any::<bool>(), time.clone())
+            .prop_map(|(vm, is_inbound, time)| Fault::Cut { vm, is_inbound, time }),
+         1 => (vm, time.clone()).prop_map(|(vm, time)| Fault::CutFromStore { vm, time }),
+         1 => time.clone().prop_map(|time| Fault::StoreDown { time }),
+         1 => (time, 0_u64..4_000).prop_map(|(time, age)| Fault::OlderCopy { time, age: ms(age) }),
+    ];
     (4_000_u64..22_000, fault).prop_map(|(at, fault)| (ms(at), fault))
 }
 
 fn fleets() -> impl Strategy<Value = Options> {
     let vms = prop_oneof![80 => Just(9), 16 => Just(30), 2 => Just(95), 1 => Just(300)];
     let workspaces = proptest::collection::vec(workspaces(), 1..4);
-    let faults = proptest::collection::vec(faults(), 0..8);
+    let faults = proptest::collection::vec(faults(), 0..12);
     (any::<u64>(), vms, workspaces, faults, 0.0..0.1_f64, 0.0..0.1_f64, 0.0..0.1_f64).prop_map(
         |(seed, vms, workspaces, mut faults, loss, late, unused)| {
             // Few VMs hold slots: most faults are to hit those.
@@ -204,7 +219,9 @@
                     | Fault::Freeze { vm, .. }
                     | Fault::Cut { vm, .. }
                     | Fault::CutFromStore { vm, .. } => *vm %= vms,
-                    Fault::StoreDown { .. } | Fault::OlderCopy { .. } => {}
+                    Fault::KillHolder { .. }
+                    | Fault::StoreDown { .. }
+                    | Fault::OlderCopy { .. } => {}
                 }
             }
             let time = ms(22_000);
--- a/crates/lw-limit/tests/quota_fleet/faults.rs
+++ b/crates/lw-limit/tests/quota_fleet/faults.rs
@@ -13,6 +13,14 @@
     pub(super) fn fault(&mut self, fault: Fault) {
         match fault {
             Fault::Kill { vm, down } => self.stop(vm, down),
+            Fault::KillHolder { slot, down } => {
+                let slot = slots_of(&name(0))[slot];
+                if let Some(vm) = (0..self.options.vms)
+                    .find(|vm| self.vms[*vm].keeper.holder.slots().any(|(held, _)| held == slot))
+                {
+                    self.stop(vm, down);
+                }
+            }
             Fault::Leave { vm } => {
                 // It ends 1 s later.
                 if std::mem::replace(&mut self.vms[vm].is_leaving, true) {
--- a/crates/lw-limit/tests/quota_fleet/mod.rs
+++ b/crates/lw-limit/tests/quota_fleet/mod.rs
@@ -13,6 +13,7 @@
     holder::{Claim, Reply, Return},
     keeper::{Fleet, Keeper, Lease, SlotWrite},
     requester::{Ask, Decision, Grant, Requester},
+    slots_of,
 };
 use lw_types::prelude::*;
 
@@ -89,6 +90,8 @@
     pub demand: f64,
     pub costs: Costs,
     pub spread: Spread,
+    /// When the demand begins. The buckets may be full then.
+    pub start: Now,
     /// Whether the demand is kept under 0.9 of the cap in any window.
     pub is_shaped: bool,
 }
@@ -99,6 +102,11 @@
         vm: usize,
         down: Duration,
     },
+    /// The VM that holds the first or second slot of the first workspace is killed.
+    KillHolder {
+        slot: usize,
+        down: Duration,
+    },
     Leave {
         vm: usize,
     },
@@ -294,7 +302,7 @@
         }
         self.at(ms(500), None, Event::CopyStore);
         for workspace in 0..self.options.workspaces.len() {
-            self.at(ms(600), None, Event::Demand { workspace });
+            self.at(self.options.workspaces[workspace].start, None, Event::Demand { workspace });
             for (change, _) in &self.options.workspaces[workspace].caps.0 {
                 self.at(*change, None, Event::Config);
             }
