lw-edge: answers and the milliseconds of log lines are modules of their own

Cause: the modules of lw-edge that use the shared state and each other had grown from 13 to 16 files, since distribution, peers and orders imported serve for the type of an answer and for one function. Change: crate::answer and lw_observe::logs::millis; serve imports the others and none of them imports serve.

--- a/crates/lw-edge/src/serve/answer.rs
+++ b/crates/lw-edge/src/answer/mod.rs
@@ -13,7 +13,7 @@
 /// An answer to a caller.
 pub type Answer = Response<AnswerBody>;
 
-pub(super) fn empty_body() -> AnswerBody {
+pub(crate) fn empty_body() -> AnswerBody {
     Empty::new().map_err(|never| match never {}).boxed_unsync()
 }
 
@@ -22,7 +22,7 @@
 }
 
 /// Returns the answer for a request that the router itself refuses or fails.
-pub(super) fn failure_answer(request: &str, failure: &Failure) -> Answer {
+pub(crate) fn failure_answer(request: &str, failure: &Failure) -> Answer {
     let status = StatusCode::from_u16(failure.code.http_status());
     let mut response = Response::new(full_body(failure.body().to_string().into()));
     *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
--- a/crates/lw-edge/src/distribution/mod.rs
+++ b/crates/lw-edge/src/distribution/mod.rs
@@ -19,6 +19,7 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use lw_observe::logs::millis;
 use lw_transport::{
     auth,
     client::{self, Call},
@@ -28,7 +29,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    serve::{Answer, full_body, millis},
+    answer::{Answer, full_body},
     state::{Edge, keys},
 };
 
--- a/crates/lw-edge/src/lib.rs
+++ b/crates/lw-edge/src/lib.rs
@@ -2,6 +2,7 @@
 //! store.
 
 pub mod admission;
+pub mod answer;
 pub mod distribution;
 pub mod feeds;
 pub mod follow;
--- a/crates/lw-edge/src/observe/mod.rs
+++ b/crates/lw-edge/src/observe/mod.rs
@@ -4,6 +4,7 @@
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use lw_observe::logs::millis;
 use lw_observe::{
     logs,
     metrics::{KindLabel, ServiceLabel, ServiceQuantileLabels},
@@ -15,8 +16,8 @@
 use serde::Serialize;
 
 use crate::{
+    answer::{Answer, full_body},
     intake,
-    serve::{Answer, full_body, millis},
     state::Edge,
 };
 
--- a/crates/lw-edge/src/orders/lease.rs
+++ b/crates/lw-edge/src/orders/lease.rs
@@ -152,7 +152,7 @@
     match claimed {
         Claimed::Begun { fence, is_after_loss, ready_at } => {
             edge.orders.state().accepted.clear();
-            let wait_ms = crate::serve::millis(ready_at.saturating_sub(now));
+            let wait_ms = lw_observe::logs::millis(ready_at.saturating_sub(now));
             log::info!(target: "order", fence = fence, after_loss = is_after_loss, wait_ms = wait_ms;
                 "lease acquired");
             Ok(())
--- a/crates/lw-edge/src/peers/limits.rs
+++ b/crates/lw-edge/src/peers/limits.rs
@@ -4,12 +4,13 @@
 
 use derive_more::{Display, Error};
 use lw_limit::upstream::{Evidence, Origin};
+use lw_observe::logs::millis;
 use lw_place::{LimitReport, TurnRequest};
 use lw_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use super::{Notice, random_others, send_to};
-use crate::{limits::log_change, serve::millis, state::Edge};
+use crate::{limits::log_change, state::Edge};
 
 /// Longest time for which a message is assumed to be on its way.
 const MESSAGE_TIME_MAX: Duration = Duration::from_millis(500);
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use lw_catalog::Upstream;
+use lw_observe::logs::millis;
 use lw_observe::metrics;
 use lw_place::{AnnouncedAttempt, AttemptId, Ended, LimitReport};
 use lw_quarantine::{Basis, CrashReport, SegmentSet};
@@ -13,7 +14,6 @@
 use crate::{
     quarantine,
     quota::QuotaNotice,
-    serve::millis,
     state::{Edge, keys},
 };
 
--- a/crates/lw-edge/src/peers/suspicion.rs
+++ b/crates/lw-edge/src/peers/suspicion.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use lw_observe::logs::millis;
 use lw_quarantine::{Basis, CrashReport, SegmentSet, Suspect};
 use lw_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use super::{Message, Notice};
-use crate::{serve::millis, state::Edge};
+use crate::state::Edge;
 
 /// An attempt as it is encoded in [`Notice::Crash`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/lw-edge/src/serve/admit.rs
+++ b/crates/lw-edge/src/serve/admit.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use lw_limit::admission::overload::{Arrival, Decision, Key, Level};
+use lw_observe::logs::millis;
 use lw_observe::metrics::AdmissionLabels;
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
 
-use super::{Call, record::millis};
+use super::Call;
 use crate::{admission::level_name, state::Edge};
 
 /// Returns what admission needs to know about a request; none if its service has no engines.
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -6,6 +6,7 @@
 use http_body_util::Full;
 use lw_forward::pool::{Error, HostKey, Reuse, UpstreamAnswerBody};
 use lw_limit::upstream::{Evidence, Origin};
+use lw_observe::logs::millis;
 use lw_observe::metrics;
 use lw_place::{AttemptId, Ended, LimitReport, Placement, Prompt};
 use lw_platform::headers::{self, AddedHeaders, AnswerHead, NamedLimit};
@@ -14,7 +15,6 @@
 
 use super::{
     Call,
-    record::millis,
     takeover::{SentAttempt, Signals},
 };
 use crate::{
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -12,14 +12,16 @@
 
 use super::{
     Call, RETRY_AFTER_LEAVING, admit,
-    answer::{self, Answer},
     attempt::{Attempt, IncomingAnswer, SendOutcome},
     quota::Usage,
     record::RequestRecord,
     relay::Relay,
     takeover::{Overlap, SentAttempt, overlap},
 };
-use crate::state::{Edge, GivenUp};
+use crate::{
+    answer::{self, Answer},
+    state::{Edge, GivenUp},
+};
 
 /// `retry-after` of a refusal without a better estimate.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -14,13 +14,13 @@
 use lw_types::prelude::*;
 
 use crate::{
+    answer::{self, Answer},
     intake,
     state::{Edge, InFlightGuard},
 };
 use record::RequestRecord;
 
 mod admit;
-mod answer;
 mod attempt;
 mod forward;
 mod quota;
@@ -28,10 +28,6 @@
 mod relay;
 mod takeover;
 
-pub(crate) use answer::full_body;
-pub use answer::{Answer, AnswerBody};
-pub(crate) use record::millis;
-
 /// `retry-after` of a leaving VM: the balancer sends the next request to another VM, which can serve it at once.
 const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(20);
 
--- a/crates/lw-edge/src/serve/quota.rs
+++ b/crates/lw-edge/src/serve/quota.rs
@@ -7,11 +7,12 @@
     requester::{Ask, Grant},
     slots_of,
 };
+use lw_observe::logs::millis;
 use lw_observe::metrics;
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
 
-use super::{Call, millis};
+use super::Call;
 use crate::{
     peers,
     quota::{self, Charge, Outcome},
--- a/crates/lw-edge/src/serve/record.rs
+++ b/crates/lw-edge/src/serve/record.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lw_catalog::RouteKind;
+use lw_observe::logs::millis;
 use lw_observe::metrics::{self, OutcomeLabels, RequestLabels};
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
@@ -131,8 +132,3 @@
             workspace = self.labels.workspace.as_str(); "caller left");
     }
 }
-
-/// Returns the whole milliseconds of a duration, for log lines.
-pub(crate) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -10,11 +10,11 @@
 use lw_place::Ended;
 
 use super::{
-    answer::{AnswerBody, BodyError},
     attempt::{Attempt, IncomingAnswer, SendOutcome},
     forward::Driver,
     takeover::{Overlap, SentAttempt, overlap},
 };
+use crate::answer::{AnswerBody, BodyError};
 use crate::state::GivenUp;
 
 /// A stream that is being relayed to its caller.
--- a/crates/lw-observe/src/logs/mod.rs
+++ b/crates/lw-observe/src/logs/mod.rs
@@ -252,3 +252,14 @@
         shared.lines_written.notify_all();
     }
 }
+
+/// Returns the whole milliseconds of a duration, for log lines.
+///
+/// ```
+/// use std::time::Duration;
+/// assert_eq!(lw_observe::logs::millis(Duration::from_micros(2_500)), 2);
+/// ```
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
