lw-place: engines with a current load report stand for those without one

Cause: only answers carry load reports. With 84 VMs a VM hears of each engine every few seconds, and the short requests of other VMs do not show at the others, so that the fleet seemed to have room.

Change: where at least four engines have a report of the last second, slots, taken slots and waits are taken from these and scaled to all.

--- a/crates/lw-place/src/pool/pressure.rs
+++ b/crates/lw-place/src/pool/pressure.rs
@@ -10,6 +10,9 @@
 
 /// Rank behind all others.
 const LAST_RANK: u8 = 2 * RANK_MAX + 1;
+/// Fewest engines with a current load report that stand for all. Short requests of other VMs show only in these reports, and
+/// in a large fleet a VM hears of each engine every few seconds only.
+const REPORTS_MIN: usize = 4;
 /// Longest wait at one engine that counts; a request that never fits waits forever.
 const WAIT_MAX_MS: f64 = 10_000.0;
 /// Prefill from which on attempts at the same engine wait for each other, in tokens.
@@ -28,7 +31,9 @@
             usable.filter(|u| u.is_open(now) && now >= u.deprioritized_until).collect();
         let mut pressure = Pressure { engines: saturating(usable.len()), ..Pressure::default() };
         let mut ages = Duration::ZERO;
-        for state in &usable {
+        let reported: Vec<_> = usable.iter().copied().filter(|u| u.has_report(now)).collect();
+        let sample = if reported.len() >= REPORTS_MIN { reported } else { usable };
+        for state in &sample {
             let slots = state.load.map_or(state.upstream.slots, |(_, load)| load.slots).max(1);
             let (running, waiting) = state.running_and_waiting(now);
             pressure.slots += slots;
@@ -36,10 +41,14 @@
             pressure.waiting += waiting;
             ages += state.load.map_or(LOAD_MAX_AGE, |(at, _)| now.saturating_sub(at));
         }
-        pressure.age = ages / pressure.engines.max(1);
+        let sampled = saturating(sample.len().max(1));
+        pressure.age = ages / sampled;
+        for sum in [&mut pressure.slots, &mut pressure.taken, &mut pressure.waiting] {
+            *sum = sum.saturating_mul(pressure.engines) / sampled;
+        }
         if !pressure.has_room() {
             let wait = |state: &&UpstreamState| state.wait_behind_all_ms(now, capacity_tokens);
-            let mut waits: Vec<_> = usable.iter().map(wait).collect();
+            let mut waits: Vec<_> = sample.iter().map(wait).collect();
             waits.sort_by(f64::total_cmp);
             // Without the engines that are slow or silent, and those that have just been used less.
             let middle = &waits[waits.len() / 4..waits.len() - waits.len() / 4];
@@ -66,6 +75,11 @@
 }
 
 impl UpstreamState {
+    /// Whether the load that it reported still counts.
+    fn has_report(&self, now: Now) -> bool {
+        self.load.is_some_and(|(at, _)| now.saturating_sub(at) < LOAD_MAX_AGE)
+    }
+
     /// Returns the milliseconds until an engine can start the prefill of a request that is less urgent than all others and
     /// takes as much memory as they do on average.
     fn wait_behind_all_ms(&self, now: Now, capacity_tokens: u64) -> f64 {
--- a/crates/lw-place/tests/pressure.rs
+++ b/crates/lw-place/tests/pressure.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{engine, ms, pool, prompt, request};
+use lw_limit::admission::overload::Pressure;
 use lw_place::{Load, Prompt, Segment, UpstreamPool};
 
 fn pool_with_loads(loads: &[(u32, u32)]) -> UpstreamPool {
@@ -28,6 +29,20 @@
     assert!(has_room(&[(32, 9), (32, 9)], 2_100), "load reports that are too old still count");
 }
 
+/// Guards against engines that seem to have room since this VM has not heard of them: few requests of its own in a large
+/// fleet, while others fill the engines with short ones.
+#[test]
+fn engines_with_a_current_report_stand_for_the_others() {
+    let mut pool = pool_with_loads(&[(30, 2); 4]);
+    for n in 0..36 {
+        pool.put(&engine(&format!("other-{n}"), "m", 1));
+    }
+    let pressure = pool.pressure(ms(1_100)).unwrap();
+    let Pressure { engines, slots, taken, waiting, .. } = pressure;
+    assert_eq!((engines, slots, taken, waiting), (40, 40 * 32, 40 * 30, 40 * 2));
+    assert!(!pressure.has_room());
+}
+
 /// Guards against engines that count although they may not be used.
 #[test]
 fn engines_that_may_not_be_used_do_not_count() {
