lw-forward, lw-edge, lw-daemon: one table of result codes for bodies; answers on the native interface keep their share

Both interfaces had the same table from the reason why a body was not read to the result code; it is in lw_forward::intake now.

faulty_answers::endless_answers_use_bounded_memory failed once after the accounting: growth of 33,680 KiB, bound 32,768. The native share of large answers had grown from 8 to 12 MiB; it is a sixth of limits.memory now, 8 MiB by default.

--- a/crates/lw-daemon/src/callers/mod.rs
+++ b/crates/lw-daemon/src/callers/mod.rs
@@ -4,6 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use lw_config::document::Workspace;
+use lw_forward::intake::leaves_body_unread;
 use lw_protocol::caller::{CLASS_HEADER, DEADLINE_HEADER, Endpoint, Failure, REQUEST_ID_HEADER};
 use lw_transport::{auth, server};
 use lw_types::prelude::*;
@@ -11,7 +12,7 @@
 use volo_http::{body::Body, request::Request, response::Response};
 
 use crate::{
-    intake, services,
+    services,
     tables::{ActiveConfig, Tables},
 };
 
@@ -75,7 +76,7 @@
         tables.statsd.count_result(failure.code);
         let mut response = server::failure(&failure);
         // A connection that stays in use would keep a leaving VM from ending.
-        if failure.code == ResultCode::Draining || intake::leaves_body_unread(failure.code) {
+        if failure.code == ResultCode::Draining || leaves_body_unread(failure.code) {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/lw-daemon/src/intake/mod.rs
+++ b/crates/lw-daemon/src/intake/mod.rs
@@ -8,7 +8,6 @@
 use lw_metrics::statsd::Statsd;
 use lw_protocol::caller::Failure;
 use lw_transport::server;
-use lw_types::prelude::*;
 use volo_http::body::Body;
 
 /// `Retry-After` of a refusal for lack of memory.
@@ -17,7 +16,12 @@
 /// Returns the memory for callers' bytes.
 #[must_use]
 pub fn caller_memory(limits: &Limits) -> Arc<CallerMemory> {
-    CallerMemory::new(Shares::of_total(limits.memory))
+    // A sixth is 8 MiB by default, an eighth of the memory of a node: answers of services are collected only for calls
+    // that may not be repeated.
+    CallerMemory::new(Shares {
+        large_answers: limits.memory / 6,
+        ..Shares::of_total(limits.memory)
+    })
 }
 
 /// Reads the body of a caller's request within a size limit and a time limit.
@@ -69,21 +73,9 @@
 }
 
 fn failure(e: &BodyError) -> Failure {
-    let code = match e {
-        BodyError::TooLarge(_) => ResultCode::BodyTooLarge,
-        BodyError::Stalled(_) | BodyError::Late(_) => ResultCode::BodyTimeout,
-        BodyError::NoRoom(_) => ResultCode::MemoryExhausted,
-        BodyError::Broken(_) => ResultCode::MalformedBody,
-    };
-    let failure = Failure::new(code, e.to_string());
+    let failure = Failure::new(e.code(), e.to_string());
     match e {
         BodyError::NoRoom(_) => failure.retry_after(RETRY_AFTER),
         _ => failure,
     }
 }
-
-/// Whether the body of a request with this failure was not read to its end, so that its connection has to be closed.
-#[must_use]
-pub fn leaves_body_unread(code: ResultCode) -> bool {
-    matches!(code, ResultCode::BodyTooLarge | ResultCode::BodyTimeout | ResultCode::MemoryExhausted)
-}
--- a/crates/lw-edge/src/intake/mod.rs
+++ b/crates/lw-edge/src/intake/mod.rs
@@ -13,7 +13,6 @@
 };
 use lw_observe::metrics::{KindLabel, Metrics, increment};
 use lw_protocol::caller::Failure;
-use lw_types::prelude::*;
 
 /// The memory of the VM divided by this number is the limit on callers' bytes. The rest is for connections, the views of
 /// the store and of caches, and a body that is held twice while it is joined.
@@ -69,13 +68,7 @@
 }
 
 fn failure(e: &BodyError) -> Failure {
-    let code = match e {
-        BodyError::TooLarge(_) => ResultCode::BodyTooLarge,
-        BodyError::Stalled(_) | BodyError::Late(_) => ResultCode::BodyTimeout,
-        BodyError::NoRoom(_) => ResultCode::MemoryExhausted,
-        BodyError::Broken(_) => ResultCode::MalformedBody,
-    };
-    let failure = Failure::new(code, e.to_string());
+    let failure = Failure::new(e.code(), e.to_string());
     match e {
         BodyError::NoRoom(_) => failure.retry_after(RETRY_AFTER),
         _ => failure,
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -4,10 +4,9 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, Uri, header};
-use http_body::Body as _;
 use hyper::body::Incoming;
 use lw_catalog::{Catalog, Route, Workspace};
-use lw_forward::intake::BodyLimits;
+use lw_forward::intake::{BodyLimits, leaves_body_unread};
 use lw_place::{CacheScope, Prompt, RANK_MAX};
 use lw_platform::headers::{self, CallerHead};
 use lw_protocol::caller::Failure;
@@ -80,12 +79,11 @@
     let head = headers::caller_head(req.headers());
     let id = head.request.clone();
     let mut record = RequestRecord::new(&edge, &id, edge.timer.now());
-    let has_body = !req.body().is_end_stream();
     let (mut response, is_body_unread) = match accept(&edge, req, head, &mut record).await {
         Ok(call) => (forward::run(&edge, Arc::new(call), record).await, false),
         Err(failure) => {
             record.record_failure(&failure);
-            (answer::failure_answer(&id, &failure), has_body)
+            (answer::failure_answer(&id, &failure), leaves_body_unread(failure.code))
         }
     };
     if edge.is_leaving() || is_body_unread {
--- a/crates/lw-forward/src/intake/mod.rs
+++ b/crates/lw-forward/src/intake/mod.rs
@@ -6,6 +6,7 @@
 use derive_more::{Display as DisplayText, Error};
 use http_body::Body;
 use http_body_util::BodyExt;
+use lw_types::prelude::*;
 
 mod buffer;
 mod memory;
@@ -45,6 +46,17 @@
 }
 
 impl BodyError {
+    /// Returns the result code of a request with this body.
+    #[must_use]
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::TooLarge(_) => ResultCode::BodyTooLarge,
+            Self::Stalled(_) | Self::Late(_) => ResultCode::BodyTimeout,
+            Self::NoRoom(_) => ResultCode::MemoryExhausted,
+            Self::Broken(_) => ResultCode::MalformedBody,
+        }
+    }
+
     /// Returns the name of the reason, for counters and log lines.
     #[must_use]
     pub fn kind(&self) -> &'static str {
@@ -58,6 +70,18 @@
     }
 }
 
+/// Whether the body of a request with this result was not read to its end, so that its connection has to be closed.
+///
+/// ```
+/// use lw_types::prelude::*;
+/// assert!(lw_forward::intake::leaves_body_unread(ResultCode::BodyTooLarge));
+/// assert!(!lw_forward::intake::leaves_body_unread(ResultCode::UnknownKey));
+/// ```
+#[must_use]
+pub fn leaves_body_unread(code: ResultCode) -> bool {
+    matches!(code, ResultCode::BodyTooLarge | ResultCode::BodyTimeout | ResultCode::MemoryExhausted)
+}
+
 /// Reads a body of a caller. The memory of the result is accounted for until its last copy is dropped.
 ///
 /// # Errors
