lw-platform, lw-edge: admission under overload is on where the contracts of a deployment list it

Change: a setting, from the list of contracts; the stand-in's settings have it, so that the soak runs with it. Result: the test of the settings passes.

--- a/crates/lw-catalog/src/settings.rs
+++ b/crates/lw-catalog/src/settings.rs
@@ -25,6 +25,8 @@
     pub memory_bytes: u64,
     /// Most sockets that may be open at the same time.
     pub sockets_max: usize,
+    /// Whether requests are admitted by their share of the engines' work while engines cannot serve all in time.
+    pub limits_overload: bool,
     /// Bounds that the deployment promises.
     pub bounds: Bounds,
 }
@@ -53,6 +55,7 @@
             ("address of the store", self.store == new.store),
             ("memory", self.memory_bytes == new.memory_bytes),
             ("sockets", self.sockets_max == new.sockets_max),
+            ("admission under overload", self.limits_overload == new.limits_overload),
             ("time between issuers", old_bounds.lease == bounds.lease),
             ("fencing", old_bounds.is_fenced == bounds.is_fenced),
             ("shortest lease", old_bounds.lease_min == bounds.lease_min),
@@ -75,6 +78,7 @@
             store: addr(7500),
             memory_bytes: 64 << 20,
             sockets_max: 1000,
+            limits_overload: true,
             bounds: Bounds {
                 drain: seconds(2),
                 grace: seconds(8),
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -119,7 +119,9 @@
         tasks.spawn(quarantine::run(Arc::clone(&edge)));
         tasks.spawn(limits::run(Arc::clone(&edge)));
         tasks.spawn(quota::run(Arc::clone(&edge)));
-        tasks.spawn(update_admission(Arc::clone(&edge)));
+        if edge.settings.limits_overload {
+            tasks.spawn(update_admission(Arc::clone(&edge)));
+        }
         tasks.spawn(restore::run(Arc::clone(&edge)));
         tasks.spawn(update_upstreams(Arc::clone(&edge)));
         tasks.spawn(serve_callers(Arc::clone(&edge), callers, connections.clone()));
--- a/crates/lw-edge/src/serve/admit.rs
+++ b/crates/lw-edge/src/serve/admit.rs
@@ -11,9 +11,9 @@
 use super::Call;
 use crate::{admission::level_name, state::Edge};
 
-/// Returns what admission needs to know about a request; none if its service has no engines.
+/// Returns what admission needs to know about a request; none if its service has no engines, or admission is off.
 fn arrival(edge: &Edge, call: &Call) -> Option<Arrival> {
-    let prompt = call.prompt.as_ref()?;
+    let prompt = call.prompt.as_ref().filter(|_| edge.settings.limits_overload)?;
     let workspace = call.workspace.as_deref();
     let level = Level {
         workspace: workspace.and_then(|workspace| workspace.priority).unwrap_or_default(),
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -259,6 +259,7 @@
         store: store.addr(),
         memory_bytes: 64 << 20,
         sockets_max: 1000,
+        limits_overload: true,
         bounds,
     }
 }
--- a/crates/lw-standin/src/hosted/operator.rs
+++ b/crates/lw-standin/src/hosted/operator.rs
@@ -88,6 +88,7 @@
 Ip = "{ip}"
 Zone = "{failure_domain}"
 InternalPorts = [{port}, {next}]
+Contracts = ["pressure"]
 [Listen]
 Frontend = "{callers}"
 Ready = "{readiness}"
