lw-limit, lw-edge, lw-place, lw-daemon: findings of the reviews

Cause: read by three reviewers who had not written the code. Change, usage caps: a request that ends while it waits for a grant leaves no entry behind; a returned grant counts in full unless the bucket was full meanwhile (it counted less than a plain call cost); the last holder has 150 ms to reply; a refused request is queued once, not at both holders; without a slack a full bucket grants no more than a window allows. Placement: errors of upstreams are no samples of their speed; the expected length of an answer is no sample; segments and prompts of any stated size. Admission: nothing is learned without a usable engine; callers without a workspace have the priority of their route. Callers' bytes: no memory for an answer is not held against its upstream; the rest of a refused body is dropped up to 4 MiB; the native interface has 256 MiB by default, since 180 prompts of usual length filled 48 MiB. The memory test states the 48 MiB in its settings; its crowd and bounds are as before.

--- a/crates/lw-config/src/settings/mod.rs
+++ b/crates/lw-config/src/settings/mod.rs
@@ -257,8 +257,8 @@
         const KIB: usize = 1 << 10;
         const MIB: usize = 1 << 20;
         let body_max = fields.size("body_max", 2 * MIB, KIB..=64 * MIB);
-        // Half of the memory is for large requests, of which four of the largest size fit.
-        let memory_default = (8 * body_max).max(48 * MIB);
+        // Half of the memory is for large requests. With 17,000 tokens and two copies each, 960 prompts run at a time.
+        let memory_default = (8 * body_max).max(256 * MIB);
         Self {
             body_max,
             memory: fields.size("memory", memory_default, 4 * body_max..=64 << 30),
--- a/crates/lw-daemon/tests/bytes_native.rs
+++ b/crates/lw-daemon/tests/bytes_native.rs
@@ -54,7 +54,7 @@
     for case in cases() {
         // A process of its own for each case, since its peak memory never falls.
         let settings = format!(
-            "limits:\n  body_max: {}MiB\n  connections_max: {CONNECTIONS_MAX}\n",
+            "limits:\n  body_max: {}MiB\n  connections_max: {CONNECTIONS_MAX}\n  memory: 48MiB\n",
             BODY_MAX >> 20
         );
         let options = Options { services: 0, engines: 1, settings, ..Options::default() };
--- a/crates/lw-edge/src/peers/attempt.rs
+++ b/crates/lw-edge/src/peers/attempt.rs
@@ -6,7 +6,7 @@
 use lw_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-/// An attempt as it is encoded in [`Notice::Sent`].
+/// An attempt as it is encoded in [`super::Notice::Sent`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SentAttempt {
     upstream: UpstreamId,
--- a/crates/lw-edge/src/quota/mod.rs
+++ b/crates/lw-edge/src/quota/mod.rs
@@ -13,7 +13,7 @@
     settings::QuotaBounds,
 };
 use lw_limit::quota::{
-    Cap, REPLY_TIMEOUT, Rule, Share,
+    Cap, Rule, Share,
     holder::{Claim, Reply, Return},
     keeper::Keeper,
     requester::{Ask, Decision, Grant, Requester},
@@ -73,12 +73,18 @@
 struct Asking<'a> {
     quota: &'a Quota,
     ask: Ask,
+    /// Number of the request for a grant that is open.
+    number: Option<u64>,
 }
 
 impl Drop for Asking<'_> {
     fn drop(&mut self) {
         let now = self.quota.now();
-        self.quota.lock().requester.abandon(now, &mut self.ask);
+        let mut state = self.quota.lock();
+        if let Some(number) = self.number {
+            state.waiting.remove(&number);
+        }
+        state.requester.abandon(now, &mut self.ask);
     }
 }
 
@@ -105,7 +111,7 @@
 
     /// Asks for a grant. `send` sends a request to the holder of its slot, unless that is this VM.
     pub async fn acquire(&self, ask: Ask, send: impl Fn(&Claim) -> Route) -> Outcome {
-        let mut asking = Asking { quota: self, ask };
+        let mut asking = Asking { quota: self, ask, number: None };
         loop {
             let (claim, woken) = {
                 let mut state = self.lock();
@@ -117,6 +123,7 @@
                     Decision::Ask(claim) => {
                         let (wake, woken) = oneshot::channel();
                         state.waiting.insert(claim.number, wake);
+                        asking.number = Some(claim.number);
                         (claim, woken)
                     }
                 }
@@ -124,7 +131,7 @@
             match send(&claim) {
                 Route::Sent => {
                     // The result is an error if no reply arrived in time.
-                    let _ = tokio::time::timeout(REPLY_TIMEOUT, woken).await;
+                    let _ = tokio::time::timeout(asking.ask.reply_timeout(), woken).await;
                 }
                 Route::Own => {
                     let reply = self.decide(&claim);
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -192,7 +192,6 @@
     listen::serve(listener, Connections::default(), internal_options, answer).await;
 }
 
-/// Updates the states of upstreams, and closes idle connections and those to upstreams that are gone.
 /// Tells admission the load of the engines, and other VMs the demand under pressure.
 async fn update_admission(edge: Arc<Edge>) {
     let mut ticks = edge.timer.subscribe(admission::UPDATE_PERIOD);
@@ -213,6 +212,7 @@
     }
 }
 
+/// Updates the states of upstreams, and closes idle connections and those to upstreams that are gone.
 async fn update_upstreams(edge: Arc<Edge>) {
     let mut ticks = edge.timer.subscribe(UPSTREAMS_PERIOD);
     loop {
--- a/crates/lw-edge/src/serve/admit.rs
+++ b/crates/lw-edge/src/serve/admit.rs
@@ -16,7 +16,7 @@
     let prompt = call.prompt.as_ref().filter(|_| edge.settings.limits_overload)?;
     let workspace = call.workspace.as_deref();
     let level = Level {
-        workspace: workspace.and_then(|workspace| workspace.priority).unwrap_or_default(),
+        workspace: workspace.and_then(|w| w.priority).unwrap_or(call.route.priority),
         route: call.route.priority,
     };
     let work = |pool: &mut lw_place::UpstreamPool| pool.expected_work_ms(prompt);
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -190,6 +190,15 @@
         self.end(Ended::Complete, "");
     }
 
+    /// Ends the attempt after a complete answer that is an error.
+    pub fn end_error(self, why: &str) {
+        let discard = |pool: &mut lw_place::UpstreamPool| {
+            pool.discard_sample(&self.placement.upstream.id, self.id);
+        };
+        self.edge.with_upstream_pool(&self.call.service, discard);
+        self.end(Ended::Complete, why);
+    }
+
     /// Ends the attempt. `why` is the reason for the log; it is empty if the attempt ended as it should.
     pub fn end(mut self, how: Ended, why: &str) {
         self.end_once(how, why);
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -4,6 +4,7 @@
 
 use http::{Method, Response};
 use lw_catalog::RouteKind;
+use lw_forward::collect::CollectError;
 use lw_limit::retry::{self, AttemptContext};
 use lw_place::{Ended, Placement, PlacementRequest, Refusal, UpstreamPool};
 use lw_platform::headers;
@@ -442,6 +443,12 @@
                 let text = "no complete answer before the deadline";
                 return Err(Failure::new(ResultCode::DeadlineExceeded, text));
             }
+            // The upstream did nothing wrong, and another answer would find no memory either.
+            Ok(Err(e @ CollectError::MemoryExhausted)) => {
+                let why = e.to_string();
+                attempt.end(Ended::Cancelled, &why);
+                return Err(Failure::new(ResultCode::OutcomeUnknown, why));
+            }
             Ok(Err(e)) => {
                 let why = e.to_string();
                 attempt.end_broken(&why);
@@ -452,14 +459,14 @@
         };
         let may_repeat = self.call.route.kind == RouteKind::Idempotent && status.is_server_error();
         if may_repeat && self.attempts_sent < self.call.route.attempts {
-            attempt.end(Ended::Complete, &format!("it answered {status}; the request is retried"));
+            attempt.end_error(&format!("it answered {status}; the request is retried"));
             self.may_have_run = true;
             return Ok(None);
         }
         if status.is_success() {
             attempt.end_complete();
         } else {
-            attempt.end(Ended::Complete, "");
+            attempt.end_error("");
         }
         self.record.record_answer(status.as_u16());
         let mut response = Response::new(answer::full_body(bytes));
--- a/crates/lw-edge/src/serve/quota.rs
+++ b/crates/lw-edge/src/serve/quota.rs
@@ -19,7 +19,7 @@
     state::Edge,
 };
 
-/// `retry-after` of a request whose cap cannot be checked: a slot without a holder is taken within about this time.
+/// `retry-after` of a request whose cap cannot be checked. Its caller returns at another VM, which may reach the holders.
 const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(300);
 
 /// The charges of one request to the usage cap of its workspace.
--- a/crates/lw-forward/src/listen/mod.rs
+++ b/crates/lw-forward/src/listen/mod.rs
@@ -40,7 +40,7 @@
     pub connections_max: usize,
 }
 
-/// Counts connections that were closed for their callers' sake, by reason.
+/// Counts connections that were closed because of their callers, by reason.
 #[derive(Debug, Default)]
 pub struct ClosedCounts {
     /// The maximum number was open.
--- a/crates/lw-forward/src/listen/stream.rs
+++ b/crates/lw-forward/src/listen/stream.rs
@@ -20,8 +20,8 @@
 /// Longest time for which the rest of a refused request is read and dropped. Closing a socket with unread data resets the
 /// connection, and a caller that is still sending would lose the refusal.
 const LINGER_MAX: Duration = Duration::from_millis(500);
-/// Maximum number of bytes that are dropped then.
-const LINGER_MAX_BYTES: usize = 1 << 20;
+/// Maximum number of bytes that are dropped then: as many as the largest bodies that operators usually allow.
+const LINGER_MAX_BYTES: usize = 4 << 20;
 const SCRATCH_BYTES: usize = 4 << 10;
 
 /// Socket of a caller.
--- a/crates/lw-limit/src/admission/overload/mod.rs
+++ b/crates/lw-limit/src/admission/overload/mod.rs
@@ -22,6 +22,8 @@
 const TARGET_WAIT_FRACTION: f64 = 0.3;
 /// Target latency that is assumed until a request names one.
 const TARGET_LATENCY: Duration = Duration::from_millis(500);
+/// Least target latency that counts, since one of 0 would never be exceeded again by the average.
+const TARGET_LATENCY_MIN: Duration = Duration::from_millis(10);
 /// Fraction of the target wait at which requests are refused.
 const LIMIT_WAIT_FRACTION: f64 = 0.5;
 /// Time within which a wait above the target is to return to it.
@@ -213,6 +215,11 @@
         self.vms = vms.max(1);
         let last_wait = std::mem::replace(&mut self.pressure, pressure).wait;
         self.demand.update(now);
+        if pressure.engines == 0 {
+            // Nothing is learned about the capacity while no engine is usable.
+            self.fractions.clear();
+            return;
+        }
         if pressure.has_room() {
             self.correction += (1.0 - self.correction) * (elapsed / FORGET_TIME);
             self.overloaded_since = None;
@@ -242,7 +249,7 @@
     /// Admits or refuses a request, and counts it.
     pub fn decide(&mut self, now: Now, arrival: &Arrival) -> Decision {
         self.demand.record(arrival.key, arrival.work_ms);
-        let target = arrival.target_latency.min(self.target_latency * 4);
+        let target = arrival.target_latency.min(self.target_latency * 4).max(TARGET_LATENCY_MIN);
         self.target_latency = if target < self.target_latency {
             target
         } else {
--- a/crates/lw-limit/src/admission/overload/returns.rs
+++ b/crates/lw-limit/src/admission/overload/returns.rs
@@ -9,7 +9,7 @@
 
 /// Shortest time until a return.
 const RETURN_MIN: Duration = Duration::from_millis(100);
-/// Longest time that is told.
+/// Longest time that is told, without the spread.
 const RETURN_MAX: Duration = Duration::from_secs(30);
 /// Spread of the returns, relative to their time.
 const SPREAD: f64 = 0.4;
--- a/crates/lw-limit/src/quota/holder.rs
+++ b/crates/lw-limit/src/quota/holder.rs
@@ -98,6 +98,10 @@
     updated_at: Now,
     /// Units that were refused, and whose callers were told to come back, less what was refilled since.
     queued: f64,
+    /// Highest levels of the current period of [`RETURN_TIME`] and of the one before, for grants that are returned.
+    peaks: [f64; 2],
+    /// When the current period began.
+    period_since: Now,
 }
 
 impl Bucket {
@@ -106,6 +110,26 @@
         self.updated_at = now.max(self.updated_at);
         self.level = (self.level + refilled).min(self.share.capacity);
         self.queued = (self.queued - refilled).max(0.0);
+        // Between two updates the level only rises, so that the last one is the highest.
+        let periods =
+            now.saturating_sub(self.period_since).as_secs_f64() / RETURN_TIME.as_secs_f64();
+        if periods >= 1.0 {
+            self.peaks = [self.level, if periods < 2.0 { self.peaks[0] } else { self.level }];
+            self.period_since = now;
+        }
+        self.peaks[0] = self.peaks[0].max(self.level);
+    }
+
+    /// Takes back units that were granted within [`RETURN_TIME`], less those that would have been lost at the capacity if they
+    /// had not been granted. Returns what counts.
+    fn take_back(&mut self, now: Now, amount: f64) -> f64 {
+        self.refill(now);
+        let room = self.share.capacity - self.peaks[0].max(self.peaks[1]);
+        let credit = amount.min(room).max(0.0);
+        self.level += credit;
+        // The levels since the other grants would have been as much higher.
+        self.peaks = self.peaks.map(|peak| peak + credit);
+        credit
     }
 
     fn set_share(&mut self, now: Now, share: Share) {
@@ -113,6 +137,7 @@
         self.share = share;
         self.level = self.level.min(share.capacity);
         self.queued = 0.0;
+        self.peaks = [self.level; 2];
     }
 
     /// Grants a cost, or returns how long to wait for it.
@@ -128,7 +153,9 @@
         }
         let missing = (needed - self.level).max(0.0) + self.queued;
         let queue_max = self.share.rate * QUEUE_TIME_MAX.as_secs_f64();
-        self.queued = (self.queued + cost).min(queue_max);
+        // The other holder counts the same request, which needs one of them only.
+        let slots = if self.share.slots > 1 { 2.0 } else { 1.0 };
+        self.queued = (self.queued + cost / slots).min(queue_max);
         let time = Duration::try_from_secs_f64(missing / self.share.rate);
         // A level of exactly 0 grants nothing.
         let time = time.unwrap_or(TOO_LARGE_WAIT).min(TOO_LARGE_WAIT) + Duration::from_millis(1);
@@ -254,13 +281,9 @@
     pub fn take_back(&mut self, now: Now, returned: &Return) -> bool {
         let Some(slot) = self.slots.get_mut(&returned.slot) else { return false };
         let Some(grant) = slot.grants.remove(&returned.number) else { return false };
-        let age = now.saturating_sub(grant.at);
-        let Some(bucket) = slot.buckets.get_mut(&grant.workspace) else { return false };
-        bucket.refill(now);
-        let refilled = age.as_secs_f64() * bucket.share.rate;
-        let amount = units(returned.amount.min(grant.cost)) - refilled;
-        bucket.level = (bucket.level + amount.max(0.0)).min(bucket.share.capacity);
-        age < RETURN_TIME && amount > 0.0
+        let bucket = slot.buckets.get_mut(&grant.workspace);
+        let Some(bucket) = bucket.filter(|_| now < grant.at + RETURN_TIME) else { return false };
+        bucket.take_back(now, units(returned.amount.min(grant.cost))) > 0.0
     }
 }
 
@@ -273,6 +296,9 @@
             level: former.copied().unwrap_or(-share.debt).min(share.capacity),
             updated_at: taken_at,
             queued: 0.0,
+            // Without a period that has ended, the first levels count as full.
+            peaks: [share.capacity; 2],
+            period_since: taken_at,
         });
         bucket.refill(now);
         bucket
@@ -280,8 +306,7 @@
 }
 
 fn units(cost: u64) -> f64 {
-    // Costs are far below 2^52.
-    #[expect(clippy::cast_precision_loss, reason = "costs are far below 2^52")]
+    #[expect(clippy::cast_precision_loss, reason = "a cost need not be exact beyond 2^52")]
     let units = cost as f64;
     units
 }
--- a/crates/lw-limit/src/quota/mod.rs
+++ b/crates/lw-limit/src/quota/mod.rs
@@ -17,9 +17,9 @@
 //!   the predecessor has stopped. So the bound holds for a slot, whoever holds it.
 //! - **Validity.** Work that runs in a window was granted at most [`GRANT_TIME`] before it was sent, and is at its engine at
 //!   most [`TRAVEL_TIME`] later. So what runs in *W* was granted in *W + V*, where *V* is the sum of the two.
-//! - **Returns.** A grant of a cost *x* that is returned at the age *a* gives back *x - r a*. While it was out, the bucket may
-//!   have refilled by *r a* that would have been lost at its capacity otherwise. So the level is at most what it
-//!   would be without that grant, and the bound holds for what is not returned.
+//! - **Returns.** A grant that is returned gives back its cost, but no more than what the highest level since then left of the
+//!   capacity: without the grant, the rest would have been lost there. So the level is at most what it would be without that
+//!   grant, and the bound holds for what is not returned.
 //!
 //! For both slots, with *2 r = min(R, R W (1 + o) / (W + V))*, the rule leaves
 //! *E = (R W + B) (1 + o) + S - 2 r (W + V)* for *2 (C + D)*, which is never negative. Nine tenths of it are used.
@@ -28,7 +28,8 @@
 //! *C* is 0.6 of the burst for each slot, so that two buckets whose levels differ admit a burst, but no more than 0.75 of what
 //! the slot has. The rest is *D*. With the smallest caps of 47,000 tokens and *S* = 190,000, *C* is 28,200 and *D* 83,500.
 //! A request of more than *D* waits for a level of its cost less *D*. One of more than *C + D* can be granted only by
-//! exceeding the bound. If the settings state a slack, it is refused; without one, a full bucket grants it.
+//! exceeding the bound. If the settings state a slack, it is refused; without one, a full bucket grants it up to what the rule
+//! allows in a window.
 //!
 //! A further attempt of a request that may have run is charged without a decision, and may take the level below *-D*.
 
@@ -49,6 +50,8 @@
 pub const TRAVEL_TIME: Duration = Duration::from_millis(160);
 /// Time for which a VM waits for the reply of a holder before it asks the other one.
 pub const REPLY_TIMEOUT: Duration = Duration::from_millis(25);
+/// The same for the last holder that is asked. VMs have a fraction of a core, so that a reply may take over 100 ms.
+pub const LAST_REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Fraction of what the rule leaves for the buckets that they use. The rest covers clocks that run at different rates and
 /// requests that take longer than [`TRAVEL_TIME`].
 const USED_FRACTION: f64 = 0.9;
@@ -88,8 +91,8 @@
     pub capacity: f64,
     /// The level may fall to minus this.
     pub debt: f64,
-    /// Whether a full bucket grants a cost above capacity and debt.
-    pub is_lenient: bool,
+    /// Largest cost that a full bucket grants although it is above capacity and debt; 0 if it grants none.
+    pub lenient_max: f64,
 }
 
 impl Share {
@@ -121,7 +124,7 @@
             rate: rate / count,
             capacity,
             debt: depth - capacity,
-            is_lenient: rule.slack.is_none(),
+            lenient_max: if rule.slack.is_none() { allowed } else { 0.0 },
         }
     }
 
@@ -130,7 +133,7 @@
         if cost <= self.capacity + self.debt {
             return Some((cost - self.debt).max(0.0));
         }
-        self.is_lenient.then_some(self.capacity)
+        (cost <= self.lenient_max).then_some(self.capacity)
     }
 }
 
--- a/crates/lw-limit/src/quota/requester.rs
+++ b/crates/lw-limit/src/quota/requester.rs
@@ -5,7 +5,7 @@
 use lw_types::prelude::*;
 
 use super::{
-    GRANT_TIME, Share,
+    GRANT_TIME, LAST_REPLY_TIMEOUT, REPLY_TIMEOUT, Share,
     holder::{Claim, Reply, Return},
     slots_of,
 };
@@ -101,6 +101,12 @@
         self.cost
     }
 
+    /// Returns the time to wait for the reply of the holder that is asked now.
+    #[must_use]
+    pub fn reply_timeout(&self) -> Duration {
+        if self.slots.is_empty() { LAST_REPLY_TIMEOUT } else { REPLY_TIMEOUT }
+    }
+
     /// Returns what is charged without a decision, for a further attempt of a request that may have run.
     #[must_use]
     pub fn charge(&self, number: u64) -> Claim {
@@ -128,7 +134,7 @@
             let mut slots = std::mem::take(&mut ask.slots);
             slots.sort_by(|a, b| {
                 let level = |slot| self.expected_level(now, ask, slot);
-                // Equal levels are asked in a sequence that differs between requests.
+                // Equal levels are asked in an order that differs between requests.
                 let turn = |slot: u8| (u64::from(slot) ^ number) & 1;
                 level(*a).total_cmp(&level(*b)).then(turn(*a).cmp(&turn(*b)))
             });
--- a/crates/lw-observe/src/metrics/mod.rs
+++ b/crates/lw-observe/src/metrics/mod.rs
@@ -106,7 +106,7 @@
     pub body_refusals: Family<KindLabel, Counter>,
     /// Bytes held for callers: of all requests, of large ones, of all answers, of large ones.
     pub caller_bytes: Family<KindLabel, Gauge>,
-    /// Connections of callers that were closed for their callers' sake, by reason, since the start.
+    /// Connections that were closed because of their callers, by reason, since the start.
     pub closed_connections: Family<KindLabel, Gauge>,
     /// Decisions on admission to engines.
     pub admission: Family<AdmissionLabels, Counter>,
--- a/crates/lw-place/src/cache.rs
+++ b/crates/lw-place/src/cache.rs
@@ -82,6 +82,10 @@
     /// Records a segment that is being prefilled or transferred, or that is there if `is_complete`. Evicts the least
     /// recently used segments beyond the capacity.
     pub fn insert(&mut self, now: Now, key: SegmentKey, tokens: u64, is_complete: bool) {
+        // Callers state the size of a segment. One that never fits would evict all others.
+        if tokens > self.capacity_tokens {
+            return;
+        }
         let before = self.segments.remove(&key);
         self.tokens -= before.map_or(0, |cached| cached.tokens);
         let is_complete = is_complete
--- a/crates/lw-place/src/pool/in_flight.rs
+++ b/crates/lw-place/src/pool/in_flight.rs
@@ -75,7 +75,7 @@
         AnnouncedAttempt {
             upstream: placement.upstream.id.clone(),
             attempt_id: self.last_attempt_id,
-            tokens: prompt.map_or(0, |prompt| prompt.tokens + output_tokens),
+            tokens: prompt.map_or(0, |prompt| prompt.tokens.saturating_add(output_tokens)),
             prefill_tokens: prompt
                 .map_or(0, |prompt| prompt.tokens.saturating_sub(available_tokens)),
             output_tokens,
@@ -212,6 +212,15 @@
         }
     }
 
+    /// Discards what was expected of a local attempt, since its answer is an error: an upstream that fails fast would be
+    /// learned as a fast one.
+    pub fn discard_sample(&mut self, id: &str, attempt_id: AttemptId) {
+        let state = self.upstreams.get_mut(id);
+        if let Some(attempt) = state.and_then(|s| s.in_flight.get_mut(&(VmId::new(), attempt_id))) {
+            attempt.expected = None;
+        }
+    }
+
     fn remove_attempt(&mut self, now: Now, id: &str, attempt: &InFlightId, ended: Ended) {
         let Some(state) = self.upstreams.get_mut(id) else { return };
         let Some(attempt) = state.in_flight.remove(attempt) else { return };
@@ -222,9 +231,9 @@
             let ms = time.as_secs_f64() * 1000.0;
             let actual_tokens = attempt.expected.map_or(0, |expected| expected.output_tokens);
             if attempt.started_at.is_some() {
-                let tokens = if actual_tokens > 0 { actual_tokens } else { attempt.output_tokens };
-                if is_clear {
-                    self.costs.observe_decode(now, &mut state.speed, tokens, ms);
+                // The length that the caller expected is no sample: it is often off by a factor of four.
+                if is_clear && actual_tokens > 0 {
+                    self.costs.observe_decode(now, &mut state.speed, actual_tokens, ms);
                 }
                 state.speed.observe_slot_time(time);
             } else if let Some(expected) = attempt.expected {
--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -165,7 +165,7 @@
         let capacity_tokens = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
         let output_tokens = self.lengths.expected(prompt.kind, prompt.output_tokens);
         let decode_ms = engine_cost.decode_ms(output_tokens);
-        let tokens = prompt.tokens + output_tokens;
+        let tokens = prompt.tokens.saturating_add(output_tokens);
         let wait_at_rank = |rank: u8| {
             let new = NewRequest { rank, tokens, peers: request.peers };
             let wait =
--- a/crates/lw-place/src/pool/pressure.rs
+++ b/crates/lw-place/src/pool/pressure.rs
@@ -65,7 +65,9 @@
     #[must_use]
     pub fn expected_work_ms(&self, prompt: &Prompt) -> f64 {
         let (mut prefill_ms, mut decode_ms, mut engines) = (0.0, 0.0, 0.0_f64);
-        let tokens = prompt.tokens.saturating_sub(prompt.shared_tokens());
+        // Callers state these numbers.
+        let capacity_tokens = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
+        let tokens = prompt.tokens.saturating_sub(prompt.shared_tokens()).min(capacity_tokens);
         for state in self.upstreams.values() {
             let slots = state.load.map_or(state.upstream.slots, |(_, load)| load.slots).max(1);
             let cost = self.cost(state);
--- a/crates/lw-place/src/prompt.rs
+++ b/crates/lw-place/src/prompt.rs
@@ -66,7 +66,8 @@
     /// Returns the tokens of the shared segments.
     #[must_use]
     pub fn shared_tokens(&self) -> u64 {
-        self.shared().iter().map(|segment| segment.tokens).sum()
+        let tokens = self.shared().iter().map(|segment| segment.tokens);
+        tokens.fold(0, u64::saturating_add)
     }
 }
 
