--- a/crates/lw-limit/tests/overload.rs
+++ b/crates/lw-limit/tests/overload.rs
@@ -143,14 +143,3 @@
         assert_eq!(results.refusals, 0, "{vms} VMs");
     }
 }
-
-/// Prints what refusal by the own expected wait alone does.
-#[test]
-#[ignore = "shows the baseline, checks nothing"]
-fn baseline() {
-    for (name, case) in
-        [("long", LONG_PEAK), ("short", SHORT_PEAK), ("workspace", WORKSPACE_PEAK), ("both", BOTH)]
-    {
-        let _ = check(name, Case { is_baseline: true, ..case });
-    }
-}
