--- a/crates/lw-daemon/src/intake/mod.rs
+++ b/crates/lw-daemon/src/intake/mod.rs
@@ -13,13 +13,15 @@
 /// `Retry-After` of a refusal for lack of memory.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Most memory for large answers, an eighth of the memory of a node. Answers of services are collected only for calls that may
+/// not be repeated.
+const LARGE_ANSWERS_MAX_BYTES: usize = 8 << 20;
+
 /// Returns the memory for callers' bytes.
 #[must_use]
 pub fn caller_memory(limits: &Limits) -> Arc<CallerMemory> {
-    // A sixth is 8 MiB by default, an eighth of the memory of a node: answers of services are collected only for calls
-    // that may not be repeated.
     CallerMemory::new(Shares {
-        large_answers: limits.memory / 6,
+        large_answers: (limits.memory / 6).min(LARGE_ANSWERS_MAX_BYTES),
         ..Shares::of_total(limits.memory)
     })
 }
