lw-edge: notices about loads are batched and relayed

Cause: the issuer of weight orders sent a notice about each engine that loads, each 0.5 s, and one about each that serves new weights, directly to every VM. With 3,000 engines and 300 VMs these are over 180,000 datagrams a second from one VM, two thirds of them to other failure domains (computed).

Change: the notices of one tick are grouped by model and version and sent through one relay in each failure domain, the own one included. The types of the messages have a file of their own.

Measured: the tests of lw-edge for messages and orders pass.

--- a/crates/lw-edge/src/orders/load.rs
+++ b/crates/lw-edge/src/orders/load.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lw_catalog::Upstream;
-use lw_observe::metrics;
+use lw_observe::{logs::millis, metrics};
 use lw_order::{load_watch::LoadWatch, message::Order, tenure::NotSent};
 use lw_platform::engine::{Error, LoadOrder, OrderOutcome, SwapMode};
 use lw_types::prelude::*;
@@ -15,7 +15,7 @@
 };
 
 /// Time for which one pause notice keeps new work from an engine. Up to three notices in a row may be lost.
-const PAUSE_TIME: Duration = Duration::from_secs(2);
+pub(super) const PAUSE_TIME: Duration = Duration::from_secs(2);
 /// Time between two pause notices. They are repeated during a load for VMs that start, or missed the ones before.
 const PAUSE_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two polls.
@@ -50,10 +50,15 @@
 
 /// Repeats pause notices about an engine. Never returns; the engine gets no new work while this future is polled.
 async fn pause(edge: &Edge, upstream: &str, model: &str, version: u64) {
-    let ms = u64::try_from(PAUSE_TIME.as_millis()).unwrap_or(u64::MAX);
+    let notice = Notice::Loading {
+        model: model.to_owned(),
+        version,
+        ms: millis(PAUSE_TIME),
+        upstreams: vec![upstream.to_owned()],
+    };
     loop {
-        let (upstream, model) = (upstream.to_owned(), model.to_owned());
-        peers::broadcast(edge, Notice::Pause { upstream, model, version, ms });
+        peers::apply_own(edge, notice.clone());
+        edge.orders.notices.loading(upstream, model, version);
         tokio::time::sleep(PAUSE_PERIOD).await;
     }
 }
@@ -187,15 +192,16 @@
                 edge.orders.state().loading.insert(upstream.id.clone(), report.is_loading);
                 let loaded = report.models.iter().find(|loaded| loaded.model == model);
                 if let Some(loaded) = loaded.filter(|loaded| loaded.version >= version) {
-                    let notice = Notice::Serves {
-                        upstream: upstream.id.clone(),
-                        model: model.to_owned(),
-                        version: loaded.version,
-                    };
                     log::info!(target: "order", upstream = upstream.id.as_str(), model = model,
                         weights = loaded.version; "engine serves new weights");
                     edge.orders.state().loading.remove(&upstream.id);
-                    peers::broadcast(edge, notice);
+                    let notice = Notice::Loaded {
+                        model: model.to_owned(),
+                        version: loaded.version,
+                        upstreams: vec![upstream.id.clone()],
+                    };
+                    peers::apply_own(edge, notice);
+                    edge.orders.notices.loaded(&upstream.id, model, loaded.version);
                     return watch.load_time(edge.timer.now_including_suspend());
                 }
                 if !report.is_loading {
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -17,12 +17,14 @@
 use lw_platform::engine::OrderOutcome;
 use lw_types::prelude::*;
 
-use crate::{register, state::Edge};
+use crate::{peers, register, state::Edge};
 
 mod lease;
 mod load;
+mod notices;
 
 pub use lease::hand_over;
+use notices::LoadNotices;
 
 /// Lifetime of the issuer's lease. A crash of the issuer delays orders by this.
 const LEASE_TTL: Duration = Duration::from_millis(1500);
@@ -42,6 +44,7 @@
     tenure: Mutex<Tenure>,
     options: Options,
     state: Mutex<State>,
+    notices: LoadNotices,
 }
 
 #[derive(Debug, Default)]
@@ -88,7 +91,8 @@
         };
         let startup_delay = register::startup_delay(vm);
         let tenure = Tenure::new(vm, options.clone(), bounds.is_fenced, startup_delay);
-        Self { tenure: Mutex::new(tenure), options, state: Mutex::default() }
+        let (state, notices) = (Mutex::default(), LoadNotices::default());
+        Self { tenure: Mutex::new(tenure), options, state, notices }
     }
 
     /// Returns the fencing number, if this VM holds the issuer's lease.
@@ -147,6 +151,9 @@
                 Action::Send(order) => drop(tokio::spawn(load::execute(Arc::clone(&edge), order))),
             }
         }
+        for notice in edge.orders.notices.take(load::PAUSE_TIME) {
+            peers::send_through_relays(&edge, notice);
+        }
     }
 }
 
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -5,21 +5,20 @@
 use lw_catalog::Upstream;
 use lw_observe::logs::millis;
 use lw_observe::metrics;
-use lw_place::{AnnouncedAttempt, AttemptId, Ended, LimitReport};
+use lw_place::{AnnouncedAttempt, AttemptId, Ended, LimitReport, UpstreamPool};
 use lw_quarantine::{Basis, CrashReport, SegmentSet};
 use lw_transport::datagram::Datagrams;
 use lw_types::prelude::*;
-use serde::{Deserialize, Serialize};
 
 use crate::{
     quarantine,
-    quota::QuotaNotice,
     state::{Edge, keys},
 };
 
 mod attempt;
 mod demand;
 mod limits;
+mod notice;
 mod quota;
 pub mod route;
 mod speeds;
@@ -31,169 +30,17 @@
 pub(crate) use demand::send as send_demand;
 pub use limits::{LimitWire, TurnWire};
 pub(crate) use limits::{ask_for_turn, request as request_limits};
+pub use notice::{Message, Notice};
 pub(crate) use quota::{ask_for_grant, charge, return_grants};
 use route::Recipient;
 pub use speeds::SpeedsWire;
-use suspicion::{SoundWire, SuspectWire};
+use suspicion::SoundWire;
 pub use versions::VersionAgeQuery;
 
 /// Time between two checks whether the key that authenticates messages has been read from the store, and pause after
 /// a socket error.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// A message from one VM to others.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Message {
-    /// The VM that sends it.
-    pub vm: VmId,
-    /// Its content.
-    #[serde(rename = "news")]
-    pub notice: Notice,
-    /// Whether the receiver relays it to the other VMs of its failure domain. VMs of an older release omit this field.
-    #[serde(default, rename = "passes_on")]
-    pub is_for_relay: bool,
-}
-
-/// Content of a message to other VMs.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Notice {
-    /// The weights of an engine are being changed. The receivers send it no new work for a while, or until it serves
-    /// the new ones.
-    #[serde(rename = "Hold")]
-    Pause {
-        /// The engine.
-        upstream: UpstreamId,
-        /// Its model.
-        model: ModelId,
-        /// The version that it loads.
-        version: u64,
-        /// Duration, in milliseconds.
-        ms: u64,
-    },
-    /// An engine does not answer. The receivers send it no work for a while. A duration of 0 means that it answers
-    /// again.
-    #[serde(rename = "Silent")]
-    Unresponsive {
-        /// The engine.
-        upstream: UpstreamId,
-        /// Duration, in milliseconds.
-        ms: u64,
-    },
-    /// An upstream stated in an answer that it is leaving.
-    Leaving {
-        /// The upstream.
-        upstream: UpstreamId,
-        /// Its incarnation.
-        incarnation: Incarnation,
-    },
-    /// An attempt of a large request was sent to an engine.
-    Sent(SentAttempt),
-    /// The answer to such an attempt has begun.
-    Started {
-        /// The engine.
-        upstream: UpstreamId,
-        /// Id of the attempt, unique at the VM that sent it.
-        #[serde(rename = "ticket")]
-        attempt_id: u64,
-    },
-    /// Such an attempt ended.
-    Ended {
-        /// The engine.
-        upstream: UpstreamId,
-        /// Id of the attempt, unique at the VM that sent it.
-        #[serde(rename = "ticket")]
-        attempt_id: u64,
-        /// Whether its answer is complete.
-        is_complete: bool,
-    },
-    /// An engine has a slowdown, or works at its normal speed again.
-    #[serde(rename = "Pace")]
-    Slowdown {
-        /// The engine.
-        upstream: UpstreamId,
-        /// Time that work takes there now, in percent of the normal time.
-        percent: u32,
-    },
-    /// Requests the ages of the target versions of weights.
-    #[serde(rename = "AskNamed")]
-    VersionAgesRequest {
-        /// Address to which the reply is sent.
-        addr: SocketAddr,
-        /// Number that the reply repeats.
-        nonce: u64,
-    },
-    /// Answers [`Notice::VersionAgesRequest`].
-    #[serde(rename = "Named")]
-    VersionAges {
-        /// Number of the request.
-        nonce: u64,
-        /// Model, version, and upper bound on the time from when the version became the target until this was sent,
-        /// in milliseconds.
-        versions: Vec<(ModelId, u64, u64)>,
-    },
-    /// Attempts of the sender that broke when an engine went down.
-    Crash {
-        /// The engine.
-        upstream: UpstreamId,
-        /// Time since the first of them broke, in milliseconds.
-        age_ms: u64,
-        /// The attempts.
-        suspects: Vec<SuspectWire>,
-    },
-    /// Answers on segments of prompts were sound.
-    Sound(Vec<SoundWire>),
-    /// Requests whose prompt has all of these segments crash engines.
-    Quarantined {
-        /// The segments.
-        segments: Vec<SegmentId>,
-        /// Time since the first crash, in milliseconds.
-        age_ms: u64,
-        /// Number of crashes.
-        crashes: usize,
-    },
-    /// Requests whose prompt has these segments are served again.
-    Released {
-        /// The segments.
-        segments: Vec<SegmentId>,
-    },
-    /// Limits that upstreams name.
-    Limits(Vec<LimitWire>),
-    /// Requests all limits that the receiver knows.
-    LimitsRequest {
-        /// Address to which the reply is sent.
-        addr: SocketAddr,
-    },
-    /// Asks for a turn at a limited upstream that the receiver does not need.
-    TurnRequest(TurnWire),
-    /// Lends a turn on such a request.
-    Turn(TurnWire),
-    /// Usage of a workspace that has a cap.
-    Quota(QuotaNotice),
-    /// Requests the speeds of upstreams that the receiver has learned.
-    SpeedsRequest {
-        /// Address to which the reply is sent.
-        addr: SocketAddr,
-    },
-    /// Answers [`Notice::SpeedsRequest`], in one message or several.
-    Speeds(SpeedsWire),
-    /// Demand for the engines of a service under pressure.
-    Demand {
-        /// Hash of the service's name.
-        service: u32,
-        /// Demand that the sender sees, by workspace and level.
-        entries: Vec<DemandWire>,
-    },
-    /// An engine serves a version of a model's weights.
-    Serves {
-        /// The engine.
-        upstream: UpstreamId,
-        /// Its model.
-        model: ModelId,
-        /// The version.
-        version: u64,
-    },
-}
-
 /// Opens the socket for messages as soon as their key has been read from the store, then receives messages.
 pub async fn run(edge: Arc<Edge>) {
     let datagrams = loop {
@@ -269,9 +116,17 @@
     for pool in pools.values_mut() {
         match &message.notice {
             Notice::Pause { upstream, model, version, ms } => {
-                // Messages may be reordered: this one may arrive after the engine was reported to serve the version.
-                if pool.version(upstream, model).is_some_and(|served| served < *version) {
-                    pool.pause(upstream, now + Duration::from_millis(*ms));
+                pause(pool, upstream, (model, *version), now + Duration::from_millis(*ms));
+            }
+            Notice::Loading { model, version, ms, upstreams } => {
+                let until = now + Duration::from_millis(*ms);
+                for upstream in upstreams {
+                    pause(pool, upstream, (model, *version), until);
+                }
+            }
+            Notice::Loaded { model, version, upstreams } => {
+                for upstream in upstreams {
+                    pool.record_version(upstream, model, *version);
                 }
             }
             Notice::Unresponsive { upstream, ms } => {
@@ -310,6 +165,13 @@
     }
 }
 
+/// Pauses an engine that loads a version, unless it serves the version already: messages may be reordered.
+fn pause(pool: &mut UpstreamPool, upstream: &str, (model, version): (&str, u64), until: Now) {
+    if pool.version(upstream, model).is_some_and(|served| served < version) {
+        pool.pause(upstream, until);
+    }
+}
+
 /// What a VM announces to the others about an attempt or a prompt.
 #[derive(Debug, Clone, Copy)]
 pub enum Announcement<'a> {
@@ -379,11 +241,22 @@
 
 /// Applies a notice at this VM and sends it to all others.
 pub fn broadcast(edge: &Edge, notice: Notice) {
-    let vm = edge.settings.vm.clone();
-    apply(edge, &Message { vm, notice: notice.clone(), is_for_relay: false });
+    apply_own(edge, notice.clone());
     send(edge, notice, Path::Direct);
 }
 
+/// Applies a notice at this VM only.
+pub(crate) fn apply_own(edge: &Edge, notice: Notice) {
+    let vm = edge.settings.vm.clone();
+    apply(edge, &Message { vm, notice, is_for_relay: false });
+}
+
+/// Sends a notice to all other VMs through one relay in each failure domain. The relays differ between notices, so that no
+/// VM relays them all.
+pub(crate) fn send_through_relays(edge: &Edge, notice: Notice) {
+    send(edge, notice, Path::Relays(fastrand::u64(..)));
+}
+
 /// Path of a message to other VMs.
 #[derive(Debug, Clone, Copy)]
 enum Path<'a> {
@@ -395,6 +268,8 @@
     /// directly if they are few. The number is the subject: messages with the same subject are sent along the same
     /// path.
     Relayed(u64),
+    /// As [`Path::Relayed`], and through a relay in the own failure domain too. For what one VM sends about all engines.
+    Relays(u64),
 }
 
 fn send(edge: &Edge, notice: Notice, path: Path<'_>) {
@@ -408,7 +283,8 @@
                 others.map(|(_, entry)| to(entry.addr)).collect()
             }
             Path::Domain(domain) => route::to_domain(own, domain, view.vms()),
-            Path::Relayed(subject) => route::to_all(own, domain, subject, view.vms()),
+            Path::Relayed(subject) => route::to_all(own, Some(domain), subject, view.vms()),
+            Path::Relays(subject) => route::to_all(own, None, subject, view.vms()),
         }
     };
     send_message(edge, Message { vm: own.clone(), notice, is_for_relay: false }, &recipients);
@@ -454,10 +330,14 @@
     }
 }
 
-/// Relays a message from another failure domain to the other VMs of this one.
+/// Relays a message to the other VMs of this failure domain.
 fn relay(edge: &Edge, message: Message) {
     let (own, domain) = (&edge.settings.vm, &edge.settings.failure_domain);
-    let recipients = route::to_domain(own, domain, edge.store_view().vms());
+    let recipients = {
+        let view = edge.store_view();
+        let others = view.vms().filter(|(vm, _)| **vm != message.vm);
+        route::to_domain(own, domain, others)
+    };
     send_message(edge, message, &recipients);
 }
 
--- a/crates/lw-edge/src/peers/route.rs
+++ b/crates/lw-edge/src/peers/route.rs
@@ -20,12 +20,12 @@
     pub is_relay: bool,
 }
 
-/// Returns the recipients of a message to all VMs: each VM of the own failure domain, and one of each other failure
+/// Returns the recipients of a message to all VMs: each VM of the failure domain `direct`, and one of each other failure
 /// domain, which relays it. Messages with the same `subject` are sent along the same path, so that they are seldom
 /// reordered.
 pub fn to_all<'a>(
     own: &str,
-    domain: &Domain,
+    direct: Option<&Domain>,
     subject: u64,
     vms: impl Iterator<Item = (&'a VmId, &'a VmEntry)>,
 ) -> Vec<Recipient> {
@@ -37,7 +37,7 @@
     let mut recipients = Vec::new();
     for (other_domain, vms) in by_domain {
         let relay = vms.iter().max_by_key(|(vm, _)| rank(vm));
-        match relay.filter(|_| other_domain != domain && vms.len() >= RELAY_VMS_MIN) {
+        match relay.filter(|_| direct != Some(other_domain) && vms.len() >= RELAY_VMS_MIN) {
             Some((_, addr)) => recipients.push(Recipient { addr: *addr, is_relay: true }),
             None => recipients
                 .extend(vms.iter().map(|(_, addr)| Recipient { addr: *addr, is_relay: false })),
--- a/crates/lw-edge/tests/messages.rs
+++ b/crates/lw-edge/tests/messages.rs
@@ -35,10 +35,10 @@
     let all = || vms.iter().map(|(vm, entry)| (vm, entry));
     let mut relays = BTreeSet::new();
     for subject in 0..200 {
-        let sent = to_all("a-0", &"a".into(), subject, all());
+        let sent = to_all("a-0", Some(&"a".into()), subject, all());
         assert_eq!(
             sent,
-            to_all("a-0", &"a".into(), subject, all()),
+            to_all("a-0", Some(&"a".into()), subject, all()),
             "recipients differ for the same subject"
         );
         let mut reached = vec![all().find(|(vm, _)| *vm == "a-0").unwrap().1.addr];
@@ -63,6 +63,20 @@
     assert_eq!(relays.len(), 5 + 8, "each VM of the two domains relays some of the messages");
 }
 
+/// Guards against an issuer that sends each notice about a load to every VM: with 300 VMs its link is full.
+#[test]
+fn notices_of_one_vm_about_all_engines_go_to_one_relay_of_each_failure_domain() {
+    let vms = fleet(&[("a", 100), ("b", 100), ("c", 3)]);
+    let all = || vms.iter().map(|(vm, entry)| (vm, entry));
+    let mut relays = BTreeSet::new();
+    for subject in 0..2_000 {
+        let sent = to_all("a-0", None, subject, all());
+        assert_eq!(sent.len(), 1 + 1 + 3);
+        relays.extend(sent.iter().filter(|to| to.is_relay).map(|to| to.addr));
+    }
+    assert_eq!(relays.len(), 99 + 100, "each VM relays some of the messages");
+}
+
 /// Guards against VMs of another failure domain that do not count a large request as in flight, or count it after its
 /// end.
 #[tokio::test]
