lw-limit: a planned shutdown releases all of its quota slots

Cause: a transaction gives each key a revision of its own, and its answer states only the last one. The keeper took that one for the revision of every slot. A release of several slots then expected revisions that the keys do not have, and the store refused it. Since the keeper had dropped the slots before the write, it did not repeat it, and the keys named the VM that had left until its lease ended. A hand-over of a single slot to a VM that ranks first failed likewise, after which the former holder took the slot again at the lowest level.

Change: the keeper uses the revision that the view shows for a slot that it took, and releases the slot only then. A release that fails or is not answered is repeated with the same levels each 0.1 s, also while the VM drains; it waits for that up to 1.6 s, at most a quarter of the time until the kill. A leaving VM also releases keys that name it although it does not hold the slots, after a write with an unknown outcome. The store of the tests of lw-limit gives each key a revision of its own too.

--- a/crates/lw-edge/src/run/quota.rs
+++ b/crates/lw-edge/src/run/quota.rs
@@ -21,18 +21,17 @@
 
 /// Time between two updates of the slots. A lower cap is applied within it.
 const UPDATE_PERIOD: Duration = Duration::from_millis(50);
-/// Longest time for which a leaving VM waits until its slots are released.
-const RELEASE_WAIT_MAX: Duration = Duration::from_millis(800);
+/// Longest time for which a leaving VM waits until its slots are released: two calls to the store that are not answered.
+const RELEASE_WAIT_MAX: Duration = Duration::from_millis(1600);
+/// Part of the time between the signal to terminate and the kill that this wait takes at most.
+const RELEASE_WAIT_FRACTION: f64 = 0.25;
 
 /// Keeps the slots of this VM up to date until the process ends.
 pub(super) async fn run(edge: Arc<Edge>) {
     let mut ticks = edge.timer.subscribe(UPDATE_PERIOD);
     loop {
         ticks.tick().await;
-        if let Some(write) = update(&edge) {
-            let edge = Arc::clone(&edge);
-            tokio::spawn(async move { execute(&edge, write).await });
-        }
+        start_write(&edge);
         let returns = edge.quota.returns();
         if !returns.is_empty() {
             peers::return_grants(&edge, edge.quota.take_back_own(returns));
@@ -40,25 +39,37 @@
     }
 }
 
-/// Releases the slots of a leaving VM, so that other VMs take them at once.
-pub(super) async fn leave(edge: &Edge) {
+/// Releases the slots of a leaving VM, so that other VMs take them at once. A release that fails is repeated by [`run`].
+pub(super) async fn leave(edge: &Arc<Edge>) {
     edge.quota.leave();
-    let end = edge.timer.now() + RELEASE_WAIT_MAX;
-    if let Some(write) = update(edge) {
-        execute(edge, write).await;
-    }
-    while !edge.quota.is_idle() && edge.timer.now() < end {
+    start_write(edge);
+    let wait_max = RELEASE_WAIT_MAX.min(edge.bounds().grace.mul_f64(RELEASE_WAIT_FRACTION));
+    let end = edge.timer.now() + wait_max;
+    while !edge.quota.is_idle() {
+        if edge.timer.now() >= end {
+            let held = edge.quota.slot_count();
+            log::warn!(target: "quota", held = held; "quota slots not released in time");
+            return;
+        }
         tokio::time::sleep(UPDATE_PERIOD).await;
     }
 }
 
+/// Starts the write that is due, if there is one.
+fn start_write(edge: &Arc<Edge>) {
+    if let Some(write) = update(edge) {
+        let edge = Arc::clone(edge);
+        tokio::spawn(async move { execute(&edge, write).await });
+    }
+}
+
 /// Decides which slots are taken or released now.
 fn update(edge: &Edge) -> Option<SlotWrite> {
     let bounds = edge.bounds();
     let view = edge.store_view();
     let catalog = view.catalog();
     let has_caps = edge.quota.configure(catalog.as_deref(), &bounds.quota);
-    if !has_caps && edge.quota.slot_count() == 0 {
+    if !has_caps && edge.quota.is_idle() {
         return None;
     }
     let registered = edge.registration.get();
--- a/crates/lw-edge/tests/quota.rs
+++ b/crates/lw-edge/tests/quota.rs
@@ -7,7 +7,7 @@
 use common::{CallerRequest, Simulation, config, get, log_output, ms, request};
 use lw_edge::run::Vm;
 use lw_standin::hosted::caller::OTHER_KEY;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Tokens a second, and at once, of the workspace `station`. A request for the route `short` costs 1,220.
 const RATE: u32 = 20_000;
@@ -34,6 +34,16 @@
     simulation.store.keys().iter().filter(|key| key.contains("quota")).count()
 }
 
+/// Returns the numbers of the slots whose keys name this VM.
+fn slots_in_store(simulation: &Simulation, vm: &str) -> Vec<u8> {
+    let names_vm = |slot: &u8| {
+        let value = simulation.store.get(&format!("lavenderwood/quota/{slot:02}"));
+        let value = value.and_then(|value| serde_json::from_slice::<Value>(&value).ok());
+        value.is_some_and(|value| value["holder"] == vm)
+    };
+    (0..24).filter(names_vm).collect()
+}
+
 /// Sends requests for this time, one each 10 ms, and returns how many were served. The others must get 429.
 async fn send_steadily(simulation: &Simulation, vm: &Vm, name: &str, time: Duration) -> u32 {
     let started = Instant::now();
@@ -107,7 +117,13 @@
     assert!(used <= f64::from(RATE) * (elapsed + 1.0), "{a} and {b} served in {elapsed} s");
     assert!(used >= 0.8 * f64::from(RATE) * elapsed, "{a} and {b} served in {elapsed} s");
     assert!(b > 2, "the second VM gets grants of the first: {a}, {b}");
+    assert_eq!(slots_in_store(&simulation, "vm-1").len(), 24);
     first.leave().await;
+    assert_eq!(
+        slots_in_store(&simulation, "vm-1"),
+        Vec::<u8>::new(),
+        "the keys still name the VM that left"
+    );
     let is_holder = async |_: &Simulation| second.edge.quota.slot_count() == 24;
     simulation.wait_until("the second VM holds the slots", is_holder).await;
     assert!(send_steadily(&simulation, &second, "after", ms(1_000)).await > 5);
--- a/crates/lw-limit/src/quota/holder.rs
+++ b/crates/lw-limit/src/quota/holder.rs
@@ -193,7 +193,7 @@
         std::mem::take(&mut self.slots).into_keys()
     }
 
-    /// Begins to hold a slot whose key this VM has written at a revision. `levels` are those that the former holder handed
+    /// Begins to hold a slot whose key this VM has written at a revision, or at an earlier one. `levels` are those that the former holder handed
     /// over; without them, the buckets start at their lowest level.
     pub fn take(
         &mut self,
@@ -239,6 +239,19 @@
         self.slots.iter().map(|(slot, state)| (*slot, state.revision))
     }
 
+    /// Returns the revision of the key of a slot that this VM holds, or an upper bound if it is not known yet.
+    #[must_use]
+    pub fn revision(&self, slot: u8) -> Option<Revision> {
+        Some(self.slots.get(&slot)?.revision)
+    }
+
+    /// Sets the revision of the key of a slot that this VM holds.
+    pub fn set_revision(&mut self, slot: u8, revision: Revision) {
+        if let Some(slot) = self.slots.get_mut(&slot) {
+            slot.revision = revision;
+        }
+    }
+
     /// Returns the version of the configuration that was applied.
     #[must_use]
     pub fn config(&self) -> ConfigVersion {
--- a/crates/lw-limit/src/quota/keeper.rs
+++ b/crates/lw-limit/src/quota/keeper.rs
@@ -1,6 +1,9 @@
 //! The slots of one VM: takes, loses and hands them over, by their keys in the store.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use lw_types::prelude::*;
 
@@ -10,6 +13,9 @@
     ownership::{Ownership, SlotKey},
 };
 
+/// Pause after a release that failed. A planned shutdown hands its slots over within a second.
+const RELEASE_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Value of the key of a slot.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct SlotValue {
@@ -96,12 +102,27 @@
     ownership: Ownership,
     /// The lease that the keys of the held slots are bound to.
     lease: Option<(u64, Era)>,
-    /// Slots that this VM released, with the revisions of their keys before.
-    released: HashMap<u8, Revision>,
+    /// Held slots whose keys the view does not show as written yet, with the revisions that the write replaced. A
+    /// transaction may give each key a revision of its own, up to the one that its answer states.
+    unconfirmed: HashMap<u8, Revision>,
+    /// Slots that this VM does not hold any more, until the view shows a later revision of their keys.
+    released: HashMap<u8, Release>,
+    release_paused_until: Now,
     is_writing: bool,
     is_leaving: bool,
 }
 
+/// The release of a slot.
+#[derive(Debug)]
+struct Release {
+    /// Revision of the slot's key before.
+    revision: Revision,
+    /// Levels for the next holder.
+    levels: BTreeMap<WorkspaceId, f64>,
+    /// Whether the store has confirmed it.
+    is_written: bool,
+}
+
 impl Keeper {
     /// Applies the caps of a configuration.
     pub fn configure(
@@ -123,12 +144,18 @@
         let may_take = fleet.is_current
             && (fleet.recorded_era == Some(fleet.era)
                 || fleet.former_leases_end.is_some_and(|end| now >= end));
-        let write = if !fleet.has_caps || self.is_leaving {
-            self.release(now, lease, (0..SLOTS).collect())
-        } else if may_take {
-            self.take_or_hand_over(now, lease, fleet)
-        } else {
-            None
+        if self.is_leaving {
+            self.release_unheld(fleet);
+        }
+        if !fleet.has_caps || self.is_leaving {
+            (0..SLOTS).for_each(|slot| self.release(now, slot));
+        }
+        let write = match self.release_write(now, lease) {
+            Some(write) => Some(write),
+            None if fleet.has_caps && !self.is_leaving && may_take => {
+                self.take_or_hand_over(now, lease, fleet)
+            }
+            None => None,
         };
         self.is_writing = write.is_some();
         Update { lost, write }
@@ -141,15 +168,28 @@
         if lease != self.lease || lease.is_none() {
             self.lease = lease;
             lost.extend(self.holder.clear());
+            self.unconfirmed.clear();
+            self.released.clear();
         }
         self.holder.set_valid_until(fleet.lease.map(|lease| lease.valid_until).unwrap_or_default());
+        let is_own_era = fleet.lease.is_some_and(|lease| lease.era == fleet.era);
         for (slot, item) in fleet.items {
-            let held = self.holder.slots().find(|(held, _)| held == slot);
-            if held.is_some_and(|(_, revision)| item.revision > revision) {
+            let Some(revision) = self.holder.revision(*slot) else { continue };
+            if item.revision > revision {
                 self.holder.forget(*slot);
+                self.unconfirmed.remove(slot);
                 lost.push(*slot);
+            } else if is_own_era
+                && self.unconfirmed.get(slot).is_some_and(|before| item.revision > *before)
+            {
+                // No other write can have changed the key between these revisions.
+                self.holder.set_revision(*slot, item.revision);
+                self.unconfirmed.remove(slot);
             }
         }
+        self.released.retain(|slot, release| {
+            fleet.items.get(slot).is_some_and(|item| item.revision <= release.revision)
+        });
         lost
     }
 
@@ -158,10 +198,12 @@
         self.is_leaving = true;
     }
 
-    /// Whether this VM holds no slot and writes none.
+    /// Whether this VM holds no slot, writes none and has released those that it held.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        !self.is_writing && self.holder.slots().next().is_none()
+        !self.is_writing
+            && self.holder.slots().next().is_none()
+            && self.released.values().all(|release| release.is_written)
     }
 
     /// Records the outcome of a write: the position at which it took effect; none if it did not, or if that is unknown.
@@ -171,19 +213,22 @@
         let position = position.filter(|position| position.era == write.lease.era);
         let is_own_lease = self.lease == Some((write.lease.id, write.lease.era));
         let Some(position) = position.filter(|_| !write.is_taking || is_own_lease) else {
-            self.ownership.on_failure(now);
-            if !write.is_taking {
-                // The key may still name this VM, which then takes the slot again.
-                self.released.retain(|slot, _| write.entries.iter().all(|(of, ..)| of != slot));
+            if write.is_taking {
+                self.ownership.on_failure(now);
+            } else {
+                self.release_paused_until = now + RELEASE_RETRY_PAUSE;
             }
             return false;
         };
-        if write.is_taking {
-            let mut levels = write.levels;
-            for (slot, ..) in write.entries {
+        let mut levels = write.levels;
+        for (slot, before, _) in write.entries {
+            if write.is_taking {
                 self.released.remove(&slot);
+                self.unconfirmed.insert(slot, before);
                 let levels = levels.remove(&slot).unwrap_or_default();
                 self.holder.take(now, slot, position.revision, levels);
+            } else if let Some(release) = self.released.get_mut(&slot) {
+                release.is_written = true;
             }
         }
         true
@@ -200,14 +245,42 @@
         others
     }
 
-    /// Stops to hold these slots, and returns the write that hands them over.
-    fn release(&mut self, now: Now, lease: Lease, slots: Vec<u8>) -> Option<SlotWrite> {
-        let mut entries = Vec::new();
-        for slot in slots {
-            let Some((revision, levels)) = self.holder.release(now, slot) else { continue };
-            self.released.insert(slot, revision);
-            entries.push((slot, revision, SlotValue { holder: None, era: lease.era, levels }));
+    /// Stops to hold a slot, unless the revision of its key is not known yet.
+    fn release(&mut self, now: Now, slot: u8) {
+        if self.unconfirmed.contains_key(&slot) {
+            return;
+        }
+        let Some((revision, levels)) = self.holder.release(now, slot) else { return };
+        self.released.insert(slot, Release { revision, levels, is_written: false });
+    }
+
+    /// Releases the slots whose keys name this VM although it does not hold them: the outcome of its write is unknown, or a
+    /// former process of the same name held them. The next holder starts at the lowest levels.
+    fn release_unheld(&mut self, fleet: &Fleet<'_>) {
+        for (slot, SlotItem { revision, value }) in fleet.items {
+            let holder = value.as_ref().and_then(|value| value.holder.as_deref());
+            if holder == Some(fleet.own) && self.holder.revision(*slot).is_none() {
+                let (revision, levels) = (*revision, BTreeMap::new());
+                let release = Release { revision, levels, is_written: false };
+                self.released.entry(*slot).or_insert(release);
+            }
+        }
+    }
+
+    /// Returns the write of the releases that are not written yet. One that failed is repeated with the same levels, since
+    /// the slots were not used any more; if its outcome was unknown and it took effect, the revisions prevent a second one.
+    fn release_write(&mut self, now: Now, lease: Lease) -> Option<SlotWrite> {
+        if now < self.release_paused_until {
+            return None;
         }
+        let open = self.released.iter().filter(|(_, release)| !release.is_written);
+        let mut entries: Vec<_> = open
+            .map(|(slot, Release { revision, levels, .. })| {
+                let value = SlotValue { holder: None, era: lease.era, levels: levels.clone() };
+                (*slot, *revision, value)
+            })
+            .collect();
+        entries.sort_unstable_by_key(|(slot, ..)| *slot);
         let (is_taking, records_era, levels) = (false, false, HashMap::new());
         let is_any = !entries.is_empty();
         is_any.then_some(SlotWrite { entries, is_taking, lease, records_era, levels })
@@ -226,7 +299,9 @@
             let Some(item) = fleet.items.get(&slot) else { return SlotKey::Free };
             match item.value.as_ref().map(|value| value.holder.as_deref()) {
                 // The view may not show yet that this process has released it.
-                _ if released.get(&slot) == Some(&item.revision) => SlotKey::Other,
+                _ if released.get(&slot).is_some_and(|r| r.revision == item.revision) => {
+                    SlotKey::Other
+                }
                 Some(None) => SlotKey::Free,
                 Some(Some(holder)) if holder == fleet.own => SlotKey::Own,
                 Some(Some(_)) | None => SlotKey::Other,
@@ -235,7 +310,8 @@
         let slots = self.ownership.to_take(now, fleet.own, fleet.vms, key, is_held);
         if slots.is_empty() {
             let slot = self.ownership.to_hand_over(now, fleet.own, fleet.vms, is_held)?;
-            return self.release(now, lease, vec![slot]);
+            self.release(now, slot);
+            return self.release_write(now, lease);
         }
         let value = || SlotValue {
             holder: Some(fleet.own.to_owned()),
--- a/crates/lw-limit/tests/quota_fleet/mod.rs
+++ b/crates/lw-limit/tests/quota_fleet/mod.rs
@@ -9,7 +9,7 @@
 
 use fastrand::Rng;
 use lw_limit::quota::{
-    Cap, REPLY_TIMEOUT, Rule, Share,
+    Cap, REPLY_TIMEOUT, Rule, SLOTS, Share,
     holder::{Claim, Reply, Return},
     keeper::{Fleet, Keeper, Lease, SlotWrite},
     requester::{Ask, Decision, Grant, Requester},
@@ -19,6 +19,7 @@
 
 mod callers;
 mod faults;
+mod handover;
 mod keep;
 mod rule;
 mod store;
--- a/crates/lw-limit/tests/quota_fleet/store.rs
+++ b/crates/lw-limit/tests/quota_fleet/store.rs
@@ -89,7 +89,8 @@
         lease.map(|(_, end)| *end = now + LEASE_TIME).is_some()
     }
 
-    /// Carries out a transaction. Ids of leases are not checked for their era, as in the real store.
+    /// Carries out a transaction. Each key gets a revision of its own, and the last one is returned. Ids of leases are not
+    /// checked for their era, as in the real store.
     pub fn write(&mut self, now: Now, write: &SlotWrite) -> Option<Position> {
         self.expire(now);
         let lease = write.is_taking.then_some(write.lease.id);
@@ -101,15 +102,15 @@
             return None;
         }
         self.snapshot = None;
-        self.contents.revision += 1;
-        let revision = self.contents.revision;
         for (slot, _, value) in &write.entries {
+            self.contents.revision += 1;
+            let revision = self.contents.revision;
             self.contents.slots.insert(*slot, (value.clone(), revision, lease));
         }
         if write.records_era {
             self.contents.recorded_era = Some(write.lease.era);
         }
-        Some(Position { era: self.era, revision })
+        Some(Position { era: self.era, revision: self.contents.revision })
     }
 
     /// Keeps a copy to return from.
