lw-limit: a returned grant counts exactly what it had taken from its bucket

Cause: a grant that was returned counted no more than the highest level of the bucket in the last one to two seconds left of the capacity. That level includes the time before the grant, so that a grant of a full bucket did not count at all. A request that waits longer for its turn than its grant is valid asks for a second one, and gave the first one back only after that; it was then refused, although its workspace was below its cap.

Change: a bucket keeps its highest levels after each grant of the last second, and a return is limited by the highest level since its own grant, which is what the proof in quota/mod.rs states. An expired grant is returned at once, and before its request asks again.

--- a/crates/lw-edge/src/peers/quota.rs
+++ b/crates/lw-edge/src/peers/quota.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use lw_limit::quota::holder::{Claim, Return};
+use lw_limit::quota::holder::Claim;
 use lw_observe::metrics;
 
 use super::{Notice, send_to};
@@ -36,9 +36,13 @@
     }
 }
 
-/// Returns unused grants to the holders of their slots.
-pub(crate) fn return_grants(edge: &Edge, returns: Vec<Return>) {
-    for returned in returns {
+/// Returns the grants that are due to the holders of their slots.
+pub(crate) fn return_grants(edge: &Edge) {
+    let returns = edge.quota.returns();
+    if returns.is_empty() {
+        return;
+    }
+    for returned in edge.quota.take_back_own(returns) {
         metrics::increment(&edge.metrics.quota, "returned");
         if let Holder::Other(addr) = holder(edge, returned.slot) {
             send_to(edge, addr, Notice::Quota(QuotaNotice::Return((&returned).into())));
--- a/crates/lw-edge/src/run/quota.rs
+++ b/crates/lw-edge/src/run/quota.rs
@@ -32,10 +32,7 @@
     loop {
         ticks.tick().await;
         start_write(&edge);
-        let returns = edge.quota.returns();
-        if !returns.is_empty() {
-            peers::return_grants(&edge, edge.quota.take_back_own(returns));
-        }
+        peers::return_grants(&edge);
     }
 }
 
--- a/crates/lw-edge/src/serve/quota.rs
+++ b/crates/lw-edge/src/serve/quota.rs
@@ -48,6 +48,11 @@
             return Ok(());
         }
         let Some(ask) = ask(edge, call) else { return Ok(()) };
+        if let Some(expired) = self.charge.take() {
+            // It has to count again before the request asks for the same cost.
+            drop(expired);
+            peers::return_grants(edge);
+        }
         let cost = ask.cost();
         let send = |claim: &Claim| peers::ask_for_grant(edge, claim);
         match edge.quota.acquire(ask, send).await {
--- a/crates/lw-limit/src/quota/holder.rs
+++ b/crates/lw-limit/src/quota/holder.rs
@@ -1,7 +1,7 @@
 //! The holder's side: the buckets of the slots that one VM holds.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -89,6 +89,8 @@
     workspace: WorkspaceId,
     cost: u64,
     at: Now,
+    /// Number of grants of its bucket up to this one.
+    index: u64,
 }
 
 #[derive(Debug)]
@@ -98,10 +100,19 @@
     updated_at: Now,
     /// Units that were refused, and whose callers were told to come back, less what was refilled since.
     queued: f64,
-    /// Highest levels of the current period of [`RETURN_TIME`] and of the one before, for grants that are returned.
-    peaks: [f64; 2],
-    /// When the current period began.
-    period_since: Now,
+    /// Number of grants.
+    grant_count: u64,
+    /// Highest levels after each of the grants that can still be returned. Each level is below the one before.
+    peaks: VecDeque<Peak>,
+}
+
+/// A level of a bucket that it did not exceed later.
+#[derive(Debug)]
+struct Peak {
+    level: f64,
+    at: Now,
+    /// Number of grants before.
+    grant_count: u64,
 }
 
 impl Bucket {
@@ -111,24 +122,33 @@
         self.level = (self.level + refilled).min(self.share.capacity);
         self.queued = (self.queued - refilled).max(0.0);
         // Between two updates the level only rises, so that the last one is the highest.
-        let periods =
-            now.saturating_sub(self.period_since).as_secs_f64() / RETURN_TIME.as_secs_f64();
-        if periods >= 1.0 {
-            self.peaks = [self.level, if periods < 2.0 { self.peaks[0] } else { self.level }];
-            self.period_since = now;
+        self.record_peak(now);
+    }
+
+    fn record_peak(&mut self, now: Now) {
+        while self.peaks.front().is_some_and(|peak| now > peak.at + RETURN_TIME) {
+            self.peaks.pop_front();
+        }
+        while self.peaks.back().is_some_and(|peak| peak.level <= self.level) {
+            self.peaks.pop_back();
         }
-        self.peaks[0] = self.peaks[0].max(self.level);
+        let (level, grant_count) = (self.level, self.grant_count);
+        self.peaks.push_back(Peak { level, at: now, grant_count });
     }
 
-    /// Takes back units that were granted within [`RETURN_TIME`], less those that would have been lost at the capacity if they
-    /// had not been granted. Returns what counts.
-    fn take_back(&mut self, now: Now, amount: f64) -> f64 {
+    /// Takes back units of a grant that was made within [`RETURN_TIME`], less those that would have been lost at the capacity if
+    /// they had not been granted. Returns what counts.
+    fn take_back(&mut self, now: Now, amount: f64, index: u64) -> f64 {
         self.refill(now);
-        let room = self.share.capacity - self.peaks[0].max(self.peaks[1]);
-        let credit = amount.min(room).max(0.0);
+        let first = self.peaks.partition_point(|peak| peak.grant_count < index);
+        let Some(highest) = self.peaks.get(first) else { return 0.0 };
+        let credit = amount.min(self.share.capacity - highest.level).max(0.0);
         self.level += credit;
-        // The levels since the other grants would have been as much higher.
-        self.peaks = self.peaks.map(|peak| peak + credit);
+        // Without the grant, the levels since would have been as much higher.
+        self.peaks.iter_mut().skip(first).for_each(|peak| peak.level += credit);
+        let raised = self.peaks[first].level;
+        let kept = self.peaks.iter().take(first).filter(|peak| peak.level > raised).count();
+        self.peaks.drain(kept..first);
         credit
     }
 
@@ -137,7 +157,8 @@
         self.share = share;
         self.level = self.level.min(share.capacity);
         self.queued = 0.0;
-        self.peaks = [self.level; 2];
+        self.peaks.clear();
+        self.record_peak(now);
     }
 
     /// Grants a cost, or returns how long to wait for it.
@@ -149,6 +170,8 @@
         };
         if self.level > 0.0 && self.level >= needed {
             self.level -= cost;
+            self.grant_count += 1;
+            self.record_peak(now);
             return Reply::Granted { level: self.level };
         }
         let missing = (needed - self.level).max(0.0) + self.queued;
@@ -277,8 +300,9 @@
         }
         let reply = bucket.grant(now, claim.cost);
         if let Reply::Granted { .. } = reply {
+            let index = bucket.grant_count;
             let (workspace, cost) = (claim.workspace.clone(), claim.cost);
-            slot.grants.insert(claim.number, Granted { workspace, cost, at: now });
+            slot.grants.insert(claim.number, Granted { workspace, cost, at: now, index });
         }
         reply
     }
@@ -296,7 +320,7 @@
         let Some(grant) = slot.grants.remove(&returned.number) else { return false };
         let bucket = slot.buckets.get_mut(&grant.workspace);
         let Some(bucket) = bucket.filter(|_| now < grant.at + RETURN_TIME) else { return false };
-        bucket.take_back(now, units(returned.amount.min(grant.cost))) > 0.0
+        bucket.take_back(now, units(returned.amount.min(grant.cost)), grant.index) > 0.0
     }
 }
 
@@ -309,9 +333,8 @@
             level: former.copied().unwrap_or(-share.debt).min(share.capacity),
             updated_at: taken_at,
             queued: 0.0,
-            // Without a period that has ended, the first levels count as full.
-            peaks: [share.capacity; 2],
-            period_since: taken_at,
+            grant_count: 0,
+            peaks: VecDeque::new(),
         });
         bucket.refill(now);
         bucket
--- a/crates/lw-limit/src/quota/requester.rs
+++ b/crates/lw-limit/src/quota/requester.rs
@@ -192,7 +192,10 @@
     /// Returns the grants that are to be returned to their holders now.
     pub fn returns(&mut self, now: Now) -> Vec<Return> {
         self.open.retain(|_, open| now < open.sent_at + GRANT_TIME || !open.is_abandoned);
-        let due = |unused: &mut Unused| now >= unused.since + KEEP_TIME;
+        // No other request can use one that has expired.
+        let due = |unused: &mut Unused| {
+            now >= unused.since + KEEP_TIME || now >= unused.grant.valid_until
+        };
         let due = self.unused.extract_if(.., due);
         due.map(|Unused { grant: Grant { slot, number, cost, .. }, .. }| Return {
             slot,
--- a/crates/lw-limit/tests/quota_fleet/callers.rs
+++ b/crates/lw-limit/tests/quota_fleet/callers.rs
@@ -57,6 +57,7 @@
     pub(super) fn send_request(&mut self, vm: usize, grant: Grant, call: Call) {
         if self.now >= grant.valid_until {
             self.vms[vm].requester.give_back(self.now, grant);
+            self.return_unused(vm);
             return self.arrive(vm, call);
         }
         let travel = ms(self.rng.u64(1..60));
--- a/crates/lw-limit/tests/quota_fleet/keep.rs
+++ b/crates/lw-limit/tests/quota_fleet/keep.rs
@@ -41,11 +41,17 @@
             has_caps,
         };
         let update = state.keeper.update(self.now, &fleet);
-        let returns = state.requester.returns(self.now);
-        let returns = state.keeper.take_back_own(self.now, returns);
         if let Some(write) = update.write {
             self.call(vm, StoreCall::Write(write));
         }
+        self.return_unused(vm);
+    }
+
+    /// Returns the grants that are due.
+    pub(super) fn return_unused(&mut self, vm: usize) {
+        let state = &mut self.vms[vm];
+        let returns = state.requester.returns(self.now);
+        let returns = state.keeper.take_back_own(self.now, returns);
         for returned in returns {
             if let Some(holder) = self.holder(vm, returned.slot) {
                 self.send(vm, holder, Message::Return(returned));
