lw-edge: a VM decides locally on its quota slots, and waits while they change holders

Cause: the VM looked up the holder of a slot only in its view of the store, which does not show its own write at once, and a request whose slots had no known holder got 503 immediately. So the first request after a VM had taken the slots was refused with not_ready.

Change: a VM that holds a slot decides on claims and charges for it itself. If no slot of a workspace has a holder that replies with a decision, and at least one has none, the request looks again each 30 ms and gets 503 after 150 ms in total. Holders that do not reply cause no further wait. The fleet in virtual time does both too.

--- a/crates/lw-edge/src/peers/quota.rs
+++ b/crates/lw-edge/src/peers/quota.rs
@@ -11,28 +11,21 @@
     state::{Edge, keys},
 };
 
-/// Sends a request for a grant to the holder of its slot, unless that is this VM.
+/// Sends a request for a grant to the other VM that holds its slot.
 pub(crate) fn ask_for_grant(edge: &Edge, claim: &Claim) -> Route {
-    match holder(edge, claim.slot) {
-        Holder::Own => Route::Own,
-        Holder::None => Route::NoHolder,
-        Holder::Other(addr) => {
-            let wire = ClaimWire::new(claim, edge.settings.peers);
-            send_to(edge, addr, Notice::Quota(QuotaNotice::Claim(wire)));
-            Route::Sent
-        }
-    }
+    let Some(addr) = other_holder(edge, claim.slot) else { return Route::NoHolder };
+    let wire = ClaimWire::new(claim, edge.settings.peers);
+    send_to(edge, addr, Notice::Quota(QuotaNotice::Claim(wire)));
+    Route::Sent
 }
 
 /// Charges a further attempt to a slot, without waiting.
 pub(crate) fn charge(edge: &Edge, claim: &Claim) {
-    match holder(edge, claim.slot) {
-        Holder::Own => edge.quota.charge(claim),
-        Holder::None => {}
-        Holder::Other(addr) => {
-            let wire = ClaimWire::new(claim, edge.settings.peers);
-            send_to(edge, addr, Notice::Quota(QuotaNotice::Charge(wire)));
-        }
+    if edge.quota.is_holding(claim.slot) {
+        edge.quota.charge(claim);
+    } else if let Some(addr) = other_holder(edge, claim.slot) {
+        let wire = ClaimWire::new(claim, edge.settings.peers);
+        send_to(edge, addr, Notice::Quota(QuotaNotice::Charge(wire)));
     }
 }
 
@@ -44,7 +37,7 @@
     }
     for returned in edge.quota.take_back_own(returns) {
         metrics::increment(&edge.metrics.quota, "returned");
-        if let Holder::Other(addr) = holder(edge, returned.slot) {
+        if let Some(addr) = other_holder(edge, returned.slot) {
             send_to(edge, addr, Notice::Quota(QuotaNotice::Return((&returned).into())));
         }
     }
@@ -65,21 +58,13 @@
     }
 }
 
-/// The holder of a slot, as the store names it.
-enum Holder {
-    Own,
-    Other(SocketAddr),
-    None,
-}
-
-fn holder(edge: &Edge, slot: u8) -> Holder {
+/// Returns the address of the other VM that the store names as the holder of a slot.
+fn other_holder(edge: &Edge, slot: u8) -> Option<SocketAddr> {
     let view = edge.store_view();
-    let item = view.router_item(&keys::quota(slot));
-    let entry = item.and_then(|item| serde_json::from_slice::<SlotEntry>(&item.value).ok());
-    let Some(holder) = entry.and_then(|entry| entry.holder) else { return Holder::None };
+    let item = view.router_item(&keys::quota(slot))?;
+    let holder = serde_json::from_slice::<SlotEntry>(&item.value).ok()?.holder?;
     if holder == edge.settings.vm {
-        return Holder::Own;
+        return None;
     }
-    let addr = view.vms().find(|(vm, _)| **vm == holder).map(|(_, entry)| entry.addr);
-    addr.map_or(Holder::None, Holder::Other)
+    view.vms().find(|(vm, _)| **vm == holder).map(|(_, entry)| entry.addr)
 }
--- a/crates/lw-edge/src/quota/mod.rs
+++ b/crates/lw-edge/src/quota/mod.rs
@@ -47,8 +47,6 @@
 /// Where a request for a grant goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Route {
-    /// This VM holds the slot.
-    Own,
     /// The request was sent to the holder.
     Sent,
     /// The slot has no holder that this VM knows.
@@ -109,33 +107,36 @@
         self.timer.now_including_suspend()
     }
 
-    /// Asks for a grant. `send` sends a request to the holder of its slot, unless that is this VM.
+    /// Asks for a grant. `send` sends a request to the holder of its slot. It is not called for slots that this VM holds, of
+    /// which the VM's view of the store may not show its own write yet.
     pub async fn acquire(&self, ask: Ask, send: impl Fn(&Claim) -> Route) -> Outcome {
         let mut asking = Asking { quota: self, ask, number: None };
         loop {
-            let (claim, woken) = {
-                let mut state = self.lock();
-                let now = self.now();
-                match state.requester.decide(now, &mut asking.ask, fastrand::u64(..)) {
-                    Decision::Admitted(grant) => return Outcome::Admitted(grant),
-                    Decision::Refused { retry_after } => return Outcome::Refused { retry_after },
-                    Decision::Unavailable => return Outcome::Unavailable,
-                    Decision::Ask(claim) => {
-                        let (wake, woken) = oneshot::channel();
-                        state.waiting.insert(claim.number, wake);
-                        asking.number = Some(claim.number);
-                        (claim, woken)
-                    }
+            let now = self.now();
+            let decision = self.lock().requester.decide(now, &mut asking.ask, fastrand::u64(..));
+            let claim = match decision {
+                Decision::Admitted(grant) => return Outcome::Admitted(grant),
+                Decision::Refused { retry_after } => return Outcome::Refused { retry_after },
+                Decision::Unavailable => return Outcome::Unavailable,
+                Decision::Wait(pause) => {
+                    tokio::time::sleep(pause).await;
+                    continue;
                 }
+                Decision::Ask(claim) => claim,
             };
+            asking.number = Some(claim.number);
+            if self.is_holding(claim.slot) {
+                let reply = self.decide(&claim);
+                self.on_reply(claim.number, reply);
+                continue;
+            }
+            let (wake, woken) = oneshot::channel();
+            self.lock().waiting.insert(claim.number, wake);
             match send(&claim) {
                 Route::Sent => {
                     // The result is an error if no reply arrived in time.
-                    let _ = tokio::time::timeout(asking.ask.reply_timeout(), woken).await;
-                }
-                Route::Own => {
-                    let reply = self.decide(&claim);
-                    self.on_reply(claim.number, reply);
+                    let timeout = asking.ask.reply_timeout(now);
+                    let _ = tokio::time::timeout(timeout, woken).await;
                 }
                 Route::NoHolder => self.on_reply(claim.number, Reply::NotHolder),
             }
@@ -161,6 +162,12 @@
         self.lock().keeper.holder.decide(now, claim)
     }
 
+    /// Whether this VM holds a slot.
+    #[must_use]
+    pub fn is_holding(&self, slot: u8) -> bool {
+        self.lock().keeper.holder.revision(slot).is_some()
+    }
+
     /// Charges a further attempt, if this VM holds the slot.
     pub fn charge(&self, claim: &Claim) {
         let now = self.now();
--- a/crates/lw-edge/tests/quota.rs
+++ b/crates/lw-edge/tests/quota.rs
@@ -2,11 +2,22 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use common::{CallerRequest, Simulation, config, get, log_output, ms, request};
-use lw_edge::run::Vm;
+use lw_edge::{
+    quota::{self, Outcome, Quota, Route},
+    run::Vm,
+};
+use lw_limit::quota::{
+    keeper::{Fleet, Lease, SlotWrite},
+    requester::Ask,
+};
 use lw_standin::hosted::caller::OTHER_KEY;
+use lw_types::prelude::*;
 use serde_json::{Value, json};
 
 /// Tokens a second, and at once, of the workspace `station`. A request for the route `short` costs 1,220.
@@ -129,6 +140,57 @@
     assert!(send_steadily(&simulation, &second, "after", ms(1_000)).await > 5);
 }
 
+/// Returns the limits of another VM in the same fleet, which takes all slots once this write is carried out.
+fn taking_slots(simulation: &Simulation) -> (Quota, SlotWrite) {
+    let quota = Quota::default();
+    let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+    let catalog = edge.store_view().catalog();
+    assert!(quota.configure(catalog.as_deref(), &edge.bounds().quota));
+    let fleet = Fleet {
+        own: "vm-9",
+        vms: &["vm-9"],
+        era: 0,
+        recorded_era: Some(0),
+        former_leases_end: None,
+        is_current: true,
+        lease: Some(Lease { id: 1, era: 0, valid_until: Now::MAX }),
+        items: &HashMap::new(),
+        has_caps: true,
+    };
+    let write = quota.update_slots(&fleet).expect("the slots are taken");
+    (quota, write)
+}
+
+/// Asks for a grant while the view of the store names no holder. Returns whether it was decided on.
+async fn is_decided(simulation: &Simulation, quota: &Quota) -> bool {
+    let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+    let catalog = edge.store_view().catalog().expect("a configuration");
+    let (workspace, cap) = catalog.capped_workspaces().next().expect("a cap");
+    let share = quota::share(cap, &edge.bounds().quota);
+    let ask = Ask::new(&workspace.name, u64::from(COST), catalog.version, share);
+    match quota.acquire(ask, |_| Route::NoHolder).await {
+        Outcome::Admitted(_) | Outcome::Refused { .. } => true,
+        Outcome::Unavailable => false,
+    }
+}
+
+/// Guards against a 503 of a VM that has just taken the slots, since its view of the store does not show its write yet.
+#[tokio::test]
+async fn a_vm_decides_on_requests_for_the_slots_that_it_holds() {
+    let simulation = start_capped().await;
+    let (quota, write) = taking_slots(&simulation);
+    let started = Instant::now();
+    assert!(!is_decided(&simulation, &quota).await, "nobody holds the slots");
+    assert!(started.elapsed() >= ms(100), "it did not wait for a holder");
+    let taken = async {
+        tokio::time::sleep(ms(40)).await;
+        quota.on_written(write, Some(Position { era: 0, revision: 30 }));
+    };
+    let (is_decided_then, ()) = tokio::join!(is_decided(&simulation, &quota), taken);
+    assert!(is_decided_then, "the slots were taken within the wait");
+    assert!(is_decided(&simulation, &quota).await);
+}
+
 #[tokio::test]
 async fn without_caps_there_are_no_messages_and_no_keys() {
     let simulation = Simulation::start().await;
--- a/crates/lw-limit/src/quota/requester.rs
+++ b/crates/lw-limit/src/quota/requester.rs
@@ -12,6 +12,10 @@
 
 /// Time for which an unused grant is kept for another request before it is returned.
 const KEEP_TIME: Duration = Duration::from_millis(40);
+/// Longest time for which a request waits in total while its slots are changing holders.
+const HOLDER_WAIT_MAX: Duration = Duration::from_millis(150);
+/// Time between two looks for a holder meanwhile. A VM notices within 50 ms that it can take a slot.
+const HOLDER_POLL: Duration = Duration::from_millis(30);
 /// Time for which a holder that did not reply is asked last.
 const SILENT_TIME: Duration = Duration::from_secs(1);
 
@@ -37,11 +41,17 @@
     cost: u64,
     config: ConfigVersion,
     share: Share,
+    /// The slots of the workspace.
+    all_slots: [u8; 2],
     /// Slots that were not asked yet, the next one last.
     slots: Vec<u8>,
     /// Number of the open request for a grant.
     open: Option<u64>,
     shortest_wait: Option<Duration>,
+    /// Whether a slot had no holder since the slots were last asked from the first one on.
+    has_no_holder: bool,
+    /// Until when to wait for holders; none if their absence was not noticed yet.
+    wait_end: Option<Now>,
 }
 
 /// What to do next about a request.
@@ -56,6 +66,8 @@
         /// Time until the cap allows it.
         retry_after: Duration,
     },
+    /// The slots are changing holders. To be decided again after this time.
+    Wait(Duration),
     /// No holder replied.
     Unavailable,
 }
@@ -90,9 +102,28 @@
     /// Returns the request of a cost.
     #[must_use]
     pub fn new(workspace: &str, cost: u64, config: ConfigVersion, share: Share) -> Self {
-        let slots = slots_of(workspace)[..share.slots.min(2)].iter().rev().copied().collect();
-        let workspace = workspace.to_owned();
-        Self { workspace, cost, config, share, slots, open: None, shortest_wait: None }
+        let (workspace, slots) = (workspace.to_owned(), slots_of(workspace));
+        let mut ask = Self {
+            workspace,
+            cost,
+            config,
+            share,
+            all_slots: slots,
+            slots: Vec::new(),
+            open: None,
+            shortest_wait: None,
+            has_no_holder: false,
+            wait_end: None,
+        };
+        ask.restart();
+        ask
+    }
+
+    /// Asks the holders of all slots again.
+    fn restart(&mut self) {
+        let count = self.share.slots.min(self.all_slots.len());
+        self.slots = self.all_slots[..count].iter().rev().copied().collect();
+        self.has_no_holder = false;
     }
 
     /// Returns the cost.
@@ -103,8 +134,9 @@
 
     /// Returns the time to wait for the reply of the holder that is asked now.
     #[must_use]
-    pub fn reply_timeout(&self) -> Duration {
-        if self.slots.is_empty() { LAST_REPLY_TIMEOUT } else { REPLY_TIMEOUT }
+    pub fn reply_timeout(&self, now: Now) -> Duration {
+        let timeout = if self.slots.is_empty() { LAST_REPLY_TIMEOUT } else { REPLY_TIMEOUT };
+        self.wait_end.map_or(timeout, |end| timeout.min(end.saturating_sub(now)))
     }
 
     /// Returns what is charged without a decision, for a further attempt of a request that may have run.
@@ -141,10 +173,7 @@
             ask.slots = slots;
         }
         let Some(slot) = ask.slots.pop() else {
-            return match ask.shortest_wait {
-                Some(retry_after) => Decision::Refused { retry_after },
-                None => Decision::Unavailable,
-            };
+            return Self::conclude(now, ask);
         };
         let claim = ask.claim(slot, number);
         ask.open = Some(number);
@@ -153,6 +182,21 @@
         Decision::Ask(claim)
     }
 
+    /// Decides on a request that no holder has granted.
+    fn conclude(now: Now, ask: &mut Ask) -> Decision {
+        if let Some(retry_after) = ask.shortest_wait {
+            return Decision::Refused { retry_after };
+        }
+        if ask.has_no_holder {
+            let end = *ask.wait_end.get_or_insert(now + HOLDER_WAIT_MAX);
+            if now + HOLDER_POLL <= end {
+                ask.restart();
+                return Decision::Wait(HOLDER_POLL);
+            }
+        }
+        Decision::Unavailable
+    }
+
     /// Records the reply of a holder. Returns whether a request waits for it.
     pub fn on_reply(&mut self, now: Now, number: u64, reply: Reply) -> bool {
         let Some(open) = self.open.get_mut(&number) else { return false };
@@ -233,7 +277,7 @@
             Reply::Wait { time, .. } => {
                 ask.shortest_wait = Some(ask.shortest_wait.map_or(time, |other| other.min(time)));
             }
-            Reply::NotHolder => {}
+            Reply::NotHolder => ask.has_no_holder = true,
         }
         None
     }
--- a/crates/lw-limit/tests/quota_fleet/callers.rs
+++ b/crates/lw-limit/tests/quota_fleet/callers.rs
@@ -37,9 +37,14 @@
                     self.outcome.unavailable += 1;
                     return self.refuse(call, ms(300));
                 }
+                Decision::Wait(pause) => {
+                    self.vms[vm].waiting.insert(number, (ask, call));
+                    return self.after(pause, vm, Event::Timeout { number });
+                }
                 Decision::Ask(claim) => {
                     let holder = self.holder(vm, claim.slot);
-                    if holder.is_none_or(|holder| holder == vm) {
+                    let is_held = self.vms[vm].keeper.holder.revision(claim.slot).is_some();
+                    if is_held || holder.is_none_or(|holder| holder == vm) {
                         let state = &mut self.vms[vm];
                         let reply = state.keeper.holder.decide(self.now, &claim);
                         state.requester.on_reply(self.now, number, reply);
--- a/crates/lw-limit/tests/quota_fleet/handover.rs
+++ b/crates/lw-limit/tests/quota_fleet/handover.rs
@@ -151,3 +151,48 @@
         );
     }
 }
+
+/// Returns the decision on a request whose slots have no holder until `held_at`, and when it was made.
+fn decide(held_at: Now) -> (Decision, Now) {
+    let (mut now, mut number) = (ms(0), 0);
+    let rule = Rule { window: ms(8_000), overshoot: 0.1, slack: None };
+    let share = Share::new(Cap { rate: 47_000.0, burst: 47_000.0 }, &rule);
+    let (mut requester, mut ask) = (Requester::default(), Ask::new(WORKSPACE, 1, 1, share));
+    loop {
+        number += 1;
+        match requester.decide(now, &mut ask, number) {
+            Decision::Ask(_) if now >= held_at => {
+                requester.on_reply(now, number, Reply::Granted { level: 1.0 });
+            }
+            Decision::Ask(_) => {
+                requester.on_reply(now, number, Reply::NotHolder);
+            }
+            Decision::Wait(pause) => now += pause,
+            decision => return (decision, now),
+        }
+    }
+}
+
+/// Guards against a refusal in the moment in which another VM takes the slots, and against one that comes too late.
+#[test]
+fn a_request_waits_while_its_slots_change_holders_for_a_bounded_time() {
+    for held_after in [0, 1, 60, 140] {
+        let (decision, at) = decide(ms(held_after));
+        assert!(matches!(decision, Decision::Admitted(_)), "{decision:?} after {held_after} ms");
+        assert!(at <= ms(150), "after {at:?}");
+    }
+    let (decision, at) = decide(Now::MAX);
+    assert_eq!(decision, Decision::Unavailable);
+    assert!((ms(120)..=ms(150)).contains(&at), "after {at:?}");
+}
+
+/// Guards against a further wait for holders that do not reply.
+#[test]
+fn a_request_whose_holders_are_silent_does_not_wait() {
+    let rule = Rule { window: ms(8_000), overshoot: 0.1, slack: None };
+    let share = Share::new(Cap { rate: 47_000.0, burst: 47_000.0 }, &rule);
+    let (mut requester, mut ask) = (Requester::default(), Ask::new(WORKSPACE, 1, 1, share));
+    assert!(matches!(requester.decide(ms(0), &mut ask, 1), Decision::Ask(_)));
+    assert!(matches!(requester.decide(ms(25), &mut ask, 2), Decision::Ask(_)));
+    assert_eq!(requester.decide(ms(175), &mut ask, 3), Decision::Unavailable);
+}
