lw-limit: lower caps limit debts, and further attempts are charged to either slot

Cause: a level stayed below the limit of debts of a lower cap, which then refused its workspace for as long as the lower rate took to pay off what the higher one had allowed. Buckets of caps that were removed were kept for ever. The charge for a further attempt was lost when the first slot of the workspace had no known holder.

Change: a lower limit raises the level to it. The debt that this leaves out is kept, also in the levels that a release hands over, and counts again at the next change, so that caps that fall and rise grant nothing twice. Buckets of removed caps are dropped. A charge goes to the first slot that has a holder.

--- a/crates/lw-edge/src/peers/quota.rs
+++ b/crates/lw-edge/src/peers/quota.rs
@@ -19,14 +19,12 @@
     Route::Sent
 }
 
-/// Charges a further attempt to a slot, without waiting.
-pub(crate) fn charge(edge: &Edge, claim: &Claim) {
-    if edge.quota.is_holding(claim.slot) {
-        edge.quota.charge(claim);
-    } else if let Some(addr) = other_holder(edge, claim.slot) {
-        let wire = ClaimWire::new(claim, edge.settings.peers);
-        send_to(edge, addr, Notice::Quota(QuotaNotice::Charge(wire)));
-    }
+/// Charges a further attempt at the other VM that holds its slot, without waiting.
+pub(crate) fn charge(edge: &Edge, claim: &Claim) -> Route {
+    let Some(addr) = other_holder(edge, claim.slot) else { return Route::NoHolder };
+    let wire = ClaimWire::new(claim, edge.settings.peers);
+    send_to(edge, addr, Notice::Quota(QuotaNotice::Charge(wire)));
+    Route::Sent
 }
 
 /// Returns the grants that are due to the holders of their slots.
--- a/crates/lw-edge/src/quota/mod.rs
+++ b/crates/lw-edge/src/quota/mod.rs
@@ -168,6 +168,23 @@
         self.lock().keeper.holder.revision(slot).is_some()
     }
 
+    /// Charges a further attempt to the first slot that has a holder. `send` sends a charge to the holder of its slot. Without
+    /// any holder the attempt is not charged.
+    pub fn charge_further(
+        &self,
+        charges: impl Iterator<Item = Claim>,
+        send: impl Fn(&Claim) -> Route,
+    ) {
+        for claim in charges {
+            if self.is_holding(claim.slot) {
+                return self.charge(&claim);
+            }
+            if send(&claim) == Route::Sent {
+                return;
+            }
+        }
+    }
+
     /// Charges a further attempt, if this VM holds the slot.
     pub fn charge(&self, claim: &Claim) {
         let now = self.now();
--- a/crates/lw-edge/src/serve/quota.rs
+++ b/crates/lw-edge/src/serve/quota.rs
@@ -90,7 +90,8 @@
             && let Some(ask) = ask(edge, call)
         {
             metrics::increment(&edge.metrics.quota, "charged");
-            peers::charge(edge, &ask.charge(fastrand::u64(..)));
+            let charges = ask.charges(fastrand::u64(..));
+            edge.quota.charge_further(charges, |claim| peers::charge(edge, claim));
         }
     }
 
--- a/crates/lw-edge/tests/quota.rs
+++ b/crates/lw-edge/tests/quota.rs
@@ -3,11 +3,16 @@
 mod common;
 
 use std::{
+    cell::RefCell,
     collections::HashMap,
     time::{Duration, Instant},
 };
 
 use common::{CallerRequest, Simulation, config, get, log_output, ms, request};
+use lw_catalog::{
+    routes::{UsageCap, UsageUnit},
+    settings::QuotaBounds,
+};
 use lw_edge::{
     quota::{self, Outcome, Quota, Route},
     run::Vm,
@@ -191,6 +196,28 @@
     assert!(is_decided(&simulation, &quota).await);
 }
 
+/// Guards against a further attempt that is not charged since the first slot has no holder.
+#[test]
+fn a_further_attempt_is_charged_to_the_slot_that_has_a_holder() {
+    let quota = Quota::default();
+    let cap = UsageCap { rate: 1_000.0, burst: 1_000.0, unit: UsageUnit::Requests };
+    let share = quota::share(cap, &QuotaBounds::default());
+    let ask = Ask::new("station", 1, 1, share);
+    let slots: Vec<_> = ask.charges(1).map(|claim| claim.slot).collect();
+    assert_eq!(slots.len(), 2);
+    for held in slots {
+        let sent = RefCell::new(Vec::new());
+        quota.charge_further(ask.charges(1), |claim| {
+            if claim.slot != held {
+                return Route::NoHolder;
+            }
+            sent.borrow_mut().push(claim.slot);
+            Route::Sent
+        });
+        assert_eq!(*sent.borrow(), [held]);
+    }
+}
+
 #[tokio::test]
 async fn without_caps_there_are_no_messages_and_no_keys() {
     let simulation = Simulation::start().await;
--- a/crates/lw-limit/src/quota/holder.rs
+++ b/crates/lw-limit/src/quota/holder.rs
@@ -97,6 +97,9 @@
 struct Bucket {
     share: Share,
     level: f64,
+    /// Debt above the limit that was left out of the level when the limit was lowered. It counts again when the limit
+    /// changes, so that limits that fall and rise again grant nothing twice.
+    excess_debt: f64,
     updated_at: Now,
     /// Units that were refused, and whose callers were told to come back, less what was refilled since.
     queued: f64,
@@ -119,7 +122,10 @@
     fn refill(&mut self, now: Now) {
         let refilled = now.saturating_sub(self.updated_at).as_secs_f64() * self.share.rate;
         self.updated_at = now.max(self.updated_at);
-        self.level = (self.level + refilled).min(self.share.capacity);
+        let level = self.level + refilled;
+        self.level = level.min(self.share.capacity);
+        // What the level cannot take pays off the rest.
+        self.excess_debt = (self.excess_debt - (level - self.level)).max(0.0);
         self.queued = (self.queued - refilled).max(0.0);
         // Between two updates the level only rises, so that the last one is the highest.
         self.record_peak(now);
@@ -155,12 +161,19 @@
     fn set_share(&mut self, now: Now, share: Share) {
         self.refill(now);
         self.share = share;
-        self.level = self.level.min(share.capacity);
+        let level = self.full_level().min(share.capacity);
+        self.level = level.max(-share.debt);
+        self.excess_debt = self.level - level;
         self.queued = 0.0;
         self.peaks.clear();
         self.record_peak(now);
     }
 
+    /// Returns the level with the debt that was left out.
+    fn full_level(&self) -> f64 {
+        self.level - self.excess_debt
+    }
+
     /// Grants a cost, or returns how long to wait for it.
     fn grant(&mut self, now: Now, cost: u64) -> Reply {
         self.refill(now);
@@ -187,8 +200,9 @@
 }
 
 impl Holder {
-    /// Applies the caps of a configuration. A lower one clips the levels. Grants that are out can no longer be returned,
-    /// since what their buckets refilled meanwhile is not known.
+    /// Applies the caps of a configuration. A lower one clips the levels, also to its limit of debts. Grants that are out can
+    /// no longer be returned, since what their buckets refilled meanwhile is not known. The buckets of caps that were removed
+    /// are dropped: the rule has no bound for any window that begins before such a cap is binding again.
     pub fn configure(
         &mut self,
         now: Now,
@@ -196,11 +210,11 @@
         shares: HashMap<WorkspaceId, Share>,
     ) {
         for slot in self.slots.values_mut() {
-            for (workspace, bucket) in &mut slot.buckets {
-                // Without a cap nothing is charged; the level is kept for the case that the cap returns.
-                let unused = Share { rate: 0.0, ..bucket.share };
-                bucket.set_share(now, shares.get(workspace).copied().unwrap_or(unused));
-            }
+            slot.former_levels.retain(|workspace, _| shares.contains_key(workspace));
+            slot.buckets.retain(|workspace, bucket| {
+                let share = shares.get(workspace);
+                share.inspect(|share| bucket.set_share(now, **share)).is_some()
+            });
             slot.grants.clear();
         }
         (self.shares, self.config) = (shares, config);
@@ -247,7 +261,7 @@
         }
         let levels = released.buckets.into_iter().map(|(workspace, mut bucket)| {
             bucket.refill(now);
-            (workspace, bucket.level)
+            (workspace, bucket.full_level())
         });
         Some((released.revision, levels.collect()))
     }
@@ -328,9 +342,11 @@
     /// Returns the bucket of a workspace as of now.
     fn bucket(&mut self, now: Now, workspace: &str, share: Share) -> &mut Bucket {
         let (taken_at, former) = (self.taken_at, self.former_levels.get(workspace));
+        let level = former.copied().unwrap_or(-share.debt).min(share.capacity);
         let bucket = self.buckets.entry(workspace.to_owned()).or_insert_with(|| Bucket {
             share,
-            level: former.copied().unwrap_or(-share.debt).min(share.capacity),
+            level: level.max(-share.debt),
+            excess_debt: (-share.debt - level).max(0.0),
             updated_at: taken_at,
             queued: 0.0,
             grant_count: 0,
--- a/crates/lw-limit/src/quota/mod.rs
+++ b/crates/lw-limit/src/quota/mod.rs
@@ -17,6 +17,9 @@
 //!   the predecessor has stopped. So the bound holds for a slot, whoever holds it.
 //! - **Validity.** Work that runs in a window was granted at most [`GRANT_TIME`] before it was sent, and is at its engine at
 //!   most [`TRAVEL_TIME`] later. So what runs in *W* was granted in *W + V*, where *V* is the sum of the two.
+//! - **Caps that change.** A lower limit *D'* raises a level below *-D'* to it, so that a lower rate need not pay off what the
+//!   higher one allowed. The debt that this leaves out counts again at the next change, less what was refilled above *C'*
+//!   meanwhile. So what is granted over several changes is at most the greatest *C + D* of them and what was refilled.
 //! - **Returns.** A grant that is returned gives back its cost, but no more than what the highest level since then left of the
 //!   capacity: without the grant, the rest would have been lost there. So the level is at most what it would be without that
 //!   grant, and the bound holds for what is not returned.
--- a/crates/lw-limit/src/quota/requester.rs
+++ b/crates/lw-limit/src/quota/requester.rs
@@ -139,10 +139,10 @@
         self.wait_end.map_or(timeout, |end| timeout.min(end.saturating_sub(now)))
     }
 
-    /// Returns what is charged without a decision, for a further attempt of a request that may have run.
-    #[must_use]
-    pub fn charge(&self, number: u64) -> Claim {
-        self.claim(self.slots.last().copied().unwrap_or_default(), number)
+    /// Returns what is charged without a decision, for a further attempt of a request that may have run: one of these, the
+    /// first one whose slot has a holder.
+    pub fn charges(&self, number: u64) -> impl Iterator<Item = Claim> {
+        self.slots.iter().rev().map(move |slot| self.claim(*slot, number))
     }
 
     fn claim(&self, slot: u8, number: u64) -> Claim {
