lw-edge: usage caps are checked by tables instead of scans

Cause: each capped request sorted the hashes of 24 slots, decoded the key of a slot and scanned all VMs for its holder, and each decision of a holder scanned all grants of the last second.

Change: the slots and shares of the capped workspaces are computed when a configuration is applied. The view of the store keeps the decoded values of the slots' keys, and the holder's address is looked up by its name. A holder keeps its grants in the order of their times too, and removes the expired ones from the front.

The time on the request path was not measured.

--- a/crates/lw-edge/src/peers/quota.rs
+++ b/crates/lw-edge/src/peers/quota.rs
@@ -7,8 +7,8 @@
 
 use super::{Notice, send_to};
 use crate::{
-    quota::{ClaimWire, QuotaNotice, Route, SlotEntry},
-    state::{Edge, keys},
+    quota::{ClaimWire, QuotaNotice, Route},
+    state::Edge,
 };
 
 /// Sends a request for a grant to the other VM that holds its slot.
@@ -59,10 +59,9 @@
 /// Returns the address of the other VM that the store names as the holder of a slot.
 fn other_holder(edge: &Edge, slot: u8) -> Option<SocketAddr> {
     let view = edge.store_view();
-    let item = view.router_item(&keys::quota(slot))?;
-    let holder = serde_json::from_slice::<SlotEntry>(&item.value).ok()?.holder?;
-    if holder == edge.settings.vm {
+    let holder = view.quota_slot(slot)?.holder.as_ref()?;
+    if *holder == edge.settings.vm {
         return None;
     }
-    view.vms().find(|(vm, _)| **vm == holder).map(|(_, entry)| entry.addr)
+    view.vm(holder).map(|entry| entry.addr)
 }
--- a/crates/lw-edge/src/quota/mod.rs
+++ b/crates/lw-edge/src/quota/mod.rs
@@ -17,6 +17,7 @@
     holder::{Claim, Reply, Return},
     keeper::Keeper,
     requester::{Ask, Decision, Grant, Requester},
+    slots_of,
 };
 use lw_transport::timer::Timer;
 use lw_types::prelude::*;
@@ -38,12 +39,22 @@
 struct State {
     keeper: Keeper,
     requester: Requester,
-    /// Bounds that the holder's shares were computed with.
+    /// Bounds that the shares were computed with.
     bounds: Option<QuotaBounds>,
+    /// The capped workspaces of the configuration.
+    workspaces: HashMap<WorkspaceId, Capped>,
     /// Wakes the request that waits for the reply of this number.
     waiting: HashMap<u64, oneshot::Sender<()>>,
 }
 
+/// What is computed once for each capped workspace of a configuration.
+#[derive(Debug)]
+struct Capped {
+    cap: UsageCap,
+    share: Share,
+    slots: [u8; 2],
+}
+
 /// Where a request for a grant goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Route {
@@ -107,6 +118,33 @@
         self.timer.now_including_suspend()
     }
 
+    /// Returns the request for a grant of a cost.
+    pub fn ask(
+        &self,
+        workspace: &str,
+        cap: UsageCap,
+        cost: u64,
+        config: ConfigVersion,
+        bounds: &QuotaBounds,
+    ) -> Ask {
+        let state = self.lock();
+        let known = state.workspaces.get(workspace);
+        // The request may have come under another configuration than the one that was applied last.
+        let known = known.filter(|known| known.cap == cap && state.bounds == Some(*bounds));
+        let (slots, share) = match known {
+            Some(Capped { slots, share, .. }) => (*slots, *share),
+            None => (slots_of(workspace), share(cap, bounds)),
+        };
+        Ask::new(workspace, slots, cost, config, share)
+    }
+
+    /// Returns the slots of a workspace.
+    #[must_use]
+    pub fn slots_of(&self, workspace: &str) -> [u8; 2] {
+        let known = self.lock().workspaces.get(workspace).map(|known| known.slots);
+        known.unwrap_or_else(|| slots_of(workspace))
+    }
+
     /// Asks for a grant. `send` sends a request to the holder of its slot. It is not called for slots that this VM holds, of
     /// which the VM's view of the store may not show its own write yet.
     pub async fn acquire(&self, ask: Ask, send: impl Fn(&Claim) -> Route) -> Outcome {
--- a/crates/lw-edge/src/quota/slots.rs
+++ b/crates/lw-edge/src/quota/slots.rs
@@ -4,10 +4,11 @@
 use lw_limit::quota::{
     holder::Return,
     keeper::{Fleet, SlotWrite},
+    slots_of,
 };
 use lw_types::prelude::*;
 
-use super::{Quota, share};
+use super::{Capped, Quota, share};
 
 impl Quota {
     /// Applies the caps of a configuration, if it or the bounds have changed. Returns whether there are any.
@@ -18,8 +19,13 @@
         let mut state = self.lock();
         if catalog.version != state.keeper.holder.config() || state.bounds != Some(*bounds) {
             state.bounds = Some(*bounds);
-            let capped = catalog.capped_workspaces();
-            let shares = capped.map(|(w, cap)| (w.name.clone(), share(cap, bounds))).collect();
+            let capped = catalog.capped_workspaces().map(|(workspace, cap)| {
+                let (share, slots) = (share(cap, bounds), slots_of(&workspace.name));
+                (workspace.name.clone(), Capped { cap, share, slots })
+            });
+            state.workspaces = capped.collect();
+            let shares = state.workspaces.iter().map(|(name, known)| (name.clone(), known.share));
+            let shares = shares.collect();
             state.keeper.configure(now, catalog.version, shares);
         }
         has_caps
--- a/crates/lw-edge/src/run/quota.rs
+++ b/crates/lw-edge/src/run/quota.rs
@@ -77,8 +77,7 @@
     let items: HashMap<_, _> = (0..SLOTS)
         .filter_map(|slot| {
             let item = view.router_item(&keys::quota(slot))?;
-            let entry: Result<SlotEntry, _> = serde_json::from_slice(&item.value);
-            let value = entry.ok().map(SlotValue::from);
+            let value = view.quota_slot(slot).cloned().map(SlotValue::from);
             Some((slot, SlotItem { revision: item.revision, value }))
         })
         .collect();
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -240,7 +240,7 @@
         self.usage.acquire(&self.edge, &self.call, may_have_run).await?;
         let mut placement = self.place_in_turn(purpose).await?;
         // The wait for the turn of a limited upstream may take longer than the grant is valid.
-        while !self.usage.is_ready(&self.edge, &self.call, may_have_run) {
+        while !self.usage.is_ready(&self.call, may_have_run) {
             self.usage.acquire(&self.edge, &self.call, may_have_run).await?;
             placement = self.place_in_turn(purpose).await?;
         }
--- a/crates/lw-edge/src/serve/quota.rs
+++ b/crates/lw-edge/src/serve/quota.rs
@@ -5,7 +5,6 @@
 use lw_limit::quota::{
     holder::Claim,
     requester::{Ask, Grant},
-    slots_of,
 };
 use lw_observe::logs::millis;
 use lw_observe::metrics;
@@ -15,7 +14,7 @@
 use super::Call;
 use crate::{
     peers,
-    quota::{self, Charge, Outcome},
+    quota::{Charge, Outcome},
     state::Edge,
 };
 
@@ -77,10 +76,10 @@
     }
 
     /// Whether the next attempt may begin without a further grant.
-    pub fn is_ready(&self, edge: &Edge, call: &Call, may_have_run: bool) -> bool {
+    pub fn is_ready(&self, call: &Call, may_have_run: bool) -> bool {
         may_have_run
             || self.charge.as_ref().is_some_and(Charge::is_valid)
-            || ask(edge, call).is_none()
+            || call.workspace.as_ref().is_none_or(|workspace| workspace.cap.is_none())
     }
 
     /// Records that an attempt begins. One without a grant is charged now.
@@ -108,18 +107,17 @@
     let workspace = call.workspace.as_ref()?;
     let cap = workspace.cap?;
     let cost = cap.cost(call.head.prompt_tokens.saturating_add(call.head.output_tokens_max));
-    let share = quota::share(cap, &edge.bounds().quota);
-    Some(Ask::new(&workspace.name, cost, call.config, share))
+    Some(edge.quota.ask(&workspace.name, cap, cost, call.config, &edge.bounds().quota))
 }
 
 /// Logs a refusal with the levels that it is based on, and their ages.
 fn log_refusal(edge: &Edge, call: &Call, cost: u64, retry_after: Option<Duration>) {
     let workspace = call.workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
-    let slots = slots_of(workspace);
-    let levels = slots.map(|slot| match edge.quota.known_level(workspace, slot) {
-        Some((level, age)) => format!("{slot}: {level:.0} ({} ms ago)", millis(age)),
-        None => format!("{slot}: unknown"),
-    });
+    let levels =
+        edge.quota.slots_of(workspace).map(|slot| match edge.quota.known_level(workspace, slot) {
+            Some((level, age)) => format!("{slot}: {level:.0} ({} ms ago)", millis(age)),
+            None => format!("{slot}: unknown"),
+        });
     let now = edge.timer.now_including_suspend();
     let view_age = edge.store_view().age(now).map(millis).unwrap_or_default();
     let text = if retry_after.is_some() { "above the usage cap" } else { "usage cap not checked" };
--- a/crates/lw-edge/src/state/keys.rs
+++ b/crates/lw-edge/src/state/keys.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use lw_limit::quota::SLOTS;
 use lw_order::handover::{IssuerRecord, LastOrder};
 use lw_quarantine::SegmentSet;
 use lw_types::prelude::*;
@@ -30,6 +31,13 @@
     format!("{QUOTA_PREFIX}{slot:02}")
 }
 
+/// Returns the quota slot that a key belongs to.
+#[must_use]
+pub fn quota_slot(key: &str) -> Option<u8> {
+    let slot = key.strip_prefix(QUOTA_PREFIX)?.parse().ok()?;
+    (slot < SLOTS && quota(slot) == key).then_some(slot)
+}
+
 /// Store key of [`QuotaEra`], which is written without a lease.
 pub const QUOTA_ERA: &str = "lavenderwood/quota-era";
 
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -3,9 +3,11 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use lw_catalog::{Catalog, Directory};
+use lw_limit::quota::SLOTS;
 use lw_types::prelude::*;
 
 use super::keys::{self, SettledEra, VmEntry};
+use crate::quota::SlotEntry;
 
 /// Age of the view up to which the keys in it are used, as a fraction of the time in which a revoked key must be
 /// refused. The remainder covers clocks that run at different rates.
@@ -49,6 +51,8 @@
     /// The registered upstreams.
     pub directory: Directory,
     router_items: HashMap<String, RouterItem>,
+    /// Decoded values of the keys of quota slots.
+    quota_slots: [Option<SlotEntry>; SLOTS as usize],
     vms: HashMap<VmId, (VmEntry, Revision)>,
     vms_max: usize,
     /// Era of the store that was read last, and when it was first read.
@@ -166,6 +170,10 @@
             }
             return;
         }
+        if let Some(slot) = keys::quota_slot(key) {
+            let decode = |item: &RouterItem| serde_json::from_slice(&item.value).ok();
+            self.quota_slots[usize::from(slot)] = item.as_ref().and_then(decode);
+        }
         match item {
             Some(item) => {
                 let same = self.router_items.get(key).filter(|old| old.revision == item.revision);
@@ -185,9 +193,24 @@
             item.revision = 0;
         }
         self.router_items.retain(|key, _| is_listed(key) || key == keys::PEER_KEY);
+        for (slot, entry) in (0..SLOTS).zip(&mut self.quota_slots) {
+            entry.take_if(|_| !is_listed(&keys::quota(slot)));
+        }
         self.vms.retain(|vm, _| is_listed(&format!("{}{vm}", keys::VM_PREFIX)));
     }
 
+    /// Returns the value of the key of a quota slot, if there is one that can be decoded.
+    #[must_use]
+    pub fn quota_slot(&self, slot: u8) -> Option<&SlotEntry> {
+        self.quota_slots.get(usize::from(slot))?.as_ref()
+    }
+
+    /// Returns the entry of a registered VM.
+    #[must_use]
+    pub fn vm(&self, vm: &str) -> Option<&VmEntry> {
+        self.vms.get(vm).map(|(entry, _)| entry)
+    }
+
     /// Returns the registered VMs.
     pub fn vms(&self) -> impl Iterator<Item = (&VmId, &VmEntry)> {
         self.vms.iter().map(|(vm, (entry, _))| (vm, entry))
--- a/crates/lw-edge/tests/quota.rs
+++ b/crates/lw-edge/tests/quota.rs
@@ -16,10 +16,12 @@
 use lw_edge::{
     quota::{self, Outcome, Quota, Route},
     run::Vm,
+    state::{RouterItem, StoreView, keys},
 };
 use lw_limit::quota::{
     keeper::{Fleet, Lease, SlotWrite},
     requester::Ask,
+    slots_of,
 };
 use lw_standin::hosted::caller::OTHER_KEY;
 use lw_types::prelude::*;
@@ -172,7 +174,13 @@
     let catalog = edge.store_view().catalog().expect("a configuration");
     let (workspace, cap) = catalog.capped_workspaces().next().expect("a cap");
     let share = quota::share(cap, &edge.bounds().quota);
-    let ask = Ask::new(&workspace.name, u64::from(COST), catalog.version, share);
+    let ask = Ask::new(
+        &workspace.name,
+        slots_of(&workspace.name),
+        u64::from(COST),
+        catalog.version,
+        share,
+    );
     match quota.acquire(ask, |_| Route::NoHolder).await {
         Outcome::Admitted(_) | Outcome::Refused { .. } => true,
         Outcome::Unavailable => false,
@@ -202,7 +210,7 @@
     let quota = Quota::default();
     let cap = UsageCap { rate: 1_000.0, burst: 1_000.0, unit: UsageUnit::Requests };
     let share = quota::share(cap, &QuotaBounds::default());
-    let ask = Ask::new("station", 1, 1, share);
+    let ask = Ask::new("station", slots_of("station"), 1, 1, share);
     let slots: Vec<_> = ask.charges(1).map(|claim| claim.slot).collect();
     assert_eq!(slots.len(), 2);
     for held in slots {
@@ -218,6 +226,30 @@
     }
 }
 
+/// Guards against a table of holders that does not follow the view of the store.
+#[test]
+fn the_view_of_the_store_has_the_slots_that_their_keys_state() {
+    let mut view = StoreView::new(ms(1_000));
+    let key = keys::quota(7);
+    let item = |value: &str| {
+        Some(RouterItem { value: value.as_bytes().to_vec(), revision: 1, read_at: ms(1) })
+    };
+    let holder = |view: &StoreView| view.quota_slot(7).and_then(|entry| entry.holder.clone());
+    view.set_router_item(&key, item(r#"{"holder":"vm-1"}"#));
+    assert_eq!(holder(&view).as_deref(), Some("vm-1"));
+    view.retain_router_items(|listed| listed == key);
+    assert_eq!(holder(&view).as_deref(), Some("vm-1"));
+    view.set_router_item(&key, item("{"));
+    assert_eq!(holder(&view), None);
+    view.set_router_item(&key, item(r#"{"holder":"vm-2"}"#));
+    view.set_router_item(&key, None);
+    assert_eq!(holder(&view), None);
+    view.set_router_item(&key, item(r#"{"holder":"vm-2"}"#));
+    view.retain_router_items(|_| false);
+    assert_eq!(holder(&view), None);
+    assert_eq!((view.quota_slot(6), view.quota_slot(24)), (None, None));
+}
+
 #[tokio::test]
 async fn without_caps_there_are_no_messages_and_no_keys() {
     let simulation = Simulation::start().await;
--- a/crates/lw-limit/src/quota/holder.rs
+++ b/crates/lw-limit/src/quota/holder.rs
@@ -82,6 +82,8 @@
     buckets: HashMap<WorkspaceId, Bucket>,
     /// Grants that can still be returned, by number.
     grants: HashMap<u64, Granted>,
+    /// When they were made, with their numbers, oldest first.
+    grant_times: VecDeque<(Now, u64)>,
 }
 
 #[derive(Debug)]
@@ -216,6 +218,7 @@
                 share.inspect(|share| bucket.set_share(now, **share)).is_some()
             });
             slot.grants.clear();
+            slot.grant_times.clear();
         }
         (self.shares, self.config) = (shares, config);
     }
@@ -245,6 +248,7 @@
             former_levels: levels,
             buckets: HashMap::new(),
             grants: HashMap::new(),
+            grant_times: VecDeque::new(),
         };
         self.slots.insert(slot, slot_state);
     }
@@ -306,7 +310,7 @@
             let is_removed = self.config >= claim.config;
             return if is_removed { Reply::Granted { level: 0.0 } } else { Reply::NotHolder };
         };
-        slot.grants.retain(|_, grant| now < grant.at + RETURN_TIME);
+        slot.remove_expired(now);
         let is_repeated = slot.grants.contains_key(&claim.number);
         let bucket = slot.bucket(now, &claim.workspace, *share);
         if is_repeated {
@@ -317,6 +321,7 @@
             let index = bucket.grant_count;
             let (workspace, cost) = (claim.workspace.clone(), claim.cost);
             slot.grants.insert(claim.number, Granted { workspace, cost, at: now, index });
+            slot.grant_times.push_back((now, claim.number));
         }
         reply
     }
@@ -339,6 +344,19 @@
 }
 
 impl Slot {
+    /// Removes the grants that cannot be returned any more.
+    fn remove_expired(&mut self, now: Now) {
+        while let Some(&(at, number)) = self.grant_times.front()
+            && now >= at + RETURN_TIME
+        {
+            self.grant_times.pop_front();
+            // One that was returned may have been made again later.
+            if self.grants.get(&number).is_some_and(|grant| grant.at == at) {
+                self.grants.remove(&number);
+            }
+        }
+    }
+
     /// Returns the bucket of a workspace as of now.
     fn bucket(&mut self, now: Now, workspace: &str, share: Share) -> &mut Bucket {
         let (taken_at, former) = (self.taken_at, self.former_levels.get(workspace));
--- a/crates/lw-limit/src/quota/requester.rs
+++ b/crates/lw-limit/src/quota/requester.rs
@@ -7,7 +7,6 @@
 use super::{
     GRANT_TIME, LAST_REPLY_TIMEOUT, REPLY_TIMEOUT, Share,
     holder::{Claim, Reply, Return},
-    slots_of,
 };
 
 /// Time for which an unused grant is kept for another request before it is returned.
@@ -99,10 +98,16 @@
 }
 
 impl Ask {
-    /// Returns the request of a cost.
+    /// Returns the request of a cost. `slots` are those of the workspace, as [`super::slots_of`] returns them.
     #[must_use]
-    pub fn new(workspace: &str, cost: u64, config: ConfigVersion, share: Share) -> Self {
-        let (workspace, slots) = (workspace.to_owned(), slots_of(workspace));
+    pub fn new(
+        workspace: &str,
+        slots: [u8; 2],
+        cost: u64,
+        config: ConfigVersion,
+        share: Share,
+    ) -> Self {
+        let workspace = workspace.to_owned();
         let mut ask = Self {
             workspace,
             cost,
--- a/crates/lw-limit/tests/quota_caps.rs
+++ b/crates/lw-limit/tests/quota_caps.rs
@@ -98,7 +98,7 @@
 /// Guards against a further attempt that is not charged since the first slot has no holder.
 #[test]
 fn a_further_attempt_can_be_charged_to_each_slot() {
-    let ask = Ask::new("station", 700, 1, HIGH);
+    let ask = Ask::new("station", slots_of("station"), 700, 1, HIGH);
     let charges: Vec<_> = ask.charges(3).map(|claim| (claim.slot, claim.cost)).collect();
     assert_eq!(charges, slots_of("station").map(|slot| (slot, 700)));
 }
--- a/crates/lw-limit/tests/quota_fleet/callers.rs
+++ b/crates/lw-limit/tests/quota_fleet/callers.rs
@@ -12,7 +12,8 @@
             return self.record_run(call, Duration::ZERO);
         };
         let share = Share::new(cap, &self.options.rule);
-        let ask = Ask::new(&name(call.workspace), call.cost, view.config, share);
+        let workspace = name(call.workspace);
+        let ask = Ask::new(&workspace, slots_of(&workspace), call.cost, view.config, share);
         let number = self.rng.u64(..);
         self.vms[vm].waiting.insert(number, (ask, call));
         self.step(vm, number);
--- a/crates/lw-limit/tests/quota_fleet/handover.rs
+++ b/crates/lw-limit/tests/quota_fleet/handover.rs
@@ -157,7 +157,8 @@
     let (mut now, mut number) = (ms(0), 0);
     let rule = Rule { window: ms(8_000), overshoot: 0.1, slack: None };
     let share = Share::new(Cap { rate: 47_000.0, burst: 47_000.0 }, &rule);
-    let (mut requester, mut ask) = (Requester::default(), Ask::new(WORKSPACE, 1, 1, share));
+    let (mut requester, mut ask) =
+        (Requester::default(), Ask::new(WORKSPACE, slots_of(WORKSPACE), 1, 1, share));
     loop {
         number += 1;
         match requester.decide(now, &mut ask, number) {
@@ -191,7 +192,8 @@
 fn a_request_whose_holders_are_silent_does_not_wait() {
     let rule = Rule { window: ms(8_000), overshoot: 0.1, slack: None };
     let share = Share::new(Cap { rate: 47_000.0, burst: 47_000.0 }, &rule);
-    let (mut requester, mut ask) = (Requester::default(), Ask::new(WORKSPACE, 1, 1, share));
+    let (mut requester, mut ask) =
+        (Requester::default(), Ask::new(WORKSPACE, slots_of(WORKSPACE), 1, 1, share));
     assert!(matches!(requester.decide(ms(0), &mut ask, 1), Decision::Ask(_)));
     assert!(matches!(requester.decide(ms(25), &mut ask, 2), Decision::Ask(_)));
     assert_eq!(requester.decide(ms(175), &mut ask, 3), Decision::Unavailable);
