lw-limit: the two quota slots of a workspace have different holders

Cause: slots and VMs were chosen independently, so that one VM could hold both slots of a workspace. The loss of this VM left the workspace without grants for 4 s.

The proof in quota/mod.rs does not depend on who holds a slot. VMs of a build with the former choice of slots must not run beside these, since both would grant the whole cap.

--- a/crates/lw-limit/src/quota/mod.rs
+++ b/crates/lw-limit/src/quota/mod.rs
@@ -1,7 +1,7 @@
 //! Usage caps of workspaces over all VMs: token buckets at a few VMs, which grant the others each request.
 //!
 //! There are [`SLOTS`] quota slots. One VM, the *holder*, owns a slot by a key in the store. Each capped workspace uses the
-//! token buckets of two slots; a VM with a request asks one of the two holders for its cost. [`holder`] decides what is
+//! token buckets of two slots, which have different holders where there are two VMs; a VM with a request asks one of the two holders for its cost. [`holder`] decides what is
 //! granted, [`requester`] which holder is asked and what is done with the reply, [`ownership`] which VM takes a slot, and [`keeper`] by which writes
 //! to the store.
 //!
@@ -36,7 +36,7 @@
 //!
 //! A further attempt of a request that may have run is charged without a decision, and may take the level below *-D*.
 
-use std::{cmp::Reverse, time::Duration};
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -47,6 +47,8 @@
 
 /// Number of quota slots.
 pub const SLOTS: u8 = 24;
+/// Number of the slots of the first half.
+const HALF: u8 = SLOTS / 2;
 /// Time from the sending of a request for a grant until which the grant may be used.
 pub const GRANT_TIME: Duration = Duration::from_millis(500);
 /// Time within which a request that was sent is at its engine.
@@ -140,7 +142,8 @@
     }
 }
 
-/// Returns the slots of a workspace, of which it uses as many as its share states.
+/// Returns the slots of a workspace, one of each half, of which it uses as many as its share states. VMs rank first for the
+/// slots of one half only, so that the two have different holders.
 ///
 /// ```
 /// let [first, second] = lw_limit::quota::slots_of("station");
@@ -148,9 +151,10 @@
 /// ```
 #[must_use]
 pub fn slots_of(workspace: &str) -> [u8; 2] {
-    let mut slots: Vec<u8> = (0..SLOTS).collect();
-    slots.sort_by_key(|slot| Reverse(rendezvous_hash(*slot, workspace)));
-    [slots[0], slots[1]]
+    let first_of = |slots: std::ops::Range<u8>| {
+        slots.max_by_key(|slot| rendezvous_hash(*slot, workspace)).unwrap_or_default()
+    };
+    [first_of(0..HALF), first_of(HALF..SLOTS)]
 }
 
 fn rendezvous_hash(slot: u8, name: &str) -> u64 {
