lw-limit: a quota slot whose key cannot be decoded is taken again

Cause: the key of such a slot counted as another VM's for ever, so that nobody held the slot until an operator removed the key.

Change: when a VM has seen the value for the lifetime of a lease, the slot counts as free, without levels. Its former holder sees the later revision and stops; one that is cut from the store cannot renew its lease. The view of the store logs a value that cannot be decoded.

--- a/crates/lw-edge/src/run/quota.rs
+++ b/crates/lw-edge/src/run/quota.rs
@@ -14,7 +14,7 @@
     quota::SlotEntry,
     register::{self, Registered},
     state::{
-        Edge, StoreView,
+        Edge, RouterItem, StoreView,
         keys::{self, QuotaEra},
     },
 };
@@ -76,9 +76,9 @@
     }
     let items: HashMap<_, _> = (0..SLOTS)
         .filter_map(|slot| {
-            let item = view.router_item(&keys::quota(slot))?;
+            let &RouterItem { revision, read_at, .. } = view.router_item(&keys::quota(slot))?;
             let value = view.quota_slot(slot).cloned().map(SlotValue::from);
-            Some((slot, SlotItem { revision: item.revision, value }))
+            Some((slot, SlotItem { revision, value, read_at }))
         })
         .collect();
     let lease_time = register::LEASE_TIME.max(bounds.lease_min);
@@ -88,6 +88,7 @@
         era: view.era().unwrap_or_default(),
         recorded_era: recorded_era(&view),
         former_leases_end: view.former_leases_end_at(lease_time),
+        lease_time,
         is_current: view.is_settled() && view.has_been_current(),
         lease: registered.map(|Registered { lease, valid_until }| Lease {
             id: lease.id,
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -171,7 +171,17 @@
             return;
         }
         if let Some(slot) = keys::quota_slot(key) {
-            let decode = |item: &RouterItem| serde_json::from_slice(&item.value).ok();
+            let decode = |item: &RouterItem| {
+                let former = self.router_items.get(key).map(|former| former.revision);
+                let entry = serde_json::from_slice(&item.value);
+                let log_error = |e: &serde_json::Error| {
+                    if former != Some(item.revision) {
+                        log::warn!(target: "quota", key = key, revision = item.revision,
+                            why = e.to_string(); "unreadable key of a quota slot");
+                    }
+                };
+                entry.inspect_err(log_error).ok()
+            };
             self.quota_slots[usize::from(slot)] = item.as_ref().and_then(decode);
         }
         match item {
--- a/crates/lw-edge/tests/quota.rs
+++ b/crates/lw-edge/tests/quota.rs
@@ -159,6 +159,7 @@
         era: 0,
         recorded_era: Some(0),
         former_leases_end: None,
+        lease_time: ms(4_000),
         is_current: true,
         lease: Some(Lease { id: 1, era: 0, valid_until: Now::MAX }),
         items: &HashMap::new(),
@@ -250,6 +251,17 @@
     assert_eq!((view.quota_slot(6), view.quota_slot(24)), (None, None));
 }
 
+/// Guards against a slot that is lost for good by a value that cannot be decoded.
+#[tokio::test]
+async fn a_slot_whose_key_was_overwritten_is_taken_again() {
+    let simulation = start_capped().await;
+    let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+    simulation.store.put_bytes(&keys::quota(3), b"{");
+    simulation.wait_until("the slot is lost", async |_| edge.quota.slot_count() == 23).await;
+    simulation.wait_until("the slot is taken", async |_| edge.quota.slot_count() == 24).await;
+    assert_eq!(slots_in_store(&simulation, "vm-1").len(), 24);
+}
+
 #[tokio::test]
 async fn without_caps_there_are_no_messages_and_no_keys() {
     let simulation = Simulation::start().await;
--- a/crates/lw-limit/src/quota/keeper.rs
+++ b/crates/lw-limit/src/quota/keeper.rs
@@ -32,8 +32,10 @@
 pub struct SlotItem {
     /// Its revision, which is 0 if it was read in an earlier era.
     pub revision: Revision,
-    /// Its value, if it can be read.
+    /// Its value, if it can be decoded.
     pub value: Option<SlotValue>,
+    /// When this VM first read this revision.
+    pub read_at: Now,
 }
 
 /// The lease of a VM's registration.
@@ -60,6 +62,8 @@
     pub recorded_era: Option<Era>,
     /// When all leases of earlier eras have ended.
     pub former_leases_end: Option<Now>,
+    /// Longest lifetime of a lease that is not renewed.
+    pub lease_time: Duration,
     /// Whether this VM's view of the store is current.
     pub is_current: bool,
     /// Lease of this VM's registration; none if it is lost.
@@ -257,7 +261,7 @@
     /// Releases the slots whose keys name this VM although it does not hold them: the outcome of its write is unknown, or a
     /// former process of the same name held them. The next holder starts at the lowest levels.
     fn release_unheld(&mut self, fleet: &Fleet<'_>) {
-        for (slot, SlotItem { revision, value }) in fleet.items {
+        for (slot, SlotItem { revision, value, .. }) in fleet.items {
             let holder = value.as_ref().and_then(|value| value.holder.as_deref());
             if holder == Some(fleet.own) && self.holder.revision(*slot).is_none() {
                 let (revision, levels) = (*revision, BTreeMap::new());
@@ -304,6 +308,9 @@
                 }
                 Some(None) => SlotKey::Free,
                 Some(Some(holder)) if holder == fleet.own => SlotKey::Own,
+                // A former holder sees a later revision of its key and stops. One that is cut from the store, so that it does not
+                // see it, cannot renew its lease.
+                None if now >= item.read_at + fleet.lease_time => SlotKey::Free,
                 Some(Some(_)) | None => SlotKey::Other,
             }
         };
--- a/crates/lw-limit/tests/quota_fleet/handover.rs
+++ b/crates/lw-limit/tests/quota_fleet/handover.rs
@@ -1,5 +1,7 @@
 //! Guards against slots whose keys still name a VM that has left as planned: nobody else can take them until its lease ends.
 
+use lw_limit::quota::keeper::SlotItem;
+
 use super::*;
 
 const OWN: &str = "vm-1";
@@ -11,6 +13,8 @@
     store: Store,
     keeper: Keeper,
     lease: Lease,
+    /// Slot, revision and time of reading of a key that cannot be decoded.
+    unreadable: Option<(u8, Revision, Now)>,
 }
 
 impl Holding {
@@ -35,18 +39,22 @@
         let rule = Rule { window: ms(8_000), overshoot: 0.1, slack: Some(190_000.0) };
         let share = Share::new(Cap { rate: 47_000.0, burst: 47_000.0 }, &rule);
         keeper.configure(now, 1, HashMap::from([(WORKSPACE.to_owned(), share)]));
-        Self { now, store, keeper, lease }
+        Self { now, store, keeper, lease, unreadable: None }
     }
 
     fn update(&mut self) -> Option<SlotWrite> {
         self.now += ms(50);
-        let view = self.store.read(self.now);
+        let mut view = Snapshot::clone(&self.store.read(self.now));
+        if let Some((slot, revision, read_at)) = self.unreadable {
+            view.items.insert(slot, SlotItem { revision, value: None, read_at });
+        }
         let fleet = Fleet {
             own: OWN,
             vms: &[OWN],
             era: view.era,
             recorded_era: view.recorded_era,
             former_leases_end: Some(Now::ZERO),
+            lease_time: LEASE_TIME,
             is_current: true,
             lease: Some(self.lease),
             items: &view.items,
@@ -152,6 +160,27 @@
     }
 }
 
+/// Guards against a slot that nobody can take any more since the value of its key cannot be decoded, and against one that is
+/// taken while its former holder may still grant.
+#[test]
+fn a_slot_whose_key_cannot_be_decoded_is_taken_when_all_leases_have_ended() {
+    let mut holding = Holding::new();
+    let broken_at = holding.now + ms(20);
+    holding.unreadable = Some((5, 1_000, broken_at));
+    assert_eq!(holding.update(), None);
+    assert!(holding.keeper.holder.revision(5).is_none(), "it grants on a key that was overwritten");
+    loop {
+        assert!(holding.now <= broken_at + LEASE_TIME + ms(500), "not taken");
+        holding.lease.valid_until = holding.now + LEASE_TIME;
+        let Some(write) = holding.update() else { continue };
+        assert!(holding.now >= broken_at + LEASE_TIME, "taken at {:?}", holding.now);
+        let slots: Vec<_> =
+            write.entries.iter().map(|(slot, revision, _)| (*slot, *revision)).collect();
+        assert_eq!(slots, [(5, 1_000)]);
+        break;
+    }
+}
+
 /// Returns the decision on a request whose slots have no holder until `held_at`, and when it was made.
 fn decide(held_at: Now) -> (Decision, Now) {
     let (mut now, mut number) = (ms(0), 0);
--- a/crates/lw-limit/tests/quota_fleet/keep.rs
+++ b/crates/lw-limit/tests/quota_fleet/keep.rs
@@ -35,6 +35,7 @@
             era: view.era,
             recorded_era: view.recorded_era,
             former_leases_end: Some(state.era_since + LEASE_TIME),
+            lease_time: LEASE_TIME,
             is_current: true,
             lease: state.lease,
             items: &view.items,
--- a/crates/lw-limit/tests/quota_fleet/store.rs
+++ b/crates/lw-limit/tests/quota_fleet/store.rs
@@ -53,7 +53,7 @@
         }
         let slots = self.contents.slots.iter();
         let items = slots.map(|(slot, (value, revision, _))| {
-            (*slot, SlotItem { revision: *revision, value: Some(value.clone()) })
+            (*slot, SlotItem { revision: *revision, value: Some(value.clone()), read_at: now })
         });
         let mut vms: Vec<_> = self.contents.leases.values().map(|(vm, _)| vm.clone()).collect();
         vms.sort_unstable();
