lw-edge: callers return when quota slots are held again

Cause: a request whose cap could not be checked got a retry time of 0.3 s also while no VM may take the slots, for 4 s after a fleet starts or the store returns from an older copy. Its callers returned for nothing.

Change: the keeper states when slots may be taken: after the leases of former eras, or of a key that cannot be decoded. The retry time is 0.3 s after that. Where holders do not reply, the time is not known and stays 0.3 s, since the caller may reach another VM.

--- a/crates/lw-edge/src/quota/mod.rs
+++ b/crates/lw-edge/src/quota/mod.rs
@@ -28,6 +28,10 @@
 
 pub use wire::{ClaimWire, QuotaNotice, ReplyWire, ReturnWire, SlotEntry};
 
+/// Time in which a VM takes a slot once it may. It is also the time after which a caller returns, probably at another VM,
+/// if the holders do not reply to this one.
+const TAKING_TIME: Duration = Duration::from_millis(300);
+
 /// Usage caps as one VM enforces them: the slots that it holds, and its requests for grants.
 #[derive(Debug, Default)]
 pub struct Quota {
@@ -75,7 +79,10 @@
         retry_after: Duration,
     },
     /// No holder replied.
-    Unavailable,
+    Unavailable {
+        /// Time until a slot is held again, as far as it is known.
+        retry_after: Duration,
+    },
 }
 
 /// A request while it asks for its grant. If it is dropped, a grant that still arrives is given back.
@@ -155,7 +162,10 @@
             let claim = match decision {
                 Decision::Admitted(grant) => return Outcome::Admitted(grant),
                 Decision::Refused { retry_after } => return Outcome::Refused { retry_after },
-                Decision::Unavailable => return Outcome::Unavailable,
+                Decision::Unavailable => {
+                    let retry_after = self.time_until_held(now, asking.ask.slots());
+                    return Outcome::Unavailable { retry_after };
+                }
                 Decision::Wait(pause) => {
                     tokio::time::sleep(pause).await;
                     continue;
@@ -200,6 +210,13 @@
         self.lock().keeper.holder.decide(now, claim)
     }
 
+    /// Returns the time until one of these slots is held again, as far as it is known.
+    fn time_until_held(&self, now: Now, slots: &[u8]) -> Duration {
+        let state = self.lock();
+        let times = slots.iter().map(|slot| state.keeper.time_until_taken(now, *slot));
+        times.min().unwrap_or_default() + TAKING_TIME
+    }
+
     /// Whether this VM holds a slot.
     #[must_use]
     pub fn is_holding(&self, slot: u8) -> bool {
--- a/crates/lw-edge/src/serve/quota.rs
+++ b/crates/lw-edge/src/serve/quota.rs
@@ -18,9 +18,6 @@
     state::Edge,
 };
 
-/// `retry-after` of a request whose cap cannot be checked. Its caller returns at another VM, which may reach the holders.
-const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(300);
-
 /// The charges of one request to the usage cap of its workspace.
 #[derive(Debug)]
 pub(super) struct Usage {
@@ -62,15 +59,15 @@
             }
             Outcome::Refused { retry_after } => {
                 metrics::increment(&edge.metrics.quota, "refused");
-                log_refusal(edge, call, cost, Some(retry_after));
+                log_refusal(edge, call, cost, true, retry_after);
                 let text = "the workspace is above its usage cap";
                 Err(Failure::new(ResultCode::WorkspaceLimit, text).retry_after(retry_after))
             }
-            Outcome::Unavailable => {
+            Outcome::Unavailable { retry_after } => {
                 metrics::increment(&edge.metrics.quota, "unavailable");
-                log_refusal(edge, call, cost, None);
+                log_refusal(edge, call, cost, false, retry_after);
                 let text = "the usage cap of the workspace cannot be checked";
-                Err(Failure::new(ResultCode::NotReady, text).retry_after(RETRY_AFTER_UNAVAILABLE))
+                Err(Failure::new(ResultCode::NotReady, text).retry_after(retry_after))
             }
         }
     }
@@ -111,7 +108,7 @@
 }
 
 /// Logs a refusal with the levels that it is based on, and their ages.
-fn log_refusal(edge: &Edge, call: &Call, cost: u64, retry_after: Option<Duration>) {
+fn log_refusal(edge: &Edge, call: &Call, cost: u64, is_above: bool, retry_after: Duration) {
     let workspace = call.workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
     let levels =
         edge.quota.slots_of(workspace).map(|slot| match edge.quota.known_level(workspace, slot) {
@@ -120,8 +117,8 @@
         });
     let now = edge.timer.now_including_suspend();
     let view_age = edge.store_view().age(now).map(millis).unwrap_or_default();
-    let text = if retry_after.is_some() { "above the usage cap" } else { "usage cap not checked" };
+    let text = if is_above { "above the usage cap" } else { "usage cap not checked" };
     log::info!(target: "quota", request = call.head.request.as_str(), workspace = workspace,
         cost = cost, levels = levels.join(", "), config = call.config, known_ms = view_age,
-        retry_after_ms = retry_after.map(millis).unwrap_or_default(); "{text}");
+        retry_after_ms = millis(retry_after); "{text}");
 }
--- a/crates/lw-edge/tests/quota.rs
+++ b/crates/lw-edge/tests/quota.rs
@@ -31,14 +31,18 @@
 const RATE: u32 = 20_000;
 const COST: u32 = 1_220;
 
-/// Starts a VM with a cap, and waits until it holds the slots: all leases of an earlier era might exist for 4 s.
-async fn start_capped() -> Simulation {
-    let simulation = Simulation::start().await;
+fn put_cap(simulation: &Simulation) {
     let mut config = config(4);
     config["Tenants"][0]["RatePerS"] = json!(RATE);
     config["Tenants"][0]["Burst"] = json!(RATE);
     config["Tenants"][0]["Unit"] = json!("tokens");
     simulation.store.put("op/config", &config);
+}
+
+/// Starts a VM with a cap, and waits until it holds the slots: all leases of an earlier era might exist for 4 s.
+async fn start_capped() -> Simulation {
+    let simulation = Simulation::start().await;
+    put_cap(&simulation);
     let holds_slots = async |simulation: &Simulation| {
         simulation.vm.as_ref().expect("the VM runs").edge.quota.slot_count() == 24
     };
@@ -184,7 +188,10 @@
     );
     match quota.acquire(ask, |_| Route::NoHolder).await {
         Outcome::Admitted(_) | Outcome::Refused { .. } => true,
-        Outcome::Unavailable => false,
+        Outcome::Unavailable { retry_after } => {
+            assert_eq!(retry_after, ms(300), "nothing is known of the time until then");
+            false
+        }
     }
 }
 
@@ -262,6 +269,29 @@
     assert_eq!(slots_in_store(&simulation, "vm-1").len(), 24);
 }
 
+/// Guards against callers that are told to return long before anybody can hold the slots.
+#[tokio::test]
+async fn callers_return_when_the_slots_are_held() {
+    let simulation = Simulation::start().await;
+    put_cap(&simulation);
+    let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+    let is_capped = async |_: &Simulation| {
+        edge.store_view().catalog().is_some_and(|catalog| catalog.version == 4)
+    };
+    simulation.wait_until("the cap is in force", is_capped).await;
+    // Until the slots have been looked at under the new configuration.
+    tokio::time::sleep(ms(200)).await;
+    assert_eq!(edge.quota.slot_count(), 0, "the leases of a former era may exist");
+    let reply = simulation.send(&request("early", "/short/x")).await.expect("an answer");
+    assert_eq!(reply.status, 503, "{}", reply.head);
+    let retry_after = reply.header("retry-after").and_then(|s| s.parse::<f64>().ok());
+    let retry_after = retry_after.expect("a time");
+    assert!((0.5..=4.4).contains(&retry_after), "{}", reply.head);
+    tokio::time::sleep(Duration::from_secs_f64(retry_after)).await;
+    // 0.3 s of the time are for the write, which takes longer beside load.
+    simulation.wait_until("the slots are taken", async |_| edge.quota.slot_count() == 24).await;
+}
+
 #[tokio::test]
 async fn without_caps_there_are_no_messages_and_no_keys() {
     let simulation = Simulation::start().await;
--- a/crates/lw-limit/src/quota/keeper.rs
+++ b/crates/lw-limit/src/quota/keeper.rs
@@ -112,6 +112,9 @@
     /// Slots that this VM does not hold any more, until the view shows a later revision of their keys.
     released: HashMap<u8, Release>,
     release_paused_until: Now,
+    /// From when on slots are taken in this era, and when certain slots are, if that is later.
+    taken_from: Now,
+    slots_taken_from: HashMap<u8, Now>,
     is_writing: bool,
     is_leaving: bool,
 }
@@ -141,13 +144,14 @@
     /// Decides which slots are taken or released now.
     pub fn update(&mut self, now: Now, fleet: &Fleet<'_>) -> Update {
         let lost = self.drop_lost(fleet);
+        self.update_times(fleet);
         let lease = fleet.lease.filter(|lease| lease.era == fleet.era && now < lease.valid_until);
         let Some(lease) = lease.filter(|_| !self.is_writing) else {
             return Update { lost, write: None };
         };
         let may_take = fleet.is_current
-            && (fleet.recorded_era == Some(fleet.era)
-                || fleet.former_leases_end.is_some_and(|end| now >= end));
+            && (fleet.recorded_era == Some(fleet.era) || fleet.former_leases_end.is_some())
+            && now >= self.taken_from;
         if self.is_leaving {
             self.release_unheld(fleet);
         }
@@ -165,6 +169,22 @@
         Update { lost, write }
     }
 
+    /// Updates when slots are taken, as far as that is known.
+    fn update_times(&mut self, fleet: &Fleet<'_>) {
+        let is_recorded = fleet.recorded_era == Some(fleet.era);
+        self.taken_from = fleet.former_leases_end.filter(|_| !is_recorded).unwrap_or(Now::ZERO);
+        let unreadable = fleet.items.iter().filter(|(_, item)| item.value.is_none());
+        self.slots_taken_from =
+            unreadable.map(|(slot, item)| (*slot, item.read_at + fleet.lease_time)).collect();
+    }
+
+    /// Returns the time until a VM may take a slot that is not held, as far as it is known, and 0 otherwise.
+    #[must_use]
+    pub fn time_until_taken(&self, now: Now, slot: u8) -> Duration {
+        let of_slot = self.slots_taken_from.get(&slot).copied().unwrap_or_default();
+        self.taken_from.max(of_slot).saturating_sub(now)
+    }
+
     /// Stops to hold the slots whose keys are not this VM's any more, and returns them.
     fn drop_lost(&mut self, fleet: &Fleet<'_>) -> Vec<u8> {
         let lease = fleet.lease.map(|lease| (lease.id, lease.era));
@@ -298,7 +318,7 @@
     ) -> Option<SlotWrite> {
         let held: Vec<_> = self.holder.slots().map(|(slot, _)| slot).collect();
         let is_held = |slot: u8| held.contains(&slot);
-        let released = &self.released;
+        let (released, taken_from) = (&self.released, &self.slots_taken_from);
         let key = |slot: u8| {
             let Some(item) = fleet.items.get(&slot) else { return SlotKey::Free };
             match item.value.as_ref().map(|value| value.holder.as_deref()) {
@@ -310,7 +330,7 @@
                 Some(Some(holder)) if holder == fleet.own => SlotKey::Own,
                 // A former holder sees a later revision of its key and stops. One that is cut from the store, so that it does not
                 // see it, cannot renew its lease.
-                None if now >= item.read_at + fleet.lease_time => SlotKey::Free,
+                None if taken_from.get(&slot).is_some_and(|from| now >= *from) => SlotKey::Free,
                 Some(Some(_)) | None => SlotKey::Other,
             }
         };
--- a/crates/lw-limit/src/quota/requester.rs
+++ b/crates/lw-limit/src/quota/requester.rs
@@ -126,11 +126,16 @@
 
     /// Asks the holders of all slots again.
     fn restart(&mut self) {
-        let count = self.share.slots.min(self.all_slots.len());
-        self.slots = self.all_slots[..count].iter().rev().copied().collect();
+        self.slots = self.slots().iter().rev().copied().collect();
         self.has_no_holder = false;
     }
 
+    /// Returns the slots whose holders may grant it.
+    #[must_use]
+    pub fn slots(&self) -> &[u8] {
+        &self.all_slots[..self.share.slots.min(self.all_slots.len())]
+    }
+
     /// Returns the cost.
     #[must_use]
     pub fn cost(&self) -> u64 {
--- a/crates/lw-limit/tests/quota_fleet/handover.rs
+++ b/crates/lw-limit/tests/quota_fleet/handover.rs
@@ -169,6 +169,9 @@
     holding.unreadable = Some((5, 1_000, broken_at));
     assert_eq!(holding.update(), None);
     assert!(holding.keeper.holder.revision(5).is_none(), "it grants on a key that was overwritten");
+    let until_taken = |slot| holding.keeper.time_until_taken(holding.now, slot);
+    assert_eq!(until_taken(5), (broken_at + LEASE_TIME).saturating_sub(holding.now));
+    assert_eq!(until_taken(4), Duration::ZERO);
     loop {
         assert!(holding.now <= broken_at + LEASE_TIME + ms(500), "not taken");
         holding.lease.valid_until = holding.now + LEASE_TIME;
