--- a/crates/lw-edge/src/peers/quota.rs
+++ b/crates/lw-edge/src/peers/quota.rs
@@ -2,45 +2,40 @@
 
 use std::net::SocketAddr;
 
-use lw_limit::quota::holder::{Claim, Return};
+use lw_limit::quota::holder::Claim;
 use lw_observe::metrics;
 
 use super::{Notice, send_to};
 use crate::{
-    quota::{ClaimWire, QuotaNotice, Route, SlotEntry},
-    state::{Edge, keys},
+    quota::{ClaimWire, QuotaNotice, Route},
+    state::Edge,
 };
 
-/// Sends a request for a grant to the holder of its slot, unless that is this VM.
+/// Sends a request for a grant to the other VM that holds its slot.
 pub(crate) fn ask_for_grant(edge: &Edge, claim: &Claim) -> Route {
-    match holder(edge, claim.slot) {
-        Holder::Own => Route::Own,
-        Holder::None => Route::NoHolder,
-        Holder::Other(addr) => {
-            let wire = ClaimWire::new(claim, edge.settings.peers);
-            send_to(edge, addr, Notice::Quota(QuotaNotice::Claim(wire)));
-            Route::Sent
-        }
-    }
+    let Some(addr) = other_holder(edge, claim.slot) else { return Route::NoHolder };
+    let wire = ClaimWire::new(claim, edge.settings.peers);
+    send_to(edge, addr, Notice::Quota(QuotaNotice::Claim(wire)));
+    Route::Sent
 }
 
-/// Charges a further attempt to a slot, without waiting.
-pub(crate) fn charge(edge: &Edge, claim: &Claim) {
-    match holder(edge, claim.slot) {
-        Holder::Own => edge.quota.charge(claim),
-        Holder::None => {}
-        Holder::Other(addr) => {
-            let wire = ClaimWire::new(claim, edge.settings.peers);
-            send_to(edge, addr, Notice::Quota(QuotaNotice::Charge(wire)));
-        }
-    }
+/// Charges a further attempt at the other VM that holds its slot, without waiting.
+pub(crate) fn charge(edge: &Edge, claim: &Claim) -> Route {
+    let Some(addr) = other_holder(edge, claim.slot) else { return Route::NoHolder };
+    let wire = ClaimWire::new(claim, edge.settings.peers);
+    send_to(edge, addr, Notice::Quota(QuotaNotice::Charge(wire)));
+    Route::Sent
 }
 
-/// Returns unused grants to the holders of their slots.
-pub(crate) fn return_grants(edge: &Edge, returns: Vec<Return>) {
-    for returned in returns {
+/// Returns the grants that are due to the holders of their slots.
+pub(crate) fn return_grants(edge: &Edge) {
+    let returns = edge.quota.returns();
+    if returns.is_empty() {
+        return;
+    }
+    for returned in edge.quota.take_back_own(returns) {
         metrics::increment(&edge.metrics.quota, "returned");
-        if let Holder::Other(addr) = holder(edge, returned.slot) {
+        if let Some(addr) = other_holder(edge, returned.slot) {
             send_to(edge, addr, Notice::Quota(QuotaNotice::Return((&returned).into())));
         }
     }
@@ -61,21 +56,12 @@
     }
 }
 
-/// The holder of a slot, as the store names it.
-enum Holder {
-    Own,
-    Other(SocketAddr),
-    None,
-}
-
-fn holder(edge: &Edge, slot: u8) -> Holder {
+/// Returns the address of the other VM that the store names as the holder of a slot.
+fn other_holder(edge: &Edge, slot: u8) -> Option<SocketAddr> {
     let view = edge.store_view();
-    let item = view.router_item(&keys::quota(slot));
-    let entry = item.and_then(|item| serde_json::from_slice::<SlotEntry>(&item.value).ok());
-    let Some(holder) = entry.and_then(|entry| entry.holder) else { return Holder::None };
-    if holder == edge.settings.vm {
-        return Holder::Own;
+    let holder = view.quota_slot(slot)?.holder.as_ref()?;
+    if *holder == edge.settings.vm {
+        return None;
     }
-    let addr = view.vms().find(|(vm, _)| **vm == holder).map(|(_, entry)| entry.addr);
-    addr.map_or(Holder::None, Holder::Other)
+    view.vm(holder).map(|entry| entry.addr)
 }
--- a/crates/lw-edge/src/quota/mod.rs
+++ b/crates/lw-edge/src/quota/mod.rs
@@ -17,6 +17,7 @@
     holder::{Claim, Reply, Return},
     keeper::Keeper,
     requester::{Ask, Decision, Grant, Requester},
+    slots_of,
 };
 use lw_transport::timer::Timer;
 use lw_types::prelude::*;
@@ -27,6 +28,10 @@
 
 pub use wire::{ClaimWire, QuotaNotice, ReplyWire, ReturnWire, SlotEntry};
 
+/// Time in which a VM takes a slot once it may. It is also the time after which a caller returns, probably at another VM,
+/// if the holders do not reply to this one.
+const TAKING_TIME: Duration = Duration::from_millis(300);
+
 /// Usage caps as one VM enforces them: the slots that it holds, and its requests for grants.
 #[derive(Debug, Default)]
 pub struct Quota {
@@ -38,17 +43,25 @@
 struct State {
     keeper: Keeper,
     requester: Requester,
-    /// Bounds that the holder's shares were computed with.
+    /// Bounds that the shares were computed with.
     bounds: Option<QuotaBounds>,
+    /// The capped workspaces of the configuration.
+    workspaces: HashMap<WorkspaceId, Capped>,
     /// Wakes the request that waits for the reply of this number.
     waiting: HashMap<u64, oneshot::Sender<()>>,
 }
 
+/// What is computed once for each capped workspace of a configuration.
+#[derive(Debug)]
+struct Capped {
+    cap: UsageCap,
+    share: Share,
+    slots: [u8; 2],
+}
+
 /// Where a request for a grant goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Route {
-    /// This VM holds the slot.
-    Own,
     /// The request was sent to the holder.
     Sent,
     /// The slot has no holder that this VM knows.
@@ -66,7 +79,10 @@
         retry_after: Duration,
     },
     /// No holder replied.
-    Unavailable,
+    Unavailable {
+        /// Time until a slot is held again, as far as it is known.
+        retry_after: Duration,
+    },
 }
 
 /// A request while it asks for its grant. If it is dropped, a grant that still arrives is given back.
@@ -109,33 +125,66 @@
         self.timer.now_including_suspend()
     }
 
-    /// Asks for a grant. `send` sends a request to the holder of its slot, unless that is this VM.
+    /// Returns the request for a grant of a cost.
+    pub fn ask(
+        &self,
+        workspace: &str,
+        cap: UsageCap,
+        cost: u64,
+        config: ConfigVersion,
+        bounds: &QuotaBounds,
+    ) -> Ask {
+        let state = self.lock();
+        let known = state.workspaces.get(workspace);
+        // The request may have come under another configuration than the one that was applied last.
+        let known = known.filter(|known| known.cap == cap && state.bounds == Some(*bounds));
+        let (slots, share) = match known {
+            Some(Capped { slots, share, .. }) => (*slots, *share),
+            None => (slots_of(workspace), share(cap, bounds)),
+        };
+        Ask::new(workspace, slots, cost, config, share)
+    }
+
+    /// Returns the slots of a workspace.
+    #[must_use]
+    pub fn slots_of(&self, workspace: &str) -> [u8; 2] {
+        let known = self.lock().workspaces.get(workspace).map(|known| known.slots);
+        known.unwrap_or_else(|| slots_of(workspace))
+    }
+
+    /// Asks for a grant. `send` sends a request to the holder of its slot. It is not called for slots that this VM holds, of
+    /// which the VM's view of the store may not show its own write yet.
     pub async fn acquire(&self, ask: Ask, send: impl Fn(&Claim) -> Route) -> Outcome {
         let mut asking = Asking { quota: self, ask, number: None };
         loop {
-            let (claim, woken) = {
-                let mut state = self.lock();
-                let now = self.now();
-                match state.requester.decide(now, &mut asking.ask, fastrand::u64(..)) {
-                    Decision::Admitted(grant) => return Outcome::Admitted(grant),
-                    Decision::Refused { retry_after } => return Outcome::Refused { retry_after },
-                    Decision::Unavailable => return Outcome::Unavailable,
-                    Decision::Ask(claim) => {
-                        let (wake, woken) = oneshot::channel();
-                        state.waiting.insert(claim.number, wake);
-                        asking.number = Some(claim.number);
-                        (claim, woken)
-                    }
+            let now = self.now();
+            let decision = self.lock().requester.decide(now, &mut asking.ask, fastrand::u64(..));
+            let claim = match decision {
+                Decision::Admitted(grant) => return Outcome::Admitted(grant),
+                Decision::Refused { retry_after } => return Outcome::Refused { retry_after },
+                Decision::Unavailable => {
+                    let retry_after = self.time_until_held(now, asking.ask.slots());
+                    return Outcome::Unavailable { retry_after };
+                }
+                Decision::Wait(pause) => {
+                    tokio::time::sleep(pause).await;
+                    continue;
                 }
+                Decision::Ask(claim) => claim,
             };
+            asking.number = Some(claim.number);
+            if self.is_holding(claim.slot) {
+                let reply = self.decide(&claim);
+                self.on_reply(claim.number, reply);
+                continue;
+            }
+            let (wake, woken) = oneshot::channel();
+            self.lock().waiting.insert(claim.number, wake);
             match send(&claim) {
                 Route::Sent => {
                     // The result is an error if no reply arrived in time.
-                    let _ = tokio::time::timeout(asking.ask.reply_timeout(), woken).await;
-                }
-                Route::Own => {
-                    let reply = self.decide(&claim);
-                    self.on_reply(claim.number, reply);
+                    let timeout = asking.ask.reply_timeout(now);
+                    let _ = tokio::time::timeout(timeout, woken).await;
                 }
                 Route::NoHolder => self.on_reply(claim.number, Reply::NotHolder),
             }
@@ -161,6 +210,36 @@
         self.lock().keeper.holder.decide(now, claim)
     }
 
+    /// Returns the time until one of these slots is held again, as far as it is known.
+    fn time_until_held(&self, now: Now, slots: &[u8]) -> Duration {
+        let state = self.lock();
+        let times = slots.iter().map(|slot| state.keeper.time_until_taken(now, *slot));
+        times.min().unwrap_or_default() + TAKING_TIME
+    }
+
+    /// Whether this VM holds a slot.
+    #[must_use]
+    pub fn is_holding(&self, slot: u8) -> bool {
+        self.lock().keeper.holder.revision(slot).is_some()
+    }
+
+    /// Charges a further attempt to the first slot that has a holder. `send` sends a charge to the holder of its slot. Without
+    /// any holder the attempt is not charged.
+    pub fn charge_further(
+        &self,
+        charges: impl Iterator<Item = Claim>,
+        send: impl Fn(&Claim) -> Route,
+    ) {
+        for claim in charges {
+            if self.is_holding(claim.slot) {
+                return self.charge(&claim);
+            }
+            if send(&claim) == Route::Sent {
+                return;
+            }
+        }
+    }
+
     /// Charges a further attempt, if this VM holds the slot.
     pub fn charge(&self, claim: &Claim) {
         let now = self.now();
--- a/crates/lw-edge/src/serve/quota.rs
+++ b/crates/lw-edge/src/serve/quota.rs
@@ -5,7 +5,6 @@
 use lw_limit::quota::{
     holder::Claim,
     requester::{Ask, Grant},
-    slots_of,
 };
 use lw_observe::logs::millis;
 use lw_observe::metrics;
@@ -15,13 +14,10 @@
 use super::Call;
 use crate::{
     peers,
-    quota::{self, Charge, Outcome},
+    quota::{Charge, Outcome},
     state::Edge,
 };
 
-/// `retry-after` of a request whose cap cannot be checked. Its caller returns at another VM, which may reach the holders.
-const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(300);
-
 /// The charges of one request to the usage cap of its workspace.
 #[derive(Debug)]
 pub(super) struct Usage {
@@ -48,6 +44,11 @@
             return Ok(());
         }
         let Some(ask) = ask(edge, call) else { return Ok(()) };
+        if let Some(expired) = self.charge.take() {
+            // It has to count again before the request asks for the same cost.
+            drop(expired);
+            peers::return_grants(edge);
+        }
         let cost = ask.cost();
         let send = |claim: &Claim| peers::ask_for_grant(edge, claim);
         match edge.quota.acquire(ask, send).await {
@@ -58,24 +59,24 @@
             }
             Outcome::Refused { retry_after } => {
                 metrics::increment(&edge.metrics.quota, "refused");
-                log_refusal(edge, call, cost, Some(retry_after));
+                log_refusal(edge, call, cost, true, retry_after);
                 let text = "the workspace is above its usage cap";
                 Err(Failure::new(ResultCode::WorkspaceLimit, text).retry_after(retry_after))
             }
-            Outcome::Unavailable => {
+            Outcome::Unavailable { retry_after } => {
                 metrics::increment(&edge.metrics.quota, "unavailable");
-                log_refusal(edge, call, cost, None);
+                log_refusal(edge, call, cost, false, retry_after);
                 let text = "the usage cap of the workspace cannot be checked";
-                Err(Failure::new(ResultCode::NotReady, text).retry_after(RETRY_AFTER_UNAVAILABLE))
+                Err(Failure::new(ResultCode::NotReady, text).retry_after(retry_after))
             }
         }
     }
 
     /// Whether the next attempt may begin without a further grant.
-    pub fn is_ready(&self, edge: &Edge, call: &Call, may_have_run: bool) -> bool {
+    pub fn is_ready(&self, call: &Call, may_have_run: bool) -> bool {
         may_have_run
             || self.charge.as_ref().is_some_and(Charge::is_valid)
-            || ask(edge, call).is_none()
+            || call.workspace.as_ref().is_none_or(|workspace| workspace.cap.is_none())
     }
 
     /// Records that an attempt begins. One without a grant is charged now.
@@ -85,7 +86,8 @@
             && let Some(ask) = ask(edge, call)
         {
             metrics::increment(&edge.metrics.quota, "charged");
-            peers::charge(edge, &ask.charge(fastrand::u64(..)));
+            let charges = ask.charges(fastrand::u64(..));
+            edge.quota.charge_further(charges, |claim| peers::charge(edge, claim));
         }
     }
 
@@ -102,22 +104,21 @@
     let workspace = call.workspace.as_ref()?;
     let cap = workspace.cap?;
     let cost = cap.cost(call.head.prompt_tokens.saturating_add(call.head.output_tokens_max));
-    let share = quota::share(cap, &edge.bounds().quota);
-    Some(Ask::new(&workspace.name, cost, call.config, share))
+    Some(edge.quota.ask(&workspace.name, cap, cost, call.config, &edge.bounds().quota))
 }
 
 /// Logs a refusal with the levels that it is based on, and their ages.
-fn log_refusal(edge: &Edge, call: &Call, cost: u64, retry_after: Option<Duration>) {
+fn log_refusal(edge: &Edge, call: &Call, cost: u64, is_above: bool, retry_after: Duration) {
     let workspace = call.workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
-    let slots = slots_of(workspace);
-    let levels = slots.map(|slot| match edge.quota.known_level(workspace, slot) {
-        Some((level, age)) => format!("{slot}: {level:.0} ({} ms ago)", millis(age)),
-        None => format!("{slot}: unknown"),
-    });
+    let levels =
+        edge.quota.slots_of(workspace).map(|slot| match edge.quota.known_level(workspace, slot) {
+            Some((level, age)) => format!("{slot}: {level:.0} ({} ms ago)", millis(age)),
+            None => format!("{slot}: unknown"),
+        });
     let now = edge.timer.now_including_suspend();
     let view_age = edge.store_view().age(now).map(millis).unwrap_or_default();
-    let text = if retry_after.is_some() { "above the usage cap" } else { "usage cap not checked" };
+    let text = if is_above { "above the usage cap" } else { "usage cap not checked" };
     log::info!(target: "quota", request = call.head.request.as_str(), workspace = workspace,
         cost = cost, levels = levels.join(", "), config = call.config, known_ms = view_age,
-        retry_after_ms = retry_after.map(millis).unwrap_or_default(); "{text}");
+        retry_after_ms = millis(retry_after); "{text}");
 }
--- a/crates/lw-limit/src/quota/holder.rs
+++ b/crates/lw-limit/src/quota/holder.rs
@@ -1,7 +1,7 @@
 //! The holder's side: the buckets of the slots that one VM holds.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -82,6 +82,8 @@
     buckets: HashMap<WorkspaceId, Bucket>,
     /// Grants that can still be returned, by number.
     grants: HashMap<u64, Granted>,
+    /// When they were made, with their numbers, oldest first.
+    grant_times: VecDeque<(Now, u64)>,
 }
 
 #[derive(Debug)]
@@ -89,55 +91,89 @@
     workspace: WorkspaceId,
     cost: u64,
     at: Now,
+    /// Number of grants of its bucket up to this one.
+    index: u64,
 }
 
 #[derive(Debug)]
 struct Bucket {
     share: Share,
     level: f64,
+    /// Debt above the limit that was left out of the level when the limit was lowered. It counts again when the limit
+    /// changes, so that limits that fall and rise again grant nothing twice.
+    excess_debt: f64,
     updated_at: Now,
     /// Units that were refused, and whose callers were told to come back, less what was refilled since.
     queued: f64,
-    /// Highest levels of the current period of [`RETURN_TIME`] and of the one before, for grants that are returned.
-    peaks: [f64; 2],
-    /// When the current period began.
-    period_since: Now,
+    /// Number of grants.
+    grant_count: u64,
+    /// Highest levels after each of the grants that can still be returned. Each level is below the one before.
+    peaks: VecDeque<Peak>,
+}
+
+/// A level of a bucket that it did not exceed later.
+#[derive(Debug)]
+struct Peak {
+    level: f64,
+    at: Now,
+    /// Number of grants before.
+    grant_count: u64,
 }
 
 impl Bucket {
     fn refill(&mut self, now: Now) {
         let refilled = now.saturating_sub(self.updated_at).as_secs_f64() * self.share.rate;
         self.updated_at = now.max(self.updated_at);
-        self.level = (self.level + refilled).min(self.share.capacity);
+        let level = self.level + refilled;
+        self.level = level.min(self.share.capacity);
+        // What the level cannot take pays off the rest.
+        self.excess_debt = (self.excess_debt - (level - self.level)).max(0.0);
         self.queued = (self.queued - refilled).max(0.0);
         // Between two updates the level only rises, so that the last one is the highest.
-        let periods =
-            now.saturating_sub(self.period_since).as_secs_f64() / RETURN_TIME.as_secs_f64();
-        if periods >= 1.0 {
-            self.peaks = [self.level, if periods < 2.0 { self.peaks[0] } else { self.level }];
-            self.period_since = now;
+        self.record_peak(now);
+    }
+
+    fn record_peak(&mut self, now: Now) {
+        while self.peaks.front().is_some_and(|peak| now > peak.at + RETURN_TIME) {
+            self.peaks.pop_front();
+        }
+        while self.peaks.back().is_some_and(|peak| peak.level <= self.level) {
+            self.peaks.pop_back();
         }
-        self.peaks[0] = self.peaks[0].max(self.level);
+        let (level, grant_count) = (self.level, self.grant_count);
+        self.peaks.push_back(Peak { level, at: now, grant_count });
     }
 
-    /// Takes back units that were granted within [`RETURN_TIME`], less those that would have been lost at the capacity if they
-    /// had not been granted. Returns what counts.
-    fn take_back(&mut self, now: Now, amount: f64) -> f64 {
+    /// Takes back units of a grant that was made within [`RETURN_TIME`], less those that would have been lost at the capacity if
+    /// they had not been granted. Returns what counts.
+    fn take_back(&mut self, now: Now, amount: f64, index: u64) -> f64 {
         self.refill(now);
-        let room = self.share.capacity - self.peaks[0].max(self.peaks[1]);
-        let credit = amount.min(room).max(0.0);
+        let first = self.peaks.partition_point(|peak| peak.grant_count < index);
+        let Some(highest) = self.peaks.get(first) else { return 0.0 };
+        let credit = amount.min(self.share.capacity - highest.level).max(0.0);
         self.level += credit;
-        // The levels since the other grants would have been as much higher.
-        self.peaks = self.peaks.map(|peak| peak + credit);
+        // Without the grant, the levels since would have been as much higher.
+        self.peaks.iter_mut().skip(first).for_each(|peak| peak.level += credit);
+        let raised = self.peaks[first].level;
+        let kept = self.peaks.iter().take(first).filter(|peak| peak.level > raised).count();
+        self.peaks.drain(kept..first);
         credit
     }
 
     fn set_share(&mut self, now: Now, share: Share) {
         self.refill(now);
         self.share = share;
-        self.level = self.level.min(share.capacity);
+        let level = self.full_level().min(share.capacity);
+        self.level = level.max(-share.debt);
+        self.excess_debt = self.level - level;
         self.queued = 0.0;
-        self.peaks = [self.level; 2];
+        self.peaks.clear();
+        self.record_peak(now);
+    }
+
+    /// Returns the level with the debt that was left out.
+    fn full_level(&self) -> f64 {
+        self.level - self.excess_debt
     }
 
     /// Grants a cost, or returns how long to wait for it.
@@ -149,6 +185,8 @@
         };
         if self.level > 0.0 && self.level >= needed {
             self.level -= cost;
+            self.grant_count += 1;
+            self.record_peak(now);
             return Reply::Granted { level: self.level };
         }
         let missing = (needed - self.level).max(0.0) + self.queued;
@@ -164,8 +202,9 @@
 }
 
 impl Holder {
-    /// Applies the caps of a configuration. A lower one clips the levels. Grants that are out can no longer be returned,
-    /// since what their buckets refilled meanwhile is not known.
+    /// Applies the caps of a configuration. A lower one clips the levels, also to its limit of debts. Grants that are out can
+    /// no longer be returned, since what their buckets refilled meanwhile is not known. The buckets of caps that were removed
+    /// are dropped: the rule has no bound for any window that begins before such a cap is binding again.
     pub fn configure(
         &mut self,
         now: Now,
@@ -173,12 +212,13 @@
         shares: HashMap<WorkspaceId, Share>,
     ) {
         for slot in self.slots.values_mut() {
-            for (workspace, bucket) in &mut slot.buckets {
-                // Without a cap nothing is charged; the level is kept for the case that the cap returns.
-                let unused = Share { rate: 0.0, ..bucket.share };
-                bucket.set_share(now, shares.get(workspace).copied().unwrap_or(unused));
-            }
+            slot.former_levels.retain(|workspace, _| shares.contains_key(workspace));
+            slot.buckets.retain(|workspace, bucket| {
+                let share = shares.get(workspace);
+                share.inspect(|share| bucket.set_share(now, **share)).is_some()
+            });
             slot.grants.clear();
+            slot.grant_times.clear();
         }
         (self.shares, self.config) = (shares, config);
     }
@@ -193,7 +233,7 @@
         std::mem::take(&mut self.slots).into_keys()
     }
 
-    /// Begins to hold a slot whose key this VM has written at a revision. `levels` are those that the former holder handed
+    /// Begins to hold a slot whose key this VM has written at a revision, or at an earlier one. `levels` are those that the former holder handed
     /// over; without them, the buckets start at their lowest level.
     pub fn take(
         &mut self,
@@ -208,6 +248,7 @@
             former_levels: levels,
             buckets: HashMap::new(),
             grants: HashMap::new(),
+            grant_times: VecDeque::new(),
         };
         self.slots.insert(slot, slot_state);
     }
@@ -224,7 +265,7 @@
         }
         let levels = released.buckets.into_iter().map(|(workspace, mut bucket)| {
             bucket.refill(now);
-            (workspace, bucket.level)
+            (workspace, bucket.full_level())
         });
         Some((released.revision, levels.collect()))
     }
@@ -239,6 +280,19 @@
         self.slots.iter().map(|(slot, state)| (*slot, state.revision))
     }
 
+    /// Returns the revision of the key of a slot that this VM holds, or an upper bound if it is not known yet.
+    #[must_use]
+    pub fn revision(&self, slot: u8) -> Option<Revision> {
+        Some(self.slots.get(&slot)?.revision)
+    }
+
+    /// Sets the revision of the key of a slot that this VM holds.
+    pub fn set_revision(&mut self, slot: u8, revision: Revision) {
+        if let Some(slot) = self.slots.get_mut(&slot) {
+            slot.revision = revision;
+        }
+    }
+
     /// Returns the version of the configuration that was applied.
     #[must_use]
     pub fn config(&self) -> ConfigVersion {
@@ -256,7 +310,7 @@
             let is_removed = self.config >= claim.config;
             return if is_removed { Reply::Granted { level: 0.0 } } else { Reply::NotHolder };
         };
-        slot.grants.retain(|_, grant| now < grant.at + RETURN_TIME);
+        slot.remove_expired(now);
         let is_repeated = slot.grants.contains_key(&claim.number);
         let bucket = slot.bucket(now, &claim.workspace, *share);
         if is_repeated {
@@ -264,8 +318,10 @@
         }
         let reply = bucket.grant(now, claim.cost);
         if let Reply::Granted { .. } = reply {
+            let index = bucket.grant_count;
             let (workspace, cost) = (claim.workspace.clone(), claim.cost);
-            slot.grants.insert(claim.number, Granted { workspace, cost, at: now });
+            slot.grants.insert(claim.number, Granted { workspace, cost, at: now, index });
+            slot.grant_times.push_back((now, claim.number));
         }
         reply
     }
@@ -283,22 +339,36 @@
         let Some(grant) = slot.grants.remove(&returned.number) else { return false };
         let bucket = slot.buckets.get_mut(&grant.workspace);
         let Some(bucket) = bucket.filter(|_| now < grant.at + RETURN_TIME) else { return false };
-        bucket.take_back(now, units(returned.amount.min(grant.cost))) > 0.0
+        bucket.take_back(now, units(returned.amount.min(grant.cost)), grant.index) > 0.0
     }
 }
 
 impl Slot {
+    /// Removes the grants that cannot be returned any more.
+    fn remove_expired(&mut self, now: Now) {
+        while let Some(&(at, number)) = self.grant_times.front()
+            && now >= at + RETURN_TIME
+        {
+            self.grant_times.pop_front();
+            // One that was returned may have been made again later.
+            if self.grants.get(&number).is_some_and(|grant| grant.at == at) {
+                self.grants.remove(&number);
+            }
+        }
+    }
+
     /// Returns the bucket of a workspace as of now.
     fn bucket(&mut self, now: Now, workspace: &str, share: Share) -> &mut Bucket {
         let (taken_at, former) = (self.taken_at, self.former_levels.get(workspace));
+        let level = former.copied().unwrap_or(-share.debt).min(share.capacity);
         let bucket = self.buckets.entry(workspace.to_owned()).or_insert_with(|| Bucket {
             share,
-            level: former.copied().unwrap_or(-share.debt).min(share.capacity),
+            level: level.max(-share.debt),
+            excess_debt: (-share.debt - level).max(0.0),
             updated_at: taken_at,
             queued: 0.0,
-            // Without a period that has ended, the first levels count as full.
-            peaks: [share.capacity; 2],
-            period_since: taken_at,
+            grant_count: 0,
+            peaks: VecDeque::new(),
         });
         bucket.refill(now);
         bucket
--- a/crates/lw-limit/src/quota/mod.rs
+++ b/crates/lw-limit/src/quota/mod.rs
@@ -1,7 +1,7 @@
 //! Usage caps of workspaces over all VMs: token buckets at a few VMs, which grant the others each request.
 //!
 //! There are [`SLOTS`] quota slots. One VM, the *holder*, owns a slot by a key in the store. Each capped workspace uses the
-//! token buckets of two slots; a VM with a request asks one of the two holders for its cost. [`holder`] decides what is
+//! token buckets of two slots, which have different holders where there are two VMs; a VM with a request asks one of the two holders for its cost. [`holder`] decides what is
 //! granted, [`requester`] which holder is asked and what is done with the reply, [`ownership`] which VM takes a slot, and [`keeper`] by which writes
 //! to the store.
 //!
@@ -17,6 +17,9 @@
 //!   the predecessor has stopped. So the bound holds for a slot, whoever holds it.
 //! - **Validity.** Work that runs in a window was granted at most [`GRANT_TIME`] before it was sent, and is at its engine at
 //!   most [`TRAVEL_TIME`] later. So what runs in *W* was granted in *W + V*, where *V* is the sum of the two.
+//! - **Caps that change.** A lower limit *D'* raises a level below *-D'* to it, so that a lower rate need not pay off what the
+//!   higher one allowed. The debt that this leaves out counts again at the next change, less what was refilled above *C'*
+//!   meanwhile. So what is granted over several changes is at most the greatest *C + D* of them and what was refilled.
 //! - **Returns.** A grant that is returned gives back its cost, but no more than what the highest level since then left of the
 //!   capacity: without the grant, the rest would have been lost there. So the level is at most what it would be without that
 //!   grant, and the bound holds for what is not returned.
@@ -33,7 +36,7 @@
 //!
 //! A further attempt of a request that may have run is charged without a decision, and may take the level below *-D*.
 
-use std::{cmp::Reverse, time::Duration};
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -44,6 +47,8 @@
 
 /// Number of quota slots.
 pub const SLOTS: u8 = 24;
+/// Number of the slots of the first half.
+const HALF: u8 = SLOTS / 2;
 /// Time from the sending of a request for a grant until which the grant may be used.
 pub const GRANT_TIME: Duration = Duration::from_millis(500);
 /// Time within which a request that was sent is at its engine.
@@ -137,7 +142,8 @@
     }
 }
 
-/// Returns the slots of a workspace, of which it uses as many as its share states.
+/// Returns the slots of a workspace, one of each half, of which it uses as many as its share states. VMs rank first for the
+/// slots of one half only, so that the two have different holders.
 ///
 /// ```
 /// let [first, second] = lw_limit::quota::slots_of("station");
@@ -145,9 +151,10 @@
 /// ```
 #[must_use]
 pub fn slots_of(workspace: &str) -> [u8; 2] {
-    let mut slots: Vec<u8> = (0..SLOTS).collect();
-    slots.sort_by_key(|slot| Reverse(rendezvous_hash(*slot, workspace)));
-    [slots[0], slots[1]]
+    let first_of = |slots: std::ops::Range<u8>| {
+        slots.max_by_key(|slot| rendezvous_hash(*slot, workspace)).unwrap_or_default()
+    };
+    [first_of(0..HALF), first_of(HALF..SLOTS)]
 }
 
 fn rendezvous_hash(slot: u8, name: &str) -> u64 {
--- a/crates/lw-limit/src/quota/requester.rs
+++ b/crates/lw-limit/src/quota/requester.rs
@@ -7,11 +7,14 @@
 use super::{
     GRANT_TIME, LAST_REPLY_TIMEOUT, REPLY_TIMEOUT, Share,
     holder::{Claim, Reply, Return},
-    slots_of,
 };
 
 /// Time for which an unused grant is kept for another request before it is returned.
 const KEEP_TIME: Duration = Duration::from_millis(40);
+/// Longest time for which a request waits in total while its slots are changing holders.
+const HOLDER_WAIT_MAX: Duration = Duration::from_millis(150);
+/// Time between two looks for a holder meanwhile. A VM notices within 50 ms that it can take a slot.
+const HOLDER_POLL: Duration = Duration::from_millis(30);
 /// Time for which a holder that did not reply is asked last.
 const SILENT_TIME: Duration = Duration::from_secs(1);
 
@@ -37,11 +40,17 @@
     cost: u64,
     config: ConfigVersion,
     share: Share,
+    /// The slots of the workspace.
+    all_slots: [u8; 2],
     /// Slots that were not asked yet, the next one last.
     slots: Vec<u8>,
     /// Number of the open request for a grant.
     open: Option<u64>,
     shortest_wait: Option<Duration>,
+    /// Whether a slot had no holder since the slots were last asked from the first one on.
+    has_no_holder: bool,
+    /// Until when to wait for holders; none if their absence was not noticed yet.
+    wait_end: Option<Now>,
 }
 
 /// What to do next about a request.
@@ -56,6 +65,8 @@
         /// Time until the cap allows it.
         retry_after: Duration,
     },
+    /// The slots are changing holders. To be decided again after this time.
+    Wait(Duration),
     /// No holder replied.
     Unavailable,
 }
@@ -87,12 +98,42 @@
 }
 
 impl Ask {
-    /// Returns the request of a cost.
+    /// Returns the request of a cost. `slots` are those of the workspace, as [`super::slots_of`] returns them.
     #[must_use]
-    pub fn new(workspace: &str, cost: u64, config: ConfigVersion, share: Share) -> Self {
-        let slots = slots_of(workspace)[..share.slots.min(2)].iter().rev().copied().collect();
+    pub fn new(
+        workspace: &str,
+        slots: [u8; 2],
+        cost: u64,
+        config: ConfigVersion,
+        share: Share,
+    ) -> Self {
         let workspace = workspace.to_owned();
-        Self { workspace, cost, config, share, slots, open: None, shortest_wait: None }
+        let mut ask = Self {
+            workspace,
+            cost,
+            config,
+            share,
+            all_slots: slots,
+            slots: Vec::new(),
+            open: None,
+            shortest_wait: None,
+            has_no_holder: false,
+            wait_end: None,
+        };
+        ask.restart();
+        ask
+    }
+
+    /// Asks the holders of all slots again.
+    fn restart(&mut self) {
+        self.slots = self.slots().iter().rev().copied().collect();
+        self.has_no_holder = false;
+    }
+
+    /// Returns the slots whose holders may grant it.
+    #[must_use]
+    pub fn slots(&self) -> &[u8] {
+        &self.all_slots[..self.share.slots.min(self.all_slots.len())]
     }
 
     /// Returns the cost.
@@ -103,14 +144,15 @@
 
     /// Returns the time to wait for the reply of the holder that is asked now.
     #[must_use]
-    pub fn reply_timeout(&self) -> Duration {
-        if self.slots.is_empty() { LAST_REPLY_TIMEOUT } else { REPLY_TIMEOUT }
+    pub fn reply_timeout(&self, now: Now) -> Duration {
+        let timeout = if self.slots.is_empty() { LAST_REPLY_TIMEOUT } else { REPLY_TIMEOUT };
+        self.wait_end.map_or(timeout, |end| timeout.min(end.saturating_sub(now)))
     }
 
-    /// Returns what is charged without a decision, for a further attempt of a request that may have run.
-    #[must_use]
-    pub fn charge(&self, number: u64) -> Claim {
-        self.claim(self.slots.last().copied().unwrap_or_default(), number)
+    /// Returns what is charged without a decision, for a further attempt of a request that may have run: one of these, the
+    /// first one whose slot has a holder.
+    pub fn charges(&self, number: u64) -> impl Iterator<Item = Claim> {
+        self.slots.iter().rev().map(move |slot| self.claim(*slot, number))
     }
 
     fn claim(&self, slot: u8, number: u64) -> Claim {
@@ -141,10 +183,7 @@
             ask.slots = slots;
         }
         let Some(slot) = ask.slots.pop() else {
-            return match ask.shortest_wait {
-                Some(retry_after) => Decision::Refused { retry_after },
-                None => Decision::Unavailable,
-            };
+            return Self::conclude(now, ask);
         };
         let claim = ask.claim(slot, number);
         ask.open = Some(number);
@@ -153,6 +192,21 @@
         Decision::Ask(claim)
     }
 
+    /// Decides on a request that no holder has granted.
+    fn conclude(now: Now, ask: &mut Ask) -> Decision {
+        if let Some(retry_after) = ask.shortest_wait {
+            return Decision::Refused { retry_after };
+        }
+        if ask.has_no_holder {
+            let end = *ask.wait_end.get_or_insert(now + HOLDER_WAIT_MAX);
+            if now + HOLDER_POLL <= end {
+                ask.restart();
+                return Decision::Wait(HOLDER_POLL);
+            }
+        }
+        Decision::Unavailable
+    }
+
     /// Records the reply of a holder. Returns whether a request waits for it.
     pub fn on_reply(&mut self, now: Now, number: u64, reply: Reply) -> bool {
         let Some(open) = self.open.get_mut(&number) else { return false };
@@ -192,7 +246,10 @@
     /// Returns the grants that are to be returned to their holders now.
     pub fn returns(&mut self, now: Now) -> Vec<Return> {
         self.open.retain(|_, open| now < open.sent_at + GRANT_TIME || !open.is_abandoned);
-        let due = |unused: &mut Unused| now >= unused.since + KEEP_TIME;
+        // No other request can use one that has expired.
+        let due = |unused: &mut Unused| {
+            now >= unused.since + KEEP_TIME || now >= unused.grant.valid_until
+        };
         let due = self.unused.extract_if(.., due);
         due.map(|Unused { grant: Grant { slot, number, cost, .. }, .. }| Return {
             slot,
@@ -230,7 +287,7 @@
             Reply::Wait { time, .. } => {
                 ask.shortest_wait = Some(ask.shortest_wait.map_or(time, |other| other.min(time)));
             }
-            Reply::NotHolder => {}
+            Reply::NotHolder => ask.has_no_holder = true,
         }
         None
     }
--- a/crates/lw-limit/tests/quota_fleet/callers.rs
+++ b/crates/lw-limit/tests/quota_fleet/callers.rs
@@ -12,7 +12,8 @@
             return self.record_run(call, Duration::ZERO);
         };
         let share = Share::new(cap, &self.options.rule);
-        let ask = Ask::new(&name(call.workspace), call.cost, view.config, share);
+        let workspace = name(call.workspace);
+        let ask = Ask::new(&workspace, slots_of(&workspace), call.cost, view.config, share);
         let number = self.rng.u64(..);
         self.vms[vm].waiting.insert(number, (ask, call));
         self.step(vm, number);
@@ -37,9 +38,14 @@
                     self.outcome.unavailable += 1;
                     return self.refuse(call, ms(300));
                 }
+                Decision::Wait(pause) => {
+                    self.vms[vm].waiting.insert(number, (ask, call));
+                    return self.after(pause, vm, Event::Timeout { number });
+                }
                 Decision::Ask(claim) => {
                     let holder = self.holder(vm, claim.slot);
-                    if holder.is_none_or(|holder| holder == vm) {
+                    let is_held = self.vms[vm].keeper.holder.revision(claim.slot).is_some();
+                    if is_held || holder.is_none_or(|holder| holder == vm) {
                         let state = &mut self.vms[vm];
                         let reply = state.keeper.holder.decide(self.now, &claim);
                         state.requester.on_reply(self.now, number, reply);
@@ -57,6 +63,7 @@
     pub(super) fn send_request(&mut self, vm: usize, grant: Grant, call: Call) {
         if self.now >= grant.valid_until {
             self.vms[vm].requester.give_back(self.now, grant);
+            self.return_unused(vm);
             return self.arrive(vm, call);
         }
         let travel = ms(self.rng.u64(1..60));
--- a/crates/lw-limit/tests/quota_fleet/keep.rs
+++ b/crates/lw-limit/tests/quota_fleet/keep.rs
@@ -35,17 +35,24 @@
             era: view.era,
             recorded_era: view.recorded_era,
             former_leases_end: Some(state.era_since + LEASE_TIME),
+            lease_time: LEASE_TIME,
             is_current: true,
             lease: state.lease,
             items: &view.items,
             has_caps,
         };
         let update = state.keeper.update(self.now, &fleet);
-        let returns = state.requester.returns(self.now);
-        let returns = state.keeper.take_back_own(self.now, returns);
         if let Some(write) = update.write {
             self.call(vm, StoreCall::Write(write));
         }
+        self.return_unused(vm);
+    }
+
+    /// Returns the grants that are due.
+    pub(super) fn return_unused(&mut self, vm: usize) {
+        let state = &mut self.vms[vm];
+        let returns = state.requester.returns(self.now);
+        let returns = state.keeper.take_back_own(self.now, returns);
         for returned in returns {
             if let Some(holder) = self.holder(vm, returned.slot) {
                 self.send(vm, holder, Message::Return(returned));
