lw-place: a request is refused only for its wait, and only at all engines

Cause: `place` compared the expected latency, with the own prefill, with half of the caller's longest wait. A prompt of 93,000 tokens was refused on an idle fleet (1.24 s of prefill, limit 1 s). Only the cheapest candidate was checked, so that a request was refused although another engine could serve it.

Change: the wait for the work of others is compared with `MAX_WAIT_FRACTION` of the caller's longest wait, and the expected latency with the deadline. The cheapest candidate that holds both, or meets the target, is used. A request is refused where there is none; the refusal names the shortest expected latency. A further attempt uses the cheapest candidate then, as before.

--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -112,7 +112,8 @@
     /// back.
     #[display("the limits of all upstreams are used, for {} ms", _0.as_millis())]
     Limited(Duration),
-    /// The expected latency is so long that the caller would probably leave first; the expected latency.
+    /// The wait for the work of others is so long at each usable upstream that the caller would probably leave first, or the
+    /// expected latency exceeds the deadline; the shortest expected latency.
     #[display("the first event is expected in {} ms, too late for the caller", _0.as_millis())]
     WaitTooLong(Duration),
 }
--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -26,8 +26,8 @@
 /// Ratio of the expected latency to the time until the target from which a request counts as late. Estimates err by up
 /// to this factor.
 const LATE_ESTIMATE_FACTOR: f64 = 1.75;
-/// Fraction of the caller's longest wait above which a late request is refused. Most requests that are expected to wait
-/// longer are answered only after their callers have left.
+/// Fraction of the caller's longest wait above which a request that would be late is refused. Most requests that are
+/// expected to wait longer for the work of others are answered only after their callers have left.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 /// Cost of a request that exceeds its target latency.
 const LATE_COST_MS: f64 = 200.0;
@@ -50,6 +50,15 @@
     cost: f64,
 }
 
+/// Whether a request is expected to be answered while its caller waits. Its own prefill counts towards the deadline only,
+/// since it takes as long at an idle engine.
+fn is_served_in_time(request: &PlacementRequest<'_>, placement: &Placement) -> bool {
+    let is_late = placement.rank > RANK_MAX;
+    !is_late
+        || (placement.wait <= request.max_wait.mul_f64(MAX_WAIT_FRACTION)
+            && placement.expected_latency <= request.time_left)
+}
+
 /// Whether the salt of a prompt at an engine is known. The salt names the version of the weights, and segments that are
 /// cached without one are shared by all.
 fn has_known_salt(request: &PlacementRequest<'_>, state: &UpstreamState) -> bool {
@@ -100,15 +109,20 @@
             Some(prompt) => self.estimate_engine(now, request, prompt, state, &mut lookups),
             None => self.estimate_server(now, request, state),
         });
-        let best = estimates.min_by(|a, b| a.cost.total_cmp(&b.cost));
-        let placement = best.map(|estimate| estimate.placement).ok_or(Refusal::NoneReady)?;
+        let mut shortest = Duration::MAX;
+        let estimates = estimates.map(|estimate| {
+            shortest = shortest.min(estimate.placement.expected_latency);
+            (is_served_in_time(request, &estimate.placement), estimate)
+        });
+        let best = estimates.min_by(|(is_a_in_time, a), (is_b_in_time, b)| {
+            is_b_in_time.cmp(is_a_in_time).then(a.cost.total_cmp(&b.cost))
+        });
+        let (is_in_time, best) = best.ok_or(Refusal::NoneReady)?;
         // A request that was sent before may have run: a late answer is better for its caller than none.
-        let wait_max = request.max_wait.mul_f64(MAX_WAIT_FRACTION).min(request.time_left);
-        let is_wait_too_long = placement.expected_latency > wait_max;
-        if placement.rank > RANK_MAX && is_wait_too_long && request.tried.is_empty() {
-            return Err(Refusal::WaitTooLong(placement.expected_latency));
+        if !is_in_time && request.tried.is_empty() {
+            return Err(Refusal::WaitTooLong(shortest));
         }
-        Ok(placement)
+        Ok(best.placement)
     }
 
     fn estimate_server(
