lw-place: the expected work of a request needs no pass over the engines

Cause: `expected_work_ms` computed the prefill and decoding time at each engine for each arriving request, under the lock of all pools.

Change: both are linear in the speed factor of an engine, so that two means over the engines suffice. `update_mean_speed` computes them in the update of admission, each 100 ms; before the first update the usual speed and the slots of the service's specification count. `pressure` was already called by that update only. `decision_cost` prints the time of `expected_work_ms`, too.

Measured: `lw-place/tests/pressure.rs` 6 of 6, `lw-edge` tests demand, explain and speeds pass. `decision_cost` was not run, since the load of the machine was above 6.

--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -200,11 +200,13 @@
         let now = edge.timer.now();
         let vms = edge.store_view().vms().count();
         let loads: Vec<_> = {
-            let pools = edge.upstream_pools();
-            let load = |(service, pool): (&String, &lw_place::UpstreamPool)| {
-                Some((service.clone(), pool.pressure(now)?))
+            let mut pools = edge.upstream_pools();
+            let load = |(service, pool): (&String, &mut lw_place::UpstreamPool)| {
+                let pressure = pool.pressure(now)?;
+                pool.update_mean_speed();
+                Some((service.clone(), pressure))
             };
-            pools.iter().filter_map(load).collect()
+            pools.iter_mut().filter_map(load).collect()
         };
         for digest in edge.admission.update(now, &loads, vms) {
             peers::send_demand(&edge, &digest);
--- a/crates/lw-place/examples/decision_cost.rs
+++ b/crates/lw-place/examples/decision_cost.rs
@@ -1,11 +1,15 @@
-//! Measures the time of one placement for several numbers of engines, each with ten long requests in flight.
+//! Measures the time of one placement, and of the expected work that admission computes for each arriving request, for
+//! several numbers of engines, each with ten long requests in flight.
 //!
 //! `cargo run --release -p lw-place --example decision_cost`
 
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use std::time::{Duration, Instant};
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
 
 use common::{engine, ms};
 use lw_place::{PlacementRequest, Prompt, Segment, UpstreamPool};
@@ -44,7 +48,7 @@
 }
 
 fn main() {
-    println!("engines\tmean_us\tp99_us");
+    println!("engines\tmean_us\tp99_us\twork_ns");
     for engines in [14, 60, 200, 500] {
         let pool = pool(engines);
         let mut times: Vec<Duration> = (0..PLACEMENTS)
@@ -59,6 +63,12 @@
         times.sort();
         let mean = times.iter().sum::<Duration>() / u32::try_from(times.len()).unwrap_or(u32::MAX);
         let p99 = times[times.len() * 99 / 100];
-        println!("{engines}\t{}\t{}", mean.as_micros(), p99.as_micros());
+        let prompt = prompt(1);
+        let started = Instant::now();
+        for _ in 0..PLACEMENTS {
+            black_box(pool.expected_work_ms(black_box(&prompt)));
+        }
+        let work = started.elapsed() / u32::try_from(PLACEMENTS).unwrap_or(u32::MAX);
+        println!("{engines}\t{}\t{}\t{}", mean.as_micros(), p99.as_micros(), work.as_nanos());
     }
 }
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -29,6 +29,7 @@
 use limit::RunLimit;
 use limit::Unserved;
 pub use limit::{Fleet, LimitReport, TurnRequest};
+use pressure::MeanSpeed;
 use source::CacheStore;
 pub use source::CacheStoreSpec;
 use upstream_state::UpstreamState;
@@ -157,6 +158,8 @@
     costs: CostModel,
     lengths: OutputLengths,
     errors: EstimateErrors,
+    /// Mean speed of the engines, for admission; none before the first update.
+    mean_speed: Option<MeanSpeed>,
 }
 
 impl UpstreamPool {
@@ -175,6 +178,7 @@
             costs: CostModel::default(),
             lengths: OutputLengths::default(),
             errors: EstimateErrors::default(),
+            mean_speed: None,
         }
     }
 
--- a/crates/lw-place/src/pool/pressure.rs
+++ b/crates/lw-place/src/pool/pressure.rs
@@ -5,8 +5,11 @@
 use lw_limit::admission::overload::Pressure;
 use lw_types::prelude::*;
 
-use super::{UpstreamPool, UpstreamState, queue::NewRequest, upstream_state::LOAD_MAX_AGE};
-use crate::{Prompt, RANK_MAX, work::EngineCost};
+use super::{UpstreamPool, UpstreamState, as_f64, queue::NewRequest, upstream_state::LOAD_MAX_AGE};
+use crate::{
+    Prompt, RANK_MAX,
+    work::{EngineCost, Speed},
+};
 
 /// Rank behind all others.
 const LAST_RANK: u8 = 2 * RANK_MAX + 1;
@@ -20,6 +23,15 @@
 /// Attempts that have not begun to answer and yet do not wait: the prefill of one is running.
 const PREFILLS: usize = 1;
 
+/// Time that work takes at the engines of a service, as a multiple of the usual.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct MeanSpeed {
+    /// Mean over the engines.
+    factor: f64,
+    /// Mean of each engine's factor divided by its slots.
+    factor_per_slot: f64,
+}
+
 impl UpstreamPool {
     /// Returns the load of the engines that may get requests now; none if the service has no engines. Without pressure
     /// the wait is 0, since it is not needed.
@@ -60,22 +72,33 @@
         Some(pressure)
     }
 
+    /// Updates the means over all engines that [`Self::expected_work_ms`] uses, so that an arriving request does not
+    /// iterate over them.
+    pub fn update_mean_speed(&mut self) {
+        let mut mean = MeanSpeed { factor: 0.0, factor_per_slot: 0.0 };
+        let engines = as_f64(u64::try_from(self.upstreams.len()).unwrap_or(u64::MAX));
+        for state in self.upstreams.values() {
+            let slots = state.load.map_or(state.upstream.slots, |(_, load)| load.slots).max(1);
+            mean.factor += state.speed.factor() / engines;
+            mean.factor_per_slot += state.speed.factor() / f64::from(slots) / engines;
+        }
+        self.mean_speed = (!self.upstreams.is_empty()).then_some(mean);
+    }
+
     /// Returns the milliseconds for which a request is expected to keep one engine busy, if its shared segments are
-    /// cached there. Engines decode as many requests at a time as they have slots.
+    /// cached there. Engines decode as many requests at a time as they have slots. The speeds are those of the last
+    /// [`Self::update_mean_speed`].
     #[must_use]
     pub fn expected_work_ms(&self, prompt: &Prompt) -> f64 {
-        let (mut prefill_ms, mut decode_ms, mut engines) = (0.0, 0.0, 0.0_f64);
+        let slots = self.spec.as_ref().map_or(1, |spec| spec.slots.max(1));
+        let usual = MeanSpeed { factor: 1.0, factor_per_slot: 1.0 / f64::from(slots) };
+        let mean = self.mean_speed.unwrap_or(usual);
         // Callers state these numbers.
         let capacity_tokens = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
         let tokens = prompt.tokens.saturating_sub(prompt.shared_tokens()).min(capacity_tokens);
-        for state in self.upstreams.values() {
-            let slots = state.load.map_or(state.upstream.slots, |(_, load)| load.slots).max(1);
-            let cost = self.cost(state);
-            prefill_ms += cost.prefill_ms(tokens);
-            decode_ms += cost.decode_ms(prompt.output_tokens) / f64::from(slots);
-            engines += 1.0;
-        }
-        (prefill_ms + decode_ms) / engines.max(1.0)
+        let cost = self.costs.at(&Speed::default());
+        cost.prefill_ms(tokens) * mean.factor
+            + cost.decode_ms(prompt.output_tokens) * mean.factor_per_slot
     }
 }
 
--- a/crates/lw-place/tests/pressure.rs
+++ b/crates/lw-place/tests/pressure.rs
@@ -4,7 +4,7 @@
 
 use common::{engine, ms, pool, prompt, request};
 use lw_limit::admission::overload::Pressure;
-use lw_place::{Load, Prompt, Segment, UpstreamPool};
+use lw_place::{Learned, LearnedCosts, Load, Prompt, Segment, UpstreamPool};
 
 fn pool_with_loads(loads: &[(u32, u32)]) -> UpstreamPool {
     let mut pool = pool();
@@ -74,8 +74,34 @@
 /// Guards against the cost of a request by its whole prompt, most of which is cached, and against a cost without decoding.
 #[test]
 fn expected_work_is_that_of_the_own_tokens_and_of_a_part_of_the_engine() {
-    let pool = pool_with_loads(&[(0, 0), (0, 0)]);
+    let mut pool = pool_with_loads(&[(0, 0), (0, 0)]);
     // 4,000 tokens at 75 tokens/ms, and 20 tokens of 8 ms beside 31 other requests.
+    let is_expected = |work: f64| (work - (4_000.0 / 75.0 + 160.0 / 32.0)).abs() < 0.01;
+    let before = pool.expected_work_ms(&prompt("m"));
+    assert!(is_expected(before), "before the first update: {before}");
+    pool.update_mean_speed();
     let work = pool.expected_work_ms(&prompt("m"));
-    assert!((work - (4_000.0 / 75.0 + 160.0 / 32.0)).abs() < 0.01, "{work}");
+    assert!(is_expected(work), "{work}");
+}
+
+/// Guards against expected work that iterates over all engines for each request, and against a mean that misses engines or
+/// their slots.
+#[test]
+fn expected_work_uses_the_mean_speed_of_the_last_update() {
+    let mut pool = pool_with_loads(&[(0, 0), (0, 0)]);
+    pool.update_mean_speed();
+    let usual = pool.expected_work_ms(&prompt("m"));
+    // `e1` takes three times the usual time, and has half of the slots.
+    let slow = Learned { ratio: 3.0, weight: 1e9, age: ms(0) };
+    pool.adopt(ms(0), &LearnedCosts { model: vec![], speeds: vec![("e1".into(), slow)] });
+    let load = Load { running: 0, waiting: 0, slots: 16, slowness_percent: 100 };
+    pool.on_load(ms(0), "e1", load);
+    assert!((pool.expected_work_ms(&prompt("m")) - usual).abs() < 0.01, "before the update");
+    pool.update_mean_speed();
+    let work = pool.expected_work_ms(&prompt("m"));
+    // 40 samples count, beside two assumed ones of the usual speed.
+    let factor = 3.0_f64.powf(40.0 / 42.0);
+    let expected = 4_000.0 / 75.0 * f64::midpoint(1.0, factor)
+        + 160.0 * f64::midpoint(1.0 / 32.0, factor / 16.0);
+    assert!((work - expected).abs() < 0.01, "{work}, expected {expected}");
 }
