lw-place: a fetch that another VM announces takes at most 1.5 s

Cause: the announced time of a fetch was not bounded. An engine with an announced fetch of an hour got no requests from the receiver until the attempt ended, and fetched nothing for an hour, since its link counted as reserved.

Change: `record_remote_sent` limits the time to `TRANSFER_MAX_WAIT`, within which a transfer must be complete to be requested at all.

--- a/crates/lw-place/src/pool/in_flight.rs
+++ b/crates/lw-place/src/pool/in_flight.rs
@@ -2,6 +2,7 @@
 
 use super::{
     AttemptId, Ended, InFlightId, Now, Placement, Prompt, SegmentKey, UpstreamPool, UpstreamState,
+    source::TRANSFER_MAX_WAIT,
     upstream_state::{Expected, InFlight},
 };
 use lw_types::prelude::*;
@@ -102,9 +103,12 @@
         })
     }
 
-    /// Records an attempt that another VM announced.
+    /// Records an attempt that another VM announced. An engine with a fetch of an excessive time would get no requests, and
+    /// fetch nothing, for that long.
     pub fn record_remote_sent(&mut self, now: Now, vm: &str, announced: &AnnouncedAttempt) {
-        self.insert_attempt(now, vm.to_owned(), announced, None);
+        let fetch_time = announced.fetch_time.min(TRANSFER_MAX_WAIT);
+        let announced = AnnouncedAttempt { fetch_time, ..announced.clone() };
+        self.insert_attempt(now, vm.to_owned(), &announced, None);
     }
 
     fn insert_attempt(
--- a/crates/lw-place/src/pool/source.rs
+++ b/crates/lw-place/src/pool/source.rs
@@ -15,8 +15,8 @@
 const TRANSFER_SETUP: Duration = Duration::from_millis(10);
 /// Duration of a transfer between failure domains as a multiple of one within a domain.
 const CROSS_DOMAIN_TRANSFER_FACTOR: f64 = 2.0;
-/// Engines start no transfer that waits longer than this.
-const TRANSFER_MAX_WAIT: Duration = Duration::from_millis(1500);
+/// Longest time until a transfer is complete: one that takes longer is not requested.
+pub(super) const TRANSFER_MAX_WAIT: Duration = Duration::from_millis(1500);
 
 /// A KV cache store behind the engines, as the configuration names it.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/lw-place/tests/announcements.rs
+++ b/crates/lw-place/tests/announcements.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{engine, engine_in, ms, pool, prompt, request};
-use lw_place::{Ended, Prompt, Segment, UpstreamPool};
+use lw_place::{AnnouncedAttempt, Ended, PlacementRequest, Prompt, Segment, UpstreamPool};
 
 /// Returns a prompt whose shared segment has this id.
 fn prompt_with_shared(segment: u64) -> Prompt {
@@ -74,6 +76,35 @@
     assert_eq!((placement.fetched_tokens, placement.save_to), (13_000, None));
 }
 
+/// Guards against an engine that gets no requests and fetches nothing for as long as another VM announces.
+#[test]
+fn an_announced_fetch_takes_a_bounded_time() {
+    let mut pool = two_engines();
+    let shared = prompt_with_shared(1);
+    let first = pool.place(ms(0), &request(&shared)).unwrap();
+    let (attempt_id, announced) = pool.record_sent(ms(0), &first, Some(&shared));
+    pool.record_started(ms(200), &first.upstream.id, attempt_id);
+    pool.record_ended(ms(300), &first.upstream.id, attempt_id, Ended::Complete);
+    let other = if first.upstream.id == "e1" { "e2" } else { "e1" };
+    let long_fetch = AnnouncedAttempt {
+        upstream: other.into(),
+        fetch_time: Duration::from_secs(3_600),
+        segments: vec![],
+        ..announced.expect("it is large")
+    };
+    pool.record_remote_sent(ms(300), "vm-2", &long_fetch);
+    let new = prompt_with_shared(2);
+    let there = PlacementRequest { returns_to: Some(other), ..request(&new) };
+    let patient = PlacementRequest { max_wait: ms(60_000), ..there };
+    // A fetch of at most 1,500 ms, and two prefills of 227 ms.
+    let expected = pool.place(ms(300), &patient).unwrap().expected_latency;
+    assert!(expected < ms(2_000), "{expected:?}");
+    pool.record_remote_ended(ms(301), "vm-2", other, long_fetch.attempt_id, Ended::Complete);
+    let fetching = PlacementRequest { returns_to: Some(other), ..request(&shared) };
+    let placement = pool.place(ms(1_900), &fetching).unwrap();
+    assert_eq!(placement.fetched_tokens, 13_000, "its link is free again");
+}
+
 /// Guards against a message for each small request, which would change no placement at other VMs.
 #[test]
 fn small_requests_are_not_announced() {
