lw-place: speeds of idle engines decay to the usual one

Cause: the factor of an engine was computed only with a new sample. An engine that was learned as slow and gets no requests kept that factor, although its samples lose half of their weight in five minutes.

--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -220,7 +220,10 @@
     loop {
         ticks.tick().await;
         let now = edge.timer.now();
-        edge.upstream_pools().values_mut().for_each(|pool| pool.remove_expired(now));
+        for pool in edge.upstream_pools().values_mut() {
+            pool.remove_expired(now);
+            pool.decay_speeds(now);
+        }
         let ids: HashSet<_> = edge.store_view().directory.iter().map(|u| u.id.clone()).collect();
         edge.connection_pool.close_unused(|(_, id)| ids.contains(&**id));
     }
--- a/crates/lw-place/src/pool/learned.rs
+++ b/crates/lw-place/src/pool/learned.rs
@@ -40,6 +40,13 @@
         (!speeds.is_empty()).then_some(LearnedCosts { model, speeds })
     }
 
+    /// Lets the speeds of upstreams without new samples decay towards the usual one of the service.
+    pub fn decay_speeds(&mut self, now: Now) {
+        for state in self.upstreams.values_mut() {
+            state.speed.update_factor(now);
+        }
+    }
+
     /// Adopts what another VM has learned where it has more samples than this one. Returns the number of speeds that
     /// were adopted.
     pub fn adopt(&mut self, now: Now, learned: &LearnedCosts) -> usize {
--- a/crates/lw-place/src/work/speed.rs
+++ b/crates/lw-place/src/work/speed.rs
@@ -66,7 +66,9 @@
         self.update_factor(now);
     }
 
-    fn update_factor(&mut self, now: Now) {
+    /// Moves the factor towards 1 as the samples lose weight. Without it the speed of an idle upstream would stay as it was
+    /// at the last sample.
+    pub fn update_factor(&mut self, now: Now) {
         let weight = self.ratio.weight(now);
         self.factor = (self.ratio.log() * weight / (weight + PRIOR_WEIGHT)).exp();
     }
--- a/crates/lw-place/tests/speeds.rs
+++ b/crates/lw-place/tests/speeds.rs
@@ -52,6 +52,29 @@
     assert!(p50 > 0.5 && p50 < 2.0 && p95 >= p50, "{p50} {p95}");
 }
 
+/// Guards against an idle engine that counts as slow forever, since it gets no requests that would show its speed.
+#[test]
+fn speeds_of_idle_engines_decay_to_the_usual() {
+    let mut pool = two_engines();
+    let end = learn(&mut pool, 20, 100);
+    let new = Prompt { segments: vec![Segment { id: 1, tokens: 17_000 }], ..prompt("m") };
+    // The expected time at `e2` as a multiple of that at `e1`.
+    let ratio = |pool: &mut UpstreamPool, after_s: u64| {
+        let now = ms(end + after_s * 1_000);
+        pool.decay_speeds(now);
+        let [e1, e2] = ["e1", "e2"].map(|id| {
+            let only = lw_place::PlacementRequest { returns_to: Some(id), ..request(&new) };
+            pool.place(now, &only).unwrap().expected_latency.as_secs_f64()
+        });
+        e2 / e1
+    };
+    let ratios = [0, 60, 900, 3_600].map(|after_s| ratio(&mut pool, after_s));
+    assert!(ratios[0] > 1.5, "{ratios:?}");
+    assert!(ratios[1] > ratios[0] * 0.95, "one minute changes little: {ratios:?}");
+    assert!(ratios[2] < 1.5 && ratios[2] > 1.1, "{ratios:?}");
+    assert!(ratios[3] < 1.05, "{ratios:?}");
+}
+
 #[test]
 fn momentary_slowdowns_are_not_learned() {
     let mut pool = two_engines();
