--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -200,11 +200,13 @@
         let now = edge.timer.now();
         let vms = edge.store_view().vms().count();
         let loads: Vec<_> = {
-            let pools = edge.upstream_pools();
-            let load = |(service, pool): (&String, &lw_place::UpstreamPool)| {
-                Some((service.clone(), pool.pressure(now)?))
+            let mut pools = edge.upstream_pools();
+            let load = |(service, pool): (&String, &mut lw_place::UpstreamPool)| {
+                let pressure = pool.pressure(now)?;
+                pool.update_mean_speed();
+                Some((service.clone(), pressure))
             };
-            pools.iter().filter_map(load).collect()
+            pools.iter_mut().filter_map(load).collect()
         };
         for digest in edge.admission.update(now, &loads, vms) {
             peers::send_demand(&edge, &digest);
@@ -218,7 +220,10 @@
     loop {
         ticks.tick().await;
         let now = edge.timer.now();
-        edge.upstream_pools().values_mut().for_each(|pool| pool.remove_expired(now));
+        for pool in edge.upstream_pools().values_mut() {
+            pool.remove_expired(now);
+            pool.decay_speeds(now);
+        }
         let ids: HashSet<_> = edge.store_view().directory.iter().map(|u| u.id.clone()).collect();
         edge.connection_pool.close_unused(|(_, id)| ids.contains(&**id));
     }
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -29,6 +29,7 @@
 use limit::RunLimit;
 use limit::Unserved;
 pub use limit::{Fleet, LimitReport, TurnRequest};
+use pressure::MeanSpeed;
 use source::CacheStore;
 pub use source::CacheStoreSpec;
 use upstream_state::UpstreamState;
@@ -112,7 +113,8 @@
     /// back.
     #[display("the limits of all upstreams are used, for {} ms", _0.as_millis())]
     Limited(Duration),
-    /// The expected latency is so long that the caller would probably leave first; the expected latency.
+    /// The wait for the work of others is so long at each usable upstream that the caller would probably leave first, or the
+    /// expected latency exceeds the deadline; the shortest expected latency.
     #[display("the first event is expected in {} ms, too late for the caller", _0.as_millis())]
     WaitTooLong(Duration),
 }
@@ -156,6 +158,8 @@
     costs: CostModel,
     lengths: OutputLengths,
     errors: EstimateErrors,
+    /// Mean speed of the engines, for admission; none before the first update.
+    mean_speed: Option<MeanSpeed>,
 }
 
 impl UpstreamPool {
@@ -174,6 +178,7 @@
             costs: CostModel::default(),
             lengths: OutputLengths::default(),
             errors: EstimateErrors::default(),
+            mean_speed: None,
         }
     }
 
