lw-place: a request is refused if its caller would leave during its prefill

Cause: the wait for others was compared with half of the caller's longest wait, whatever the request's own prefill takes after it. At twice the capacity without admission, large prompts waited until their callers left, who could have been refused at once.

Change: the wait is compared with half of what the own prefill leaves of the longest wait. On an idle fleet nothing changes.

Tests of lw-place wait, queue and load_peak pass.

--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -50,13 +50,13 @@
     cost: f64,
 }
 
-/// Whether a request is expected to be answered while its caller waits. Its own prefill counts towards the deadline only,
-/// since it takes as long at an idle engine.
+/// Whether a request is expected to be answered while its caller waits. The wait for others is compared with what the request's
+/// own prefill leaves of the caller's longest wait, since that takes as long at an idle engine.
 fn is_served_in_time(request: &PlacementRequest<'_>, placement: &Placement) -> bool {
     let is_late = placement.rank > RANK_MAX;
-    !is_late
-        || (placement.wait <= request.max_wait.mul_f64(MAX_WAIT_FRACTION)
-            && placement.expected_latency <= request.time_left)
+    let own = placement.expected_latency.saturating_sub(placement.wait);
+    let wait_max = request.max_wait.saturating_sub(own).mul_f64(MAX_WAIT_FRACTION);
+    !is_late || (placement.wait <= wait_max && placement.expected_latency <= request.time_left)
 }
 
 /// Whether the salt of a prompt at an engine is known. The salt names the version of the weights, and segments that are
