lw-forward: a caller that reads slowly is not disconnected

Cause: progress of a caller counted only when the socket accepted bytes again, after a third of its send buffer had drained. A caller of 80 KB/s was disconnected although it read steadily.

Any progress restarts the time for unread answers. Where the kernel does not tell, writes count as before.

--- a/crates/lw-forward/src/lib.rs
+++ b/crates/lw-forward/src/lib.rs
@@ -4,6 +4,7 @@
 //! connection, and needs to limit and close callers' connections itself; `volo-http` hides both.
 
 pub mod collect;
+pub mod drain;
 pub mod events;
 pub mod intake;
 pub mod listen;
--- a/crates/lw-forward/src/listen/stream.rs
+++ b/crates/lw-forward/src/listen/stream.rs
@@ -14,14 +14,18 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::{Sleep, sleep},
+    time::{Instant, Sleep, sleep},
 };
 
+use crate::drain::{Drain, SendState};
+
 /// Longest time for which the rest of a refused request is read and dropped. Closing a socket with unread data resets the
 /// connection, and a caller that is still sending would lose the refusal.
 const LINGER_MAX: Duration = Duration::from_millis(500);
 /// Maximum number of bytes that are dropped then: as many as the largest bodies that operators usually allow.
 const LINGER_MAX_BYTES: usize = 4 << 20;
+/// Interval between two checks of a caller's progress, unless the time for unread answers is short.
+const CHECK_INTERVAL_MAX: Duration = Duration::from_secs(1);
 const SCRATCH_BYTES: usize = 4 << 10;
 
 /// Socket of a caller.
@@ -29,8 +33,9 @@
 pub(super) struct CallerStream {
     stream: TcpStream,
     unread_max: Duration,
-    /// Ends when the caller has read nothing for too long; present while bytes wait to be written.
-    unread: Option<Pin<Box<Sleep>>>,
+    /// Present from the first write that the socket does not accept until all bytes are written.
+    waiting: Option<Waiting>,
+    created: Instant,
     /// Set while a request with a body is refused.
     is_refusing: Arc<AtomicBool>,
     linger: Option<Linger>,
@@ -38,6 +43,13 @@
     is_unread: Arc<AtomicBool>,
 }
 
+/// Bytes wait for the caller to read.
+#[derive(Debug)]
+struct Waiting {
+    drain: Drain,
+    next_check: Pin<Box<Sleep>>,
+}
+
 #[derive(Debug)]
 struct Linger {
     end: Pin<Box<Sleep>>,
@@ -54,26 +66,43 @@
         Self {
             stream,
             unread_max,
-            unread: None,
+            waiting: None,
+            created: Instant::now(),
             is_refusing: Arc::clone(is_refusing),
             linger: None,
             is_unread: Arc::clone(is_unread),
         }
     }
 
-    /// Passes on the result of a write, or fails if the socket has accepted nothing for too long.
+    /// Passes on the result of a write, or fails if the caller has read nothing for too long.
+    ///
+    /// The socket accepts bytes again only when a third of its send buffer is free, which may be megabytes. So the bytes that
+    /// the caller's system has acknowledged are progress too.
     fn check_progress<T>(
         &mut self,
         cx: &mut Context<'_>,
         written: Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
         if written.is_ready() {
-            self.unread = None;
+            if let Some(waiting) = &mut self.waiting {
+                waiting.drain.record_progress(self.created.elapsed());
+            }
             return written;
         }
-        let unread_max = self.unread_max;
-        let timer = self.unread.get_or_insert_with(|| Box::pin(sleep(unread_max)));
-        ready!(timer.as_mut().poll(cx));
+        let interval = (self.unread_max / 8).min(CHECK_INTERVAL_MAX);
+        let waiting = self.waiting.get_or_insert_with(|| Waiting {
+            drain: Drain::new(acked_bytes(&self.stream), self.created.elapsed()),
+            next_check: Box::pin(sleep(interval)),
+        });
+        loop {
+            ready!(waiting.next_check.as_mut().poll(cx));
+            let now = self.created.elapsed();
+            waiting.drain.update(acked_bytes(&self.stream), now);
+            if waiting.drain.idle_time(now) >= self.unread_max {
+                break;
+            }
+            waiting.next_check.as_mut().reset(Instant::now() + interval);
+        }
         self.is_unread.store(true, Ordering::Release);
         // What the kernel still holds is dropped, instead of kept until the caller's system gives up.
         let _ = self.stream.set_zero_linger();
@@ -97,6 +126,12 @@
     }
 }
 
+/// Returns the bytes that the caller's system has acknowledged, if the kernel tells.
+fn acked_bytes(stream: &TcpStream) -> Option<u64> {
+    let state = SendState::of(stream.local_addr().ok()?, stream.peer_addr().ok()?);
+    state.map(|state| state.acked_bytes)
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -131,6 +166,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP library flushes when it has written all that it has.
+        self.waiting = None;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
