lw-forward, lw-edge: the slowest readers make room when memory is scarce

Cause: a caller that reads a few bytes each time makes progress, so it could hold its answer for as long as it liked.

--- a/crates/lw-edge/src/intake/mod.rs
+++ b/crates/lw-edge/src/intake/mod.rs
@@ -91,6 +91,7 @@
     let closed = [
         ("too_many", closed.too_many.load(Ordering::Relaxed)),
         ("unread", closed.unread.load(Ordering::Relaxed)),
+        ("slowest", closed.slowest.load(Ordering::Relaxed)),
     ];
     for (kind, count) in closed {
         let count = i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -108,7 +108,8 @@
         log::info!(target: "run", vm = edge.settings.vm.as_str(),
             failure_domain = edge.settings.failure_domain.as_str(),
             build = env!("CARGO_PKG_VERSION"); "started");
-        let connections = Connections::counting(Arc::clone(&edge.closed_connections));
+        let connections = Connections::counting(Arc::clone(&edge.closed_connections))
+            .within(Arc::clone(&edge.caller_memory));
         let mut tasks = JoinSet::new();
         tasks.spawn(follow::run(Arc::clone(&edge)));
         tasks.spawn(register::run(Arc::clone(&edge)));
--- a/crates/lw-forward/src/intake/memory.rs
+++ b/crates/lw-forward/src/intake/memory.rs
@@ -1,6 +1,9 @@
 //! Decides whether the process may hold more bytes for its callers. Uses no sockets and no clock.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
 
 use derive_more::{Display, Error};
 
@@ -83,13 +86,19 @@
 pub struct CallerMemory {
     shares: Shares,
     used: Mutex<Used>,
+    /// Whether an answer found no room since this was last asked for.
+    has_refused_answer: AtomicBool,
 }
 
 impl CallerMemory {
     /// Returns a memory with nothing in use.
     #[must_use]
     pub fn new(shares: Shares) -> Arc<Self> {
-        Arc::new(Self { shares, used: Mutex::default() })
+        Arc::new(Self {
+            shares,
+            used: Mutex::default(),
+            has_refused_answer: AtomicBool::new(false),
+        })
     }
 
     /// Returns the limits.
@@ -112,6 +121,25 @@
         Hold { memory: Arc::clone(self), holder, bytes: 0, is_large }
     }
 
+    /// Whether an answer that waits for its caller has to make room: three quarters of the total are in use, or another
+    /// answer found no room since the last call. Below that, slow readers disturb nobody.
+    ///
+    /// ```
+    /// use lw_forward::intake::{CallerMemory, Holder, Shares};
+    /// let memory = CallerMemory::new(Shares::of_total(4_000));
+    /// let mut answer = memory.hold(Holder::Answer, None);
+    /// answer.grow(2_999).unwrap();
+    /// assert!(!memory.needs_room());
+    /// answer.grow(1).unwrap();
+    /// assert!(memory.needs_room());
+    /// ```
+    #[must_use]
+    pub fn needs_room(&self) -> bool {
+        let used = self.used();
+        let has_refused = self.has_refused_answer.swap(false, Ordering::Relaxed);
+        used.answers > 0 && (has_refused || used.total() >= self.shares.total / 4 * 3)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Used> {
         self.used.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -150,6 +178,9 @@
         let before = *used;
         let (all, large) = used.of(self.holder);
         if before.total() + bytes > total || *large + more_large > large_max && more_large > 0 {
+            if self.holder == Holder::Answer {
+                self.memory.has_refused_answer.store(true, Ordering::Relaxed);
+            }
             return Err(NoRoom { used: before });
         }
         *all += bytes;
--- a/crates/lw-forward/src/listen/mod.rs
+++ b/crates/lw-forward/src/listen/mod.rs
@@ -18,9 +18,13 @@
     sync::watch,
 };
 
+mod readers;
 mod stream;
 
-use stream::CallerStream;
+use readers::SlowReaders;
+use stream::{CallerEnd, CallerStream};
+
+use crate::intake::CallerMemory;
 
 /// Pause after a failed accept, since accepting fails again at once for as long as no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -47,6 +51,8 @@
     pub too_many: AtomicU64,
     /// The caller did not read its answer.
     pub unread: AtomicU64,
+    /// Memory for callers' bytes was scarce, and the caller read its answer more slowly than others.
+    pub slowest: AtomicU64,
 }
 
 /// Counts the connections of a listener and closes them.
@@ -54,6 +60,7 @@
 pub struct Connections {
     open_count: Arc<AtomicUsize>,
     closed_counts: Arc<ClosedCounts>,
+    readers: Arc<SlowReaders>,
     is_closing: watch::Sender<bool>,
 }
 
@@ -67,7 +74,18 @@
     /// Returns a listener's connections without any open one, which counts those that it closes in `closed_counts`.
     #[must_use]
     pub fn counting(closed_counts: Arc<ClosedCounts>) -> Self {
-        Self { open_count: Arc::default(), closed_counts, is_closing: watch::Sender::new(false) }
+        Self {
+            open_count: Arc::default(),
+            closed_counts,
+            readers: SlowReaders::new(None),
+            is_closing: watch::Sender::new(false),
+        }
+    }
+
+    /// Lets the callers that read least be disconnected when this memory is scarce.
+    #[must_use]
+    pub fn within(self, memory: Arc<CallerMemory>) -> Self {
+        Self { readers: SlowReaders::new(Some(memory)), ..self }
     }
 
     /// Number of open connections.
@@ -114,9 +132,9 @@
         let open_guard = OpenGuard::new(&connections);
         let handler = handler.clone();
         let is_closing = connections.is_closing.subscribe();
-        let closed_counts = Arc::clone(&connections.closed_counts);
+        let connections = connections.clone();
         tokio::spawn(async move {
-            serve_connection(stream, options, is_closing, &closed_counts, handler).await;
+            serve_connection(stream, options, is_closing, &connections, handler).await;
             drop(open_guard);
         });
     }
@@ -126,7 +144,7 @@
     stream: TcpStream,
     options: Options,
     mut is_closing: watch::Receiver<bool>,
-    closed_counts: &ClosedCounts,
+    connections: &Connections,
     handler: S,
 ) where
     S: Fn(Request<Incoming>) -> F,
@@ -148,8 +166,9 @@
     let is_after_closing = *is_closing.borrow();
     builder.keep_alive(!is_after_closing);
     let is_refusing = Arc::new(AtomicBool::new(false));
-    let is_unread = Arc::new(AtomicBool::new(false));
-    let stream = CallerStream::new(stream, options.unread_max, &is_refusing, &is_unread);
+    let end = Arc::new(CallerEnd::default());
+    let readers = &connections.readers;
+    let stream = CallerStream::new(stream, options.unread_max, &is_refusing, readers, &end);
     let service = service_fn(move |req: Request<Incoming>| {
         let has_body = !req.body().is_end_stream();
         let answer = handler(req);
@@ -176,7 +195,10 @@
             connection.await
         }
     };
-    if is_unread.load(Ordering::Acquire) {
+    let closed_counts = &connections.closed_counts;
+    if end.is_slowest.load(Ordering::Acquire) {
+        closed_counts.slowest.fetch_add(1, Ordering::Relaxed);
+    } else if end.is_unread.load(Ordering::Acquire) {
         closed_counts.unread.fetch_add(1, Ordering::Relaxed);
         log::warn!("http: connection closed, its caller read nothing for {:?}", options.unread_max);
     } else if let Err(e) = result {
--- a/crates/lw-forward/src/listen/stream.rs
+++ b/crates/lw-forward/src/listen/stream.rs
@@ -17,6 +17,7 @@
     time::{Instant, Sleep, sleep},
 };
 
+use super::readers::{SlowReader, SlowReaders};
 use crate::drain::{Drain, SendState};
 
 /// Longest time for which the rest of a refused request is read and dropped. Closing a socket with unread data resets the
@@ -35,18 +36,27 @@
     unread_max: Duration,
     /// Present from the first write that the socket does not accept until all bytes are written.
     waiting: Option<Waiting>,
-    created: Instant,
+    readers: Arc<SlowReaders>,
     /// Set while a request with a body is refused.
     is_refusing: Arc<AtomicBool>,
     linger: Option<Linger>,
-    /// Set when the connection ends since its caller did not read.
-    is_unread: Arc<AtomicBool>,
+    end: Arc<CallerEnd>,
+}
+
+/// Why a connection ends because its caller reads too little.
+#[derive(Debug, Default)]
+pub(super) struct CallerEnd {
+    /// The caller read nothing for too long.
+    pub(super) is_unread: AtomicBool,
+    /// Memory was scarce, and the caller read least.
+    pub(super) is_slowest: AtomicBool,
 }
 
 /// Bytes wait for the caller to read.
 #[derive(Debug)]
 struct Waiting {
     drain: Drain,
+    reader: SlowReader,
     next_check: Pin<Box<Sleep>>,
 }
 
@@ -61,20 +71,21 @@
         stream: TcpStream,
         unread_max: Duration,
         is_refusing: &Arc<AtomicBool>,
-        is_unread: &Arc<AtomicBool>,
+        readers: &Arc<SlowReaders>,
+        end: &Arc<CallerEnd>,
     ) -> Self {
         Self {
             stream,
             unread_max,
             waiting: None,
-            created: Instant::now(),
+            readers: Arc::clone(readers),
             is_refusing: Arc::clone(is_refusing),
             linger: None,
-            is_unread: Arc::clone(is_unread),
+            end: Arc::clone(end),
         }
     }
 
-    /// Passes on the result of a write, or fails if the caller has read nothing for too long.
+    /// Passes on the result of a write, or fails if the caller has read too little.
     ///
     /// The socket accepts bytes again only when a third of its send buffer is free, which may be megabytes. So the bytes that
     /// the caller's system has acknowledged are progress too.
@@ -85,28 +96,33 @@
     ) -> Poll<io::Result<T>> {
         if written.is_ready() {
             if let Some(waiting) = &mut self.waiting {
-                waiting.drain.record_progress(self.created.elapsed());
+                waiting.drain.record_progress(self.readers.now());
             }
             return written;
         }
         let interval = (self.unread_max / 8).min(CHECK_INTERVAL_MAX);
-        let waiting = self.waiting.get_or_insert_with(|| Waiting {
-            drain: Drain::new(acked_bytes(&self.stream), self.created.elapsed()),
-            next_check: Box::pin(sleep(interval)),
+        let waiting = self.waiting.get_or_insert_with(|| {
+            let drain = Drain::new(acked_bytes(&self.stream), self.readers.now());
+            let reader = self.readers.add(drain, cx.waker());
+            Waiting { drain, reader, next_check: Box::pin(sleep(interval)) }
         });
-        loop {
+        let end = loop {
+            if waiting.reader.is_closing() {
+                break &self.end.is_slowest;
+            }
             ready!(waiting.next_check.as_mut().poll(cx));
-            let now = self.created.elapsed();
+            let now = self.readers.now();
             waiting.drain.update(acked_bytes(&self.stream), now);
             if waiting.drain.idle_time(now) >= self.unread_max {
-                break;
+                break &self.end.is_unread;
             }
             waiting.next_check.as_mut().reset(Instant::now() + interval);
-        }
-        self.is_unread.store(true, Ordering::Release);
+            waiting.reader.update(waiting.drain, cx.waker());
+        };
+        end.store(true, Ordering::Release);
         // What the kernel still holds is dropped, instead of kept until the caller's system gives up.
         let _ = self.stream.set_zero_linger();
-        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "the caller does not read")))
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "the caller reads too little")))
     }
 
     /// Reads and drops what the caller still sends, until it closes its side or a limit is reached.
