lw-daemon: unread answers and refused prompts of the native interface

Cause: a prompt that found no room was refused without a counter and a log line. The guard for unread answers saw only answers whose next frame the HTTP library had not asked for: an answer taken as a whole counted as an idle connection, which was closed after 75 s however its caller read, without a count.

Change: hold_prompt counts body_refusals.no_memory and logs 'prompt not held'. The check of the connections asks the kernel what the caller has acknowledged of answers that the library has taken; progress restarts the time for unread answers, now the setting timeouts.unread (75 s as before), and the slowest readers are closed while memory is scarce (closed_connections.slowest).

--- a/crates/lw-config/src/settings/mod.rs
+++ b/crates/lw-config/src/settings/mod.rs
@@ -81,6 +81,8 @@
     pub head: Duration,
     /// For a caller to send its body.
     pub body: Duration,
+    /// For a caller to read anything of an answer that waits for it.
+    pub unread: Duration,
     /// For the next event of an engine's stream after the previous one.
     pub stream_silence: Duration,
     /// Idle time after which a pooled connection is closed.
@@ -300,6 +302,7 @@
             peer: fields.duration("peer", MILLIS(500), MILLIS(10)..=MILLIS(10_000)),
             head: fields.duration("head", MILLIS(10_000), MILLIS(100)..=MILLIS(300_000)),
             body: fields.duration("body", MILLIS(10_000), MILLIS(100)..=MILLIS(300_000)),
+            unread: fields.duration("unread", MILLIS(75_000), MILLIS(100)..=MILLIS(300_000)),
             stream_silence: fields.duration(
                 "stream_silence",
                 MILLIS(2000),
--- a/crates/lw-config/tests/operations_page.rs
+++ b/crates/lw-config/tests/operations_page.rs
@@ -159,6 +159,7 @@
         ("timeouts.platform", format!("{}ms", timeouts.platform.as_millis())),
         ("timeouts.peer", format!("{}ms", timeouts.peer.as_millis())),
         ("timeouts.body", format!("{}s", timeouts.body.as_secs())),
+        ("timeouts.unread", format!("{}s", timeouts.unread.as_secs())),
         ("timeouts.stream_silence", format!("{}s", timeouts.stream_silence.as_secs())),
         ("timeouts.pool_idle", format!("{}s", timeouts.pool_idle.as_secs())),
         ("claims.retention", format!("{}m", settings.claims.retention.as_secs() / 60)),
--- a/crates/lw-daemon/src/callers/completion.rs
+++ b/crates/lw-daemon/src/callers/completion.rs
@@ -51,7 +51,12 @@
     .await?;
     let completion = CompletionRequest::parse(endpoint, &bytes)?;
     drop(bytes);
-    let prompt_hold = intake::hold_prompt(&tables.caller_memory, &completion.prompt)?;
+    let prompt_hold = intake::hold_prompt(
+        &tables.caller_memory,
+        &tables.statsd,
+        &caller.request_id,
+        &completion.prompt,
+    )?;
     let guards = Guards { _in_flight: guard, _prompt: prompt_hold };
     let mut context = AttemptContext::received(caller.arrived, 0, caller.deadline);
     let mut last_failure = None;
--- a/crates/lw-daemon/src/intake/mod.rs
+++ b/crates/lw-daemon/src/intake/mod.rs
@@ -44,16 +44,7 @@
         Ok(bytes) => return Ok(bytes),
         Err(e) => e,
     };
-    let used = memory.used();
-    statsd.count(&format!("body_refusals.{}", error.kind()), 1);
-    log::warn!(
-        "http: {request} body not read ({}): {error}; {} of {} bytes are held, {} of large requests, {} of large answers",
-        error.kind(),
-        used.total(),
-        memory.shares().total,
-        used.large_requests,
-        used.large_answers
-    );
+    record_refusal(memory, statsd, request, "body not read", &error);
     if matches!(error, BodyError::TooLarge(_) | BodyError::NoRoom(_)) {
         server::discard(body).await;
     }
@@ -65,15 +56,44 @@
 /// # Errors
 ///
 /// A failure that says that the request has not run, if there is no memory for them.
-pub(crate) fn hold_prompt(memory: &Arc<CallerMemory>, prompt: &str) -> Result<Hold, Failure> {
+pub(crate) fn hold_prompt(
+    memory: &Arc<CallerMemory>,
+    statsd: &Statsd,
+    request: &str,
+    prompt: &str,
+) -> Result<Hold, Failure> {
     let bytes = 2 * prompt.len();
     let mut hold = memory.hold(Holder::Request, u64::try_from(prompt.len()).ok());
     match hold.grow(bytes) {
         Ok(()) => Ok(hold),
-        Err(e) => Err(failure(&BodyError::NoRoom(e))),
+        Err(e) => {
+            let error = BodyError::NoRoom(e);
+            record_refusal(memory, statsd, request, "prompt not held", &error);
+            Err(failure(&error))
+        }
     }
 }
 
+/// Counts and logs a request that is refused because of its bytes.
+fn record_refusal(
+    memory: &CallerMemory,
+    statsd: &Statsd,
+    request: &str,
+    what: &str,
+    error: &BodyError,
+) {
+    let used = memory.used();
+    statsd.count(&format!("body_refusals.{}", error.kind()), 1);
+    log::warn!(
+        "http: {request} {what} ({}): {error}; {} of {} bytes are held, {} of large requests, {} of large answers",
+        error.kind(),
+        used.total(),
+        memory.shares().total,
+        used.large_requests,
+        used.large_answers
+    );
+}
+
 fn failure(e: &BodyError) -> Failure {
     let failure = Failure::new(e.code(), e.to_string());
     match e {
--- a/crates/lw-daemon/src/run/connections.rs
+++ b/crates/lw-daemon/src/run/connections.rs
@@ -19,6 +19,7 @@
 
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
+use lw_forward::intake::CallerMemory;
 use lw_transport::timer::Timer;
 use lw_types::prelude::*;
 use tokio::net::TcpListener;
@@ -29,13 +30,11 @@
 };
 use volo_http::{body::Body, error::BoxError};
 
+use super::unread::{Undelivered, Unread, slowest};
+
 /// Time without a request after which a connection that has carried one is closed. Load balancers commonly keep idle
 /// connections for 60 s, and a request that is sent on a connection while it closes has to be sent again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
-/// Time for which a caller may take nothing of an answer before its connection is closed. As long as the idle time, so
-/// that a caller is never closed earlier for reading slowly than for sending nothing. The HTTP library buffers about 400 KB,
-/// so a caller that takes 6 KB/s or more is not affected.
-const UNREAD_TIMEOUT: Duration = IDLE_TIMEOUT;
 /// Longest time between two checks of the open connections.
 const CHECK_INTERVAL_MAX: Duration = Duration::from_secs(1);
 /// Shortest time between two checks caused by new connections while the maximum number is open.
@@ -49,10 +48,22 @@
     table: Mutex<ConnectionTable>,
     timer: Timer,
     open_max: usize,
-    head_timeout: Duration,
+    timeouts: Timeouts,
+    memory: Arc<CallerMemory>,
     last_id: AtomicU64,
-    /// Number of connections that were closed since their callers did not read.
+    /// Number of connections that were closed since their callers read nothing.
     unread_count: AtomicU64,
+    /// Number of connections that were closed since their callers read least and memory was scarce.
+    slowest_count: AtomicU64,
+}
+
+/// Timeouts of callers' connections.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Timeouts {
+    /// For the first request head.
+    pub(super) head: Duration,
+    /// Time for which a caller may read nothing of an answer that waits for it.
+    pub(super) unread: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -74,20 +85,7 @@
     /// When the time without a request began.
     idle_since: Now,
     unread: Arc<Unread>,
-}
-
-/// When the HTTP library took the last frame of an answer, while it has not asked for the next one: its caller does not read.
-#[derive(Debug, Default)]
-struct Unread(Mutex<Option<Now>>);
-
-impl Unread {
-    fn set(&self, since: Option<Now>) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = since;
-    }
-
-    fn get(&self) -> Option<Now> {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+    undelivered: Undelivered,
 }
 
 impl Connection {
@@ -99,28 +97,38 @@
 }
 
 impl Connections {
-    pub(super) fn new(timer: Timer, open_max: usize, head_timeout: Duration) -> Self {
-        let last_id = AtomicU64::new(0);
+    pub(super) fn new(
+        timer: Timer,
+        open_max: usize,
+        timeouts: Timeouts,
+        memory: Arc<CallerMemory>,
+    ) -> Self {
         Self {
             table: Mutex::default(),
             timer,
             open_max,
-            head_timeout,
-            last_id,
+            timeouts,
+            memory,
+            last_id: AtomicU64::new(0),
             unread_count: AtomicU64::new(0),
+            slowest_count: AtomicU64::new(0),
         }
     }
 
-    /// Closes idle connections, and those whose callers do not read, until the process ends. Counts the latter.
-    pub(super) async fn run_idle_checks(self: Arc<Self>, count_unread: impl Fn(u64)) {
-        let period = (self.head_timeout / 4).min(CHECK_INTERVAL_MAX);
+    /// Closes idle connections, and those whose callers read too little, until the process ends. Counts the latter by kind.
+    pub(super) async fn run_idle_checks(self: Arc<Self>, count_closed: impl Fn(&str, u64)) {
+        let period = (self.timeouts.head.min(self.timeouts.unread) / 4).min(CHECK_INTERVAL_MAX);
         let mut ticks = self.timer.subscribe(period);
         loop {
             let now = ticks.tick().await;
             self.close_idle(&mut self.lock(), now);
-            match self.unread_count.swap(0, Ordering::Relaxed) {
-                0 => {}
-                count => count_unread(count),
+            self.close_slowest(&mut self.lock(), now);
+            for (kind, count) in [("unread", &self.unread_count), ("slowest", &self.slowest_count)]
+            {
+                match count.swap(0, Ordering::Relaxed) {
+                    0 => {}
+                    count => count_closed(kind, count),
+                }
             }
         }
     }
@@ -150,6 +158,7 @@
             has_unread_bytes: false,
             idle_since: now,
             unread: Arc::default(),
+            undelivered: Undelivered::None,
         };
         table.connections.insert(peer, connection);
         Ok(true)
@@ -163,6 +172,9 @@
         connection.requests_in_progress += 1;
         connection.has_received_request = true;
         connection.has_unread_bytes = false;
+        if connection.undelivered.drain().is_none() {
+            connection.undelivered = Undelivered::Unknown;
+        }
         let (id, unread) = (connection.id, Arc::clone(&connection.unread));
         unread.set(None);
         Some(RequestGuard { connections: Arc::clone(self), peer, id, unread, is_broken: false })
@@ -171,26 +183,37 @@
     fn close_idle(&self, table: &mut ConnectionTable, now: Now) {
         table.last_check = now;
         table.connections.retain(|peer, connection| {
-            if connection.requests_in_progress > 0 {
-                let is_read =
-                    connection.unread.get().is_none_or(|since| now < since + UNREAD_TIMEOUT);
-                if !is_read {
+            let is_idle = connection.requests_in_progress == 0;
+            let (taken, idle_since) = if is_idle {
+                (None, Some(connection.idle_since))
+            } else {
+                (connection.unread.get(), None)
+            };
+            connection.undelivered.update(&connection.socket, taken, idle_since, now);
+            if let Some(drain) = connection.undelivered.drain() {
+                connection.idle_since = now;
+                let idle_time = drain.idle_time(now);
+                if idle_time >= self.timeouts.unread {
                     log::warn!(
-                        "http: closed the connection of {peer}: it read nothing for {UNREAD_TIMEOUT:?}"
+                        "http: closed the connection of {peer}: it read nothing for {idle_time:?}"
                     );
                     self.unread_count.fetch_add(1, Ordering::Relaxed);
                     connection.shut_down();
+                    return false;
                 }
-                return is_read;
+                return true;
+            }
+            if !is_idle {
+                return true;
             }
             // Does not block: the socket shares the non-blocking mode of the HTTP library's handle.
             let peeked = connection.socket.peek(&mut [0]);
             let had_unread_bytes =
                 std::mem::replace(&mut connection.has_unread_bytes, matches!(peeked, Ok(1..)));
             let timeout = if connection.has_received_request {
-                IDLE_TIMEOUT.max(self.head_timeout)
+                IDLE_TIMEOUT.max(self.timeouts.head)
             } else {
-                self.head_timeout
+                self.timeouts.head
             };
             match peeked {
                 Ok(0) => return false,
@@ -206,6 +229,30 @@
             false
         });
     }
+
+    /// Closes the connections whose callers read least, if memory is scarce.
+    fn close_slowest(&self, table: &mut ConnectionTable, now: Now) {
+        if !self.memory.needs_room() {
+            return;
+        }
+        let rates = table.connections.iter().filter_map(|(peer, connection)| {
+            Some((*peer, connection.undelivered.drain()?.rate(now)?))
+        });
+        for (peer, rate) in slowest(rates) {
+            let used = self.memory.used();
+            log::warn!(
+                "http: closed the connection of {peer}: it reads {rate} bytes/s and memory is scarce, {} of {} bytes are \
+                 held, {} of answers",
+                used.total(),
+                self.memory.shares().total,
+                used.answers
+            );
+            self.slowest_count.fetch_add(1, Ordering::Relaxed);
+            if let Some(connection) = table.connections.remove(&peer) {
+                connection.shut_down();
+            }
+        }
+    }
 }
 
 /// Keeps a connection from being closed as idle while its request is being answered.
--- a/crates/lw-daemon/src/run/mod.rs
+++ b/crates/lw-daemon/src/run/mod.rs
@@ -23,6 +23,7 @@
 };
 
 mod connections;
+mod unread;
 
 use connections::{Acceptor, Connections};
 
@@ -89,15 +90,16 @@
     tokio::spawn(services::close_idle_connections(Arc::clone(&tables)));
     log::info!("run: {} serves callers on {}", tables.settings.vm, listen.callers);
     let (limits, timeouts) = (&tables.settings.limits, &tables.settings.timeouts);
-    let connection_limits = Connections::new(tables.timer, limits.connections_max, timeouts.head);
-    let connection_limits = Arc::new(connection_limits);
+    let timeouts = connections::Timeouts { head: timeouts.head, unread: timeouts.unread };
+    let memory = Arc::clone(&tables.caller_memory);
+    let connection_limits =
+        Arc::new(Connections::new(tables.timer, limits.connections_max, timeouts, memory));
     let count_tables = Arc::clone(&tables);
-    let count_unread = move |count| {
-        count_tables
-            .statsd
-            .count("closed_connections.unread", i64::try_from(count).unwrap_or(i64::MAX));
+    let count_closed = move |kind: &str, count| {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        count_tables.statsd.count(&format!("closed_connections.{kind}"), count);
     };
-    tokio::spawn(Arc::clone(&connection_limits).run_idle_checks(count_unread));
+    tokio::spawn(Arc::clone(&connection_limits).run_idle_checks(count_closed));
     let callers = Acceptor { listener: callers, connections: Some(connection_limits) };
     let peer_listener = Acceptor { listener: peer_listener, connections: None };
     let operators = Acceptor { listener: operators, connections: None };
--- a/crates/lw-forward/src/drain/mod.rs
+++ b/crates/lw-forward/src/drain/mod.rs
@@ -163,9 +163,9 @@
         }
     }
 
-    /// Records progress of an unknown number of bytes.
+    /// Records progress of an unknown number of bytes, now or earlier.
     pub fn record_progress(&mut self, now: Duration) {
-        self.progressed = now;
+        self.progressed = self.progressed.max(now);
     }
 
     /// Returns the time since the last progress.
