lw-forward, lw-edge, lw-daemon: events of streams count as callers' bytes

Cause: events that the HTTP library held for callers that do not read were in no account: up to 16 KiB and a read of the upstream for each connection on the platform, about 400 KB on the native interface.

Change: events are held in the memory for callers' bytes until the socket has them. One that finds no room waits, without reading its upstream, until the deadline of its request; then the stream breaks off and its connection closes.

The native interface uses the same function and has no test of its own for it.

--- a/crates/lw-daemon/src/callers/completion.rs
+++ b/crates/lw-daemon/src/callers/completion.rs
@@ -2,14 +2,14 @@
 
 use std::{
     sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
 use futures::stream;
 use http::StatusCode;
 use http_body::Frame;
-use lw_forward::intake::Hold;
+use lw_forward::intake::{CallerMemory, Hold, NoRoom, hold_events};
 use lw_limit::retry::AttemptContext;
 use lw_protocol::{
     caller::{Answer, ChunkWriter, CompletionRequest, DONE, Endpoint, Failure, Usage},
@@ -70,7 +70,7 @@
         }
         match start_answer(tables, &caller, &completion, request, context).await {
             Ok((first, driver)) => {
-                return answer(&caller, &completion, first, driver, guards).await;
+                return answer(tables, &caller, &completion, first, driver, guards).await;
             }
             Err(StartFailure { failure, context: next_context }) => {
                 let may_continue = may_try_other_version(failure.code);
@@ -134,6 +134,7 @@
 }
 
 async fn answer(
+    tables: &Tables,
     caller: &Caller,
     completion: &CompletionRequest,
     first: AnswerEvent,
@@ -147,7 +148,8 @@
         created: unix_seconds(),
     };
     if completion.stream {
-        Ok(stream_answer(&answer, first, driver, guards))
+        let room = Room { memory: Arc::clone(&tables.caller_memory), time_max: caller.deadline };
+        Ok(stream_answer(&answer, first, driver, guards, room))
     } else {
         collect_answer(&answer, first, driver).await
     }
@@ -281,39 +283,59 @@
     chunks: ChunkWriter,
     first: Option<AnswerEvent>,
     driver: Driver,
+    room: Room,
     _guards: Guards,
 }
 
+/// Where the events of a stream are accounted for, and how long one may wait for room.
+struct Room {
+    memory: Arc<CallerMemory>,
+    time_max: Duration,
+}
+
 impl CompletionStream {
-    async fn next(&mut self) -> Option<Bytes> {
+    async fn next(&mut self) -> Option<Result<Bytes, NoRoom>> {
         let event = match self.first.take() {
             Some(event) => event,
             None => self.driver.next().await?,
         };
-        Some(Bytes::from(match event {
+        let event = Bytes::from(match event {
             AnswerEvent::Text(text) => self.chunks.event(&text),
             AnswerEvent::Finish(end) => {
                 let last = self.answer.last_chunk(&end.finish_reason, &usage(&end));
                 sse::event(&last.to_string()) + &sse::event(DONE)
             }
             AnswerEvent::Fail(failure) => sse::event(&failure.body().to_string()),
-        }))
+        });
+        let held = hold_events(&self.room.memory, event, self.room.time_max).await;
+        if let Err(e) = &held {
+            log::warn!("http: {} broken off: {e}", self.answer.id);
+        }
+        Some(held)
     }
 }
 
-fn stream_answer(answer: &Answer, first: AnswerEvent, driver: Driver, guards: Guards) -> Response {
+fn stream_answer(
+    answer: &Answer,
+    first: AnswerEvent,
+    driver: Driver,
+    guards: Guards,
+    room: Room,
+) -> Response {
     let chunks = answer.chunk_writer();
     let stream = CompletionStream {
         answer: answer.clone(),
         chunks,
         first: Some(first),
         driver,
+        room,
         _guards: guards,
     };
     // Boxed, since each event moves this state into a future and back.
     let events = stream::unfold(Box::new(stream), async |mut stream: Box<CompletionStream>| {
         let event = stream.next().await?;
-        Some((Ok::<_, volo_http::error::BoxError>(Frame::data(event)), stream))
+        let frame = event.map(Frame::data).map_err(volo_http::error::BoxError::from);
+        Some((frame, stream))
     });
     let body = Body::from_stream(SyncStream::new(events));
     server::respond(StatusCode::OK, "text/event-stream", body)
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -6,7 +6,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use lw_catalog::RouteKind;
-use lw_forward::{events::Splitter, pool::UpstreamAnswerBody};
+use lw_forward::{events::Splitter, intake, pool::UpstreamAnswerBody};
 use lw_place::Ended;
 
 use super::{
@@ -120,6 +120,7 @@
                 Received::Bytes(bytes) => match self.splitter.push(&bytes) {
                     Ok(Some(ready)) => {
                         self.awaits_first_event = false;
+                        let ready = self.hold_events(ready).await?;
                         self.driver.record.record_chunk();
                         self.relayed_bytes += u64::try_from(ready.len()).unwrap_or(u64::MAX);
                         return Ok(Some(ready));
@@ -156,6 +157,24 @@
         }
     }
 
+    /// Accounts for events until the caller's socket has them.
+    ///
+    /// # Errors
+    ///
+    /// When there is no room for them until the deadline. The upstream did nothing wrong.
+    async fn hold_events(&mut self, events: Bytes) -> Result<Bytes, BodyError> {
+        let left = self.driver.call.due.saturating_sub(self.driver.edge.timer.now());
+        let held = intake::hold_events(&self.driver.edge.caller_memory, events, left).await;
+        held.map_err(|e| {
+            let why = e.to_string();
+            if let Some((_, attempt)) = self.current.take() {
+                attempt.end(Ended::Cancelled, &why);
+            }
+            self.driver.record.record_broken_stream(&why, self.relayed_bytes);
+            why.into()
+        })
+    }
+
     /// Returns the number of events of the answer, if one attempt sent all of them. Ids of events count from 1.
     fn whole_events(&self) -> Option<u64> {
         let is_whole = !self.is_resumed && self.driver.call.head.last_event.is_none();
--- a/crates/lw-forward/src/intake/buffer.rs
+++ b/crates/lw-forward/src/intake/buffer.rs
@@ -106,14 +106,19 @@
     }
 }
 
+/// Returns the same data, whose memory is accounted for in `hold` until its last copy is dropped.
+pub(super) fn hold_data(data: Bytes, hold: Hold) -> Bytes {
+    Bytes::from_owner(HeldData { data, _hold: hold })
+}
+
 /// Data whose memory is accounted for until it is dropped.
-struct HeldData {
-    data: Vec<u8>,
+struct HeldData<T> {
+    data: T,
     _hold: Hold,
 }
 
-impl AsRef<[u8]> for HeldData {
+impl<T: AsRef<[u8]>> AsRef<[u8]> for HeldData<T> {
     fn as_ref(&self) -> &[u8] {
-        &self.data
+        self.data.as_ref()
     }
 }
--- a/crates/lw-forward/src/intake/mod.rs
+++ b/crates/lw-forward/src/intake/mod.rs
@@ -14,6 +14,9 @@
 pub use buffer::Buffer;
 pub use memory::{CallerMemory, Hold, Holder, NoRoom, SMALL_MAX_BYTES, Shares, Used};
 
+/// Interval between two attempts to find room for events.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Limits on one body of a caller.
 #[derive(Debug, Clone, Copy)]
 pub struct BodyLimits {
@@ -140,3 +143,43 @@
         buffer.push(&data).map_err(BodyError::NoRoom)?;
     }
 }
+
+/// Returns data of a stream that is given to its caller, accounted for until the caller's socket has it. Waits for room, at
+/// most for `time_max`; the upstream is not read meanwhile.
+///
+/// # Errors
+///
+/// [`NoRoom`] if there is none in this time.
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+/// use lw_forward::intake::{CallerMemory, Shares, hold_events};
+/// let memory = CallerMemory::new(Shares::of_total(6));
+/// let time_max = std::time::Duration::from_millis(50);
+/// let first = hold_events(&memory, "first".into(), time_max).await.unwrap();
+/// assert_eq!((&*first, memory.used().answers), (&b"first"[..], 5));
+/// assert!(hold_events(&memory, "second".into(), time_max).await.is_err());
+/// drop(first);
+/// assert!(hold_events(&memory, "second".into(), time_max).await.is_ok());
+/// # });
+/// ```
+pub async fn hold_events(
+    memory: &Arc<CallerMemory>,
+    data: Bytes,
+    time_max: Duration,
+) -> Result<Bytes, NoRoom> {
+    if data.is_empty() {
+        return Ok(data);
+    }
+    let mut hold = memory.hold(Holder::Answer, None);
+    let mut left = time_max;
+    while let Err(e) = hold.grow(data.len()) {
+        if left.is_zero() {
+            return Err(e);
+        }
+        let wait = left.min(ROOM_INTERVAL);
+        tokio::time::sleep(wait).await;
+        left -= wait;
+    }
+    Ok(buffer::hold_data(data, hold))
+}
