lw-edge: a limit near zero does not end the follower of cache events

Cause: the period between two calls for the cache events of an engine whose limit is near zero is the longest duration. Adding it to the time of the last call overflowed, and the task that follows the engine panicked and was gone.

Change: the time since the last call is compared with the period.

--- a/crates/lw-edge/src/feeds/mod.rs
+++ b/crates/lw-edge/src/feeds/mod.rs
@@ -160,7 +160,8 @@
         let period = edge.with_upstream_pool(service, |pool| pool.feed_period(id)).flatten();
         let Some(period) = period else { return };
         let is_first = followers_before(edge, &edge.store_view(), holder) == 0;
-        if is_first && edge.timer.now() >= last + period {
+        // The period of a limit near zero is the longest one, to which nothing can be added.
+        if is_first && edge.timer.now().saturating_sub(last) >= period {
             return;
         }
         tokio::time::sleep(REFRESH_PERIOD).await;
