lw-soak: hostile callers

Cause: the soak had no callers that make a VM hold bytes.

Change: four callers of each VM (--hostile) send bodies that stop short of their end and chunks of one byte, or read large answers a few bytes at a time, chosen by the seed, also while recovery is checked. Usage caps are not included.

--- a/crates/lw-daemon/tests/soak.rs
+++ b/crates/lw-daemon/tests/soak.rs
@@ -2,7 +2,8 @@
 //!
 //! Guards against calls that run twice, calls that ran but are reported as not run, answers of other requests,
 //! incomplete answers, streams given up while their engines are silent, requests lost around a restart, accepted revoked
-//! keys, requests to leaving upstreams, two issuers of orders with one fencing number, and VMs that do not recover.
+//! keys, requests to leaving upstreams, two issuers of orders with one fencing number, VMs that do not recover, and VMs that end,
+//! panic or use too much memory beside hostile callers.
 
 use std::{path::Path, time::Duration};
 
--- a/crates/lw-soak/src/lib.rs
+++ b/crates/lw-soak/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! VMs run as processes of their own; the store, the engines and the plain services are stand-ins in this process.
 //! Loopback proxies between them delay, reset and withhold traffic. Callers keep their connections open between
-//! requests. A seed determines the faults and requests, but not the timing of the machine. The guarantees are checked
+//! requests; others are hostile. A seed determines the faults and requests, but not the timing of the machine. The guarantees are checked
 //! on the requests and answers that callers and upstreams recorded.
 
 pub mod callers;
 pub mod checks;
+pub mod hostile;
 pub mod proxy;
 pub mod run;
 pub mod schedule;
--- a/crates/lw-soak/src/main.rs
+++ b/crates/lw-soak/src/main.rs
@@ -18,6 +18,7 @@
   --seeds N       runs, each with the next seed (default: 1)
   --seconds N     time from the start of a run in which faults begin, 1 to 3600 (default: 20)
   --vms N         VMs, 1 to 100 (default: 3)
+  --hostile N     callers of each VM that make it hold bytes, 0 to 100 (default: 4)
   --daemon PATH   program of the VMs (default: lavenderwoodd in the folder of this one)
   --logs DIR      folder for the logs of runs with findings (default: target/soak)
 
@@ -69,10 +70,10 @@
 
 /// Prints the outcome of a run and returns whether it has findings; removes its logs if it has none.
 fn print_outcome(seed: u64, outcome: &Outcome, dir: &Path) -> bool {
-    let Outcome { findings, faults, requests, served } = outcome;
+    let Outcome { findings, faults, requests, served, peak_kib } = outcome;
     let count = findings.len();
     println!(
-        "seed {seed}: {faults} faults, {requests} requests, {served} served, {count} findings"
+        "seed {seed}: {faults} faults, {requests} requests, {served} served, {peak_kib} KiB, {count} findings"
     );
     for finding in findings {
         println!("  {finding}");
@@ -98,8 +99,9 @@
     let seeds = args.opt_value_from_str("--seeds")?.unwrap_or(1);
     let seconds: u64 = args.opt_value_from_str("--seconds")?.unwrap_or(20);
     let vms: usize = args.opt_value_from_str("--vms")?.unwrap_or(3);
-    if !(1..=3600).contains(&seconds) || !(1..=100).contains(&vms) {
-        return Err("--seconds must be 1 to 3600, --vms 1 to 100".into());
+    let hostile_callers = args.opt_value_from_str("--hostile")?.unwrap_or(4);
+    if !(1..=3600).contains(&seconds) || !(1..=100).contains(&vms) || hostile_callers > 100 {
+        return Err("--seconds must be 1 to 3600, --vms 1 to 100, --hostile 0 to 100".into());
     }
     let default_daemon = std::env::current_exe()?.with_file_name("lavenderwoodd");
     let daemon = args.opt_value_from_str("--daemon")?.unwrap_or(default_daemon);
@@ -108,7 +110,7 @@
     if let Some(arg) = unknown.first() {
         return Err(format!("unknown argument {}", arg.display()).into());
     }
-    let options =
-        Options { seed, vms, fault_window: Duration::from_secs(seconds), ..Options::default() };
+    let fault_window = Duration::from_secs(seconds);
+    let options = Options { seed, vms, hostile_callers, fault_window, ..Options::default() };
     Ok(Some(Arguments { options, seeds, daemon, logs }))
 }
--- a/crates/lw-soak/src/run/faults.rs
+++ b/crates/lw-soak/src/run/faults.rs
@@ -103,6 +103,7 @@
         for n in 0..self.upstreams.len() {
             self.register_upstream(n, &operators);
         }
+        self.register_bulk();
     }
 
     /// Kills or drains a VM and starts it again after `downtime`.
--- a/crates/lw-soak/src/run/mod.rs
+++ b/crates/lw-soak/src/run/mod.rs
@@ -3,7 +3,10 @@
 use std::{
     fs, io,
     path::{Path, PathBuf},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -11,6 +14,7 @@
 use lw_standin::{
     hosted::{
         caller::{request, send},
+        http::Server,
         operator::{VmOptions, config, revoked_config},
         store::Store,
         upstream::{BehaviourQueue, MODEL, Upstream},
@@ -18,11 +22,15 @@
     loopback::free_address,
 };
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
 
 use crate::{
     callers::{self, CallerGroup, PACED_STREAM_PATHS, PATHS, STREAM_DEADLINE, is_ready},
     checks::{ActiveFault, Trace},
+    hostile,
     proxy::Proxy,
     schedule::{Options, draw_events},
     vm::Vm,
@@ -74,6 +82,8 @@
     pub requests: usize,
     /// Number of requests with a complete answer of status 200.
     pub served: usize,
+    /// Largest memory use of a VM, in KiB.
+    pub peak_kib: u64,
 }
 
 /// What the operators have configured and registered so far.
@@ -94,6 +104,8 @@
     upstreams: Vec<Upstream>,
     upstream_paths: Vec<Proxy>,
     engines: usize,
+    /// Upstream with answers for slow readers.
+    bulk: Server,
     vms: Vec<Vm>,
     /// Serializes the restarts of each VM.
     restart_locks: Vec<tokio::sync::Mutex<()>>,
@@ -117,7 +129,7 @@
         return Err(Error::NotReady { dir: dir.to_owned() });
     }
     let group = Arc::new(CallerGroup::default());
-    let mut caller_tasks = tokio::task::JoinSet::new();
+    let mut caller_tasks = JoinSet::new();
     for (i, vm) in deployment.vms.iter().enumerate() {
         for n in 0..CALLERS_PER_VM + STREAM_CALLERS_PER_VM {
             let (name, place) = (format!("{}-{n}", vm.place.vm), vm.place.clone());
@@ -132,15 +144,18 @@
             caller_tasks.spawn(callers::run_caller(group, i, place, paths, name, seed));
         }
     }
+    let hostile = HostileCallers::start(&deployment, options);
     let registrations = tokio::spawn(register_loaded_versions(Arc::clone(&deployment)));
     let events = draw_events(options);
     let faults = events.len();
-    let mut running = tokio::task::JoinSet::new();
+    let mut running = JoinSet::new();
     for event in events {
         running.spawn(faults::run_event(Arc::clone(&deployment), event));
     }
     while running.join_next().await.is_some() {}
+    // Ordinary requests are served beside the hostile callers.
     deployment.check_recovery().await;
+    let peak_kib = hostile.stop(&deployment).await;
     group.stop();
     while caller_tasks.join_next().await.is_some() {}
     deployment.drain_vms().await?;
@@ -152,7 +167,50 @@
         record.reply.as_ref().is_some_and(|reply| reply.status == 200 && reply.is_complete)
     };
     let served = trace.records.iter().filter(is_served).count();
-    Ok(Outcome { findings, faults, requests: trace.records.len(), served })
+    Ok(Outcome { findings, faults, requests: trace.records.len(), served, peak_kib })
+}
+
+/// The hostile callers of all VMs, and what the VMs use meanwhile.
+struct HostileCallers {
+    is_stopped: Arc<AtomicBool>,
+    callers: JoinSet<()>,
+    /// Peak memory of each VM.
+    memory: JoinSet<(usize, u64)>,
+}
+
+impl HostileCallers {
+    fn start(deployment: &Arc<Deployment>, options: &Options) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let (mut callers, mut memory) = (JoinSet::new(), JoinSet::new());
+        let mut rng = fastrand::Rng::with_seed(options.seed);
+        for (n, vm) in deployment.vms.iter().enumerate() {
+            for _ in 0..options.hostile_callers {
+                let is_stopped = Arc::clone(&is_stopped);
+                callers.spawn(hostile::run_caller(is_stopped, vm.place.callers, rng.u64(..)));
+            }
+            let (deployment, is_stopped) = (Arc::clone(deployment), Arc::clone(&is_stopped));
+            memory.spawn(async move {
+                (n, hostile::watch_memory(&is_stopped, &deployment.vms[n]).await)
+            });
+        }
+        Self { is_stopped, callers, memory }
+    }
+
+    /// Waits until the callers have ended, and adds a finding for each VM that used too much memory. Returns the most that one
+    /// used, in KiB.
+    async fn stop(mut self, deployment: &Deployment) -> u64 {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        while self.callers.join_next().await.is_some() {}
+        let mut peak_max = 0;
+        while let Some(Ok((n, peak_kib))) = self.memory.join_next().await {
+            peak_max = peak_max.max(peak_kib);
+            let vm = &deployment.vms[n].place.vm;
+            if let Some(finding) = hostile::check_memory(vm, peak_kib) {
+                deployment.add_finding(finding);
+            }
+        }
+        peak_max
+    }
 }
 
 /// Updates the registry entry of each engine when the version of its weights changes, as engines themselves do.
@@ -177,7 +235,7 @@
 impl Deployment {
     async fn start(options: &Options, daemon: &Path, dir: &Path) -> io::Result<Self> {
         let store = Store::start().await?;
-        store.put("op/config", &with_stream_timeout(config(1)));
+        store.put("op/config", &with_soak_limits(config(1)));
         let behaviours = BehaviourQueue::default();
         let (mut upstreams, mut upstream_paths) = (Vec::new(), Vec::new());
         for n in 0..options.engines + options.servers {
@@ -217,6 +275,7 @@
             upstreams,
             upstream_paths,
             engines: options.engines,
+            bulk: hostile::start_upstream().await?,
             restart_locks: vms.iter().map(|_| tokio::sync::Mutex::default()).collect(),
             vms,
             behaviours,
@@ -229,6 +288,7 @@
         for n in 0..deployment.upstreams.len() {
             deployment.register_upstream(n, &lock(&deployment.operators));
         }
+        deployment.register_bulk();
         for vm in &deployment.vms {
             vm.start().await?;
         }
@@ -246,6 +306,13 @@
         self.store.put(&format!("servers/{}", upstream.id), &entry);
     }
 
+    /// Writes the registry entry of the upstream with large answers.
+    fn register_bulk(&self) {
+        let entry = self.upstreams[self.engines].registry_entry("", DOMAINS[0]);
+        let (key, entry) = hostile::registry_entry(self.bulk.addr, entry);
+        self.store.put(&key, &entry);
+    }
+
     fn set_target_version(&self, version: u64) {
         let target = json!({ "Model": MODEL, "Version": version });
         self.store.put(&format!("op/version/{MODEL}"), &target);
@@ -257,7 +324,7 @@
         let version = operators.config_version;
         let config =
             if operators.has_other_key { config(version) } else { revoked_config(version) };
-        self.store.put("op/config", &with_stream_timeout(config));
+        self.store.put("op/config", &with_soak_limits(config));
     }
 
     fn add_finding(&self, finding: String) {
@@ -311,7 +378,7 @@
         }
     }
 
-    /// Drains all VMs; one that has ended before or fails to end is a finding.
+    /// Drains all VMs; one that has ended before, fails to end or lost a task by a panic is a finding.
     async fn drain_vms(&self) -> io::Result<()> {
         for vm in &self.vms {
             if vm.has_ended().await? {
@@ -322,6 +389,9 @@
                     vm.place.vm
                 ));
             }
+            if String::from_utf8_lossy(&fs::read(&vm.log)?).contains("panicked at") {
+                self.add_finding(format!("a task of {} panicked", vm.place.vm));
+            }
         }
         Ok(())
     }
@@ -344,8 +414,9 @@
     }
 }
 
-/// Returns a configuration whose streams may last longer than those of other tests.
-fn with_stream_timeout(mut config: Value) -> Value {
+/// Returns a configuration whose streams may last longer than those of other tests, with what hostile callers use.
+fn with_soak_limits(config: Value) -> Value {
+    let mut config = hostile::with_large_answers(config);
     let routes = config["Routes"].as_array_mut().into_iter().flatten();
     for route in routes.filter(|route| route["Kind"] == "streaming") {
         route["TimeoutMs"] = json!(STREAM_DEADLINE.as_millis());
--- a/crates/lw-soak/src/schedule/mod.rs
+++ b/crates/lw-soak/src/schedule/mod.rs
@@ -85,6 +85,8 @@
     pub engines: usize,
     /// Number of upstreams of the plain service.
     pub servers: usize,
+    /// Number of callers of each VM that make it hold bytes.
+    pub hostile_callers: usize,
     /// Time from the start within which faults begin.
     pub fault_window: Duration,
     /// Mean time between the starts of two faults.
@@ -99,6 +101,7 @@
             vms: 3,
             engines: 3,
             servers: 2,
+            hostile_callers: 4,
             fault_window: Duration::from_secs(20),
             mean_interval: Duration::from_millis(600),
         }
