--- a/crates/lw-edge/src/follow/read.rs
+++ b/crates/lw-edge/src/follow/read.rs
@@ -12,31 +12,35 @@
         snapshot::{self, Snapshot},
         source::{FOLLOWER_ROLE_MIN_VMS, Source, SourceSelector},
     },
+    register,
     state::{
         Edge, StoreView,
         keys::{self, VmEntry},
     },
 };
 
-/// Time for which a VM that starts asks others for their view before it reads the store. The followers read it meanwhile, page by
-/// page.
-const PEERS_TIME: Duration = Duration::from_secs(4);
-/// Most that is added to it at random, so that VMs that find no other do not read the store all at once.
-const PEERS_JITTER_MS: u64 = 2000;
+/// Time for which a VM that starts asks others for their view before it reads the store. The followers read it meanwhile.
+const PEERS_TIME: Duration = Duration::from_secs(3);
 /// Pause after a VM that has no view yet, and most that is added at random.
 const PEER_PAUSE: Duration = Duration::from_millis(100);
 const PEER_JITTER_MS: u64 = 100;
+/// Longest wait for the first VMs of a fleet to register, in multiples of [`register::startup_delay`].
+const FIRST_VMS_WAIT: u32 = 2;
 
 /// Reads the whole store, or gets it from another VM; returns the position after which to watch, and the source. Pages are not a
 /// snapshot, so this is the position of the first page.
 pub(super) async fn read_all(edge: &Edge) -> Result<(Position, Source), store::Error> {
-    let sent = edge.timer.now_including_suspend();
-    let page = read_page(edge, None).await?;
+    let mut sent = edge.timer.now_including_suspend();
+    let mut page = read_page(edge, None).await?;
     let is_large = page.has_more;
     // After an outage of the store, each VM must read what the store contains now.
     if is_large && edge.store_view().era().is_none() {
-        let neighbors = neighbors(edge).await;
-        if let Some((vm, snapshot)) = request_snapshot(edge, &page, &neighbors).await {
+        if vms(&page).count() < FOLLOWER_ROLE_MIN_VMS {
+            tokio::time::sleep(register::startup_delay(&edge.settings.vm) * FIRST_VMS_WAIT).await;
+            sent = edge.timer.now_including_suspend();
+            page = read_page(edge, None).await?;
+        }
+        if let Some((vm, snapshot)) = request_snapshot(edge, &page).await {
             return Ok((install_snapshot(edge, snapshot), Source::Vm(vm)));
         }
     }
@@ -108,62 +112,49 @@
     Some(Change { key: item.key.clone(), revision: item.revision, value: Some(value) })
 }
 
-/// Returns registered VMs of the own failure domain, if the fleet is so large that only followers read the store: those after this
-/// one in the order of names, or else the first ones. The pages may be old, since they only tell whom to ask.
-async fn neighbors(edge: &Edge) -> Vec<(VmId, SocketAddr)> {
-    let own_key = format!("{}{}", keys::VM_PREFIX, edge.settings.vm);
-    for after in [Some(own_key.as_str()), None] {
-        let page = edge.store.range_stale(keys::VM_PREFIX, after);
-        let Ok(page) = edge.count_store_call("range", page).await else { continue };
-        let entry = |item: &Item| {
-            let vm = item.key.strip_prefix(keys::VM_PREFIX)?;
-            let entry: VmEntry = serde_json::from_slice(item.value.as_ref().ok()?).ok()?;
-            Some((vm.to_owned(), entry))
-        };
-        let vms: Vec<_> = page.entries.iter().filter_map(entry).collect();
-        if vms.len() >= FOLLOWER_ROLE_MIN_VMS {
-            let own = &edge.settings;
-            let is_neighbor = |vm: &VmId, entry: &VmEntry| {
-                *vm != own.vm && entry.failure_domain == own.failure_domain
-            };
-            let neighbors = vms.into_iter().filter(|(vm, entry)| is_neighbor(vm, entry));
-            return neighbors.map(|(vm, entry)| (vm, entry.addr)).collect();
-        }
-    }
-    Vec::new()
+/// Returns the registered VMs that a page lists.
+fn vms(page: &Batch<Item>) -> impl Iterator<Item = (&str, VmEntry)> {
+    page.entries.iter().filter_map(|item| {
+        let vm = item.key.strip_prefix(keys::VM_PREFIX)?;
+        Some((vm, serde_json::from_slice(item.value.as_ref().ok()?).ok()?))
+    })
 }
 
-/// Requests the view of the store from other VMs of the failure domain. Returns none if this VM is to read the store, or has asked
-/// for long enough.
-async fn request_snapshot(
-    edge: &Edge,
-    page: &Batch<Item>,
-    neighbors: &[(VmId, SocketAddr)],
-) -> Option<(VmId, Snapshot)> {
-    let names: Vec<VmId> = neighbors.iter().map(|(vm, _)| vm.clone()).collect();
-    if SourceSelector::is_follower(&edge.settings.vm, &names, FOLLOWER_ROLE_MIN_VMS) {
+/// Requests the view of the store from other VMs of the failure domain that the first page lists. Returns none if this VM is to
+/// read the store, or has asked for long enough.
+async fn request_snapshot(edge: &Edge, page: &Batch<Item>) -> Option<(VmId, Snapshot)> {
+    let (own, domain) = (&edge.settings.vm, &edge.settings.failure_domain);
+    let fleet_size = vms(page).count();
+    let same_domain: Vec<_> =
+        vms(page).filter(|(_, entry)| entry.failure_domain == *domain).collect();
+    let names: Vec<VmId> = same_domain.iter().map(|(vm, _)| (*vm).to_owned()).collect();
+    if SourceSelector::is_follower(own, &names, fleet_size) {
         return None;
     }
+    let others: Vec<(&str, SocketAddr)> = same_domain
+        .iter()
+        .filter(|(vm, _)| vm != own)
+        .map(|(vm, entry)| (*vm, entry.addr))
+        .collect();
     let key = page.entries.iter().find(|item| item.key == keys::PEER_KEY)?.value.as_ref().ok()?;
-    let jitter = Duration::from_millis(fastrand::u64(..PEERS_JITTER_MS));
-    let until = edge.timer.now() + PEERS_TIME + jitter;
+    let until = edge.timer.now() + PEERS_TIME;
     while edge.timer.now() < until {
         // Any VM that has a view passes it on, so that the followers do not send it to all.
-        let (vm, addr) = neighbors.get(fastrand::usize(..neighbors.len().max(1)))?;
-        match snapshot::request(edge, key, *addr).await {
+        let (vm, addr) = *others.get(fastrand::usize(..others.len().max(1)))?;
+        match snapshot::request(edge, key, addr).await {
             Ok(snapshot) => {
-                log::info!(target: "config", from = vm.as_str(), items = snapshot.items.len(),
+                log::info!(target: "config", from = vm, items = snapshot.items.len(),
                     era = snapshot.position.era, revision = snapshot.position.revision;
                     "view of the store received from another VM");
-                return Some((vm.clone(), snapshot));
+                return Some((vm.to_owned(), snapshot));
             }
-            Err(e) => log::debug!(target: "config", vm = vm.as_str(), why = e.to_string();
+            Err(e) => log::debug!(target: "config", vm = vm, why = e.to_string();
                 "no view of the store from another VM"),
         }
         tokio::time::sleep(PEER_PAUSE + Duration::from_millis(fastrand::u64(..PEER_JITTER_MS)))
             .await;
     }
-    log::info!(target: "config", asked = neighbors.len();
-        "reading the store, no other VM has sent a view of it");
+    log::info!(target: "config", asked_ms = PEERS_TIME.as_millis();
+        "reading the store, no other VM has a view of it");
     None
 }
