Revert "lw-edge: a VM that starts gets a large store from another VM"

Cause of the try: reads of the whole store were taken for what delays service after all VMs were killed.

--- a/crates/lw-edge/src/distribution/journal.rs
+++ b/crates/lw-edge/src/distribution/journal.rs
@@ -1,6 +1,6 @@
 //! Journal of the latest changes of the store, for the VMs that request them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
 use lw_platform::config::CONFIG_KEY;
 use lw_types::prelude::*;
@@ -22,19 +22,6 @@
     pub value: Option<Vec<u8>>,
 }
 
-impl Items {
-    fn apply(&mut self, revision: Revision, changes: &[Change]) {
-        self.revision = self.revision.max(revision);
-        for change in changes {
-            if change.value.is_some() {
-                self.by_key.insert(change.key.clone(), change.clone());
-            } else {
-                self.by_key.remove(&change.key);
-            }
-        }
-    }
-}
-
 impl Change {
     fn bytes(&self) -> usize {
         self.key.len() + self.value.as_ref().map_or(0, Vec::len) + CHANGE_BYTES
@@ -64,15 +51,6 @@
     revision: Revision,
     changes: VecDeque<Change>,
     bytes: usize,
-    /// The whole store, where other VMs may request it.
-    items: Option<Items>,
-}
-
-/// All items of the store as of one revision.
-#[derive(Debug)]
-struct Items {
-    revision: Revision,
-    by_key: BTreeMap<String, Change>,
 }
 
 impl Journal {
@@ -82,32 +60,10 @@
         *self = Self { floor: Some(position), revision, ..Self::default() };
     }
 
-    /// As [`Journal::reset`], and keeps the items that were read, which contain all changes up to the revision `complete`.
-    pub fn reset_with_items(
-        &mut self,
-        position: Position,
-        complete: Revision,
-        items: impl Iterator<Item = Change>,
-    ) {
-        self.reset(position);
-        let by_key = items.map(|item| (item.key.clone(), item)).collect();
-        self.items = Some(Items { revision: complete, by_key });
-    }
-
-    /// Returns all items of the store and the position up to which they contain all changes. `None` if they are not kept.
-    #[must_use]
-    pub fn items(&self) -> Option<(Position, impl Iterator<Item = &Change>)> {
-        let (floor, items) = self.floor.zip(self.items.as_ref())?;
-        Some((Position { revision: items.revision, ..floor }, items.by_key.values()))
-    }
-
     /// Appends the changes up to `revision` of the same era, which must follow the previous ones without a gap. Drops the
     /// oldest changes beyond [`JOURNAL_MAX_BYTES`].
     pub fn advance(&mut self, revision: Revision, changes: Vec<Change>) {
         self.revision = self.revision.max(revision);
-        if let Some(items) = &mut self.items {
-            items.apply(revision, &changes);
-        }
         for change in changes {
             if change.key == CONFIG_KEY {
                 self.drop_configurations();
--- a/crates/lw-edge/src/distribution/mod.rs
+++ b/crates/lw-edge/src/distribution/mod.rs
@@ -34,7 +34,6 @@
 };
 
 pub mod journal;
-pub mod snapshot;
 pub mod source;
 
 use journal::{Change, Journal};
@@ -57,7 +56,6 @@
     changed: Notify,
     /// Whether the last call of this VM to the store failed.
     is_without_store: AtomicBool,
-    snapshots: snapshot::Cache,
 }
 
 impl ChangeDistribution {
@@ -185,7 +183,7 @@
     Ok(ChangesReply::Changes { revision: view.revision, changes: view.changes, current_as_of })
 }
 
-/// Replies to a [`ChangesRequest`] or a request for a snapshot of another VM.
+/// Replies to a [`ChangesRequest`] of another VM.
 ///
 /// # Errors
 ///
@@ -200,22 +198,13 @@
         return status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     };
     let arrived = edge.timer.now_including_suspend();
-    let is_for_snapshot = req.uri().path() == snapshot::PATH;
     let body = Limited::new(req.into_body(), REQUEST_MAX_BYTES).collect().await;
-    let body = body.map(http_body_util::Collected::to_bytes).unwrap_or_default();
-    let forbidden = || {
+    let request: Option<ChangesRequest> = body.ok().and_then(|body| decode(&key, &body.to_bytes()));
+    let Some(request) = request else {
         log::warn!(target: "member",
             "rejected a request for changes without a valid authentication code");
-        status(StatusCode::FORBIDDEN, Bytes::new())
+        return status(StatusCode::FORBIDDEN, Bytes::new());
     };
-    if is_for_snapshot {
-        let Some(request) = decode(&key, &body) else { return forbidden() };
-        return match snapshot::reply(&edge, &key, &request) {
-            Some(body) => status(StatusCode::OK, body),
-            None => status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
-        };
-    }
-    let Some(request) = decode::<ChangesRequest>(&key, &body) else { return forbidden() };
     let view = wait_for_changes(&edge, &request, arrived).await;
     match encode(&key, &ChangesReplyWire { nonce: request.nonce, view }) {
         Some(body) => status(StatusCode::OK, body),
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's store: reads it as a whole, then gets the changes by consecutive watches or from another VM
 //! that follows the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use lw_platform::{
     config, registry,
@@ -47,8 +47,6 @@
 /// Key prefix of all keys, so that one watch covers the whole store.
 const ALL_KEYS_PREFIX: &str = "";
 
-mod read;
-
 /// Follows the store, directly or through another VM, until the process ends.
 pub async fn run(edge: Arc<Edge>) {
     let mut updater = ViewUpdater {
@@ -87,10 +85,9 @@
     /// Gets changes once from the selected source, or reads the whole store if this is due.
     async fn step(&mut self) -> Result<(), store::Error> {
         let Some(position) = self.position else {
-            let (position, source) = read::read_all(&self.edge).await?;
-            self.position = Some(position);
+            self.position = Some(read_all(&self.edge).await?);
             self.selector.record_store_success();
-            self.log_source_change(source);
+            self.log_source_change(Source::Store);
             return Ok(());
         };
         match self.select_source() {
@@ -209,6 +206,45 @@
     }
 }
 
+/// Reads the whole store; returns the position after which to watch. The pages are not a snapshot, so this is the
+/// position of the first page.
+async fn read_all(edge: &Edge) -> Result<Position, store::Error> {
+    let sent = edge.timer.now_including_suspend();
+    let mut items = Vec::new();
+    let mut first: Option<Position> = None;
+    let (first, last) = loop {
+        let after = items.last().map(|item: &Item| item.key.clone());
+        let page = edge
+            .count_store_call("range", edge.store.range(ALL_KEYS_PREFIX, after.as_deref()))
+            .await?;
+        let first = *first.get_or_insert(page.position);
+        if first.era != page.position.era {
+            return Err(store::Error::Compacted);
+        }
+        let is_last = !page.has_more || page.entries.is_empty();
+        items.extend(page.entries);
+        if is_last {
+            break (first, page.position);
+        }
+    };
+    let upstreams: Vec<_> = items.iter().filter_map(upstream_entry).collect();
+    let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+    let is_restored = begin_era(edge, first, |key| listed.contains(key));
+    for item in items {
+        apply_item(edge, &item);
+    }
+    let now = edge.timer.now();
+    let mut view = edge.store_view();
+    let changes = view.directory.replace_all(now, upstreams, is_restored);
+    view.mark_read(sent);
+    drop(view);
+    // The later pages may already contain changes that the next watch returns. These then change nothing here and are
+    // not distributed, so the journal is complete only from the last page on.
+    edge.distribution.with_journal(|journal| journal.reset(last));
+    edge.apply_upstream_changes(changes);
+    Ok(first)
+}
+
 /// Sets the era of the view and removes the items of the router that the store does not list. Returns whether the store
 /// has returned from an older copy.
 fn begin_era(
