--- a/crates/lw-daemon/tests/soak.rs
+++ b/crates/lw-daemon/tests/soak.rs
@@ -11,11 +11,16 @@
     run::run,
     schedule::{Options, draw_events},
 };
+use tokio::sync::Mutex;
 
 /// Seeds and times of earlier runs with findings; the file has a line for each.
 const REGRESSIONS: &str = include_str!("../../lw-soak/regressions.txt");
 
+/// Held during a run: runs of the same seed use the same folder, and hostile callers need the machine for themselves.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
 async fn assert_no_findings(options: Options) {
+    let _guard = ONE_AT_A_TIME.lock().await;
     let daemon = Path::new(env!("CARGO_BIN_EXE_lavenderwoodd"));
     let name = format!("lw-soak-{}-{}", options.seed, std::process::id());
     let dir = std::env::temp_dir().join(name);
