lw-forward: bodies and answers are collected by one function

Cause: read_body and AnswerMemory::collect had the same loop (size hint, frames, trailers, limit), two functions held data, both interfaces had the same time to return for a lack of memory, and both listeners looked up the addresses of a socket for SendState.

Change: collect_body serves both, hold_data takes any data, BodyError states the time to return, and SendState::of takes the socket. Behaviour is the same.

--- a/crates/lw-daemon/src/intake/mod.rs
+++ b/crates/lw-daemon/src/intake/mod.rs
@@ -10,9 +10,6 @@
 use lw_transport::server;
 use volo_http::body::Body;
 
-/// `Retry-After` of a refusal for lack of memory.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Most memory for large answers, an eighth of the memory of a node. Answers of services are collected only for calls that may
 /// not be repeated.
 const LARGE_ANSWERS_MAX_BYTES: usize = 8 << 20;
@@ -96,8 +93,8 @@
 
 fn failure(e: &BodyError) -> Failure {
     let failure = Failure::new(e.code(), e.to_string());
-    match e {
-        BodyError::NoRoom(_) => failure.retry_after(RETRY_AFTER),
-        _ => failure,
+    match e.retry_after() {
+        Some(time) => failure.retry_after(time),
+        None => failure,
     }
 }
--- a/crates/lw-daemon/src/run/unread.rs
+++ b/crates/lw-daemon/src/run/unread.rs
@@ -59,7 +59,7 @@
         if !is_due {
             return;
         }
-        let state = send_state(socket);
+        let state = SendState::of(socket);
         let is_delivered = state.is_some_and(|state| state.queued_bytes == 0);
         let acked = state.map(|state| state.acked_bytes);
         *self = match *self {
@@ -87,10 +87,6 @@
     }
 }
 
-fn send_state(socket: &TcpStream) -> Option<SendState> {
-    SendState::of(socket.local_addr().ok()?, socket.peer_addr().ok()?)
-}
-
 /// Returns the slowest of these callers with their rates in bytes per second: an eighth of them, rounded up. The memory of
 /// their answers is released only when the library has noticed, so that its amount is not known here.
 pub(super) fn slowest<K>(callers: impl Iterator<Item = (K, u64)>) -> Vec<(K, u64)> {
--- a/crates/lw-edge/src/intake/mod.rs
+++ b/crates/lw-edge/src/intake/mod.rs
@@ -1,9 +1,6 @@
 //! Reads callers' bodies within the memory for callers' bytes, and derives the limits on it from the size of the VM.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::sync::{Arc, atomic::Ordering};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -19,9 +16,6 @@
 const MEMORY_DIVISOR: u64 = 4;
 /// Memory of one connection of a caller without its body: 17 KiB were measured for an idle stream.
 const CONNECTION_BYTES: u64 = 16 << 10;
-/// `retry-after` of a refusal for lack of memory. The bodies that arrive at the time of a refusal have usually been
-/// forwarded or abandoned after this time.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Returns the memory for callers' bytes of a VM with this memory.
 #[must_use]
@@ -69,9 +63,9 @@
 
 fn failure(e: &BodyError) -> Failure {
     let failure = Failure::new(e.code(), e.to_string());
-    match e {
-        BodyError::NoRoom(_) => failure.retry_after(RETRY_AFTER),
-        _ => failure,
+    match e.retry_after() {
+        Some(time) => failure.retry_after(time),
+        None => failure,
     }
 }
 
--- a/crates/lw-forward/src/collect.rs
+++ b/crates/lw-forward/src/collect.rs
@@ -5,9 +5,8 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body::Body;
-use http_body_util::BodyExt;
 
-use crate::intake::{Buffer, CallerMemory, Holder};
+use crate::intake::{BodyError, CallerMemory, Holder, collect_body};
 
 /// Largest body of an answer that is collected before it is forwarded.
 pub const ANSWER_MAX_BYTES: usize = 4 << 20;
@@ -26,6 +25,17 @@
     MemoryExhausted,
 }
 
+impl From<BodyError> for CollectError {
+    fn from(e: BodyError) -> Self {
+        match e {
+            BodyError::TooLarge(_) => Self::TooLarge,
+            BodyError::NoRoom(_) => Self::MemoryExhausted,
+            BodyError::Broken(why) => Self::Broken(why),
+            BodyError::Stalled(_) | BodyError::Late(_) => Self::Broken(e.to_string()),
+        }
+    }
+}
+
 /// Collects answers in the memory for callers' bytes.
 #[derive(Debug)]
 pub struct AnswerMemory {
@@ -55,20 +65,8 @@
     where
         B: Body<Data = Bytes, Error: Display> + Unpin,
     {
-        if body.size_hint().lower() > u64::try_from(ANSWER_MAX_BYTES).unwrap_or(u64::MAX) {
-            return Err(CollectError::TooLarge);
-        }
-        let announced = body.size_hint().exact();
-        let mut buffer = Buffer::new(self.memory.hold(Holder::Answer, announced), announced);
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|e| CollectError::Broken(e.to_string()))?;
-            // Trailers are not forwarded.
-            let Ok(data) = frame.into_data() else { continue };
-            if buffer.len() + data.len() > ANSWER_MAX_BYTES {
-                return Err(CollectError::TooLarge);
-            }
-            buffer.push(&data).map_err(|_| CollectError::MemoryExhausted)?;
-        }
-        Ok(buffer.into_bytes())
+        let collected =
+            collect_body(&self.memory, Holder::Answer, &mut body, ANSWER_MAX_BYTES, None);
+        Ok(collected.await?)
     }
 }
--- a/crates/lw-forward/src/drain/mod.rs
+++ b/crates/lw-forward/src/drain/mod.rs
@@ -6,11 +6,12 @@
 use std::{
     io::{self, Read},
     net::{IpAddr, SocketAddr},
+    os::fd::AsFd,
     sync::atomic::{AtomicBool, Ordering},
     time::Duration,
 };
 
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 /// Time after which the rate of a caller is known: a single acknowledgement may stand for a whole receive buffer.
 const RATE_TIME_MIN: Duration = Duration::from_secs(1);
@@ -41,11 +42,13 @@
 }
 
 impl SendState {
-    /// Returns the state of the connection between two addresses of this network namespace; `None` if the kernel does not
-    /// tell, which is logged once.
+    /// Returns the state of the connection of a socket; `None` if the kernel does not tell, which is logged once.
     #[must_use]
-    pub fn of(local: SocketAddr, peer: SocketAddr) -> Option<Self> {
+    pub fn of(socket: &impl AsFd) -> Option<Self> {
         static IS_LOGGED: AtomicBool = AtomicBool::new(false);
+        let socket = SockRef::from(socket);
+        let local = socket.local_addr().ok()?.as_socket()?;
+        let peer = socket.peer_addr().ok()?.as_socket()?;
         match query(local, peer) {
             Ok(state) => Some(state),
             // The connection was closed.
--- a/crates/lw-forward/src/intake/buffer.rs
+++ b/crates/lw-forward/src/intake/buffer.rs
@@ -86,7 +86,7 @@
     pub fn into_bytes(mut self) -> Bytes {
         if self.segments.len() <= 1 {
             let data = self.segments.pop().unwrap_or_default();
-            return Self::held(data, self.hold);
+            return hold_data(data, self.hold);
         }
         // Each segment is freed once it is copied.
         let mut data = Vec::with_capacity(self.len);
@@ -94,20 +94,18 @@
             data.extend_from_slice(&segment);
         }
         self.hold.shrink_to(data.len());
-        Self::held(data, self.hold)
-    }
-
-    fn held(data: Vec<u8>, hold: Hold) -> Bytes {
-        if data.is_empty() {
-            Bytes::new()
-        } else {
-            Bytes::from_owner(HeldData { data, _hold: hold })
-        }
+        hold_data(data, self.hold)
     }
 }
 
 /// Returns the same data, whose memory is accounted for in `hold` until its last copy is dropped.
-pub(super) fn hold_data(data: Bytes, hold: Hold) -> Bytes {
+pub(super) fn hold_data<T>(data: T, hold: Hold) -> Bytes
+where
+    T: AsRef<[u8]> + Send + 'static,
+{
+    if data.as_ref().is_empty() {
+        return Bytes::new();
+    }
     Bytes::from_owner(HeldData { data, _hold: hold })
 }
 
--- a/crates/lw-forward/src/intake/mod.rs
+++ b/crates/lw-forward/src/intake/mod.rs
@@ -14,6 +14,9 @@
 pub use buffer::Buffer;
 pub use memory::{CallerMemory, Hold, Holder, NoRoom, SMALL_MAX_BYTES, Shares, Used};
 
+/// Time after which a request that was refused for lack of memory may return. The bodies that arrive at the time of a refusal
+/// have usually been forwarded or abandoned by then.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Interval between two attempts to find room for events.
 const ROOM_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -60,6 +63,12 @@
         }
     }
 
+    /// Returns the time after which its caller may return, if that helps.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        matches!(self, Self::NoRoom(_)).then_some(NO_ROOM_RETRY_AFTER)
+    }
+
     /// Returns the name of the reason, for counters and log lines.
     #[must_use]
     pub fn kind(&self) -> &'static str {
@@ -112,33 +121,42 @@
 where
     B: Body<Data = Bytes, Error: Display> + Unpin,
 {
-    let read = tokio::time::timeout(limits.time_max, read(memory, body, limits));
-    read.await.unwrap_or(Err(BodyError::Late(limits.time_max)))
+    let BodyLimits { bytes_max, idle_max, time_max } = limits;
+    let read = collect_body(memory, Holder::Request, body, bytes_max, Some(idle_max));
+    tokio::time::timeout(time_max, read).await.unwrap_or(Err(BodyError::Late(time_max)))
 }
 
-async fn read<B>(
+/// Collects a body of at most `bytes_max` bytes. Without `idle_max`, nothing limits the time between two frames.
+pub(crate) async fn collect_body<B>(
     memory: &Arc<CallerMemory>,
+    holder: Holder,
     body: &mut B,
-    limits: BodyLimits,
+    bytes_max: usize,
+    idle_max: Option<Duration>,
 ) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes, Error: Display> + Unpin,
 {
     let announced = body.size_hint().exact();
-    if body.size_hint().lower() > u64::try_from(limits.bytes_max).unwrap_or(u64::MAX) {
-        return Err(BodyError::TooLarge(limits.bytes_max));
+    if body.size_hint().lower() > u64::try_from(bytes_max).unwrap_or(u64::MAX) {
+        return Err(BodyError::TooLarge(bytes_max));
     }
-    let mut buffer = Buffer::new(memory.hold(Holder::Request, announced), announced);
+    let mut buffer = Buffer::new(memory.hold(holder, announced), announced);
     loop {
-        let frame = tokio::time::timeout(limits.idle_max, body.frame());
-        let frame = frame.await.map_err(|_| BodyError::Stalled(limits.idle_max))?;
+        let frame = body.frame();
+        let frame = match idle_max {
+            Some(time) => {
+                tokio::time::timeout(time, frame).await.map_err(|_| BodyError::Stalled(time))?
+            }
+            None => frame.await,
+        };
         let Some(frame) = frame else { return Ok(buffer.into_bytes()) };
         // Trailers are not forwarded.
         let Ok(data) = frame.map_err(|e| BodyError::Broken(e.to_string()))?.into_data() else {
             continue;
         };
-        if buffer.len() + data.len() > limits.bytes_max {
-            return Err(BodyError::TooLarge(limits.bytes_max));
+        if buffer.len() + data.len() > bytes_max {
+            return Err(BodyError::TooLarge(bytes_max));
         }
         buffer.push(&data).map_err(BodyError::NoRoom)?;
     }
--- a/crates/lw-forward/src/listen/stream.rs
+++ b/crates/lw-forward/src/listen/stream.rs
@@ -144,8 +144,7 @@
 
 /// Returns the bytes that the caller's system has acknowledged, if the kernel tells.
 fn acked_bytes(stream: &TcpStream) -> Option<u64> {
-    let state = SendState::of(stream.local_addr().ok()?, stream.peer_addr().ok()?);
-    state.map(|state| state.acked_bytes)
+    SendState::of(stream).map(|state| state.acked_bytes)
 }
 
 impl AsyncRead for CallerStream {
