lw-place: the expected length of an answer is looked up once for each request

Cause: estimate_engine looked it up, with logarithms and an exponential, for each engine that a request may be placed on. It depends on the request only.

Change: place looks it up once. Placements are the same; the time of a decision was not measured.

--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -105,8 +105,14 @@
             open.iter().copied().filter(|u| now >= u.deprioritized_until).collect();
         let usable = if preferred.is_empty() { open } else { preferred };
         let mut lookups = HashMap::new();
+        let output_tokens = request
+            .prompt
+            .map_or(0, |prompt| self.lengths.expected(prompt.kind, prompt.output_tokens));
         let estimates = usable.into_iter().map(|state| match request.prompt {
-            Some(prompt) => self.estimate_engine(now, request, prompt, state, &mut lookups),
+            Some(prompt) => {
+                let prompt = (prompt, output_tokens);
+                self.estimate_engine(now, request, prompt, state, &mut lookups)
+            }
             None => self.estimate_server(now, request, state),
         });
         let mut shortest = Duration::MAX;
@@ -146,7 +152,7 @@
         &'a self,
         now: Now,
         request: &PlacementRequest<'_>,
-        prompt: &Prompt,
+        (prompt, output_tokens): (&Prompt, u64),
         state: &UpstreamState,
         lookups: &mut HashMap<u64, SegmentLookup<'a>>,
     ) -> Estimate {
@@ -177,7 +183,6 @@
         let prefill_ms = engine_cost.prefill_ms(prefill_tokens);
         let fetch_ms = millis(placement.fetched_at.saturating_sub(now));
         let capacity_tokens = self.spec.as_ref().map_or(u64::MAX, |spec| spec.cache_tokens);
-        let output_tokens = self.lengths.expected(prompt.kind, prompt.output_tokens);
         let decode_ms = engine_cost.decode_ms(output_tokens);
         let tokens = prompt.tokens.saturating_add(output_tokens);
         let wait_at_rank = |rank: u8| {
