lw-limit, lw-edge: one lookup of held slots, returns and name hashes

Cause: the keeper searched its slots where the holder has a lookup, the returns of grants took two calls that every caller made one after the other, and the hash of a name and the conversion of a count existed twice.

Change: Holder::revision, Quota::returns_to_others, name_hash and as_f64 serve all. Behaviour is the same.

--- a/crates/lw-edge/src/admission/mod.rs
+++ b/crates/lw-edge/src/admission/mod.rs
@@ -7,7 +7,7 @@
 };
 
 use lw_limit::admission::overload::{
-    Arrival, Decision, Inputs, Level, Overload, Pressure, demand::Entry,
+    Arrival, Decision, Inputs, Level, Overload, Pressure, demand::Entry, name_hash,
 };
 use lw_types::prelude::*;
 
@@ -40,7 +40,7 @@
                 overload.digest(now)
             };
             let entries = self.with(service, update);
-            digests.extend(entries.map(|entries| Digest { service: hash(service), entries }));
+            digests.extend(entries.map(|entries| Digest { service: name_hash(service), entries }));
         }
         digests
     }
@@ -48,7 +48,7 @@
     /// Stores the digest of another VM.
     pub fn apply(&self, now: Now, vm: &str, digest: &Digest) {
         let mut services = self.lock();
-        let service = services.iter_mut().find(|(name, _)| hash(name) == digest.service);
+        let service = services.iter_mut().find(|(name, _)| name_hash(name) == digest.service);
         if let Some((_, overload)) = service {
             overload.apply(now, vm, digest.entries.clone());
         }
@@ -84,12 +84,6 @@
     }
 }
 
-/// Returns the hash of a service's name, as digests name it.
-fn hash(service: &str) -> u32 {
-    let hash = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
-    u32::try_from(hash >> 32).unwrap_or_default()
-}
-
 /// Returns the name of a level in metrics: that of the workspace's priority, then that of the route's.
 #[must_use]
 pub fn level_name(level: Level) -> String {
--- a/crates/lw-edge/src/peers/quota.rs
+++ b/crates/lw-edge/src/peers/quota.rs
@@ -29,11 +29,7 @@
 
 /// Returns the grants that are due to the holders of their slots.
 pub(crate) fn return_grants(edge: &Edge) {
-    let returns = edge.quota.returns();
-    if returns.is_empty() {
-        return;
-    }
-    for returned in edge.quota.take_back_own(returns) {
+    for returned in edge.quota.returns_to_others() {
         metrics::increment(&edge.metrics.quota, "returned");
         if let Some(addr) = other_holder(edge, returned.slot) {
             send_to(edge, addr, Notice::Quota(QuotaNotice::Return((&returned).into())));
--- a/crates/lw-edge/src/quota/mod.rs
+++ b/crates/lw-edge/src/quota/mod.rs
@@ -264,12 +264,6 @@
         self.lock().keeper.holder.take_back(now, returned);
     }
 
-    /// Returns the grants that are to be returned to their holders now.
-    pub fn returns(&self) -> Vec<Return> {
-        let now = self.now();
-        self.lock().requester.returns(now)
-    }
-
     /// Returns the last known level of a bucket and its age, for log lines.
     #[must_use]
     pub fn known_level(&self, workspace: &str, slot: u8) -> Option<(f64, Duration)> {
--- a/crates/lw-edge/src/quota/slots.rs
+++ b/crates/lw-edge/src/quota/slots.rs
@@ -73,9 +73,11 @@
             is_taking = is_taking; "{text}");
     }
 
-    /// Takes back grants whose slots this VM holds, and returns the others.
-    pub fn take_back_own(&self, returns: Vec<Return>) -> Vec<Return> {
+    /// Takes back the grants that are due and whose slots this VM holds, and returns the others.
+    pub fn returns_to_others(&self) -> Vec<Return> {
         let now = self.now();
-        self.lock().keeper.take_back_own(now, returns)
+        let mut state = self.lock();
+        let returns = state.requester.returns(now);
+        state.keeper.take_back_own(now, returns)
     }
 }
--- a/crates/lw-limit/src/admission/overload/demand.rs
+++ b/crates/lw-limit/src/admission/overload/demand.rs
@@ -169,7 +169,7 @@
     }
 }
 
-#[expect(clippy::cast_precision_loss, reason = "fleets have far fewer than 2^52 VMs")]
-fn as_f64(count: usize) -> f64 {
+#[expect(clippy::cast_precision_loss, reason = "there are far fewer than 2^52 VMs and workspaces")]
+pub(super) fn as_f64(count: usize) -> f64 {
     count as f64
 }
--- a/crates/lw-limit/src/admission/overload/mod.rs
+++ b/crates/lw-limit/src/admission/overload/mod.rs
@@ -73,8 +73,7 @@
     /// Returns the key of a workspace, empty for callers without one, and a level.
     #[must_use]
     pub fn new(workspace: &str, level: Level) -> Self {
-        let hash = xxh3_64(workspace.as_bytes());
-        Self { workspace: u32::try_from(hash >> 32).unwrap_or_default(), level }
+        Self { workspace: name_hash(workspace), level }
     }
 }
 
@@ -362,7 +361,22 @@
     }
 }
 
+/// Returns the hash of the name of a workspace or a service, as digests name it.
+///
+/// ```
+/// use lw_limit::admission::overload::name_hash;
+/// assert_ne!(name_hash("station"), name_hash("desk"));
+/// ```
+#[must_use]
+pub fn name_hash(name: &str) -> u32 {
+    upper_half(xxh3_64(name.as_bytes()))
+}
+
+fn upper_half(hash: u64) -> u32 {
+    u32::try_from(hash >> 32).unwrap_or_default()
+}
+
 /// Maps a hash to a number from 0 to less than 1.
 fn unit_interval(hash: u64) -> f64 {
-    f64::from(u32::try_from(hash >> 32).unwrap_or_default()) / 4_294_967_296.0
+    f64::from(upper_half(hash)) / 4_294_967_296.0
 }
--- a/crates/lw-limit/src/admission/overload/shares.rs
+++ b/crates/lw-limit/src/admission/overload/shares.rs
@@ -3,7 +3,10 @@
 
 use std::collections::BTreeMap;
 
-use super::{Key, demand::Estimate};
+use super::{
+    Key,
+    demand::{Estimate, as_f64},
+};
 use crate::admission::share;
 
 /// Standard deviations by which the estimated demand of a workspace must exceed its share before it is limited. The
@@ -88,13 +91,13 @@
         };
         let fair = level(workspaces.values().map(|(offered, ..)| *offered).collect(), in_surge)?;
         // No share is less than an equal part.
-        let fair = fair.max(capacity / usize_as_f64(workspaces.len()));
+        let fair = fair.max(capacity / as_f64(workspaces.len()));
         for deviations in SIGNIFICANT_DEVIATIONS {
             let share = Self { fair, deviations, limited: fair };
             let (limited, others): (Vec<_>, Vec<_>) =
                 workspaces.values().partition(|workspace| share.limits(workspace));
             let others: f64 = others.iter().map(|(offered, ..)| offered).sum();
-            let floor = fair * LIMITED_MIN * usize_as_f64(limited.len());
+            let floor = fair * LIMITED_MIN * as_f64(limited.len());
             if limited.is_empty() || capacity - others < floor && deviations > 0.0 {
                 continue;
             }
@@ -120,8 +123,3 @@
         left = (left - offered).max(0.0);
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "there are far fewer than 2^52 workspaces")]
-fn usize_as_f64(count: usize) -> f64 {
-    count as f64
-}
--- a/crates/lw-limit/src/quota/keeper.rs
+++ b/crates/lw-limit/src/quota/keeper.rs
@@ -260,9 +260,8 @@
 
     /// Takes back grants whose slots this VM holds, and returns the others.
     pub fn take_back_own(&mut self, now: Now, returns: Vec<Return>) -> Vec<Return> {
-        let is_held = |slot: u8| self.holder.slots().any(|(held, _)| held == slot);
         let (own, others): (Vec<_>, Vec<_>) =
-            returns.into_iter().partition(|returned| is_held(returned.slot));
+            returns.into_iter().partition(|returned| self.holder.revision(returned.slot).is_some());
         for returned in own {
             self.holder.take_back(now, &returned);
         }
@@ -316,8 +315,8 @@
         lease: Lease,
         fleet: &Fleet<'_>,
     ) -> Option<SlotWrite> {
-        let held: Vec<_> = self.holder.slots().map(|(slot, _)| slot).collect();
-        let is_held = |slot: u8| held.contains(&slot);
+        let holder = &self.holder;
+        let is_held = |slot: u8| holder.revision(slot).is_some();
         let (released, taken_from) = (&self.released, &self.slots_taken_from);
         let key = |slot: u8| {
             let Some(item) = fleet.items.get(&slot) else { return SlotKey::Free };
