--- a/crates/lw-daemon/src/tables/mod.rs
+++ b/crates/lw-daemon/src/tables/mod.rs
@@ -29,9 +29,7 @@
 use lw_types::prelude::*;
 use tokio::sync::Notify;
 
-use crate::intake;
-
-use crate::{claims::Claims, limits::Limits, members::Members, orders::Orders};
+use crate::{claims::Claims, intake, limits::Limits, members::Members, orders::Orders};
 
 pub mod decision_log;
 
--- a/crates/lw-edge/src/feeds/mod.rs
+++ b/crates/lw-edge/src/feeds/mod.rs
@@ -4,6 +4,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use lw_catalog::{ServiceKind, Upstream};
+use lw_observe::logs::millis;
 use lw_place::CachePage;
 use lw_types::prelude::*;
 use tokio::task::JoinHandle;
@@ -192,7 +193,7 @@
 fn report_unresponsive(edge: &Edge, holder: &Holder) {
     match holder {
         Holder::Engine { id, .. } => {
-            let ms = u64::try_from(UNRESPONSIVE_TIME.as_millis()).unwrap_or(u64::MAX);
+            let ms = millis(UNRESPONSIVE_TIME);
             peers::broadcast(edge, Notice::Unresponsive { upstream: id.clone(), ms });
         }
         Holder::Store { addr } => {
--- a/crates/lw-edge/src/intake/mod.rs
+++ b/crates/lw-edge/src/intake/mod.rs
@@ -8,7 +8,7 @@
     intake::{self, BodyError, BodyLimits, CallerMemory, Shares},
     listen::ClosedCounts,
 };
-use lw_observe::metrics::{KindLabel, Metrics, increment};
+use lw_observe::metrics::{KindLabel, Metrics, as_gauge, increment};
 use lw_protocol::caller::Failure;
 
 /// The memory of the VM divided by this number is the limit on callers' bytes. The rest is for connections, the views of
@@ -79,8 +79,7 @@
         ("large_answers", used.large_answers),
     ];
     for (kind, bytes) in bytes {
-        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
-        metrics.caller_bytes.get_or_create(&KindLabel { kind }).set(bytes);
+        metrics.caller_bytes.get_or_create(&KindLabel { kind }).set(as_gauge(bytes));
     }
     let closed = [
         ("too_many", closed.too_many.load(Ordering::Relaxed)),
@@ -88,7 +87,6 @@
         ("slowest", closed.slowest.load(Ordering::Relaxed)),
     ];
     for (kind, count) in closed {
-        let count = i64::try_from(count).unwrap_or(i64::MAX);
-        metrics.closed_connections.get_or_create(&KindLabel { kind }).set(count);
+        metrics.closed_connections.get_or_create(&KindLabel { kind }).set(as_gauge(count));
     }
 }
--- a/crates/lw-edge/src/observe/mod.rs
+++ b/crates/lw-edge/src/observe/mod.rs
@@ -4,10 +4,9 @@
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use lw_observe::logs::millis;
 use lw_observe::{
-    logs,
-    metrics::{KindLabel, ServiceLabel, ServiceQuantileLabels},
+    logs::{self, millis},
+    metrics::{KindLabel, ServiceLabel, ServiceQuantileLabels, as_gauge},
 };
 use lw_protocol::operator::{
     Explanation, PeerStatus, QuarantineStatus, Status, Step, UpstreamStatus,
@@ -73,7 +72,6 @@
 
 fn update_gauges(edge: &Edge) {
     let metrics = &edge.metrics;
-    let as_gauge = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
     let view = edge.store_view();
     // -1 if the store was not read yet.
     let age_ms =
@@ -83,14 +81,14 @@
     metrics.config_version.set(view.catalog().map_or(0, |catalog| as_gauge(catalog.version)));
     drop(view);
     metrics.issuer_fence.set(edge.orders.fence().map_or(0, as_gauge));
-    metrics.in_flight.set(as_gauge(u64::try_from(edge.in_flight()).unwrap_or(u64::MAX)));
+    metrics.in_flight.set(as_gauge(edge.in_flight()));
     intake::update_gauges(metrics, &edge.caller_memory, &edge.closed_connections);
     let now = edge.timer.now();
     for (service, pool) in edge.upstream_pools().iter() {
         let label = ServiceLabel { service: service.clone() };
-        let ready = u64::try_from(pool.ready_count()).unwrap_or(u64::MAX);
+        let ready = pool.ready_count();
         metrics.ready_upstreams.get_or_create(&label).set(as_gauge(ready));
-        let limited = u64::try_from(pool.limited_count()).unwrap_or(u64::MAX);
+        let limited = pool.limited_count();
         metrics.limited_upstreams.get_or_create(&label).set(as_gauge(limited));
         if let Some((p50, p95)) = pool.estimate_errors() {
             for (quantile, ratio) in [("0.5", p50), ("0.95", p95)] {
@@ -108,9 +106,9 @@
         metrics.retries_left.get_or_create(&ServiceLabel { service }).set(as_gauge(left));
     }
     let sets = edge.quarantine.lock().sets(edge.timer.now_including_suspend()).count();
-    let slots = u64::try_from(edge.quota.slot_count()).unwrap_or(u64::MAX);
+    let slots = edge.quota.slot_count();
     metrics.quota_slots.set(as_gauge(slots));
-    metrics.quarantined_sets.set(as_gauge(u64::try_from(sets).unwrap_or(u64::MAX)));
+    metrics.quarantined_sets.set(as_gauge(sets));
     let dropped = edge.logs.dropped_lines();
     for (kind, lines) in [("successes", dropped.successes), ("failures", dropped.failures)] {
         metrics.dropped_log_lines.get_or_create(&KindLabel { kind }).set(as_gauge(lines));
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -21,7 +21,7 @@
 
 mod lease;
 mod load;
-mod notices;
+pub mod notices;
 
 pub use lease::hand_over;
 use notices::LoadNotices;
--- a/crates/lw-edge/src/orders/notices.rs
+++ b/crates/lw-edge/src/orders/notices.rs
@@ -20,7 +20,7 @@
 
 /// The notices that are sent next.
 #[derive(Debug, Default)]
-pub(super) struct LoadNotices {
+pub struct LoadNotices {
     queued: Mutex<Queued>,
 }
 
@@ -34,17 +34,18 @@
 
 impl LoadNotices {
     /// Queues a notice that an engine loads a version.
-    pub(super) fn loading(&self, upstream: &str, model: &str, version: u64) {
+    pub fn loading(&self, upstream: &str, model: &str, version: u64) {
         self.with(|queued| insert(&mut queued.loading, upstream, model, version));
     }
 
     /// Queues a notice that an engine serves a version.
-    pub(super) fn loaded(&self, upstream: &str, model: &str, version: u64) {
+    pub fn loaded(&self, upstream: &str, model: &str, version: u64) {
         self.with(|queued| insert(&mut queued.loaded, upstream, model, version));
     }
 
     /// Returns the notices that are to be sent now. Engines that load get no new work for `pause`.
-    pub(super) fn take(&self, pause: Duration) -> Vec<Notice> {
+    #[must_use]
+    pub fn take(&self, pause: Duration) -> Vec<Notice> {
         let (loading, loaded, resent) = self.with(|queued| {
             let loaded = std::mem::take(&mut queued.loaded);
             let resent = std::mem::replace(&mut queued.resent, loaded.clone());
@@ -92,43 +93,3 @@
         batches.into_iter().map(move |batch| (model.clone(), version, batch))
     })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against notices that do not fit into a datagram, and against engines that are left out.
-    #[test]
-    fn many_engines_are_named_in_several_notices() {
-        let notices = LoadNotices::default();
-        for n in 0..500 {
-            notices.loading(&format!("engine-with-a-long-name-{n}"), "model", 7);
-        }
-        let taken = notices.take(Duration::from_secs(2));
-        let mut named = BTreeSet::new();
-        for notice in &taken {
-            let bytes = rmp_serde::to_vec(notice).expect("the notice is encoded").len();
-            assert!(bytes < 1_100, "{bytes} bytes");
-            let Notice::Loading { upstreams, ms: 2_000, version: 7, .. } = notice else {
-                panic!("{notice:?}")
-            };
-            named.extend(upstreams.iter().cloned());
-        }
-        assert_eq!(named.len(), 500);
-        assert!(taken.len() < 20, "{} notices", taken.len());
-        assert!(notices.take(Duration::from_secs(2)).is_empty());
-    }
-
-    /// Guards against VMs that wait for the end of a pause since one datagram was lost.
-    #[test]
-    fn engines_that_serve_a_version_are_named_twice() {
-        let notices = LoadNotices::default();
-        notices.loaded("engine-1", "model", 7);
-        for _ in 0..2 {
-            let upstreams = vec!["engine-1".to_owned()];
-            let notice = Notice::Loaded { model: "model".to_owned(), version: 7, upstreams };
-            assert_eq!(notices.take(Duration::from_secs(2)), [notice]);
-        }
-        assert!(notices.take(Duration::from_secs(2)).is_empty());
-    }
-}
--- a/crates/lw-edge/src/peers/attempt.rs
+++ b/crates/lw-edge/src/peers/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lw_observe::logs::millis;
 use lw_place::AnnouncedAttempt;
 use lw_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -33,7 +34,7 @@
             output_tokens: sent.output_tokens,
             rank: sent.rank,
             segments: sent.segments.clone(),
-            fetch_ms: u64::try_from(sent.fetch_time.as_millis()).unwrap_or(u64::MAX),
+            fetch_ms: millis(sent.fetch_time),
             is_saved: sent.is_saved,
         }
     }
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -3,8 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use lw_catalog::Upstream;
-use lw_observe::logs::millis;
-use lw_observe::metrics;
+use lw_observe::{logs::millis, metrics};
 use lw_place::{AnnouncedAttempt, AttemptId, Ended, LimitReport, UpstreamPool};
 use lw_quarantine::{Basis, CrashReport, SegmentSet};
 use lw_transport::datagram::Datagrams;
@@ -254,7 +253,7 @@
 /// Sends a notice to all other VMs through one relay in each failure domain. The relays differ between notices, so that no
 /// VM relays them all.
 pub(crate) fn send_through_relays(edge: &Edge, notice: Notice) {
-    send(edge, notice, Path::Relays(fastrand::u64(..)));
+    send(edge, notice, Path::RelayedEverywhere(fastrand::u64(..)));
 }
 
 /// Path of a message to other VMs.
@@ -269,7 +268,7 @@
     /// path.
     Relayed(u64),
     /// As [`Path::Relayed`], and through a relay in the own failure domain too. For what one VM sends about all engines.
-    Relays(u64),
+    RelayedEverywhere(u64),
 }
 
 fn send(edge: &Edge, notice: Notice, path: Path<'_>) {
@@ -284,7 +283,7 @@
             }
             Path::Domain(domain) => route::to_domain(own, domain, view.vms()),
             Path::Relayed(subject) => route::to_all(own, Some(domain), subject, view.vms()),
-            Path::Relays(subject) => route::to_all(own, None, subject, view.vms()),
+            Path::RelayedEverywhere(subject) => route::to_all(own, None, subject, view.vms()),
         }
     };
     send_message(edge, Message { vm: own.clone(), notice, is_for_relay: false }, &recipients);
--- a/crates/lw-edge/src/peers/versions.rs
+++ b/crates/lw-edge/src/peers/versions.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use lw_observe::logs::millis;
 use lw_types::prelude::*;
 
 use super::{Notice, random_others, send_to};
@@ -50,8 +51,7 @@
 /// Replies to another VM with the ages that this VM has.
 pub(super) fn reply(edge: &Edge, addr: SocketAddr, nonce: u64) {
     let now = edge.timer.now_including_suspend();
-    let age_ms =
-        |since: Now| u64::try_from(now.saturating_sub(since).as_millis()).unwrap_or(u64::MAX);
+    let age_ms = |since: Now| millis(now.saturating_sub(since));
     let versions: Vec<_> = {
         let view = edge.store_view();
         let dated = view.target_versions().filter(|(_, target)| target.is_dated);
--- a/crates/lw-edge/src/quota/wire.rs
+++ b/crates/lw-edge/src/quota/wire.rs
@@ -6,6 +6,7 @@
     holder::{Claim, Reply, Return},
     keeper::SlotValue,
 };
+use lw_observe::logs::millis;
 use lw_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -78,10 +79,7 @@
     fn from(reply: Reply) -> Self {
         match reply {
             Reply::Granted { level } => Self::Granted { level },
-            Reply::Wait { time, level } => {
-                let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX).saturating_add(1);
-                Self::Wait { ms, level }
-            }
+            Reply::Wait { time, level } => Self::Wait { ms: millis(time).saturating_add(1), level },
             Reply::NotHolder => Self::NotHolder,
         }
     }
--- a/crates/lw-edge/src/register/mod.rs
+++ b/crates/lw-edge/src/register/mod.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use lw_observe::logs::millis;
 use lw_platform::store::{Error, KeyWrite, Lease, Precondition};
 use lw_types::prelude::*;
 
@@ -64,8 +65,7 @@
 /// Returns the delay after a start before this VM does what only one VM of the fleet needs to do. It depends on the
 /// VM's id: if all VMs start together, one of the first does it, and the others see the result in the store.
 pub(crate) fn startup_delay(vm: &str) -> Duration {
-    let max_ms = u64::try_from(STARTUP_DELAY_MAX.as_millis()).unwrap_or(u64::MAX);
-    Duration::from_millis(xxhash_rust::xxh3::xxh3_64(vm.as_bytes()) % max_ms)
+    Duration::from_millis(xxhash_rust::xxh3::xxh3_64(vm.as_bytes()) % millis(STARTUP_DELAY_MAX))
 }
 
 /// Keeps this VM registered until the process ends.
--- a/crates/lw-edge/src/serve/admit.rs
+++ b/crates/lw-edge/src/serve/admit.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use lw_limit::admission::overload::{Arrival, Decision, Key, Level};
-use lw_observe::logs::millis;
-use lw_observe::metrics::AdmissionLabels;
+use lw_observe::{logs::millis, metrics::AdmissionLabels};
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
 
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -6,8 +6,7 @@
 use http_body_util::Full;
 use lw_forward::pool::{Error, HostKey, Reuse, UpstreamAnswerBody};
 use lw_limit::upstream::{Evidence, Origin};
-use lw_observe::logs::millis;
-use lw_observe::metrics;
+use lw_observe::{logs::millis, metrics};
 use lw_place::{AttemptId, Ended, LimitReport, Placement, Prompt};
 use lw_platform::headers::{self, AddedHeaders, AnswerHead, NamedLimit};
 
--- a/crates/lw-edge/src/serve/quota.rs
+++ b/crates/lw-edge/src/serve/quota.rs
@@ -6,8 +6,7 @@
     holder::Claim,
     requester::{Ask, Grant},
 };
-use lw_observe::logs::millis;
-use lw_observe::metrics;
+use lw_observe::{logs::millis, metrics};
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
 
--- a/crates/lw-edge/src/serve/record.rs
+++ b/crates/lw-edge/src/serve/record.rs
@@ -3,8 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use lw_catalog::RouteKind;
-use lw_observe::logs::millis;
-use lw_observe::metrics::{self, OutcomeLabels, RequestLabels};
+use lw_observe::{
+    logs::millis,
+    metrics::{self, OutcomeLabels, RequestLabels},
+};
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
 
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -14,8 +14,10 @@
     forward::Driver,
     takeover::{Overlap, SentAttempt, overlap},
 };
-use crate::answer::{AnswerBody, BodyError};
-use crate::state::GivenUp;
+use crate::{
+    answer::{AnswerBody, BodyError},
+    state::GivenUp,
+};
 
 /// A stream that is being relayed to its caller.
 pub(super) struct Relay {
--- a/crates/lw-edge/src/state/keys.rs
+++ b/crates/lw-edge/src/state/keys.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lw_limit::quota::SLOTS;
+use lw_observe::logs::millis;
 use lw_order::handover::{IssuerRecord, LastOrder};
 use lw_quarantine::SegmentSet;
 use lw_types::prelude::*;
@@ -125,10 +126,8 @@
     /// Returns the stored form of a record that is written in this era.
     #[must_use]
     pub fn new(record: &IssuerRecord, era: Era) -> Self {
-        let encode = |order: &LastOrder| LastOrderWire {
-            vm: order.vm.clone(),
-            age_ms: u64::try_from(order.age.as_millis()).unwrap_or(u64::MAX),
-        };
+        let encode =
+            |order: &LastOrder| LastOrderWire { vm: order.vm.clone(), age_ms: millis(order.age) };
         Self {
             vm: record.holder.clone(),
             is_released: record.is_released,
--- a/crates/lw-limit/src/admission/overload/shares.rs
+++ b/crates/lw-limit/src/admission/overload/shares.rs
@@ -20,8 +20,8 @@
 type WorkspaceDemand<'a> = (f64, f64, Vec<(&'a Key, f64)>);
 
 /// Returns the fraction of the demand that is admitted, for each key for which that is not all. Shares are those of the
-/// `capacity`. In a sudden peak the demand is higher than its averages, by a factor of `surge`. `allowed` is the work to admit, which is less while a
-/// long wait is reduced. All are in the unit of the demand.
+/// `capacity`. In a sudden peak the demand is higher than its averages, by a factor of `surge`. `allowed` is the work to admit,
+/// which is less while a long wait is reduced. All are in the unit of the demand.
 ///
 /// ```
 /// use std::collections::BTreeMap;
--- a/crates/lw-limit/src/quota/holder.rs
+++ b/crates/lw-limit/src/quota/holder.rs
@@ -233,8 +233,8 @@
         std::mem::take(&mut self.slots).into_keys()
     }
 
-    /// Begins to hold a slot whose key this VM has written at a revision, or at an earlier one. `levels` are those that the former holder handed
-    /// over; without them, the buckets start at their lowest level.
+    /// Begins to hold a slot whose key this VM has written at a revision, or at an earlier one. `levels` are those that the
+    /// former holder handed over; without them, the buckets start at their lowest level.
     pub fn take(
         &mut self,
         now: Now,
--- a/crates/lw-limit/src/quota/mod.rs
+++ b/crates/lw-limit/src/quota/mod.rs
@@ -1,9 +1,9 @@
 //! Usage caps of workspaces over all VMs: token buckets at a few VMs, which grant the others each request.
 //!
 //! There are [`SLOTS`] quota slots. One VM, the *holder*, owns a slot by a key in the store. Each capped workspace uses the
-//! token buckets of two slots, which have different holders where there are two VMs; a VM with a request asks one of the two holders for its cost. [`holder`] decides what is
-//! granted, [`requester`] which holder is asked and what is done with the reply, [`ownership`] which VM takes a slot, and [`keeper`] by which writes
-//! to the store.
+//! token buckets of two slots, which have different holders where there are two VMs; a VM with a request asks one of the two
+//! holders for its cost. [`holder`] decides what is granted, [`requester`] which holder is asked and what is done with the
+//! reply, [`ownership`] which VM takes a slot, and [`keeper`] by which writes to the store.
 //!
 //! # Arithmetic
 //!
--- a/crates/lw-observe/src/metrics/mod.rs
+++ b/crates/lw-observe/src/metrics/mod.rs
@@ -86,6 +86,17 @@
     family.get_or_create(&KindLabel { kind }).inc();
 }
 
+/// Returns a count as the value of a gauge, which is limited to the largest one.
+///
+/// ```
+/// assert_eq!(lw_observe::metrics::as_gauge(3_usize), 3);
+/// assert_eq!(lw_observe::metrics::as_gauge(u64::MAX), i64::MAX);
+/// ```
+#[must_use]
+pub fn as_gauge(count: impl TryInto<i64>) -> i64 {
+    count.try_into().unwrap_or(i64::MAX)
+}
+
 /// Records a duration of a request in the histogram for its labels.
 pub fn record_time(
     family: &Family<RequestLabels, Histogram>,
