--- a/crates/lw-daemon/tests/hostile/mod.rs
+++ b/crates/lw-daemon/tests/hostile/mod.rs
@@ -1,4 +1,5 @@
 //! Callers that make a process hold bytes for them, and what the process uses meanwhile.
+#![allow(dead_code, reason = "each test file uses some of the helpers")]
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -110,13 +111,13 @@
 }
 
 /// Returns the largest memory use of a process so far in KiB; `None` if it has ended.
-fn peak_kib(pid: u32) -> Option<u64> {
+pub fn peak_kib(pid: u32) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
     let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
     line.trim().trim_end_matches(" kB").parse().ok()
 }
 
-fn descriptors(pid: u32) -> usize {
+pub fn descriptors(pid: u32) -> usize {
     std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
 }
 
@@ -276,7 +277,16 @@
     kib_max: u64,
     descriptors_max: usize,
 ) -> Option<String> {
-    let name = case.name();
+    check_usage(case.name(), result, kib_max, descriptors_max)
+}
+
+/// Like [`check`], for a case of this name.
+pub fn check_usage(
+    name: &str,
+    result: &Result<Usage, String>,
+    kib_max: u64,
+    descriptors_max: usize,
+) -> Option<String> {
     let finding = match result {
         Err(why) => Some(format!("{name}: {why}")),
         Ok(usage) if usage.peak_kib > kib_max => {
--- a/crates/lw-daemon/tests/platform/mod.rs
+++ b/crates/lw-daemon/tests/platform/mod.rs
@@ -1,4 +1,5 @@
 //! A VM of the platform as a process, with stand-ins of the store and one plain service.
+#![allow(dead_code, reason = "each test file uses some of the helpers")]
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
@@ -25,11 +26,38 @@
 pub const SERVICE: &str = "desk-1";
 const START_MAX: Duration = Duration::from_secs(60);
 
-fn configuration() -> Value {
+/// The machine of a VM, and the times that its operators allow.
+#[derive(Debug, Clone, Copy)]
+pub struct Machine {
+    /// `MemoryMb`.
+    pub memory_mb: usize,
+    /// `MaxFds`.
+    pub fds_max: usize,
+    /// `IdleTimeoutMs`; none leaves that of the stand-in's configuration.
+    pub idle_timeout: Option<Duration>,
+    /// `TimeoutMs` of all routes.
+    pub route_timeout: Duration,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self {
+            memory_mb: MEMORY_MB,
+            fds_max: FDS_MAX,
+            idle_timeout: None,
+            route_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+fn configuration(machine: Machine) -> Value {
     let mut config = config(1);
     config["Limits"]["MaxBodyBytes"] = json!(BODY_MAX);
+    if let Some(time) = machine.idle_timeout {
+        config["Limits"]["IdleTimeoutMs"] = json!(time.as_millis());
+    }
     for route in config["Routes"].as_array_mut().expect("routes") {
-        route["TimeoutMs"] = json!(15_000);
+        route["TimeoutMs"] = json!(machine.route_timeout.as_millis());
     }
     config
 }
@@ -41,8 +69,18 @@
 
 /// Starts a VM whose plain service is at `service`, and waits until it answers. Its files are in `dir`.
 pub async fn start(dir: &Path, number: usize, service: SocketAddr) -> Deployment {
+    start_on(Machine::default(), dir, number, service).await
+}
+
+/// Starts a VM on this machine, likewise.
+pub async fn start_on(
+    machine: Machine,
+    dir: &Path,
+    number: usize,
+    service: SocketAddr,
+) -> Deployment {
     let store = Store::start().await.expect("store");
-    store.put("op/config", &configuration());
+    store.put("op/config", &configuration(machine));
     let mut entry =
         Upstream::start(SERVICE).await.expect("upstream").registry_entry("desk", "kochi-a");
     entry["Address"] = Value::from(service.to_string());
@@ -61,9 +99,10 @@
     let vm = Vm::new(Path::new(env!("CARGO_BIN_EXE_lavenderwoodd")), dir, place).expect("settings");
     let settings = dir.join(format!("{name}.toml"));
     let text = std::fs::read_to_string(&settings).expect("settings");
-    let text = text.replace("MemoryMb = 110", &format!("MemoryMb = {MEMORY_MB}"));
-    let text = text.replace("MaxFds = 4100", &format!("MaxFds = {FDS_MAX}"));
-    assert!(text.contains(&format!("MaxFds = {FDS_MAX}")), "{text}");
+    let Machine { memory_mb, fds_max, .. } = machine;
+    let text = text.replace("MemoryMb = 110", &format!("MemoryMb = {memory_mb}"));
+    let text = text.replace("MaxFds = 4100", &format!("MaxFds = {fds_max}"));
+    assert!(text.contains(&format!("MaxFds = {fds_max}")), "{text}");
     std::fs::write(&settings, text).expect("settings");
     vm.start().await.expect("daemon");
     let ready = async {
