lw-forward, lw-edge: one account over all that callers make a process hold

Callers saw: requests in flight broke off, since the process of a VM of 110 MB ran out of memory beside 950 requests that stopped a byte short of their end, with heads full of segments; and new connections were closed for seconds while stopped ones held every place.

Cause: bodies and answers had a limit, connections another at an assumed size, heads and the segments decoded from them none. Nobody added them up, and nothing gave way before its timeout.

Change: connections, heads, segments, bodies and answers are held in one account, half of the memory of the VM, with the shares of large requests and answers as before. While it is scarce, a large request finds no room or the maximum number of connections is open, the callers without progress for the longest time give way: those within a head or body first, then idle ones, never one whose request is complete. One within a body gets 503 with Retry-After, since its request has not run. Segments are decoded only when the body is complete.

--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -30,6 +30,8 @@
 /// Limits of connections until the first configuration is received, and of connections that are not from callers.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
 const DEFAULT_HEAD_BYTES: usize = 64 << 10;
+/// Largest number of fields of a request head.
+const HEAD_FIELDS: usize = 100;
 /// Time between two updates of the states of upstreams and of the pool of connections to them.
 const UPSTREAMS_PERIOD: Duration = Duration::from_millis(500);
 
@@ -149,10 +151,13 @@
         let edge = Arc::clone(&edge);
         move || {
             let limits = edge.store_view().catalog().map(|catalog| catalog.limits);
+            let idle_time = limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time);
             listen::Options {
-                head_timeout: limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time),
+                head_timeout: idle_time,
+                idle_timeout: idle_time,
                 head_max_bytes: limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes),
-                unread_max: limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time),
+                head_max_fields: HEAD_FIELDS,
+                unread_max: idle_time,
                 connections_max: intake::connections_max(
                     edge.settings.sockets_max,
                     edge.settings.memory_bytes,
@@ -168,7 +173,9 @@
 fn internal_options() -> listen::Options {
     listen::Options {
         head_timeout: DEFAULT_IDLE_TIME,
+        idle_timeout: DEFAULT_IDLE_TIME,
         head_max_bytes: DEFAULT_HEAD_BYTES,
+        head_max_fields: HEAD_FIELDS,
         unread_max: DEFAULT_IDLE_TIME,
         connections_max: 64,
     }
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -6,7 +6,7 @@
 use http::{Method, Request, Response, Uri, header};
 use hyper::body::Incoming;
 use lw_catalog::{Catalog, Route, Workspace};
-use lw_forward::intake::{BodyLimits, leaves_body_unread};
+use lw_forward::intake::{BodyLimits, Caller, Hold, leaves_body_unread};
 use lw_place::{CacheScope, Prompt, RANK_MAX};
 use lw_platform::headers::{self, CallerHead};
 use lw_protocol::caller::Failure;
@@ -68,6 +68,8 @@
     /// When its answer must be complete: the earlier of the caller's deadline and the route's timeout.
     pub due: Now,
     _in_flight: InFlightGuard,
+    /// Memory of its head.
+    _hold: Hold,
 }
 
 /// Answers one request.
@@ -122,7 +124,11 @@
     }
     let in_flight = edge.track_request();
     let arrived = edge.timer.now();
-    let (parts, body) = req.into_parts();
+    let (mut parts, body) = req.into_parts();
+    let caller = parts
+        .extensions
+        .remove::<Caller>()
+        .ok_or_else(|| Failure::new(ResultCode::Internal, "the request has no connection"))?;
     let catalog = {
         let view = edge.store_view();
         view.catalog().filter(|_| view.has_been_current())
@@ -141,16 +147,21 @@
         idle_max: catalog.limits.idle_time,
         time_max: due.saturating_sub(arrived),
     };
-    let body =
-        intake::read_body(&edge.caller_memory, &edge.metrics, &head.request, body, limits).await?;
+    let intake = intake::Intake { caller: &caller, metrics: &edge.metrics, request: &head.request };
+    let mut hold = intake.hold_head(&parts.headers).await?;
+    let body = intake.read_body(body, limits).await?;
     let id_hash = xxhash_rust::xxh3::xxh3_64(head.request.as_bytes());
     let service = route.target(id_hash).ok_or_else(|| {
         Failure::new(ResultCode::NoUpstream, format!("route {} has no service", route.name))
     })?;
     let service = service.to_owned();
     let has_engines = catalog.service(&service).is_some_and(|s| s.engines().is_some());
-    let prompt =
+    let mut prompt =
         has_engines.then(|| prompt(&catalog, &head, &route, workspace.as_deref(), body.len()));
+    if let Some(prompt) = &mut prompt {
+        prompt.segments = headers::caller_segments(&parts.headers);
+        intake.hold_segments(&mut hold, prompt.segments.len()).await?;
+    }
     let target = target(parts.uri);
     let segments = segments(prompt.as_ref(), workspace.as_deref(), &target, &body);
     Ok(Call {
@@ -170,6 +181,7 @@
         arrived,
         deadline,
         _in_flight: in_flight,
+        _hold: hold,
     })
 }
 
@@ -241,6 +253,7 @@
     rank.min(RANK_MAX)
 }
 
+/// Returns the prompt of a request, without its segments.
 fn prompt(
     catalog: &Catalog,
     head: &CallerHead,
@@ -254,7 +267,7 @@
     };
     Prompt {
         model: head.model.clone().unwrap_or_default(),
-        segments: head.segments.clone(),
+        segments: Vec::new(),
         tokens: head.prompt_tokens,
         output_tokens: head.output_tokens_hint.unwrap_or(head.output_tokens_max),
         cache_scope,
--- a/crates/lw-forward/src/collect.rs
+++ b/crates/lw-forward/src/collect.rs
@@ -65,8 +65,7 @@
     where
         B: Body<Data = Bytes, Error: Display> + Unpin,
     {
-        let collected =
-            collect_body(&self.memory, Holder::Answer, &mut body, ANSWER_MAX_BYTES, None);
-        Ok(collected.await?)
+        let hold = self.memory.hold(Holder::Answer, body.size_hint().exact());
+        Ok(collect_body(hold, None, &mut body, ANSWER_MAX_BYTES, None).await?)
     }
 }
--- a/crates/lw-forward/src/intake/buffer.rs
+++ b/crates/lw-forward/src/intake/buffer.rs
@@ -47,6 +47,11 @@
     ///
     /// [`NoRoom`] if there is no memory for it; the buffer is to be dropped then.
     pub fn push(&mut self, mut data: &[u8]) -> Result<(), NoRoom> {
+        self.fill(&mut data)
+    }
+
+    /// Appends a copy of data, of which it leaves what finds no room.
+    pub(super) fn fill(&mut self, data: &mut &[u8]) -> Result<(), NoRoom> {
         while !data.is_empty() {
             let free = self.segments.last().map_or(0, |last| last.capacity() - last.len());
             if free == 0 {
@@ -58,7 +63,7 @@
                 last.extend_from_slice(now);
             }
             self.len += now.len();
-            data = later;
+            *data = later;
         }
         Ok(())
     }
--- a/crates/lw-forward/src/intake/memory.rs
+++ b/crates/lw-forward/src/intake/memory.rs
@@ -7,6 +7,8 @@
 
 use derive_more::{Display, Error};
 
+use super::Caller;
+
 /// Memory up to which a body or an answer counts as small. Prompts of 17,000 tokens, the mean of long requests, have
 /// about 64 KiB.
 pub const SMALL_MAX_BYTES: usize = 64 << 10;
@@ -14,7 +16,9 @@
 /// What bytes are held for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Holder {
-    /// The body of a request: while it arrives, waits or is in flight.
+    /// A connection: its task, its buffers, and what has arrived of a request head.
+    Connection,
+    /// A request, its head and its body: while it arrives, waits or is in flight.
     Request,
     /// An answer: while it is collected, and until its caller has read it.
     Answer,
@@ -48,9 +52,11 @@
 /// Bytes in use.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Used {
+    /// Bytes of connections.
+    pub connections: usize,
     /// Bytes of requests.
     pub requests: usize,
-    /// Those of `requests` that belong to large ones.
+    /// Those of `requests` that belong to large ones, and those of connections with large heads.
     pub large_requests: usize,
     /// Bytes of answers.
     pub answers: usize,
@@ -62,11 +68,12 @@
     /// Returns the bytes of all holders.
     #[must_use]
     pub fn total(&self) -> usize {
-        self.requests + self.answers
+        self.connections + self.requests + self.answers
     }
 
     fn of(&mut self, holder: Holder) -> (&mut usize, &mut usize) {
         match holder {
+            Holder::Connection => (&mut self.connections, &mut self.large_requests),
             Holder::Request => (&mut self.requests, &mut self.large_requests),
             Holder::Answer => (&mut self.answers, &mut self.large_answers),
         }
@@ -79,6 +86,39 @@
 pub struct NoRoom {
     /// Bytes in use when it was refused.
     pub used: Used,
+    /// What callers that make no progress would have to release.
+    pub(super) scarcity: Scarcity,
+}
+
+/// How scarce memory is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Scarcity {
+    /// It is not scarce, or not because of requests.
+    None,
+    /// This much of all bytes has to be released.
+    Bytes {
+        /// Bytes.
+        excess: usize,
+        /// Whether little is left.
+        is_severe: bool,
+    },
+    /// This much of the bytes of large requests has to be released.
+    LargeRequests {
+        /// Bytes.
+        excess: usize,
+    },
+}
+
+impl Scarcity {
+    /// Returns the scarcity with this many bytes in use or asked for.
+    fn of_total(used: usize, total: usize) -> Self {
+        let (scarce, severe) = (total / 4 * 3, total / 8 * 7);
+        if used < scarce {
+            return Self::None;
+        }
+        // Some more, so that the next request does not find it scarce again.
+        Self::Bytes { excess: used - scarce + total / 16, is_severe: used >= severe }
+    }
 }
 
 /// Accounts for all bytes that a process holds for its callers.
@@ -118,7 +158,12 @@
     #[must_use]
     pub fn hold(self: &Arc<Self>, holder: Holder, announced: Option<u64>) -> Hold {
         let is_large = announced.is_some_and(|bytes| bytes > SMALL_MAX_BYTES as u64);
-        Hold { memory: Arc::clone(self), holder, bytes: 0, is_large }
+        Hold { memory: Arc::clone(self), holder, bytes: 0, is_large, caller: None }
+    }
+
+    /// Returns the refusal of a request whose memory is needed for others.
+    pub(super) fn evicted(&self) -> NoRoom {
+        NoRoom { used: self.used(), scarcity: Scarcity::None }
     }
 
     /// Whether an answer that waits for its caller has to make room: three quarters of the total are in use, or another
@@ -145,25 +190,42 @@
     }
 }
 
-/// Bytes of one body or answer, which are released on drop.
+/// Bytes of one connection, request or answer, which are released on drop.
 #[derive(Debug)]
 pub struct Hold {
     memory: Arc<CallerMemory>,
     holder: Holder,
     bytes: usize,
     is_large: bool,
+    caller: Option<Caller>,
 }
 
 impl Hold {
-    /// Holds further bytes.
+    /// Accounts for the bytes as those of a caller, too.
+    pub(super) fn of_caller(mut self, caller: Caller) -> Self {
+        self.caller = Some(caller);
+        self
+    }
+
+    /// Holds further bytes. If they are scarce then, other callers that make no progress are evicted.
     ///
     /// # Errors
     ///
     /// [`NoRoom`] if a limit would be exceeded. What was held before stays held.
     pub fn grow(&mut self, bytes: usize) -> Result<(), NoRoom> {
+        let grown = self.try_grow(bytes);
+        if let Some(caller) = &self.caller {
+            match grown {
+                Ok(scarcity) | Err(NoRoom { scarcity, .. }) => caller.relieve(scarcity),
+            }
+        }
+        grown.map(drop)
+    }
+
+    fn try_grow(&mut self, bytes: usize) -> Result<Scarcity, NoRoom> {
         let Shares { total, large_requests, large_answers } = self.memory.shares;
         let large_max = match self.holder {
-            Holder::Request => large_requests,
+            Holder::Connection | Holder::Request => large_requests,
             Holder::Answer => large_answers,
         };
         let held = self.bytes + bytes;
@@ -176,18 +238,38 @@
         };
         let mut used = self.memory.lock();
         let before = *used;
+        let total_after = before.total() + bytes;
         let (all, large) = used.of(self.holder);
-        if before.total() + bytes > total || *large + more_large > large_max && more_large > 0 {
+        let large_after = *large + more_large;
+        let scarcity = if total_after > total {
+            Some(Scarcity::of_total(total_after, total))
+        } else if more_large > 0 && large_after > large_max {
+            Some(match self.holder {
+                Holder::Connection | Holder::Request => {
+                    Scarcity::LargeRequests { excess: large_after - large_max }
+                }
+                Holder::Answer => Scarcity::None,
+            })
+        } else {
+            None
+        };
+        if let Some(scarcity) = scarcity {
             if self.holder == Holder::Answer {
                 self.memory.has_refused_answer.store(true, Ordering::Relaxed);
             }
-            return Err(NoRoom { used: before });
+            return Err(NoRoom { used: before, scarcity });
         }
         *all += bytes;
-        *large += more_large;
+        *large = large_after;
         self.bytes = held;
         self.is_large = is_large;
-        Ok(())
+        if let Some(usage) = self.caller.as_ref().map(Caller::usage) {
+            usage.all.fetch_add(bytes, Ordering::Relaxed);
+            if self.holder != Holder::Answer {
+                usage.large_requests.fetch_add(more_large, Ordering::Relaxed);
+            }
+        }
+        Ok(Scarcity::of_total(total_after, total))
     }
 
     /// Releases all but this many bytes.
@@ -200,6 +282,12 @@
         if self.is_large {
             *large -= released;
         }
+        if let Some(usage) = self.caller.as_ref().map(Caller::usage) {
+            usage.all.fetch_sub(released, Ordering::Relaxed);
+            if self.is_large && self.holder != Holder::Answer {
+                usage.large_requests.fetch_sub(released, Ordering::Relaxed);
+            }
+        }
     }
 
     /// Returns the bytes that are held.
--- a/crates/lw-forward/src/intake/mod.rs
+++ b/crates/lw-forward/src/intake/mod.rs
@@ -4,21 +4,27 @@
 
 use bytes::Bytes;
 use derive_more::{Display as DisplayText, Error};
-use http_body::Body;
+use http_body::{Body, Frame};
 use http_body_util::BodyExt;
 use lw_types::prelude::*;
 
 mod buffer;
+mod caller;
 mod memory;
+mod progress;
 
 pub use buffer::Buffer;
+pub use caller::{Caller, Callers, Receiving};
 pub use memory::{CallerMemory, Hold, Holder, NoRoom, SMALL_MAX_BYTES, Shares, Used};
+pub use progress::{CallerId, CallerUsage, ProgressTable, Resource, Stage};
 
 /// Time after which a request that was refused for lack of memory may return. The bodies that arrive at the time of a refusal
 /// have usually been forwarded or abandoned by then.
 const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Interval between two attempts to find room for events.
+/// Interval between two attempts to find room.
 const ROOM_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time for which a request waits for the memory of callers that are being evicted.
+const EVICTION_MAX: Duration = Duration::from_millis(200);
 
 /// Limits on one body of a caller.
 #[derive(Debug, Clone, Copy)]
@@ -122,14 +128,47 @@
     B: Body<Data = Bytes, Error: Display> + Unpin,
 {
     let BodyLimits { bytes_max, idle_max, time_max } = limits;
-    let read = collect_body(memory, Holder::Request, body, bytes_max, Some(idle_max));
+    let hold = memory.hold(Holder::Request, body.size_hint().exact());
+    let read = collect_body(hold, None, body, bytes_max, Some(idle_max));
     tokio::time::timeout(time_max, read).await.unwrap_or(Err(BodyError::Late(time_max)))
 }
 
-/// Collects a body of at most `bytes_max` bytes. Without `idle_max`, nothing limits the time between two frames.
+/// Reads a body of a caller, like [`read_body`]. When memory is scarce, it gives way to others while it makes no progress.
+///
+/// # Errors
+///
+/// Any [`enum@BodyError`]. The rest of the body is not read.
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+/// use lw_forward::intake::{BodyLimits, CallerMemory, Callers, Shares, read_caller_body};
+/// let second = std::time::Duration::from_secs(1);
+/// let limits = BodyLimits { bytes_max: 3, idle_max: second, time_max: second };
+/// let callers = Callers::new(CallerMemory::new(Shares::of_total(1 << 20)));
+/// let mut body = http_body_util::Full::new(bytes::Bytes::from("abc"));
+/// let read = read_caller_body(&callers.insert(), &mut body, limits).await.unwrap();
+/// assert_eq!((&*read, callers.memory().used().requests), (&b"abc"[..], 3));
+/// # });
+/// ```
+pub async fn read_caller_body<B>(
+    caller: &Caller,
+    body: &mut B,
+    limits: BodyLimits,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
+    let BodyLimits { bytes_max, idle_max, time_max } = limits;
+    let hold = caller.hold(Holder::Request, body.size_hint().exact());
+    let read = collect_body(hold, Some(caller), body, bytes_max, Some(idle_max));
+    tokio::time::timeout(time_max, read).await.unwrap_or(Err(BodyError::Late(time_max)))
+}
+
+/// Collects a body of at most `bytes_max` bytes within `hold`. Without `idle_max`, nothing limits the time between two frames.
+/// The body of a `caller` may be abandoned for the sake of others.
 pub(crate) async fn collect_body<B>(
-    memory: &Arc<CallerMemory>,
-    holder: Holder,
+    hold: Hold,
+    caller: Option<&Caller>,
     body: &mut B,
     bytes_max: usize,
     idle_max: Option<Duration>,
@@ -141,24 +180,74 @@
     if body.size_hint().lower() > u64::try_from(bytes_max).unwrap_or(u64::MAX) {
         return Err(BodyError::TooLarge(bytes_max));
     }
-    let mut buffer = Buffer::new(memory.hold(holder, announced), announced);
+    let mut buffer = Buffer::new(hold, announced);
+    if body.is_end_stream() {
+        return Ok(buffer.into_bytes());
+    }
+    let _receiving = caller.map(Caller::receive_body);
     loop {
-        let frame = body.frame();
+        let frame = next_frame(caller, body);
         let frame = match idle_max {
             Some(time) => {
-                tokio::time::timeout(time, frame).await.map_err(|_| BodyError::Stalled(time))?
+                tokio::time::timeout(time, frame).await.map_err(|_| BodyError::Stalled(time))??
             }
-            None => frame.await,
+            None => frame.await?,
         };
         let Some(frame) = frame else { return Ok(buffer.into_bytes()) };
         // Trailers are not forwarded.
-        let Ok(data) = frame.map_err(|e| BodyError::Broken(e.to_string()))?.into_data() else {
+        let Ok(data) = frame.into_data() else {
             continue;
         };
         if buffer.len() + data.len() > bytes_max {
             return Err(BodyError::TooLarge(bytes_max));
         }
-        buffer.push(&data).map_err(BodyError::NoRoom)?;
+        let mut data = &data[..];
+        let pushed = wait_for_room(caller, || buffer.fill(&mut data)).await;
+        pushed.map_err(BodyError::NoRoom)?;
+    }
+}
+
+/// Waits for the next frame of a body, or until the `caller` gives way to others.
+async fn next_frame<B>(
+    caller: Option<&Caller>,
+    body: &mut B,
+) -> Result<Option<Frame<Bytes>>, BodyError>
+where
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
+    let frame = match caller {
+        Some(caller) => {
+            tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = caller.body_evicted() => return Err(BodyError::NoRoom(caller.evicted())),
+            }
+        }
+        None => body.frame().await,
+    };
+    frame.transpose().map_err(|e| BodyError::Broken(e.to_string()))
+}
+
+/// Repeats `try_hold` while it finds no room and others are being evicted.
+///
+/// # Errors
+///
+/// [`NoRoom`] if nobody gives way, or not in time.
+pub(crate) async fn wait_for_room<T>(
+    caller: Option<&Caller>,
+    mut try_hold: impl FnMut() -> Result<T, NoRoom>,
+) -> Result<T, NoRoom> {
+    let mut left = EVICTION_MAX;
+    loop {
+        let e = match try_hold() {
+            Ok(held) => return Ok(held),
+            Err(e) => e,
+        };
+        if left.is_zero() || !caller.is_some_and(|caller| caller.make_room(&e)) {
+            return Err(e);
+        }
+        tokio::time::sleep(ROOM_INTERVAL).await;
+        left = left.saturating_sub(ROOM_INTERVAL);
     }
 }
 
--- a/crates/lw-forward/src/listen/stream.rs
+++ b/crates/lw-forward/src/listen/stream.rs
@@ -18,7 +18,10 @@
 };
 
 use super::readers::{SlowReader, SlowReaders};
-use crate::drain::{Drain, SendState};
+use crate::{
+    drain::{Drain, SendState},
+    intake::{Caller, Hold},
+};
 
 /// Longest time for which the rest of a refused request is read and dropped. Closing a socket with unread data resets the
 /// connection, and a caller that is still sending would lose the refusal.
@@ -28,14 +31,63 @@
 /// Interval between two checks of a caller's progress, unless the time for unread answers is short.
 const CHECK_INTERVAL_MAX: Duration = Duration::from_secs(1);
 const SCRATCH_BYTES: usize = 4 << 10;
+/// Bytes that are read at a time. The HTTP library doubles its buffer each time that one is filled.
+const READ_MAX_BYTES: usize = 16 << 10;
+/// Written bytes from which on the kernel is asked whether the caller's system has received them.
+const UNDELIVERED_MIN_BYTES: usize = 64 << 10;
+/// Bytes of a head that the memory of a connection without a request has room for.
+const FIRST_BUFFER_BYTES: usize = 8 << 10;
+
+/// What is held for a connection.
+#[derive(Debug)]
+pub(super) struct Account {
+    caller: Caller,
+    hold: Hold,
+    /// Bytes held without a request.
+    base_bytes: usize,
+    /// Number of the request whose head is being received, and its bytes so far.
+    head: (u64, usize),
+}
+
+impl Account {
+    /// Returns the account of a connection without a request, whose memory is in `hold`.
+    pub(super) fn new(caller: Caller, hold: Hold) -> Self {
+        let base_bytes = hold.bytes();
+        Self { caller, hold, base_bytes, head: (0, 0) }
+    }
+
+    /// Records received bytes, and holds the buffer of a head that grows.
+    fn record_received(&mut self, bytes: usize) -> io::Result<()> {
+        let request = self.caller.record_received(bytes);
+        if request != Some(self.head.0) {
+            self.head = (request.unwrap_or(self.head.0), 0);
+            self.hold.shrink_to(self.base_bytes);
+        }
+        if request.is_none() {
+            return Ok(());
+        }
+        self.head.1 += bytes;
+        let buffer = self.head.1.next_power_of_two().saturating_sub(FIRST_BUFFER_BYTES);
+        let more = (self.base_bytes + buffer).saturating_sub(self.hold.bytes());
+        if more == 0 {
+            return Ok(());
+        }
+        self.hold.grow(more).map_err(|e| io::Error::new(io::ErrorKind::OutOfMemory, e))
+    }
+}
 
 /// Socket of a caller.
 #[derive(Debug)]
 pub(super) struct CallerStream {
     stream: TcpStream,
+    account: Account,
     unread_max: Duration,
     /// Present from the first write that the socket does not accept until all bytes are written.
     waiting: Option<Waiting>,
+    /// Present while the kernel may hold bytes that are written.
+    undelivered: Option<Undelivered>,
+    /// Bytes written since the kernel was known to hold none.
+    written_bytes: usize,
     readers: Arc<SlowReaders>,
     /// Set while a request with a body is refused.
     is_refusing: Arc<AtomicBool>,
@@ -60,6 +112,13 @@
     next_check: Pin<Box<Sleep>>,
 }
 
+/// The kernel may hold bytes for the caller.
+#[derive(Debug)]
+struct Undelivered {
+    drain: Drain,
+    next_check: Pin<Box<Sleep>>,
+}
+
 #[derive(Debug)]
 struct Linger {
     end: Pin<Box<Sleep>>,
@@ -70,14 +129,18 @@
     pub(super) fn new(
         stream: TcpStream,
         unread_max: Duration,
+        account: Account,
         is_refusing: &Arc<AtomicBool>,
         readers: &Arc<SlowReaders>,
         end: &Arc<CallerEnd>,
     ) -> Self {
         Self {
             stream,
+            account,
             unread_max,
             waiting: None,
+            undelivered: None,
+            written_bytes: 0,
             readers: Arc::clone(readers),
             is_refusing: Arc::clone(is_refusing),
             linger: None,
@@ -100,10 +163,11 @@
             }
             return written;
         }
-        let interval = (self.unread_max / 8).min(CHECK_INTERVAL_MAX);
+        let interval = self.check_interval();
         let waiting = self.waiting.get_or_insert_with(|| {
             let drain = Drain::new(acked_bytes(&self.stream), self.readers.now());
             let reader = self.readers.add(drain, cx.waker());
+            self.account.caller.set_sending(true);
             Waiting { drain, reader, next_check: Box::pin(sleep(interval)) }
         });
         let end = loop {
@@ -119,10 +183,50 @@
             waiting.next_check.as_mut().reset(Instant::now() + interval);
             waiting.reader.update(waiting.drain, cx.waker());
         };
+        Poll::Ready(Err(self.give_up(end)))
+    }
+
+    /// Counts written bytes, and watches whether they are delivered once they are many.
+    fn record_written(&mut self, written: &Poll<io::Result<usize>>) {
+        let Poll::Ready(Ok(bytes)) = written else { return };
+        self.written_bytes += bytes;
+        if self.undelivered.is_none() && self.written_bytes >= UNDELIVERED_MIN_BYTES {
+            let drain = Drain::new(None, self.readers.now());
+            let next_check = Box::pin(sleep(self.check_interval()));
+            self.undelivered = Some(Undelivered { drain, next_check });
+        }
+    }
+
+    /// Whether the caller has received nothing for too long of the bytes that the kernel holds for it.
+    fn is_undelivered(&mut self, cx: &mut Context<'_>) -> bool {
+        let interval = self.check_interval();
+        let Some(undelivered) = &mut self.undelivered else { return false };
+        while undelivered.next_check.as_mut().poll(cx).is_ready() {
+            let now = self.readers.now();
+            let state = SendState::of(&self.stream).filter(|state| state.queued_bytes > 0);
+            let Some(state) = state else {
+                (self.undelivered, self.written_bytes) = (None, 0);
+                return false;
+            };
+            undelivered.drain.update(Some(state.acked_bytes), now);
+            if undelivered.drain.idle_time(now) >= self.unread_max {
+                return true;
+            }
+            undelivered.next_check.as_mut().reset(Instant::now() + interval);
+        }
+        false
+    }
+
+    fn check_interval(&self) -> Duration {
+        (self.unread_max / 8).min(CHECK_INTERVAL_MAX)
+    }
+
+    /// Ends a connection whose caller reads too little.
+    fn give_up(&self, end: &AtomicBool) -> io::Error {
         end.store(true, Ordering::Release);
         // What the kernel still holds is dropped, instead of kept until the caller's system gives up.
         let _ = self.stream.set_zero_linger();
-        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "the caller reads too little")))
+        io::Error::new(io::ErrorKind::TimedOut, "the caller reads too little")
     }
 
     /// Reads and drops what the caller still sends, until it closes its side or a limit is reached.
@@ -153,7 +257,27 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        if self.account.caller.is_closing(cx) {
+            // What the kernel still holds is dropped.
+            let _ = self.stream.set_zero_linger();
+            let text = "the caller made no progress while connections or memory were scarce";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, text)));
+        }
+        if self.is_undelivered(cx) {
+            return Poll::Ready(Err(self.give_up(&self.end.is_unread)));
+        }
+        let read = if buf.remaining() <= READ_MAX_BYTES {
+            let before = buf.filled().len();
+            ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+            buf.filled().len() - before
+        } else {
+            let mut part = ReadBuf::new(buf.initialize_unfilled_to(READ_MAX_BYTES));
+            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+            let read = part.filled().len();
+            buf.advance(read);
+            read
+        };
+        Poll::Ready(self.account.record_received(read))
     }
 }
 
@@ -164,6 +288,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_written(&written);
         self.check_progress(cx, written)
     }
 
@@ -173,6 +298,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_written(&written);
         self.check_progress(cx, written)
     }
 
@@ -182,7 +308,9 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // The HTTP library flushes when it has written all that it has.
-        self.waiting = None;
+        if self.waiting.take().is_some() {
+            self.account.caller.set_sending(false);
+        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/lw-forward/tests/slow_readers.rs
+++ b/crates/lw-forward/tests/slow_readers.rs
@@ -62,7 +62,9 @@
     let addr = listener.local_addr().expect("address");
     let options = move || Options {
         head_timeout: Duration::from_secs(60),
+        idle_timeout: Duration::from_secs(60),
         head_max_bytes: 16 << 10,
+        head_max_fields: 100,
         unread_max,
         connections_max: 100,
     };
