lw-daemon: callers are served within one account on the native interface too

Callers saw: a process with limits.memory of 16 MiB used 83 to 189 MB beside crowds that stop within heads, bodies and answers.

Cause: the native interface served callers by its HTTP framework, which hides its sockets and buffers. limits.connections_max was not tied to any memory, read buffers grew up to 408 KiB a connection, and the frames of answers that services send were not accounted for.

Change: callers are served by lw_forward::listen, like those of the platform, with the account limits.memory; volo-http goes on to serve operators and the other VMs. Frames of relayed answers are held until the caller's socket has them. What the kernel holds of an answer is watched by the listener now, so run/connections.rs and run/unread.rs go.

--- a/crates/lw-daemon/src/callers/completion.rs
+++ b/crates/lw-daemon/src/callers/completion.rs
@@ -41,7 +41,7 @@
 ) -> Result<Response, Failure> {
     let settings = &tables.settings;
     let bytes = intake::read_body(
-        &tables.caller_memory,
+        &caller.connection,
         &tables.statsd,
         &caller.request_id,
         body,
@@ -52,11 +52,12 @@
     let completion = CompletionRequest::parse(endpoint, &bytes)?;
     drop(bytes);
     let prompt_hold = intake::hold_prompt(
-        &tables.caller_memory,
+        &caller.connection,
         &tables.statsd,
         &caller.request_id,
         &completion.prompt,
-    )?;
+    )
+    .await?;
     let guards = Guards { _in_flight: guard, _prompt: prompt_hold };
     let mut context = AttemptContext::received(caller.arrived, 0, caller.deadline);
     let mut last_failure = None;
--- a/crates/lw-daemon/src/callers/mod.rs
+++ b/crates/lw-daemon/src/callers/mod.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use lw_config::document::Workspace;
-use lw_forward::intake::leaves_body_unread;
+use lw_forward::intake::{self as forward_intake, Hold, leaves_body_unread};
 use lw_protocol::caller::{CLASS_HEADER, DEADLINE_HEADER, Endpoint, Failure, REQUEST_ID_HEADER};
 use lw_transport::{auth, server};
 use lw_types::prelude::*;
@@ -12,7 +12,7 @@
 use volo_http::{body::Body, request::Request, response::Response};
 
 use crate::{
-    services,
+    intake, services,
     tables::{ActiveConfig, Tables},
 };
 
@@ -37,6 +37,10 @@
     pub deadline: Duration,
     /// When the request arrived.
     pub arrived: Now,
+    /// Connection of the caller.
+    pub connection: forward_intake::Caller,
+    /// Memory of the head of the request.
+    _head: Arc<Hold>,
 }
 
 impl Caller {
@@ -97,15 +101,14 @@
     id: &str,
     guard: crate::tables::InFlightGuard,
 ) -> Result<Response, Failure> {
-    let (parts, body) = req.into_parts();
-    let caller =
-        match check_accepting(tables).and_then(|()| authenticate(tables, &parts.headers, id)) {
-            Ok(caller) => caller,
-            Err(failure) => {
-                server::discard(body).await;
-                return Err(failure);
-            }
-        };
+    let (mut parts, body) = req.into_parts();
+    let caller = match identify(tables, &mut parts, id).await {
+        Ok(caller) => caller,
+        Err(failure) => {
+            server::discard(body).await;
+            return Err(failure);
+        }
+    };
     let path = parts.uri.path();
     match (&parts.method, path) {
         (&Method::POST, "/v1/chat/completions") => {
@@ -135,7 +138,27 @@
     }
 }
 
-fn authenticate(tables: &Arc<Tables>, headers: &HeaderMap, id: &str) -> Result<Caller, Failure> {
+/// Returns the caller of a request that this VM accepts.
+async fn identify(
+    tables: &Arc<Tables>,
+    parts: &mut http::request::Parts,
+    id: &str,
+) -> Result<Caller, Failure> {
+    check_accepting(tables)?;
+    let connection = parts.extensions.remove::<forward_intake::Caller>();
+    let connection = connection
+        .ok_or_else(|| Failure::new(ResultCode::Internal, "the request has no connection"))?;
+    let head = intake::hold_head(&connection, &tables.statsd, id, &parts.headers).await?;
+    authenticate(tables, &parts.headers, id, connection, head)
+}
+
+fn authenticate(
+    tables: &Arc<Tables>,
+    headers: &HeaderMap,
+    id: &str,
+    connection: forward_intake::Caller,
+    head: Hold,
+) -> Result<Caller, Failure> {
     let active = tables.active_config().ok_or_else(|| {
         Failure::new(ResultCode::NotReady, "no configuration has been received yet")
     })?;
@@ -160,6 +183,8 @@
         deadline,
         arrived: tables.timer.now(),
         active,
+        connection,
+        _head: Arc::new(head),
     })
 }
 
--- a/crates/lw-daemon/src/intake/mod.rs
+++ b/crates/lw-daemon/src/intake/mod.rs
@@ -1,10 +1,11 @@
-//! Reads callers' bodies within the memory for callers' bytes.
+//! Reads callers' requests within the memory for callers.
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use http::HeaderMap;
 use lw_config::settings::Limits;
-use lw_forward::intake::{self, BodyError, BodyLimits, CallerMemory, Hold, Holder, Shares};
+use lw_forward::intake::{self, BodyError, BodyLimits, Caller, CallerMemory, Hold, Holder, Shares};
 use lw_metrics::statsd::Statsd;
 use lw_protocol::caller::Failure;
 use lw_transport::server;
@@ -14,7 +15,7 @@
 /// not be repeated.
 const LARGE_ANSWERS_MAX_BYTES: usize = 8 << 20;
 
-/// Returns the memory for callers' bytes.
+/// Returns the memory for callers.
 #[must_use]
 pub fn caller_memory(limits: &Limits) -> Arc<CallerMemory> {
     CallerMemory::new(Shares {
@@ -23,13 +24,31 @@
     })
 }
 
+/// Holds the memory of the head of a caller's request.
+///
+/// # Errors
+///
+/// A failure that says that the request has not run.
+pub(crate) async fn hold_head(
+    connection: &Caller,
+    statsd: &Statsd,
+    request: &str,
+    headers: &HeaderMap,
+) -> Result<Hold, Failure> {
+    connection.hold_head(headers).await.map_err(|e| {
+        let error = BodyError::NoRoom(e);
+        record_refusal(connection, statsd, request, "head not held", &error);
+        failure(&error)
+    })
+}
+
 /// Reads the body of a caller's request within a size limit and a time limit.
 ///
 /// # Errors
 ///
 /// A failure that says that the request has not run.
 pub(crate) async fn read_body(
-    memory: &Arc<CallerMemory>,
+    connection: &Caller,
     statsd: &Statsd,
     request: &str,
     mut body: Body,
@@ -37,11 +56,11 @@
     time_max: Duration,
 ) -> Result<Bytes, Failure> {
     let limits = BodyLimits { bytes_max, idle_max: time_max, time_max };
-    let error = match intake::read_body(memory, &mut body, limits).await {
+    let error = match intake::read_caller_body(connection, &mut body, limits).await {
         Ok(bytes) => return Ok(bytes),
         Err(e) => e,
     };
-    record_refusal(memory, statsd, request, "body not read", &error);
+    record_refusal(connection, statsd, request, "body not read", &error);
     if matches!(error, BodyError::TooLarge(_) | BodyError::NoRoom(_)) {
         server::discard(body).await;
     }
@@ -53,19 +72,19 @@
 /// # Errors
 ///
 /// A failure that says that the request has not run, if there is no memory for them.
-pub(crate) fn hold_prompt(
-    memory: &Arc<CallerMemory>,
+pub(crate) async fn hold_prompt(
+    connection: &Caller,
     statsd: &Statsd,
     request: &str,
     prompt: &str,
 ) -> Result<Hold, Failure> {
     let bytes = 2 * prompt.len();
-    let mut hold = memory.hold(Holder::Request, u64::try_from(prompt.len()).ok());
-    match hold.grow(bytes) {
+    let mut hold = connection.hold(Holder::Request, u64::try_from(prompt.len()).ok());
+    match connection.grow(&mut hold, bytes).await {
         Ok(()) => Ok(hold),
         Err(e) => {
             let error = BodyError::NoRoom(e);
-            record_refusal(memory, statsd, request, "prompt not held", &error);
+            record_refusal(connection, statsd, request, "prompt not held", &error);
             Err(failure(&error))
         }
     }
@@ -73,12 +92,13 @@
 
 /// Counts and logs a request that is refused because of its bytes.
 fn record_refusal(
-    memory: &CallerMemory,
+    connection: &Caller,
     statsd: &Statsd,
     request: &str,
     what: &str,
     error: &BodyError,
 ) {
+    let memory = connection.memory();
     let used = memory.used();
     statsd.count(&format!("body_refusals.{}", error.kind()), 1);
     log::warn!(
--- a/crates/lw-daemon/src/run/mod.rs
+++ b/crates/lw-daemon/src/run/mod.rs
@@ -1,32 +1,43 @@
 //! Starts the servers and the background tasks, and stops the servers after a drain.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use derive_more::{Display, Error, From};
 use futures::FutureExt;
+use hyper::body::Incoming;
 use lw_config::{document::Document, settings::Settings};
+use lw_forward::listen::{self, ClosedCounts, Connections};
 use lw_metrics::statsd::Statsd;
-use lw_protocol::caller::Failure;
 use lw_transport::{
     client::{self, Clients},
     datagram::{self, Datagrams},
-    server,
 };
-use lw_types::prelude::*;
 use tokio::{net::TcpListener, task::JoinHandle};
-use volo::context::Context as _;
-use volo_http::{context::ServerContext, request::Request, response::Response, server::Server};
+use volo_http::{
+    body::Body, context::ServerContext, request::Request, response::Response, server::Server,
+};
 
 use crate::{
     callers, claims, limits, members, observe, operators, orders, peers, services,
     tables::{BALANCER_UPDATE_DELAY, Tables},
 };
 
-mod connections;
-mod unread;
+mod acceptor;
 
-use connections::{Acceptor, Connections};
+use acceptor::Acceptor;
 
+/// Time without a request after which a connection that has carried one is closed. Load balancers commonly keep idle
+/// connections for 60 s, and a request that is sent on a connection while it closes has to be sent again.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Largest request head.
+const HEAD_MAX_BYTES: usize = 408 << 10;
+/// Period in which the counts of closed connections are sent.
+const CLOSED_COUNT_PERIOD: Duration = Duration::from_secs(1);
 /// Longest wait at the end of a drain until the outcomes of claimed calls are recorded.
 const OUTCOMES_TIMEOUT: Duration = Duration::from_secs(5);
 const OUTCOMES_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -89,26 +100,13 @@
     tokio::spawn(observe::poll_engines(Arc::clone(&tables)));
     tokio::spawn(services::close_idle_connections(Arc::clone(&tables)));
     log::info!("run: {} serves callers on {}", tables.settings.vm, listen.callers);
-    let (limits, timeouts) = (&tables.settings.limits, &tables.settings.timeouts);
-    let timeouts = connections::Timeouts { head: timeouts.head, unread: timeouts.unread };
-    let memory = Arc::clone(&tables.caller_memory);
-    let connection_limits =
-        Arc::new(Connections::new(tables.timer, limits.connections_max, timeouts, memory));
-    let count_tables = Arc::clone(&tables);
-    let count_closed = move |kind: &str, count| {
-        let count = i64::try_from(count).unwrap_or(i64::MAX);
-        count_tables.statsd.count(&format!("closed_connections.{kind}"), count);
-    };
-    tokio::spawn(Arc::clone(&connection_limits).run_idle_checks(count_closed));
-    let callers = Acceptor { listener: callers, connections: Some(connection_limits) };
-    let peer_listener = Acceptor { listener: peer_listener, connections: None };
-    let operators = Acceptor { listener: operators, connections: None };
+    let callers = tokio::spawn(serve_callers(Arc::clone(&tables), callers));
     let servers = [
-        serve(&tables, callers, |tables, req| callers::serve(tables, req).boxed()),
         serve(&tables, peer_listener, |tables, req| peers::serve(tables, req).boxed()),
         serve(&tables, operators, |tables, req| operators::serve(tables, req).boxed()),
     ];
     wait_until_drained(&tables).await;
+    callers.abort();
     for server in servers {
         server.abort();
     }
@@ -128,15 +126,55 @@
 
 type ResponseFuture = futures::future::BoxFuture<'static, Response>;
 
+/// Serves callers within the memory that is set aside for them, for as long as the process runs.
+async fn serve_callers(tables: Arc<Tables>, listener: TcpListener) {
+    let closed = Arc::new(ClosedCounts::default());
+    tokio::spawn(count_closed(Arc::clone(&tables), Arc::clone(&closed)));
+    let connections = Connections::counting(closed).within(Arc::clone(&tables.caller_memory));
+    let (limits, timeouts) = (&tables.settings.limits, &tables.settings.timeouts);
+    let options = listen::Options {
+        head_timeout: timeouts.head,
+        idle_timeout: IDLE_TIMEOUT.max(timeouts.head),
+        head_max_bytes: HEAD_MAX_BYTES,
+        head_max_fields: limits.headers_max,
+        unread_max: timeouts.unread,
+        connections_max: limits.connections_max,
+    };
+    let answer = move |req: http::Request<Incoming>| {
+        let answer = callers::serve(Arc::clone(&tables), req.map(Body::from_incoming));
+        async move { Ok::<_, Infallible>(answer.await) }
+    };
+    listen::serve(listener, connections, move || options, answer).await;
+}
+
+/// Sends the counts of connections that were closed because of their callers to statsd.
+async fn count_closed(tables: Arc<Tables>, closed: Arc<ClosedCounts>) {
+    let mut ticks = tables.timer.subscribe(CLOSED_COUNT_PERIOD);
+    loop {
+        ticks.tick().await;
+        let counts = [
+            ("too_many", &closed.too_many),
+            ("stalled", &closed.stalled),
+            ("unread", &closed.unread),
+            ("slowest", &closed.slowest),
+        ];
+        for (kind, count) in counts {
+            let count = i64::try_from(count.swap(0, Ordering::Relaxed)).unwrap_or(i64::MAX);
+            if count > 0 {
+                tables.statsd.count(&format!("closed_connections.{kind}"), count);
+            }
+        }
+    }
+}
+
 fn serve(
     tables: &Arc<Tables>,
-    acceptor: Acceptor,
+    listener: TcpListener,
     handler: fn(Arc<Tables>, Request) -> ResponseFuture,
 ) -> JoinHandle<()> {
     let headers_max = tables.settings.limits.headers_max;
     let hook_tables = Arc::clone(tables);
-    let connections = acceptor.connections.clone();
-    let service = HttpService { tables: Arc::clone(tables), connections, handler };
+    let service = HttpService { tables: Arc::clone(tables), handler };
     let mut server = Server::new(service).register_shutdown_hook(move || {
         // The library closes all connections 28 s after its hooks have ended, so the hook waits for the drain.
         async move {
@@ -147,7 +185,7 @@
     });
     server.http1_config().set_max_headers(headers_max);
     tokio::spawn(async move {
-        if let Err(e) = server.run(acceptor).await {
+        if let Err(e) = server.run(Acceptor(listener)).await {
             log::error!("run: server ended: {e}");
         }
     })
@@ -156,27 +194,19 @@
 #[derive(Clone)]
 struct HttpService {
     tables: Arc<Tables>,
-    connections: Option<Arc<Connections>>,
     handler: fn(Arc<Tables>, Request) -> ResponseFuture,
 }
 
 impl motore::service::Service<ServerContext, Request> for HttpService {
     type Response = Response;
-    type Error = std::convert::Infallible;
+    type Error = Infallible;
 
     async fn call(
         &self,
-        cx: &mut ServerContext,
+        _: &mut ServerContext,
         req: Request,
     ) -> Result<Self::Response, Self::Error> {
-        let response = (self.handler)(Arc::clone(&self.tables), req);
-        let Some(connections) = &self.connections else { return Ok(response.await) };
-        let peer = cx.rpc_info().caller().address().and_then(|peer| peer.ip_addr().copied());
-        let Some(guard) = peer.and_then(|peer| connections.start_request(peer)) else {
-            let text = "the connection was closed before its request was read";
-            return Ok(server::failure(&Failure::new(ResultCode::NotReady, text)));
-        };
-        Ok(response.await.map(|body| connections::guard_body(body, guard)))
+        Ok((self.handler)(Arc::clone(&self.tables), req).await)
     }
 }
 
--- a/crates/lw-daemon/src/services/mod.rs
+++ b/crates/lw-daemon/src/services/mod.rs
@@ -7,7 +7,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, header};
 use http_body_util::Full;
 use lw_config::document::UpstreamKind;
-use lw_forward::pool::{Error, Reuse, UpstreamAnswer};
+use lw_forward::{
+    intake::HeldBody,
+    pool::{Error, Reuse, UpstreamAnswer},
+};
 use lw_limit::retry::{AttemptContext, Kind};
 use lw_protocol::caller::{Failure, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER};
 use lw_transport::server;
@@ -83,7 +86,7 @@
         }
     };
     let body = intake::read_body(
-        &tables.caller_memory,
+        &caller.connection,
         &tables.statsd,
         &caller.request_id,
         incoming.body,
@@ -234,6 +237,7 @@
     let sent = tokio::time::timeout(timeout, tables.service_connections.send(&key, req, reuse));
     let no_answer = || Error::Broken(format!("no answer within {timeout:?}"));
     let UpstreamAnswer { head, body } = sent.await.unwrap_or_else(|_| Err(no_answer()))?;
+    let body = HeldBody::new(body, Arc::clone(&tables.caller_memory), timeout);
     let mut answer = Response::new(Body::from_body(body));
     *answer.status_mut() = head.status;
     for name in [header::CONTENT_TYPE, header::RETRY_AFTER] {
--- a/crates/lw-forward/src/intake/mod.rs
+++ b/crates/lw-forward/src/intake/mod.rs
@@ -10,11 +10,13 @@
 
 mod buffer;
 mod caller;
+mod held_body;
 mod memory;
 mod progress;
 
 pub use buffer::Buffer;
 pub use caller::{Caller, Callers, Receiving};
+pub use held_body::HeldBody;
 pub use memory::{CallerMemory, Hold, Holder, NoRoom, SMALL_MAX_BYTES, Shares, Used};
 pub use progress::{CallerId, CallerUsage, ProgressTable, Resource, Stage};
 
