lw-quarantine: sound segments are remembered within a bound

Cause: each segment with a sound answer was remembered for five minutes, without a bound, and callers choose how many segments a prompt has.

Change: at most 131,072 are remembered; beyond that the less useful half is forgotten: segments of a single request first, since a crash with one is no evidence against others, then the oldest.

--- a/crates/lw-quarantine/src/evidence.rs
+++ b/crates/lw-quarantine/src/evidence.rs
@@ -15,6 +15,8 @@
 pub(crate) const EVIDENCE_TIME: Duration = Duration::from_secs(300);
 /// Crashes that are kept; the oldest are dropped. A set of crashes is one word.
 pub(crate) const CRASHES_MAX: usize = 64;
+/// Segments with sound answers that are remembered at most. Beyond that, half of them are forgotten.
+pub const SOUND_SEGMENTS_MAX: usize = 1 << 17;
 /// Suspects of one crash that are kept.
 const SUSPECTS_MAX: usize = 64;
 /// Times that an own report is sent, since messages between VMs may be lost.
@@ -103,6 +105,16 @@
     shared: Option<Now>,
     /// When the VMs were last told of an answer.
     told: Option<Now>,
+    /// Whether there was more than one.
+    is_repeated: bool,
+}
+
+impl SoundAnswers {
+    /// Returns the order in which segments are forgotten: those of one request first, since a crash with one of them is no
+    /// evidence against others, then the oldest.
+    fn worth(&self) -> (bool, Option<Now>) {
+        (self.is_repeated, self.own.max(self.shared))
+    }
 }
 
 /// Time after which the VMs are told of the same answer again, since some may have started in between.
@@ -199,8 +211,29 @@
     /// Records that the answer to a prompt with these segments went on after its start.
     pub fn record_sound(&mut self, now: Now, segments: &[SegmentId]) {
         for segment in segments {
-            self.sound.entry(*segment).or_default().own = Some(now);
+            let sound = self.sound.entry(*segment).or_default();
+            sound.is_repeated |= sound.own.max(sound.shared).is_some();
+            sound.own = Some(now);
+        }
+        self.forget_sound();
+    }
+
+    /// Forgets half of the segments with sound answers if there are too many: callers choose how many a prompt has.
+    fn forget_sound(&mut self) {
+        if self.sound.len() <= SOUND_SEGMENTS_MAX {
+            return;
         }
+        let mut worths: Vec<_> = self.sound.values().map(SoundAnswers::worth).collect();
+        let middle = worths.len() / 2;
+        let (_, last_forgotten, _) = worths.select_nth_unstable(middle);
+        let last_forgotten = *last_forgotten;
+        self.sound.retain(|_, sound| sound.worth() > last_forgotten);
+    }
+
+    /// Number of segments with sound answers that are remembered.
+    #[must_use]
+    pub fn sound_count(&self) -> usize {
+        self.sound.len()
     }
 
     /// Records that the VMs were told of a sound answer on this segment at `at`.
@@ -208,6 +241,7 @@
         let sound = self.sound.entry(segment).or_default();
         sound.shared = sound.shared.max(Some(at));
         sound.told = Some(now);
+        self.forget_sound();
     }
 
     /// Returns when the latest sound answer on a segment was received, as far as this VM knows.
