lw-place: prompts of many segments cost linear work

Cause: a caller bought quadratic time with linear bytes. Each segment was compared with all segments of the requests in flight, for each engine; each segment beyond an engine's capacity cost a search of all cached ones; and an attempt that failed compared its segments with all others.

Change: segments that were seen are hashed once there are more than 128, the cached ones are ordered by their last use, and the segments of other attempts are collected once.

--- a/crates/lw-place/src/cache.rs
+++ b/crates/lw-place/src/cache.rs
@@ -1,6 +1,6 @@
 //! Which segments of prompts an engine or the KV cache store has cached.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use lw_types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
@@ -52,6 +52,8 @@
 pub struct CacheView {
     epoch: Option<u64>,
     segments: HashMap<SegmentKey, CachedSegment>,
+    /// Their keys by when they were last used.
+    by_use: BTreeSet<(Now, SegmentKey)>,
     tokens: u64,
     capacity_tokens: u64,
 }
@@ -60,7 +62,13 @@
     /// Creates an empty view of a holder with a capacity of `capacity_tokens`.
     #[must_use]
     pub fn new(capacity_tokens: u64) -> Self {
-        Self { epoch: None, segments: HashMap::new(), tokens: 0, capacity_tokens }
+        Self {
+            epoch: None,
+            segments: HashMap::new(),
+            by_use: BTreeSet::new(),
+            tokens: 0,
+            capacity_tokens,
+        }
     }
 
     /// Applies changes. Another epoch means that the holder has restarted with an empty cache.
@@ -86,27 +94,29 @@
         if tokens > self.capacity_tokens {
             return;
         }
-        let before = self.segments.remove(&key);
-        self.tokens -= before.map_or(0, |cached| cached.tokens);
+        let before = self.take(key);
         let is_complete = is_complete
             || before.is_some_and(|cached| cached.is_complete && cached.tokens >= tokens);
         self.segments.insert(key, CachedSegment { tokens, last_used: now, is_complete });
+        self.by_use.insert((now, key));
         self.tokens += tokens;
         while self.tokens > self.capacity_tokens {
-            let Some(oldest) = self.segments.iter().min_by_key(|(_, cached)| cached.last_used)
-            else {
-                break;
-            };
-            let oldest = *oldest.0;
-            self.remove(oldest);
+            let Some((_, oldest)) = self.by_use.first() else { break };
+            self.remove(*oldest);
         }
     }
 
+    /// Removes a segment and returns what was known of it.
+    fn take(&mut self, key: SegmentKey) -> Option<CachedSegment> {
+        let cached = self.segments.remove(&key)?;
+        self.by_use.remove(&(cached.last_used, key));
+        self.tokens -= cached.tokens;
+        Some(cached)
+    }
+
     /// Removes a segment.
     pub fn remove(&mut self, key: SegmentKey) {
-        if let Some(cached) = self.segments.remove(&key) {
-            self.tokens -= cached.tokens;
-        }
+        self.take(key);
     }
 
     /// Returns the tokens of the leading segments that are cached or about to be.
@@ -144,6 +154,7 @@
     /// Removes all segments, for a holder whose cache is empty now.
     pub fn clear(&mut self) {
         self.segments.clear();
+        self.by_use.clear();
         self.tokens = 0;
     }
 }
--- a/crates/lw-place/src/pool/in_flight.rs
+++ b/crates/lw-place/src/pool/in_flight.rs
@@ -7,7 +7,7 @@
 };
 use lw_types::prelude::*;
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 /// Time for which an upstream that failed gets no requests while others can run them.
 const DEPRIORITIZED_TIME: Duration = Duration::from_millis(1500);
@@ -283,10 +283,11 @@
 
 /// Removes the segments that the attempt would have cached, unless they are complete or another attempt has them.
 fn remove_unfinished_segments(state: &mut UpstreamState, attempt: &InFlight) {
+    let others = state.in_flight.values().flat_map(|other| &other.segments);
+    let others: HashSet<SegmentKey> = others.map(|(key, _)| *key).collect();
     for (key, tokens) in &attempt.segments {
         let is_complete = state.cache.fetchable_tokens(&[(*key, *tokens)]) == *tokens;
-        let has_segment = |f: &InFlight| f.segments.iter().any(|(segment, _)| segment == key);
-        if !is_complete && !state.in_flight.values().any(has_segment) {
+        if !is_complete && !others.contains(key) {
             state.cache.remove(*key);
         }
     }
--- a/crates/lw-place/src/pool/queue.rs
+++ b/crates/lw-place/src/pool/queue.rs
@@ -4,7 +4,7 @@
 //! estimate covers long prompts that fill the memory of engines, and many short ones that fill their slots when few
 //! engines are available.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use lw_types::prelude::*;
 
@@ -21,6 +21,9 @@
 /// Age from which the load that an engine reported is ignored. Its weight falls linearly until then.
 const LOAD_WEIGHT_MAX_AGE_MS: f64 = 1_000.0;
 
+/// Segments up to which they are compared one by one.
+const FEW_SEGMENTS_MAX: usize = 128;
+
 /// Simulates the requests that a new one has to wait for.
 struct Queue {
     /// When each running request ends, in milliseconds from now, and the memory that it then frees, in tokens.
@@ -75,7 +78,7 @@
         let competing: Vec<_> = self.in_flight.values().filter(|f| f.rank <= rank).collect();
         let mut queue =
             Queue { running: Vec::new(), free_tokens: capacity_tokens, prefill_end_ms: 0.0 };
-        let mut shared = Vec::new();
+        let mut shared = SeenSegments::default();
         for attempt in competing.iter().filter(|f| f.started_at.is_some()) {
             queue.add_running(
                 Self::remaining_ms(now, attempt, cost),
@@ -143,14 +146,36 @@
     }
 }
 
-/// Returns the memory of a request without the segments that are in `shared`, and adds its segments to these.
-fn unshared_tokens(attempt: &InFlight, shared: &mut Vec<SegmentKey>) -> u64 {
+/// Segments of the requests so far. Most requests have few, and comparing few is faster than hashing them.
+#[derive(Debug, Default)]
+struct SeenSegments {
+    few: Vec<SegmentKey>,
+    many: HashSet<SegmentKey>,
+}
+
+impl SeenSegments {
+    /// Adds a segment and returns whether it is new.
+    fn insert(&mut self, key: SegmentKey) -> bool {
+        if !self.many.is_empty() {
+            return self.many.insert(key);
+        }
+        if self.few.contains(&key) {
+            return false;
+        }
+        self.few.push(key);
+        if self.few.len() > FEW_SEGMENTS_MAX {
+            self.many.extend(self.few.drain(..));
+        }
+        true
+    }
+}
+
+/// Returns the memory of a request without the segments that are in `seen`, and adds its segments to these.
+fn unshared_tokens(attempt: &InFlight, seen: &mut SeenSegments) -> u64 {
     let mut tokens = attempt.tokens;
     for (key, segment) in &attempt.segments {
-        if shared.contains(key) {
+        if !seen.insert(*key) {
             tokens = tokens.saturating_sub(*segment);
-        } else {
-            shared.push(*key);
         }
     }
     tokens
