lw-edge: heads inside the operators' limit are served however many fields they have

Callers saw: 431 for a request of 15 KiB with more than 100 header fields, where MaxHeaderBytes is 16 KiB and nothing limits their number.

Cause: the HTTP library's own limit of 100 fields.

Change: as many fields as the largest head has room for. A decoded field takes many times its bytes, so 320 bytes are held for each, its copy for an upstream included, and a head that finds no room is refused at once: while it waited, what it took was not accounted for.

--- a/crates/lw-daemon/src/callers/mod.rs
+++ b/crates/lw-daemon/src/callers/mod.rs
@@ -102,7 +102,7 @@
     guard: crate::tables::InFlightGuard,
 ) -> Result<Response, Failure> {
     let (mut parts, body) = req.into_parts();
-    let caller = match identify(tables, &mut parts, id).await {
+    let caller = match identify(tables, &mut parts, id) {
         Ok(caller) => caller,
         Err(failure) => {
             server::discard(body).await;
@@ -139,7 +139,7 @@
 }
 
 /// Returns the caller of a request that this VM accepts.
-async fn identify(
+fn identify(
     tables: &Arc<Tables>,
     parts: &mut http::request::Parts,
     id: &str,
@@ -148,7 +148,7 @@
     let connection = parts.extensions.remove::<forward_intake::Caller>();
     let connection = connection
         .ok_or_else(|| Failure::new(ResultCode::Internal, "the request has no connection"))?;
-    let head = intake::hold_head(&connection, &tables.statsd, id, &parts.headers).await?;
+    let head = intake::hold_head(&connection, &tables.statsd, id, &parts.headers)?;
     authenticate(tables, &parts.headers, id, connection, head)
 }
 
--- a/crates/lw-daemon/src/intake/mod.rs
+++ b/crates/lw-daemon/src/intake/mod.rs
@@ -29,13 +29,13 @@
 /// # Errors
 ///
 /// A failure that says that the request has not run.
-pub(crate) async fn hold_head(
+pub(crate) fn hold_head(
     connection: &Caller,
     statsd: &Statsd,
     request: &str,
     headers: &HeaderMap,
 ) -> Result<Hold, Failure> {
-    connection.hold_head(headers).await.map_err(|e| {
+    connection.hold_head(headers).map_err(|e| {
         let error = BodyError::NoRoom(e);
         record_refusal(connection, statsd, request, "head not held", &error);
         failure(&error)
--- a/crates/lw-edge/src/intake/mod.rs
+++ b/crates/lw-edge/src/intake/mod.rs
@@ -70,8 +70,8 @@
     /// # Errors
     ///
     /// A failure that says that the request has not run. Its body is not read, so the connection has to be closed.
-    pub async fn hold_head(&self, headers: &HeaderMap) -> Result<Hold, Failure> {
-        self.caller.hold_head(headers).await.map_err(|e| self.refuse_head(e))
+    pub fn hold_head(&self, headers: &HeaderMap) -> Result<Hold, Failure> {
+        self.caller.hold_head(headers).map_err(|e| self.refuse_head(e))
     }
 
     /// Holds the memory of the segments of its prompt, too.
@@ -79,9 +79,8 @@
     /// # Errors
     ///
     /// A failure that says that the request has not run.
-    pub async fn hold_segments(&self, hold: &mut Hold, segments: usize) -> Result<(), Failure> {
-        let grown = self.caller.grow(hold, segments * SEGMENT_BYTES).await;
-        grown.map_err(|e| self.refuse_head(e))
+    pub fn hold_segments(&self, hold: &mut Hold, segments: usize) -> Result<(), Failure> {
+        hold.grow(segments * SEGMENT_BYTES).map_err(|e| self.refuse_head(e))
     }
 
     /// Reads its body.
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -30,8 +30,10 @@
 /// Limits of connections until the first configuration is received, and of connections that are not from callers.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
 const DEFAULT_HEAD_BYTES: usize = 64 << 10;
-/// Largest number of fields of a request head.
-const HEAD_FIELDS: usize = 100;
+/// Largest number of fields of a head of the balancer, an operator or another VM.
+const INTERNAL_HEAD_FIELDS: usize = 100;
+/// Length of the shortest field of a request head with the end of its line.
+const FIELD_MIN_BYTES: usize = 4;
 /// Time between two updates of the states of upstreams and of the pool of connections to them.
 const UPSTREAMS_PERIOD: Duration = Duration::from_millis(500);
 
@@ -152,11 +154,13 @@
         move || {
             let limits = edge.store_view().catalog().map(|catalog| catalog.limits);
             let idle_time = limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time);
+            let head_max_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
             listen::Options {
                 head_timeout: idle_time,
                 idle_timeout: idle_time,
-                head_max_bytes: limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes),
-                head_max_fields: HEAD_FIELDS,
+                head_max_bytes,
+                // The operators limit the bytes of a head, not its fields.
+                head_max_fields: head_max_bytes / FIELD_MIN_BYTES,
                 unread_max: idle_time,
                 connections_max: intake::connections_max(
                     edge.settings.sockets_max,
@@ -175,7 +179,7 @@
         head_timeout: DEFAULT_IDLE_TIME,
         idle_timeout: DEFAULT_IDLE_TIME,
         head_max_bytes: DEFAULT_HEAD_BYTES,
-        head_max_fields: HEAD_FIELDS,
+        head_max_fields: INTERNAL_HEAD_FIELDS,
         unread_max: DEFAULT_IDLE_TIME,
         connections_max: 64,
     }
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -148,7 +148,7 @@
         time_max: due.saturating_sub(arrived),
     };
     let intake = intake::Intake { caller: &caller, metrics: &edge.metrics, request: &head.request };
-    let mut hold = intake.hold_head(&parts.headers).await?;
+    let mut hold = intake.hold_head(&parts.headers)?;
     let body = intake.read_body(body, limits).await?;
     let id_hash = xxhash_rust::xxh3::xxh3_64(head.request.as_bytes());
     let service = route.target(id_hash).ok_or_else(|| {
@@ -160,7 +160,7 @@
         has_engines.then(|| prompt(&catalog, &head, &route, workspace.as_deref(), body.len()));
     if let Some(prompt) = &mut prompt {
         prompt.segments = headers::caller_segments(&parts.headers);
-        intake.hold_segments(&mut hold, prompt.segments.len()).await?;
+        intake.hold_segments(&mut hold, prompt.segments.len())?;
     }
     let target = target(parts.uri);
     let segments = segments(prompt.as_ref(), workspace.as_deref(), &target, &body);
--- a/crates/lw-forward/src/intake/caller.rs
+++ b/crates/lw-forward/src/intake/caller.rs
@@ -21,8 +21,8 @@
 const STALLED_MIN: Duration = Duration::from_secs(1);
 /// Shortest time between two searches for callers that give way; what the evicted ones hold is released in between.
 const EVICT_INTERVAL: Duration = Duration::from_millis(5);
-/// Memory of one field of a decoded head, with the free places of its table.
-const FIELD_BYTES: usize = 112;
+/// Memory of one field of a decoded head, with the free places of its table, and of its copy for an upstream.
+const FIELD_BYTES: usize = 320;
 /// Memory of the read buffer that a decoded head keeps, if it is not longer.
 const HEAD_MIN_BYTES: usize = 8 << 10;
 
@@ -177,19 +177,19 @@
         self.0.callers.memory.hold(holder, announced).of_caller(self.clone())
     }
 
-    /// Returns a hold of the memory of a decoded request head.
+    /// Returns a hold of the memory of a decoded request head. It does not wait for room, since the head takes it already.
     ///
     /// # Errors
     ///
     /// [`NoRoom`] if there is none.
-    pub async fn hold_head(&self, headers: &HeaderMap) -> Result<Hold, NoRoom> {
+    pub fn hold_head(&self, headers: &HeaderMap) -> Result<Hold, NoRoom> {
         let bytes = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
             name.as_str().len() + value.len()
         };
         let data: usize = headers.iter().map(bytes).sum();
         let mut hold = self.hold(Holder::Request, None);
         let bytes = data.next_power_of_two().max(HEAD_MIN_BYTES) + headers.len() * FIELD_BYTES;
-        self.grow(&mut hold, bytes).await?;
+        hold.grow(bytes)?;
         Ok(hold)
     }
 
--- a/crates/lw-forward/tests/account.rs
+++ b/crates/lw-forward/tests/account.rs
@@ -52,7 +52,7 @@
         Ok(refusal)
     };
     let caller = req.extensions_mut().remove::<Caller>().expect("a connection");
-    let Ok(_head) = caller.hold_head(req.headers()).await else {
+    let Ok(_head) = caller.hold_head(req.headers()) else {
         return refusal(StatusCode::SERVICE_UNAVAILABLE);
     };
     let length: usize = req.uri().path()[1..].parse().expect("a length");
