lw-place: views of caches are bounded for segments of any size

Callers would see: a process that runs out of memory. A segment of no tokens, as a caller may state it, never counted towards the capacity of a holder, so that views grew with each one; one of a token counted as one, although engines cache whole blocks.

Change: a segment counts as at least a block of 16 tokens, and a view has at most 65,536.

Evidence: cache_memory kept 20,000 segments of no tokens in a view of 16,000 tokens without this change, and 1,000 with it.

--- a/crates/lw-place/src/cache.rs
+++ b/crates/lw-place/src/cache.rs
@@ -10,6 +10,11 @@
 /// Identifies a segment under a salt.
 pub type SegmentKey = u64;
 
+/// Tokens that a segment takes at least: engines cache whole blocks.
+const BLOCK_TOKENS: u64 = 16;
+/// Segments of one holder that are known at most.
+pub const SEGMENTS_MAX: usize = 1 << 16;
+
 /// One change of the segments that an engine or the store has cached.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CacheChange {
@@ -47,7 +52,7 @@
 /// The segments that one holder, an engine or the KV cache store, is assumed to have cached.
 ///
 /// An entry is a hint: events arrive late or never, and other VMs don't report which segments the holder evicted. The
-/// view never has more tokens than the holder's capacity.
+/// view never has more tokens than the holder's capacity, nor more than [`SEGMENTS_MAX`] segments.
 #[derive(Debug)]
 pub struct CacheView {
     epoch: Option<u64>,
@@ -99,8 +104,8 @@
             || before.is_some_and(|cached| cached.is_complete && cached.tokens >= tokens);
         self.segments.insert(key, CachedSegment { tokens, last_used: now, is_complete });
         self.by_use.insert((now, key));
-        self.tokens += tokens;
-        while self.tokens > self.capacity_tokens {
+        self.tokens += tokens.max(BLOCK_TOKENS);
+        while self.tokens > self.capacity_tokens || self.segments.len() > SEGMENTS_MAX {
             let Some((_, oldest)) = self.by_use.first() else { break };
             self.remove(*oldest);
         }
@@ -110,7 +115,7 @@
     fn take(&mut self, key: SegmentKey) -> Option<CachedSegment> {
         let cached = self.segments.remove(&key)?;
         self.by_use.remove(&(cached.last_used, key));
-        self.tokens -= cached.tokens;
+        self.tokens -= cached.tokens.max(BLOCK_TOKENS);
         Some(cached)
     }
 
@@ -151,6 +156,12 @@
         tokens
     }
 
+    /// Number of segments that are assumed to be cached.
+    #[must_use]
+    pub fn segment_count(&self) -> usize {
+        self.segments.len()
+    }
+
     /// Removes all segments, for a holder whose cache is empty now.
     pub fn clear(&mut self) {
         self.segments.clear();
