--- a/crates/lw-forward/src/intake/caller.rs
+++ b/crates/lw-forward/src/intake/caller.rs
@@ -25,6 +25,8 @@
 const FIELD_BYTES: usize = 320;
 /// Memory of the read buffer that a decoded head keeps, if it is not longer.
 const HEAD_MIN_BYTES: usize = 8 << 10;
+/// Memory of the read buffer that the HTTP library allocates besides.
+const NEXT_BUFFER_BYTES: usize = 8 << 10;
 
 /// How an evicted connection is reached.
 #[derive(Debug, Default)]
@@ -188,7 +190,8 @@
         };
         let data: usize = headers.iter().map(bytes).sum();
         let mut hold = self.hold(Holder::Request, None);
-        let bytes = data.next_power_of_two().max(HEAD_MIN_BYTES) + headers.len() * FIELD_BYTES;
+        let buffers = data.next_power_of_two().max(HEAD_MIN_BYTES) + NEXT_BUFFER_BYTES;
+        let bytes = buffers + headers.len() * FIELD_BYTES;
         hold.grow(bytes)?;
         Ok(hold)
     }
