lw-forward, lw-edge: connections are held at what they take; an evicted caller that goes on is served

Cause: a connection was held at 16 KiB, but the HTTP library's write buffer takes 8 KiB besides its read buffer. A caller that was evicted just as its request became complete stayed marked as evicted: its connection closed while it was served, or its next body was refused.

Change: 24 KiB for each connection. Eviction and progress are recorded under one lock, and progress revokes an eviction. read_body takes the caller; the form without one had no other use than tests.

--- a/crates/lw-daemon/src/intake/mod.rs
+++ b/crates/lw-daemon/src/intake/mod.rs
@@ -56,7 +56,7 @@
     time_max: Duration,
 ) -> Result<Bytes, Failure> {
     let limits = BodyLimits { bytes_max, idle_max: time_max, time_max };
-    let error = match intake::read_caller_body(connection, &mut body, limits).await {
+    let error = match intake::read_body(connection, &mut body, limits).await {
         Ok(bytes) => return Ok(bytes),
         Err(e) => e,
     };
--- a/crates/lw-edge/src/intake/mod.rs
+++ b/crates/lw-edge/src/intake/mod.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use lw_forward::{
     intake::{self, BodyError, BodyLimits, Caller, CallerMemory, Hold, NoRoom, Shares},
-    listen::{CONNECTION_BYTES, ClosedCounts},
+    listen::ClosedCounts,
 };
 use lw_observe::metrics::{KindLabel, Metrics, as_gauge, increment};
 use lw_protocol::caller::Failure;
@@ -17,8 +17,10 @@
 const MEMORY_DIVISOR: u64 = 2;
 /// The memory of the VM divided by this number is the limit on large requests and, halved, on large answers.
 const LARGE_DIVISOR: u64 = 8;
-/// The memory of the VM divided by this number is the limit on connections without requests.
+/// The memory of the VM divided by this number limits the number of connections, each of this size. Those without progress
+/// give way to others before.
 const CONNECTIONS_DIVISOR: u64 = 4;
+const CONNECTION_BYTES: usize = 16 << 10;
 /// Memory of one segment of a prompt while its request is served: in the request, for the placement and for the quarantine.
 const SEGMENT_BYTES: usize = 64;
 
@@ -93,7 +95,7 @@
         mut body: Incoming,
         limits: BodyLimits,
     ) -> Result<Bytes, Failure> {
-        let read = intake::read_caller_body(self.caller, &mut body, limits).await;
+        let read = intake::read_body(self.caller, &mut body, limits).await;
         read.map_err(|e| self.refuse("body not read", &e))
     }
 
--- a/crates/lw-forward/src/intake/caller.rs
+++ b/crates/lw-forward/src/intake/caller.rs
@@ -28,22 +28,24 @@
 /// Memory of the read buffer that the HTTP library allocates besides.
 const NEXT_BUFFER_BYTES: usize = 8 << 10;
 
-/// How an evicted connection is reached.
+/// How an evicted connection is reached. It changes together with the table of connections, under its lock.
 #[derive(Debug, Default)]
 struct Signal {
     /// Whether its socket is to be closed.
     is_closing: AtomicBool,
     /// Waker of its task.
     waker: Mutex<Option<Waker>>,
-    /// Tells the reader of its body.
+    /// Whether the body that is being read is to be refused; its connection closes with the answer.
+    is_body_refused: AtomicBool,
+    /// Tells the reader of the body.
     body: Notify,
 }
 
 impl Signal {
     fn evict(&self, stage: Stage) {
         if stage == Stage::Body {
-            // The request is refused, and its connection closes with the answer.
-            self.body.notify_one();
+            self.is_body_refused.store(true, Ordering::Release);
+            self.body.notify_waiters();
             return;
         }
         self.is_closing.store(true, Ordering::Release);
@@ -51,6 +53,11 @@
             waker.wake();
         }
     }
+
+    fn clear(&self) {
+        self.is_closing.store(false, Ordering::Release);
+        self.is_body_refused.store(false, Ordering::Release);
+    }
 }
 
 /// The open connections of a listener.
@@ -97,10 +104,10 @@
         let mut state = lock(&self.state);
         let amount = state.progress.evicted_count() + 1;
         let evicted = state.progress.evict(now, Resource::Connections, amount, Duration::ZERO);
+        signal(&evicted);
         drop(state);
-        let is_found = !evicted.is_empty();
-        self.close(evicted, "connections");
-        is_found
+        self.log_evicted(evicted.len(), "connections");
+        !evicted.is_empty()
     }
 
     /// Evicts callers that make no progress, if memory is scarce. Returns whether any are about to release what they hold.
@@ -119,32 +126,35 @@
             return true;
         }
         let evicted = state.progress.evict(now, resource, amount, stalled_min);
-        let is_pending = !evicted.is_empty() || state.progress.evicted_count() > 0;
+        signal(&evicted);
+        let is_pending = state.progress.evicted_count() > 0;
         if !evicted.is_empty() {
             state.last_evicted = Some(now);
         }
         drop(state);
-        self.close(evicted, "memory");
+        self.log_evicted(evicted.len(), "memory");
         is_pending
     }
 
-    fn close(&self, evicted: Vec<(Stage, Arc<Signal>)>, what: &str) {
-        if evicted.is_empty() {
+    fn log_evicted(&self, count: usize, what: &str) {
+        if count == 0 {
             return;
         }
         let used = self.memory.used();
         log::warn!(
-            "http: {} connections closed for lack of {what}, their callers made no progress; {} of {} bytes are held, {} of \
-             connections, {} of requests",
-            evicted.len(),
+            "http: {count} connections closed for lack of {what}, their callers made no progress; {} of {} bytes are held, {} \
+             of connections, {} of requests",
             used.total(),
             self.memory.shares().total,
             used.connections,
             used.requests
         );
-        for (stage, signal) in evicted {
-            signal.evict(stage);
-        }
+    }
+}
+
+fn signal(evicted: &[(Stage, Arc<Signal>)]) {
+    for (stage, signal) in evicted {
+        signal.evict(*stage);
     }
 }
 
@@ -221,7 +231,14 @@
 
     /// Waits until the body of this caller gives way to others.
     pub(super) async fn body_evicted(&self) {
-        self.0.signal.body.notified().await;
+        let signal = &self.0.signal;
+        loop {
+            let changed = signal.body.notified();
+            if signal.is_body_refused.load(Ordering::Acquire) {
+                return;
+            }
+            changed.await;
+        }
     }
 
     /// Returns the refusal of a request that gives way to others.
@@ -240,7 +257,9 @@
 
     pub(crate) fn set_stage(&self, stage: Stage) {
         let now = self.0.callers.created.elapsed();
-        lock(&self.0.callers.state).progress.set_stage(self.0.id, now, stage);
+        let mut table = lock(&self.0.callers.state);
+        table.progress.set_stage(self.0.id, now, stage);
+        self.0.signal.clear();
     }
 
     pub(crate) fn set_sending(&self, is_sending: bool) {
@@ -251,7 +270,14 @@
     /// Records that the head of a request is complete.
     pub(crate) fn begin_request(&self) {
         let now = self.0.callers.created.elapsed();
-        lock(&self.0.callers.state).progress.begin_request(self.0.id, now);
+        let mut table = lock(&self.0.callers.state);
+        table.progress.begin_request(self.0.id, now);
+        self.0.signal.clear();
+    }
+
+    /// Marks it as closed since there is no memory for what it sends.
+    pub(crate) fn close(&self) {
+        self.0.signal.is_closing.store(true, Ordering::Release);
     }
 
     /// Whether it ever sent a complete head.
@@ -276,7 +302,7 @@
         self.was_closed()
     }
 
-    /// Whether its socket was or is to be closed since its caller made no progress.
+    /// Whether its socket was or is to be closed since connections or memory are scarce.
     pub(crate) fn was_closed(&self) -> bool {
         self.0.signal.is_closing.load(Ordering::Acquire)
     }
--- a/crates/lw-forward/src/intake/mod.rs
+++ b/crates/lw-forward/src/intake/mod.rs
@@ -102,7 +102,8 @@
     matches!(code, ResultCode::BodyTooLarge | ResultCode::BodyTimeout | ResultCode::MemoryExhausted)
 }
 
-/// Reads a body of a caller. The memory of the result is accounted for until its last copy is dropped.
+/// Reads a body of a caller. The memory of the result is accounted for until its last copy is dropped. While memory is scarce
+/// and the body makes no progress, it gives way to others.
 ///
 /// # Errors
 ///
@@ -110,49 +111,19 @@
 ///
 /// ```
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
-/// use lw_forward::intake::{BodyError, BodyLimits, CallerMemory, Shares, read_body};
-/// let second = std::time::Duration::from_secs(1);
-/// let limits = BodyLimits { bytes_max: 3, idle_max: second, time_max: second };
-/// let memory = CallerMemory::new(Shares::of_total(1 << 20));
-/// let mut body = http_body_util::Full::new(bytes::Bytes::from("abc"));
-/// let read = read_body(&memory, &mut body, limits).await.unwrap();
-/// assert_eq!((&*read, memory.used().requests), (&b"abc"[..], 3));
-/// let mut body = http_body_util::Full::new(bytes::Bytes::from("abcd"));
-/// assert_eq!(read_body(&memory, &mut body, limits).await, Err(BodyError::TooLarge(3)));
-/// # });
-/// ```
-pub async fn read_body<B>(
-    memory: &Arc<CallerMemory>,
-    body: &mut B,
-    limits: BodyLimits,
-) -> Result<Bytes, BodyError>
-where
-    B: Body<Data = Bytes, Error: Display> + Unpin,
-{
-    let BodyLimits { bytes_max, idle_max, time_max } = limits;
-    let hold = memory.hold(Holder::Request, body.size_hint().exact());
-    let read = collect_body(hold, None, body, bytes_max, Some(idle_max));
-    tokio::time::timeout(time_max, read).await.unwrap_or(Err(BodyError::Late(time_max)))
-}
-
-/// Reads a body of a caller, like [`read_body`]. When memory is scarce, it gives way to others while it makes no progress.
-///
-/// # Errors
-///
-/// Any [`enum@BodyError`]. The rest of the body is not read.
-///
-/// ```
-/// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
-/// use lw_forward::intake::{BodyLimits, CallerMemory, Callers, Shares, read_caller_body};
+/// use lw_forward::intake::{BodyError, BodyLimits, CallerMemory, Callers, Shares, read_body};
 /// let second = std::time::Duration::from_secs(1);
 /// let limits = BodyLimits { bytes_max: 3, idle_max: second, time_max: second };
 /// let callers = Callers::new(CallerMemory::new(Shares::of_total(1 << 20)));
+/// let caller = callers.insert();
 /// let mut body = http_body_util::Full::new(bytes::Bytes::from("abc"));
-/// let read = read_caller_body(&callers.insert(), &mut body, limits).await.unwrap();
+/// let read = read_body(&caller, &mut body, limits).await.unwrap();
 /// assert_eq!((&*read, callers.memory().used().requests), (&b"abc"[..], 3));
+/// let mut body = http_body_util::Full::new(bytes::Bytes::from("abcd"));
+/// assert_eq!(read_body(&caller, &mut body, limits).await, Err(BodyError::TooLarge(3)));
 /// # });
 /// ```
-pub async fn read_caller_body<B>(
+pub async fn read_body<B>(
     caller: &Caller,
     body: &mut B,
     limits: BodyLimits,
@@ -197,9 +168,7 @@
         };
         let Some(frame) = frame else { return Ok(buffer.into_bytes()) };
         // Trailers are not forwarded.
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
+        let Ok(data) = frame.into_data() else { continue };
         if buffer.len() + data.len() > bytes_max {
             return Err(BodyError::TooLarge(bytes_max));
         }
--- a/crates/lw-forward/src/intake/progress.rs
+++ b/crates/lw-forward/src/intake/progress.rs
@@ -139,7 +139,7 @@
         self.entries.remove(&id);
     }
 
-    /// Records that the head of a request is complete.
+    /// Records that the head of a request is complete. One that was evicted meanwhile is not any more.
     pub fn begin_request(&mut self, id: CallerId, now: Duration) {
         self.set_stage(id, now, Stage::Busy);
         if let Some(entry) = self.entries.get_mut(&id) {
@@ -153,10 +153,11 @@
         self.entries.get(&id).map_or(0, |entry| entry.requests)
     }
 
-    /// Records what a connection waits for from now on.
+    /// Records what a connection waits for from now on. One that was evicted meanwhile is not any more.
     pub fn set_stage(&mut self, id: CallerId, now: Duration, stage: Stage) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         (entry.stage, entry.progressed, entry.received) = (stage, now, 0);
+        entry.is_evicted = false;
     }
 
     /// Records whether bytes of an answer wait for a caller.
--- a/crates/lw-forward/src/listen/mod.rs
+++ b/crates/lw-forward/src/listen/mod.rs
@@ -25,12 +25,12 @@
 
 use guard::ServedBody;
 use readers::SlowReaders;
-use stream::{CallerEnd, CallerStream};
+use stream::{Account, CallerEnd, CallerStream};
 
-use crate::intake::{Caller, CallerMemory, Callers, Hold, Holder, Shares};
+use crate::intake::{CallerMemory, Callers, Holder, Shares};
 
-/// Memory of a connection without a request: its task, the state of the HTTP library and its first read buffer.
-pub const CONNECTION_BYTES: usize = 16 << 10;
+/// Memory of a connection without a request: its task, and the first read and write buffer of the HTTP library, 8 KiB each.
+const CONNECTION_BYTES: usize = 24 << 10;
 /// Connections that may be open beyond the maximum while evicted ones close.
 const CLOSING_MAX: usize = 64;
 /// Pause after a failed accept, since accepting fails again at once for as long as no file descriptor is free.
@@ -114,7 +114,7 @@
     }
 
     /// Admits a new connection, if there is a place and memory for it, or others are about to leave theirs.
-    fn admit(&self, connections_max: usize) -> Option<(Caller, Hold)> {
+    fn admit(&self, connections_max: usize) -> Option<Account> {
         let open_count = self.open_count();
         let may_exceed = || open_count < connections_max + CLOSING_MAX && self.callers.make_place();
         if open_count >= connections_max && !may_exceed() {
@@ -123,7 +123,7 @@
         let caller = self.callers.insert();
         let mut hold = caller.hold(Holder::Connection, None);
         hold.grow(CONNECTION_BYTES).ok()?;
-        Some((caller, hold))
+        Some(Account::new(caller, hold))
     }
 
     /// Closes each connection as soon as it has no request in flight.
@@ -156,7 +156,7 @@
             }
         };
         let options = options();
-        let Some((caller, hold)) = connections.admit(options.connections_max) else {
+        let Some(account) = connections.admit(options.connections_max) else {
             connections.closed_counts.too_many.fetch_add(1, Ordering::Relaxed);
             log::warn!("http: connection closed at once, {} are open", connections.open_count());
             continue;
@@ -166,7 +166,7 @@
         let is_closing = connections.is_closing.subscribe();
         let connections = connections.clone();
         tokio::spawn(async move {
-            let stream = AcceptedStream { stream, peer, caller, hold };
+            let stream = AcceptedStream { stream, peer, account };
             serve_connection(stream, options, is_closing, &connections, handler).await;
             drop(open_guard);
         });
@@ -177,8 +177,7 @@
 struct AcceptedStream {
     stream: TcpStream,
     peer: SocketAddr,
-    caller: Caller,
-    hold: Hold,
+    account: Account,
 }
 
 async fn serve_connection<S, F, B, E>(
@@ -194,7 +193,8 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     E: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let AcceptedStream { stream, peer, caller, hold } = accepted;
+    let AcceptedStream { stream, peer, account } = accepted;
+    let caller = account.caller().clone();
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("http: TCP_NODELAY not set on a caller's connection: {e}");
     }
@@ -211,7 +211,6 @@
     let is_refusing = Arc::new(AtomicBool::new(false));
     let end = Arc::new(CallerEnd::default());
     let readers = &connections.readers;
-    let account = stream::Account::new(caller.clone(), hold);
     let stream =
         CallerStream::new(stream, options.unread_max, account, &is_refusing, readers, &end);
     let requester = caller.clone();
@@ -238,10 +237,14 @@
         drop(is_closing.wait_for(|is_closing| *is_closing).await);
     };
     let head_late = async {
-        tokio::time::sleep(options.head_timeout).await;
-        if caller.has_sent_request() || options.head_timeout >= options.idle_timeout {
-            std::future::pending::<()>().await;
+        // The library has the longer of the two timeouts.
+        if options.head_timeout < options.idle_timeout {
+            tokio::time::sleep(options.head_timeout).await;
+            if !caller.has_sent_request() {
+                return;
+            }
         }
+        std::future::pending::<()>().await;
     };
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/crates/lw-forward/src/listen/stream.rs
+++ b/crates/lw-forward/src/listen/stream.rs
@@ -56,6 +56,11 @@
         Self { caller, hold, base_bytes, head: (0, 0) }
     }
 
+    /// Returns the connection.
+    pub(super) fn caller(&self) -> &Caller {
+        &self.caller
+    }
+
     /// Records received bytes, and holds the buffer of a head that grows.
     fn record_received(&mut self, bytes: usize) -> io::Result<()> {
         let request = self.caller.record_received(bytes);
@@ -72,7 +77,10 @@
         if more == 0 {
             return Ok(());
         }
-        self.hold.grow(more).map_err(|e| io::Error::new(io::ErrorKind::OutOfMemory, e))
+        self.hold.grow(more).map_err(|e| {
+            self.caller.close();
+            io::Error::new(io::ErrorKind::OutOfMemory, e)
+        })
     }
 }
 
