--- a/crates/lw-daemon/tests/bytes_native.rs
+++ b/crates/lw-daemon/tests/bytes_native.rs
@@ -1,17 +1,14 @@
 //! Guards against a process of the native interface that ends, hangs, or uses too much memory or too many descriptors because
 //! of the bytes that callers send or do not read. This file has one test, so that its cases run one after the other.
 
-use std::time::Duration;
-
 use http::Method;
-use lw_standin::hosted::http::{Request, Server, Step, answer, serve};
 use serde_json::json;
 
 mod common;
 mod hostile;
 
 use common::{Fleet, KEY, Options};
-use hostile::{ANSWER_BYTES, BODY_MAX, Requests, cases, check, run};
+use hostile::{BODY_MAX, Requests, cases, check, run, start_service};
 
 /// 0.8 of a VM with 160 MB, in KiB.
 const KIB_MAX: u64 = 160 * 1024 * 8 / 10;
@@ -19,20 +16,6 @@
 const CONNECTIONS_MAX: usize = 128;
 const DESCRIPTORS_MAX: usize = 2 * CONNECTIONS_MAX + 100;
 
-/// Answers calls of the plain service: a large answer, none, or an empty object.
-async fn start_service() -> Server {
-    let large = vec![b'y'; ANSWER_BYTES];
-    let handle = move |request: Request| {
-        let steps = match request.path() {
-            "/large" => answer(200, &[], &large),
-            "/silent" => vec![Step::Wait(Duration::from_secs(60))],
-            _ => answer(200, &[("content-type", "application/json")], b"{}"),
-        };
-        async move { steps }
-    };
-    serve(handle).await.expect("service")
-}
-
 fn requests(fleet: &Fleet) -> Requests {
     let head = |request: &str| {
         format!(
@@ -59,7 +42,7 @@
         );
         let options = Options { services: 0, engines: 1, settings, ..Options::default() };
         let fleet = Fleet::start("bytes-native", options).await;
-        let service = start_service().await;
+        let service = start_service("desk", b"{}").await;
         let upstream = json!({
             "service": "desk", "address": service.addr.to_string(), "failure_domain": "domain-0",
         });
--- a/crates/lw-daemon/tests/bytes_platform.rs
+++ b/crates/lw-daemon/tests/bytes_platform.rs
@@ -1,39 +1,18 @@
 //! Guards against a process on the platform that ends, hangs, or uses more than its share of the VM's memory or descriptors
 //! because of the bytes that callers send or do not read. This file has one test, so that its cases run one after the other.
 
-use std::time::Duration;
-
 use lw_soak::vm::Vm;
-use lw_standin::hosted::{
-    caller::KEY,
-    http::{Request, Server, Step, answer, serve},
-};
+use lw_standin::hosted::caller::KEY;
 
 mod hostile;
 mod platform;
 
-use hostile::{ANSWER_BYTES, Requests, cases, check, run};
+use hostile::{Requests, cases, check, run, start_service};
 use platform::{FDS_MAX, MEMORY_MB, SERVICE, is_answered};
 
 /// 0.8 of the VM's memory in KiB.
 const KIB_MAX: u64 = MEMORY_MB as u64 * 1024 * 8 / 10;
 
-/// Answers calls of the plain service: a large answer, none, or `ok`.
-async fn start_service() -> Server {
-    let large = vec![b'y'; ANSWER_BYTES];
-    let handle = move |request: Request| {
-        let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
-        let headers = [("x-attempt-id", id.as_str()), ("x-response-seal", SERVICE)];
-        let steps = match request.path() {
-            "/look/large" => answer(200, &headers, &large),
-            "/book/silent" => vec![Step::Wait(Duration::from_secs(60))],
-            _ => answer(200, &headers, b"ok"),
-        };
-        async move { steps }
-    };
-    serve(handle).await.expect("service")
-}
-
 fn requests(vm: &Vm) -> Requests {
     let head = |request: &str| {
         format!(
@@ -56,7 +35,7 @@
     let mut findings = Vec::new();
     for (number, case) in cases().into_iter().enumerate() {
         // A process of its own for each case, since its peak memory never falls.
-        let service = start_service().await;
+        let service = start_service(SERVICE, b"ok").await;
         let deployment = platform::start(&dir, number, service.addr).await;
         let vm = &deployment.vm;
         let pid = vm.pid().expect("running");
--- a/crates/lw-daemon/tests/crowds_native.rs
+++ b/crates/lw-daemon/tests/crowds_native.rs
@@ -3,7 +3,6 @@
 //! one after the other.
 
 use http::Method;
-use lw_standin::hosted::http::{Request, Server, answer, serve};
 use serde_json::json;
 
 mod common;
@@ -12,7 +11,7 @@
 
 use common::{Fleet, KEY, Options};
 use crowd::{Group, PATIENCE, Requests, Stop, mixed, run};
-use hostile::ANSWER_BYTES;
+use hostile::start_service;
 
 /// `limits.memory`, and the memory of the VM: it leaves 48 MiB to all that is not held for callers.
 const MEMORY_MIB: usize = 16;
@@ -25,18 +24,6 @@
 const LARGE_HEAD: usize = 200 << 10;
 const SEEDS: std::ops::Range<u64> = 0..2;
 
-async fn start_service() -> Server {
-    let large = vec![b'y'; ANSWER_BYTES];
-    let handle = move |request: Request| {
-        let steps = match request.path() {
-            "/large" => answer(200, &[], &large),
-            _ => answer(200, &[("content-type", "application/json")], b"{}"),
-        };
-        async move { steps }
-    };
-    serve(handle).await.expect("service")
-}
-
 fn requests(fleet: &Fleet) -> Requests {
     let head = |request: &str| {
         format!(
@@ -89,7 +76,7 @@
         );
         let options = Options { services: 0, engines: 1, settings, ..Options::default() };
         let fleet = Fleet::start("crowds-native", options).await;
-        let service = start_service().await;
+        let service = start_service("desk", b"{}").await;
         let upstream = json!({
             "service": "desk", "address": service.addr.to_string(), "failure_domain": "domain-0",
         });
--- a/crates/lw-daemon/tests/crowds_platform.rs
+++ b/crates/lw-daemon/tests/crowds_platform.rs
@@ -3,18 +3,14 @@
 //! the other.
 
 use lw_soak::vm::Vm;
-use lw_standin::hosted::{
-    caller::KEY,
-    http::{Request, Server, answer, serve},
-    upstream::MODEL,
-};
+use lw_standin::hosted::{caller::KEY, upstream::MODEL};
 
 mod crowd;
 mod hostile;
 mod platform;
 
 use crowd::{Group, PATIENCE, Requests, Stop, mixed, run};
-use hostile::ANSWER_BYTES;
+use hostile::start_service;
 use platform::{BODY_MAX, Machine, SERVICE, is_answered};
 
 /// A machine on which small crowds show what large ones do on larger machines.
@@ -25,18 +21,6 @@
 const LARGE_BODY: usize = 1 << 20;
 const SEEDS: std::ops::Range<u64> = 0..2;
 
-async fn start_service() -> Server {
-    let large = vec![b'y'; ANSWER_BYTES];
-    let handle = move |request: Request| {
-        let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
-        let headers = [("x-attempt-id", id.as_str()), ("x-response-seal", SERVICE)];
-        let body = if request.path() == "/look/large" { large.as_slice() } else { b"ok" };
-        let steps = answer(200, &headers, body);
-        async move { steps }
-    };
-    serve(handle).await.expect("service")
-}
-
 fn requests(vm: &Vm) -> Requests {
     let head = |request: &str| {
         format!(
@@ -92,7 +76,7 @@
     let mut findings = Vec::new();
     for (number, (name, crowds)) in cases().into_iter().enumerate() {
         // A process of its own for each case, since its peak memory never falls.
-        let service = start_service().await;
+        let service = start_service(SERVICE, b"ok").await;
         let deployment = platform::start_on(machine, &dir, number, service.addr).await;
         let vm = &deployment.vm;
         let pid = vm.pid().expect("running");
--- a/crates/lw-daemon/tests/hostile/mod.rs
+++ b/crates/lw-daemon/tests/hostile/mod.rs
@@ -3,6 +3,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use lw_standin::hosted::http::{Request, Server, Step, answer, serve};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpSocket, TcpStream},
@@ -110,6 +111,26 @@
     pub descriptors: usize,
 }
 
+/// Starts a plain service, whose answers have this seal: a large answer, none, or this one to an ordinary call.
+pub async fn start_service(seal: &'static str, ordinary: &'static [u8]) -> Server {
+    let large = vec![b'y'; ANSWER_BYTES];
+    let handle = move |request: Request| {
+        let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
+        let headers = [
+            ("x-attempt-id", id.as_str()),
+            ("x-response-seal", seal),
+            ("content-type", "application/json"),
+        ];
+        let steps = match request.path() {
+            path if path.ends_with("/large") => answer(200, &headers, &large),
+            path if path.ends_with("/silent") => vec![Step::Wait(Duration::from_secs(60))],
+            _ => answer(200, &headers, ordinary),
+        };
+        async move { steps }
+    };
+    serve(handle).await.expect("service")
+}
+
 /// Returns the largest memory use of a process so far in KiB; `None` if it has ended.
 pub fn peak_kib(pid: u32) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
