lw-edge: expired entries are dropped at their time, whatever else changes

Cause, first part: an entry that disappears while it may come back is kept for 1.9 s. The end of that time was looked at only between two steps of the task that follows the store, and a step waits for the next change: 1.5 s in this case, up to 5 s.

Change: the directory names the time of its next due change, and the task waits for that time and for its step at once. The same holds for entries that another program has spoilt, and for those that an older copy of the store lists again. The timer service gets a wait for one time.

--- a/crates/lw-catalog/src/upstreams/mod.rs
+++ b/crates/lw-catalog/src/upstreams/mod.rs
@@ -219,6 +219,14 @@
         changes
     }
 
+    /// Returns when [`Directory::apply_due_changes`] next has something to change, if no entry changes before.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Now> {
+        let expired = self.expired.values().copied();
+        let stale = self.stale.values().map(|(_, from)| *from);
+        expired.chain(stale).min()
+    }
+
     /// Whether this run of an upstream was leaving by its last entry.
     fn is_leaving(&self, entry: &Upstream) -> bool {
         let current = self.upstreams.get(&entry.id);
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -56,16 +56,26 @@
         is_growing: false,
         source: None,
     };
+    let edge = Arc::clone(&updater.edge);
     loop {
-        if let Err(e) = updater.step().await {
+        let result = apply_due_changes_during(&edge, Box::pin(updater.step())).await;
+        if let Err(e) = result {
             updater.handle_store_error(&e).await;
         }
-        updater.edge.distribution.set_without_store(!updater.selector.offers_changes());
-        let changes = {
-            let edge = &updater.edge;
-            edge.store_view().directory.apply_due_changes(edge.timer.now())
-        };
-        updater.edge.apply_upstream_changes(changes);
+        edge.distribution.set_without_store(!updater.selector.offers_changes());
+    }
+}
+
+/// Awaits `step`, and applies the changes of the upstreams that become due meanwhile: a step may wait for seconds.
+async fn apply_due_changes_during<T>(edge: &Edge, mut step: impl Future<Output = T> + Unpin) -> T {
+    loop {
+        let due_at = edge.store_view().directory.next_due();
+        tokio::select! {
+            result = &mut step => return result,
+            () = edge.timer.wait_until(due_at) => {}
+        }
+        let changes = edge.store_view().directory.apply_due_changes(edge.timer.now());
+        edge.apply_upstream_changes(changes);
     }
 }
 
--- a/crates/lw-edge/tests/registry.rs
+++ b/crates/lw-edge/tests/registry.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use std::time::Instant;
+
 use common::{Simulation, ms, request, send};
-use lw_catalog::Stage;
+use lw_catalog::{Stage, settings::Bounds};
 use lw_edge::run::Vm;
 use lw_standin::hosted::{
     store::StoreMode,
@@ -83,6 +85,43 @@
     wait_until_unused(&simulation, "desk-1").await;
 }
 
+/// Returns bounds under which a watch waits for seconds if nothing changes.
+fn long_watches() -> Bounds {
+    Bounds { revoke: ms(60_000), ..common::bounds() }
+}
+
+/// Sends requests, many at once, from the end of `drain` after `removed` on; none may reach the upstream.
+async fn assert_unused_after_drain(simulation: &Simulation, id: &str, removed: Instant) {
+    let server = simulation.servers.iter().find(|server| server.id == id).unwrap();
+    tokio::time::sleep_until((removed + simulation.settings.bounds.drain).into()).await;
+    let before = server.received().len();
+    for round in 0..10 {
+        let requests: Vec<_> =
+            (0..20).map(|n| request(&format!("late-{round}-{n}"), "/look/x")).collect();
+        let replies = requests.iter().map(|request| simulation.send(request));
+        for reply in futures::future::join_all(replies).await {
+            assert_eq!(reply.expect("an answer").status, 200);
+        }
+    }
+    assert_eq!(server.received().len() - before, 0, "requests reached {id} too late");
+}
+
+/// Guards against requests sent to an upstream whose entry expired in an outage and did not come back, for as long as nothing
+/// else changes in the store.
+#[tokio::test]
+async fn an_expired_entry_is_dropped_in_time_while_no_other_change_comes() {
+    let simulation = Simulation::start_with(long_watches()).await;
+    simulation.store.set_mode(StoreMode::Unavailable);
+    tokio::time::sleep(ms(1_400)).await;
+    simulation.store.remove(&upstream_key("desk-1"));
+    simulation.store.set_mode(StoreMode::Normal);
+    let returned = Instant::now();
+    tokio::time::sleep(ms(500)).await;
+    let edge = &simulation.vm.as_ref().unwrap().edge;
+    assert!(edge.store_view().directory.is_expired("desk-1"), "its entry may come back");
+    assert_unused_after_drain(&simulation, "desk-1", returned).await;
+}
+
 /// Guards against a request that the wrong upstream runs: the address of an upstream that is gone may be reused by
 /// another one.
 #[tokio::test]
--- a/crates/lw-transport/src/timer/mod.rs
+++ b/crates/lw-transport/src/timer/mod.rs
@@ -45,6 +45,25 @@
         }
     }
 
+    /// Waits until [`Timer::now`] has reached `at`; forever if there is no such time. Needs a running tokio runtime.
+    ///
+    /// ```
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() {
+    /// use std::time::Duration;
+    /// let timer = lw_transport::timer::Timer::default();
+    /// let at = timer.now() + Duration::from_millis(20);
+    /// timer.wait_until(Some(at)).await;
+    /// assert!(timer.now() >= at);
+    /// # }
+    /// ```
+    pub async fn wait_until(&self, at: Option<Now>) {
+        match at {
+            Some(at) => tokio::time::sleep_until(self.epoch + at).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Subscribes to ticks every `period`, the first after one period. Needs a running tokio runtime.
     #[must_use]
     pub fn subscribe(&self, period: Duration) -> Subscription {
