lw-catalog, lw-edge: a cut watch is no outage of the store

Cause, second part: each failed call to the store, a watch that was cut too, began a time of 1.9 s in which entries that disappear are kept, since those of running upstreams expire in an outage. So did the reply of another VM that it does not have all changes, which it also sends after a compaction.

Change: what tells an outage is how long the store has given no sign of life. An entry expires after three heartbeats without one, which takes an outage of more than one heartbeat (`HeartbeatMs`, read from the settings now). A call that fails while the store may hold it was cut, and counts from its failure; after that its answer was overdue, and it counts from when it was sent. An answer that another VM got ends the outage too. The log says when one has ended and how long it was.

--- a/crates/lw-catalog/src/settings.rs
+++ b/crates/lw-catalog/src/settings.rs
@@ -89,6 +89,7 @@
                 retry_ratio: 0.2,
                 retry_floor: 50,
                 retry_window: seconds(10),
+                heartbeat: Duration::from_millis(1_200),
                 lease_min: seconds(1),
                 quota: QuotaBounds::default(),
             },
@@ -117,6 +118,8 @@
     pub retry_floor: u64,
     /// Window of `retry_ratio` and `retry_floor`.
     pub retry_window: Duration,
+    /// Time between two heartbeats with which an upstream keeps its entry in the store.
+    pub heartbeat: Duration,
     /// Shortest lifetime of a lease in the store.
     pub lease_min: Duration,
     /// How far workspaces may exceed their usage caps.
--- a/crates/lw-catalog/src/upstreams/mod.rs
+++ b/crates/lw-catalog/src/upstreams/mod.rs
@@ -1,9 +1,13 @@
 //! Upstreams that registered themselves in the platform's store.
 
+mod outage;
+
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use lw_types::prelude::*;
 
+use outage::OutageDetector;
+
 /// Time after an outage of the store within which upstreams whose entries expired meanwhile register again, and after an
 /// unusable entry within which a running upstream writes its own. The platform promises about two seconds for the former,
 /// and heartbeats are more frequent.
@@ -82,6 +86,7 @@
     upstreams: HashMap<UpstreamId, Arc<Upstream>>,
     /// Upstreams whose entries disappeared and may come back, with the time at which they are removed.
     expired: HashMap<UpstreamId, Now>,
+    outages: OutageDetector,
     /// Until when entries that disappear may come back.
     grace_until: Option<Now>,
     /// Runs of upstreams that reported in an answer that they are leaving. Their entries may show it later or never.
@@ -111,9 +116,25 @@
         self.upstreams.values()
     }
 
-    /// Records that the store was unavailable until now, so that entries which disappear soon may come back.
-    pub fn on_store_outage(&mut self, now: Now) {
-        self.grace_until = Some(now + REREGISTRATION_TIME);
+    /// Records at `now` that a call to the store failed, which has given no sign of life since `silent_since`. After a failure
+    /// for as long as an upstream's `heartbeat` period, entries that disappear soon may come back.
+    pub fn on_store_failure(&mut self, now: Now, silent_since: Now, heartbeat: Duration) {
+        self.outages.on_failure(silent_since);
+        if self.outages.time_at(now).is_some_and(|time| time >= heartbeat) {
+            self.begin_grace(now);
+        }
+    }
+
+    /// Records that the store answered a call at `at`, by this VM or by another one whose changes this VM receives. Returns
+    /// how long the outage was that has ended with it, if there was one.
+    pub fn on_store_answer(&mut self, at: Now, heartbeat: Duration) -> Option<Duration> {
+        let outage = self.outages.on_answer(at).filter(|time| *time >= heartbeat)?;
+        self.begin_grace(at);
+        Some(outage)
+    }
+
+    fn begin_grace(&mut self, now: Now) {
+        self.grace_until = self.grace_until.max(Some(now + REREGISTRATION_TIME));
     }
 
     /// Applies an entry of the store and returns the changes. `None` stands for an entry without a usable upstream.
@@ -185,7 +206,7 @@
     ) -> Vec<Change> {
         self.stale.clear();
         if is_restored {
-            self.on_store_outage(now);
+            self.begin_grace(now);
         }
         let missing: Vec<_> = self
             .upstreams
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
+use lw_observe::logs::millis;
 use lw_platform::{
     config, registry,
     store::{self, Event, Item},
@@ -151,6 +152,10 @@
         match reply {
             Ok(ChangesReply::Changes { revision, changes, current_as_of }) => {
                 let revision = revision.max(after.revision);
+                if let Some(as_of) = current_as_of {
+                    let age = edge.timer.now_including_suspend().saturating_sub(as_of);
+                    record_store_answer(&edge, now.saturating_sub(age));
+                }
                 apply_and_distribute(
                     &edge,
                     changes.into_iter().map(Event::from).collect(),
@@ -165,8 +170,8 @@
                 self.log_source_change(Source::Vm(vm));
             }
             Ok(ChangesReply::Unknown) => {
-                // The other VM may have read the whole store anew after an outage, during which entries expired.
-                edge.store_view().directory.on_store_outage(now);
+                // The store may not answer the other VM either.
+                record_store_failure(&edge, now);
                 self.selector.record_failure(now, &vm);
             }
             Err(e) => {
@@ -208,7 +213,6 @@
             log::warn!(target: "config", why = e.to_string(); "cannot get changes from the store");
         }
         let now = self.edge.timer.now();
-        self.edge.store_view().directory.on_store_outage(now);
         self.selector.record_store_failure(now, self.is_follower(), RETRY_PAUSE);
         if self.position.is_none() {
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -216,6 +220,41 @@
     }
 }
 
+/// Awaits a call to the store that the store may hold for `wait`, and records whether it answered.
+async fn call_store<T>(
+    edge: &Edge,
+    call: &'static str,
+    wait: Duration,
+    result: impl Future<Output = Result<T, store::Error>>,
+) -> Result<T, store::Error> {
+    let sent = edge.timer.now();
+    let result = edge.count_store_call(call, result).await;
+    let now = edge.timer.now();
+    match &result {
+        Ok(_) => record_store_answer(edge, now),
+        Err(store::Error::Compacted | store::Error::TooLong) => {}
+        // A call that fails while the store may hold it was cut. After that, its answer was overdue.
+        Err(_) if now <= sent + wait => record_store_failure(edge, now),
+        Err(_) => record_store_failure(edge, sent),
+    }
+    result
+}
+
+/// Records that the store answered a call at `at`.
+fn record_store_answer(edge: &Edge, at: Now) {
+    let outage = edge.store_view().directory.on_store_answer(at, edge.bounds().heartbeat);
+    if let Some(outage) = outage {
+        log::warn!(target: "config", ms = millis(outage);
+            "the store answers again after an outage, entries that are missing may come back");
+    }
+}
+
+/// Records that a call failed, and that the store has given no sign of life since `silent_since`.
+fn record_store_failure(edge: &Edge, silent_since: Now) {
+    let (now, heartbeat) = (edge.timer.now(), edge.bounds().heartbeat);
+    edge.store_view().directory.on_store_failure(now, silent_since, heartbeat);
+}
+
 /// Reads the whole store; returns the position after which to watch. The pages are not a snapshot, so this is the
 /// position of the first page.
 async fn read_all(edge: &Edge) -> Result<Position, store::Error> {
@@ -224,9 +263,8 @@
     let mut first: Option<Position> = None;
     let (first, last) = loop {
         let after = items.last().map(|item: &Item| item.key.clone());
-        let page = edge
-            .count_store_call("range", edge.store.range(ALL_KEYS_PREFIX, after.as_deref()))
-            .await?;
+        let range = edge.store.range(ALL_KEYS_PREFIX, after.as_deref());
+        let page = call_store(edge, "range", Duration::ZERO, range).await?;
         let first = *first.get_or_insert(page.position);
         if first.era != page.position.era {
             return Err(store::Error::Compacted);
@@ -343,9 +381,8 @@
 ) -> Result<Position, store::Error> {
     tokio::time::sleep(pause).await;
     let sent = edge.timer.now_including_suspend();
-    let batch = edge
-        .count_store_call("watch", edge.store.watch(ALL_KEYS_PREFIX, position.revision, wait))
-        .await?;
+    let changes = edge.store.watch(ALL_KEYS_PREFIX, position.revision, wait);
+    let batch = call_store(edge, "watch", wait, changes).await?;
     // The changes of another era do not follow those that this VM has, whatever their revisions.
     if batch.position.era != position.era {
         return Err(store::Error::Compacted);
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -62,6 +62,7 @@
         retry_ratio: 0.2,
         retry_floor: 90,
         retry_window: ms(10_000),
+        heartbeat: ms(100),
         lease_min: ms(200),
         quota: lw_catalog::settings::QuotaBounds::default(),
     }
--- a/crates/lw-edge/tests/registry.rs
+++ b/crates/lw-edge/tests/registry.rs
@@ -85,9 +85,9 @@
     wait_until_unused(&simulation, "desk-1").await;
 }
 
-/// Returns bounds under which a watch waits for seconds if nothing changes.
+/// Returns bounds with the platform's usual heartbeats, under which a watch waits for seconds if nothing changes.
 fn long_watches() -> Bounds {
-    Bounds { revoke: ms(60_000), ..common::bounds() }
+    Bounds { revoke: ms(60_000), heartbeat: ms(1_200), ..common::bounds() }
 }
 
 /// Sends requests, many at once, from the end of `drain` after `removed` on; none may reach the upstream.
@@ -106,6 +106,27 @@
     assert_eq!(server.received().len() - before, 0, "requests reached {id} too late");
 }
 
+/// Guards against requests sent to an upstream that is gone, since a cut of a watch was taken for an outage of the store.
+#[tokio::test]
+async fn an_upstream_that_is_removed_after_a_watch_was_cut_gets_no_requests() {
+    let simulation = Simulation::start_with(long_watches()).await;
+    simulation.store.cut_watches();
+    tokio::time::sleep(ms(50)).await;
+    simulation.store.remove(&upstream_key("desk-1"));
+    assert_unused_after_drain(&simulation, "desk-1", Instant::now()).await;
+}
+
+/// Guards against the same where the cut comes just after the removal, with a compaction.
+#[tokio::test]
+async fn an_upstream_that_is_removed_before_a_cut_with_a_compaction_gets_no_requests() {
+    let simulation = Simulation::start_with(long_watches()).await;
+    // The watch is cut before it can return the removal.
+    simulation.store.cut_watches();
+    simulation.store.remove(&upstream_key("desk-1"));
+    simulation.store.compact();
+    assert_unused_after_drain(&simulation, "desk-1", Instant::now()).await;
+}
+
 /// Guards against requests sent to an upstream whose entry expired in an outage and did not come back, for as long as nothing
 /// else changes in the store.
 #[tokio::test]
--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store.rs
@@ -75,6 +75,8 @@
     /// Revision up to which the history was removed.
     compacted: u64,
     calls: u64,
+    /// How often the waiting watches were cut.
+    cuts: u64,
 }
 
 #[derive(Debug, Default)]
@@ -227,6 +229,29 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Resets the waiting watches, and goes on to answer all calls.
+    ///
+    /// ```
+    /// # use lw_standin::hosted::{caller::get, store::Store};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> std::io::Result<()> {
+    /// let store = Store::start().await?;
+    /// let addr = store.addr();
+    /// let watch = tokio::spawn(async move { get(addr, "/api/kv-watch?after=0&WaitMs=9000").await });
+    /// while store.calls() == 0 {
+    ///     tokio::task::yield_now().await;
+    /// }
+    /// store.cut_watches();
+    /// assert!(!watch.await.unwrap().is_some_and(|answer| answer.is_complete));
+    /// assert!(get(addr, "/api/kv-range?Prefix=").await.unwrap().is_complete);
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn cut_watches(&self) {
+        self.shared.lock().cuts += 1;
+        self.shared.changed.notify_waiters();
+    }
+
     /// Returns a copy of what the store contains.
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
@@ -237,8 +262,8 @@
     /// rises by one. Resets the waiting watches.
     pub fn restore(&self, copy: &StoreCopy) {
         let mut state = self.shared.lock();
-        let (mode, era, calls) = (state.mode, state.era + 1, state.calls);
-        *state = State { mode, era, calls, ..copy.0.clone() };
+        let (mode, era, calls, cuts) = (state.mode, state.era + 1, state.calls, state.cuts);
+        *state = State { mode, era, calls, cuts, ..copy.0.clone() };
         let now = Instant::now();
         state.leases.values_mut().for_each(|(end, ttl)| *end = now + *ttl);
         drop(state);
@@ -411,12 +436,15 @@
     let parameter = |name| request.query(name).and_then(|text| text.parse().ok()).unwrap_or(0);
     let after = parameter("after");
     let end = Instant::now() + Duration::from_millis(parameter("WaitMs"));
-    let era = shared.lock().era;
+    let (era, cuts) = {
+        let state = shared.lock();
+        (state.era, state.cuts)
+    };
     loop {
         let changed = shared.changed.notified();
         {
             let state = shared.lock();
-            if !state.mode.is_answering() || state.era != era {
+            if !state.mode.is_answering() || state.era != era || state.cuts != cuts {
                 return vec![Step::Reset];
             }
             if after < state.compacted || after > state.revision {
