lw-place, lw-edge: each attempt takes the isolation in force

Cause: the requests with which a prompt shares its segments were decided once, as the head of the request was accepted, and kept in the prompt for all later attempts.

Change: the scope belongs to a placement, no longer to the prompt. It is taken from the configuration in force when an upstream is selected, and checked again after the wait for the turn of a limited upstream. A workspace that was isolated when its request was accepted stays so for that request. `request sent` logs the salt, and the version of the configuration that decided it; before, it logged the version in force at the moment of the log line.

Looked for other decisions that a later attempt carries along: the upstream, its version of the weights, its stage, the grants of a usage cap and the quarantine are decided for each attempt; key, route, service, time limits and priority are those of the time at which the request was sent, as the platform's rules count them.

--- a/crates/lw-catalog/src/routes/lookup.rs
+++ b/crates/lw-catalog/src/routes/lookup.rs
@@ -1,7 +1,12 @@
 //! Lookups in a configuration.
 
-use std::{cmp::Reverse, collections::HashMap, sync::Arc};
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
+use lw_types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Catalog, CatalogData, Route, Service, ServiceKind, UsageCap, Workspace};
@@ -23,20 +28,27 @@
         let services = data.services.into_iter();
         let services = services.map(|service| (service.name.clone(), Arc::new(service))).collect();
         let (version, limits) = (data.version, data.limits);
-        let isolated_set = isolated_set(&workspaces);
-        Self { version, limits, by_host, services, workspaces, by_key, isolated_set }
+        let isolated = workspaces.iter().filter(|workspace| workspace.is_isolated);
+        let isolated: HashSet<_> = isolated.map(|workspace| workspace.name.clone()).collect();
+        let isolated_set = hash_of_set(&isolated);
+        Self { version, limits, by_host, services, workspaces, by_key, isolated, isolated_set }
     }
 }
 
-/// Returns a number that identifies the set of isolated workspaces, whatever their order.
-fn isolated_set(workspaces: &[Arc<Workspace>]) -> u64 {
-    let isolated = workspaces.iter().filter(|workspace| workspace.is_isolated);
-    let mut names: Vec<_> = isolated.map(|workspace| workspace.name.as_str()).collect();
+/// Returns a number that identifies a set of workspaces.
+fn hash_of_set(workspaces: &HashSet<WorkspaceId>) -> u64 {
+    let mut names: Vec<_> = workspaces.iter().map(String::as_str).collect();
     names.sort_unstable();
     xxh3_64(names.join("\0").as_bytes())
 }
 
 impl Catalog {
+    /// Whether a workspace is isolated.
+    #[must_use]
+    pub fn is_isolated(&self, workspace: &str) -> bool {
+        self.isolated.contains(workspace)
+    }
+
     /// Returns a number that identifies the set of isolated workspaces.
     #[must_use]
     pub fn isolated_set(&self) -> u64 {
--- a/crates/lw-catalog/src/routes/mod.rs
+++ b/crates/lw-catalog/src/routes/mod.rs
@@ -1,6 +1,11 @@
 //! Routes, services and workspaces of the operators' configuration, with the lookups that requests need.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use lw_types::prelude::*;
 
@@ -252,6 +257,8 @@
     workspaces: Vec<Arc<Workspace>>,
     /// Index of the workspace of each key.
     by_key: HashMap<String, usize>,
+    /// Names of the isolated workspaces.
+    isolated: HashSet<WorkspaceId>,
     /// Identifies the set of isolated workspaces.
     isolated_set: u64,
 }
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -14,6 +14,7 @@
 
 use super::{
     Call,
+    forward::Placed,
     takeover::{SentAttempt, Signals},
 };
 use crate::{
@@ -103,7 +104,8 @@
 impl Attempt {
     /// Starts to track an attempt as in flight and announces it to the other VMs if it is large. `number` counts the
     /// attempts of the request from 1.
-    pub fn begin(edge: &Arc<Edge>, call: &Arc<Call>, placement: Placement, number: usize) -> Self {
+    pub fn begin(edge: &Arc<Edge>, call: &Arc<Call>, placed: Placed, number: usize) -> Self {
+        let Placed { placement, scope } = placed;
         let now = edge.timer.now();
         let sent = |pool: &mut lw_place::UpstreamPool| {
             pool.record_sent(now, &placement, call.prompt.as_ref())
@@ -123,7 +125,7 @@
             is_announced,
             is_ended: false,
         };
-        attempt.log_placement(number);
+        attempt.log_placement(number, scope.config);
         attempt.count_prompt_tokens();
         attempt
     }
@@ -246,13 +248,12 @@
         ids.join(",")
     }
 
-    /// Logs to which upstream the request is sent, and the values that decided it.
-    fn log_placement(&self, number: usize) {
+    /// Logs to which upstream the request is sent, and the values that decided it. `config` is the version of the configuration
+    /// that decided the salt.
+    fn log_placement(&self, number: usize, config: ConfigVersion) {
         let (call, placement) = (&self.call, &self.placement);
-        let view = self.edge.store_view();
-        let config = view.catalog().map_or(0, |catalog| catalog.version);
-        let age = view.age(self.edge.timer.now_including_suspend()).map(millis).unwrap_or_default();
-        drop(view);
+        let now = self.edge.timer.now_including_suspend();
+        let age = self.edge.store_view().age(now).map(millis).unwrap_or_default();
         log::info!(target: "route", request = call.head.request.as_str(), attempt = number,
             upstream = placement.upstream.id.as_str(), service = call.service.as_str(),
             route = call.route.name.as_str(), weights = placement.version.unwrap_or_default(),
@@ -260,6 +261,7 @@
             shared = call.prompt.as_ref().map_or(0, Prompt::shared_tokens),
             held = placement.cached_tokens, fetched = placement.fetched_tokens,
             fetch_from = placement.fetch_from.map(|addr| addr.to_string()).unwrap_or_default(),
+            salt = placement.salt.as_deref().unwrap_or_default(),
             rank = placement.rank, expected_ms = millis(placement.expected_latency),
             wait_ms = millis(placement.wait),
             load_age_ms = placement.load_age.map_or(-1, |age| i64::try_from(millis(age)).unwrap_or(i64::MAX)),
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -6,7 +6,7 @@
 use lw_catalog::RouteKind;
 use lw_forward::collect::CollectError;
 use lw_limit::retry::{self, AttemptContext};
-use lw_place::{Ended, Placement, PlacementRequest, Refusal, UpstreamPool};
+use lw_place::{CacheScope, Ended, Placement, PlacementRequest, Refusal, UpstreamPool};
 use lw_platform::headers;
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
@@ -71,6 +71,21 @@
     Return,
 }
 
+/// The requests with which an attempt shares cached segments, as the configuration in force says.
+#[derive(Debug)]
+pub(super) struct ScopeInForce {
+    pub cache_scope: CacheScope,
+    /// Version of that configuration.
+    pub config: ConfigVersion,
+}
+
+/// Where an attempt is sent.
+#[derive(Debug)]
+pub(super) struct Placed {
+    pub placement: Placement,
+    pub scope: ScopeInForce,
+}
+
 /// Makes the attempts of one request, within the route's limit on attempts and the service's retry budget.
 #[derive(Debug)]
 pub(super) struct Driver {
@@ -238,37 +253,41 @@
     async fn begin_attempt(&mut self, purpose: Purpose) -> Result<Attempt, Failure> {
         let may_have_run = self.may_have_run || purpose != Purpose::Serve;
         self.usage.acquire(&self.edge, &self.call, may_have_run).await?;
-        let mut placement = self.place_in_turn(purpose).await?;
+        let mut placed = self.place_in_turn(purpose).await?;
         // The wait for the turn of a limited upstream may take longer than the grant is valid.
         while !self.usage.is_ready(&self.call, may_have_run) {
             self.usage.acquire(&self.edge, &self.call, may_have_run).await?;
-            placement = self.place_in_turn(purpose).await?;
+            placed = self.place_in_turn(purpose).await?;
         }
         self.check_held()?;
         self.charge(purpose)?;
         self.usage.on_attempt(&self.edge, &self.call);
         self.attempts_sent += 1;
-        self.tried.push(placement.upstream.id.clone());
+        self.tried.push(placed.placement.upstream.id.clone());
         self.record.count_attempt();
-        Ok(Attempt::begin(&self.edge, &self.call, placement, self.tried.len()))
+        Ok(Attempt::begin(&self.edge, &self.call, placed, self.tried.len()))
     }
 
     /// Selects the upstream of the next attempt and waits until the upstream's limit allows it.
-    async fn place_in_turn(&self, purpose: Purpose) -> Result<Placement, Failure> {
+    async fn place_in_turn(&self, purpose: Purpose) -> Result<Placed, Failure> {
         loop {
             self.check_quarantine(purpose)?;
-            let placement = self.place(purpose)?;
-            let upstream = &placement.upstream.id;
+            let placed = self.place(purpose)?;
+            let upstream = &placed.placement.upstream.id;
             let now = self.edge.timer.now();
             let reserve = |pool: &mut UpstreamPool| pool.reserve_turn(now, upstream);
             let turn = self.edge.with_upstream_pool(&self.call.service, reserve).flatten();
-            let Some(turn) = turn else { return Ok(placement) };
+            let Some(turn) = turn else { return Ok(placed) };
             tokio::time::sleep(turn.at.saturating_sub(now)).await;
             let now = self.edge.timer.now();
             let may_send = |pool: &mut UpstreamPool| pool.may_send_in_turn(now, upstream, turn);
-            if self.edge.with_upstream_pool(&self.call.service, may_send) == Some(true) {
+            // A workspace may have become isolated during the wait.
+            let is_scope_valid = self.scope_in_force().cache_scope == placed.scope.cache_scope;
+            if is_scope_valid
+                && self.edge.with_upstream_pool(&self.call.service, may_send) == Some(true)
+            {
                 self.check_quarantine(purpose)?;
-                return Ok(placement);
+                return Ok(placed);
             }
             if now >= self.call.due {
                 return Err(self.refusal("no upstream's limit allowed it in time"));
@@ -348,12 +367,30 @@
         Ok(())
     }
 
+    /// Returns with which requests an attempt that is placed now shares cached segments. A workspace that was isolated when its
+    /// request was accepted stays so for this request.
+    fn scope_in_force(&self) -> ScopeInForce {
+        let catalog = self.edge.store_view().catalog();
+        let is_isolated = |name: &str| catalog.as_ref().is_some_and(|c| c.is_isolated(name));
+        let workspace = self.call.workspace.as_deref();
+        let isolated = workspace.filter(|w| w.is_isolated || is_isolated(&w.name));
+        let cache_scope = match isolated {
+            Some(workspace) => CacheScope::Isolated(workspace.name.clone()),
+            None => CacheScope::Shared {
+                isolated_set: catalog.as_ref().map_or(0, |catalog| catalog.isolated_set()),
+            },
+        };
+        ScopeInForce { cache_scope, config: catalog.map_or(self.call.config, |c| c.version) }
+    }
+
     /// Selects the upstream of the next attempt.
-    fn place(&self, purpose: Purpose) -> Result<Placement, Failure> {
+    fn place(&self, purpose: Purpose) -> Result<Placed, Failure> {
         let now = self.edge.timer.now();
+        let scope = self.scope_in_force();
         let target = self.call.arrived + self.call.route.target_latency;
         let request = PlacementRequest {
             prompt: self.call.prompt.as_ref(),
+            cache_scope: &scope.cache_scope,
             request_hash: self.call.id_hash,
             tried: &self.tried,
             returns_to: match purpose {
@@ -380,7 +417,7 @@
         };
         let placed = self.edge.with_upstream_pool(&self.call.service, place);
         let placed = placed.ok_or_else(|| self.refusal("the service is not known"))?;
-        placed.map_err(|e| match e {
+        let placement = placed.map_err(|e| match e {
             Refusal::WaitTooLong(wait) => {
                 let time = admit::retry_after(&self.edge, &self.call, wait);
                 self.refusal(&e.to_string()).retry_after(time)
@@ -389,7 +426,8 @@
                 self.refusal(&e.to_string()).retry_after(time)
             }
             Refusal::NoneReady | Refusal::NoneUsable => self.refusal(&e.to_string()),
-        })
+        })?;
+        Ok(Placed { placement, scope })
     }
 
     /// Returns the failure of a request that gets no further attempt. Its code says "not run" only if no attempt may
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use lw_catalog::{Catalog, Route, Workspace};
 use lw_forward::intake::{BodyLimits, Caller, Hold, leaves_body_unread};
-use lw_place::{CacheScope, Prompt, RANK_MAX};
+use lw_place::{Prompt, RANK_MAX};
 use lw_platform::headers::{self, CallerHead};
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
@@ -156,8 +156,7 @@
     })?;
     let service = service.to_owned();
     let has_engines = catalog.service(&service).is_some_and(|s| s.engines().is_some());
-    let mut prompt =
-        has_engines.then(|| prompt(&catalog, &head, &route, workspace.as_deref(), body.len()));
+    let mut prompt = has_engines.then(|| prompt(&head, &route, workspace.as_deref(), body.len()));
     if let Some(prompt) = &mut prompt {
         prompt.segments = headers::caller_segments(&parts.headers);
         intake.hold_segments(&mut hold, prompt.segments.len())?;
@@ -254,23 +253,12 @@
 }
 
 /// Returns the prompt of a request, without its segments.
-fn prompt(
-    catalog: &Catalog,
-    head: &CallerHead,
-    route: &Route,
-    workspace: Option<&Workspace>,
-    bytes: usize,
-) -> Prompt {
-    let cache_scope = match workspace.filter(|workspace| workspace.is_isolated) {
-        Some(workspace) => CacheScope::Isolated(workspace.name.clone()),
-        None => CacheScope::Shared { isolated_set: catalog.isolated_set() },
-    };
+fn prompt(head: &CallerHead, route: &Route, workspace: Option<&Workspace>, bytes: usize) -> Prompt {
     Prompt {
         model: head.model.clone().unwrap_or_default(),
         segments: Vec::new(),
         tokens: head.prompt_tokens,
         output_tokens: head.output_tokens_hint.unwrap_or(head.output_tokens_max),
-        cache_scope,
         rank: rank(route, workspace),
         bytes,
         kind: kind(route, workspace),
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -7,7 +7,7 @@
 use lw_types::prelude::*;
 
 use crate::{
-    CachePage, Load, Prompt,
+    CachePage, CacheScope, Load, Prompt,
     cache::SegmentKey,
     work::{CostModel, EngineCost, EstimateErrors, OutputLengths},
 };
@@ -48,6 +48,8 @@
 pub struct PlacementRequest<'a> {
     /// The prompt, if the service has engines.
     pub prompt: Option<&'a Prompt>,
+    /// Requests that the cached segments of the prompt are shared with.
+    pub cache_scope: &'a CacheScope,
     /// Hash of the request's id, which breaks ties between upstreams of equal cost.
     pub request_hash: u64,
     /// Upstreams that earlier attempts were sent to.
--- a/crates/lw-place/src/pool/placement.rs
+++ b/crates/lw-place/src/pool/placement.rs
@@ -64,7 +64,7 @@
 fn has_known_salt(request: &PlacementRequest<'_>, state: &UpstreamState) -> bool {
     let Some(prompt) = request.prompt else { return true };
     let needs_salt =
-        !prompt.model.is_empty() || matches!(prompt.cache_scope, CacheScope::Isolated(_));
+        !prompt.model.is_empty() || matches!(request.cache_scope, CacheScope::Isolated(_));
     !needs_salt || state.versions.contains_key(&prompt.model)
 }
 
@@ -162,7 +162,7 @@
         if let Some(version) = placement.version {
             let lookup = lookups
                 .entry(version)
-                .or_insert_with(|| self.look_up_segments(now, prompt, version));
+                .or_insert_with(|| self.look_up_segments(now, request, prompt, version));
             placement.cached_tokens = state.cache.leading_tokens(&lookup.keys);
             if let Some(transfer) =
                 self.transfer(now, state, &lookup.sources, placement.cached_tokens)
@@ -222,8 +222,14 @@
     }
 
     /// Finds the keys of a prompt's segments under a version of the weights, and who can provide them.
-    fn look_up_segments(&self, now: Now, prompt: &Prompt, version: u64) -> SegmentLookup<'_> {
-        let salt = salt(&prompt.model, version, &prompt.cache_scope);
+    fn look_up_segments(
+        &self,
+        now: Now,
+        request: &PlacementRequest<'_>,
+        prompt: &Prompt,
+        version: u64,
+    ) -> SegmentLookup<'_> {
+        let salt = salt(&prompt.model, version, request.cache_scope);
         let keys = prompt.keys(&salt);
         let sources = self.sources(now, &keys[..prompt.shared().len()]);
         SegmentLookup { salt, keys, sources }
--- a/crates/lw-place/src/prompt.rs
+++ b/crates/lw-place/src/prompt.rs
@@ -15,7 +15,8 @@
     pub tokens: u64,
 }
 
-/// The requests with which the cached segments of a prompt are shared.
+/// The requests with which the cached segments of a prompt are shared. Each attempt takes it from the configuration in force
+/// when its engine is selected: a workspace may become isolated while a request of another one waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CacheScope {
     /// Those of all workspaces that are not isolated.
@@ -45,8 +46,6 @@
     pub tokens: u64,
     /// Expected tokens of the answer.
     pub output_tokens: u64,
-    /// Requests that its cached segments are shared with.
-    pub cache_scope: CacheScope,
     /// Rank at an engine among the requests that can meet their target latency, from 0, the most urgent, to
     /// [`RANK_MAX`].
     pub rank: u8,
--- a/crates/lw-place/tests/common/mod.rs
+++ b/crates/lw-place/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lw_catalog::{EngineSpec, Stage, Upstream, upstreams::LoadedModel};
-use lw_place::{CacheStoreSpec, PlacementRequest, Prompt, Segment, UpstreamPool};
+use lw_place::{CacheScope, CacheStoreSpec, PlacementRequest, Prompt, Segment, UpstreamPool};
 
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -67,6 +67,7 @@
 pub fn request(prompt: &Prompt) -> PlacementRequest<'_> {
     PlacementRequest {
         prompt: Some(prompt),
+        cache_scope: &CacheScope::Shared { isolated_set: 0 },
         request_hash: 7,
         tried: &[],
         returns_to: None,
--- a/crates/lw-place/tests/limit_fleet/mod.rs
+++ b/crates/lw-place/tests/limit_fleet/mod.rs
@@ -11,7 +11,8 @@
 use lw_catalog::{Stage, Upstream};
 use lw_limit::upstream::{Evidence, FleetSize, Origin, Turn};
 use lw_place::{
-    Ended, Fleet, LimitReport, Placement, PlacementRequest, Refusal, TurnRequest, UpstreamPool,
+    CacheScope, Ended, Fleet, LimitReport, Placement, PlacementRequest, Refusal, TurnRequest,
+    UpstreamPool,
 };
 use lw_standin::hosted::limit::{Excess, LimitHistory};
 
@@ -510,6 +511,7 @@
         let time_left = (since + CALLER_DEADLINE).saturating_sub(self.now);
         let request = PlacementRequest {
             prompt: None,
+            cache_scope: &CacheScope::Shared { isolated_set: 0 },
             request_hash: hash,
             tried: &[],
             returns_to: None,
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -43,6 +43,8 @@
     HangThenCrash(Duration, Duration),
     /// It sends this many events and the start of another, or of the last one, then resets the connection.
     ResetInEvent(u64),
+    /// It sends this many events, resets the connection after this time, and so breaks off the stream.
+    ResetAfter(u64, Duration),
     /// It sends events with a pause before each.
     DelayedEvents(Duration),
     /// It starts a stream and sends one byte after each pause, but never completes an event.
@@ -489,6 +491,12 @@
         Behaviour::Crash(down) => vec![Step::Crash(*down)],
         Behaviour::HangThenCrash(hang, down) => vec![Step::Wait(*hang), Step::Crash(*down)],
         Behaviour::ResetInEvent(events) => reset_in_event(*events, headers, request),
+        Behaviour::ResetAfter(events, time) => {
+            let first = first_event(request);
+            let events = (first..first + events).map(|id| chunk(&event(id)));
+            let end = [Step::Wait(*time), Step::Reset];
+            [chunked_head(200, headers)].into_iter().chain(events).chain(end).collect()
+        }
         Behaviour::DelayedEvents(pause) => stream(headers, request, *pause),
         Behaviour::SlowBytes(pause) => {
             let bytes = (0..SLOW_BYTES_MAX).flat_map(|_| [Step::Wait(*pause), chunk(b"a")]);
