lw-edge: an engine is loaded whatever its other models

No order was sent.

Cause: an engine had no target at all if any of its models has no key with a target version in the store. The platform writes such a key only when new weights are named, so a second model whose weights never changed has none.

Change: what a missing target version means is decided in one place, `model_versions`: that model keeps the weights that it has, and is in neither the target nor the reported state of its engine. Orders name one model and leave the others alone.

a_model_without_a_target_version_does_not_stop_the_rollout_of_another failed before (no engine served version 2 within 10 s), with the model first and last of up to three.

Placement goes on to use stale weights when no engine has newer ones. That is a choice of its own, with a test, and unchanged: it matters in outages, in which no orders can be issued.

--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -17,7 +17,10 @@
 use lw_platform::engine::OrderOutcome;
 use lw_types::prelude::*;
 
-use crate::{peers, register, state::Edge};
+use crate::{
+    peers, register,
+    state::{Edge, StoreView},
+};
 
 mod lease;
 mod load;
@@ -168,22 +171,25 @@
         };
         let engines: Vec<_> =
             view.directory.iter().filter(|upstream| has_engines(&upstream.service)).collect();
-        let targets = engines.iter().filter(|u| u.stage == Stage::Ready).filter_map(|upstream| {
-            Some((upstream.id.clone(), target_state(upstream, |model| view.newest_version(model))?))
-        });
-        let targets: BTreeMap<_, _> = targets.collect();
+        let states: Vec<_> =
+            engines.iter().map(|u| (Arc::clone(u), model_versions(edge, &view, u))).collect();
+        let ready = states.iter().filter(|(upstream, _)| upstream.stage == Stage::Ready);
+        let targets: BTreeMap<_, _> = ready
+            .map(|(upstream, models)| (upstream.id.clone(), target_state(upstream, models)))
+            .filter(|(_, target)| !target.models.is_empty())
+            .collect();
         let loading_max = Some(loading_max(&targets));
-        let reports: Vec<_> =
-            engines.iter().map(|u| (Arc::clone(u), served_state(edge, u))).collect();
-        let oldest: HashMap<_, _> = reports
+        let oldest: HashMap<_, _> = states
             .iter()
-            .map(|(upstream, state)| {
-                let versions = state.models.values();
-                let oldest = versions.filter_map(|model| model.version.parse::<u64>().ok()).min();
-                (upstream.id.as_str(), oldest)
+            .map(|(upstream, models)| {
+                (upstream.id.as_str(), models.iter().map(|model| model.served).min())
             })
             .collect();
         let ranks = ranks(&engines, |id| oldest.get(id).copied().flatten());
+        let reports: Vec<_> = states
+            .iter()
+            .map(|(upstream, models)| (Arc::clone(upstream), served_state(upstream, models)))
+            .collect();
         let plan = Plan { targets, ranks, loading_max, ..Plan::default() };
         (plan, reports)
     };
@@ -228,29 +234,51 @@
     (targets.len() / LOADING_DIVISOR).max(LOADING_MIN).min(smallest / 2).max(1)
 }
 
-/// Returns the state that an engine is to reach: the target versions of its models. None if a model has no
-/// target version.
-fn target_state(upstream: &Upstream, version: impl Fn(&str) -> Option<u64>) -> Option<EngineState> {
-    let models = upstream.models.iter().map(|loaded| {
-        let version = version(&loaded.model)?.max(loaded.version);
-        Some((loaded.model.clone(), model_state(version)))
+/// A model of an engine whose weights operators have named.
+#[derive(Debug)]
+struct ModelVersions {
+    model: ModelId,
+    /// Version that the engine serves, as this VM sees it.
+    served: u64,
+    /// Version that the engine is to reach.
+    target: u64,
+}
+
+/// Returns the models of an engine that have a target version. The others keep the weights that they have, and orders for
+/// one model do not affect them.
+fn model_versions(edge: &Edge, view: &StoreView, upstream: &Upstream) -> Vec<ModelVersions> {
+    let pools = edge.upstream_pools();
+    let pool = pools.get(&upstream.service);
+    let versions = upstream.models.iter().filter_map(|loaded| {
+        let newest = view.newest_version(&loaded.model)?;
+        let served = pool.and_then(|pool| pool.version(&upstream.id, &loaded.model));
+        let served = served.unwrap_or(loaded.version);
+        let target = newest.max(loaded.version);
+        Some(ModelVersions { model: loaded.model.clone(), served, target })
     });
-    let models = models.collect::<Option<_>>()?;
-    Some(EngineState { role: upstream.service.clone(), models })
+    versions.collect()
 }
 
-fn model_state(version: u64) -> ModelState {
-    ModelState { version: version.to_string(), ..ModelState::default() }
+/// Returns the state that an engine is to reach.
+fn target_state(upstream: &Upstream, models: &[ModelVersions]) -> EngineState {
+    engine_state(upstream, models, |model| model.target)
 }
 
 /// Returns the state of an engine as this VM sees it.
-fn served_state(edge: &Edge, upstream: &Upstream) -> EngineState {
-    let pools = edge.upstream_pools();
-    let pool = pools.get(&upstream.service);
-    let models = upstream.models.iter().map(|loaded| {
-        let version = pool.and_then(|pool| pool.version(&upstream.id, &loaded.model));
-        (loaded.model.clone(), model_state(version.unwrap_or(loaded.version)))
-    });
+fn served_state(upstream: &Upstream, models: &[ModelVersions]) -> EngineState {
+    engine_state(upstream, models, |model| model.served)
+}
+
+fn engine_state(
+    upstream: &Upstream,
+    models: &[ModelVersions],
+    version: impl Fn(&ModelVersions) -> u64,
+) -> EngineState {
+    let state = |model: &ModelVersions| ModelState {
+        version: version(model).to_string(),
+        ..ModelState::default()
+    };
+    let models = models.iter().map(|model| (model.model.clone(), state(model)));
     EngineState { role: upstream.service.clone(), models: models.collect() }
 }
 
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -7,8 +7,9 @@
 use lw_edge::{run::Vm, state::Edge};
 use lw_standin::hosted::{
     store::{ANSWER_DELAY, StoreEndpoint, StoreMode},
-    upstream::Upstream,
+    upstream::{MODEL, Upstream},
 };
+use serde_json::json;
 
 /// Guards against engines that do not load the target version, and against requests that are then still served by stale
 /// weights.
@@ -270,3 +271,34 @@
     let time = named_at.elapsed();
     assert!(time < ms(2_500), "a roll-out of two loads of 0.4 s took {time:?}");
 }
+
+/// Writes an engine's entry with these models and the versions of their weights, and waits until the VM knows it.
+async fn register_models(simulation: &Simulation, engine: &Upstream, models: &[(&str, u64)]) {
+    let mut entry = engine.registry_entry("llm", "kochi-a");
+    let listed = models.iter().map(|(name, version)| json!({ "Name": name, "Version": version }));
+    entry["Models"] = listed.collect();
+    simulation.store.put(&format!("servers/{}", engine.id), &entry);
+    let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+    let is_known = async |_: &Simulation| {
+        let upstream = edge.store_view().directory.get(&engine.id).cloned();
+        upstream.is_some_and(|upstream| upstream.models.len() == models.len())
+    };
+    simulation.wait_until("the models are known", is_known).await;
+}
+
+/// Guards against engines that keep stale weights of one model since operators have named no weights of another one.
+#[tokio::test]
+async fn a_model_without_a_target_version_does_not_stop_the_rollout_of_another() {
+    let simulation = Simulation::start().await;
+    let (first, last) = ([(MODEL, 1), ("other", 1)], [("other", 1), ("third", 4), (MODEL, 1)]);
+    register_models(&simulation, &simulation.engines[0], &first).await;
+    register_models(&simulation, &simulation.engines[1], &last).await;
+    set_target_version(&simulation, 2);
+    simulation.wait_until_served(2).await;
+    let reply = simulation.send(&request("after", "/short/x")).await.unwrap();
+    assert_eq!((reply.status, reply.header("x-weight-versions")), (200, Some("2")));
+    for engine in &simulation.engines {
+        let versions: Vec<_> = engine.accepted_orders().iter().map(|o| o.version).collect();
+        assert_eq!(versions, [2], "{}", engine.id);
+    }
+}
