lw-edge: engines load in the order in which they lag behind

Cause: the sequence compared the lowest version among all models of an engine, although versions of different models cannot be compared. A second model at version 1 everywhere made all engines equal.

Change: the sequence compares how far the served version of any model is behind its target.

--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -1,6 +1,7 @@
 //! Orders to engines to load weights: carries out the actions of [`lw_order::issuer`] on the platform.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -179,13 +180,15 @@
             .filter(|(_, target)| !target.models.is_empty())
             .collect();
         let loading_max = Some(loading_max(&targets));
-        let oldest: HashMap<_, _> = states
+        let lags: HashMap<_, _> = states
             .iter()
             .map(|(upstream, models)| {
-                (upstream.id.as_str(), models.iter().map(|model| model.served).min())
+                let lag =
+                    models.iter().map(|model| model.target.saturating_sub(model.served)).max();
+                (upstream.id.as_str(), lag.unwrap_or_default())
             })
             .collect();
-        let ranks = ranks(&engines, |id| oldest.get(id).copied().flatten());
+        let ranks = ranks(&engines, |id| lags.get(id).copied().unwrap_or_default());
         let reports: Vec<_> = states
             .iter()
             .map(|(upstream, models)| (Arc::clone(upstream), served_state(upstream, models)))
@@ -282,13 +285,10 @@
     EngineState { role: upstream.service.clone(), models: models.collect() }
 }
 
-/// Returns the sequence in which engines load. Those with the oldest weights come first, since their answers are worth
-/// least and are forbidden first. Among equals the failure domains alternate, so that none is without engines that
-/// serve.
-fn ranks(
-    engines: &[&Arc<Upstream>],
-    oldest: impl Fn(&str) -> Option<u64>,
-) -> BTreeMap<UpstreamId, usize> {
+/// Returns the sequence in which engines load. Those that lag furthest behind the target version of a model come first, since
+/// their answers are worth least and are forbidden first. Among equals the failure domains alternate, so that none is without
+/// engines that serve.
+fn ranks(engines: &[&Arc<Upstream>], lag: impl Fn(&str) -> u64) -> BTreeMap<UpstreamId, usize> {
     let mut by_domain: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
     for upstream in engines {
         by_domain.entry(&upstream.failure_domain).or_default().push(&upstream.id);
@@ -298,7 +298,7 @@
     for (domain, ids) in by_domain.values_mut().enumerate() {
         ids.sort_unstable();
         let indexed = ids.iter().enumerate();
-        ranked.extend(indexed.map(|(index, id)| (oldest(id), index * domains + domain, *id)));
+        ranked.extend(indexed.map(|(index, id)| (Reverse(lag(id)), index * domains + domain, *id)));
     }
     ranked.sort_unstable();
     ranked.iter().enumerate().map(|(rank, (_, _, id))| ((*id).to_owned(), rank)).collect()
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -302,3 +302,20 @@
         assert_eq!(versions, [2], "{}", engine.id);
     }
 }
+
+/// Guards against engines with the oldest weights that are loaded last, since the versions of different models were compared.
+#[tokio::test]
+async fn engines_that_lag_furthest_behind_load_first_whatever_their_other_models() {
+    let mut simulation = Simulation::start().await;
+    simulation.add_engines(4).await;
+    simulation.store.put("op/version/other", &json!({ "Model": "other", "Version": 1 }));
+    for (engine, version) in simulation.engines.iter().zip([2, 2, 1, 1]) {
+        register_models(&simulation, engine, &[(MODEL, version), ("other", 1)]).await;
+    }
+    set_target_version(&simulation, 3);
+    simulation.wait_until_served(3).await;
+    let ordered_at: Vec<_> =
+        simulation.engines.iter().map(|engine| engine.accepted_orders()[0].at).collect();
+    let (later, first) = ordered_at.split_at(2);
+    assert!(first.iter().max() < later.iter().min(), "{ordered_at:?}");
+}
