lw-edge: no order takes an engine back to older weights

An issuer that has not read yet that version 3 was named, and hears of an engine that loaded it for the issuer before, would have that engine load version 2 again.

Cause: the target was compared with the version in the engine's entry, which is as old as its heartbeat, and not with the version that it is known to serve.

Change: the target is never older than the served version, and an order is left out for a model that has reached its version since the order was decided.

an_engine_that_serves_newer_weights_than_this_vm_has_read_of_gets_no_order failed before: the engine accepted an order for version 1 after a report that it serves version 2.

--- a/crates/lw-edge/src/orders/load.rs
+++ b/crates/lw-edge/src/orders/load.rs
@@ -31,7 +31,7 @@
         let served =
             edge.with_upstream_pool(&upstream.service, |pool| pool.version(&upstream.id, model));
         let Ok(version) = state.version.parse() else { continue };
-        if served.flatten() == Some(version) {
+        if served.flatten().is_some_and(|served| served >= version) {
             continue;
         }
         let load = async {
--- a/crates/lw-edge/src/orders/mod.rs
+++ b/crates/lw-edge/src/orders/mod.rs
@@ -183,8 +183,7 @@
         let lags: HashMap<_, _> = states
             .iter()
             .map(|(upstream, models)| {
-                let lag =
-                    models.iter().map(|model| model.target.saturating_sub(model.served)).max();
+                let lag = models.iter().map(|model| model.target - model.served).max();
                 (upstream.id.as_str(), lag.unwrap_or_default())
             })
             .collect();
@@ -243,7 +242,7 @@
     model: ModelId,
     /// Version that the engine serves, as this VM sees it.
     served: u64,
-    /// Version that the engine is to reach.
+    /// Version that the engine is to reach, never older than the served one.
     target: u64,
 }
 
@@ -256,7 +255,7 @@
         let newest = view.newest_version(&loaded.model)?;
         let served = pool.and_then(|pool| pool.version(&upstream.id, &loaded.model));
         let served = served.unwrap_or(loaded.version);
-        let target = newest.max(loaded.version);
+        let target = newest.max(loaded.version).max(served);
         Some(ModelVersions { model: loaded.model.clone(), served, target })
     });
     versions.collect()
--- a/crates/lw-edge/tests/orders.rs
+++ b/crates/lw-edge/tests/orders.rs
@@ -4,7 +4,11 @@
 
 use common::{Simulation, ms, request, send, set_target_version};
 use lw_catalog::{VmSettings, settings::Bounds};
-use lw_edge::{run::Vm, state::Edge};
+use lw_edge::{
+    peers::{self, Notice},
+    run::Vm,
+    state::Edge,
+};
 use lw_standin::hosted::{
     store::{ANSWER_DELAY, StoreEndpoint, StoreMode},
     upstream::{MODEL, Upstream},
@@ -319,3 +323,25 @@
     let (later, first) = ordered_at.split_at(2);
     assert!(first.iter().max() < later.iter().min(), "{ordered_at:?}");
 }
+
+/// Guards against an order that takes an engine back to older weights, by an issuer that has not read yet that newer ones were
+/// named. Another VM reports that the engine has loaded them.
+#[tokio::test]
+async fn an_engine_that_serves_newer_weights_than_this_vm_has_read_of_gets_no_order() {
+    let simulation = Simulation::start().await;
+    let second = simulation.start_second().await;
+    let edge = &simulation.vm.as_ref().expect("the first VM runs").edge;
+    let is_issuer = async |_: &Simulation| edge.orders.fence().is_some();
+    simulation.wait_until("the first VM is the issuer", is_issuer).await;
+    let engine = &simulation.engines[0];
+    let notice =
+        Notice::Loaded { model: MODEL.into(), version: 2, upstreams: vec![engine.id.clone()] };
+    peers::broadcast(&second.edge, notice);
+    let is_known = async |_: &Simulation| {
+        let served = edge.with_upstream_pool("llm", |pool| pool.version(&engine.id, MODEL));
+        served.flatten() == Some(2)
+    };
+    simulation.wait_until("the version is known", is_known).await;
+    tokio::time::sleep(ms(1_500)).await;
+    assert!(engine.accepted_orders().is_empty(), "{:?}", engine.accepted_orders());
+}
