lw-soak: upstreams leave without a notice, workspaces become isolated, watches are cut

An upstream that is gone is checked as a leaving one is; a request must use nothing that another workspace has cached under its salt while one of the two is isolated.

--- a/crates/lw-soak/src/checks/mod.rs
+++ b/crates/lw-soak/src/checks/mod.rs
@@ -24,6 +24,8 @@
 /// Time before and after a kill or pause in which connections may end without an answer.
 const INTERRUPTION_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time within which a configuration is in force at a VM without a fault.
+const CONFIG_TIME_MAX: Duration = Duration::from_secs(2);
 /// Time after which a limit that an engine names must be kept, and for which a fault excuses a VM.
 const LIMIT_TIME_MAX: Duration = Duration::from_secs(3);
 
@@ -66,6 +68,8 @@
     pub revocations: Vec<(Instant, Instant)>,
     /// Numbers of the upstreams that were registered as leaving, each with its start and end.
     pub leaving: Vec<(usize, Instant, Instant)>,
+    /// When the other workspace became isolated or open.
+    pub isolations: Vec<(Instant, bool)>,
     /// Time within which a revoked key must be refused.
     pub revocation_time_max: Duration,
     /// Time after which a leaving upstream must receive no further requests.
@@ -102,6 +106,7 @@
         findings.extend(self.streams_without_answer());
         findings.extend(self.accepted_revoked_keys());
         findings.extend(self.requests_to_leaving_upstreams());
+        findings.extend(self.caches_shared_with_isolated());
         findings.extend(self.requests_beyond_limits());
         findings.extend(self.check_orders());
         findings
@@ -228,6 +233,36 @@
         findings
     }
 
+    /// Returns a finding for each request that used what another workspace had cached while one of the two was isolated, at a VM
+    /// that had no fault since that came into force.
+    fn caches_shared_with_isolated(&self) -> Vec<String> {
+        let by_id: HashMap<&str, &RequestRecord> =
+            self.records.iter().map(|record| (record.id.as_str(), record)).collect();
+        let mut findings = Vec::new();
+        for received in &self.received {
+            // The workspace that first sent a request under a salt has made what is cached there.
+            let mut makers: HashMap<&str, &str> = HashMap::new();
+            for got in received {
+                let header = |name| got.request.header(name).unwrap_or_default();
+                let (salt, workspace) = (header("x-cache-salt"), header("x-tenant"));
+                if salt.is_empty() || *makers.entry(salt).or_insert(workspace) == workspace {
+                    continue;
+                }
+                let last = self.isolations.iter().rfind(|(at, _)| *at <= got.at);
+                let Some((since, true)) = last else { continue };
+                let Some(record) = by_id.get(header("x-attempt-id")) else { continue };
+                if got.at > *since + CONFIG_TIME_MAX && self.has_no_fault(record.vm, *since, got.at)
+                {
+                    findings.push(format!(
+                        "cache shared with an isolated workspace: {} under {salt}",
+                        describe(record)
+                    ));
+                }
+            }
+        }
+        findings
+    }
+
     /// Returns a finding for each upstream that got more requests than the limit that it named allows, from VMs that had no
     /// fault and over a path that had none, while it did not stand still.
     fn requests_beyond_limits(&self) -> Vec<String> {
--- a/crates/lw-soak/src/run/faults.rs
+++ b/crates/lw-soak/src/run/faults.rs
@@ -5,7 +5,9 @@
 use lw_standin::hosted::store::StoreMode;
 use tokio::time::{Instant, sleep};
 
-use super::{Deployment, LEAVING_TIME_MAX, REVOCATION_TIME_MAX, SHUTDOWN_TIME_MAX, lock};
+use super::{
+    Deployment, LEAVING_TIME_MAX, REVOCATION_TIME_MAX, SHUTDOWN_TIME_MAX, UpstreamStage, lock,
+};
 use crate::{
     checks::ActiveFault,
     proxy::Proxy,
@@ -47,6 +49,7 @@
                 sleep(duration).await;
                 self.store.set_mode(StoreMode::Normal);
             }
+            Fault::CutWatches => self.store.cut_watches(),
             Fault::CompactStore => self.store.compact(),
             Fault::RestoreStore(rewrite_delay) => self.restore_store(duration, rewrite_delay).await,
             Fault::UpstreamAnswers(all) => all.into_iter().for_each(|b| self.behaviours.push(b)),
@@ -61,7 +64,17 @@
                 sleep(duration).await;
                 self.upstreams[engine].set_limit(None);
             }
-            Fault::UpstreamLeaving(n) => self.mark_leaving(n, duration).await,
+            Fault::UpstreamLeaving(n) => {
+                self.take_out(n, duration, UpstreamStage::Leaving).await;
+            }
+            Fault::UpstreamGone(n) => self.take_out(n, duration, UpstreamStage::Gone).await,
+            Fault::ToggleIsolation => {
+                let mut operators = lock(&self.operators);
+                operators.is_isolated = !operators.is_isolated;
+                self.write_config(&mut operators);
+                let change = (Instant::now(), operators.is_isolated);
+                operators.isolations.push(change);
+            }
             Fault::RevokeKey => self.revoke_key(duration).await,
             Fault::TargetVersion => {
                 let mut operators = lock(&self.operators);
@@ -125,19 +138,21 @@
         vm.start().await
     }
 
-    /// Registers an upstream as leaving, and as ready again later. Does nothing while it is leaving.
-    async fn mark_leaving(&self, n: usize, duration: Duration) {
+    /// Registers an upstream as leaving, or removes its entry, and registers it as ready again later. Does nothing unless it is
+    /// ready.
+    async fn take_out(&self, n: usize, duration: Duration, stage: UpstreamStage) {
         let from = Instant::now();
         {
             let mut operators = lock(&self.operators);
-            if std::mem::replace(&mut operators.is_leaving[n], true) {
+            if operators.stages[n] != UpstreamStage::Ready {
                 return;
             }
+            operators.stages[n] = stage;
             self.register_upstream(n, &operators);
         }
         sleep(LEAVING_TIME_MAX + duration).await;
         let mut operators = lock(&self.operators);
-        operators.is_leaving[n] = false;
+        operators.stages[n] = UpstreamStage::Ready;
         operators.leaving.push((n, from, Instant::now()));
         self.register_upstream(n, &operators);
     }
--- a/crates/lw-soak/src/run/mod.rs
+++ b/crates/lw-soak/src/run/mod.rs
@@ -94,7 +94,19 @@
     has_other_key: bool,
     revocations: Vec<(Instant, Instant)>,
     leaving: Vec<(usize, Instant, Instant)>,
-    is_leaving: Vec<bool>,
+    stages: Vec<UpstreamStage>,
+    /// Whether the other workspace is isolated, and when that changed.
+    is_isolated: bool,
+    isolations: Vec<(Instant, bool)>,
+}
+
+/// What the store says of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UpstreamStage {
+    Ready,
+    Leaving,
+    /// It has no entry.
+    Gone,
 }
 
 /// The stand-ins, proxies and VMs of a run, and what is recorded of them.
@@ -267,7 +279,9 @@
             has_other_key: true,
             revocations: Vec::new(),
             leaving: Vec::new(),
-            is_leaving: vec![false; upstreams.len()],
+            stages: vec![UpstreamStage::Ready; upstreams.len()],
+            is_isolated: true,
+            isolations: vec![(Instant::now(), true)],
         };
         let deployment = Self {
             store,
@@ -295,15 +309,20 @@
         Ok(deployment)
     }
 
-    /// Writes the registry entry of an upstream, with the address of its proxy.
+    /// Writes the registry entry of an upstream, with the address of its proxy, or removes it.
     fn register_upstream(&self, n: usize, operators: &OperatorState) {
+        let key = format!("servers/{}", self.upstreams[n].id);
+        let state = match operators.stages[n] {
+            UpstreamStage::Ready => "ready",
+            UpstreamStage::Leaving => "draining",
+            UpstreamStage::Gone => return self.store.remove(&key),
+        };
         let service = if n < self.engines { "llm" } else { "desk" };
         let upstream = &self.upstreams[n];
         let mut entry = upstream.registry_entry(service, DOMAINS[n % DOMAINS.len()]);
         entry["Address"] = Value::from(self.upstream_paths[n].addr.to_string());
-        let state = if operators.is_leaving[n] { "draining" } else { "ready" };
         entry["State"] = Value::from(state);
-        self.store.put(&format!("servers/{}", upstream.id), &entry);
+        self.store.put(&key, &entry);
     }
 
     /// Writes the registry entry of the upstream with large answers.
@@ -322,8 +341,9 @@
     fn write_config(&self, operators: &mut OperatorState) {
         operators.config_version += 1;
         let version = operators.config_version;
-        let config =
+        let mut config =
             if operators.has_other_key { config(version) } else { revoked_config(version) };
+        config["Tenants"][1]["Isolated"] = operators.is_isolated.into();
         self.store.put("op/config", &with_soak_limits(config));
     }
 
@@ -407,6 +427,7 @@
             active_faults: lock(&self.active_faults).clone(),
             revocations: operators.revocations.clone(),
             leaving: operators.leaving.clone(),
+            isolations: operators.isolations.clone(),
             revocation_time_max: REVOCATION_TIME_MAX,
             leaving_time_max: LEAVING_TIME_MAX,
             grace: GRACE,
--- a/crates/lw-soak/src/schedule/mod.rs
+++ b/crates/lw-soak/src/schedule/mod.rs
@@ -4,6 +4,7 @@
 
 use lw_standin::hosted::{store::StoreMode, upstream::Behaviour};
 
+mod departures;
 mod stalls;
 
 /// A fault of a network path: what a proxy does to the connections through it.
@@ -42,6 +43,8 @@
     UpstreamPath(usize, PathFault),
     /// The store treats calls as the mode says.
     Store(StoreMode),
+    /// The store cuts the watches that wait, and goes on to answer all calls.
+    CutWatches,
     /// The store drops the history of its changes.
     CompactStore,
     /// The store is away for a moment and returns from a copy that was made the duration before; operators and upstreams
@@ -55,6 +58,10 @@
     EngineLimit(usize, f64),
     /// An upstream is registered as leaving.
     UpstreamLeaving(usize),
+    /// The entry of an upstream is removed, and the upstream goes on for as long as a leaving one. Registers anew later.
+    UpstreamGone(usize),
+    /// The other workspace becomes isolated, or open if it is isolated.
+    ToggleIsolation,
     /// The key of the other workspace is revoked.
     RevokeKey,
     /// The next version of the weights is set as the target.
@@ -135,6 +142,7 @@
         if at > options.fault_window {
             events.extend(draw_limits(options));
             events.extend(stalls::draw_stalls(options));
+            events.extend(departures::draw_departures(options));
             return events;
         }
         events.push(draw_event(&mut rng, options, at));
--- a/crates/lw-soak/tests/schedule.rs
+++ b/crates/lw-soak/tests/schedule.rs
@@ -39,3 +39,22 @@
         assert!(count >= 50, "{machines} machines, {versions}, {reloads}, {drains}");
     }
 }
+
+/// Guards against upstreams that never leave, and workspaces that never become isolated, beside a cut of the watches.
+#[test]
+fn upstreams_leave_and_workspaces_become_isolated_beside_cut_watches() {
+    let (mut gone, mut toggled) = (0, 0);
+    for seed in 0..50 {
+        let events = draw_events(&Options { seed, ..Options::default() });
+        for change in &events {
+            let is_beside_cut =
+                around(&events, change).any(|event| matches!(event.fault, Fault::CutWatches));
+            match change.fault {
+                Fault::UpstreamGone(_) => gone += usize::from(is_beside_cut),
+                Fault::ToggleIsolation => toggled += usize::from(is_beside_cut),
+                _ => {}
+            }
+        }
+    }
+    assert!(gone >= 50 && toggled >= 50, "{gone} {toggled}");
+}
--- a/crates/lw-soak/tests/streams.rs
+++ b/crates/lw-soak/tests/streams.rs
@@ -79,6 +79,7 @@
         active_faults: faults.into_iter().map(active).collect(),
         revocations: Vec::new(),
         leaving: Vec::new(),
+        isolations: Vec::new(),
         revocation_time_max: Duration::from_secs(3),
         leaving_time_max: Duration::from_secs(2),
         grace: Duration::from_secs(8),
