--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Call,
-    forward::Placed,
+    place::Placed,
     takeover::{SentAttempt, Signals},
 };
 use crate::{
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -6,7 +6,7 @@
 use lw_catalog::RouteKind;
 use lw_forward::collect::CollectError;
 use lw_limit::retry::{self, AttemptContext};
-use lw_place::{CacheScope, Ended, Placement, PlacementRequest, Refusal, UpstreamPool};
+use lw_place::{Ended, Placement};
 use lw_platform::headers;
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
@@ -31,10 +31,6 @@
 /// Time between two attempts of a request to take over from a silent upstream. Several VMs report the same upstream, and those
 /// that refuse now may accept a moment later.
 const TAKEOVER_PERIOD: Duration = Duration::from_millis(500);
-/// Time before the bound on stale weights ends from which on requests are placed on engines with the new weights only.
-/// A request may wait in its engine's queue for most of it.
-const STALE_WEIGHTS_MARGIN: Duration = Duration::from_secs(2);
-
 /// Forwards a request and returns the answer for the caller.
 pub(super) async fn run(edge: &Arc<Edge>, call: Arc<Call>, record: RequestRecord) -> Answer {
     let mut driver = Driver::new(edge, &call, record);
@@ -62,7 +58,7 @@
 
 /// What an attempt is made for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Purpose {
+pub(super) enum Purpose {
     /// The request has no other attempt in flight.
     Serve,
     /// Another attempt is in flight, whose upstream is silent. It is left only for an upstream that answers.
@@ -71,21 +67,6 @@
     Return,
 }
 
-/// The requests with which an attempt shares cached segments, as the configuration in force says.
-#[derive(Debug)]
-pub(super) struct ScopeInForce {
-    pub cache_scope: CacheScope,
-    /// Version of that configuration.
-    pub config: ConfigVersion,
-}
-
-/// Where an attempt is sent.
-#[derive(Debug)]
-pub(super) struct Placed {
-    pub placement: Placement,
-    pub scope: ScopeInForce,
-}
-
 /// Makes the attempts of one request, within the route's limit on attempts and the service's retry budget.
 #[derive(Debug)]
 pub(super) struct Driver {
@@ -93,7 +74,7 @@
     pub call: Arc<Call>,
     pub record: RequestRecord,
     /// Upstreams of all attempts so far.
-    tried: Vec<UpstreamId>,
+    pub tried: Vec<UpstreamId>,
     /// Attempts that may have reached their upstreams.
     attempts_sent: u32,
     /// Whether the next attempt has been charged to the retry budget already.
@@ -105,7 +86,7 @@
     /// When another attempt may next be made to take over from a silent upstream.
     takeover_at: Now,
     /// Upstreams whose attempts were given up since they were silent, the last one at the end.
-    left: Vec<UpstreamId>,
+    pub left: Vec<UpstreamId>,
 }
 
 impl Driver {
@@ -268,35 +249,8 @@
         Ok(Attempt::begin(&self.edge, &self.call, placed, self.tried.len()))
     }
 
-    /// Selects the upstream of the next attempt and waits until the upstream's limit allows it.
-    async fn place_in_turn(&self, purpose: Purpose) -> Result<Placed, Failure> {
-        loop {
-            self.check_quarantine(purpose)?;
-            let placed = self.place(purpose)?;
-            let upstream = &placed.placement.upstream.id;
-            let now = self.edge.timer.now();
-            let reserve = |pool: &mut UpstreamPool| pool.reserve_turn(now, upstream);
-            let turn = self.edge.with_upstream_pool(&self.call.service, reserve).flatten();
-            let Some(turn) = turn else { return Ok(placed) };
-            tokio::time::sleep(turn.at.saturating_sub(now)).await;
-            let now = self.edge.timer.now();
-            let may_send = |pool: &mut UpstreamPool| pool.may_send_in_turn(now, upstream, turn);
-            // A workspace may have become isolated during the wait.
-            let is_scope_valid = self.scope_in_force().cache_scope == placed.scope.cache_scope;
-            if is_scope_valid
-                && self.edge.with_upstream_pool(&self.call.service, may_send) == Some(true)
-            {
-                self.check_quarantine(purpose)?;
-                return Ok(placed);
-            }
-            if now >= self.call.due {
-                return Err(self.refusal("no upstream's limit allowed it in time"));
-            }
-        }
-    }
-
     /// Refuses a request that crashes upstreams.
-    fn check_quarantine(&self, purpose: Purpose) -> Result<(), Failure> {
+    pub fn check_quarantine(&self, purpose: Purpose) -> Result<(), Failure> {
         let now = self.edge.timer.now_including_suspend();
         let time_left = self.edge.quarantine.time_left(now, &self.call.segments);
         let Some(time_left) = time_left else { return self.check_suspicion(purpose) };
@@ -367,72 +321,9 @@
         Ok(())
     }
 
-    /// Returns with which requests an attempt that is placed now shares cached segments. A workspace that was isolated when its
-    /// request was accepted stays so for this request.
-    fn scope_in_force(&self) -> ScopeInForce {
-        let catalog = self.edge.store_view().catalog();
-        let is_isolated = |name: &str| catalog.as_ref().is_some_and(|c| c.is_isolated(name));
-        let workspace = self.call.workspace.as_deref();
-        let isolated = workspace.filter(|w| w.is_isolated || is_isolated(&w.name));
-        let cache_scope = match isolated {
-            Some(workspace) => CacheScope::Isolated(workspace.name.clone()),
-            None => CacheScope::Shared {
-                isolated_set: catalog.as_ref().map_or(0, |catalog| catalog.isolated_set()),
-            },
-        };
-        ScopeInForce { cache_scope, config: catalog.map_or(self.call.config, |c| c.version) }
-    }
-
-    /// Selects the upstream of the next attempt.
-    fn place(&self, purpose: Purpose) -> Result<Placed, Failure> {
-        let now = self.edge.timer.now();
-        let scope = self.scope_in_force();
-        let target = self.call.arrived + self.call.route.target_latency;
-        let request = PlacementRequest {
-            prompt: self.call.prompt.as_ref(),
-            cache_scope: &scope.cache_scope,
-            request_hash: self.call.id_hash,
-            tried: &self.tried,
-            returns_to: match purpose {
-                Purpose::Serve | Purpose::TakeOver => None,
-                Purpose::Return => self.left.last().map(String::as_str),
-            },
-            peers: self.edge.store_view().vms_max().saturating_sub(1),
-            time_left: self.call.due.saturating_sub(now),
-            time_to_target: target.saturating_sub(now),
-            max_wait: self.call.route.max_wait(),
-            suspended: self.edge.timer.now_including_suspend().saturating_sub(now),
-            stale_weights_time: self.edge.bounds().version.saturating_sub(STALE_WEIGHTS_MARGIN),
-        };
-        let place = |pool: &mut UpstreamPool| match (purpose, pool.place(now, &request)) {
-            (Purpose::Serve | Purpose::Return, Err(Refusal::Limited(time))) => {
-                pool.record_unserved(now);
-                Err(Refusal::Limited(time))
-            }
-            // An upstream that failed is selected only if all others did too.
-            (Purpose::TakeOver, Ok(placed)) if pool.is_deprioritized(now, &placed.upstream.id) => {
-                Err(Refusal::NoneUsable)
-            }
-            (_, placed) => placed,
-        };
-        let placed = self.edge.with_upstream_pool(&self.call.service, place);
-        let placed = placed.ok_or_else(|| self.refusal("the service is not known"))?;
-        let placement = placed.map_err(|e| match e {
-            Refusal::WaitTooLong(wait) => {
-                let time = admit::retry_after(&self.edge, &self.call, wait);
-                self.refusal(&e.to_string()).retry_after(time)
-            }
-            Refusal::BackingOff(time) | Refusal::Limited(time) => {
-                self.refusal(&e.to_string()).retry_after(time)
-            }
-            Refusal::NoneReady | Refusal::NoneUsable => self.refusal(&e.to_string()),
-        })?;
-        Ok(Placed { placement, scope })
-    }
-
     /// Returns the failure of a request that gets no further attempt. Its code says "not run" only if no attempt may
     /// have run.
-    fn refusal(&self, why: &str) -> Failure {
+    pub fn refusal(&self, why: &str) -> Failure {
         if self.may_have_run {
             return Failure::new(ResultCode::OutcomeUnknown, why);
         }
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -22,6 +22,7 @@
 mod admit;
 mod attempt;
 mod forward;
+mod place;
 mod quota;
 mod record;
 mod relay;
