--- a/crates/lw-edge/tests/isolation.rs
+++ b/crates/lw-edge/tests/isolation.rs
@@ -112,6 +112,31 @@
     assert_eq!(got, salt_in_force(&simulation, KEY).await);
 }
 
+/// Guards against a request that waits for the turn of a limited engine and is sent under the salt of before.
+#[tokio::test]
+async fn a_request_that_waits_for_its_turn_is_sent_under_the_isolation_in_force() {
+    let simulation = start().await;
+    simulation.engines.iter().for_each(|engine| engine.set_limit(Some("8")));
+    let requests: Vec<_> = (0..60).map(|n| request(&format!("turn-{n}"), "/long/x")).collect();
+    let replies = (0..).zip(&requests).map(async |(n, request)| {
+        tokio::time::sleep(ms(n * 20)).await;
+        simulation.send(request).await
+    });
+    let isolate = async {
+        tokio::time::sleep(ms(1_200)).await;
+        set_isolated(&simulation, 5, [false, true]).await;
+        Instant::now()
+    };
+    let (_, in_force) = tokio::join!(futures::future::join_all(replies), isolate);
+    let received = simulation.engines.iter().flat_map(Upstream::received);
+    let waited: Vec<_> = received.filter(|got| got.at > in_force + ms(20)).collect();
+    assert!(!waited.is_empty(), "no request waited for its turn across the change");
+    let shared = CacheScope::Shared { isolated_set: catalog(&simulation).isolated_set() };
+    for got in waited {
+        assert_eq!(salt_of(&got), salt(MODEL, 1, &shared));
+    }
+}
+
 /// Guards against a request of a workspace that has become isolated and still shares what others cached.
 #[tokio::test]
 async fn an_attempt_of_a_workspace_that_becomes_isolated_uses_its_own_salt() {
