--- a/crates/lw-standin/src/hosted/store.rs
+++ b/crates/lw-standin/src/hosted/store/mod.rs
@@ -1,7 +1,6 @@
 //! A stand-in for the platform's store: keys with revisions, leases, watches and conditional writes.
 
 use std::{
-    collections::{BTreeMap, HashMap},
     io,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -16,8 +15,10 @@
 
 use super::http::{Request, Server, Step, answer, chunked_head, serve};
 
-/// Number of changes that are retained for watches.
-const HISTORY_MAX: usize = 4096;
+mod state;
+
+use state::{State, item_json};
+
 /// Most items of one page, and most bytes of their values unless one item has more.
 const PAGE_ITEMS_MAX: usize = 500;
 const PAGE_BYTES_MAX: usize = 1 << 20;
@@ -55,30 +56,6 @@
 /// Delay of answers in [`StoreMode::DelayedWriteAnswers`] and [`StoreMode::DelayedAnswers`].
 pub const ANSWER_DELAY: Duration = Duration::from_millis(400);
 
-#[derive(Debug, Clone)]
-struct Item {
-    value: Vec<u8>,
-    revision: u64,
-    created: u64,
-    lease: u64,
-}
-
-#[derive(Debug, Clone, Default)]
-struct State {
-    mode: StoreMode,
-    /// Number of returns from an older copy.
-    era: u64,
-    revision: u64,
-    items: BTreeMap<String, Item>,
-    leases: HashMap<u64, (Instant, Duration)>,
-    history: Vec<(u64, Value)>,
-    /// Revision up to which the history was removed.
-    compacted: u64,
-    calls: u64,
-    /// How often the waiting watches were cut.
-    cuts: u64,
-}
-
 #[derive(Debug, Default)]
 struct Shared {
     state: Mutex<State>,
@@ -296,58 +273,6 @@
     }
 }
 
-impl State {
-    fn write(&mut self, key: &str, value: Vec<u8>, lease: u64) {
-        self.revision += 1;
-        let revision = self.revision;
-        let created = self.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value, revision, created, lease };
-        self.record_change(item_json(key, &item));
-        self.items.insert(key.to_owned(), item);
-    }
-
-    fn remove(&mut self, key: &str) {
-        if self.items.remove(key).is_some() {
-            self.revision += 1;
-            let revision = self.revision;
-            self.record_change(json!({ "Key": key, "Revision": revision, "Removed": true }));
-        }
-    }
-
-    fn record_change(&mut self, event: Value) {
-        self.history.push((self.revision, event));
-        if self.history.len() > HISTORY_MAX {
-            let (dropped, _) = self.history.remove(0);
-            self.compacted = dropped;
-        }
-    }
-
-    fn end_lease(&mut self, id: u64) {
-        self.leases.remove(&id);
-        let keys: Vec<_> =
-            self.items.iter().filter(|(_, i)| i.lease == id).map(|(k, _)| k.clone()).collect();
-        for key in keys {
-            self.remove(&key);
-        }
-    }
-
-    fn events_after(&self, prefix: &str, after: u64) -> Vec<Value> {
-        let has_prefix = |event: &Value| event["Key"].as_str().unwrap_or("").starts_with(prefix);
-        let newer = self.history.iter().filter(|(revision, _)| *revision > after);
-        newer.filter(|(_, event)| has_prefix(event)).map(|(_, event)| event.clone()).collect()
-    }
-}
-
-fn item_json(key: &str, item: &Item) -> Value {
-    json!({
-        "Key": key,
-        "Value": STANDARD.encode(&item.value),
-        "Revision": item.revision,
-        "Created": item.created,
-        "Lease": item.lease,
-    })
-}
-
 fn json_answer(status: u16, body: &Value) -> Vec<Step> {
     answer(status, &[("content-type", "application/json")], body.to_string().as_bytes())
 }
