lw-soak: the share of changes beside a cut is stated as it is

The comment said half; three in four of the changes come beside a cut of the watches. The mask of the seed has a name. The events of a seed are the same.

--- a/crates/lw-soak/src/schedule/departures.rs
+++ b/crates/lw-soak/src/schedule/departures.rs
@@ -9,10 +9,13 @@
 /// Time between the cut of the watches and the change, in milliseconds.
 const CUT_MS: std::ops::Range<u64> = 0..150;
 
-/// Returns the changes of a run, half of them around a cut of the watches. They have random numbers of their own, so that the
+/// Distinguishes the seed of these random numbers from those of the other events.
+const SEED_MASK: u64 = 0xdead;
+
+/// Returns the changes of a run, three in four of them beside a cut of the watches. They have random numbers of their own, so that the
 /// other events of a seed stay as they are.
 pub(super) fn draw_departures(options: &Options) -> Vec<Event> {
-    let mut rng = fastrand::Rng::with_seed(options.seed ^ 0xdead);
+    let mut rng = fastrand::Rng::with_seed(options.seed ^ SEED_MASK);
     let upstreams = options.engines + options.servers;
     let mut events = Vec::new();
     let mut at = Duration::ZERO;
