lw-edge: a stop accounts for its requests, and cut ones are logged as such

Callers whose request was still in flight when a VM's process ended saw their connection close. The log named them as `caller left`, at level info, which is left out first when many lines are written; the last line of the process named only how many were in flight.

--- /dev/null
+++ b/crates/lw-daemon/tests/stops.rs
@@ -0,0 +1,119 @@
+//! Guards against requests that are lost around a planned stop of a VM's process, and against stops whose log does not tell what
+//! became of them.
+
+use std::{fs, path::PathBuf, time::Duration};
+
+use lw_standin::hosted::{
+    caller::{Caller, CallerRequest, request},
+    upstream::{Behaviour, Upstream},
+};
+use tokio::time::sleep;
+
+mod platform;
+
+use platform::{Deployment, SERVICE, start};
+
+/// `GraceS` of the settings: time from SIGTERM to the kill.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// A VM whose plain service is a stand-in.
+struct Simulation {
+    deployment: Deployment,
+    service: Upstream,
+    dir: PathBuf,
+}
+
+impl Simulation {
+    async fn start(name: &str, number: usize) -> Self {
+        let dir = std::env::temp_dir().join(format!("lw-stops-{name}-{}", std::process::id()));
+        fs::create_dir_all(&dir).expect("directory is created");
+        let service = Upstream::start(SERVICE).await.expect("service starts");
+        let deployment = start(&dir, number, service.addr()).await;
+        Self { deployment, service, dir }
+    }
+
+    /// Sends SIGTERM and waits until the process has ended, or kills it at the end of its grace. Returns whether it ended by
+    /// itself.
+    async fn stop(&self) -> bool {
+        self.deployment.vm.drain(GRACE).await.expect("process is stopped")
+    }
+
+    fn log(&self) -> String {
+        fs::read_to_string(&self.deployment.vm.log).expect("log is read")
+    }
+
+    /// Returns the log lines that name a request.
+    fn lines_of(&self, id: &str) -> String {
+        let id = format!("request={id} ");
+        self.log().lines().filter(|line| line.contains(&id)).collect::<Vec<_>>().join("\n")
+    }
+
+    async fn connect(&self) -> Caller {
+        Caller::connect(self.deployment.vm.place.callers).await.expect("connection")
+    }
+}
+
+impl Drop for Simulation {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            fs::remove_dir_all(&self.dir).expect("logs are removed");
+        }
+    }
+}
+
+/// Returns a request whose body takes until after the end of a process that stops.
+fn long_request(id: &str) -> CallerRequest {
+    CallerRequest { deadline_ms: 12_000, body: vec![b'x'; 100], ..request(id, "/book/x") }
+}
+
+/// Sends a request whose body arrives one byte after the other, until the connection has ended for a while.
+async fn send_slowly(mut caller: Caller, req: &CallerRequest) {
+    let bytes = req.bytes();
+    let (head, body) = bytes.split_at(bytes.len() - req.body.len());
+    caller.send_bytes(head).await;
+    for byte in body {
+        caller.send_bytes(&[*byte]).await;
+        sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// Guards against requests that the end of the process cuts and that the log attributes to callers who left.
+#[tokio::test]
+async fn requests_cut_by_the_end_of_the_process_are_not_logged_as_left_by_their_callers() {
+    let simulation = Simulation::start("cut", 1).await;
+    simulation.service.set_behaviour(Behaviour::NoAnswer);
+    let mut left = simulation.connect().await;
+    left.send(&long_request("left")).await;
+    let cut = tokio::spawn({
+        let caller = simulation.connect().await;
+        async move { send_slowly(caller, &long_request("cut")).await }
+    });
+    sleep(Duration::from_millis(100)).await;
+    let leave = async {
+        sleep(Duration::from_millis(300)).await;
+        drop(left);
+    };
+    let (has_ended, ()) = tokio::join!(simulation.stop(), leave);
+    cut.abort();
+    assert!(has_ended);
+    let lines = simulation.lines_of("cut");
+    assert!(!lines.contains("caller left"), "{lines}");
+    assert!(lines.contains("WARN"), "{}", simulation.log());
+    let lines = simulation.lines_of("left");
+    assert!(lines.contains("WARN") && lines.contains("caller left"), "{}", simulation.log());
+}
+
+/// Guards against a stop whose log does not tell how the requests of that time ended.
+#[tokio::test]
+async fn a_stop_is_logged_with_the_ends_of_its_requests() {
+    let simulation = Simulation::start("account", 2).await;
+    simulation.service.set_behaviour(Behaviour::Slow(Duration::from_millis(400)));
+    let mut caller = simulation.connect().await;
+    caller.send(&request("answered", "/look/x")).await;
+    sleep(Duration::from_millis(100)).await;
+    let (has_ended, answer) = tokio::join!(simulation.stop(), caller.read_answer());
+    assert!(has_ended && answer.is_some_and(|answer| answer.is_complete));
+    let log = simulation.log();
+    let line = log.lines().find(|line| line.contains("run: ended")).expect("the end is logged");
+    assert!(line.contains("taken=0 ends=\"ok 1\""), "{line}");
+}
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use derive_more::{Display, Error};
+use log::Level;
 use lw_catalog::VmSettings;
 use lw_forward::listen::{self, Connections};
 use lw_observe::logs::Logs;
@@ -256,7 +257,18 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
     }
-    log::info!(target: "run", in_flight = edge.in_flight(); "ended");
+    edge.give_up(GivenUp::Everything);
+    log_end(edge, connections);
+}
+
+/// Logs what became of the requests since the VM began to leave. Those that are in flight now are cut, and each is logged as the
+/// process ends.
+fn log_end(edge: &Edge, connections: &Connections) {
+    let open = connections.open_count();
+    let level = if open > 0 { Level::Warn } else { Level::Info };
+    log::log!(target: "run", level, in_flight = edge.in_flight(), open = open,
+        failed = connections.failed_count(), taken = edge.stop_account.taken(),
+        ends = edge.stop_account.to_string(); "ended");
 }
 
 /// Closes idle connections from when `may_close` holds, and waits until all are closed, at most until `end`. Returns
--- a/crates/lw-edge/src/serve/record.rs
+++ b/crates/lw-edge/src/serve/record.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use log::Level;
 use lw_catalog::RouteKind;
 use lw_observe::{
     logs::millis,
@@ -12,7 +13,8 @@
 
 use crate::state::Edge;
 
-/// Collects what is logged and counted about one request when it ends. If it is dropped before, the caller has left.
+/// Collects what is logged and counted about one request when it ends. If it is dropped before, the caller has left, or the
+/// process ends.
 #[derive(Debug)]
 pub(super) struct RequestRecord {
     edge: Arc<Edge>,
@@ -115,9 +117,24 @@
 
     fn count_outcome(&mut self, code: ResultCode) {
         self.is_ended = true;
+        self.count(code.name());
+    }
+
+    fn count(&self, outcome: &'static str) {
         let RequestLabels { workspace, class } = self.labels.clone();
-        let labels = OutcomeLabels { workspace, class, code: code.name() };
+        let labels = OutcomeLabels { workspace, class, code: outcome };
         self.edge.metrics.requests.get_or_create(&labels).inc();
+        if self.edge.is_leaving() {
+            self.edge.stop_account.record_end(outcome);
+        }
+    }
+
+    /// Logs that the request ended without an answer, for the reason that `what` states.
+    fn log_unanswered(&self, level: Level, what: &str) {
+        log::log!(target: "http", level, request = self.request.as_str(),
+            attempts = self.attempts, ms = millis(self.age()),
+            has_begun = self.first_byte.is_some(), class = self.labels.class,
+            workspace = self.labels.workspace.as_str(); "{what}");
     }
 }
 
@@ -126,11 +143,14 @@
         if self.is_ended {
             return;
         }
-        let RequestLabels { workspace, class } = self.labels.clone();
-        let labels = OutcomeLabels { workspace, class, code: "caller_left" };
-        self.edge.metrics.requests.get_or_create(&labels).inc();
-        log::info!(target: "http", request = self.request.as_str(), attempts = self.attempts,
-            ms = millis(self.age()), class = class,
-            workspace = self.labels.workspace.as_str(); "caller left");
+        if self.edge.is_ending() {
+            self.count("cut");
+            self.log_unanswered(Level::Warn, "request cut by the end of the process");
+            return;
+        }
+        self.count("caller_left");
+        // Around a stop, lines that tell a caller that left from a request that was lost must not be left out.
+        let level = if self.edge.is_leaving() { Level::Warn } else { Level::Info };
+        self.log_unanswered(level, "caller left");
     }
 }
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -37,8 +37,10 @@
 use tokio::sync::{Notify, broadcast, watch};
 
 pub mod keys;
+mod stop;
 mod store_view;
 
+pub use stop::StopAccount;
 pub use store_view::{RouterItem, StoreView, TargetVersion};
 
 use crate::{
@@ -78,6 +80,8 @@
     Unanswered,
     /// Streams that have begun as well.
     Streams,
+    /// All that is left, since the process ends now.
+    Everything,
 }
 
 /// State that all requests and tasks of a VM share.
@@ -129,6 +133,8 @@
     /// Wakes the requests that are in flight at an upstream that has become unresponsive.
     unresponsive: broadcast::Sender<UpstreamId>,
     leaving_since: OnceLock<Now>,
+    /// How requests ended since this VM is leaving.
+    pub stop_account: StopAccount,
     /// What is given up, since the process is about to end.
     given_up: watch::Sender<GivenUp>,
     in_flight: AtomicUsize,
@@ -201,6 +207,7 @@
             unresponsive: broadcast::Sender::new(UNRESPONSIVE_PENDING_MAX),
             given_up: watch::Sender::new(GivenUp::Nothing),
             leaving_since: OnceLock::new(),
+            stop_account: StopAccount::default(),
             bounds: Mutex::new(settings.bounds),
             in_flight: AtomicUsize::new(0),
             settings,
@@ -456,9 +463,18 @@
         self.given_up.subscribe()
     }
 
+    /// Whether the process ends now, so that whatever is still in flight is cut.
+    #[must_use]
+    pub fn is_ending(&self) -> bool {
+        *self.given_up.borrow() >= GivenUp::Everything
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     #[must_use]
     pub fn track_request(self: &Arc<Self>) -> InFlightGuard {
+        if self.is_leaving() {
+            self.stop_account.record_taken();
+        }
         self.in_flight.fetch_add(1, Ordering::AcqRel);
         InFlightGuard(Arc::clone(self))
     }
--- a/crates/lw-forward/src/listen/mod.rs
+++ b/crates/lw-forward/src/listen/mod.rs
@@ -73,6 +73,7 @@
 #[derive(Debug, Clone)]
 pub struct Connections {
     open_count: Arc<AtomicUsize>,
+    failed_count: Arc<AtomicU64>,
     closed_counts: Arc<ClosedCounts>,
     callers: Arc<Callers>,
     readers: Arc<SlowReaders>,
@@ -92,6 +93,7 @@
         let unlimited = Shares::of_total(usize::MAX);
         Self {
             open_count: Arc::default(),
+            failed_count: Arc::default(),
             closed_counts,
             callers: Callers::new(CallerMemory::new(unlimited)),
             readers: SlowReaders::new(None),
@@ -113,6 +115,12 @@
         self.open_count.load(Ordering::Acquire)
     }
 
+    /// Number of connections so far that ended with an error: the caller reset them, or an answer was broken off.
+    #[must_use]
+    pub fn failed_count(&self) -> u64 {
+        self.failed_count.load(Ordering::Relaxed)
+    }
+
     /// Admits a new connection, if there is a place and memory for it, or others are about to leave theirs.
     fn admit(&self, connections_max: usize) -> Option<Account> {
         let open_count = self.open_count();
@@ -267,6 +275,7 @@
         let time = options.unread_max;
         log::warn!("http: closed the connection of {peer}: it read nothing for {time:?}");
     } else if let Err(e) = result {
+        connections.failed_count.fetch_add(1, Ordering::Relaxed);
         log::debug!("http: connection of a caller failed: {e}");
     }
 }
