lw-edge: a VM that notices the signal to terminate late counts from when it may have been sent

Callers saw their connection end without an answer: a VM took their requests more than 3 s after the signal, passed them on, and was killed while the upstream worked on them. A VM takes requests for 0.3 of the grace and counted from when it handled the signal. A process that stood still meanwhile (stopped, or without processor time) handled it late by as much, and so took requests for longer than it lives.

The kernel does not say when a signal was sent. The VM now notes each 0.1 s that it runs, and counts from the last time but one before it handles the signal, by the clock that counts suspended time. The end of the drain still counts from when the signal was handled, so that nothing is cut sooner than before. `leaving` logs by how much it may be late.

Evidence: with the process stopped for 1.2 s from just before the signal, a request that is sent 3.2 s after the signal was taken, reached its service and got no answer (panicked: an answer). It is now answered 503 with a time to come back, and its service does not get it. The users' record shows a VM that handled the signal less than 0.5 s late, so this is not shown to be its cause.

--- a/crates/lw-daemon/tests/stops.rs
+++ b/crates/lw-daemon/tests/stops.rs
@@ -51,6 +51,11 @@
     async fn connect(&self) -> Caller {
         Caller::connect(self.deployment.vm.place.callers).await.expect("connection")
     }
+
+    fn is_received(&self, id: &str) -> bool {
+        let received = self.service.received();
+        received.iter().any(|got| got.request.header("x-attempt-id") == Some(id))
+    }
 }
 
 impl Drop for Simulation {
@@ -117,3 +122,32 @@
     let line = log.lines().find(|line| line.contains("run: ended")).expect("the end is logged");
     assert!(line.contains("taken=0 ends=\"ok 1\""), "{line}");
 }
+
+/// Guards against a VM that stood still when the signal to terminate came, counts the time since it noticed it, and takes
+/// requests that the kill cuts although their callers sent them more than 3 s after the signal.
+#[tokio::test]
+async fn a_vm_that_stood_still_at_the_signal_takes_no_requests_that_the_kill_cuts() {
+    let simulation = Simulation::start("late", 4).await;
+    simulation.service.set_behaviour(Behaviour::Slow(Duration::from_millis(5_500)));
+    // The process does not end before this one is answered.
+    let mut early = simulation.connect().await;
+    early.send(&CallerRequest { deadline_ms: 6_000, ..request("early", "/look/x") }).await;
+    sleep(Duration::from_millis(200)).await;
+    let vm = &simulation.deployment.vm;
+    let pid = vm.suspend().await.expect("process is stopped");
+    let callers = async {
+        sleep(Duration::from_millis(1_200)).await;
+        vm.resume(pid).await.expect("process goes on");
+        // Later than the time from the signal for which a request may be cut, and sooner than that from when it was noticed.
+        sleep(Duration::from_secs(2)).await;
+        let mut caller = simulation.connect().await;
+        let req = CallerRequest { deadline_ms: 6_000, ..request("late", "/look/x") };
+        caller.send(&req).await;
+        caller.read_answer().await
+    };
+    let (_, answer) = tokio::join!(simulation.stop(), callers);
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, answer.is_complete), (503, true), "{}", answer.head);
+    assert!(answer.header("retry-after").is_some(), "{}", answer.head);
+    assert!(!simulation.is_received("late"));
+}
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -6,7 +6,7 @@
 use log::Level;
 use lw_catalog::VmSettings;
 use lw_forward::listen::{self, Connections};
-use lw_observe::logs::Logs;
+use lw_observe::logs::{Logs, millis};
 use lw_types::prelude::*;
 use tokio::{
     net::TcpListener,
@@ -26,6 +26,8 @@
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// Longest time until the callers of these requests have their answers.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+/// Interval at which a VM notes that it runs. A signal that it handles was sent after the last time but one.
+const ACTIVITY_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two checks of the open connections during a drain.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Limits of connections until the first configuration is received, and of connections that are not from callers.
@@ -67,13 +69,19 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
     let vm = Vm::start(settings, logs).await?;
+    let timer = vm.edge.timer;
+    let mut ticks = timer.subscribe(ACTIVITY_PERIOD);
+    // The last two ticks. A process that stood still may handle the tick that it missed before the signal.
+    let mut active_at = [timer.now_including_suspend(); 2];
     loop {
         tokio::select! {
+            biased;
             _ = terminate.recv() => break,
             _ = hangup.recv() => reconfigure(&vm.edge, reload()),
+            _ = ticks.tick() => active_at = [active_at[1], timer.now_including_suspend()],
         }
     }
-    vm.leave().await;
+    vm.leave_since(active_at[0]).await;
     Ok(())
 }
 
@@ -141,7 +149,13 @@
     /// Drains the VM: serves requests until the balancer sends no more, then returns when all connections are closed or
     /// the time until the kill is nearly over.
     pub async fn leave(self) {
-        drain(&self.edge, &self.connections).await;
+        let now = self.edge.timer.now_including_suspend();
+        self.leave_since(now).await;
+    }
+
+    /// Drains the VM, likewise. The signal to terminate was sent at `since` or later, by the clock that counts suspended time.
+    async fn leave_since(self, since: Now) {
+        drain(&self.edge, &self.connections, since).await;
     }
 }
 
@@ -242,10 +256,11 @@
     }
 }
 
-async fn drain(edge: &Arc<Edge>, connections: &Connections) {
+async fn drain(edge: &Arc<Edge>, connections: &Connections, since: Now) {
     let started = edge.timer.now();
-    edge.mark_leaving();
-    log::info!(target: "run", in_flight = edge.in_flight(); "leaving");
+    edge.mark_leaving(since);
+    let late = edge.timer.now_including_suspend().saturating_sub(since);
+    log::info!(target: "run", in_flight = edge.in_flight(), late_max_ms = millis(late); "leaving");
     tokio::join!(Box::pin(orders::hand_over(edge)), Box::pin(quota::leave(edge)));
     let time_max = edge.bounds().grace.saturating_sub(KILL_MARGIN);
     let refuses = || edge.is_refusing_requests();
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -132,6 +132,7 @@
     era_changed: Notify,
     /// Wakes the requests that are in flight at an upstream that has become unresponsive.
     unresponsive: broadcast::Sender<UpstreamId>,
+    /// Earliest time at which the signal to terminate may have been sent, by the clock that counts suspended time.
     leaving_since: OnceLock<Now>,
     /// How requests ended since this VM is leaving.
     pub stop_account: StopAccount,
@@ -438,12 +439,13 @@
     #[must_use]
     pub fn is_refusing_requests(&self) -> bool {
         let last = self.bounds().grace.mul_f64(ACCEPTING_FRACTION);
-        self.leaving_since.get().is_some_and(|since| self.timer.now() >= *since + last)
+        let now = self.timer.now_including_suspend();
+        self.leaving_since.get().is_some_and(|since| now >= *since + last)
     }
 
-    /// Marks this VM as leaving from now on.
-    pub fn mark_leaving(&self) {
-        self.leaving_since.get_or_init(|| self.timer.now());
+    /// Marks this VM as leaving. The signal to terminate was sent at `since` or later, by the clock that counts suspended time.
+    pub fn mark_leaving(&self, since: Now) {
+        self.leaving_since.get_or_init(|| since);
     }
 
     /// Gives requests up, since the process is about to end.
