lw-edge: a request whose body outlasts its VM is refused instead of cut

Callers whose body was still arriving when a VM's process ended saw their connection close without an answer, up to 7.5 s after the signal to terminate, and could not tell whether to send it again. Requests without an answer are given up 0.7 s before the kill, but the wait for the rest of a body was not part of that: only requests that had been read were.

The read of a body now ends with the same event. The request has not run, so the answer is 503 with a time to come back.

Evidence: a body that arrives one byte each 0.3 s beside a stop of the real process; before, the connection ended (panicked: an answer), now 503 (lw-daemon/tests/stops.rs).

--- a/crates/lw-daemon/tests/stops.rs
+++ b/crates/lw-daemon/tests/stops.rs
@@ -7,7 +7,7 @@
     caller::{Caller, CallerRequest, request},
     upstream::{Behaviour, Upstream},
 };
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 mod platform;
 
@@ -123,6 +123,37 @@
     assert!(line.contains("taken=0 ends=\"ok 1\""), "{line}");
 }
 
+/// Guards against requests that are closed without an answer since their bodies were still arriving when the process ended.
+#[tokio::test]
+async fn a_request_whose_body_outlasts_its_vm_is_refused_and_not_cut() {
+    let simulation = Simulation::start("body", 3).await;
+    let mut caller = simulation.connect().await;
+    let req = long_request("arriving");
+    let bytes = req.bytes();
+    let exchange = async {
+        let (head, body) = bytes.split_at(bytes.len() - req.body.len());
+        caller.send_bytes(head).await;
+        for byte in body {
+            caller.send_bytes(&[*byte]).await;
+            let answer = timeout(Duration::from_millis(300), caller.read_answer()).await;
+            if let Ok(answer) = answer {
+                return answer;
+            }
+        }
+        None
+    };
+    let stop = async {
+        sleep(Duration::from_millis(100)).await;
+        simulation.stop().await
+    };
+    let (answer, has_ended) = tokio::join!(exchange, stop);
+    assert!(has_ended);
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, answer.is_complete), (503, true), "{}", answer.head);
+    assert!(answer.header("retry-after").is_some(), "{}", answer.head);
+    assert!(!simulation.is_received("arriving"));
+}
+
 /// Guards against a VM that stood still when the signal to terminate came, counts the time since it noticed it, and takes
 /// requests that the kill cuts although their callers sent them more than 3 s after the signal.
 #[tokio::test]
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -15,7 +15,7 @@
 use crate::{
     answer::{self, Answer},
     intake,
-    state::{Edge, InFlightGuard},
+    state::{Edge, GivenUp, InFlightGuard},
 };
 use record::RequestRecord;
 
@@ -120,8 +120,7 @@
     record: &mut RequestRecord,
 ) -> Result<Call, Failure> {
     if edge.is_refusing_requests() {
-        let failure = Failure::new(ResultCode::Draining, "this VM is shutting down");
-        return Err(failure.retry_after(RETRY_AFTER_LEAVING));
+        return Err(leaving_failure());
     }
     let in_flight = edge.track_request();
     let arrived = edge.timer.now();
@@ -150,7 +149,10 @@
     };
     let intake = intake::Intake { caller: &caller, metrics: &edge.metrics, request: &head.request };
     let mut hold = intake.hold_head(&parts.headers)?;
-    let body = intake.read_body(body, limits).await?;
+    let body = tokio::select! {
+        body = intake.read_body(body, limits) => body?,
+        () = edge.wait_until_given_up(GivenUp::Unanswered) => return Err(leaving_failure()),
+    };
     let id_hash = xxhash_rust::xxh3::xxh3_64(head.request.as_bytes());
     let service = route.target(id_hash).ok_or_else(|| {
         Failure::new(ResultCode::NoUpstream, format!("route {} has no service", route.name))
@@ -185,6 +187,12 @@
     })
 }
 
+/// Returns the failure of a request that a leaving VM does not take.
+fn leaving_failure() -> Failure {
+    let failure = Failure::new(ResultCode::Draining, "this VM is shutting down");
+    failure.retry_after(RETRY_AFTER_LEAVING)
+}
+
 /// Returns the path and query of a request target, without a scheme and host that it may contain.
 fn target(uri: Uri) -> Uri {
     let path_and_query = uri.into_parts().path_and_query;
