lw-soak: a stream that comes late in a drain must not be cut

The check excused every stream that ended in the last sixth of a drain's grace, whenever it was sent.

--- a/crates/lw-soak/src/checks/streams.rs
+++ b/crates/lw-soak/src/checks/streams.rs
@@ -14,6 +14,8 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
 /// Fraction of the grace time after which a draining VM may end streams.
 const GRACE_FRACTION: f64 = 5.0 / 6.0;
+/// Time after SIGTERM from which on a VM must not take a stream that its end cuts.
+const TAKEN_TIME_MAX: Duration = Duration::from_secs(3);
 
 impl Trace {
     /// Returns a finding for each stream that ended before its deadline without a whole answer or a refusal, though nothing
@@ -48,7 +50,9 @@
                 Fault::Kill(vm) => vm == record.vm && overlaps(),
                 Fault::Drain(vm) => {
                     let ends_at = active.from + self.grace.mul_f64(GRACE_FRACTION);
-                    vm == record.vm && record.ended_at >= ends_at && overlaps()
+                    let is_due = record.sent_at <= active.from + TAKEN_TIME_MAX
+                        && record.ended_at >= ends_at;
+                    vm == record.vm && is_due && overlaps()
                 }
                 Fault::UpstreamPath(_, PathFault::Reset) => overlaps(),
                 _ => false,
--- a/crates/lw-soak/tests/streams.rs
+++ b/crates/lw-soak/tests/streams.rs
@@ -107,6 +107,7 @@
         ("its VM stood still", with_fault(Fault::Pause(0), 500, 1_500)),
         ("the machine stood still", with_fault(Fault::StallMachine, 500, 1_500)),
         ("its VM drains", with_fault(Fault::Drain(0), -1_000, 4_000)),
+        ("it was sent late in the drain of its VM", with_fault(Fault::Drain(0), -5_300, 2_200)),
         ("another VM was killed", with_fault(Fault::Kill(1), 500, 2_000)),
         ("a version was set", with_fault(Fault::RewriteConfig, 600, 600)),
         ("a path lost bytes", with_fault(Fault::UpstreamPath(0, PathFault::BlockBoth), 500, 2_000)),
@@ -116,6 +117,12 @@
     }
 }
 
+/// Returns a stream that is sent 2.9 s after its VM was told to end and cut 6.9 s after that.
+fn case_of_a_stop() -> Case {
+    let fault = Some((Fault::Drain(0), -2_900, 4_600));
+    Case { fault, ended_ms: 3_800, ..Case::default() }
+}
+
 /// Guards against findings that say nothing about the VMs.
 #[test]
 fn a_stream_that_ends_for_another_reason_is_not_found() {
@@ -130,7 +137,7 @@
         ("its engine failed", Case { status: 502, events: 0, ..Case::default() }),
         ("its engine broke off", Case { behaviour: Behaviour::ResetInEvent(2), ..Case::default() }),
         ("its VM was killed", with_fault(Fault::Kill(0), 1_900, 3_000)),
-        ("its VM came to the end of its grace", with_fault(Fault::Drain(0), -5_300, 2_200)),
+        ("its VM came to the end of its grace", case_of_a_stop()),
         ("a path was reset", with_fault(Fault::UpstreamPath(0, PathFault::Reset), 500, 2_000)),
     ];
     for (name, case) in cases {
