lw-edge: the test of broken streams uses prompts that are cheapest at different engines

Guards against a test that passes without the code that it tests: with one prompt, the two engines that were cheapest had the same version. With the choice of versions taken out, all six tests of lw-edge/tests/software.rs fail now (five did before).

--- a/crates/lw-edge/tests/software.rs
+++ b/crates/lw-edge/tests/software.rs
@@ -108,7 +108,10 @@
     for n in 0..STREAMS {
         let id = format!("broken-{n}");
         simulation.faults.push(Behaviour::ResetInEvent(RECEIVED));
-        let reply = simulation.send(&request(&id, "/long/x")).await.expect("an answer");
+        // Other prompts are cheapest at other engines.
+        let mut req = request(&id, "/long/x");
+        req.headers = req.headers.replace("a1:1000,b2", &format!("a{n}:1000,b{n}"));
+        let reply = simulation.send(&req).await.expect("an answer");
         assert!(reply.is_complete, "{}", reply.text());
         assert_eq!(simulation.run_count(&id), 2);
         assert_eq!(versions_of(&simulation, &[&id]).len(), 1, "{id}");
