lw-edge: VMs tell each other which version began a stream while its id does not tell

While slots move to another version, the id tells two candidates for 12 s, and only the VM that had relayed the first event remembered.

Evidence: streams_of_a_killed_vm_go_on_while_slots_move failed before with 503 and passes.

--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -31,8 +31,8 @@
 pub use limits::{LimitWire, TurnWire};
 pub(crate) use limits::{ask_for_turn, request as request_limits};
 pub use notice::{Message, Notice};
-pub use origin::OriginRequestWire;
-pub(crate) use origin::ask as ask_for_origin;
+pub use origin::{OriginRequestWire, OriginsWire};
+pub(crate) use origin::{ask as ask_for_origin, tell as tell_origins};
 pub(crate) use quota::{ask_for_grant, charge, return_grants};
 use route::Recipient;
 pub use speeds::SpeedsWire;
@@ -105,6 +105,7 @@
         Notice::Turn(turn) => return limits::accept_turn(edge, turn),
         Notice::Quota(notice) => return quota::apply(edge, notice),
         Notice::OriginRequest(request) => return origin::reply(edge, request),
+        Notice::Origins(origins) => return origin::apply(edge, origins),
         Notice::Origin { nonce, software } => return edge.software.on_reply(*nonce, software),
         Notice::SpeedsRequest { addr } => return speeds::reply(edge, *addr),
         Notice::Speeds(speeds) => return speeds::apply(edge, &message.vm, speeds),
@@ -149,6 +150,7 @@
             | Notice::Quota(_)
             | Notice::OriginRequest(_)
             | Notice::Origin { .. }
+            | Notice::Origins(_)
             | Notice::SpeedsRequest { .. }
             | Notice::Speeds(_)
             | Notice::VersionAgesRequest { .. }
--- a/crates/lw-edge/src/peers/notice.rs
+++ b/crates/lw-edge/src/peers/notice.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    DemandWire, LimitWire, OriginRequestWire, SentAttempt, SpeedsWire, TurnWire,
+    DemandWire, LimitWire, OriginRequestWire, OriginsWire, SentAttempt, SpeedsWire, TurnWire,
     suspicion::{SoundWire, SuspectWire},
 };
 use crate::quota::QuotaNotice;
@@ -154,6 +154,8 @@
         /// The version.
         software: SoftwareVersion,
     },
+    /// The software versions that began streams whose ids do not tell them.
+    Origins(OriginsWire),
     /// Demand for the engines of a service under pressure.
     Demand {
         /// Hash of the service's name.
--- a/crates/lw-edge/src/serve/software.rs
+++ b/crates/lw-edge/src/serve/software.rs
@@ -5,7 +5,7 @@
 use lw_types::prelude::*;
 
 use super::{RETRY_AFTER_UNREADY, forward::Driver};
-use crate::software::{self, OriginError, StreamId};
+use crate::software::{self, OriginError, Relayer, StreamId};
 
 impl Driver {
     /// Binds a request that resumes a stream to the version that began it.
@@ -45,13 +45,22 @@
         })
     }
 
-    /// Binds the stream to the version whose first bytes go to the caller now.
+    /// Binds the stream to the version whose first bytes go to the caller now. Other VMs are told if the id of the stream does not
+    /// tell its version.
     pub fn bind_to(&mut self, software: &str) {
-        if self.software.is_none() {
-            self.software = Some(software.to_owned());
+        if self.is_bound {
+            return;
+        }
+        self.is_bound = true;
+        self.software = Some(software.to_owned());
+        let (service, edge) = (&self.call.service, &self.edge);
+        let stream = StreamId::new(service, self.call.stream_hash());
+        let now = edge.timer.now_including_suspend();
+        if edge.software.remember(now, stream, software, Relayer::Own)
+            && software::is_mixed(edge, service)
+        {
+            edge.software.tell(stream, software);
         }
-        let stream = StreamId::new(&self.call.service, self.call.stream_hash());
-        self.edge.software.remember(stream, software);
     }
 }
 
--- a/crates/lw-edge/src/software/mod.rs
+++ b/crates/lw-edge/src/software/mod.rs
@@ -10,7 +10,7 @@
     },
 };
 
-use lw_place::software::{Capacities, History, Planner};
+use lw_place::software::{Capacities, History, Origin, Planner};
 use lw_types::prelude::*;
 use tokio::sync::oneshot;
 
@@ -21,7 +21,7 @@
 mod publish;
 mod wire;
 
-pub use memory::{Memory, StreamId};
+pub use memory::{Memory, Relayer, StreamId};
 pub(crate) use origin::{OriginError, find as find_origin};
 pub(crate) use publish::run;
 pub use wire::HistoryWire;
@@ -30,6 +30,8 @@
 #[derive(Debug, Default)]
 pub struct SoftwareVersions {
     memory: Mutex<Memory>,
+    /// Streams that other VMs are to be told of.
+    untold: Mutex<Vec<(StreamId, SoftwareVersion)>>,
     planners: Mutex<HashMap<String, Planner>>,
     /// Counts the changes of registered upstreams.
     changes: AtomicU64,
@@ -40,9 +42,14 @@
 }
 
 impl SoftwareVersions {
-    /// Remembers that a version began a stream of this VM.
-    pub fn remember(&self, stream: StreamId, software: &str) {
-        lock(&self.memory).insert(stream, software);
+    /// Remembers that a version began a stream. Returns whether that was not remembered before.
+    pub fn remember(&self, now: Now, stream: StreamId, software: &str, relayer: Relayer) -> bool {
+        lock(&self.memory).insert(now, stream, software, relayer)
+    }
+
+    /// Tells other VMs soon which version began a stream.
+    pub fn tell(&self, stream: StreamId, software: &str) {
+        lock(&self.untold).push((stream, software.to_owned()));
     }
 
     /// Returns the version that began a stream, if this VM remembers it.
@@ -101,6 +108,12 @@
     capacities.next().filter(|_| capacities.next().is_none())
 }
 
+/// Whether several versions may have begun the streams of a service that still go on.
+pub(crate) fn is_mixed(edge: &Edge, service: &str) -> bool {
+    let history = edge.store_view().software(service).cloned();
+    history.is_none_or(|history| history.only_version() == Origin::Ambiguous)
+}
+
 /// Whether engines of a version are ready for requests to a service.
 pub(crate) fn is_in_service(edge: &Edge, service: &str, software: &str) -> bool {
     edge.store_view().directory.ready_of(service).any(|upstream| upstream.software == software)
--- a/crates/lw-edge/src/software/publish.rs
+++ b/crates/lw-edge/src/software/publish.rs
@@ -7,7 +7,7 @@
 use lw_types::prelude::*;
 
 use super::{HistoryWire, capacities, key, lock};
-use crate::state::Edge;
+use crate::{peers, state::Edge};
 
 /// Time between two checks whether a history should change.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
@@ -31,6 +31,8 @@
     wanted_since: Option<Now>,
     /// No write before this time.
     paused_until: Now,
+    /// The last history that was read.
+    history: Option<Arc<History>>,
 }
 
 /// Writes changes of the histories until the process ends.
@@ -41,8 +43,11 @@
         ticks.tick().await;
         for (service, retention) in services(&edge) {
             let checked = checked.entry(service.clone()).or_default();
+            tell_moved_streams(&edge, &service, retention, checked);
             check(&edge, &service, retention, checked).await;
         }
+        let untold = std::mem::take(&mut *lock(&edge.software.untold));
+        peers::tell_origins(&edge, &untold);
     }
 }
 
@@ -57,6 +62,27 @@
     services.map(|(service, timeout)| (service.to_owned(), retention(timeout))).collect()
 }
 
+/// Tells other VMs of the streams of this VM whose ids do not tell their version any more, since their slots have moved.
+fn tell_moved_streams(edge: &Edge, service: &str, retention: Duration, checked: &mut Checked) {
+    let history = edge.store_view().software(service).cloned();
+    let is_same = match (&history, &checked.history) {
+        (Some(new), Some(old)) => Arc::ptr_eq(new, old) || new.current == old.current,
+        (new, _) => new.is_none(),
+    };
+    let former = std::mem::replace(&mut checked.history, history);
+    let Some(current) = checked.history.as_ref().filter(|_| !is_same) else { return };
+    let has_moved = |id: u64| {
+        let former = former.as_ref().map(|former| former.current.version(id));
+        former != Some(current.current.version(id))
+    };
+    let since = edge.timer.now_including_suspend().saturating_sub(retention);
+    let memory = lock(&edge.software.memory);
+    let streams = memory.own_since(service, since);
+    let moved = streams.filter(|(stream, _)| has_moved(stream.id));
+    let moved = moved.map(|(stream, software)| (stream, software.to_owned()));
+    lock(&edge.software.untold).extend(moved);
+}
+
 async fn check(edge: &Edge, service: &str, retention: Duration, checked: &mut Checked) {
     let now = edge.timer.now_including_suspend();
     let Some(state) = state(edge, service) else { return };
--- a/crates/lw-edge/tests/software.rs
+++ b/crates/lw-edge/tests/software.rs
@@ -213,3 +213,42 @@
     let reply = send(second.edge.settings.callers, &resumption("never", Some("begun"))).await;
     assert_refused(&reply.expect("an answer"), "origin_unknown");
 }
+
+/// Guards against streams that cannot go on after their VM was killed, since the slots of their ids had just moved.
+#[tokio::test]
+async fn streams_of_a_killed_vm_go_on_while_slots_move() {
+    let mut simulation = Simulation::start().await;
+    simulation.add_engines(4).await;
+    wait_until_settled(&simulation, 1).await;
+    let second = simulation.start_second().await;
+    // These begin before their slots move.
+    let mut begun = begin_streams(&simulation).await;
+    for engine in &simulation.engines[2..] {
+        register(&simulation, engine, "v2");
+    }
+    let is_moved = async |_: &Simulation| {
+        let history = second.edge.store_view().software("llm").cloned();
+        history.is_some_and(|history| history.current.versions().len() == 2)
+    };
+    simulation.wait_until("slots have moved", is_moved).await;
+    // Engines 3 and 4 have run some of them as v1, so that v1 is what began all of them.
+    for (_, version) in &mut begun {
+        *version = "v1".into();
+    }
+    for n in 0..STREAMS {
+        let id = format!("moving-{n}");
+        let reply = simulation.send(&request(&id, "/long/x")).await.expect("an answer");
+        assert!(reply.is_complete, "{}", reply.text());
+        let version = versions_of(&simulation, &[&id]).pop_first().expect("an engine ran it");
+        begun.push((id, version));
+    }
+    tokio::time::sleep(ms(300)).await;
+    drop(simulation.vm.take());
+    for (id, version) in &begun {
+        let again = format!("again-{id}");
+        let req = resumption(&again, Some(id));
+        let reply = send(second.edge.settings.callers, &req).await.expect("an answer");
+        assert_eq!((reply.status, reply.body), (200, rest()), "{id}: {}", reply.head);
+        assert_eq!(versions_of(&simulation, &[&again]), BTreeSet::from([version.clone()]), "{id}");
+    }
+}
