--- a/crates/lw-edge/src/peers/origin.rs
+++ b/crates/lw-edge/src/peers/origin.rs
@@ -15,7 +15,7 @@
 const DIRECT_VMS_MAX: usize = 32;
 
 /// VMs that are told of a stream. Several may be killed together with the one that relays it.
-const TOLD_VMS: usize = 8;
+const TOLD_VMS: usize = 4;
 /// Streams in one message, so that it fits into a datagram that is not fragmented.
 const STREAMS_MAX: usize = 40;
 
