lw-place: numbers of former assignments are not known across eras of the store

After the store had returned from an older copy, a VM that remembered a number from before could drop the entry which says that any version may have begun a stream after 4 s instead of 12 s, as a VM without memory gives the lost numbers out again. Streams that began in between could then be joined. The times at which entries were first seen are now forgotten with their era.

Found by reading. numbers_of_another_era_are_not_taken_for_known_ones failed before (an entry is dropped 4 s after it was written) and passes.

--- a/crates/lw-place/src/software/planner.rs
+++ b/crates/lw-place/src/software/planner.rs
@@ -74,6 +74,11 @@
 
     fn observe(&mut self, input: &PlannerInput<'_>) {
         let Some(stored) = input.stored.filter(|stored| stored.era == input.era) else { return };
+        // The store may have lost numbers of the former era, which are given out again.
+        if self.latest.as_ref().is_some_and(|latest| latest.era != stored.era) {
+            self.seen.clear();
+            self.changed = None;
+        }
         let numbers: BTreeSet<u64> = stored.former.iter().map(|former| former.number).collect();
         self.seen.retain(|number, _| numbers.contains(number));
         for number in numbers {
--- a/crates/lw-place/tests/software.rs
+++ b/crates/lw-place/tests/software.rs
@@ -236,3 +236,25 @@
     let next = planner.next(&later(14)).expect("the ambiguity has ended");
     assert_eq!(next.origin(7), Origin::Version("v1"));
 }
+
+/// Guards against a former assignment that is dropped too soon, since its number was given out before the store returned from
+/// an older copy.
+#[test]
+fn numbers_of_another_era_are_not_taken_for_known_ones() {
+    let capacities = capacities(&[("v1", 7)]);
+    let first = History::new(1, Assignment::new(&capacities).unwrap());
+    let mut planner = Planner::default();
+    let input = |secs, stored, era| PlannerInput {
+        now: Duration::from_secs(secs),
+        stored: Some(stored),
+        era,
+        capacities: &capacities,
+        retention: RETENTION,
+    };
+    assert_eq!(planner.next(&input(1, &first, 1)), None);
+    // Written by a VM that knows nothing of the former era.
+    let second = History { era: 2, ..first.clone() };
+    assert_eq!(planner.next(&input(10, &second, 2)), None);
+    assert_eq!(planner.next(&input(14, &second, 2)), None);
+    assert!(planner.next(&input(22, &second, 2)).is_some());
+}
