lw-edge: a request returns to the second upstream that was silent too

Callers got 502 although an engine would have served them: where their first engine was silent and the one that was to take over fell silent as well, the second attempt was closed and forgotten, but counted. When the first engine then refused the request late, no attempt was left. The upstream of the second attempt is now remembered like any other that was left, and the request returns to it when nobody else serves it.

The new test of lw-edge/tests/returns.rs plays that order and failed before with 502.

--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -212,7 +212,7 @@
                         return SendOutcome::Answer(answer);
                     }
                 }
-                Overlap::SecondSilent => {}
+                Overlap::SecondSilent => self.leave(&second.placement),
                 Overlap::TimeOver => {
                     self.leave(&sent.placement);
                     sent.give_up().await;
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -271,7 +271,10 @@
                 self.successor = Some(SentAttempt::answered(answer));
                 Some(Received::Superseded)
             }
-            Overlap::SecondSilent => None,
+            Overlap::SecondSilent => {
+                self.driver.leave(&second.placement);
+                None
+            }
             Overlap::TimeOver => {
                 self.successor = Some(second);
                 Some(Received::Superseded)
--- a/crates/lw-edge/tests/returns.rs
+++ b/crates/lw-edge/tests/returns.rs
@@ -166,3 +166,23 @@
     assert_eq!(sent[3], first, "{sent:?}");
     assert_eq!(reply.status, 200, "{} {}, sent to {sent:?}", reply.head, reply.text());
 }
+
+/// Guards against a request that fails since its first upstream refuses it late, although the second one, which was left as it was
+/// silent too, goes on.
+#[tokio::test]
+async fn a_request_returns_to_the_second_upstream_that_was_silent() {
+    let (simulation, second) = start(2, 2).await;
+    simulation.faults.push(Behaviour::RejectAfter(ms(2_000)));
+    simulation.faults.push(Behaviour::NoAnswer);
+    let callers = simulation.settings.callers;
+    let reply = tokio::spawn(async move { common::send(callers, &long_request("both")).await });
+    let first = wait_until_sent(&simulation, "both", 1).await.remove(0);
+    tokio::time::sleep(ms(300)).await;
+    report_silence(&second, &first);
+    let other = wait_until_sent(&simulation, "both", 2).await.remove(1);
+    tokio::time::sleep(ms(100)).await;
+    report_silence(&second, &other);
+    let reply = reply.await.expect("the caller runs").expect("an answer");
+    assert_eq!((reply.status, reply.is_complete), (200, true), "{}", reply.head);
+    assert_eq!(wait_until_sent(&simulation, "both", 3).await, [first, other.clone(), other]);
+}
