--- a/crates/lw-catalog/src/routes/lookup.rs
+++ b/crates/lw-catalog/src/routes/lookup.rs
@@ -80,7 +80,7 @@
         self.services.values()
     }
 
-    /// Returns the services of routes whose streams may be resumed, with the longest time that such a stream takes.
+    /// Returns the services of routes whose streams may be resumed, with the longest timeout of these routes.
     #[must_use]
     pub fn resumable_services(&self) -> HashMap<&str, Duration> {
         let is_resumable =
--- a/crates/lw-place/src/software/assignment.rs
+++ b/crates/lw-place/src/software/assignment.rs
@@ -71,6 +71,13 @@
 
     /// Returns an assignment in proportion to the capacities in which as few slots as possible belong to another version. It is
     /// this one if there is no capacity.
+    ///
+    /// ```
+    /// use lw_place::software::{Assignment, Capacities};
+    /// let old = Assignment::new(&Capacities::from([("v1".into(), 16)])).unwrap();
+    /// let new = old.rebalanced(&Capacities::from([("v1".into(), 12), ("v2".into(), 4)]));
+    /// assert_eq!((new.count("v1"), new.count("v2")), (192, 64));
+    /// ```
     #[must_use]
     pub fn rebalanced(&self, capacities: &Capacities) -> Self {
         let targets = targets(capacities);
@@ -96,6 +103,12 @@
 
     /// Returns by which factor the most loaded version has more slots than its part of the capacity: infinite if it has no
     /// capacity, or if another one should have slots and has none.
+    ///
+    /// ```
+    /// use lw_place::software::{Assignment, Capacities};
+    /// let both = Assignment::new(&Capacities::from([("v1".into(), 8), ("v2".into(), 8)])).unwrap();
+    /// assert!((both.overload(&Capacities::from([("v1".into(), 12), ("v2".into(), 4)])) - 2.0).abs() < 1e-9);
+    /// ```
     #[must_use]
     pub fn overload(&self, capacities: &Capacities) -> f64 {
         let targets = targets(capacities);
--- a/crates/lw-place/src/software/planner.rs
+++ b/crates/lw-place/src/software/planner.rs
@@ -44,6 +44,17 @@
 
 impl Planner {
     /// Returns the history that should replace the one in the store, if any should.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lw_place::software::{Capacities, Planner, PlannerInput};
+    /// let capacities = Capacities::from([("v1".into(), 16)]);
+    /// let (now, retention) = (Duration::ZERO, Duration::from_secs(12));
+    /// let input = PlannerInput { now, stored: None, era: 1, capacities: &capacities, retention };
+    /// let mut planner = Planner::default();
+    /// let first = planner.next(&input).unwrap();
+    /// assert_eq!(planner.next(&PlannerInput { stored: Some(&first), ..input }), None);
+    /// ```
     pub fn next(&mut self, input: &PlannerInput<'_>) -> Option<History> {
         self.observe(input);
         let PlannerInput { stored, era, capacities, .. } = *input;
