--- a/crates/lw-edge/tests/software.rs
+++ b/crates/lw-edge/tests/software.rs
@@ -252,3 +252,42 @@
         assert_eq!(versions_of(&simulation, &[&again]), BTreeSet::from([version.clone()]), "{id}");
     }
 }
+
+/// Guards against a stream that is taken up at another service, since a route is split and the id of the new request decides.
+#[tokio::test]
+async fn a_stream_is_taken_up_at_the_service_that_began_it() {
+    let mut simulation = Simulation::start().await;
+    simulation.add_engines(4).await;
+    for engine in &simulation.engines[2..] {
+        let entry = engine.registry_entry("llm-2", "kochi-a");
+        simulation.store.put(&format!("servers/{}", engine.id), &entry);
+    }
+    let mut config = common::config(4);
+    let mut service = config["Services"][1].clone();
+    service["Name"] = "llm-2".into();
+    config["Services"].as_array_mut().expect("services").push(service);
+    let split = serde_json::json!([
+        { "Service": "llm", "Weight": 1 },
+        { "Service": "llm-2", "Weight": 1 },
+    ]);
+    config["Routes"][2]["TrafficSplit"] = split;
+    simulation.store.put("op/config", &config);
+    let is_applied = async |simulation: &Simulation| {
+        let edge = &simulation.vm.as_ref().expect("the VM runs").edge;
+        let view = edge.store_view();
+        view.catalog().is_some_and(|catalog| catalog.version == 4)
+            && view.directory.ready_of("llm-2").count() == 2
+    };
+    simulation.wait_until("the route is split", is_applied).await;
+    let is_first = |id: &str| {
+        let ran = simulation.engine_of(id);
+        simulation.engines[..2].iter().any(|engine| engine.id == ran.id)
+    };
+    for n in 0..STREAMS {
+        let (id, again) = (format!("split-{n}"), format!("again-{n}"));
+        assert_eq!(simulation.send(&request(&id, "/long/x")).await.expect("an answer").status, 200);
+        let reply = simulation.send(&resumption(&again, Some(&id))).await.expect("an answer");
+        assert_eq!(reply.status, 200, "{}", reply.head);
+        assert_eq!(is_first(&id), is_first(&again), "{id}");
+    }
+}
