--- a/crates/lw-edge/src/serve/place.rs
+++ b/crates/lw-edge/src/serve/place.rs
@@ -20,11 +20,6 @@
 const REASSIGNMENT_TIME: Duration = Duration::from_millis(400);
 const REASSIGNMENT_POLL: Duration = Duration::from_millis(20);
 
-/// No engine is left of the software version that is to begin a stream. The stream may begin at another one as soon as the store
-/// says at which.
-#[derive(Debug)]
-struct Unassigned;
-
 /// The requests with which an attempt shares cached segments, as the configuration in force says.
 #[derive(Debug)]
 pub(super) struct ScopeInForce {
@@ -85,23 +80,23 @@
     }
 
     /// Selects the upstream of the next attempt. If no engine is left of the version that is to begin the stream, waits for a
-    /// moment until another one is.
+    /// moment until the store names another one.
     async fn place_when_assigned(&self, purpose: Purpose) -> Result<Placed, Failure> {
         let end = self.edge.timer.now() + REASSIGNMENT_TIME;
         loop {
             match self.place(purpose)? {
-                Ok(placed) => return Ok(placed),
-                Err(Unassigned) if self.edge.timer.now() >= end => {
+                Some(placed) => return Ok(placed),
+                None if self.edge.timer.now() >= end => {
                     let refusal = self.refusal(&Refusal::NoneOfVersion.to_string());
                     return Err(refusal.retry_after(REASSIGNMENT_TIME));
                 }
-                Err(Unassigned) => tokio::time::sleep(REASSIGNMENT_POLL).await,
+                None => tokio::time::sleep(REASSIGNMENT_POLL).await,
             }
         }
     }
 
-    /// Selects the upstream of the next attempt.
-    fn place(&self, purpose: Purpose) -> Result<Result<Placed, Unassigned>, Failure> {
+    /// Selects the upstream of the next attempt; none if no engine is left of the version that is to begin the stream.
+    fn place(&self, purpose: Purpose) -> Result<Option<Placed>, Failure> {
         let now = self.edge.timer.now();
         let scope = self.scope_in_force();
         let software = self.software()?;
@@ -147,7 +142,7 @@
                     Err(self.refusal(&version_gone(software).message))
                 }
                 Some(software) => Err(version_gone(software)),
-                None => Ok(Err(Unassigned)),
+                None => Ok(None),
             };
         }
         let placement = placed.map_err(|e| match e {
@@ -162,6 +157,6 @@
                 self.refusal(&e.to_string())
             }
         })?;
-        Ok(Ok(Placed { placement, scope }))
+        Ok(Some(Placed { placement, scope }))
     }
 }
