lw-soak: runs with releases of engines, beside killed, stopped and paused VMs and a silent store

Real processes: engines of three software versions replace each other, singly and all at once; VMs are killed singly and together, drained, paused and restarted; the store falls silent. Callers take broken streams up at any VM, with `Resumes`. A stream with events of two versions is a finding. Streams that go on are counted, not judged.

--- a/crates/lw-daemon/tests/soak.rs
+++ b/crates/lw-daemon/tests/soak.rs
@@ -8,6 +8,7 @@
 use std::{path::Path, time::Duration};
 
 use lw_soak::{
+    releases,
     run::run,
     schedule::{Options, draw_events},
 };
@@ -59,6 +60,19 @@
     .await;
 }
 
+/// Guards against streams that are joined from two software versions.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_at_their_software_version_through_releases_and_restarts() {
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let daemon = Path::new(env!("CARGO_BIN_EXE_lavenderwoodd"));
+    let dir = std::env::temp_dir().join(format!("lw-soak-releases-{}", std::process::id()));
+    let options = Options { seed: 3, ..Options::default() };
+    let outcome = releases::run(&options, daemon, &dir).await.expect("the run is set up");
+    assert!(outcome.findings.is_empty(), "{:#?}\nlogs: {}", outcome.findings, dir.display());
+    assert!(outcome.resumed.1 >= 5 && outcome.releases > 0, "{outcome:?}");
+    std::fs::remove_dir_all(&dir).expect("logs are removed");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn seeds_with_earlier_findings_have_none() {
     for line in REGRESSIONS.lines().filter(|line| !line.starts_with('#')) {
--- a/crates/lw-soak/src/main.rs
+++ b/crates/lw-soak/src/main.rs
@@ -7,6 +7,7 @@
 };
 
 use lw_soak::{
+    releases,
     run::{Error, Outcome, run},
     schedule::Options,
 };
@@ -19,6 +20,7 @@
   --seconds N     time from the start of a run in which faults begin, 1 to 3600 (default: 20)
   --interval-ms N mean time between two faults, 10 to 3600000 (default: 600); departures, stalls and limits come besides
   --vms N         VMs, 1 to 100 (default: 3)
+  --releases      replace engines by those of other software versions, beside restarts, instead of all other faults
   --hostile N     callers of each VM that make it hold bytes, 0 to 100 (default: 4)
   --daemon PATH   program of the VMs (default: lavenderwoodd in the folder of this one)
   --logs DIR      folder for the logs of runs with findings (default: target/soak)
@@ -28,6 +30,7 @@
 
 struct Arguments {
     options: Options,
+    has_releases: bool,
     seeds: u64,
     daemon: PathBuf,
     logs: PathBuf,
@@ -56,6 +59,13 @@
     for n in 0..arguments.seeds {
         let options = Options { seed: arguments.options.seed + n, ..arguments.options };
         let dir = arguments.logs.join(format!("{}-{}", options.seed, std::process::id()));
+        if arguments.has_releases {
+            match runtime.block_on(releases::run(&options, &arguments.daemon, &dir)) {
+                Ok(outcome) => has_findings |= print_releases(options.seed, &outcome, &dir),
+                Err(e) => return print_error(&e),
+            }
+            continue;
+        }
         match runtime.block_on(run(&options, &arguments.daemon, &dir)) {
             Ok(outcome) => has_findings |= print_outcome(options.seed, &outcome, &dir),
             Err(e) => return print_error(&e),
@@ -69,6 +79,20 @@
     ExitCode::from(2)
 }
 
+/// Prints the outcome of a run with releases and returns whether it has findings; removes its logs if it has none.
+fn print_releases(seed: u64, outcome: &releases::Outcome, dir: &Path) -> bool {
+    let releases::Outcome { findings, begun, resumed, releases } = outcome;
+    println!(
+        "seed {seed}: {releases} engines replaced, {} of {} streams begun, {} of {} taken up went on, {} findings",
+        begun.0,
+        begun.1,
+        resumed.0,
+        resumed.1,
+        findings.len()
+    );
+    print_findings(findings, dir)
+}
+
 /// Prints the outcome of a run and returns whether it has findings; removes its logs if it has none.
 fn print_outcome(seed: u64, outcome: &Outcome, dir: &Path) -> bool {
     let Outcome { findings, faults, requests, served, peak_kib } = outcome;
@@ -76,6 +100,10 @@
     println!(
         "seed {seed}: {faults} faults, {requests} requests, {served} served, {peak_kib} KiB, {count} findings"
     );
+    print_findings(findings, dir)
+}
+
+fn print_findings(findings: &[String], dir: &Path) -> bool {
     for finding in findings {
         println!("  {finding}");
     }
@@ -97,6 +125,7 @@
     }
     let time = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs();
     let seed = args.opt_value_from_str("--seed")?.unwrap_or(time);
+    let has_releases = args.contains("--releases");
     let seeds = args.opt_value_from_str("--seeds")?.unwrap_or(1);
     let seconds: u64 = args.opt_value_from_str("--seconds")?.unwrap_or(20);
     let vms: usize = args.opt_value_from_str("--vms")?.unwrap_or(3);
@@ -119,5 +148,5 @@
     let mean_interval = Duration::from_millis(interval_ms);
     let options =
         Options { seed, vms, hostile_callers, fault_window, mean_interval, ..Options::default() };
-    Ok(Some(Arguments { options, seeds, daemon, logs }))
+    Ok(Some(Arguments { options, has_releases, seeds, daemon, logs }))
 }
