lw-catalog, lw-edge: what the software versions compute twice, or again and again, is computed once

Clippy and the tests of lw-catalog, and software, returns, streams, silence, requests, messages and metrics of lw-edge pass.

--- a/crates/lw-catalog/src/routes/lookup.rs
+++ b/crates/lw-catalog/src/routes/lookup.rs
@@ -10,10 +10,11 @@
 use lw_types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Catalog, CatalogData, Route, RouteKind, Service, ServiceKind, UsageCap, Workspace};
+use super::{Catalog, CatalogData, Route, Service, ServiceKind, UsageCap, Workspace};
 
 impl From<CatalogData> for Catalog {
     fn from(data: CatalogData) -> Self {
+        let resumable_services = resumable_services(&data.routes);
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in data.routes {
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -32,8 +33,30 @@
         let isolated = workspaces.iter().filter(|workspace| workspace.is_isolated);
         let isolated: HashSet<_> = isolated.map(|workspace| workspace.name.clone()).collect();
         let isolated_set = hash_of_set(&isolated);
-        Self { version, limits, by_host, services, workspaces, by_key, isolated, isolated_set }
+        Self {
+            version,
+            limits,
+            by_host,
+            services,
+            resumable_services,
+            workspaces,
+            by_key,
+            isolated,
+            isolated_set,
+        }
+    }
+}
+
+/// Returns the services of routes whose streams may be resumed, with the longest timeout of these routes.
+fn resumable_services(routes: &[Route]) -> HashMap<String, Duration> {
+    let mut services = HashMap::new();
+    for route in routes.iter().filter(|route| route.kind.is_resumable()) {
+        for target in &route.targets {
+            let timeout: &mut Duration = services.entry(target.service.clone()).or_default();
+            *timeout = route.timeout.max(*timeout);
+        }
     }
+    services
 }
 
 /// Returns a number that identifies a set of workspaces.
@@ -81,18 +104,8 @@
     }
 
     /// Returns the services of routes whose streams may be resumed, with the longest timeout of these routes.
-    #[must_use]
-    pub fn resumable_services(&self) -> HashMap<&str, Duration> {
-        let is_resumable =
-            |route: &&Arc<Route>| route.kind == RouteKind::Stream { resumable: true };
-        let mut services = HashMap::new();
-        for route in self.by_host.values().flatten().filter(is_resumable) {
-            for target in &route.targets {
-                let timeout: &mut Duration = services.entry(&*target.service).or_default();
-                *timeout = route.timeout.max(*timeout);
-            }
-        }
-        services
+    pub fn resumable_services(&self) -> impl Iterator<Item = (&String, Duration)> {
+        self.resumable_services.iter().map(|(service, timeout)| (service, *timeout))
     }
 
     /// Returns the KV cache stores.
--- a/crates/lw-catalog/src/routes/mod.rs
+++ b/crates/lw-catalog/src/routes/mod.rs
@@ -37,7 +37,19 @@
     /// Whether a request that may have run can be sent again.
     #[must_use]
     pub fn may_repeat(self) -> bool {
-        matches!(self, Self::Idempotent | Self::Stream { resumable: true })
+        self == Self::Idempotent || self.is_resumable()
+    }
+
+    /// Whether the answer is a stream that may continue after its last event.
+    ///
+    /// ```
+    /// use lw_catalog::RouteKind;
+    /// assert!(RouteKind::Stream { resumable: true }.is_resumable());
+    /// assert!(!RouteKind::Idempotent.is_resumable());
+    /// ```
+    #[must_use]
+    pub fn is_resumable(self) -> bool {
+        self == Self::Stream { resumable: true }
     }
 }
 
@@ -254,6 +266,8 @@
     pub limits: CallerLimits,
     by_host: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<String, Arc<Service>>,
+    /// Services of routes whose streams may be resumed, with the longest timeout of these routes.
+    resumable_services: HashMap<String, Duration>,
     workspaces: Vec<Arc<Workspace>>,
     /// Index of the workspace of each key.
     by_key: HashMap<String, usize>,
--- a/crates/lw-edge/src/peers/origin.rs
+++ b/crates/lw-edge/src/peers/origin.rs
@@ -7,7 +7,7 @@
 
 use super::{Notice, Path, random_others, send, send_to};
 use crate::{
-    software::{Relayer, StreamId},
+    software::{Relayer, StreamId, position_of},
     state::Edge,
 };
 
@@ -31,11 +31,7 @@
     fn from(origins: &[(StreamId, SoftwareVersion)]) -> Self {
         let mut wire = Self::default();
         for (StreamId { service, id }, software) in origins {
-            let position = wire.versions.iter().position(|known| known == software);
-            let position = position.unwrap_or_else(|| {
-                wire.versions.push(software.clone());
-                wire.versions.len() - 1
-            });
+            let position = position_of(&mut wire.versions, software);
             wire.streams.push((*service, *id, position));
         }
         wire
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -89,8 +89,6 @@
     pub left: Vec<UpstreamId>,
     /// The only software version that may go on, once a version has begun the stream.
     pub software: Option<SoftwareVersion>,
-    /// Whether bytes of that version have gone to the caller.
-    pub is_bound: bool,
 }
 
 impl Driver {
@@ -110,7 +108,6 @@
             takeover_at: Now::ZERO,
             left: Vec::new(),
             software: None,
-            is_bound: false,
         }
     }
 
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, Uri, header};
 use hyper::body::Incoming;
-use lw_catalog::{Catalog, Route, RouteKind, Workspace};
+use lw_catalog::{Catalog, Route, Workspace};
 use lw_forward::intake::{BodyLimits, Caller, Hold, leaves_body_unread};
 use lw_place::{Prompt, RANK_MAX};
 use lw_platform::headers::{self, CallerHead};
@@ -63,6 +63,8 @@
     pub segments: Vec<SegmentId>,
     /// Hash of its id. It distributes requests over services and upstreams that are equally good.
     pub id_hash: u64,
+    /// Hash of the id of the request that brings or brought the first event of its stream, as far as it is known.
+    pub stream_hash: u64,
     /// What it states of the stream that it resumes; none if it begins its answer.
     pub resumption: Option<Resumption>,
     /// When it arrived.
@@ -86,21 +88,12 @@
 impl Resumption {
     /// Returns what the head of a request on a route states. A caller that has no event yet resumes nothing.
     fn of(route: &Route, head: &CallerHead) -> Option<Self> {
-        let is_resumable = route.kind == RouteKind::Stream { resumable: true };
-        head.last_event.filter(|last| is_resumable && *last > 0)?;
+        head.last_event.filter(|last| route.kind.is_resumable() && *last > 0)?;
         let hash = |id: &RequestId| xxhash_rust::xxh3::xxh3_64(id.as_bytes());
         Some(Self { origin: head.origin.as_ref().map(hash) })
     }
 }
 
-impl Call {
-    /// Hash of the id of the request that brings or brought the first event of its stream, as far as it is known.
-    #[must_use]
-    pub fn stream_hash(&self) -> u64 {
-        self.resumption.and_then(|resumption| resumption.origin).unwrap_or(self.id_hash)
-    }
-}
-
 /// Answers one request.
 ///
 /// # Errors
@@ -184,7 +177,8 @@
     let id_hash = xxhash_rust::xxh3::xxh3_64(head.request.as_bytes());
     let resumption = Resumption::of(&route, &head);
     let origin = resumption.and_then(|resumption| resumption.origin);
-    let service = route.target(origin.unwrap_or(id_hash)).ok_or_else(|| {
+    let stream_hash = origin.unwrap_or(id_hash);
+    let service = route.target(stream_hash).ok_or_else(|| {
         Failure::new(ResultCode::NoUpstream, format!("route {} has no service", route.name))
     })?;
     let service = service.to_owned();
@@ -210,6 +204,7 @@
         prompt,
         segments,
         id_hash,
+        stream_hash,
         resumption,
         arrived,
         deadline,
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use lw_catalog::RouteKind;
 use lw_forward::{events::Splitter, intake, pool::UpstreamAnswerBody};
 use lw_place::Ended;
 
@@ -55,7 +54,7 @@
 
 impl Relay {
     pub fn new(driver: Driver, incoming: IncomingAnswer) -> Self {
-        let is_resumable = driver.call.route.kind == RouteKind::Stream { resumable: true };
+        let is_resumable = driver.call.route.kind.is_resumable();
         let status = incoming.head.status.as_u16();
         let splitter = Splitter::after(driver.call.head.last_event);
         Self {
@@ -160,9 +159,10 @@
         }
     }
 
-    /// Binds the stream to the software version of the current attempt, which the caller gets events of.
+    /// Binds the stream to the software version of the current attempt, which the caller gets the first events of.
     fn bind_to_software(&mut self) {
-        if let Some((_, attempt)) = self.current.as_ref().filter(|_| self.is_resumable) {
+        let is_unbound = self.is_resumable && self.relayed_bytes == 0;
+        if let Some((_, attempt)) = self.current.as_ref().filter(|_| is_unbound) {
             self.driver.bind_to(&attempt.placement().upstream.software);
         }
     }
--- a/crates/lw-edge/src/serve/software.rs
+++ b/crates/lw-edge/src/serve/software.rs
@@ -1,6 +1,5 @@
 //! The software version whose engines may serve a stream that callers can take up again.
 
-use lw_catalog::RouteKind;
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
 
@@ -33,9 +32,7 @@
 
     /// Returns the only version whose engines may serve the next attempt, or none if any may.
     pub fn software(&self) -> Result<Option<SoftwareVersion>, Failure> {
-        if self.software.is_some()
-            || self.call.route.kind != (RouteKind::Stream { resumable: true })
-        {
+        if self.software.is_some() || !self.call.route.kind.is_resumable() {
             return Ok(self.software.clone());
         }
         let version = software::version_for(&self.edge, &self.call.service, self.call.id_hash);
@@ -48,13 +45,9 @@
     /// Binds the stream to the version whose first bytes go to the caller now. Other VMs are told if the id of the stream does not
     /// tell its version.
     pub fn bind_to(&mut self, software: &str) {
-        if self.is_bound {
-            return;
-        }
-        self.is_bound = true;
         self.software = Some(software.to_owned());
         let (service, edge) = (&self.call.service, &self.edge);
-        let stream = StreamId::new(service, self.call.stream_hash());
+        let stream = StreamId::new(service, self.call.stream_hash);
         let now = edge.timer.now_including_suspend();
         if edge.software.remember(now, stream, software, Relayer::Own)
             && software::is_mixed(edge, service)
--- a/crates/lw-edge/src/software/memory.rs
+++ b/crates/lw-edge/src/software/memory.rs
@@ -28,6 +28,14 @@
     xxhash_rust::xxh3::xxh3_64(service.as_bytes())
 }
 
+/// Returns the position of a version in a list, to which it is added if it is missing.
+pub(crate) fn position_of(versions: &mut Vec<SoftwareVersion>, version: &str) -> usize {
+    versions.iter().position(|known| known == version).unwrap_or_else(|| {
+        versions.push(version.to_owned());
+        versions.len() - 1
+    })
+}
+
 /// Who relayed the first event of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Relayer {
@@ -70,11 +78,7 @@
         if self.streams.contains_key(&stream) {
             return false;
         }
-        let position = self.versions.iter().position(|known| known == version);
-        let version = position.unwrap_or_else(|| {
-            self.versions.push(version.to_owned());
-            self.versions.len() - 1
-        });
+        let version = position_of(&mut self.versions, version);
         self.streams.insert(stream, Remembered { version, relayer, at: now });
         self.order.push_back(stream);
         if self.order.len() > STREAMS_MAX
--- a/crates/lw-edge/src/software/mod.rs
+++ b/crates/lw-edge/src/software/mod.rs
@@ -14,13 +14,14 @@
 use lw_types::prelude::*;
 use tokio::sync::oneshot;
 
-use crate::state::{Edge, keys};
+use crate::state::Edge;
 
 mod memory;
 mod origin;
 mod publish;
 mod wire;
 
+pub(crate) use memory::position_of;
 pub use memory::{Memory, Relayer, StreamId};
 pub(crate) use origin::{OriginError, find as find_origin};
 pub(crate) use publish::run;
@@ -118,8 +119,3 @@
 pub(crate) fn is_in_service(edge: &Edge, service: &str, software: &str) -> bool {
     edge.store_view().directory.ready_of(service).any(|upstream| upstream.software == software)
 }
-
-/// Returns the key of a service's history.
-fn key(service: &str) -> String {
-    keys::software(service)
-}
--- a/crates/lw-edge/src/software/origin.rs
+++ b/crates/lw-edge/src/software/origin.rs
@@ -9,8 +9,11 @@
 use lw_types::prelude::*;
 use tokio::{sync::oneshot, time::timeout};
 
-use super::{StreamId, decode, key, lock};
-use crate::{peers, state::Edge};
+use super::{StreamId, decode, lock};
+use crate::{
+    peers,
+    state::{Edge, keys},
+};
 
 /// Longest wait for the store. Its answer usually takes a few milliseconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
@@ -97,7 +100,7 @@
 }
 
 async fn read(edge: &Edge, service: &str) -> Result<History, String> {
-    let key = key(service);
+    let key = keys::software(service);
     let page = edge.count_store_call("range", edge.store.range(&key, None));
     let page = timeout(READ_TIMEOUT, page).await.map_err(|_| "no answer in time".to_owned())?;
     let page = page.map_err(|e: store::Error| e.to_string())?;
--- a/crates/lw-edge/src/software/publish.rs
+++ b/crates/lw-edge/src/software/publish.rs
@@ -6,8 +6,11 @@
 use lw_platform::store::{Error, KeyWrite, Precondition};
 use lw_types::prelude::*;
 
-use super::{HistoryWire, capacities, key, lock};
-use crate::{peers, state::Edge};
+use super::{HistoryWire, capacities, lock};
+use crate::{
+    peers,
+    state::{Edge, keys},
+};
 
 /// Time between two checks whether a history should change.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
@@ -57,9 +60,9 @@
     let view = edge.store_view();
     let (true, Some(catalog)) = (view.is_settled(), view.catalog()) else { return Vec::new() };
     let revoke = edge.bounds().revoke;
-    let services = catalog.resumable_services().into_iter();
     let retention = |timeout: Duration| revoke + timeout + RETENTION_MARGIN;
-    services.map(|(service, timeout)| (service.to_owned(), retention(timeout))).collect()
+    let services = catalog.resumable_services();
+    services.map(|(service, timeout)| (service.clone(), retention(timeout))).collect()
 }
 
 /// Tells other VMs of the streams of this VM whose ids do not tell their version any more, since their slots have moved.
@@ -122,7 +125,7 @@
 /// Returns what a check depends on, besides the time; none if this VM does not know the store's state.
 fn state(edge: &Edge, service: &str) -> Option<(u64, Revision, ConfigVersion, Era)> {
     let view = edge.store_view();
-    let revision = view.router_item(&key(service)).map_or(0, |item| item.revision);
+    let revision = view.router_item(&keys::software(service)).map_or(0, |item| item.revision);
     let changes = edge.software.changes.load(Ordering::Relaxed);
     Some((changes, revision, view.catalog()?.version, view.era()?))
 }
@@ -145,7 +148,7 @@
     revision: Revision,
     history: &History,
 ) -> Result<(), Error> {
-    let key = key(service);
+    let key = keys::software(service);
     let value = serde_json::to_vec(&HistoryWire::from(history))
         .map_err(|e| Error::Unreadable(e.to_string()))?;
     let expected = Precondition { key: key.clone(), revision };
