--- a/crates/lw-soak/src/releases/mod.rs
+++ b/crates/lw-soak/src/releases/mod.rs
@@ -6,7 +6,7 @@
     fs,
     path::Path,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -28,18 +28,18 @@
     time::{Instant, sleep, timeout},
 };
 
-use crate::{callers::is_ready, run::Error, schedule::Options, vm::Vm};
+use crate::{
+    run::{
+        Error, LEAVING_TIME_MAX, SHUTDOWN_TIME_MAX, START_TIME_MAX, drain, lock, wait_until_ready,
+    },
+    schedule::Options,
+    vm::Vm,
+};
 
 /// Software versions that engines have.
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
 /// Fewest engines, so that two versions can have two each.
 const ENGINES_MIN: usize = 4;
-/// Longest time for all VMs to become ready at the start.
-const START_TIME_MAX: Duration = Duration::from_secs(20);
-/// Time for which an engine serves after it was registered as leaving.
-const LEAVING_TIME: Duration = Duration::from_secs(2);
-/// Longest time for a VM to end after SIGTERM.
-const SHUTDOWN_TIME_MAX: Duration = Duration::from_secs(12);
 /// Longest wait of a caller for an answer.
 const ANSWER_WAIT_MAX: Duration = Duration::from_secs(6);
 /// Requests that a caller sends for one stream.
@@ -52,7 +52,7 @@
 /// Result of a run.
 #[derive(Debug, Default)]
 pub struct Outcome {
-    /// A line for each stream that was joined from two versions, and each VM that ended by itself.
+    /// A line for each stream that was joined from two versions, and each VM that ended by itself, did not end, or panicked.
     pub findings: Vec<String>,
     /// Streams whose first event arrived, and requests for them.
     pub begun: (usize, usize),
@@ -83,14 +83,7 @@
 pub async fn run(options: &Options, daemon: &Path, dir: &Path) -> Result<Outcome, Error> {
     fs::create_dir_all(dir)?;
     let deployment = Arc::new(Deployment::start(options, daemon, dir).await?);
-    let ready = async {
-        for vm in &deployment.vms {
-            while !is_ready(&vm.place).await {
-                sleep(Duration::from_millis(50)).await;
-            }
-        }
-    };
-    if timeout(START_TIME_MAX, ready).await.is_err() {
+    if timeout(START_TIME_MAX, wait_until_ready(&deployment.vms)).await.is_err() {
         return Err(Error::NotReady { dir: dir.to_owned() });
     }
     let mut rng = Rng::with_seed(options.seed);
@@ -105,19 +98,12 @@
     )?;
     deployment.is_stopped.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
-    for vm in &deployment.vms {
-        if !vm.drain(SHUTDOWN_TIME_MAX).await? {
-            lock(&deployment.outcome).findings.push(format!("{} did not drain", vm.place.vm));
-        }
-    }
-    let outcome = std::mem::take(&mut *lock(&deployment.outcome));
+    let drained = drain(&deployment.vms).await?;
+    let mut outcome = std::mem::take(&mut *lock(&deployment.outcome));
+    outcome.findings.extend(drained);
     Ok(outcome)
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Deployment {
     async fn start(options: &Options, daemon: &Path, dir: &Path) -> Result<Self, Error> {
         let store = Store::start().await?;
@@ -133,7 +119,7 @@
                 peers: free_address(),
                 store: store.addr(),
                 revoke: Duration::from_secs(3),
-                drain: LEAVING_TIME,
+                drain: LEAVING_TIME_MAX,
             };
             vms.push(Vm::new(daemon, dir, place)?);
         }
@@ -190,7 +176,7 @@
             sleep(Duration::from_millis(rng.u64(0..400))).await;
             let oldest = lock(&deployment.engines).len() - 1;
             let key = deployment.retire(rng.usize(..oldest));
-            leaving.push((Instant::now() + LEAVING_TIME, key));
+            leaving.push((Instant::now() + LEAVING_TIME_MAX, key));
             lock(&deployment.outcome).releases += 1;
         }
         let pause = Instant::now() + Duration::from_millis(rng.u64(200..6_000));
--- a/crates/lw-soak/src/run/mod.rs
+++ b/crates/lw-soak/src/run/mod.rs
@@ -41,15 +41,15 @@
 /// Time within which a revoked key must be refused. Shorter than in production, to keep runs short.
 const REVOCATION_TIME_MAX: Duration = Duration::from_secs(3);
 /// Time after which a leaving upstream must receive no further requests.
-const LEAVING_TIME_MAX: Duration = Duration::from_secs(2);
+pub(crate) const LEAVING_TIME_MAX: Duration = Duration::from_secs(2);
 /// Grace period of the VMs' settings, after which the platform kills a VM that drains.
 const GRACE: Duration = Duration::from_secs(8);
 /// Longest time for a VM to end after SIGTERM: its grace period before a kill plus the longest pause fault.
-const SHUTDOWN_TIME_MAX: Duration = Duration::from_secs(12);
+pub(crate) const SHUTDOWN_TIME_MAX: Duration = Duration::from_secs(12);
 /// Longest time after the last fault until every VM serves all routes and all engines have the target version.
 const RECOVERY_TIME_MAX: Duration = Duration::from_secs(15);
 /// Longest time for all VMs to become ready at the start.
-const START_TIME_MAX: Duration = Duration::from_secs(20);
+pub(crate) const START_TIME_MAX: Duration = Duration::from_secs(20);
 /// Number of callers of each VM, and of those that send only paced streams.
 const CALLERS_PER_VM: usize = 4;
 const STREAM_CALLERS_PER_VM: usize = 3;
@@ -137,7 +137,7 @@
 pub async fn run(options: &Options, daemon: &Path, dir: &Path) -> Result<Outcome, Error> {
     fs::create_dir_all(dir)?;
     let deployment = Arc::new(Deployment::start(options, daemon, dir).await?);
-    if timeout(START_TIME_MAX, deployment.wait_until_ready()).await.is_err() {
+    if timeout(START_TIME_MAX, wait_until_ready(&deployment.vms)).await.is_err() {
         return Err(Error::NotReady { dir: dir.to_owned() });
     }
     let group = Arc::new(CallerGroup::default());
@@ -170,10 +170,11 @@
     let peak_kib = hostile.stop(&deployment).await;
     group.stop();
     while caller_tasks.join_next().await.is_some() {}
-    deployment.drain_vms().await?;
+    let drained = drain(&deployment.vms).await?;
     registrations.abort();
     let trace = deployment.to_trace(&group);
     let mut findings = std::mem::take(&mut *lock(&deployment.findings));
+    findings.extend(drained);
     findings.extend(trace.findings());
     let is_served = |record: &&callers::RequestRecord| {
         record.reply.as_ref().is_some_and(|reply| reply.status == 200 && reply.is_complete)
@@ -240,7 +241,32 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) async fn wait_until_ready(vms: &[Vm]) {
+    for vm in vms {
+        while !is_ready(&vm.place).await {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Drains all VMs. Returns a finding for each that has ended before, fails to end or lost a task by a panic.
+pub(crate) async fn drain(vms: &[Vm]) -> io::Result<Vec<String>> {
+    let mut findings = Vec::new();
+    for vm in vms {
+        let name = &vm.place.vm;
+        if vm.has_ended().await? {
+            findings.push(format!("{name} ended by itself"));
+        } else if !vm.drain(SHUTDOWN_TIME_MAX).await? {
+            findings.push(format!("{name} did not exit with success in time after SIGTERM"));
+        }
+        if String::from_utf8_lossy(&fs::read(&vm.log)?).contains("panicked at") {
+            findings.push(format!("a task of {name} panicked"));
+        }
+    }
+    Ok(findings)
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -351,20 +377,12 @@
         lock(&self.findings).push(finding);
     }
 
-    async fn wait_until_ready(&self) {
-        for vm in &self.vms {
-            while !is_ready(&vm.place).await {
-                sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-
     /// Waits until every VM serves all routes and all engines have the target version; what is not so in time is a
     /// finding.
     async fn check_recovery(&self) {
         self.behaviours.clear();
         let deadline = Instant::now() + RECOVERY_TIME_MAX;
-        if tokio::time::timeout_at(deadline, self.wait_until_ready()).await.is_err() {
+        if tokio::time::timeout_at(deadline, wait_until_ready(&self.vms)).await.is_err() {
             self.add_finding("a VM was not ready in time after the last fault".into());
         }
         for (n, vm) in self.vms.iter().enumerate() {
@@ -398,24 +416,6 @@
         }
     }
 
-    /// Drains all VMs; one that has ended before, fails to end or lost a task by a panic is a finding.
-    async fn drain_vms(&self) -> io::Result<()> {
-        for vm in &self.vms {
-            if vm.has_ended().await? {
-                self.add_finding(format!("{} ended by itself", vm.place.vm));
-            } else if !vm.drain(SHUTDOWN_TIME_MAX).await? {
-                self.add_finding(format!(
-                    "{} did not exit with success in time after SIGTERM",
-                    vm.place.vm
-                ));
-            }
-            if String::from_utf8_lossy(&fs::read(&vm.log)?).contains("panicked at") {
-                self.add_finding(format!("a task of {} panicked", vm.place.vm));
-            }
-        }
-        Ok(())
-    }
-
     fn to_trace(&self, group: &CallerGroup) -> Trace {
         let operators = lock(&self.operators);
         Trace {
