lw-edge: logs tell from where, when and how large the changes of the store came

What a VM did not know in time could not be traced: whether a reply of another VM was large, slow or missing, and which view a request was sent with. Now a large reply and a failed one are logged with their size, time and revision, a configuration in force with its size and the time that it took, and each request sent or refused for a reason of the configuration with the age, revision and source of the view.

--- a/crates/lw-edge/src/distribution/mod.rs
+++ b/crates/lw-edge/src/distribution/mod.rs
@@ -130,6 +130,8 @@
         /// All changes that the store had acknowledged by this time are included. `None` if that is not known of any
         /// time in this era.
         current_as_of: Option<Now>,
+        /// Size of the encoded reply.
+        bytes: usize,
     },
     /// The other VM does not have all changes after the position, which may be of another era, or cannot get further ones
     /// from the store.
@@ -180,7 +182,8 @@
     let held = Duration::from_millis(view.held_ms).min(wait);
     let since = |age_ms| (sent + held).saturating_sub(Duration::from_millis(age_ms));
     let current_as_of = view.age_ms.map(since);
-    Ok(ChangesReply::Changes { revision: view.revision, changes: view.changes, current_as_of })
+    let ViewWire { revision, changes, .. } = view;
+    Ok(ChangesReply::Changes { revision, changes, current_as_of, bytes: bytes.len() })
 }
 
 /// Replies to a [`ChangesRequest`] of another VM.
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -45,6 +45,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a watch waits after a failed call to the store: it only checks whether the store answers again.
 const PROBE_WATCH_WAIT: Duration = Duration::from_millis(1);
+/// Size in bytes from which on a reply with changes is logged.
+const LARGE_REPLY_BYTES: usize = 8 << 10;
 /// Key prefix of all keys, so that one watch covers the whole store.
 const ALL_KEYS_PREFIX: &str = "";
 
@@ -98,7 +100,7 @@
         let Some(position) = self.position else {
             self.position = Some(read_all(&self.edge).await?);
             self.selector.record_store_success();
-            self.log_source_change(Source::Store);
+            self.record_source(Source::Store);
             return Ok(());
         };
         match self.select_source() {
@@ -114,7 +116,7 @@
                 self.is_growing = self.edge.store_view().vms_max() >= before + GROWTH_MIN_VMS;
                 self.position = Some(watched?);
                 self.selector.record_store_success();
-                self.log_source_change(Source::Store);
+                self.record_source(Source::Store);
             }
             Source::Vm(vm) => self.request_changes(vm, position).await,
             Source::Wait(time) => tokio::time::sleep(time).await,
@@ -147,11 +149,18 @@
         let is_follower = self.is_follower();
         let wait =
             self.selector.request_wait(edge.timer.now(), is_follower, distribution::CHANGE_WAIT);
+        let sent = edge.timer.now();
         let reply = distribution::request_changes(&edge, addr, after, wait).await;
         let now = edge.timer.now();
+        let ms = millis(now.saturating_sub(sent));
         match reply {
-            Ok(ChangesReply::Changes { revision, changes, current_as_of }) => {
+            Ok(ChangesReply::Changes { revision, changes, current_as_of, bytes }) => {
                 let revision = revision.max(after.revision);
+                if bytes >= LARGE_REPLY_BYTES {
+                    log::info!(target: "config", from = vm.as_str(), after = after.revision,
+                        revision = revision, changes = changes.len(), bytes = bytes, ms = ms;
+                        "large reply with changes");
+                }
                 if let Some(as_of) = current_as_of {
                     let age = edge.timer.now_including_suspend().saturating_sub(as_of);
                     record_store_answer(&edge, now.saturating_sub(age));
@@ -167,7 +176,7 @@
                 self.position = Some(Position { revision, ..after });
                 let age = edge.store_view().age(edge.timer.now_including_suspend());
                 self.selector.record_reply(now, &vm, is_follower, age, edge.bounds().revoke);
-                self.log_source_change(Source::Vm(vm));
+                self.record_source(Source::Vm(vm));
             }
             Ok(ChangesReply::Unknown) => {
                 // The store may not answer the other VM either.
@@ -175,8 +184,8 @@
                 self.selector.record_failure(now, &vm);
             }
             Err(e) => {
-                log::debug!(target: "config", vm = vm.as_str(), why = e.to_string();
-                    "cannot get changes from another VM");
+                log::warn!(target: "config", from = vm.as_str(), after = after.revision, ms = ms,
+                    why = e.to_string(); "cannot get changes from another VM");
                 self.selector.record_failure(now, &vm);
             }
         }
@@ -187,15 +196,17 @@
         SourceSelector::is_follower(&self.edge.settings.vm, &same_domain, fleet_size)
     }
 
-    fn log_source_change(&mut self, source: Source) {
-        if self.source.as_ref() == Some(&source) {
-            return;
-        }
+    /// Records the source of the last changes, and logs it if it is another one than before.
+    fn record_source(&mut self, source: Source) {
         let from = match &source {
             Source::Vm(vm) => vm.as_str(),
             Source::Store | Source::Wait(_) => "the store",
         };
         let Position { era, revision } = self.position.unwrap_or(Position { era: 0, revision: 0 });
+        self.edge.store_view().set_provenance(revision, from);
+        if self.source.as_ref() == Some(&source) {
+            return;
+        }
         log::info!(target: "config", from = from, era = era, revision = revision;
             "getting changes from another source");
         self.source = Some(source);
@@ -333,8 +344,16 @@
         let router_item = RouterItem { value: value.clone(), revision: item.revision, read_at };
         edge.store_view().set_router_item(&item.key, Some(router_item));
     } else if item.key == config::CONFIG_KEY {
+        let started = edge.timer.now();
         match config::decode_catalog(value) {
-            Ok(catalog) => edge.install(catalog),
+            Ok(catalog) => {
+                let version = catalog.version;
+                if edge.install(catalog) {
+                    log::info!(target: "config", config = version, revision = item.revision,
+                        bytes = value.len(), ms = millis(edge.timer.now().saturating_sub(started));
+                        "configuration in force");
+                }
+            }
             Err(e) => log_unreadable(item, &e),
         }
     } else if config::is_target_version(&item.key) {
@@ -381,6 +400,7 @@
 ) -> Result<Position, store::Error> {
     tokio::time::sleep(pause).await;
     let sent = edge.timer.now_including_suspend();
+    let started = edge.timer.now();
     let changes = edge.store.watch(ALL_KEYS_PREFIX, position.revision, wait);
     let batch = call_store(edge, "watch", wait, changes).await?;
     // The changes of another era do not follow those that this VM has, whatever their revisions.
@@ -388,11 +408,20 @@
         return Err(store::Error::Compacted);
     }
     let revision = batch.position.revision.max(position.revision);
+    if batch.entries.iter().any(is_configuration) {
+        log::info!(target: "config", after = position.revision, revision = revision,
+            changes = batch.entries.len(), ms = millis(edge.timer.now().saturating_sub(started));
+            "watch returned a configuration");
+    }
     apply_and_distribute(edge, batch.entries, revision);
     edge.store_view().mark_read(sent);
     Ok(Position { revision, ..position })
 }
 
+fn is_configuration(event: &Event) -> bool {
+    matches!(event, Event::Written(item) if item.key == config::CONFIG_KEY)
+}
+
 /// Returns the pause before the next watch, in which further changes accumulate, and the time for which the watch
 /// waits. The view is at most as old as two watches and the pause between them.
 fn watch_timing(edge: &Edge, is_growing: bool) -> (Duration, Duration) {
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -253,7 +253,10 @@
     fn log_placement(&self, number: usize, config: ConfigVersion) {
         let (call, placement) = (&self.call, &self.placement);
         let now = self.edge.timer.now_including_suspend();
-        let age = self.edge.store_view().age(now).map(millis).unwrap_or_default();
+        let (age, known) = {
+            let view = self.edge.store_view();
+            (view.age(now).map(millis).unwrap_or_default(), view.provenance().clone())
+        };
         log::info!(target: "route", request = call.head.request.as_str(), attempt = number,
             upstream = placement.upstream.id.as_str(), service = call.service.as_str(),
             route = call.route.name.as_str(), weights = placement.version.unwrap_or_default(),
@@ -266,7 +269,8 @@
             wait_ms = millis(placement.wait),
             load_age_ms = placement.load_age.map_or(-1, |age| i64::try_from(millis(age)).unwrap_or(i64::MAX)),
             left_ms = millis(call.due.saturating_sub(self.started_at)), config = config,
-            known_ms = age; "request sent");
+            known_ms = age, known_revision = known.revision, known_from = known.from.as_str();
+            "request sent");
     }
 
     /// Counts the prompt's tokens by their source: held in the engine's cache, fetched from another cache, or computed
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use lw_catalog::{Catalog, Route, Workspace};
 use lw_forward::intake::{BodyLimits, Caller, Hold, leaves_body_unread};
+use lw_observe::logs::millis;
 use lw_place::{Prompt, RANK_MAX};
 use lw_platform::headers::{self, CallerHead};
 use lw_protocol::caller::Failure;
@@ -107,6 +108,9 @@
         Ok(call) => (forward::run(&edge, Arc::new(call), record).await, false),
         Err(failure) => {
             record.record_failure(&failure);
+            if matches!(failure.code, ResultCode::UnknownPath | ResultCode::UnknownKey) {
+                log_refusal_by_configuration(&edge, &id, &failure);
+            }
             (answer::failure_answer(&id, &failure), leaves_body_unread(failure.code))
         }
     };
@@ -213,6 +217,17 @@
     })
 }
 
+/// Logs from which view of the store it follows that a route or a key does not exist.
+fn log_refusal_by_configuration(edge: &Edge, id: &str, failure: &Failure) {
+    let view = edge.store_view();
+    let age = view.age(edge.timer.now_including_suspend()).map(millis).unwrap_or_default();
+    let config = view.catalog().map_or(0, |catalog| catalog.version);
+    let known = view.provenance();
+    log::info!(target: "config", request = id, name = failure.code.name(), config = config,
+        known_ms = age, known_revision = known.revision, known_from = known.from.as_str();
+        "refused as the configuration says");
+}
+
 /// Returns the failure of a request that a leaving VM does not take.
 fn leaving_failure() -> Failure {
     let failure = Failure::new(ResultCode::Draining, "this VM is shutting down");
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -41,7 +41,7 @@
 mod store_view;
 
 pub use stop::StopAccount;
-pub use store_view::{RouterItem, StoreView, TargetVersion};
+pub use store_view::{Provenance, RouterItem, StoreView, TargetVersion};
 
 use crate::{
     admission::SharedAdmission,
@@ -319,14 +319,13 @@
         }
     }
 
-    /// Puts a configuration in force if it is newer than the previous one.
-    pub fn install(&self, catalog: Catalog) {
+    /// Puts a configuration in force if it is newer than the previous one; returns whether it is.
+    pub fn install(&self, catalog: Catalog) -> bool {
         let mut view = self.store_view();
         if !view.install(catalog) {
-            return;
+            return false;
         }
-        let Some(catalog) = view.catalog() else { return };
-        log::info!(target: "config", config = catalog.version; "configuration in force");
+        let Some(catalog) = view.catalog() else { return false };
         let stores: Vec<_> =
             catalog.cache_stores().filter_map(|service| cache_store(&service.kind)).collect();
         let mut pools = self.upstream_pools();
@@ -345,6 +344,7 @@
                 pool.put(upstream);
             }
         }
+        true
     }
 
     /// Applies changes of the registered upstreams to the upstream pools.
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -66,6 +66,17 @@
     settle_time: Duration,
     /// Time up to which all acknowledged changes are in the view, by the clock that counts suspended time.
     current_as_of: Option<Now>,
+    /// Where the last changes came from, for the log.
+    provenance: Provenance,
+}
+
+/// Where the last changes in a view of the store came from.
+#[derive(Debug, Clone, Default)]
+pub struct Provenance {
+    /// Revision up to which the view contains all changes.
+    pub revision: Revision,
+    /// The VM that passed them on, or the store.
+    pub from: String,
 }
 
 impl StoreView {
@@ -320,6 +331,20 @@
         self.current_as_of = self.current_as_of.max(Some(as_of));
     }
 
+    /// Returns where the last changes came from.
+    #[must_use]
+    pub fn provenance(&self) -> &Provenance {
+        &self.provenance
+    }
+
+    /// Records where the last changes came from.
+    pub fn set_provenance(&mut self, revision: Revision, from: &str) {
+        self.provenance.revision = revision;
+        if self.provenance.from != from {
+            from.clone_into(&mut self.provenance.from);
+        }
+    }
+
     /// Whether the view was ever current.
     #[must_use]
     pub fn has_been_current(&self) -> bool {
