lw-edge: a test of large configurations over narrow links, which fails

VMs learned that an engine leaves 3.4 s after its confirmation, while configurations of 330 KB were passed on between them (CONFIG, DRAIN on both deployments with hard load). The test plays a failure domain of 28 VMs in virtual time, with the real journals and selection of sources and with modelled links.

--- /dev/null
+++ b/crates/lw-edge/tests/narrow_links.rs
@@ -0,0 +1,330 @@
+//! Guards against VMs that learn of changes too late since large configurations fill the links between them. The VMs of
+//! one failure domain run in virtual time; the store and the links are modelled, the selection of sources, the journals
+//! and the encoding are the real ones.
+
+use std::{collections::VecDeque, time::Duration};
+
+use lw_edge::distribution::{
+    journal::{Change, Journal},
+    source::{Source, SourceSelector},
+};
+use lw_platform::config::CONFIG_KEY;
+use lw_types::prelude::*;
+use serde_json::json;
+
+const TICK: Duration = Duration::from_millis(5);
+/// Time within which a change must be known, as the platform states it for configurations and leaving upstreams.
+const KNOWN_TIME: Duration = Duration::from_secs(3);
+const REVOKE: Duration = Duration::from_secs(5);
+const FLEET_SIZE: usize = 84;
+const WIDE_MBPS: f64 = 200.0;
+const NARROW_MBPS: f64 = 10.0;
+/// Fraction of each link that requests and their answers leave free.
+const FREE_FRACTION: f64 = 0.7;
+/// Longest time for which the store holds a watch, pause between two watches, and time limit for an answer beyond the wait.
+const WATCH_WAIT: Duration = Duration::from_millis(625);
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+const STORE_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time for which a VM holds a request for changes, and time limit for a reply beyond the wait.
+const CHANGE_WAIT: Duration = lw_edge::distribution::CHANGE_WAIT;
+const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns a configuration with this many routes, as operators write it.
+fn configuration(version: u64, routes: usize) -> Vec<u8> {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut name = |prefix: &str| format!("{prefix}{:x}", rng.u32(..));
+    let route = |_| {
+        json!({ "Name": name("r-"), "Host": name("h") + ".example", "Prefix": format!("/{}/", name("p")),
+            "Service": "desk", "Kind": "idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 300,
+            "Priority": 1, "MaxAttempts": 2 })
+    };
+    let routes: Vec<_> = (0..routes).map(route).collect();
+    serde_json::to_vec(&json!({ "Version": version, "Routes": routes })).unwrap()
+}
+
+/// Returns the size of a reply with these changes.
+fn reply_bytes(changes: &[Change]) -> usize {
+    rmp_serde::to_vec(changes).unwrap().len()
+}
+
+/// Returns the size of the store's answer with these events, whose values are encoded as text.
+fn watch_bytes(events: &[Change]) -> usize {
+    events.iter().map(|event| event.value.as_ref().map_or(0, Vec::len) * 4 / 3 + 150).sum()
+}
+
+/// Bytes on their way to a VM.
+struct Transfer {
+    left: f64,
+    /// The VM that sends them; none for the store.
+    from: Option<usize>,
+    changes: Vec<Change>,
+    revision: Revision,
+}
+
+enum Phase {
+    /// Selects a source from this time on.
+    Select(Now),
+    /// Waits at the store or another VM for a change until `answer_at`.
+    Held {
+        from: Option<usize>,
+        answer_at: Now,
+        fails_at: Now,
+    },
+    Receiving {
+        transfer: Transfer,
+        fails_at: Now,
+    },
+}
+
+struct Vm {
+    id: VmId,
+    mbps: f64,
+    selector: SourceSelector,
+    journal: Journal,
+    revision: Revision,
+    phase: Phase,
+    is_down: bool,
+}
+
+struct Domain {
+    now: Now,
+    vms: Vec<Vm>,
+    /// All changes of the store with their times.
+    store: Vec<(Now, Change)>,
+    /// Longest time after which a VM knew a change, by the key of the change.
+    slowest: Vec<(String, Duration)>,
+}
+
+impl Domain {
+    fn new(size: usize) -> Self {
+        let vm = |n: usize| {
+            let mut journal = Journal::default();
+            journal.reset(Position { era: 0, revision: 0 });
+            Vm {
+                id: format!("edge-vasteras-b-{n}"),
+                mbps: if n <= 2 { WIDE_MBPS } else { NARROW_MBPS },
+                selector: SourceSelector::default(),
+                journal,
+                revision: 0,
+                phase: Phase::Select(ms(7 * n as u64)),
+                is_down: false,
+            }
+        };
+        Self { now: Now::ZERO, vms: (1..=size).map(vm).collect(), store: vec![], slowest: vec![] }
+    }
+
+    /// Lets the store acknowledge a change now.
+    fn put(&mut self, key: &str, value: Vec<u8>) {
+        let revision = self.store.len() as u64 + 1;
+        self.store.push((self.now, Change { key: key.into(), revision, value: Some(value) }));
+    }
+
+    fn members(&self) -> Vec<VmId> {
+        self.vms.iter().map(|vm| vm.id.clone()).collect()
+    }
+
+    fn is_follower(&self, vm: usize, members: &[VmId]) -> bool {
+        SourceSelector::is_follower(&self.vms[vm].id, members, FLEET_SIZE)
+    }
+
+    fn store_changes_after(&self, after: Revision) -> Vec<Change> {
+        let from = usize::try_from(after).unwrap().min(self.store.len());
+        self.store[from..].iter().map(|(_, change)| change.clone()).collect()
+    }
+
+    /// Moves all transfers on by a tick. The links of the sender and of the receiver are shared evenly.
+    fn transfer(&mut self) {
+        let mut sending = vec![0_u32; self.vms.len()];
+        for vm in &self.vms {
+            if let Phase::Receiving { transfer: Transfer { from: Some(from), .. }, .. } = &vm.phase
+            {
+                sending[*from] += 1;
+            }
+        }
+        let rates: Vec<f64> = self.vms.iter().map(|vm| vm.mbps).collect();
+        let bytes = |mbps: f64| mbps * FREE_FRACTION * 1e6 / 8.0 * TICK.as_secs_f64();
+        for (n, vm) in self.vms.iter_mut().enumerate() {
+            if let Phase::Receiving { transfer, .. } = &mut vm.phase {
+                let sender = transfer
+                    .from
+                    .map_or(f64::MAX, |from| bytes(rates[from]) / f64::from(sending[from]));
+                transfer.left -= bytes(rates[n]).min(sender);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        self.transfer();
+        let members = self.members();
+        for n in 0..self.vms.len() {
+            if !self.vms[n].is_down {
+                self.step_vm(n, &members);
+            }
+        }
+    }
+
+    fn step_vm(&mut self, n: usize, members: &[VmId]) {
+        let now = self.now;
+        let is_follower = self.is_follower(n, members);
+        match std::mem::replace(&mut self.vms[n].phase, Phase::Select(now)) {
+            Phase::Select(at) if now < at => self.vms[n].phase = Phase::Select(at),
+            Phase::Select(_) => self.select(n, members, is_follower),
+            Phase::Held { from, fails_at, .. } if now >= fails_at => {
+                self.fail(n, from, is_follower);
+            }
+            Phase::Held { from, answer_at, fails_at } => {
+                self.vms[n].phase = match self.answer(n, from, answer_at) {
+                    Some(transfer) => Phase::Receiving { transfer, fails_at },
+                    None => Phase::Held { from, answer_at, fails_at },
+                };
+            }
+            Phase::Receiving { transfer, .. } if transfer.left <= 0.0 => {
+                self.apply(n, transfer, is_follower);
+            }
+            Phase::Receiving { transfer, fails_at } if now >= fails_at => {
+                self.fail(n, transfer.from, is_follower);
+            }
+            receiving @ Phase::Receiving { .. } => self.vms[n].phase = receiving,
+        }
+    }
+
+    fn select(&mut self, n: usize, members: &[VmId], is_follower: bool) {
+        let now = self.now;
+        let vm = &self.vms[n];
+        self.vms[n].phase = match vm.selector.select(now, &vm.id, members, FLEET_SIZE) {
+            Source::Store => {
+                let has_failed = vm.selector.has_store_failed();
+                let (pause, wait) =
+                    if has_failed { (Duration::ZERO, ms(1)) } else { (WATCH_PAUSE, WATCH_WAIT) };
+                let answer_at = now + pause + wait;
+                Phase::Held { from: None, answer_at, fails_at: answer_at + STORE_TIMEOUT }
+            }
+            Source::Vm(id) => {
+                let from = members.iter().position(|vm| *vm == id);
+                let wait = vm.selector.request_wait(now, is_follower, CHANGE_WAIT);
+                let answer_at = now + wait;
+                Phase::Held { from, answer_at, fails_at: answer_at + REPLY_TIMEOUT }
+            }
+            Source::Wait(time) => Phase::Select(now + time),
+        };
+    }
+
+    /// Returns the answer of a source as soon as it has changes or was held long enough.
+    fn answer(&self, n: usize, from: Option<usize>, answer_at: Now) -> Option<Transfer> {
+        let after = self.vms[n].revision;
+        let (changes, revision, bytes) = match from {
+            None => {
+                let changes = self.store_changes_after(after);
+                let bytes = watch_bytes(&changes);
+                (changes, self.store.len() as u64, bytes)
+            }
+            Some(from) if self.vms[from].is_down => return None,
+            Some(from) => {
+                let journal = &self.vms[from].journal;
+                let changes = journal.changes_after(Position { era: 0, revision: after })?;
+                let bytes = reply_bytes(&changes);
+                (changes, journal.revision(), bytes)
+            }
+        };
+        let is_due = !changes.is_empty() || self.now >= answer_at;
+        is_due.then(|| Transfer { left: bytes as f64, from, changes, revision })
+    }
+
+    fn fail(&mut self, n: usize, from: Option<usize>, is_follower: bool) {
+        let (now, source) = (self.now, from.map(|from| self.vms[from].id.clone()));
+        let selector = &mut self.vms[n].selector;
+        match source {
+            Some(source) => selector.record_failure(now, &source),
+            None => selector.record_store_failure(now, is_follower, STORE_RETRY_PAUSE),
+        }
+    }
+
+    fn apply(&mut self, n: usize, transfer: Transfer, is_follower: bool) {
+        let now = self.now;
+        let source = transfer.from.map(|from| self.vms[from].id.clone());
+        let vm = &mut self.vms[n];
+        let revision = transfer.revision.max(vm.revision);
+        for (at, change) in &self.store {
+            if change.revision > vm.revision && change.revision <= revision {
+                self.slowest.push((change.key.clone(), now.saturating_sub(*at)));
+            }
+        }
+        vm.revision = revision;
+        vm.journal.advance(revision, transfer.changes);
+        match source {
+            Some(source) => {
+                vm.selector.record_reply(now, &source, is_follower, Some(ms(500)), REVOKE);
+            }
+            None => vm.selector.record_store_success(),
+        }
+    }
+
+    /// Returns the longest time after which a VM that is up knew a change of keys that begin with `prefix`.
+    fn slowest(&self, prefix: &str) -> Duration {
+        let known = self.slowest.iter().filter(|(key, _)| key.starts_with(prefix));
+        let missed = self.vms.iter().filter(|vm| !vm.is_down).flat_map(|vm| {
+            let after = usize::try_from(vm.revision).unwrap();
+            self.store[after..].iter().map(|(at, change)| (&change.key, self.now - *at))
+        });
+        let missed = missed.filter(|(key, _)| key.starts_with(prefix)).map(|(_, time)| time);
+        known.map(|(_, time)| *time).chain(missed).max().unwrap_or_default()
+    }
+}
+
+/// Lets the store take twelve configurations 0.2 s apart while upstreams leave, with these VMs down from shortly before.
+fn run(routes: usize, down: impl Fn(&Domain) -> Vec<usize>) -> Domain {
+    let mut domain = Domain::new(28);
+    domain.put(CONFIG_KEY, configuration(1, routes));
+    while domain.now < ms(4_000) {
+        domain.step();
+    }
+    for n in down(&domain) {
+        domain.vms[n].is_down = true;
+    }
+    domain.slowest.clear();
+    let mut due: VecDeque<Now> = (0..12).map(|n| ms(5_000 + 200 * n)).collect();
+    let mut leaving: VecDeque<Now> = (0..14).map(|n| ms(4_500 + 250 * n)).collect();
+    while domain.now < ms(14_000) {
+        if leaving.pop_front_if(|at| *at <= domain.now).is_some() {
+            domain.put(&format!("servers/{}", leaving.len()), vec![b'x'; 300]);
+        }
+        if due.pop_front_if(|at| *at <= domain.now).is_some() {
+            let version = 13 - due.len() as u64;
+            domain.put(CONFIG_KEY, configuration(version, routes));
+        }
+        domain.step();
+    }
+    domain
+}
+
+fn assert_known_in_time(domain: &Domain) {
+    let (servers, config) = (domain.slowest("servers/"), domain.slowest(CONFIG_KEY));
+    println!("leaving upstreams known after at most {servers:?}, configurations {config:?}");
+    assert!(servers <= KNOWN_TIME, "a leaving upstream is known after {servers:?}");
+    assert!(config <= KNOWN_TIME, "a configuration is known after {config:?}");
+}
+
+#[test]
+fn leaving_upstreams_are_known_in_time_beside_large_configurations_in_quick_succession() {
+    assert_known_in_time(&run(1_600, |_| vec![]));
+}
+
+#[test]
+fn leaving_upstreams_are_known_in_time_when_all_vms_with_wide_links_are_down() {
+    assert_known_in_time(&run(1_600, |_| vec![0, 1]));
+}
+
+#[test]
+fn leaving_upstreams_are_known_in_time_when_the_followers_are_down() {
+    let followers = |domain: &Domain| {
+        let members = domain.members();
+        (0..members.len()).filter(|vm| domain.is_follower(*vm, &members)).collect()
+    };
+    assert_known_in_time(&run(1_600, followers));
+}
