lw-edge: the VMs with the most capacity follow the store

Callers were sent to engines that had left, and to routes of older configurations, for up to 3.4 s after the confirmation. Cause: the VMs that pass changes on to the others of their failure domain were chosen by a hash of their names alone. On the deployments with hard load these were VMs with links of 10 Mbit/s, which cannot send a configuration of 330 KB to thirteen others within the time limit of a reply. Now a VM registers its capacity, link times processor time, and the ones with the largest follow the store; the hash decides among VMs of the same order of magnitude. VMs of an older release state no capacity and rank last.

--- a/crates/lw-catalog/src/settings.rs
+++ b/crates/lw-catalog/src/settings.rs
@@ -25,6 +25,10 @@
     pub memory_bytes: u64,
     /// Most sockets that may be open at the same time.
     pub sockets_max: usize,
+    /// Bandwidth of the VM's link, in megabits per second.
+    pub link_mbps: u32,
+    /// Processor time of this process, in percent of a core.
+    pub cpu_percent: u32,
     /// Whether requests are admitted by their share of the engines' work while engines cannot serve all in time.
     pub limits_overload: bool,
     /// Bounds that the deployment promises.
@@ -55,6 +59,8 @@
             ("address of the store", self.store == new.store),
             ("memory", self.memory_bytes == new.memory_bytes),
             ("sockets", self.sockets_max == new.sockets_max),
+            ("link", self.link_mbps == new.link_mbps),
+            ("processor time", self.cpu_percent == new.cpu_percent),
             ("admission under overload", self.limits_overload == new.limits_overload),
             ("time between issuers", old_bounds.lease == bounds.lease),
             ("fencing", old_bounds.is_fenced == bounds.is_fenced),
@@ -63,6 +69,18 @@
         settings.into_iter().filter(|(_, is_same)| !is_same).map(|(name, _)| name).collect()
     }
 
+    /// Returns how much this VM can send to others, by its link and its processor time. Only the ratio between VMs has a meaning.
+    ///
+    /// ```
+    /// # let settings = lw_catalog::VmSettings::example();
+    /// let wide = lw_catalog::VmSettings { link_mbps: settings.link_mbps * 2, ..settings.clone() };
+    /// assert_eq!(wide.capacity(), settings.capacity() * 2);
+    /// ```
+    #[must_use]
+    pub fn capacity(&self) -> u32 {
+        self.link_mbps.saturating_mul(self.cpu_percent).max(1)
+    }
+
     /// Returns settings for examples and tests.
     #[must_use]
     pub fn example() -> Self {
@@ -78,6 +96,8 @@
             store: addr(7500),
             memory_bytes: 64 << 20,
             sockets_max: 1000,
+            link_mbps: 1000,
+            cpu_percent: 100,
             limits_overload: true,
             bounds: Bounds {
                 drain: seconds(2),
--- a/crates/lw-edge/src/distribution/source.rs
+++ b/crates/lw-edge/src/distribution/source.rs
@@ -1,5 +1,6 @@
 //! Selects the source from which a VM gets changes of the store: a few VMs of each failure domain follow the store, the
-//! others request the changes from these. VMs that have the same list of VMs agree on the followers without a message.
+//! others request the changes from these. Those with the widest links and the most processor time are the followers, since
+//! each sends every change to half of the others. VMs that have the same list of VMs agree on them without a message.
 
 use std::time::Duration;
 
@@ -41,6 +42,32 @@
     Wait(Duration),
 }
 
+/// A VM that may follow the store.
+///
+/// ```
+/// use lw_edge::distribution::source::Candidate;
+/// let narrow = Candidate { vm: "vm-1".into(), capacity: 120 };
+/// let wide = Candidate { vm: "vm-2".into(), capacity: 10_000 };
+/// assert!(wide.rank() > narrow.rank());
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The VM.
+    pub vm: VmId,
+    /// How much it can send to others, see [`lw_catalog::VmSettings::capacity`].
+    pub capacity: u32,
+}
+
+impl Candidate {
+    /// Returns the rank in the failure domain; the VMs with the highest ranks are the followers. Capacities of the same order of
+    /// magnitude count as equal, so that the roles do not move for small differences.
+    #[must_use]
+    pub fn rank(&self) -> (u32, u64) {
+        let hash = xxhash_rust::xxh3::xxh3_64(self.vm.as_bytes());
+        (self.capacity.checked_ilog2().unwrap_or_default(), hash)
+    }
+}
+
 /// Selects the next source of one VM from the results of its previous attempts.
 #[derive(Debug, Default)]
 pub struct SourceSelector {
@@ -54,25 +81,27 @@
     is_without_store: bool,
 }
 
-/// Returns the rank of a VM in its failure domain; the VMs with the highest ranks are the followers.
-fn rank(vm: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(vm.as_bytes())
-}
-
 impl SourceSelector {
     /// Returns the next source of the VM `local`. `same_domain` lists the VMs of its failure domain; `fleet_size` is
     /// the number of VMs in all failure domains.
     #[must_use]
-    pub fn select(&self, now: Now, local: &str, same_domain: &[VmId], fleet_size: usize) -> Source {
-        let mut ranked: Vec<&VmId> = same_domain.iter().filter(|vm| *vm != local).collect();
-        ranked.sort_by_key(|vm| std::cmp::Reverse(rank(vm)));
-        let higher_ranked = ranked.iter().filter(|vm| rank(vm) > rank(local)).count();
+    pub fn select(
+        &self,
+        now: Now,
+        local: &Candidate,
+        same_domain: &[Candidate],
+        fleet_size: usize,
+    ) -> Source {
+        let mut ranked: Vec<_> = same_domain.iter().filter(|vm| vm.vm != local.vm).collect();
+        ranked.sort_by_cached_key(|vm| std::cmp::Reverse(vm.rank()));
+        let higher_ranked = ranked.iter().filter(|vm| vm.rank() > local.rank()).count();
+        let ranked: Vec<&VmId> = ranked.into_iter().map(|vm| &vm.vm).collect();
         let is_usable = |vm: &&&VmId| {
             !self.avoided.iter().any(|(avoided, until)| avoided == **vm && now < *until)
         };
         // Half of the VMs prefer the first follower, half the second.
         let mut followers: Vec<&VmId> = ranked.iter().copied().take(FOLLOWERS).collect();
-        if rank(local).is_multiple_of(2) {
+        if local.rank().1.is_multiple_of(2) {
             followers.reverse();
         }
         let to_source = |vm: &&VmId| Source::Vm((*vm).clone());
@@ -166,9 +195,9 @@
 
     /// Whether the VM `local` is to follow the store.
     #[must_use]
-    pub fn is_follower(local: &str, same_domain: &[VmId], fleet_size: usize) -> bool {
-        let higher_ranked =
-            same_domain.iter().filter(|vm| *vm != local && rank(vm) > rank(local)).count();
+    pub fn is_follower(local: &Candidate, same_domain: &[Candidate], fleet_size: usize) -> bool {
+        let others = same_domain.iter().filter(|vm| vm.vm != local.vm);
+        let higher_ranked = others.filter(|vm| vm.rank() > local.rank()).count();
         fleet_size < FOLLOWER_ROLE_MIN_VMS || higher_ranked < FOLLOWERS
     }
 }
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -14,9 +14,12 @@
     distribution::{
         self, ChangesReply,
         journal::Change,
-        source::{FOLLOWER_ROLE_MIN_VMS, Source, SourceSelector},
+        source::{Candidate, FOLLOWER_ROLE_MIN_VMS, Source, SourceSelector},
+    },
+    state::{
+        Edge, RouterItem, TargetVersion,
+        keys::{self, VmEntry},
     },
-    state::{Edge, RouterItem, TargetVersion, keys},
 };
 
 /// Time for which a watch waits, as a fraction of the time in which a revoked key must be refused. The view of the keys
@@ -126,20 +129,22 @@
 
     fn select_source(&self) -> Source {
         let (same_domain, fleet_size) = self.registered_vms();
-        self.selector.select(
-            self.edge.timer.now(),
-            &self.edge.settings.vm,
-            &same_domain,
-            fleet_size,
-        )
+        self.selector.select(self.edge.timer.now(), &self.local(), &same_domain, fleet_size)
     }
 
     /// Returns the registered VMs of this failure domain, and the number of VMs in all failure domains.
-    fn registered_vms(&self) -> (Vec<VmId>, usize) {
+    fn registered_vms(&self) -> (Vec<Candidate>, usize) {
         let view = self.edge.store_view();
         let local_domain = &self.edge.settings.failure_domain;
         let same_domain = view.vms().filter(|(_, entry)| entry.failure_domain == *local_domain);
-        (same_domain.map(|(vm, _)| vm.clone()).collect(), view.vms_max())
+        let candidate =
+            |(vm, entry): (&VmId, &VmEntry)| Candidate { vm: vm.clone(), capacity: entry.capacity };
+        (same_domain.map(candidate).collect(), view.vms_max())
+    }
+
+    fn local(&self) -> Candidate {
+        let settings = &self.edge.settings;
+        Candidate { vm: settings.vm.clone(), capacity: settings.capacity() }
     }
 
     async fn request_changes(&mut self, vm: VmId, after: Position) {
@@ -193,7 +198,7 @@
 
     fn is_follower(&self) -> bool {
         let (same_domain, fleet_size) = self.registered_vms();
-        SourceSelector::is_follower(&self.edge.settings.vm, &same_domain, fleet_size)
+        SourceSelector::is_follower(&self.local(), &same_domain, fleet_size)
     }
 
     /// Records the source of the last changes, and logs it if it is another one than before.
--- a/crates/lw-edge/src/register/mod.rs
+++ b/crates/lw-edge/src/register/mod.rs
@@ -96,8 +96,11 @@
     let lease = edge
         .count_store_call("lease", edge.store.lease(LEASE_TIME.max(edge.settings.bounds.lease_min)))
         .await?;
-    let entry =
-        VmEntry { addr: edge.settings.peers, failure_domain: edge.settings.failure_domain.clone() };
+    let entry = VmEntry {
+        addr: edge.settings.peers,
+        failure_domain: edge.settings.failure_domain.clone(),
+        capacity: edge.settings.capacity(),
+    };
     let write = KeyWrite {
         key: format!("{}{}", keys::VM_PREFIX, edge.settings.vm),
         value: serde_json::to_vec(&entry).map_err(|e| Error::Unreadable(e.to_string()))?,
--- a/crates/lw-edge/src/state/keys.rs
+++ b/crates/lw-edge/src/state/keys.rs
@@ -102,6 +102,9 @@
     pub addr: SocketAddr,
     /// Its failure domain.
     pub failure_domain: Domain,
+    /// How much it can send to others. VMs of an older release omit this field.
+    #[serde(default)]
+    pub capacity: u32,
 }
 
 /// The last era in which operators and upstreams have written again what the store had lost before.
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -260,6 +260,8 @@
         store: store.addr(),
         memory_bytes: 64 << 20,
         sockets_max: 1000,
+        link_mbps: 1000,
+        cpu_percent: 100,
         limits_overload: true,
         bounds,
     }
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -11,7 +11,7 @@
     distribution::{
         self, ChangesReply,
         journal::{Change, JOURNAL_MAX_BYTES, Journal},
-        source::{FOLLOWER_ROLE_MIN_VMS, FOLLOWERS, Source, SourceSelector},
+        source::{Candidate, FOLLOWER_ROLE_MIN_VMS, FOLLOWERS, Source, SourceSelector},
     },
     run::Vm,
 };
@@ -92,15 +92,15 @@
     );
 }
 
-fn vms(n: usize) -> Vec<String> {
-    (0..n).map(|n| format!("vm-{n}")).collect()
+fn vms(n: usize) -> Vec<Candidate> {
+    (0..n).map(|n| Candidate { vm: format!("vm-{n}"), capacity: 100 }).collect()
 }
 
 /// Guards against too many or too few followers in a failure domain, and against requests that all go to one of them.
 #[test]
 fn two_vms_of_a_failure_domain_follow_the_store_and_serve_the_others() {
     let same_domain = vms(19);
-    let is_follower = |vm: &&String| SourceSelector::is_follower(vm, &same_domain, 95);
+    let is_follower = |vm: &&Candidate| SourceSelector::is_follower(vm, &same_domain, 95);
     let followers: Vec<_> = same_domain.iter().filter(is_follower).collect();
     assert_eq!(followers.len(), FOLLOWERS);
     let mut requested = HashSet::new();
@@ -108,7 +108,7 @@
         match SourceSelector::default().select(ms(0), vm, &same_domain, 95) {
             Source::Store => assert!(followers.contains(&vm)),
             Source::Vm(other) => drop(requested.insert(other)),
-            Source::Wait(_) => panic!("{vm} waits"),
+            Source::Wait(_) => panic!("{vm:?} waits"),
         }
     }
     assert_eq!(requested.len(), FOLLOWERS, "each of the followers gets requests");
@@ -119,6 +119,17 @@
     )));
 }
 
+/// Guards against followers whose links or processors cannot send large changes to all others in time.
+#[test]
+fn the_vms_with_the_largest_capacity_follow_the_store() {
+    let mut same_domain = vms(19);
+    for n in [3, 11] {
+        same_domain[n].capacity = 10_000;
+    }
+    let is_follower = |n: &usize| SourceSelector::is_follower(&same_domain[*n], &same_domain, 95);
+    assert_eq!((0..19).filter(is_follower).collect::<Vec<_>>(), [3, 11]);
+}
+
 /// Guards against VMs that remain without a source when both followers do not reply, and against VMs that then all call
 /// the store at the same time.
 #[test]
@@ -138,9 +149,9 @@
                 Source::Wait(time) => now += time,
                 Source::Store => break,
             }
-            assert!(now < ms(1_100), "{vm} is without a source for {now:?}");
+            assert!(now < ms(1_100), "{vm:?} is without a source for {now:?}");
         }
-        assert_eq!(requested.len(), FOLLOWERS, "{vm} sent requests to {requested:?}");
+        assert_eq!(requested.len(), FOLLOWERS, "{vm:?} sent requests to {requested:?}");
         first_attempts.push(now);
         // During an outage of the store, this VM calls it again a second later, and sends requests to others meanwhile.
         selector.record_store_failure(now, false, ms(100));
@@ -184,9 +195,9 @@
 fn a_follower_without_the_store_uses_another_vm() {
     let same_domain = vms(3);
     let mut selector = SourceSelector::default();
-    assert_eq!(selector.select(ms(0), "vm-0", &same_domain, 3), Source::Store);
+    assert_eq!(selector.select(ms(0), &same_domain[0], &same_domain, 3), Source::Store);
     selector.record_store_failure(ms(0), true, ms(100));
-    assert!(matches!(selector.select(ms(50), "vm-0", &same_domain, 3), Source::Vm(_)));
+    assert!(matches!(selector.select(ms(50), &same_domain[0], &same_domain, 3), Source::Vm(_)));
     // The other VM holds the request until the store is called again. Replies at once would cause requests without a
     // pause.
     assert_eq!(selector.request_wait(ms(40), true, distribution::CHANGE_WAIT), ms(60));
@@ -195,12 +206,12 @@
         distribution::CHANGE_WAIT
     );
     // The view of the other VM is old, but there is no better source.
-    let Source::Vm(other) = selector.select(ms(50), "vm-0", &same_domain, 3) else {
+    let Source::Vm(other) = selector.select(ms(50), &same_domain[0], &same_domain, 3) else {
         panic!("no VM selected")
     };
     selector.record_reply(ms(50), &other, true, Some(ms(3_000)), REVOKE);
-    assert_eq!(selector.select(ms(60), "vm-0", &same_domain, 3), Source::Vm(other));
-    assert_eq!(selector.select(ms(100), "vm-0", &same_domain, 3), Source::Store);
+    assert_eq!(selector.select(ms(60), &same_domain[0], &same_domain, 3), Source::Vm(other));
+    assert_eq!(selector.select(ms(100), &same_domain[0], &same_domain, 3), Source::Store);
 }
 
 async fn second_vm(simulation: &Simulation) -> Vm {
@@ -231,7 +242,8 @@
         simulation.store.put("op/config", &config);
     };
     let (reply, ()) = tokio::join!(request, changes);
-    let ChangesReply::Changes { changes, current_as_of, revision: next } = reply.unwrap() else {
+    let ChangesReply::Changes { changes, current_as_of, revision: next, .. } = reply.unwrap()
+    else {
         panic!("the other VM does not have the changes")
     };
     assert!(started.elapsed() < ms(1_500), "it must reply as soon as there is a change");
--- a/crates/lw-edge/tests/messages.rs
+++ b/crates/lw-edge/tests/messages.rs
@@ -20,8 +20,11 @@
     for (domain, count) in domains {
         for n in 0..*count {
             let port = u16::try_from(1000 + vms.len()).unwrap();
-            let entry =
-                VmEntry { addr: ([10, 0, 0, 1], port).into(), failure_domain: (*domain).into() };
+            let entry = VmEntry {
+                addr: ([10, 0, 0, 1], port).into(),
+                failure_domain: (*domain).into(),
+                capacity: 1,
+            };
             vms.push((format!("{domain}-{n}"), entry));
         }
     }
--- a/crates/lw-edge/tests/narrow_links.rs
+++ b/crates/lw-edge/tests/narrow_links.rs
@@ -6,7 +6,7 @@
 
 use lw_edge::distribution::{
     journal::{Change, Journal},
-    source::{Source, SourceSelector},
+    source::{Candidate, Source, SourceSelector},
 };
 use lw_platform::config::CONFIG_KEY;
 use lw_types::prelude::*;
@@ -124,12 +124,13 @@
         self.store.push((self.now, Change { key: key.into(), revision, value: Some(value) }));
     }
 
-    fn members(&self) -> Vec<VmId> {
-        self.vms.iter().map(|vm| vm.id.clone()).collect()
+    fn members(&self) -> Vec<Candidate> {
+        let capacity = |vm: &Vm| if vm.mbps > NARROW_MBPS { 10_000 } else { 120 };
+        self.vms.iter().map(|vm| Candidate { vm: vm.id.clone(), capacity: capacity(vm) }).collect()
     }
 
-    fn is_follower(&self, vm: usize, members: &[VmId]) -> bool {
-        SourceSelector::is_follower(&self.vms[vm].id, members, FLEET_SIZE)
+    fn is_follower(&self, vm: usize, members: &[Candidate]) -> bool {
+        SourceSelector::is_follower(&members[vm], members, FLEET_SIZE)
     }
 
     fn store_changes_after(&self, after: Revision) -> Vec<Change> {
@@ -169,7 +170,7 @@
         }
     }
 
-    fn step_vm(&mut self, n: usize, members: &[VmId]) {
+    fn step_vm(&mut self, n: usize, members: &[Candidate]) {
         let now = self.now;
         let is_follower = self.is_follower(n, members);
         match std::mem::replace(&mut self.vms[n].phase, Phase::Select(now)) {
@@ -194,10 +195,10 @@
         }
     }
 
-    fn select(&mut self, n: usize, members: &[VmId], is_follower: bool) {
+    fn select(&mut self, n: usize, members: &[Candidate], is_follower: bool) {
         let now = self.now;
         let vm = &self.vms[n];
-        self.vms[n].phase = match vm.selector.select(now, &vm.id, members, FLEET_SIZE) {
+        self.vms[n].phase = match vm.selector.select(now, &members[n], members, FLEET_SIZE) {
             Source::Store => {
                 let has_failed = vm.selector.has_store_failed();
                 let (pause, wait) =
@@ -206,7 +207,7 @@
                 Phase::Held { from: None, answer_at, fails_at: answer_at + STORE_TIMEOUT }
             }
             Source::Vm(id) => {
-                let from = members.iter().position(|vm| *vm == id);
+                let from = members.iter().position(|vm| vm.vm == id);
                 let wait = vm.selector.request_wait(now, is_follower, CHANGE_WAIT);
                 let answer_at = now + wait;
                 Phase::Held { from, answer_at, fails_at: answer_at + REPLY_TIMEOUT }
