lw-edge: large values are compressed once, for all VMs that they are passed on to

A follower sent 4 MB for each configuration, and signed, copied and encoded it thirteen times. A VM asks for compressed values by Accept-Encoding, so that VMs of an older release get plain ones.

Measured in virtual time (narrow_links, the followers with wide links): leaving upstreams are known after at most 70 ms, 615 ms before. The two tests without these VMs still fail, with 8.25 s instead of 9.5 s: there the followers' own reads of the store outlast their time limit.

--- a/crates/lw-edge/src/distribution/journal.rs
+++ b/crates/lw-edge/src/distribution/journal.rs
@@ -4,7 +4,8 @@
 
 use lw_platform::config::CONFIG_KEY;
 use lw_types::prelude::*;
-use serde::{Deserialize, Serialize};
+
+use super::value::Value;
 
 /// Largest size of a journal in bytes of memory. A VM that is further behind reads the store.
 pub const JOURNAL_MAX_BYTES: usize = 1 << 20;
@@ -12,19 +13,19 @@
 const CHANGE_BYTES: usize = 96;
 
 /// One change of a key.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
     /// The key.
     pub key: String,
     /// Revision of the change.
     pub revision: Revision,
     /// The new value, or `None` if the key was removed.
-    pub value: Option<Vec<u8>>,
+    pub value: Option<Value>,
 }
 
 impl Change {
     fn bytes(&self) -> usize {
-        self.key.len() + self.value.as_ref().map_or(0, Vec::len) + CHANGE_BYTES
+        self.key.len() + self.value.as_ref().map_or(0, Value::bytes) + CHANGE_BYTES
     }
 }
 
--- a/crates/lw-edge/src/distribution/mod.rs
+++ b/crates/lw-edge/src/distribution/mod.rs
@@ -16,7 +16,7 @@
 };
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use lw_observe::logs::millis;
@@ -25,7 +25,7 @@
     client::{self, Call},
 };
 use lw_types::prelude::*;
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::Notify;
 
 use crate::{
@@ -35,11 +35,16 @@
 
 pub mod journal;
 pub mod source;
+pub mod value;
+pub mod wire;
 
 use journal::{Change, Journal};
+use wire::{ChangeWire, ChangesReplyWire, ChangesRequest, PlainChangeWire, ViewWire};
 
 /// HTTP path of the requests.
 const PATH: &str = "/changes";
+/// Encoding of values that the requesting VM accepts, in the header of the request, and that the reply uses.
+const DEFLATE: HeaderValue = HeaderValue::from_static("deflate");
 /// Largest size of a request in bytes.
 const REQUEST_MAX_BYTES: usize = 1 << 10;
 /// Longest time for which a request waits for a change.
@@ -83,41 +88,6 @@
     }
 }
 
-/// A request for the changes after a revision.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ChangesRequest {
-    /// Random number that the reply repeats.
-    nonce: u64,
-    /// Revision of the requesting VM.
-    after: Revision,
-    /// Time for which the request may wait for a change, in milliseconds.
-    wait_ms: u64,
-    /// Era of the revision. VMs of an older release omit this field.
-    #[serde(default)]
-    era: Era,
-}
-
-/// The encoded reply to a [`ChangesRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ChangesReplyWire {
-    /// The nonce of the request.
-    nonce: u64,
-    #[serde(rename = "knowledge")]
-    view: Option<ViewWire>,
-}
-
-/// The changes that another VM has, and the age of its view of the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct ViewWire {
-    revision: Revision,
-    changes: Vec<Change>,
-    /// Time for which the request was held before the reply, in milliseconds.
-    held_ms: u64,
-    /// Age of the view when the reply was made, in milliseconds. `None` while the store has not settled after its return
-    /// from an older copy.
-    age_ms: Option<u64>,
-}
-
 /// The reply of another VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangesReply {
@@ -173,11 +143,17 @@
     };
     let mut call = Call::new(Method::POST, addr, PATH, wait + REPLY_TIMEOUT);
     call.body = encode(&key, &request).ok_or(Error::InvalidReply)?;
-    let bytes = edge.clients.send_and_collect(call).await.map_err(Error::Call)?;
-    let reply: ChangesReplyWire = decode(&key, &bytes).ok_or(Error::InvalidReply)?;
-    if reply.nonce != request.nonce {
-        return Err(Error::InvalidReply);
-    }
+    call.headers.insert(header::ACCEPT_ENCODING, DEFLATE);
+    let answer = edge.clients.collect(call).await.map_err(Error::Call)?;
+    let is_deflated = uses_deflate(answer.headers(), &header::CONTENT_ENCODING);
+    let bytes = client::success_body(answer).map_err(Error::Call)?;
+    let reply = if is_deflated {
+        decode::<ChangesReplyWire<ChangeWire>>(&key, &bytes).map(ChangesReplyWire::into_changes)
+    } else {
+        decode::<ChangesReplyWire<PlainChangeWire>>(&key, &bytes)
+            .map(ChangesReplyWire::into_changes)
+    };
+    let reply = reply.filter(|reply| reply.nonce == request.nonce).ok_or(Error::InvalidReply)?;
     let Some(view) = reply.view else { return Ok(ChangesReply::Unknown) };
     let held = Duration::from_millis(view.held_ms).min(wait);
     let since = |age_ms| (sent + held).saturating_sub(Duration::from_millis(age_ms));
@@ -201,6 +177,7 @@
         return status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     };
     let arrived = edge.timer.now_including_suspend();
+    let accepts_deflate = uses_deflate(req.headers(), &header::ACCEPT_ENCODING);
     let body = Limited::new(req.into_body(), REQUEST_MAX_BYTES).collect().await;
     let request: Option<ChangesRequest> = body.ok().and_then(|body| decode(&key, &body.to_bytes()));
     let Some(request) = request else {
@@ -209,15 +186,43 @@
         return status(StatusCode::FORBIDDEN, Bytes::new());
     };
     let view = wait_for_changes(&edge, &request, arrived).await;
-    match encode(&key, &ChangesReplyWire { nonce: request.nonce, view }) {
-        Some(body) => status(StatusCode::OK, body),
-        None => status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+    let reply = ChangesReplyWire { nonce: request.nonce, view };
+    let body = if accepts_deflate {
+        encode(&key, &reply.map(|change| Some(ChangeWire::from(change))))
+    } else {
+        encode(&key, &reply.map(plain_change))
+    };
+    let Some(body) = body else {
+        return status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
+    };
+    let mut response = status(StatusCode::OK, body)?;
+    if accepts_deflate {
+        response.headers_mut().insert(header::CONTENT_ENCODING, DEFLATE);
     }
+    Ok(response)
+}
+
+/// Returns a change for a VM of an older release, or none if its value cannot be decompressed.
+fn plain_change(change: Change) -> Option<PlainChangeWire> {
+    let change = PlainChangeWire::try_from(change);
+    let log_error = |e: &std::io::Error| {
+        log::error!(target: "member", why = e.to_string(); "unreadable value in the journal");
+    };
+    change.inspect_err(log_error).ok()
+}
+
+/// Whether a header names the compression of values.
+fn uses_deflate(headers: &HeaderMap, name: &HeaderName) -> bool {
+    headers.get(name) == Some(&DEFLATE)
 }
 
 /// Returns the requested changes as soon as there is one or the request has waited long enough. Returns `None` if this
 /// VM does not have all of them, or cannot get further ones from the store.
-async fn wait_for_changes(edge: &Edge, request: &ChangesRequest, arrived: Now) -> Option<ViewWire> {
+async fn wait_for_changes(
+    edge: &Edge,
+    request: &ChangesRequest,
+    arrived: Now,
+) -> Option<ViewWire<Change>> {
     let after = Position { era: request.era, revision: request.after };
     let wait = Duration::from_millis(request.wait_ms).min(CHANGE_WAIT);
     let until = tokio::time::Instant::now() + wait;
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -15,6 +15,7 @@
         self, ChangesReply,
         journal::Change,
         source::{Candidate, FOLLOWER_ROLE_MIN_VMS, Source, SourceSelector},
+        value::Value,
     },
     state::{
         Edge, RouterItem, TargetVersion,
@@ -170,11 +171,11 @@
                     let age = edge.timer.now_including_suspend().saturating_sub(as_of);
                     record_store_answer(&edge, now.saturating_sub(age));
                 }
-                apply_and_distribute(
-                    &edge,
-                    changes.into_iter().map(Event::from).collect(),
-                    revision,
-                );
+                if let Err(e) = apply_changes(&edge, changes, revision) {
+                    log::warn!(target: "config", from = vm.as_str(), after = after.revision,
+                        why = e.to_string(); "unreadable value in a change from another VM");
+                    return self.selector.record_failure(now, &vm);
+                }
                 if let Some(as_of) = current_as_of {
                     edge.store_view().mark_current_as_of(as_of);
                 }
@@ -418,7 +419,7 @@
             changes = batch.entries.len(), ms = millis(edge.timer.now().saturating_sub(started));
             "watch returned a configuration");
     }
-    apply_and_distribute(edge, batch.entries, revision);
+    apply_events(edge, batch.entries, revision);
     edge.store_view().mark_read(sent);
     Ok(Position { revision, ..position })
 }
@@ -448,13 +449,26 @@
     (pause, left.saturating_sub(pause).clamp(PROBE_WATCH_WAIT, wait))
 }
 
-/// Applies the changes up to a revision, and distributes those that make a difference to other VMs.
-fn apply_and_distribute(edge: &Edge, events: Vec<Event>, revision: Revision) {
+/// Applies the changes of the store up to a revision, and distributes those that make a difference to other VMs.
+fn apply_events(edge: &Edge, events: Vec<Event>, revision: Revision) {
     let changes = events.into_iter().filter(|event| apply(edge, event)).filter_map(to_change);
     let changes = changes.collect();
     edge.distribution.advance(revision, changes);
 }
 
+/// Applies the changes that another VM has passed on, and distributes those that make a difference.
+///
+/// # Errors
+///
+/// When a value cannot be decompressed. Then none is applied.
+fn apply_changes(edge: &Edge, changes: Vec<Change>, revision: Revision) -> std::io::Result<()> {
+    let events: Vec<_> = changes.iter().map(Event::try_from).collect::<Result<_, _>>()?;
+    let changes = changes.into_iter().zip(events).filter(|(_, event)| apply(edge, event));
+    let changes = changes.map(|(change, _)| change).collect();
+    edge.distribution.advance(revision, changes);
+    Ok(())
+}
+
 /// Applies one change; returns whether it makes a difference to other VMs. A heartbeat alone does not.
 fn apply(edge: &Edge, event: &Event) -> bool {
     let now = edge.timer.now();
@@ -490,18 +504,20 @@
         // Other VMs cannot read this value either.
         Event::Written(Item { value: Err(_), .. }) => None,
         Event::Written(Item { key, value: Ok(value), revision }) => {
-            Some(Change { key, revision, value: Some(value) })
+            Some(Change { key, revision, value: Some(Value::new(value)) })
         }
         Event::Removed { key, revision } => Some(Change { key, revision, value: None }),
     }
 }
 
-impl From<Change> for Event {
-    fn from(change: Change) -> Self {
-        let Change { key, revision, value } = change;
-        match value {
-            Some(value) => Self::Written(Item { key, value: Ok(value), revision }),
+impl TryFrom<&Change> for Event {
+    type Error = std::io::Error;
+
+    fn try_from(change: &Change) -> Result<Self, std::io::Error> {
+        let (key, revision) = (change.key.clone(), change.revision);
+        Ok(match &change.value {
+            Some(value) => Self::Written(Item { key, value: Ok(value.inflate()?), revision }),
             None => Self::Removed { key, revision },
-        }
+        })
     }
 }
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -12,6 +12,7 @@
         self, ChangesReply,
         journal::{Change, JOURNAL_MAX_BYTES, Journal},
         source::{Candidate, FOLLOWER_ROLE_MIN_VMS, FOLLOWERS, Source, SourceSelector},
+        value::Value,
     },
     run::Vm,
 };
@@ -28,7 +29,7 @@
 }
 
 fn change(key: &str, revision: u64) -> Change {
-    Change { key: key.into(), revision, value: Some(vec![0; 100]) }
+    Change { key: key.into(), revision, value: Some(Value::new(vec![0; 100])) }
 }
 
 /// Guards against a journal that returns only some of the changes after a revision.
@@ -66,7 +67,10 @@
     assert_eq!(after(14), [config(15), other(16)]);
     assert_eq!(after(15), [other(16)]);
     // Configurations that are dropped make room for other changes.
-    let config = |revision| Change { value: Some(vec![0; 100_000]), ..config(revision) };
+    let config = |revision| Change {
+        value: Some(Value::Plain(vec![0; 100_000].into())),
+        ..config(revision)
+    };
     for revision in 17..100 {
         journal.advance(revision, vec![config(revision)]);
     }
--- a/crates/lw-edge/tests/narrow_links.rs
+++ b/crates/lw-edge/tests/narrow_links.rs
@@ -7,8 +7,11 @@
 use lw_edge::distribution::{
     journal::{Change, Journal},
     source::{Candidate, Source, SourceSelector},
+    value::Value,
+    wire::ChangeWire,
 };
 use lw_platform::config::CONFIG_KEY;
+use lw_transport::client::ANSWER_MAX_BYTES;
 use lw_types::prelude::*;
 use serde_json::json;
 
@@ -49,12 +52,16 @@
 
 /// Returns the size of a reply with these changes.
 fn reply_bytes(changes: &[Change]) -> usize {
-    rmp_serde::to_vec(changes).unwrap().len()
+    let changes: Vec<_> = changes.iter().cloned().map(ChangeWire::from).collect();
+    rmp_serde::to_vec(&changes).unwrap().len()
 }
 
-/// Returns the size of the store's answer with these events, whose values are encoded as text.
-fn watch_bytes(events: &[Change]) -> usize {
-    events.iter().map(|event| event.value.as_ref().map_or(0, Vec::len) * 4 / 3 + 150).sum()
+/// One change of the store.
+struct StoreEvent {
+    at: Now,
+    change: Change,
+    /// Size in an answer of the store, which encodes values as text.
+    bytes: usize,
 }
 
 /// Bytes on their way to a VM.
@@ -94,8 +101,8 @@
 struct Domain {
     now: Now,
     vms: Vec<Vm>,
-    /// All changes of the store with their times.
-    store: Vec<(Now, Change)>,
+    /// All changes of the store.
+    store: Vec<StoreEvent>,
     /// Longest time after which a VM knew a change, by the key of the change.
     slowest: Vec<(String, Duration)>,
 }
@@ -121,7 +128,9 @@
     /// Lets the store acknowledge a change now.
     fn put(&mut self, key: &str, value: Vec<u8>) {
         let revision = self.store.len() as u64 + 1;
-        self.store.push((self.now, Change { key: key.into(), revision, value: Some(value) }));
+        let bytes = value.len() * 4 / 3 + 150;
+        let change = Change { key: key.into(), revision, value: Some(Value::new(value)) };
+        self.store.push(StoreEvent { at: self.now, change, bytes });
     }
 
     fn members(&self) -> Vec<Candidate> {
@@ -133,9 +142,15 @@
         SourceSelector::is_follower(&members[vm], members, FLEET_SIZE)
     }
 
-    fn store_changes_after(&self, after: Revision) -> Vec<Change> {
-        let from = usize::try_from(after).unwrap().min(self.store.len());
-        self.store[from..].iter().map(|(_, change)| change.clone()).collect()
+    /// Returns the changes of the store after a revision, and the bytes that a VM receives until it has them. An answer that is
+    /// too long is followed by a read of the whole store, which lists only the newest configuration.
+    fn store_answer(&self, after: Revision) -> (Vec<Change>, usize) {
+        let later = &self.store[usize::try_from(after).unwrap()..];
+        let bytes: usize = later.iter().map(|event| event.bytes).sum();
+        let configs = self.store.iter().filter(|event| event.change.key == CONFIG_KEY);
+        let newest = configs.last().map_or(0, |event| event.bytes);
+        let bytes = if bytes > ANSWER_MAX_BYTES { ANSWER_MAX_BYTES + newest } else { bytes };
+        (later.iter().map(|event| event.change.clone()).collect(), bytes)
     }
 
     /// Moves all transfers on by a tick. The links of the sender and of the receiver are shared evenly.
@@ -221,8 +236,7 @@
         let after = self.vms[n].revision;
         let (changes, revision, bytes) = match from {
             None => {
-                let changes = self.store_changes_after(after);
-                let bytes = watch_bytes(&changes);
+                let (changes, bytes) = self.store_answer(after);
                 (changes, self.store.len() as u64, bytes)
             }
             Some(from) if self.vms[from].is_down => return None,
@@ -251,7 +265,7 @@
         let source = transfer.from.map(|from| self.vms[from].id.clone());
         let vm = &mut self.vms[n];
         let revision = transfer.revision.max(vm.revision);
-        for (at, change) in &self.store {
+        for StoreEvent { at, change, .. } in &self.store {
             if change.revision > vm.revision && change.revision <= revision {
                 self.slowest.push((change.key.clone(), now.saturating_sub(*at)));
             }
@@ -271,7 +285,7 @@
         let known = self.slowest.iter().filter(|(key, _)| key.starts_with(prefix));
         let missed = self.vms.iter().filter(|vm| !vm.is_down).flat_map(|vm| {
             let after = usize::try_from(vm.revision).unwrap();
-            self.store[after..].iter().map(|(at, change)| (&change.key, self.now - *at))
+            self.store[after..].iter().map(|event| (&event.change.key, self.now - event.at))
         });
         let missed = missed.filter(|(key, _)| key.starts_with(prefix)).map(|(_, time)| time);
         known.map(|(_, time)| *time).chain(missed).max().unwrap_or_default()
