lw-edge: a VM without a reply asks the next follower for one at once

A VM whose follower is down waited 0.9 s for it, 0.9 s for the other one and then 0.25 s before its watch of the store, since each source was asked as if the one before had just replied. After a failure the next VM is asked for a reply without a wait, and the first watch of the store has no pause.

Test: a_vm_without_a_reply_asks_the_next_follower_for_one_at_once.

--- a/crates/lw-edge/src/distribution/source.rs
+++ b/crates/lw-edge/src/distribution/source.rs
@@ -142,11 +142,15 @@
         !self.is_without_store
     }
 
-    /// Returns how long another VM may hold a request: for a follower until its next attempt at the store, and at most
-    /// `max`.
+    /// Returns how long another VM may hold a request: for a follower until its next attempt at the store, not at all after
+    /// another VM did not reply, and at most `max`.
     #[must_use]
     pub fn request_wait(&self, now: Now, is_follower: bool, max: Duration) -> Duration {
-        if is_follower { self.store_retry_at.saturating_sub(now).min(max) } else { max }
+        match self.without_peer_since {
+            _ if is_follower => self.store_retry_at.saturating_sub(now).min(max),
+            Some(_) => Duration::ZERO,
+            None => max,
+        }
     }
 
     fn wait(&self, now: Now) -> Source {
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -111,12 +111,15 @@
             Source::Store => {
                 let before = self.edge.store_view().vms_max();
                 // A store that does not answer must not delay requests to other VMs.
-                let timing = if self.selector.has_store_failed() {
+                let (pause, wait) = if self.selector.has_store_failed() {
                     (Duration::ZERO, PROBE_WATCH_WAIT)
                 } else {
                     watch_timing(&self.edge, self.is_growing)
                 };
-                let watched = watch(&self.edge, position, timing).await;
+                // A VM that comes here since others did not reply has waited long enough.
+                let is_next = self.source == Some(Source::Store);
+                let pause = if is_next { pause } else { Duration::ZERO };
+                let watched = watch(&self.edge, position, (pause, wait)).await;
                 self.is_growing = self.edge.store_view().vms_max() >= before + GROWTH_MIN_VMS;
                 self.position = Some(watched?);
                 self.selector.record_store_success();
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -134,6 +134,23 @@
     assert_eq!((0..19).filter(is_follower).collect::<Vec<_>>(), [3, 11]);
 }
 
+/// Guards against a VM that waits out the whole time of two followers in turn when both are down.
+#[test]
+fn a_vm_without_a_reply_asks_the_next_follower_for_one_at_once() {
+    let same_domain = vms(19);
+    let is_other = |vm: &&Candidate| !SourceSelector::is_follower(vm, &same_domain, 95);
+    let vm = same_domain.iter().find(is_other).unwrap();
+    let mut selector = SourceSelector::default();
+    let Source::Vm(first) = selector.select(ms(0), vm, &same_domain, 95) else {
+        panic!("no VM selected")
+    };
+    assert_eq!(selector.request_wait(ms(0), false, ms(500)), ms(500));
+    selector.record_failure(ms(900), &first);
+    assert_eq!(selector.request_wait(ms(900), false, ms(500)), ms(0));
+    selector.record_reply(ms(910), "another", false, Some(ms(100)), REVOKE);
+    assert_eq!(selector.request_wait(ms(910), false, ms(500)), ms(500));
+}
+
 /// Guards against VMs that remain without a source when both followers do not reply, and against VMs that then all call
 /// the store at the same time.
 #[test]
