lw-edge: a VM that reads the whole store again still offers the changes to others

All VMs that get their changes from it were then told that it has none, and read the store themselves.

Test: a_vm_that_reads_the_store_again_still_offers_the_changes_since_then; it fails on the commit before, where the reply is Unknown.

--- a/crates/lw-edge/src/distribution/journal.rs
+++ b/crates/lw-edge/src/distribution/journal.rs
@@ -101,6 +101,12 @@
         self.revision
     }
 
+    /// Returns the position up to which the journal is complete, or `None` until the store was read.
+    #[must_use]
+    pub fn position(&self) -> Option<Position> {
+        Some(Position { revision: self.revision, ..self.floor? })
+    }
+
     /// Returns the changes after a position, or `None` if the journal does not contain all of them.
     #[must_use]
     pub fn changes_after(&self, after: Position) -> Option<Vec<Change>> {
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
+use lw_catalog::upstreams::Change as UpstreamChange;
 use lw_observe::logs::millis;
 use lw_platform::{
     config, registry,
@@ -297,22 +298,48 @@
     };
     let upstreams: Vec<_> = items.iter().filter_map(upstream_entry).collect();
     let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+    let known = edge.distribution.with_journal(|journal| journal.position());
+    let known = known.filter(|known| known.era == first.era && known.revision <= first.revision);
+    let removed: Vec<_> = {
+        let view = edge.store_view();
+        view.keys().filter(|key| !listed.contains(key.as_str())).collect()
+    };
     let is_restored = begin_era(edge, first, |key| listed.contains(key));
-    for item in items {
-        apply_item(edge, &item);
+    for item in &items {
+        apply_item(edge, item);
     }
     let now = edge.timer.now();
     let mut view = edge.store_view();
     let changes = view.directory.replace_all(now, upstreams, is_restored);
     view.mark_read(sent);
     drop(view);
-    // The later pages may already contain changes that the next watch returns. These then change nothing here and are
-    // not distributed, so the journal is complete only from the last page on.
-    edge.distribution.with_journal(|journal| journal.reset(last));
+    match known {
+        Some(known) => {
+            let later = items.into_iter().filter(|item| item.revision > known.revision);
+            let later = later.filter(|item| is_relevant(item, &changes));
+            let written = later.filter_map(|item| to_change(Event::Written(item)));
+            let removal = |key| Change { key, revision: first.revision, value: None };
+            let later = written.chain(removed.into_iter().map(removal)).collect();
+            edge.distribution.advance(first.revision, later);
+        }
+        // The later pages may already contain changes that the next watch returns. These then change nothing here and are
+        // not distributed, so the journal is complete only from the last page on.
+        None => edge.distribution.with_journal(|journal| journal.reset(last)),
+    }
     edge.apply_upstream_changes(changes);
     Ok(first)
 }
 
+/// Whether an item that was read makes a difference to other VMs, where `changes` are those of the upstreams. A heartbeat
+/// alone does not.
+fn is_relevant(item: &Item, changes: &[UpstreamChange]) -> bool {
+    let Some(id) = registry::upstream_id(&item.key) else { return true };
+    changes.iter().any(|change| match change {
+        UpstreamChange::Present(upstream) => upstream.id == id,
+        UpstreamChange::Gone(gone) => gone == id,
+    })
+}
+
 /// Sets the era of the view and removes the items of the router that the store does not list. Returns whether the store
 /// has returned from an older copy.
 fn begin_era(
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -5,6 +5,7 @@
 use lw_catalog::{Catalog, Directory};
 use lw_limit::quota::SLOTS;
 use lw_place::software::History;
+use lw_platform::registry;
 use lw_types::prelude::*;
 
 use super::keys::{self, SettledEra, VmEntry};
@@ -243,6 +244,13 @@
         self.software.get(service)
     }
 
+    /// Returns the keys of the entries of upstreams and of all items of the router.
+    pub fn keys(&self) -> impl Iterator<Item = String> {
+        let upstreams = self.directory.iter().map(|upstream| registry::key(&upstream.id));
+        let vms = self.vms.keys().map(|vm| format!("{}{vm}", keys::VM_PREFIX));
+        self.router_items.keys().cloned().chain(vms).chain(upstreams)
+    }
+
     /// Returns the entry of a registered VM.
     #[must_use]
     pub fn vm(&self, vm: &str) -> Option<&VmEntry> {
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -360,3 +360,34 @@
         async |_: &Simulation| matches!(request(ms(0)).await, Ok(ChangesReply::Changes { .. }));
     simulation.wait_until("it offers changes again", offers).await;
 }
+
+/// Guards against a VM that offers no changes after it has read the whole store again, so that all others turn to the store.
+#[tokio::test]
+async fn a_vm_that_reads_the_store_again_still_offers_the_changes_since_then() {
+    let simulation = Simulation::start().await;
+    let second = second_vm(&simulation).await;
+    let first = Arc::clone(&simulation.vm.as_ref().unwrap().edge);
+    let after = first.distribution.with_journal(|journal| journal.position()).unwrap();
+    let desk = format!("servers/{}", simulation.servers[0].id);
+    simulation.store.cut_watches();
+    simulation.store.remove(&desk);
+    simulation.store.put("op/config", &common::config(9));
+    simulation.store.compact();
+    let has_read = async |_: &Simulation| {
+        let catalog = first.store_view().catalog();
+        catalog.is_some_and(|catalog| catalog.version == 9)
+    };
+    simulation.wait_until("the first VM has read the store again", has_read).await;
+    let addr = simulation.settings.peers;
+    let reply = distribution::request_changes(&second.edge, addr, after, ms(0)).await;
+    let Ok(ChangesReply::Changes { changes, revision, .. }) = reply else {
+        panic!("the first VM offers no changes: {reply:?}")
+    };
+    assert!(revision > after.revision);
+    let value_of = |key: &str| {
+        let change = changes.iter().rev().find(|change| change.key == key);
+        change.unwrap_or_else(|| panic!("no change of {key} in {changes:?}")).value.clone()
+    };
+    assert!(value_of("op/config").is_some());
+    assert_eq!(value_of(&desk), None, "it was removed");
+}
