lw-edge, lw-platform: an answer that arrives slowly is not taken for a silent one

The time limits of replies of other VMs and of answers of the store covered the whole body. A configuration of 330 KB over a link of 10 Mbit/s was given up before its end and requested again elsewhere, which filled the next link. Now the limit covers the time until an answer begins and each pause in it, with a bound on the whole (2 s for VMs, 3 s for the store). A watch whose answer announces more than 1 MB is given up at once for a read of the whole store, which is shorter: the answer has each configuration, the store only the last.

--- a/crates/lw-edge/src/distribution/mod.rs
+++ b/crates/lw-edge/src/distribution/mod.rs
@@ -22,7 +22,7 @@
 use lw_observe::logs::millis;
 use lw_transport::{
     auth,
-    client::{self, Call},
+    client::{self, BodyTime, Call},
 };
 use lw_types::prelude::*;
 use serde::{Serialize, de::DeserializeOwned};
@@ -49,9 +49,12 @@
 const REQUEST_MAX_BYTES: usize = 1 << 10;
 /// Longest time for which a request waits for a change.
 pub const CHANGE_WAIT: Duration = Duration::from_millis(500);
-/// Time limit for a reply in addition to the wait. VMs of a failure domain are a millisecond apart, but each has only a
-/// fraction of a core.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time limit until a reply begins, in addition to the wait. VMs of a failure domain are a millisecond apart, but each has
+/// only a fraction of a core.
+pub const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time limits of a reply that has begun.
+pub const REPLY_BODY_TIME: BodyTime =
+    BodyTime { pause_max: REPLY_TIMEOUT, total_max: Duration::from_secs(2) };
 
 /// The changes of the store that a VM offers to others.
 #[derive(Debug, Default)]
@@ -143,6 +146,7 @@
     };
     let mut call = Call::new(Method::POST, addr, PATH, wait + REPLY_TIMEOUT);
     call.body = encode(&key, &request).ok_or(Error::InvalidReply)?;
+    call.body_time = Some(REPLY_BODY_TIME);
     call.headers.insert(header::ACCEPT_ENCODING, DEFLATE);
     let answer = edge.clients.collect(call).await.map_err(Error::Call)?;
     let is_deflated = uses_deflate(answer.headers(), &header::CONTENT_ENCODING);
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -391,3 +391,35 @@
     assert!(value_of("op/config").is_some());
     assert_eq!(value_of(&desk), None, "it was removed");
 }
+
+/// Guards against a reply that is given up while it arrives over a slow link, and against one that is awaited after it has
+/// stopped.
+#[tokio::test]
+async fn a_slow_reply_is_read_to_its_end_and_a_silent_one_is_not() {
+    use lw_transport::client::{BodyTime, Call, Clients, Error, Options};
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for parts in [6, 3] {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 1024]).await;
+            let head = "HTTP/1.1 200 OK\r\ncontent-length: 600\r\n\r\n";
+            stream.write_all(head.as_bytes()).await.unwrap();
+            for _ in 0..parts {
+                tokio::time::sleep(ms(150)).await;
+                stream.write_all(&[b'x'; 100]).await.unwrap();
+            }
+            tokio::time::sleep(ms(3_000)).await;
+        }
+    });
+    let options = Options { connect_timeout: ms(300), pool_idle_timeout: ms(300) };
+    let clients = Clients::new(options);
+    let collect = async || {
+        let mut call = Call::new(http::Method::GET, addr, "/", ms(400));
+        call.body_time = Some(BodyTime { pause_max: ms(400), total_max: ms(2_000) });
+        clients.collect(call).await
+    };
+    assert_eq!(collect().await.unwrap().into_body().len(), 600, "it takes 0.9 s");
+    assert!(matches!(collect().await, Err(Error::Timeout(_))));
+}
--- a/crates/lw-edge/tests/narrow_links.rs
+++ b/crates/lw-edge/tests/narrow_links.rs
@@ -5,13 +5,16 @@
 use std::{collections::VecDeque, time::Duration};
 
 use lw_edge::distribution::{
+    CHANGE_WAIT, REPLY_BODY_TIME, REPLY_TIMEOUT,
     journal::{Change, Journal},
     source::{Candidate, Source, SourceSelector},
     value::Value,
     wire::ChangeWire,
 };
-use lw_platform::config::CONFIG_KEY;
-use lw_transport::client::ANSWER_MAX_BYTES;
+use lw_platform::{
+    config::CONFIG_KEY,
+    store::{READ_TIME_MAX, WATCH_MAX_BYTES},
+};
 use lw_types::prelude::*;
 use serde_json::json;
 
@@ -29,9 +32,8 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(250);
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 const STORE_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest time for which a VM holds a request for changes, and time limit for a reply beyond the wait.
-const CHANGE_WAIT: Duration = lw_edge::distribution::CHANGE_WAIT;
-const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Size of all items of the store except the configuration.
+const OTHER_ITEMS_BYTES: usize = 60_000;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -95,6 +97,8 @@
     journal: Journal,
     revision: Revision,
     phase: Phase,
+    /// Whether the last changes came from the store.
+    is_at_store: bool,
     is_down: bool,
 }
 
@@ -119,6 +123,7 @@
                 journal,
                 revision: 0,
                 phase: Phase::Select(ms(7 * n as u64)),
+                is_at_store: false,
                 is_down: false,
             }
         };
@@ -149,7 +154,7 @@
         let bytes: usize = later.iter().map(|event| event.bytes).sum();
         let configs = self.store.iter().filter(|event| event.change.key == CONFIG_KEY);
         let newest = configs.last().map_or(0, |event| event.bytes);
-        let bytes = if bytes > ANSWER_MAX_BYTES { ANSWER_MAX_BYTES + newest } else { bytes };
+        let bytes = if bytes > WATCH_MAX_BYTES { newest + OTHER_ITEMS_BYTES } else { bytes };
         (later.iter().map(|event| event.change.clone()).collect(), bytes)
     }
 
@@ -195,8 +200,10 @@
                 self.fail(n, from, is_follower);
             }
             Phase::Held { from, answer_at, fails_at } => {
+                // Some bytes arrive in each tick, so that only the time of the whole body is limited.
+                let time = from.map_or(READ_TIME_MAX, |_| REPLY_BODY_TIME.total_max);
                 self.vms[n].phase = match self.answer(n, from, answer_at) {
-                    Some(transfer) => Phase::Receiving { transfer, fails_at },
+                    Some(transfer) => Phase::Receiving { transfer, fails_at: now + time },
                     None => Phase::Held { from, answer_at, fails_at },
                 };
             }
@@ -216,8 +223,9 @@
         self.vms[n].phase = match vm.selector.select(now, &members[n], members, FLEET_SIZE) {
             Source::Store => {
                 let has_failed = vm.selector.has_store_failed();
-                let (pause, wait) =
-                    if has_failed { (Duration::ZERO, ms(1)) } else { (WATCH_PAUSE, WATCH_WAIT) };
+                let wait = if has_failed { ms(1) } else { WATCH_WAIT };
+                let has_pause = vm.is_at_store && !has_failed;
+                let pause = if has_pause { WATCH_PAUSE } else { Duration::ZERO };
                 let answer_at = now + pause + wait;
                 Phase::Held { from: None, answer_at, fails_at: answer_at + STORE_TIMEOUT }
             }
@@ -272,6 +280,7 @@
         }
         vm.revision = revision;
         vm.journal.advance(revision, transfer.changes);
+        vm.is_at_store = source.is_none();
         match source {
             Some(source) => {
                 vm.selector.record_reply(now, &source, is_follower, Some(ms(500)), REVOKE);
--- a/crates/lw-transport/src/client/mod.rs
+++ b/crates/lw-transport/src/client/mod.rs
@@ -8,9 +8,10 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http::{HeaderMap, Method, StatusCode};
+use http_body::Body as _;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::{Serialize, de::DeserializeOwned};
 use volo_http::{body::Body, error::ClientError, response::Response};
@@ -38,6 +39,15 @@
     Fresh,
 }
 
+/// Time limits of the body of an answer that is collected. A large answer over a narrow link takes long without a fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyTime {
+    /// Longest time without any bytes.
+    pub pause_max: Duration,
+    /// Longest time until the body is complete.
+    pub total_max: Duration,
+}
+
 /// One HTTP request.
 #[derive(Debug)]
 pub struct Call<'a> {
@@ -51,8 +61,13 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
-    /// Longest time until the headers of the answer arrive, or its complete body where that is collected.
+    /// Longest time until the headers of the answer arrive, or its complete body where that is collected without limits of
+    /// its own.
     pub timeout: Duration,
+    /// Limits of the body, counted from the headers of the answer.
+    pub body_time: Option<BodyTime>,
+    /// Largest body that is collected, in bytes.
+    pub answer_max_bytes: usize,
     /// Which connections may be used.
     pub reuse: Reuse,
 }
@@ -68,6 +83,8 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             timeout,
+            body_time: None,
+            answer_max_bytes: ANSWER_MAX_BYTES,
             reuse: Reuse::Pooled,
         }
     }
@@ -264,12 +281,18 @@
     ///
     /// Any [`enum@Error`] except [`Error::Status`].
     pub async fn collect(&self, call: Call<'_>) -> Result<http::Response<Bytes>, Error> {
-        let timeout = call.timeout;
+        let (timeout, body_time, max_bytes) = (call.timeout, call.body_time, call.answer_max_bytes);
         let collected = async {
             let (head, body) = self.send(call).await?.into_parts();
-            let bytes = read_body(body, ANSWER_MAX_BYTES).await?;
+            let bytes = match body_time {
+                Some(time) => read_body_in(body, max_bytes, time).await?,
+                None => read_body(body, max_bytes).await?,
+            };
             Ok(http::Response::from_parts(head, bytes))
         };
+        if body_time.is_some() {
+            return collected.await;
+        }
         tokio::time::timeout(timeout, collected).await.unwrap_or(Err(Error::Timeout(timeout)))
     }
 }
@@ -296,6 +319,29 @@
     Err(Error::Status { status, body: String::from_utf8_lossy(&body).into_owned() })
 }
 
+/// Reads a complete body of at most `max_bytes` within time limits.
+async fn read_body_in(mut body: Body, max_bytes: usize, time: BodyTime) -> Result<Bytes, Error> {
+    if body.size_hint().lower() > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
+        return Err(Error::TooLong(max_bytes));
+    }
+    let end = tokio::time::Instant::now() + time.total_max;
+    let mut bytes = BytesMut::new();
+    loop {
+        let pause_end = end.min(tokio::time::Instant::now() + time.pause_max);
+        let frame = tokio::time::timeout_at(pause_end, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| Error::Timeout(time.pause_max))? else {
+            return Ok(bytes.freeze());
+        };
+        let frame = frame.map_err(|e| Error::Unreadable(e.to_string()))?;
+        if let Some(data) = frame.data_ref() {
+            bytes.extend_from_slice(data);
+        }
+        if bytes.len() > max_bytes {
+            return Err(Error::TooLong(max_bytes));
+        }
+    }
+}
+
 /// Reads a complete body of at most `max_bytes`.
 ///
 /// # Errors
