lw-edge: a view counts as fresh by the shortest time in which a change must be known

A VM accepted the view of another one up to half of the time in which a revoked key must be refused, 2.5 s, although an engine's leaving and a configuration must be known within 3 s on most deployments and 2 s on the small ones. With the time to notice that a source is silent the sum could exceed these. The time for configurations (ConfigApplyMs) is read from the settings, and half of the shortest of the three counts.

a_follower_with_an_old_view_is_avoided checks it with a view of 1.6 s at 3 s.

--- a/crates/lw-catalog/src/settings.rs
+++ b/crates/lw-catalog/src/settings.rs
@@ -101,6 +101,7 @@
             limits_overload: true,
             bounds: Bounds {
                 drain: seconds(2),
+                config: seconds(2),
                 grace: seconds(8),
                 revoke: seconds(5),
                 version: seconds(15),
@@ -122,6 +123,8 @@
 pub struct Bounds {
     /// Time within which a leaving upstream must stop receiving new requests.
     pub drain: Duration,
+    /// Time within which a configuration must be in force.
+    pub config: Duration,
     /// Time between the signal to terminate this process and the kill.
     pub grace: Duration,
     /// Time within which a revoked key must be rejected; also the longest age of the view of the keys.
@@ -146,6 +149,20 @@
     pub quota: QuotaBounds,
 }
 
+impl Bounds {
+    /// Returns the time within which every VM must know a change of the store: that an upstream leaves, a configuration, or a
+    /// revoked key.
+    ///
+    /// ```
+    /// let bounds = lw_catalog::VmSettings::example().bounds;
+    /// assert_eq!(bounds.known_within(), bounds.drain);
+    /// ```
+    #[must_use]
+    pub fn known_within(&self) -> Duration {
+        self.drain.min(self.config).min(self.revoke)
+    }
+}
+
 /// How far workspaces may exceed their usage caps: in any window the usage is at most
 /// `(rate * window + burst) * (1 + overshoot) + slack`.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/lw-edge/src/distribution/source.rs
+++ b/crates/lw-edge/src/distribution/source.rs
@@ -14,8 +14,8 @@
 /// Fewest VMs over all failure domains at which only the followers watch the store. With fewer VMs all of them do,
 /// since their watches together cost less than 2 % of the store's reads.
 pub const FOLLOWER_ROLE_MIN_VMS: usize = 20;
-/// Age up to which the view of another VM counts as fresh, as a fraction of the time in which a revoked key must be
-/// refused. The time from then until keys are no longer used is for finding another source.
+/// Age up to which the view of another VM counts as fresh, as a fraction of the time in which a change must be known. The rest
+/// of that time is for finding another source.
 const FRESH_AGE_MAX_FRACTION: f64 = 0.5;
 /// Time for which no requests are sent to a VM that did not reply, or whose view is too old or incomplete.
 const AVOID_TIME: Duration = Duration::from_secs(2);
@@ -159,8 +159,8 @@
         )
     }
 
-    /// Records that another VM replied, after which this VM's view has this age. `revoke` is the time in which a
-    /// revoked key must be refused. A view that is too old counts as a failure, except at a follower whose calls to
+    /// Records that another VM replied, after which this VM's view has this age. `known_within` is the time in which a change
+    /// must be known. A view that is too old counts as a failure, except at a follower whose calls to
     /// the store fail: it has no better source.
     pub fn record_reply(
         &mut self,
@@ -168,9 +168,10 @@
         vm: &str,
         is_follower: bool,
         age: Option<Duration>,
-        revoke: Duration,
+        known_within: Duration,
     ) {
-        if is_follower || age.is_some_and(|age| age < revoke.mul_f64(FRESH_AGE_MAX_FRACTION)) {
+        if is_follower || age.is_some_and(|age| age < known_within.mul_f64(FRESH_AGE_MAX_FRACTION))
+        {
             self.without_peer_since = None;
             self.avoided.retain(|(avoided, until)| avoided != vm && now < *until);
         } else {
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -185,7 +185,8 @@
                 }
                 self.position = Some(Position { revision, ..after });
                 let age = edge.store_view().age(edge.timer.now_including_suspend());
-                self.selector.record_reply(now, &vm, is_follower, age, edge.bounds().revoke);
+                let known_within = edge.bounds().known_within();
+                self.selector.record_reply(now, &vm, is_follower, age, known_within);
                 self.record_source(Source::Vm(vm));
             }
             Ok(ChangesReply::Unknown) => {
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -54,6 +54,7 @@
 pub fn bounds() -> Bounds {
     Bounds {
         drain: ms(2_000),
+        config: ms(2_000),
         grace: ms(4_000),
         revoke: ms(2_000),
         version: ms(15_000),
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -20,7 +20,8 @@
 use lw_types::prelude::Position;
 use serde_json::json;
 
-const REVOKE: Duration = Duration::from_secs(5);
+/// Time within which a change must be known.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 /// Longer than the time for which a VM that did not reply gets no requests.
 const AFTER_AVOID_TIME: Duration = Duration::from_secs(3);
 
@@ -147,7 +148,7 @@
     assert_eq!(selector.request_wait(ms(0), false, ms(500)), ms(500));
     selector.record_failure(ms(900), &first);
     assert_eq!(selector.request_wait(ms(900), false, ms(500)), ms(0));
-    selector.record_reply(ms(910), "another", false, Some(ms(100)), REVOKE);
+    selector.record_reply(ms(910), "another", false, Some(ms(100)), KNOWN_WITHIN);
     assert_eq!(selector.request_wait(ms(910), false, ms(500)), ms(500));
 }
 
@@ -199,14 +200,14 @@
     let Source::Vm(first) = selector.select(ms(0), vm, &same_domain, 95) else {
         panic!("no VM selected")
     };
-    selector.record_reply(ms(0), &first, false, Some(ms(1_000)), REVOKE);
+    selector.record_reply(ms(0), &first, false, Some(ms(1_000)), KNOWN_WITHIN);
     assert_eq!(selector.select(ms(0), vm, &same_domain, 95), Source::Vm(first.clone()));
-    selector.record_reply(ms(0), &first, false, Some(ms(2_600)), REVOKE);
+    selector.record_reply(ms(0), &first, false, Some(ms(1_600)), KNOWN_WITHIN);
     let Source::Vm(second) = selector.select(ms(0), vm, &same_domain, 95) else {
         panic!("no VM selected")
     };
     assert_ne!(first, second);
-    selector.record_reply(ms(0), &second, false, None, REVOKE);
+    selector.record_reply(ms(0), &second, false, None, KNOWN_WITHIN);
     assert!(!matches!(selector.select(ms(10), vm, &same_domain, 95), Source::Vm(_)));
 }
 
@@ -230,7 +231,7 @@
     let Source::Vm(other) = selector.select(ms(50), &same_domain[0], &same_domain, 3) else {
         panic!("no VM selected")
     };
-    selector.record_reply(ms(50), &other, true, Some(ms(3_000)), REVOKE);
+    selector.record_reply(ms(50), &other, true, Some(ms(3_000)), KNOWN_WITHIN);
     assert_eq!(selector.select(ms(60), &same_domain[0], &same_domain, 3), Source::Vm(other));
     assert_eq!(selector.select(ms(100), &same_domain[0], &same_domain, 3), Source::Store);
 }
--- a/crates/lw-edge/tests/narrow_links.rs
+++ b/crates/lw-edge/tests/narrow_links.rs
@@ -21,7 +21,6 @@
 const TICK: Duration = Duration::from_millis(5);
 /// Time within which a change must be known, as the platform states it for configurations and leaving upstreams.
 const KNOWN_TIME: Duration = Duration::from_secs(3);
-const REVOKE: Duration = Duration::from_secs(5);
 const FLEET_SIZE: usize = 84;
 const WIDE_MBPS: f64 = 200.0;
 const NARROW_MBPS: f64 = 10.0;
@@ -283,7 +282,7 @@
         vm.is_at_store = source.is_none();
         match source {
             Some(source) => {
-                vm.selector.record_reply(now, &source, is_follower, Some(ms(500)), REVOKE);
+                vm.selector.record_reply(now, &source, is_follower, Some(ms(500)), KNOWN_TIME);
             }
             None => vm.selector.record_store_success(),
         }
