lw-edge: a VM whose view is too old does not say that a route or a key does not exist

Callers got 404 and 401, after which they do not retry, from VMs that had not heard from the store for longer than a configuration may take to be in force, so that the route or key could have been added meanwhile. Such a VM now answers 503 with Retry-After; known routes and keys are served as before. A watch waits for at most three quarters of that time, so that a view is not too old just because nothing changes.

Test: a_vm_with_an_old_view_does_not_say_that_a_route_or_key_does_not_exist; on the code before it fails with 404 instead of 503.

--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -29,6 +29,9 @@
 const WATCH_WAIT_FRACTION: f64 = 0.3;
 /// The same fraction where other VMs get changes from this one: its view must still be fresh when it reaches them.
 const SHARED_WATCH_WAIT_FRACTION: f64 = 0.15;
+/// Time for which a watch waits at most, as a fraction of the time in which a configuration must be in force. A VM whose view is
+/// older does not know whether a route exists.
+const WATCH_WAIT_CONFIG_FRACTION: f64 = 0.75;
 /// Longest time for which a watch waits for changes.
 const WATCH_WAIT_MAX: Duration = Duration::from_secs(5);
 /// Pause between two watches for each registered VM, in a fleet where all VMs follow the store. Every change completes
@@ -472,7 +475,9 @@
     };
     let pause = pause.min(revoke.mul_f64(WATCH_PAUSE_MAX_FRACTION));
     let wait_fraction = if is_shared { SHARED_WATCH_WAIT_FRACTION } else { WATCH_WAIT_FRACTION };
-    let wait = revoke.mul_f64(wait_fraction).min(WATCH_WAIT_MAX).saturating_sub(pause / 2);
+    let wait = revoke.mul_f64(wait_fraction).min(WATCH_WAIT_MAX);
+    let wait = wait.min(edge.bounds().config.mul_f64(WATCH_WAIT_CONFIG_FRACTION));
+    let wait = wait.saturating_sub(pause / 2);
     let Some(settles_at) = edge.store_view().settles_at() else { return (pause, wait) };
     // The watch after the one that ends then makes the view current.
     let left = settles_at.saturating_sub(edge.timer.now_including_suspend());
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -162,8 +162,9 @@
         let text = "no current configuration has been received yet";
         Failure::new(ResultCode::NotReady, text).retry_after(RETRY_AFTER_UNREADY)
     })?;
-    let route = find_route(&catalog, &parts)?;
-    let workspace = authenticate(edge, &catalog, &route, &head)?;
+    let route = find_route(&catalog, &parts).map_err(|e| unless_outdated(edge, e))?;
+    let workspace =
+        authenticate(edge, &catalog, &route, &head).map_err(|e| unless_outdated(edge, e))?;
     record.set_labels(route.kind, workspace.as_deref().map(|w| w.name.as_str()));
     let deadline = arrived + head.deadline.unwrap_or(route.timeout);
     let due = deadline.min(arrived + route.timeout);
@@ -260,6 +261,18 @@
     vec![hasher.digest()]
 }
 
+/// Returns the failure of a request that the configuration in force does not allow. A newer one that must be in force by now may
+/// allow it, where the view of the store is too old to tell.
+fn unless_outdated(edge: &Edge, failure: Failure) -> Failure {
+    let age = edge.store_view().age(edge.timer.now_including_suspend());
+    let is_outdated = age.is_none_or(|age| age > edge.bounds().config);
+    if is_outdated && matches!(failure.code, ResultCode::UnknownPath | ResultCode::UnknownKey) {
+        let text = format!("{}, but the configuration may be out of date", failure.message);
+        return Failure::new(ResultCode::NotReady, text).retry_after(RETRY_AFTER_UNREADY);
+    }
+    failure
+}
+
 fn find_route(catalog: &Catalog, parts: &http::request::Parts) -> Result<Arc<Route>, Failure> {
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = parts.uri.host().or(host).unwrap_or_default();
--- a/crates/lw-edge/tests/distribution.rs
+++ b/crates/lw-edge/tests/distribution.rs
@@ -5,8 +5,8 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use common::{Simulation, ms, request, send};
-use lw_catalog::VmSettings;
+use common::{CallerRequest, Simulation, ms, request, send};
+use lw_catalog::{VmSettings, settings::Bounds};
 use lw_edge::{
     distribution::{
         self, ChangesReply,
@@ -16,7 +16,7 @@
     },
     run::Vm,
 };
-use lw_standin::hosted::store::StoreMode;
+use lw_standin::hosted::{caller::KEY, store::StoreMode};
 use lw_types::prelude::Position;
 use serde_json::json;
 
@@ -393,6 +393,27 @@
     assert_eq!(value_of(&desk), None, "it was removed");
 }
 
+/// Guards against routes and keys that are refused for good by a VM whose configuration may be out of date.
+#[tokio::test]
+async fn a_vm_with_an_old_view_does_not_say_that_a_route_or_key_does_not_exist() {
+    let bounds = Bounds { config: ms(2_000), revoke: ms(5_000), ..common::bounds() };
+    let simulation = Simulation::start_with(bounds).await;
+    let status = async |id: &str, path: &'static str, key: &'static str| {
+        let request = CallerRequest { key, ..request(id, path) };
+        simulation.send(&request).await.expect("an answer").status
+    };
+    assert_eq!(status("current-route", "/none/x", KEY).await, 404);
+    assert_eq!(status("current-key", "/look/x", "unknown").await, 401);
+    simulation.store.set_mode(StoreMode::Unavailable);
+    tokio::time::sleep(ms(2_500)).await;
+    assert_eq!(status("old-route", "/none/x", KEY).await, 503);
+    assert_eq!(status("old-key", "/look/x", "unknown").await, 503);
+    assert_eq!(status("known", "/look/x", KEY).await, 200);
+    simulation.store.set_mode(StoreMode::Normal);
+    let is_refused = async |_: &Simulation| status("current", "/none/x", KEY).await == 404;
+    simulation.wait_until("the view is current again", is_refused).await;
+}
+
 /// Guards against a reply that is given up while it arrives over a slow link, and against one that is awaited after it has
 /// stopped.
 #[tokio::test]
