--- a/crates/lw-edge/tests/narrow_links.rs
+++ b/crates/lw-edge/tests/narrow_links.rs
@@ -142,10 +142,6 @@
         self.vms.iter().map(|vm| Candidate { vm: vm.id.clone(), capacity: capacity(vm) }).collect()
     }
 
-    fn is_follower(&self, vm: usize, members: &[Candidate]) -> bool {
-        SourceSelector::is_follower(&members[vm], members, FLEET_SIZE)
-    }
-
     /// Returns the changes of the store after a revision, and the bytes that a VM receives until it has them. An answer that is
     /// too long is followed by a read of the whole store, which lists only the newest configuration.
     fn store_answer(&self, after: Revision) -> (Vec<Change>, usize) {
@@ -191,7 +187,7 @@
 
     fn step_vm(&mut self, n: usize, members: &[Candidate]) {
         let now = self.now;
-        let is_follower = self.is_follower(n, members);
+        let is_follower = SourceSelector::is_follower(&members[n], members, FLEET_SIZE);
         match std::mem::replace(&mut self.vms[n].phase, Phase::Select(now)) {
             Phase::Select(at) if now < at => self.vms[n].phase = Phase::Select(at),
             Phase::Select(_) => self.select(n, members, is_follower),
@@ -255,7 +251,7 @@
             }
         };
         let is_due = !changes.is_empty() || self.now >= answer_at;
-        is_due.then(|| Transfer { left: bytes as f64, from, changes, revision })
+        is_due.then(|| Transfer { left: bytes_f64(bytes), from, changes, revision })
     }
 
     fn fail(&mut self, n: usize, from: Option<usize>, is_follower: bool) {
@@ -293,13 +289,28 @@
         let known = self.slowest.iter().filter(|(key, _)| key.starts_with(prefix));
         let missed = self.vms.iter().filter(|vm| !vm.is_down).flat_map(|vm| {
             let after = usize::try_from(vm.revision).unwrap();
-            self.store[after..].iter().map(|event| (&event.change.key, self.now - event.at))
+            self.store[after..]
+                .iter()
+                .map(|event| (&event.change.key, self.now.saturating_sub(event.at)))
         });
         let missed = missed.filter(|(key, _)| key.starts_with(prefix)).map(|(_, time)| time);
         known.map(|(_, time)| *time).chain(missed).max().unwrap_or_default()
     }
 }
 
+/// Removes the first time if it is due.
+fn take_due(times: &mut VecDeque<Now>, now: Now) -> bool {
+    let is_due = times.front().is_some_and(|at| *at <= now);
+    if is_due {
+        times.pop_front();
+    }
+    is_due
+}
+
+fn bytes_f64(bytes: usize) -> f64 {
+    f64::from(u32::try_from(bytes).expect("a few megabytes"))
+}
+
 /// Lets the store take twelve configurations 0.2 s apart while upstreams leave, with these VMs down from shortly before.
 fn run(routes: usize, down: impl Fn(&Domain) -> Vec<usize>) -> Domain {
     let mut domain = Domain::new(28);
@@ -314,10 +325,10 @@
     let mut due: VecDeque<Now> = (0..12).map(|n| ms(5_000 + 200 * n)).collect();
     let mut leaving: VecDeque<Now> = (0..14).map(|n| ms(4_500 + 250 * n)).collect();
     while domain.now < ms(14_000) {
-        if leaving.pop_front_if(|at| *at <= domain.now).is_some() {
+        if take_due(&mut leaving, domain.now) {
             domain.put(&format!("servers/{}", leaving.len()), vec![b'x'; 300]);
         }
-        if due.pop_front_if(|at| *at <= domain.now).is_some() {
+        if take_due(&mut due, domain.now) {
             let version = 13 - due.len() as u64;
             domain.put(CONFIG_KEY, configuration(version, routes));
         }
@@ -347,7 +358,9 @@
 fn leaving_upstreams_are_known_in_time_when_the_followers_are_down() {
     let followers = |domain: &Domain| {
         let members = domain.members();
-        (0..members.len()).filter(|vm| domain.is_follower(*vm, &members)).collect()
+        let is_follower =
+            |vm: &usize| SourceSelector::is_follower(&members[*vm], &members, FLEET_SIZE);
+        (0..members.len()).filter(is_follower).collect()
     };
     assert_known_in_time(&run(1_600, followers));
 }
--- a/crates/lw-edge/tests/turned_away.rs
+++ b/crates/lw-edge/tests/turned_away.rs
@@ -3,11 +3,10 @@
 
 use std::time::Duration;
 
-use lw_edge::distribution::source::{Source, SourceSelector};
+use lw_edge::distribution::source::{Candidate, Source, SourceSelector};
 
 /// Time in which a configuration must be in force, in the tightest deployment with followers.
 const CONFIG_APPLY: Duration = Duration::from_secs(3);
-const REVOKE: Duration = Duration::from_secs(5);
 const STEP: Duration = Duration::from_millis(5);
 /// When an outage of the store for all VMs begins.
 const OUTAGE_AT: Duration = Duration::from_millis(200);
@@ -40,9 +39,10 @@
 fn run(
     count: usize,
     outage: Duration,
-    is_refused: impl Fn(&str, &[String]) -> bool,
+    is_refused: impl Fn(&Candidate, &[Candidate]) -> bool,
 ) -> Vec<Option<Duration>> {
-    let names: Vec<String> = (0..count).map(|n| format!("vm-{n}")).collect();
+    let candidate = |n| Candidate { vm: format!("vm-{n}"), capacity: 100 };
+    let names: Vec<_> = (0..count).map(candidate).collect();
     let fleet_size = count.max(20);
     let refused: Vec<bool> = names.iter().map(|vm| is_refused(vm, &names)).collect();
     let (turned_away_at, changed_at) = (Duration::from_secs(4), Duration::from_millis(4_500));
@@ -82,14 +82,20 @@
                     vms[n].selector.record_store_failure(now, is_follower, pause);
                 }
                 Some((_, Pending::Vm(other))) if !vms[other].selector.offers_changes() => {
-                    vms[n].selector.record_failure(now, &names[other]);
+                    vms[n].selector.record_failure(now, &names[other].vm);
                 }
                 Some((_, Pending::Vm(other))) => {
                     let current_as_of = vms[other].current_as_of.max(vms[n].current_as_of);
                     vms[n].current_as_of = current_as_of.min(now);
                     vms[n].has_change |= vms[other].has_change;
                     let age = Some(now.saturating_sub(vms[n].current_as_of));
-                    vms[n].selector.record_reply(now, &names[other], is_follower, age, REVOKE);
+                    vms[n].selector.record_reply(
+                        now,
+                        &names[other].vm,
+                        is_follower,
+                        age,
+                        CONFIG_APPLY,
+                    );
                 }
                 Some((_, Pending::Wait)) | None => {}
             }
@@ -103,8 +109,9 @@
                     }
                     Source::Store => (now + CALL_TIME, Pending::Store),
                     Source::Vm(vm) => {
-                        let other = names.iter().position(|name| *name == vm).unwrap();
-                        (now + HOLD_TIME, Pending::Vm(other))
+                        let other = names.iter().position(|name| name.vm == vm).unwrap();
+                        let wait = vms[n].selector.request_wait(now, is_follower, HOLD_TIME);
+                        (now + wait.max(CALL_TIME), Pending::Vm(other))
                     }
                     Source::Wait(time) => (now + time, Pending::Wait),
                 });
@@ -125,7 +132,7 @@
 }
 
 /// Fails unless each VM gets the change in time, with and without an outage for all VMs before.
-fn assert_in_time(count: usize, is_refused: impl Fn(&str, &[String]) -> bool) {
+fn assert_in_time(count: usize, is_refused: impl Fn(&Candidate, &[Candidate]) -> bool) {
     for outage in [Duration::ZERO, Duration::from_millis(300), Duration::from_millis(1_500)] {
         let got = run(count, outage, &is_refused);
         for (n, time) in got.into_iter().enumerate() {
@@ -146,7 +153,7 @@
 #[test]
 fn a_change_arrives_in_time_when_the_store_turns_two_of_five_vms_away() {
     for count in [5, 20, 95] {
-        let hash = |vm: &str| vm.bytes().map(u32::from).sum::<u32>() % 5;
+        let hash = |vm: &Candidate| vm.vm.bytes().map(u32::from).sum::<u32>() % 5;
         assert_in_time(count, |vm, _| hash(vm) < 2);
     }
 }
