--- a/crates/lw-standin/src/hosted/store/mod.rs
+++ b/crates/lw-standin/src/hosted/store/mod.rs
@@ -82,10 +82,14 @@
     server: Server,
 }
 
+/// A value as it is encoded in answers, and the one of the same length that takes its place.
+type Replacement = (Vec<u8>, Vec<u8>);
+
 /// A further address of a store, which can be made unavailable while the other addresses work.
 #[derive(Debug)]
 pub struct StoreEndpoint {
     is_available: Arc<AtomicBool>,
+    replaced: Arc<Mutex<Vec<Replacement>>>,
     server: Server,
 }
 
@@ -100,6 +104,31 @@
     pub fn set_available(&self, is_available: bool) {
         self.is_available.store(is_available, Ordering::Release);
     }
+
+    /// Answers calls to this address with the value `to` wherever a key has the value `from`.
+    ///
+    /// # Panics
+    ///
+    /// If the two do not have the same length.
+    pub fn replace(&self, from: &Value, to: &Value) {
+        let encode = |value: &Value| STANDARD.encode(value.to_string()).into_bytes();
+        let (from, to) = (encode(from), encode(to));
+        assert_eq!(from.len(), to.len(), "the length of an answer is stated before");
+        self.replaced.lock().unwrap_or_else(PoisonError::into_inner).push((from, to));
+    }
+}
+
+/// Replaces values in an answer.
+fn replace_values(steps: &mut [Step], replaced: &[Replacement]) {
+    for step in steps {
+        let Step::Send(bytes) = step else { continue };
+        for (from, to) in replaced {
+            let found = |bytes: &[u8]| bytes.windows(from.len()).position(|part| part == from);
+            while let Some(at) = found(bytes) {
+                bytes[at..at + to.len()].copy_from_slice(to);
+            }
+        }
+    }
 }
 
 impl Store {
@@ -110,19 +139,23 @@
     /// When no port can be bound.
     pub async fn add_endpoint(&self) -> io::Result<StoreEndpoint> {
         let is_available = Arc::new(AtomicBool::new(true));
+        let replaced: Arc<Mutex<Vec<Replacement>>> = Arc::default();
         let (shared, available) = (Arc::clone(&self.shared), Arc::clone(&is_available));
+        let values = Arc::clone(&replaced);
         let server = serve(move |request| {
             let (shared, available) = (Arc::clone(&shared), Arc::clone(&available));
+            let values = Arc::clone(&values);
             async move {
                 if !available.load(Ordering::Acquire) {
                     return json_answer(503, &json!({}));
                 }
                 // The address may have become unavailable while a watch waited.
-                let steps = handle_call(shared, request).await;
+                let mut steps = handle_call(shared, request).await;
+                replace_values(&mut steps, &values.lock().unwrap_or_else(PoisonError::into_inner));
                 if available.load(Ordering::Acquire) { steps } else { json_answer(503, &json!({})) }
             }
         });
-        Ok(StoreEndpoint { is_available, server: server.await? })
+        Ok(StoreEndpoint { is_available, replaced, server: server.await? })
     }
 
     /// Starts an empty store on a free loopback port.
