lw-edge: a VM without a path to any upstream passes requests on to another VM

Cause: only notices passed between VMs, so that a request could reach an upstream only from the VM that had received it.

Now a VM that reaches no upstream of a service for 0.3 s, three of them at least, passes requests for it on to another VM, which serves them like those of a caller: admission, usage caps, placement and attempts are its own, and attempts that may have reached upstreams count on. A request is passed on once at most, and to a further VM only if the first states that it has not run it. The evidence is connections that fail, calls for cache events, requests without an answer, and health checks, which are sent only while upstreams fail and show when the path is back. VMs tell each other which services they have lost, so that a request that no VM can serve is refused at once. Heads of requests and results of answers carry authentication codes; the address for them refuses all others. Nothing changes for a request while upstreams are in reach.

Further tests: refusal at once, forged statements, refusals and leaving callers through another VM, a killed VM.

--- a/crates/lw-catalog/src/settings.rs
+++ b/crates/lw-catalog/src/settings.rs
@@ -17,6 +17,8 @@
     pub readiness: SocketAddr,
     /// Address on which this VM receives messages from the other VMs.
     pub peers: SocketAddr,
+    /// Address on which this VM receives requests that other VMs pass on.
+    pub forwarded: SocketAddr,
     /// Address for metrics and operators' requests, if there is one.
     pub metrics: Option<SocketAddr>,
     /// Address of the platform's store.
@@ -55,6 +57,7 @@
             ("address for callers", self.callers == new.callers),
             ("address for readiness", self.readiness == new.readiness),
             ("address for other VMs", self.peers == new.peers),
+            ("address for passed-on requests", self.forwarded == new.forwarded),
             ("address for metrics", self.metrics == new.metrics),
             ("address of the store", self.store == new.store),
             ("memory", self.memory_bytes == new.memory_bytes),
@@ -92,6 +95,7 @@
             callers: addr(7400),
             readiness: addr(7401),
             peers: addr(7402),
+            forwarded: addr(7403),
             metrics: None,
             store: addr(7500),
             memory_bytes: 64 << 20,
--- a/crates/lw-edge/src/answer/mod.rs
+++ b/crates/lw-edge/src/answer/mod.rs
@@ -5,6 +5,7 @@
 use http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody};
 use lw_platform::headers;
 use lw_protocol::caller::Failure;
+use lw_types::prelude::*;
 
 /// Why the body of an answer ended early. The caller's connection is closed then.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -13,6 +14,10 @@
 /// An answer to a caller.
 pub type Answer = Response<AnswerBody>;
 
+/// Marks an answer that the router itself gives, in the extensions of the response.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OwnFailure(pub ResultCode);
+
 pub(crate) fn empty_body() -> AnswerBody {
     Empty::new().map_err(|never| match never {}).boxed_unsync()
 }
@@ -25,6 +30,7 @@
 pub(crate) fn failure_answer(request: &str, failure: &Failure) -> Answer {
     let status = StatusCode::from_u16(failure.code.http_status());
     let mut response = Response::new(full_body(failure.body().to_string().into()));
+    response.extensions_mut().insert(OwnFailure(failure.code));
     *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/lw-edge/src/feeds/mod.rs
+++ b/crates/lw-edge/src/feeds/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     peers::{self, Notice},
+    reach,
     state::{Edge, StoreView},
 };
 
@@ -129,6 +130,9 @@
         match edge.engines.cache_events(addr, since, wait, ANSWER_TIMEOUT).await {
             Ok(page) => {
                 since = page.next;
+                if let Holder::Engine { service, .. } = &holder {
+                    reach::record_reached(&edge, service);
+                }
                 apply_page(&edge, &holder, &page);
                 if std::mem::take(&mut is_unresponsive) {
                     report_responsive(&edge, &holder);
@@ -143,6 +147,9 @@
                     log::warn!(target: "route", upstream = holder_name(&holder), why = e.to_string();
                         "call for cache events failed");
                 }
+                if let Holder::Engine { id, service, .. } = &holder {
+                    reach::record_failure(&edge, service, id, &e.to_string());
+                }
                 report_unresponsive(&edge, &holder);
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
--- a/crates/lw-edge/src/lib.rs
+++ b/crates/lw-edge/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 pub mod quarantine;
 pub mod quota;
+pub mod reach;
 pub mod register;
 pub mod restore;
 pub mod run;
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -10,7 +10,7 @@
 use lw_types::prelude::*;
 
 use crate::{
-    quarantine,
+    quarantine, reach,
     state::{Edge, keys},
 };
 
@@ -96,6 +96,7 @@
             edge.mark_upstream_leaving(upstream, *incarnation);
             return;
         }
+        Notice::PathsLost { services } => return reach::apply_report(edge, &message.vm, services),
         Notice::Limits(reports) => return limits::apply(edge, reports),
         Notice::Demand { service, entries } => {
             return demand::apply(edge, &message.vm, *service, entries);
@@ -138,6 +139,7 @@
                 pool.deprioritize(upstream, now + Duration::from_millis(*ms));
             }
             Notice::Leaving { .. }
+            | Notice::PathsLost { .. }
             | Notice::Crash { .. }
             | Notice::Sound(_)
             | Notice::Quarantined { .. }
@@ -247,6 +249,11 @@
     send(edge, notice, path);
 }
 
+/// Reports the services to which this VM has lost its paths to all other VMs.
+pub(crate) fn report_lost(edge: &Edge, services: Vec<String>) {
+    send(edge, Notice::PathsLost { services }, Path::Direct);
+}
+
 /// Applies a notice at this VM and sends it to all others.
 pub fn broadcast(edge: &Edge, notice: Notice) {
     apply_own(edge, notice.clone());
--- a/crates/lw-edge/src/peers/notice.rs
+++ b/crates/lw-edge/src/peers/notice.rs
@@ -163,6 +163,12 @@
         /// Demand that the sender sees, by workspace and level.
         entries: Vec<DemandWire>,
     },
+    /// The sender has no path to any upstream of these services, and the receivers pass no requests for them on to it. The list
+    /// replaces that of the sender's last notice.
+    PathsLost {
+        /// Names of the services.
+        services: Vec<String>,
+    },
     /// Engines are loading weights. The receivers send them no new work for a while, or until they serve the new ones.
     Loading {
         /// The model.
--- /dev/null
+++ b/crates/lw-edge/src/reach/mod.rs
@@ -0,0 +1,142 @@
+//! Paths from this VM to the upstreams. A VM may lose them while callers, the store and other VMs still reach it; it then
+//! passes its callers' requests on to VMs that have not lost theirs.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use futures::future::join_all;
+use http::Method;
+use lw_transport::client::{Call, Error, Reuse};
+use lw_types::prelude::*;
+use tokio::sync::watch;
+
+use crate::{peers, state::Edge};
+
+mod evidence;
+
+pub use evidence::Reach;
+
+/// Interval between two looks at the evidence.
+const PERIOD: Duration = Duration::from_millis(100);
+/// Time between two rounds of probes of a service of which an upstream was not reached.
+const PROBE_PERIOD: Duration = Duration::from_millis(300);
+/// Time limit of a probe. Health checks are answered at once, and failure domains are a few milliseconds apart.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Upstreams that are probed in one round.
+const PROBES: usize = 3;
+/// Time between two reports to the other VMs while paths are lost.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// The evidence, shared by all requests and tasks.
+#[derive(Debug)]
+pub struct SharedReach {
+    reach: Mutex<Reach>,
+    /// Changes whenever paths are lost or found again.
+    changes: watch::Sender<()>,
+}
+
+impl Default for SharedReach {
+    fn default() -> Self {
+        Self { reach: Mutex::default(), changes: watch::Sender::new(()) }
+    }
+}
+
+impl SharedReach {
+    /// Locks the evidence.
+    pub fn lock(&self) -> MutexGuard<'_, Reach> {
+        self.reach.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the paths to a service are lost.
+    #[must_use]
+    pub fn is_lost(&self, service: &str) -> bool {
+        self.lock().is_lost(service)
+    }
+
+    /// Waits until the paths to a service are lost.
+    pub async fn wait_until_lost(&self, service: &str) {
+        let mut changes = self.changes.subscribe();
+        // The sender lives as long as this.
+        while !self.is_lost(service) {
+            let _ = changes.changed().await;
+        }
+    }
+}
+
+/// Records that an upstream of a service was reached.
+pub fn record_reached(edge: &Edge, service: &str) {
+    if edge.reach.lock().record_reached(edge.timer.now(), service) {
+        log::info!(target: "route", service = service; "upstreams are in reach again");
+        edge.reach.changes.send_replace(());
+    }
+}
+
+/// Records that an upstream of a service was not reached, for the reason that `why` states.
+pub fn record_failure(edge: &Edge, service: &str, upstream: &str, why: &str) {
+    let registered = edge.store_view().directory.ready_of(service).count();
+    let now = edge.timer.now();
+    if edge.reach.lock().record_failure(now, service, upstream, registered) {
+        log::warn!(target: "route", service = service, upstream = upstream, why = why;
+            "no upstream is in reach, requests are passed on to other VMs");
+        edge.reach.changes.send_replace(());
+    }
+}
+
+/// Probes services whose upstreams were not reached, and reports lost paths to the other VMs, until the process ends.
+pub async fn run(edge: Arc<Edge>) {
+    let mut ticks = edge.timer.subscribe(PERIOD);
+    let mut probed: HashMap<String, Now> = HashMap::new();
+    let (mut reported, mut reported_at) = (Vec::new(), Now::ZERO);
+    loop {
+        ticks.tick().await;
+        let now = edge.timer.now();
+        let (suspected, mut lost) = {
+            let reach = edge.reach.lock();
+            (reach.suspected(now), reach.lost())
+        };
+        lost.sort_unstable();
+        if lost != reported || (!lost.is_empty() && now >= reported_at + REPORT_PERIOD) {
+            peers::report_lost(&edge, lost.clone());
+            (reported, reported_at) = (lost, now);
+        }
+        probed.retain(|_, at| now < *at + PROBE_PERIOD);
+        for service in suspected {
+            if !probed.contains_key(&service) {
+                probed.insert(service.clone(), now);
+                tokio::spawn(probe(Arc::clone(&edge), service));
+            }
+        }
+    }
+}
+
+/// Checks whether any of a few upstreams of a service answers a health check, whatever the answer says.
+async fn probe(edge: Arc<Edge>, service: String) {
+    let path = {
+        let catalog = edge.store_view().catalog();
+        catalog.and_then(|catalog| Some(catalog.service(&service)?.health_path.clone()))
+    };
+    let Some(path) = path.filter(|path| path.starts_with('/')) else { return };
+    let mut upstreams: Vec<_> =
+        edge.store_view().directory.ready_of(&service).map(Arc::clone).collect();
+    fastrand::shuffle(&mut upstreams);
+    upstreams.truncate(PROBES);
+    let probes = upstreams.iter().map(async |upstream| {
+        let mut call = Call::new(Method::GET, upstream.addr, &path, PROBE_TIMEOUT);
+        call.reuse = Reuse::Fresh;
+        match edge.clients.collect(call).await {
+            Ok(_) | Err(Error::TooLong(_) | Error::Unreadable(_)) => {
+                record_reached(&edge, &service);
+            }
+            Err(e) => record_failure(&edge, &service, &upstream.id, &e.to_string()),
+        }
+    });
+    join_all(probes).await;
+}
+
+/// Applies a report of another VM.
+pub(crate) fn apply_report(edge: &Edge, vm: &str, services: &[String]) {
+    edge.reach.lock().record_report(edge.timer.now(), vm, services);
+}
--- a/crates/lw-edge/src/register/mod.rs
+++ b/crates/lw-edge/src/register/mod.rs
@@ -99,6 +99,7 @@
     let entry = VmEntry {
         addr: edge.settings.peers,
         failure_domain: edge.settings.failure_domain.clone(),
+        forwarded: Some(edge.settings.forwarded),
         capacity: edge.settings.capacity(),
     };
     let write = KeyWrite {
--- a/crates/lw-edge/src/run/mod.rs
+++ b/crates/lw-edge/src/run/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     admission, distribution, feeds, follow, intake, limits, observe, orders, peers, quarantine,
-    register, restore, serve, software,
+    reach, register, restore, serve, software,
     state::{Edge, GivenUp},
 };
 
@@ -37,6 +37,8 @@
 const INTERNAL_HEAD_FIELDS: usize = 100;
 /// Length of the shortest field of a request head with the end of its line.
 const FIELD_MIN_BYTES: usize = 4;
+/// Longest header that a VM adds to a request that it passes on.
+const STATEMENT_MAX_BYTES: usize = 512;
 /// Time between two updates of the states of upstreams and of the pool of connections to them.
 const UPSTREAMS_PERIOD: Duration = Duration::from_millis(500);
 
@@ -128,6 +130,12 @@
         tasks.spawn(register::run(Arc::clone(&edge)));
         tasks.spawn(peers::run(Arc::clone(&edge)));
         tasks.spawn(serve_peers(Arc::clone(&edge), bind(edge.settings.peers).await?));
+        tasks.spawn(serve_forwarded(
+            Arc::clone(&edge),
+            bind(edge.settings.forwarded).await?,
+            connections.clone(),
+        ));
+        tasks.spawn(reach::run(Arc::clone(&edge)));
         tasks.spawn(feeds::run(Arc::clone(&edge)));
         tasks.spawn(orders::run(Arc::clone(&edge)));
         tasks.spawn(quarantine::run(Arc::clone(&edge)));
@@ -167,28 +175,42 @@
 async fn serve_callers(edge: Arc<Edge>, listener: TcpListener, connections: Connections) {
     let options = {
         let edge = Arc::clone(&edge);
-        move || {
-            let limits = edge.store_view().catalog().map(|catalog| catalog.limits);
-            let idle_time = limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time);
-            let head_max_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
-            listen::Options {
-                head_timeout: idle_time,
-                idle_timeout: idle_time,
-                head_max_bytes,
-                // The operators limit the bytes of a head, not its fields.
-                head_max_fields: head_max_bytes / FIELD_MIN_BYTES,
-                unread_max: idle_time,
-                connections_max: intake::connections_max(
-                    edge.settings.sockets_max,
-                    edge.settings.memory_bytes,
-                ),
-            }
-        }
+        move || caller_options(&edge, 0)
     };
     let answer = move |req| serve::answer(Arc::clone(&edge), req);
     listen::serve(listener, connections, options, answer).await;
 }
 
+/// Serves requests that other VMs pass on, within the same memory and number of connections as callers.
+async fn serve_forwarded(edge: Arc<Edge>, listener: TcpListener, connections: Connections) {
+    let options = {
+        let edge = Arc::clone(&edge);
+        move || caller_options(&edge, STATEMENT_MAX_BYTES)
+    };
+    let answer = move |req| serve::answer_forwarded(Arc::clone(&edge), req);
+    listen::serve(listener, connections, options, answer).await;
+}
+
+/// Returns the limits for connections of callers, whose heads may have `further_head_bytes` in addition.
+fn caller_options(edge: &Edge, further_head_bytes: usize) -> listen::Options {
+    let limits = edge.store_view().catalog().map(|catalog| catalog.limits);
+    let idle_time = limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time);
+    let head_max_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
+    let head_max_bytes = head_max_bytes + further_head_bytes;
+    listen::Options {
+        head_timeout: idle_time,
+        idle_timeout: idle_time,
+        head_max_bytes,
+        // The operators limit the bytes of a head, not its fields.
+        head_max_fields: head_max_bytes / FIELD_MIN_BYTES,
+        unread_max: idle_time,
+        connections_max: intake::connections_max(
+            edge.settings.sockets_max,
+            edge.settings.memory_bytes,
+        ),
+    }
+}
+
 /// Returns the limits for connections of the balancer and of operators.
 fn internal_options() -> listen::Options {
     listen::Options {
@@ -252,7 +274,11 @@
             pool.remove_expired(now);
             pool.decay_speeds(now);
         }
-        let ids: HashSet<_> = edge.store_view().directory.iter().map(|u| u.id.clone()).collect();
+        let ids: HashSet<_> = {
+            let view = edge.store_view();
+            let upstreams = view.directory.iter().map(|upstream| upstream.id.clone());
+            upstreams.chain(view.vms().map(|(vm, _)| vm.clone())).collect()
+        };
         edge.connection_pool.close_unused(|(_, id)| ids.contains(&**id));
     }
 }
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -20,7 +20,7 @@
 use crate::{
     limits,
     peers::{self, Announcement},
-    quarantine,
+    quarantine, reach,
     state::Edge,
 };
 
@@ -312,6 +312,8 @@
         };
         match tokio::time::timeout(left, sent).await {
             Err(_) => {
+                let upstream = &self.placement.upstream.id;
+                reach::record_failure(&edge, &call.service, upstream, "no answer");
                 self.end(Ended::Failed, "no answer before the deadline");
                 SendOutcome::DeadlineExceeded
             }
@@ -326,6 +328,7 @@
             }
             Ok(Ok(Err(Error::NotSent(e)))) => {
                 quarantine::record_down(&edge, &self.placement.upstream.id);
+                reach::record_failure(&edge, &call.service, &self.placement.upstream.id, &e);
                 self.end(Ended::Failed, &e);
                 SendOutcome::Unreachable
             }
@@ -333,7 +336,10 @@
                 self.end_broken(&e);
                 SendOutcome::OutcomeUnknown(e)
             }
-            Ok(Ok(Ok(reply))) => self.check_answer(reply.head, reply.body),
+            Ok(Ok(Ok(reply))) => {
+                reach::record_reached(&edge, &call.service);
+                self.check_answer(reply.head, reply.body)
+            }
         }
     }
 
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -95,15 +95,17 @@
     fn new(edge: &Arc<Edge>, call: &Arc<Call>, record: RequestRecord) -> Self {
         let now = edge.timer.now();
         let context = AttemptContext::received(now, 0, call.deadline.saturating_sub(now));
+        // The VM that passed the request on may have sent it to upstreams whose answers it does not get.
+        let attempts_sent = call.forwarded.as_ref().map_or(0, |forwarded| forwarded.attempts);
         Self {
             edge: Arc::clone(edge),
             call: Arc::clone(call),
             record,
             tried: Vec::new(),
-            attempts_sent: 0,
+            attempts_sent,
             is_charged: false,
             context,
-            may_have_run: false,
+            may_have_run: attempts_sent > 0,
             usage: Usage::new(),
             takeover_at: Now::ZERO,
             left: Vec::new(),
@@ -112,6 +114,13 @@
     }
 
     async fn run_attempts(&mut self) -> Result<Accepted, Failure> {
+        if self.may_pass_on() {
+            return self.pass_on().await.map(Accepted::Complete);
+        }
+        if self.call.forwarded.is_some() && self.edge.reach.is_lost(&self.call.service) {
+            let text = "this VM reaches no upstream of the service either";
+            return Err(Failure::new(ResultCode::NoUpstream, text).retry_after(RETRY_AFTER));
+        }
         self.bind_to_origin().await?;
         // What a cap refuses is no demand that admission has to divide.
         self.usage.acquire(&self.edge, &self.call, false).await?;
@@ -120,8 +129,15 @@
             admit::admit(&self.edge, &self.call)?;
         }
         loop {
-            let attempt = self.next_attempt().await?;
-            match self.outcome(attempt.send(None), None).await {
+            if self.may_pass_on() {
+                return self.pass_on().await.map(Accepted::Complete);
+            }
+            let attempt = match self.next_attempt().await {
+                Ok(attempt) => attempt,
+                Err(_) if self.may_pass_on() => continue,
+                Err(failure) => return Err(failure),
+            };
+            match self.outcome_while_in_reach(attempt).await {
                 SendOutcome::Answer(incoming) => {
                     if let Some(accepted) = self.accept_answer(*incoming).await? {
                         return Ok(accepted);
@@ -138,6 +154,23 @@
         }
     }
 
+    /// Waits for the outcome of an attempt. If no upstream is in reach any more, a request that may run again leaves its own.
+    async fn outcome_while_in_reach(&mut self, attempt: Attempt) -> SendOutcome {
+        let (edge, call) = (Arc::clone(&self.edge), Arc::clone(&self.call));
+        let may_leave = call.forwarded.is_none() && call.route.kind.may_repeat();
+        let lost = async {
+            if !may_leave {
+                std::future::pending::<()>().await;
+            }
+            edge.reach.wait_until_lost(&call.service).await;
+        };
+        tokio::select! {
+            biased;
+            outcome = self.outcome(attempt.send(None), None) => outcome,
+            () = lost => SendOutcome::OutcomeUnknown("no upstream is in reach".into()),
+        }
+    }
+
     /// Begins the next attempt, if there is an upstream for it and the limits on attempts allow it.
     pub async fn next_attempt(&mut self) -> Result<Attempt, Failure> {
         match self.begin_attempt(Purpose::Serve).await {
@@ -328,6 +361,11 @@
         Ok(())
     }
 
+    /// Returns the number of attempts that may have reached upstreams.
+    pub fn attempts_sent(&self) -> u32 {
+        self.attempts_sent
+    }
+
     /// Whether an attempt so far may have run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -14,15 +14,18 @@
 use lw_types::prelude::*;
 
 use crate::{
-    answer::{self, Answer},
+    answer::{self, Answer, OwnFailure},
     intake,
     state::{Edge, GivenUp, InFlightGuard},
 };
+use forwarded::{AnsweredBy, Forwarded, SignedHead};
 use record::RequestRecord;
 
 mod admit;
 mod attempt;
 mod forward;
+mod forwarded;
+mod pass_on;
 mod place;
 mod quota;
 mod record;
@@ -68,6 +71,8 @@
     pub stream_hash: u64,
     /// What it states of the stream that it resumes; none if it begins its answer.
     pub resumption: Option<Resumption>,
+    /// What the VM states that passed it on; none if a caller sent it to this VM.
+    forwarded: Option<Forwarded>,
     /// When it arrived.
     pub arrived: Now,
     /// When the caller stops waiting.
@@ -100,12 +105,58 @@
 /// # Errors
 ///
 /// Returns no error. If the body of the answer ends early, the connection is closed.
-pub async fn answer(edge: Arc<Edge>, req: Request<Incoming>) -> Result<Answer, Infallible> {
+pub async fn answer(edge: Arc<Edge>, mut req: Request<Incoming>) -> Result<Answer, Infallible> {
+    forwarded::remove_statements(req.headers_mut());
+    Ok(answer_request(edge, req, None).await)
+}
+
+/// Answers a request that another VM passes on, since it has no path to any upstream.
+///
+/// # Errors
+///
+/// Returns no error, likewise.
+pub async fn answer_forwarded(
+    edge: Arc<Edge>,
+    mut req: Request<Incoming>,
+) -> Result<Answer, Infallible> {
+    let id = headers::caller_head(req.headers()).request;
+    let key = pass_on::peer_key(&edge).unwrap_or_default();
+    let (method, target) = (req.method().clone(), req.uri().clone());
+    let head = SignedHead { method: &method, target: &target, id: &id };
+    let forwarded = Some(&key)
+        .filter(|key| !key.is_empty())
+        .and_then(|key| Forwarded::take(key, head, req.headers_mut()));
+    let Some(forwarded) = forwarded else {
+        log::warn!(target: "member", request = id.as_str();
+            "rejected a passed-on request without a valid authentication code");
+        let mut response = Response::new(answer::empty_body());
+        *response.status_mut() = http::StatusCode::FORBIDDEN;
+        return Ok(response);
+    };
+    log::info!(target: "route", request = id.as_str(), vm = forwarded.vm.as_str(),
+        attempts = forwarded.attempts; "request passed on by another VM");
+    let mut response = answer_request(edge, req, Some(forwarded)).await;
+    let by = match response.extensions().get::<OwnFailure>() {
+        Some(OwnFailure(code)) => AnsweredBy::Vm(*code),
+        None => AnsweredBy::Upstream,
+    };
+    by.write(&key, &id, &mut response);
+    Ok(response)
+}
+
+async fn answer_request(
+    edge: Arc<Edge>,
+    req: Request<Incoming>,
+    forwarded: Option<Forwarded>,
+) -> Answer {
     let head = headers::caller_head(req.headers());
     let id = head.request.clone();
     let mut record = RequestRecord::new(&edge, &id, edge.timer.now());
     let (mut response, is_body_unread) = match accept(&edge, req, head, &mut record).await {
-        Ok(call) => (forward::run(&edge, Arc::new(call), record).await, false),
+        Ok(call) => {
+            let call = Arc::new(Call { forwarded, ..call });
+            (forward::run(&edge, call, record).await, false)
+        }
         Err(failure) => {
             record.record_failure(&failure);
             if matches!(failure.code, ResultCode::UnknownPath | ResultCode::UnknownKey) {
@@ -119,7 +170,7 @@
             .headers_mut()
             .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
     }
-    Ok(response)
+    response
 }
 
 /// Answers a readiness check of the balancer: 200 if this VM accepts callers' requests, otherwise 503.
@@ -211,6 +262,7 @@
         id_hash,
         stream_hash,
         resumption,
+        forwarded: None,
         arrived,
         deadline,
         _in_flight: in_flight,
--- a/crates/lw-edge/src/serve/record.rs
+++ b/crates/lw-edge/src/serve/record.rs
@@ -46,6 +46,13 @@
         }
     }
 
+    /// Moves the record into the body of a stream that is passed through.
+    pub fn take(&mut self) -> Self {
+        let mut ended = Self::new(&self.edge, &self.request, self.arrived);
+        ended.is_ended = true;
+        std::mem::replace(self, ended)
+    }
+
     /// Sets the labels once the route and the workspace are known.
     pub fn set_labels(&mut self, kind: RouteKind, workspace: Option<&str>) {
         let class = match kind {
--- a/crates/lw-edge/src/state/keys.rs
+++ b/crates/lw-edge/src/state/keys.rs
@@ -102,6 +102,9 @@
     pub addr: SocketAddr,
     /// Its failure domain.
     pub failure_domain: Domain,
+    /// Address at which the VM receives requests that others pass on. VMs of an older release omit this field and receive none.
+    #[serde(default)]
+    pub forwarded: Option<SocketAddr>,
     /// How much it can send to others. VMs of an older release omit this field.
     #[serde(default)]
     pub capacity: u32,
--- a/crates/lw-edge/src/state/mod.rs
+++ b/crates/lw-edge/src/state/mod.rs
@@ -51,6 +51,7 @@
     peers,
     quarantine::{self, SharedQuarantine},
     quota::Quota,
+    reach::SharedReach,
     register::Registration,
     software::SoftwareVersions,
 };
@@ -120,6 +121,8 @@
     pub admission: SharedAdmission,
     /// Segments of prompts that crash engines.
     pub quarantine: SharedQuarantine,
+    /// Paths to the upstreams.
+    pub reach: SharedReach,
     /// State of issuing orders to engines.
     pub orders: Orders,
     /// Registration of this VM in the store.
@@ -202,6 +205,7 @@
             closed_connections: Arc::default(),
             admission: SharedAdmission::default(),
             quarantine: SharedQuarantine::new(settings.vm.clone()),
+            reach: SharedReach::default(),
             orders: Orders::new(&settings),
             registration: Registration::default(),
             quota: Arc::default(),
--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -257,6 +257,7 @@
         callers: free_address(),
         readiness: free_address(),
         peers: free_address(),
+        forwarded: free_address(),
         metrics: Some(free_address()),
         store: store.addr(),
         memory_bytes: 64 << 20,
--- a/crates/lw-edge/tests/cut_paths.rs
+++ b/crates/lw-edge/tests/cut_paths.rs
@@ -10,7 +10,7 @@
 use lw_standin::hosted::{
     link::{Link, LinkMode},
     store::StoreEndpoint,
-    upstream::Upstream,
+    upstream::{Behaviour, Upstream},
 };
 
 /// Time after which a VM that lost its paths must serve its callers again, as the platform states it.
@@ -70,13 +70,18 @@
         failures
     }
 
-    async fn assert_served_during(&self, mode: LinkMode) {
-        assert_eq!(self.failures("before", 3).await, [""; 0]);
-        self.set_mode(mode);
+    /// Sends requests until the VM must have learnt that its paths are cut.
+    async fn wait_for_contact_time(&self) {
         let cut = Instant::now();
         while cut.elapsed() < CONTACT {
             self.failures(&format!("new-{:?}", cut.elapsed()), 1).await;
         }
+    }
+
+    async fn assert_served_during(&self, mode: LinkMode) {
+        assert_eq!(self.failures("before", 3).await, [""; 0]);
+        self.set_mode(mode);
+        self.wait_for_contact_time().await;
         assert_eq!(self.failures("cut", 25).await, [""; 0], "{mode:?}");
         self.set_mode(LinkMode::Open);
         assert_eq!(self.failures("open", 10).await, [""; 0], "{mode:?}, open again");
@@ -112,3 +117,78 @@
 async fn callers_are_served_while_new_connections_of_a_vm_to_upstreams_are_refused() {
     CutSimulation::start().await.assert_served_during(LinkMode::Refusing).await;
 }
+
+/// Guards against requests that wait until their deadline although no VM can serve them.
+#[tokio::test]
+async fn a_request_is_refused_at_once_when_no_vm_reaches_an_upstream() {
+    let mut cut = CutSimulation::start().await;
+    cut.set_mode(LinkMode::Reset);
+    cut.simulation.engines.clear();
+    cut.simulation.servers.clear();
+    cut.wait_for_contact_time().await;
+    let sent = Instant::now();
+    for n in 0..10 {
+        let reply =
+            cut.send(&request(&format!("refused-{n}"), "/look/x")).await.expect("an answer");
+        assert_eq!(reply.status, 503, "{}", reply.head);
+        assert!(reply.head.contains("retry-after"), "{}", reply.head);
+    }
+    assert!(sent.elapsed() < ms(1_000), "ten refusals took {:?}", sent.elapsed());
+}
+
+/// Guards against callers that use the address for passed-on requests, or pose as a VM on the address for callers.
+#[tokio::test]
+async fn only_vms_pass_requests_on() {
+    let simulation = Simulation::start().await;
+    let forged = "Lavenderwood-Forwarded: vm-2;1;00000000000000000000000000000000\r\n";
+    for headers in ["", forged] {
+        let request = CallerRequest { headers: headers.into(), ..request("not-a-vm", "/look/x") };
+        let reply = send(simulation.settings.forwarded, &request).await.expect("an answer");
+        assert_eq!(reply.status, 403);
+    }
+    assert_eq!(simulation.run_count("not-a-vm"), 0);
+    let posing = CallerRequest { headers: forged.into(), ..request("posing", "/look/x") };
+    assert_eq!(simulation.send(&posing).await.expect("an answer").status, 200);
+    let received = &simulation.received("posing")[0];
+    assert_eq!(received.request.header("lavenderwood-forwarded"), None);
+}
+
+/// Guards against refusals that are lost between two VMs, and against work for callers that have left.
+#[tokio::test]
+async fn refusals_and_leaving_callers_pass_through_another_vm() {
+    let cut = CutSimulation::start().await;
+    cut.set_mode(LinkMode::Reset);
+    cut.wait_for_contact_time().await;
+    let unknown = CallerRequest { key: "unknown", ..request("unknown", "/look/x") };
+    assert_eq!(cut.send(&unknown).await.expect("an answer").status, 401);
+    for server in &cut.simulation.servers {
+        server.set_behaviour(Behaviour::Status(500));
+    }
+    let failed = cut.send(&request("failed", "/book/x")).await.expect("an answer");
+    assert_eq!(failed.status, 500, "the answer of the upstream");
+    for server in &cut.simulation.servers {
+        server.set_behaviour(Behaviour::NoAnswer);
+    }
+    let leaving = request("leaving", "/look/x");
+    assert!(tokio::time::timeout(ms(500), cut.send(&leaving)).await.is_err(), "no answer yet");
+    let is_idle = async |simulation: &Simulation| {
+        simulation.servers.iter().all(|server| server.open_caller_requests() == 0)
+    };
+    cut.simulation.wait_until("no upstream works for a caller that left", is_idle).await;
+}
+
+/// Guards against a VM that passes requests on only to one that has ended.
+#[tokio::test]
+async fn a_request_that_a_killed_vm_has_not_run_is_served_by_another_one() {
+    let mut cut = CutSimulation::start().await;
+    let third = Vm::start(cut.simulation.further_settings("vm-3"), cut.simulation.logs.clone());
+    let third = third.await.unwrap();
+    let second = &cut.second.edge;
+    let knows_all = async |_: &Simulation| second.store_view().vms().count() == 3;
+    cut.simulation.wait_until("all VMs are registered", knows_all).await;
+    cut.set_mode(LinkMode::Reset);
+    cut.wait_for_contact_time().await;
+    drop(cut.simulation.vm.take());
+    assert_eq!(cut.failures("killed", 20).await, [""; 0]);
+    drop(third);
+}
--- a/crates/lw-edge/tests/messages.rs
+++ b/crates/lw-edge/tests/messages.rs
@@ -23,6 +23,7 @@
             let entry = VmEntry {
                 addr: ([10, 0, 0, 1], port).into(),
                 failure_domain: (*domain).into(),
+                forwarded: None,
                 capacity: 1,
             };
             vms.push((format!("{domain}-{n}"), entry));
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -168,6 +168,8 @@
 
 /// Model that the engines serve.
 pub const MODEL: &str = "m";
+/// Path of the health check, which callers' requests do not use.
+const HEALTH_PATH: &str = "/health";
 /// Version of the software of an upstream, unless another is set.
 pub const SOFTWARE: &str = "v1";
 /// Time to load weights, unless another is set.
@@ -372,9 +374,10 @@
     }
     let internal = lock(state).internal_behaviour.clone();
     match (request.method.as_str(), request.path(), internal) {
-        ("GET", "/api/report" | "/api/kv-events", Some(behaviour)) => {
+        ("GET", "/api/report" | "/api/kv-events" | HEALTH_PATH, Some(behaviour)) => {
             answer_steps(&behaviour, &[], request)
         }
+        ("GET", HEALTH_PATH, _) => answer(200, &[("x-instance-id", id)], b""),
         ("GET", "/api/report", _) => handle_report(state),
         ("POST", "/api/order", _) => handle_order(state, request),
         ("GET", "/api/kv-events", _) => {
