lw-edge: probes on new connections decide whether upstreams are in reach

Where open connections live on while new ones are refused, each answer on an open one counted as a sign that the path is there, so that requests without a connection were refused. Now a failed connection, a call for cache events that failed, or a request without an answer only leads to probes: health checks of up to five upstreams on new connections. If none answers, requests are passed on, until one does.

--- a/crates/lw-edge/src/feeds/mod.rs
+++ b/crates/lw-edge/src/feeds/mod.rs
@@ -130,9 +130,6 @@
         match edge.engines.cache_events(addr, since, wait, ANSWER_TIMEOUT).await {
             Ok(page) => {
                 since = page.next;
-                if let Holder::Engine { service, .. } = &holder {
-                    reach::record_reached(&edge, service);
-                }
                 apply_page(&edge, &holder, &page);
                 if std::mem::take(&mut is_unresponsive) {
                     report_responsive(&edge, &holder);
@@ -147,8 +144,8 @@
                     log::warn!(target: "route", upstream = holder_name(&holder), why = e.to_string();
                         "call for cache events failed");
                 }
-                if let Holder::Engine { id, service, .. } = &holder {
-                    reach::record_failure(&edge, service, id, &e.to_string());
+                if let Holder::Engine { service, .. } = &holder {
+                    reach::suspect(&edge, service);
                 }
                 report_unresponsive(&edge, &holder);
                 tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/lw-edge/src/reach/mod.rs
+++ b/crates/lw-edge/src/reach/mod.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use futures::future::join_all;
+use futures::future::select_ok;
 use http::Method;
 use lw_transport::client::{Call, Error, Reuse};
 use lw_types::prelude::*;
@@ -19,18 +19,20 @@
 
 pub use evidence::Reach;
 
-/// Interval between two looks at the evidence.
+/// Interval between two looks at which services are to be probed.
 const PERIOD: Duration = Duration::from_millis(100);
 /// Time between two rounds of probes of a service of which an upstream was not reached.
 const PROBE_PERIOD: Duration = Duration::from_millis(300);
 /// Time limit of a probe. Health checks are answered at once, and failure domains are a few milliseconds apart.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Upstreams that are probed in one round.
-const PROBES: usize = 3;
+const PROBES: usize = 5;
+/// Delay of the end of a time limit from which on this VM itself was paused or overloaded.
+const OWN_PAUSE_MIN: Duration = Duration::from_millis(150);
 /// Time between two reports to the other VMs while paths are lost.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
-/// The evidence, shared by all requests and tasks.
+/// What is known of the paths, shared by all requests and tasks.
 #[derive(Debug)]
 pub struct SharedReach {
     reach: Mutex<Reach>,
@@ -45,7 +47,7 @@
 }
 
 impl SharedReach {
-    /// Locks the evidence.
+    /// Locks what is known of the paths.
     pub fn lock(&self) -> MutexGuard<'_, Reach> {
         self.reach.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -66,23 +68,9 @@
     }
 }
 
-/// Records that an upstream of a service was reached.
-pub fn record_reached(edge: &Edge, service: &str) {
-    if edge.reach.lock().record_reached(edge.timer.now(), service) {
-        log::info!(target: "route", service = service; "upstreams are in reach again");
-        edge.reach.changes.send_replace(());
-    }
-}
-
-/// Records that an upstream of a service was not reached, for the reason that `why` states.
-pub fn record_failure(edge: &Edge, service: &str, upstream: &str, why: &str) {
-    let registered = edge.store_view().directory.ready_of(service).count();
-    let now = edge.timer.now();
-    if edge.reach.lock().record_failure(now, service, upstream, registered) {
-        log::warn!(target: "route", service = service, upstream = upstream, why = why;
-            "no upstream is in reach, requests are passed on to other VMs");
-        edge.reach.changes.send_replace(());
-    }
+/// Records that an upstream of a service was not reached, so that others are probed.
+pub fn suspect(edge: &Edge, service: &str) {
+    edge.reach.lock().suspect(service);
 }
 
 /// Probes services whose upstreams were not reached, and reports lost paths to the other VMs, until the process ends.
@@ -93,9 +81,9 @@
     loop {
         ticks.tick().await;
         let now = edge.timer.now();
-        let (suspected, mut lost) = {
+        let (to_probe, mut lost) = {
             let reach = edge.reach.lock();
-            (reach.suspected(now), reach.lost())
+            (reach.to_probe(), reach.lost())
         };
         lost.sort_unstable();
         if lost != reported || (!lost.is_empty() && now >= reported_at + REPORT_PERIOD) {
@@ -103,7 +91,7 @@
             (reported, reported_at) = (lost, now);
         }
         probed.retain(|_, at| now < *at + PROBE_PERIOD);
-        for service in suspected {
+        for service in to_probe {
             if !probed.contains_key(&service) {
                 probed.insert(service.clone(), now);
                 tokio::spawn(probe(Arc::clone(&edge), service));
@@ -112,7 +100,7 @@
     }
 }
 
-/// Checks whether any of a few upstreams of a service answers a health check, whatever the answer says.
+/// Checks whether any of a few upstreams of a service answers a health check on a new connection, whatever the answer says.
 async fn probe(edge: Arc<Edge>, service: String) {
     let path = {
         let catalog = edge.store_view().catalog();
@@ -123,17 +111,34 @@
         edge.store_view().directory.ready_of(&service).map(Arc::clone).collect();
     fastrand::shuffle(&mut upstreams);
     upstreams.truncate(PROBES);
-    let probes = upstreams.iter().map(async |upstream| {
+    if upstreams.is_empty() {
+        return;
+    }
+    let started = edge.timer.now();
+    let probes = upstreams.iter().map(|upstream| {
         let mut call = Call::new(Method::GET, upstream.addr, &path, PROBE_TIMEOUT);
         call.reuse = Reuse::Fresh;
-        match edge.clients.collect(call).await {
-            Ok(_) | Err(Error::TooLong(_) | Error::Unreadable(_)) => {
-                record_reached(&edge, &service);
+        Box::pin(async {
+            match edge.clients.collect(call).await {
+                Ok(_) | Err(Error::TooLong(_) | Error::Unreadable(_)) => Ok(()),
+                Err(e) => Err(e),
             }
-            Err(e) => record_failure(&edge, &service, &upstream.id, &e.to_string()),
-        }
+        })
     });
-    join_all(probes).await;
+    let reached = select_ok(probes).await;
+    // A VM that was paused or overloaded meanwhile does not know.
+    let is_late = edge.timer.now() >= started + PROBE_TIMEOUT + OWN_PAUSE_MIN;
+    if reached.is_err() && is_late || !edge.reach.lock().record_probes(&service, reached.is_ok()) {
+        return;
+    }
+    match reached {
+        Ok(_) => log::info!(target: "route", service = service.as_str();
+            "upstreams are in reach again"),
+        Err(e) => log::warn!(target: "route", service = service.as_str(), probed = upstreams.len(),
+            why = e.to_string();
+            "no upstream is in reach, requests are passed on to other VMs"),
+    }
+    edge.reach.changes.send_replace(());
 }
 
 /// Applies a report of another VM.
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -312,8 +312,7 @@
         };
         match tokio::time::timeout(left, sent).await {
             Err(_) => {
-                let upstream = &self.placement.upstream.id;
-                reach::record_failure(&edge, &call.service, upstream, "no answer");
+                reach::suspect(&edge, &call.service);
                 self.end(Ended::Failed, "no answer before the deadline");
                 SendOutcome::DeadlineExceeded
             }
@@ -328,7 +327,7 @@
             }
             Ok(Ok(Err(Error::NotSent(e)))) => {
                 quarantine::record_down(&edge, &self.placement.upstream.id);
-                reach::record_failure(&edge, &call.service, &self.placement.upstream.id, &e);
+                reach::suspect(&edge, &call.service);
                 self.end(Ended::Failed, &e);
                 SendOutcome::Unreachable
             }
@@ -336,10 +335,7 @@
                 self.end_broken(&e);
                 SendOutcome::OutcomeUnknown(e)
             }
-            Ok(Ok(Ok(reply))) => {
-                reach::record_reached(&edge, &call.service);
-                self.check_answer(reply.head, reply.body)
-            }
+            Ok(Ok(Ok(reply))) => self.check_answer(reply.head, reply.body),
         }
     }
 
--- a/crates/lw-edge/tests/cut_paths.rs
+++ b/crates/lw-edge/tests/cut_paths.rs
@@ -53,8 +53,10 @@
         let mut failures = Vec::new();
         for round in 0..rounds {
             let paths = ["/look/x", "/book/x", "/long/x", "/short/x"];
-            let requests: Vec<_> =
-                paths.iter().map(|path| request(&format!("{name}-{round}{path}"), path)).collect();
+            // More at once than there are open connections.
+            let copies =
+                |path| (0..3).map(move |n| request(&format!("{name}-{round}-{n}{path}"), path));
+            let requests: Vec<_> = paths.into_iter().flat_map(copies).collect();
             let replies = requests.iter().map(|request| self.send(request));
             let replies = futures::future::join_all(replies).await;
             for (request, reply) in requests.iter().zip(replies) {
