lw-edge: a refusal of another VM does not say that no attempt of this one has run

A request that may run again and had an attempt without an answer could be answered 503, which promises that it has not run, when the VM that it was passed on to refused it. It is passed on to a further VM, or ends with an unknown outcome.

--- a/crates/lw-edge/src/serve/pass_on.rs
+++ b/crates/lw-edge/src/serve/pass_on.rs
@@ -25,7 +25,7 @@
     state::{Edge, GivenUp, keys},
 };
 
-/// VMs to which one request is passed on, one after the other, while each states that it has not run.
+/// VMs to which one request is passed on, one after the other, while each states that it has not run it.
 const VMS_MAX: usize = 3;
 
 /// Another VM that may serve a request.
@@ -105,7 +105,11 @@
                 body.close();
                 Passed::Unknown("the answer is not authentic".into())
             }
-            Some(AnsweredBy::Vm(code)) if is_for_another_vm(code) => {
+            // That VM has not run it, which does not say that an attempt of this one has not.
+            Some(AnsweredBy::Vm(code))
+                if is_for_another_vm(code)
+                    || self.may_have_run() && code.executed() == Executed::No =>
+            {
                 body.close();
                 Passed::Elsewhere(format!("it answered {}", code.name()))
             }
