--- a/crates/lw-soak/src/releases/mod.rs
+++ b/crates/lw-soak/src/releases/mod.rs
@@ -16,11 +16,11 @@
 use lw_standin::{
     hosted::{
         caller::{CallerRequest, Reply, request, send},
-        operator::{VmOptions, config},
+        operator::{INTERNAL_PORTS, VmOptions, config},
         store::{Store, StoreMode},
         upstream::{MODEL, Upstream},
     },
-    loopback::free_address,
+    loopback::{free_address, free_addresses},
 };
 use serde_json::json;
 use tokio::{
@@ -116,7 +116,7 @@
                 failure_domain: "kochi-a".to_owned(),
                 callers: free_address(),
                 readiness: free_address(),
-                peers: free_address(),
+                peers: free_addresses(INTERNAL_PORTS),
                 store: store.addr(),
                 revoke: Duration::from_secs(3),
                 drain: LEAVING_TIME_MAX,
--- a/crates/lw-soak/src/run/mod.rs
+++ b/crates/lw-soak/src/run/mod.rs
@@ -15,11 +15,11 @@
     hosted::{
         caller::{request, send},
         http::Server,
-        operator::{VmOptions, config, revoked_config},
+        operator::{INTERNAL_PORTS, VmOptions, config, revoked_config},
         store::Store,
         upstream::{BehaviourQueue, MODEL, Upstream},
     },
-    loopback::free_address,
+    loopback::{free_address, free_addresses},
 };
 use serde_json::{Value, json};
 use tokio::{
@@ -291,7 +291,7 @@
                 failure_domain: DOMAINS[n % DOMAINS.len()].to_owned(),
                 callers: free_address(),
                 readiness: free_address(),
-                peers: free_address(),
+                peers: free_addresses(INTERNAL_PORTS),
                 store: path.addr,
                 revoke: REVOCATION_TIME_MAX,
                 drain: LEAVING_TIME_MAX,
--- a/crates/lw-standin/src/hosted/operator.rs
+++ b/crates/lw-standin/src/hosted/operator.rs
@@ -76,6 +76,9 @@
     pub drain: Duration,
 }
 
+/// Ports, from that of the address for other VMs on, that a VM uses between VMs.
+pub const INTERNAL_PORTS: u16 = 2;
+
 /// Returns the text of the settings file of a VM.
 #[must_use]
 pub fn settings_file(options: &VmOptions) -> String {
--- a/crates/lw-standin/src/loopback/mod.rs
+++ b/crates/lw-standin/src/loopback/mod.rs
@@ -18,8 +18,20 @@
 /// ```
 #[must_use]
 pub fn free_address() -> SocketAddr {
+    free_addresses(1)
+}
+
+/// Returns the first of `count` such addresses with consecutive ports.
+///
+/// ```
+/// use lw_standin::loopback::{free_address, free_addresses};
+/// let first = free_addresses(2);
+/// assert!(free_address().port() != first.port() + 1);
+/// ```
+#[must_use]
+pub fn free_addresses(count: u16) -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
     let [.., b, a] = std::process::id().to_be_bytes();
-    let port = NEXT.fetch_add(1, Ordering::Relaxed);
+    let port = NEXT.fetch_add(count, Ordering::Relaxed);
     SocketAddr::from(([127, b.max(1), a, 1], port))
 }
