--- a/crates/lw-edge/src/reach/mod.rs
+++ b/crates/lw-edge/src/reach/mod.rs
@@ -11,7 +11,6 @@
 use http::Method;
 use lw_transport::client::{Call, Error, Reuse};
 use lw_types::prelude::*;
-use tokio::sync::watch;
 
 use crate::{peers, state::Edge};
 
@@ -33,23 +32,13 @@
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
 /// What is known of the paths, shared by all requests and tasks.
-#[derive(Debug)]
-pub struct SharedReach {
-    reach: Mutex<Reach>,
-    /// Changes whenever paths are lost or found again.
-    changes: watch::Sender<()>,
-}
-
-impl Default for SharedReach {
-    fn default() -> Self {
-        Self { reach: Mutex::default(), changes: watch::Sender::new(()) }
-    }
-}
+#[derive(Debug, Default)]
+pub struct SharedReach(Mutex<Reach>);
 
 impl SharedReach {
     /// Locks what is known of the paths.
     pub fn lock(&self) -> MutexGuard<'_, Reach> {
-        self.reach.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether the paths to a service are lost.
@@ -57,15 +46,6 @@
     pub fn is_lost(&self, service: &str) -> bool {
         self.lock().is_lost(service)
     }
-
-    /// Waits until the paths to a service are lost.
-    pub async fn wait_until_lost(&self, service: &str) {
-        let mut changes = self.changes.subscribe();
-        // The sender lives as long as this.
-        while !self.is_lost(service) {
-            let _ = changes.changed().await;
-        }
-    }
 }
 
 /// Records that an upstream of a service was not reached, so that others are probed.
@@ -138,7 +118,6 @@
             why = e.to_string();
             "no upstream is in reach, requests are passed on to other VMs"),
     }
-    edge.reach.changes.send_replace(());
 }
 
 /// Applies a report of another VM.
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -31,9 +31,6 @@
 /// Time between two attempts of a request to take over from a silent upstream. Several VMs report the same upstream, and those
 /// that refuse now may accept a moment later.
 const TAKEOVER_PERIOD: Duration = Duration::from_millis(500);
-/// Time from which on a request without an answer leaves its upstream while the VM reaches none of the service.
-const LEAVE_AFTER: Duration = Duration::from_millis(500);
-
 /// Forwards a request and returns the answer for the caller.
 pub(super) async fn run(edge: &Arc<Edge>, call: Arc<Call>, record: RequestRecord) -> Answer {
     let mut driver = Driver::new(edge, &call, record);
@@ -140,7 +137,7 @@
                 Err(_) if self.may_pass_on() => continue,
                 Err(failure) => return Err(failure),
             };
-            match self.outcome_while_in_reach(attempt).await {
+            match self.outcome(attempt.send(None), None).await {
                 SendOutcome::Answer(incoming) => {
                     if let Some(accepted) = self.accept_answer(*incoming).await? {
                         return Ok(accepted);
@@ -157,25 +154,6 @@
         }
     }
 
-    /// Waits for the outcome of an attempt. If no upstream is in reach any more, a request that may run again leaves its own,
-    /// unless it was sent a moment ago: its connection may live on.
-    async fn outcome_while_in_reach(&mut self, attempt: Attempt) -> SendOutcome {
-        let (edge, call) = (Arc::clone(&self.edge), Arc::clone(&self.call));
-        let may_leave = call.forwarded.is_none() && call.route.kind.may_repeat();
-        let lost = async {
-            if !may_leave {
-                std::future::pending::<()>().await;
-            }
-            tokio::time::sleep(LEAVE_AFTER).await;
-            edge.reach.wait_until_lost(&call.service).await;
-        };
-        tokio::select! {
-            biased;
-            outcome = self.outcome(attempt.send(None), None) => outcome,
-            () = lost => SendOutcome::OutcomeUnknown("no upstream is in reach".into()),
-        }
-    }
-
     /// Begins the next attempt, if there is an upstream for it and the limits on attempts allow it.
     pub async fn next_attempt(&mut self) -> Result<Attempt, Failure> {
         match self.begin_attempt(Purpose::Serve).await {
