--- a/crates/lw-edge/src/distribution/mod.rs
+++ b/crates/lw-edge/src/distribution/mod.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     answer::{Answer, full_body},
-    state::{Edge, keys},
+    state::Edge,
 };
 
 pub mod journal;
@@ -136,7 +136,7 @@
     after: Position,
     wait: Duration,
 ) -> Result<ChangesReply, Error> {
-    let key = peer_key(edge).ok_or(Error::NoKey)?;
+    let key = edge.store_view().peer_key().ok_or(Error::NoKey)?;
     let sent = edge.timer.now_including_suspend();
     let request = ChangesRequest {
         nonce: fastrand::u64(..),
@@ -177,7 +177,7 @@
         *response.status_mut() = status;
         Ok(response)
     };
-    let Some(key) = peer_key(&edge) else {
+    let Some(key) = edge.store_view().peer_key() else {
         return status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     };
     let arrived = edge.timer.now_including_suspend();
@@ -261,10 +261,6 @@
     }
 }
 
-fn peer_key(edge: &Edge) -> Option<Vec<u8>> {
-    edge.store_view().router_item(keys::PEER_KEY).map(|item| item.value.clone())
-}
-
 fn encode(key: &[u8], message: &impl Serialize) -> Option<Bytes> {
     let packed = rmp_serde::to_vec(message).inspect_err(|e| {
         log::error!(target: "member", why = e.to_string(); "cannot encode a message to another VM");
--- a/crates/lw-edge/src/feeds/mod.rs
+++ b/crates/lw-edge/src/feeds/mod.rs
@@ -29,7 +29,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Delay of the end of a time limit from which on this VM itself was paused or overloaded, so that the call says nothing
 /// about the engine.
-const OWN_PAUSE_MIN: Duration = Duration::from_millis(150);
+pub(crate) const OWN_PAUSE_MIN: Duration = Duration::from_millis(150);
 /// Time for which an unresponsive engine gets no work, unless it answers before.
 const UNRESPONSIVE_TIME: Duration = Duration::from_secs(5);
 /// Number of VMs that follow the events of one holder, since holders limit the number of calls that wait.
--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -9,10 +9,7 @@
 use lw_transport::datagram::Datagrams;
 use lw_types::prelude::*;
 
-use crate::{
-    quarantine, reach,
-    state::{Edge, keys},
-};
+use crate::{quarantine, reach, state::Edge};
 
 mod attempt;
 mod demand;
@@ -46,7 +43,7 @@
 /// Opens the socket for messages as soon as their key has been read from the store, then receives messages.
 pub async fn run(edge: Arc<Edge>) {
     let datagrams = loop {
-        let key = edge.store_view().router_item(keys::PEER_KEY).map(|item| item.value.clone());
+        let key = edge.store_view().peer_key();
         if let Some(key) = key {
             let key = String::from_utf8_lossy(&key).into_owned();
             match Datagrams::bind(edge.settings.peers, &key).await {
--- a/crates/lw-edge/src/reach/mod.rs
+++ b/crates/lw-edge/src/reach/mod.rs
@@ -12,7 +12,7 @@
 use lw_transport::client::{Call, Error, Reuse};
 use lw_types::prelude::*;
 
-use crate::{peers, state::Edge};
+use crate::{feeds::OWN_PAUSE_MIN, peers, state::Edge};
 
 mod evidence;
 
@@ -26,8 +26,6 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Upstreams that are probed in one round.
 const PROBES: usize = 5;
-/// Delay of the end of a time limit from which on this VM itself was paused or overloaded.
-const OWN_PAUSE_MIN: Duration = Duration::from_millis(150);
 /// Time between two reports to the other VMs while paths are lost.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -269,7 +269,7 @@
             wait_ms = millis(placement.wait),
             load_age_ms = placement.load_age.map_or(-1, |age| i64::try_from(millis(age)).unwrap_or(i64::MAX)),
             left_ms = millis(call.due.saturating_sub(self.started_at)), config = config,
-            known_ms = age, known_revision = known.revision, known_from = known.from.as_str();
+            known_ms = age, known_revision = known.revision, known_from = &*known.from;
             "request sent");
     }
 
--- a/crates/lw-edge/src/serve/forwarded.rs
+++ b/crates/lw-edge/src/serve/forwarded.rs
@@ -49,16 +49,12 @@
     /// Adds the statement to the headers of a request.
     pub fn write(&self, key: &[u8], head: SignedHead<'_>, headers: &mut HeaderMap) {
         let statement = format!("{};{}", self.vm, self.attempts);
-        set(headers, FORWARDED, &statement, &code(key, &head.message(&statement)));
+        set(key, headers, FORWARDED, &statement, &head.message(&statement));
     }
 
     /// Takes the statement from the headers of a request, if it is authentic.
     pub fn take(key: &[u8], head: SignedHead<'_>, headers: &mut HeaderMap) -> Option<Self> {
-        let value = headers.remove(FORWARDED)?;
-        let (statement, code_text) = value.to_str().ok()?.rsplit_once(';')?;
-        if !auth::is_equal(code_text, &code(key, &head.message(statement))) {
-            return None;
-        }
+        let statement = take(key, headers, FORWARDED, |statement| head.message(statement))?;
         let (vm, attempts) = statement.split_once(';')?;
         Some(Self { vm: vm.to_owned(), attempts: attempts.parse().ok()? })
     }
@@ -72,17 +68,13 @@
             Self::Vm(code) => code.number(),
         };
         let statement = number.to_string();
-        let code = code(key, format!("{id}\n{statement}").as_bytes());
-        set(response.headers_mut(), RESULT, &statement, &code);
+        let message = result_message(id, &statement);
+        set(key, response.headers_mut(), RESULT, &statement, &message);
     }
 
     /// Takes from the headers who gave the answer, if that is authentic.
     pub fn take(key: &[u8], id: &str, headers: &mut HeaderMap) -> Option<Self> {
-        let value = headers.remove(RESULT)?;
-        let (statement, code_text) = value.to_str().ok()?.split_once(';')?;
-        if !auth::is_equal(code_text, &code(key, format!("{id}\n{statement}").as_bytes())) {
-            return None;
-        }
+        let statement = take(key, headers, RESULT, |statement| result_message(id, statement))?;
         let number: u16 = statement.parse().ok()?;
         if number == 0 {
             return Some(Self::Upstream);
@@ -107,9 +99,26 @@
     code
 }
 
-fn set(headers: &mut HeaderMap, name: HeaderName, statement: &str, code: &str) {
-    match HeaderValue::try_from(format!("{statement};{code}")) {
+fn result_message(id: &str, statement: &str) -> Vec<u8> {
+    format!("{id}\n{statement}").into_bytes()
+}
+
+/// Sets a header to a statement and the authentication code of the message that it belongs to.
+fn set(key: &[u8], headers: &mut HeaderMap, name: HeaderName, statement: &str, message: &[u8]) {
+    match HeaderValue::try_from(format!("{statement};{}", code(key, message))) {
         Ok(value) => drop(headers.insert(name, value)),
         Err(e) => log::error!(target: "member", why = e.to_string(); "statement not encoded"),
     }
 }
+
+/// Takes a statement from a header, if its code is that of the message that it belongs to.
+fn take(
+    key: &[u8],
+    headers: &mut HeaderMap,
+    name: HeaderName,
+    message: impl Fn(&str) -> Vec<u8>,
+) -> Option<String> {
+    let value = headers.remove(name)?;
+    let (statement, code_text) = value.to_str().ok()?.rsplit_once(';')?;
+    auth::is_equal(code_text, &code(key, &message(statement))).then(|| statement.to_owned())
+}
--- a/crates/lw-edge/src/serve/mod.rs
+++ b/crates/lw-edge/src/serve/mod.rs
@@ -120,13 +120,11 @@
     mut req: Request<Incoming>,
 ) -> Result<Answer, Infallible> {
     let id = headers::caller_head(req.headers()).request;
-    let key = pass_on::peer_key(&edge).unwrap_or_default();
     let (method, target) = (req.method().clone(), req.uri().clone());
     let head = SignedHead { method: &method, target: &target, id: &id };
-    let forwarded = Some(&key)
-        .filter(|key| !key.is_empty())
-        .and_then(|key| Forwarded::take(key, head, req.headers_mut()));
-    let Some(forwarded) = forwarded else {
+    let key = edge.store_view().peer_key();
+    let taken = key.and_then(|key| Some((Forwarded::take(&key, head, req.headers_mut())?, key)));
+    let Some((forwarded, key)) = taken else {
         log::warn!(target: "member", request = id.as_str();
             "rejected a passed-on request without a valid authentication code");
         let mut response = Response::new(answer::empty_body());
@@ -277,7 +275,7 @@
     let config = view.catalog().map_or(0, |catalog| catalog.version);
     let known = view.provenance();
     log::info!(target: "config", request = id, name = failure.code.name(), config = config,
-        known_ms = age, known_revision = known.revision, known_from = known.from.as_str();
+        known_ms = age, known_revision = known.revision, known_from = &*known.from;
         "refused as the configuration says");
 }
 
--- a/crates/lw-edge/src/serve/pass_on.rs
+++ b/crates/lw-edge/src/serve/pass_on.rs
@@ -4,21 +4,19 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
-use http_body::Frame;
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, Full};
 use lw_catalog::RouteKind;
-use lw_forward::{
-    collect::CollectError,
-    pool::{Error, HostKey, Reuse, UpstreamAnswer, UpstreamAnswerBody},
-};
+use lw_forward::pool::{Error, HostKey, Reuse, UpstreamAnswer, UpstreamAnswerBody};
 use lw_platform::headers;
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
+use tokio::{sync::watch, time::Instant};
 
 use super::{
     RETRY_AFTER_UNREADY,
     forward::Driver,
     forwarded::{AnsweredBy, Forwarded, SignedHead},
+    record::RequestRecord,
 };
 use crate::{
     answer::{self, Answer, AnswerBody, BodyError},
@@ -86,7 +84,7 @@
     }
 
     async fn pass_on_to(&mut self, candidate: &Candidate) -> Passed {
-        let Some(key) = peer_key(&self.edge) else {
+        let Some(key) = self.edge.store_view().peer_key() else {
             return Passed::Elsewhere("the key for messages between VMs was not read yet".into());
         };
         let left = self.call.due.saturating_sub(self.edge.timer.now());
@@ -153,9 +151,6 @@
             let collected = tokio::time::timeout(left, self.edge.answer_memory.collect(body)).await;
             match collected {
                 Err(_) => return Passed::Unknown("its answer is not complete in time".into()),
-                Ok(Err(e @ CollectError::MemoryExhausted)) => {
-                    return Passed::Unknown(e.to_string());
-                }
                 Ok(Err(e)) => return Passed::Unknown(e.to_string()),
                 Ok(Ok(bytes)) => {
                     self.record.record_answer(status.as_u16());
@@ -171,48 +166,59 @@
 
     /// Returns a body that passes a stream through. If the other VM breaks it off, so does this one.
     fn stream_body(&mut self, status: u16, body: UpstreamAnswerBody) -> AnswerBody {
-        let record = self.record.take();
-        let edge = std::sync::Arc::clone(&self.edge);
-        let call = std::sync::Arc::clone(&self.call);
-        let state = Some((body, record, 0_u64));
-        let frames = futures::stream::unfold(state, move |state| {
-            let (edge, call) = (std::sync::Arc::clone(&edge), std::sync::Arc::clone(&call));
-            async move {
-                let (mut body, mut record, mut bytes) = state?;
-                let left = call.due.saturating_sub(edge.timer.now());
-                let frame = tokio::select! {
-                    frame = tokio::time::timeout(left, body.frame()) => match frame {
-                        Ok(Some(Ok(frame))) => Ok(Some(frame)),
-                        Ok(None) => Ok(None),
-                        Ok(Some(Err(e))) => Err(e.to_string()),
-                        Err(_) => Err("the deadline passed".to_owned()),
-                    },
-                    () = edge.wait_until_given_up(GivenUp::Streams) => {
-                        Err("this VM ends before the stream".to_owned())
-                    }
-                };
-                match frame {
-                    Ok(Some(frame)) => {
-                        let len = frame.data_ref().map_or(0, Bytes::len);
-                        bytes += u64::try_from(len).unwrap_or(u64::MAX);
-                        record.record_chunk();
-                        let data = frame.into_data().unwrap_or_default();
-                        Some((Ok(Frame::data(data)), Some((body, record, bytes))))
-                    }
-                    Ok(None) => {
-                        record.record_answer(status);
-                        None
-                    }
-                    Err(why) => {
-                        record.record_broken_stream(&why, bytes);
-                        // The HTTP library writes what it has before it polls the body again.
-                        tokio::task::yield_now().await;
-                        Some((Err(BodyError::from(why)), None))
-                    }
-                }
+        // One subscription for all chunks.
+        let given_up = self.edge.watch_given_up();
+        let left = self.call.due.saturating_sub(self.edge.timer.now());
+        let end = Instant::now() + left;
+        let passed =
+            PassedStream { body, given_up, end, record: self.record.take(), status, bytes: 0 };
+        answer::stream_body(passed, |mut passed| async move {
+            Ok(passed.next().await?.map(|bytes| (bytes, passed)))
+        })
+    }
+}
+
+/// A stream that another VM answers with.
+struct PassedStream {
+    body: UpstreamAnswerBody,
+    given_up: watch::Receiver<GivenUp>,
+    /// When its request is due.
+    end: Instant,
+    record: RequestRecord,
+    status: u16,
+    /// Bytes given to the caller.
+    bytes: u64,
+}
+
+impl PassedStream {
+    /// Returns the next bytes for the caller, or none at the end of the stream.
+    async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+        let received = tokio::select! {
+            frame = tokio::time::timeout_at(self.end, self.body.frame()) => match frame {
+                Ok(frame) => frame.transpose().map_err(|e| e.to_string()),
+                Err(_) => Err("the deadline passed".to_owned()),
+            },
+            _ = self.given_up.wait_for(|given_up| *given_up >= GivenUp::Streams) => {
+                Err("this VM ends before the stream".to_owned())
+            }
+        };
+        match received {
+            Ok(Some(frame)) => {
+                // Frames without data are trailers, which are not passed on.
+                let data = frame.into_data().unwrap_or_default();
+                self.bytes += u64::try_from(data.len()).unwrap_or(u64::MAX);
+                self.record.record_chunk();
+                Ok(Some(data))
+            }
+            Ok(None) => {
+                self.record.record_answer(self.status);
+                Ok(None)
             }
-        });
-        BodyExt::boxed_unsync(StreamBody::new(frames))
+            Err(why) => {
+                self.record.record_broken_stream(&why, self.bytes);
+                Err(why.into())
+            }
+        }
     }
 }
 
@@ -229,11 +235,6 @@
     )
 }
 
-/// Returns the key that authenticates messages between VMs.
-pub(super) fn peer_key(edge: &Edge) -> Option<Vec<u8>> {
-    edge.store_view().router_item(keys::PEER_KEY).map(|item| item.value.clone())
-}
-
 /// Returns the VMs that may have a path to a service in random order, those of this failure domain first.
 fn candidates(edge: &Edge, service: &str) -> Vec<Candidate> {
     let now = edge.timer.now();
--- a/crates/lw-edge/src/serve/relay.rs
+++ b/crates/lw-edge/src/serve/relay.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body::Frame;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::BodyExt;
 use lw_forward::{events::Splitter, intake, pool::UpstreamAnswerBody};
 use lw_place::Ended;
 
@@ -14,7 +14,7 @@
     takeover::{Overlap, SentAttempt, overlap},
 };
 use crate::{
-    answer::{AnswerBody, BodyError},
+    answer::{self, AnswerBody, BodyError},
     state::GivenUp,
 };
 
@@ -73,26 +73,15 @@
     pub fn into_body(self) -> AnswerBody {
         // One subscription for all chunks.
         let given_up = self.driver.edge.watch_given_up();
-        let frames = futures::stream::unfold(Some((self, given_up)), |state| async move {
-            let (mut relay, mut given_up) = state?;
+        answer::stream_body((self, given_up), |(mut relay, mut given_up)| async move {
             let next = tokio::select! {
                 next = relay.next() => next,
                 _ = given_up.wait_for(|given_up| *given_up >= GivenUp::Streams) => {
                     Err(relay.give_up())
                 }
             };
-            match next {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some((relay, given_up)))),
-                Ok(None) => None,
-                Err(e) => {
-                    // The HTTP library writes what it has, the head of the answer too, before it polls the body again. It ends
-                    // the connection at once when the body fails.
-                    tokio::task::yield_now().await;
-                    Some((Err(e), None))
-                }
-            }
-        });
-        BodyExt::boxed_unsync(StreamBody::new(frames))
+            Ok(next?.map(|bytes| (bytes, (relay, given_up))))
+        })
     }
 
     /// Ends the stream since the process is about to end.
--- a/crates/lw-edge/src/state/store_view.rs
+++ b/crates/lw-edge/src/state/store_view.rs
@@ -76,8 +76,8 @@
 pub struct Provenance {
     /// Revision up to which the view contains all changes.
     pub revision: Revision,
-    /// The VM that passed them on, or the store.
-    pub from: String,
+    /// The VM that passed them on, or the store. Shared, since each request that is sent logs it.
+    pub from: Arc<str>,
 }
 
 impl StoreView {
@@ -162,6 +162,12 @@
         self.router_items.get(key)
     }
 
+    /// Returns the key that authenticates messages between VMs, once it was read.
+    #[must_use]
+    pub fn peer_key(&self) -> Option<Vec<u8>> {
+        self.router_item(keys::PEER_KEY).map(|item| item.value.clone())
+    }
+
     /// Returns the items under keys of the router that begin with `prefix`.
     pub fn router_items_below(&self, prefix: &str) -> impl Iterator<Item = (&String, &RouterItem)> {
         self.router_items.iter().filter(move |(key, _)| key.starts_with(prefix))
@@ -348,8 +354,8 @@
     /// Records where the last changes came from.
     pub fn set_provenance(&mut self, revision: Revision, from: &str) {
         self.provenance.revision = revision;
-        if self.provenance.from != from {
-            from.clone_into(&mut self.provenance.from);
+        if *self.provenance.from != *from {
+            self.provenance.from = from.into();
         }
     }
 
