lw-standin, lw-soak: the proxy of the soak is also the path that tests cut

Link of lw-standin, added for cut_paths, was a second proxy that withholds and resets. The soak's Proxy moves to lw-standin with its faults, and can refuse new connections too; Link is gone.

--- a/crates/lw-edge/tests/cut_paths.rs
+++ b/crates/lw-edge/tests/cut_paths.rs
@@ -7,20 +7,34 @@
 use common::{CallerRequest, Reply, Simulation, ms, request, send};
 use lw_catalog::VmSettings;
 use lw_edge::run::Vm;
-use lw_standin::hosted::{
-    link::{Link, LinkMode},
-    store::StoreEndpoint,
-    upstream::{Behaviour, Upstream},
+use lw_standin::{
+    hosted::{
+        store::StoreEndpoint,
+        upstream::{Behaviour, Upstream},
+    },
+    proxy::{PathFault, Proxy},
 };
 
 /// Time after which a VM that lost its paths must serve its callers again, as the platform states it.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// What the paths of a VM to all upstreams do.
+#[derive(Debug, Clone, Copy)]
+enum Paths {
+    Work,
+    /// New connections are accepted, and nothing passes on any connection.
+    Hang,
+    /// All connections are reset, and new ones refused.
+    Reset,
+    /// New connections are refused, and open ones work.
+    Refuse,
+}
+
 /// Two VMs, of which the second reaches the upstreams over paths that can be cut.
 struct CutSimulation {
     simulation: Simulation,
     second: Vm,
-    links: Vec<Link>,
+    links: Vec<Proxy>,
     _endpoint: StoreEndpoint,
 }
 
@@ -40,8 +54,17 @@
         Self { simulation, second, links, _endpoint: endpoint }
     }
 
-    fn set_mode(&self, mode: LinkMode) {
-        self.links.iter().for_each(|link| link.set_mode(mode));
+    fn set_paths(&self, paths: Paths) {
+        let (fault, is_refusing) = match paths {
+            Paths::Work => (PathFault::None, false),
+            Paths::Hang => (PathFault::BlockBoth, false),
+            Paths::Reset => (PathFault::Reset, true),
+            Paths::Refuse => (PathFault::None, true),
+        };
+        for link in &self.links {
+            link.set_fault(fault);
+            link.set_refusing(is_refusing);
+        }
     }
 
     async fn send(&self, request: &CallerRequest) -> Option<Reply> {
@@ -80,24 +103,24 @@
         }
     }
 
-    async fn assert_served_during(&self, mode: LinkMode) {
+    async fn assert_served_during(&self, paths: Paths) {
         assert_eq!(self.failures("before", 3).await, [""; 0]);
-        self.set_mode(mode);
+        self.set_paths(paths);
         self.wait_for_contact_time().await;
-        assert_eq!(self.failures("cut", 25).await, [""; 0], "{mode:?}");
-        self.set_mode(LinkMode::Open);
-        assert_eq!(self.failures("open", 10).await, [""; 0], "{mode:?}, open again");
+        assert_eq!(self.failures("cut", 25).await, [""; 0], "{paths:?}");
+        self.set_paths(Paths::Work);
+        assert_eq!(self.failures("open", 10).await, [""; 0], "{paths:?}, open again");
     }
 }
 
 /// Opens a path to an upstream for the VM that reads the store at `endpoint`.
-async fn link_to(upstream: &Upstream, service: &str, endpoint: &StoreEndpoint) -> Link {
+async fn link_to(upstream: &Upstream, service: &str, endpoint: &StoreEndpoint) -> Proxy {
     let entry = upstream.registry_entry(service, "kochi-a");
     // Ports with four digits would change the length of the entry.
     loop {
-        let link = Link::open(upstream.addr()).await.unwrap();
+        let link = Proxy::start(upstream.addr()).await.unwrap();
         let mut linked = entry.clone();
-        linked["Address"] = link.addr().to_string().into();
+        linked["Address"] = link.addr.to_string().into();
         if linked.to_string().len() == entry.to_string().len() {
             endpoint.replace(&entry, &linked);
             return link;
@@ -107,24 +130,24 @@
 
 #[tokio::test]
 async fn callers_are_served_while_all_upstreams_refuse_connections_of_a_vm() {
-    CutSimulation::start().await.assert_served_during(LinkMode::Reset).await;
+    CutSimulation::start().await.assert_served_during(Paths::Reset).await;
 }
 
 #[tokio::test]
 async fn callers_are_served_while_all_connections_of_a_vm_to_upstreams_hang() {
-    CutSimulation::start().await.assert_served_during(LinkMode::Hanging).await;
+    CutSimulation::start().await.assert_served_during(Paths::Hang).await;
 }
 
 #[tokio::test]
 async fn callers_are_served_while_new_connections_of_a_vm_to_upstreams_are_refused() {
-    CutSimulation::start().await.assert_served_during(LinkMode::Refusing).await;
+    CutSimulation::start().await.assert_served_during(Paths::Refuse).await;
 }
 
 /// Guards against requests that wait until their deadline although no VM can serve them.
 #[tokio::test]
 async fn a_request_is_refused_at_once_when_no_vm_reaches_an_upstream() {
     let mut cut = CutSimulation::start().await;
-    cut.set_mode(LinkMode::Reset);
+    cut.set_paths(Paths::Reset);
     cut.simulation.engines.clear();
     cut.simulation.servers.clear();
     cut.wait_for_contact_time().await;
@@ -159,7 +182,7 @@
 #[tokio::test]
 async fn refusals_and_leaving_callers_pass_through_another_vm() {
     let cut = CutSimulation::start().await;
-    cut.set_mode(LinkMode::Reset);
+    cut.set_paths(Paths::Reset);
     cut.wait_for_contact_time().await;
     let unknown = CallerRequest { key: "unknown", ..request("unknown", "/look/x") };
     assert_eq!(cut.send(&unknown).await.expect("an answer").status, 401);
@@ -188,7 +211,7 @@
     let second = &cut.second.edge;
     let knows_all = async |_: &Simulation| second.store_view().vms().count() == 3;
     cut.simulation.wait_until("all VMs are registered", knows_all).await;
-    cut.set_mode(LinkMode::Reset);
+    cut.set_paths(Paths::Reset);
     cut.wait_for_contact_time().await;
     drop(cut.simulation.vm.take());
     assert_eq!(cut.failures("killed", 20).await, [""; 0]);
--- a/crates/lw-soak/src/lib.rs
+++ b/crates/lw-soak/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod callers;
 pub mod checks;
 pub mod hostile;
-pub mod proxy;
 pub mod releases;
 pub mod run;
 pub mod schedule;
--- a/crates/lw-soak/src/run/faults.rs
+++ b/crates/lw-soak/src/run/faults.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use lw_standin::hosted::store::StoreMode;
+use lw_standin::{hosted::store::StoreMode, proxy::Proxy};
 use tokio::time::{Instant, sleep};
 
 use super::{
@@ -10,7 +10,6 @@
 };
 use crate::{
     checks::ActiveFault,
-    proxy::Proxy,
     schedule::{Event, Fault, PathFault},
 };
 
--- a/crates/lw-soak/src/run/mod.rs
+++ b/crates/lw-soak/src/run/mod.rs
@@ -20,6 +20,7 @@
         upstream::{BehaviourQueue, MODEL, Upstream},
     },
     loopback::{free_address, free_addresses},
+    proxy::Proxy,
 };
 use serde_json::{Value, json};
 use tokio::{
@@ -31,7 +32,6 @@
     callers::{self, CallerGroup, PACED_STREAM_PATHS, PATHS, STREAM_DEADLINE, is_ready},
     checks::{ActiveFault, Trace},
     hostile,
-    proxy::Proxy,
     schedule::{Options, draw_events},
     vm::Vm,
 };
--- a/crates/lw-soak/src/schedule/mod.rs
+++ b/crates/lw-soak/src/schedule/mod.rs
@@ -7,22 +7,7 @@
 mod departures;
 mod stalls;
 
-/// A fault of a network path: what a proxy does to the connections through it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PathFault {
-    /// No fault.
-    None,
-    /// Bytes are delayed by 150 ms.
-    Delay,
-    /// Open and new connections are reset.
-    Reset,
-    /// Bytes to the server are withheld.
-    BlockToServer,
-    /// Bytes from the server are withheld.
-    BlockFromServer,
-    /// Bytes in both directions are withheld.
-    BlockBoth,
-}
+pub use lw_standin::proxy::PathFault;
 
 /// A fault, or a change made by operators. Numbers are those of VMs and upstreams.
 #[derive(Debug, Clone)]
--- a/crates/lw-standin/src/hosted/mod.rs
+++ b/crates/lw-standin/src/hosted/mod.rs
@@ -5,7 +5,6 @@
 pub mod caller;
 pub mod http;
 pub mod limit;
-pub mod link;
 pub mod operator;
 pub mod raw;
 pub mod store;
--- a/crates/lw-standin/src/lib.rs
+++ b/crates/lw-standin/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Each stand-in is a module whose `start` function takes `Options` and returns a handle, so that tests run it in their
 //! own process. The programs `standin-engine`, `standin-service` and `standin-platform` only parse arguments and call it.
-//! The module `hosted` has stand-ins for the users' hosted platform, and `load` is the load tool.
+//! The module `hosted` has stand-ins for the users' hosted platform, `load` is the load
+//! tool, and `proxy` injects faults into the connections to any of them.
 
 pub mod args;
 pub mod client;
@@ -11,5 +12,6 @@
 pub mod load;
 pub mod loopback;
 pub mod platform;
+pub mod proxy;
 pub mod serve;
 pub mod service;
--- a/crates/lw-soak/src/proxy/mod.rs
+++ b/crates/lw-standin/src/proxy/mod.rs
@@ -9,17 +9,35 @@
     task::JoinHandle,
 };
 
-use crate::schedule::PathFault;
-
+/// Pause between two attempts to listen again after connections were refused.
+const LISTEN_PAUSE: Duration = Duration::from_millis(10);
 /// Delay of [`PathFault::Delay`].
 const DELAY: Duration = Duration::from_millis(150);
 
+/// A fault of a network path: what a proxy does to the connections through it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PathFault {
+    /// No fault.
+    None,
+    /// Bytes are delayed by 150 ms.
+    Delay,
+    /// Open and new connections are reset.
+    Reset,
+    /// Bytes to the server are withheld.
+    BlockToServer,
+    /// Bytes from the server are withheld.
+    BlockFromServer,
+    /// Bytes in both directions are withheld.
+    BlockBoth,
+}
+
 /// A running proxy.
 #[derive(Debug)]
 pub struct Proxy {
     /// Address on which it listens.
     pub addr: SocketAddr,
     fault_tx: watch::Sender<PathFault>,
+    is_refusing: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -39,20 +57,58 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
         let (fault_tx, fault_rx) = watch::channel(PathFault::None);
+        let (is_refusing, refusing_rx) = watch::channel(false);
         let task = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
+            let mut listener = Listener { addr, open: Some(listener), refusing_rx };
+            while let Ok(stream) = listener.accept().await {
                 connections.spawn(proxy_connection(stream, to, fault_rx.clone()));
                 while connections.try_join_next().is_some() {}
             }
         });
-        Ok(Self { addr, fault_tx, task })
+        Ok(Self { addr, fault_tx, is_refusing, task })
     }
 
     /// Sets the fault of all open and new connections.
     pub fn set_fault(&self, fault: PathFault) {
         self.fault_tx.send_replace(fault);
     }
+
+    /// Refuses new connections, or accepts them again. Open ones are kept.
+    pub fn set_refusing(&self, is_refusing: bool) {
+        self.is_refusing.send_replace(is_refusing);
+    }
+}
+
+/// The listener of a proxy, which is closed while the proxy refuses connections.
+struct Listener {
+    addr: SocketAddr,
+    open: Option<TcpListener>,
+    refusing_rx: watch::Receiver<bool>,
+}
+
+impl Listener {
+    /// Waits for the next connection.
+    async fn accept(&mut self) -> io::Result<TcpStream> {
+        loop {
+            if *self.refusing_rx.borrow_and_update() {
+                self.open = None;
+                self.refusing_rx.changed().await.map_err(io::Error::other)?;
+                continue;
+            }
+            let Some(open) = &self.open else {
+                match TcpListener::bind(self.addr).await {
+                    Ok(listener) => self.open = Some(listener),
+                    Err(_) => tokio::time::sleep(LISTEN_PAUSE).await,
+                }
+                continue;
+            };
+            tokio::select! {
+                accepted = open.accept() => return accepted.map(|(stream, _)| stream),
+                changed = self.refusing_rx.changed() => changed.map_err(io::Error::other)?,
+            }
+        }
+    }
 }
 
 async fn proxy_connection(
