--- a/crates/lw-edge/src/distribution/source.rs
+++ b/crates/lw-edge/src/distribution/source.rs
@@ -68,6 +68,12 @@
     }
 }
 
+/// Returns the number of other VMs of the failure domain with a higher rank.
+fn higher_ranked(local: &Candidate, same_domain: &[Candidate]) -> usize {
+    let rank = local.rank();
+    same_domain.iter().filter(|vm| vm.vm != local.vm && vm.rank() > rank).count()
+}
+
 /// Selects the next source of one VM from the results of its previous attempts.
 #[derive(Debug, Default)]
 pub struct SourceSelector {
@@ -94,7 +100,7 @@
     ) -> Source {
         let mut ranked: Vec<_> = same_domain.iter().filter(|vm| vm.vm != local.vm).collect();
         ranked.sort_by_cached_key(|vm| std::cmp::Reverse(vm.rank()));
-        let higher_ranked = ranked.iter().filter(|vm| vm.rank() > local.rank()).count();
+        let higher_ranked = higher_ranked(local, same_domain);
         let ranked: Vec<&VmId> = ranked.into_iter().map(|vm| &vm.vm).collect();
         let is_usable = |vm: &&&VmId| {
             !self.avoided.iter().any(|(avoided, until)| avoided == **vm && now < *until)
@@ -201,8 +207,6 @@
     /// Whether the VM `local` is to follow the store.
     #[must_use]
     pub fn is_follower(local: &Candidate, same_domain: &[Candidate], fleet_size: usize) -> bool {
-        let others = same_domain.iter().filter(|vm| vm.vm != local.vm);
-        let higher_ranked = others.filter(|vm| vm.rank() > local.rank()).count();
-        fleet_size < FOLLOWER_ROLE_MIN_VMS || higher_ranked < FOLLOWERS
+        fleet_size < FOLLOWER_ROLE_MIN_VMS || higher_ranked(local, same_domain) < FOLLOWERS
     }
 }
--- a/crates/lw-edge/src/follow/mod.rs
+++ b/crates/lw-edge/src/follow/mod.rs
@@ -3,10 +3,9 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use lw_catalog::upstreams::Change as UpstreamChange;
 use lw_observe::logs::millis;
 use lw_platform::{
-    config, registry,
+    config,
     store::{self, Event, Item},
 };
 use lw_types::prelude::*;
@@ -16,14 +15,14 @@
         self, ChangesReply,
         journal::Change,
         source::{Candidate, FOLLOWER_ROLE_MIN_VMS, Source, SourceSelector},
-        value::Value,
-    },
-    state::{
-        Edge, RouterItem, TargetVersion,
-        keys::{self, VmEntry},
     },
+    state::{Edge, keys::VmEntry},
 };
 
+mod apply;
+
+use apply::{apply_changes, apply_events, apply_item, is_relevant, to_change, upstream_entry};
+
 /// Time for which a watch waits, as a fraction of the time in which a revoked key must be refused. The view of the keys
 /// is as old as the last answered watch, and a watch that gets no answer must not make the view too old to use.
 const WATCH_WAIT_FRACTION: f64 = 0.3;
@@ -43,9 +42,6 @@
 const SHARED_WATCH_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause between two watches, as a fraction of the time in which a revoked key must be refused.
 const WATCH_PAUSE_MAX_FRACTION: f64 = 0.1;
-/// Assumed age of a version of weights that became the target while this VM did not follow the store, as a fraction of
-/// the time in which all engines must serve the version. The remaining time is for other VMs to report the actual age.
-const UNDATED_AGE_FRACTION: f64 = 0.8;
 /// Number of new VMs in one watch from which on the next watch begins after the longest pause. When a fleet starts,
 /// each VM that registers completes the watches of the others.
 const GROWTH_MIN_VMS: usize = 3;
@@ -334,16 +330,6 @@
     Ok(first)
 }
 
-/// Whether an item that was read makes a difference to other VMs, where `changes` are those of the upstreams. A heartbeat
-/// alone does not.
-fn is_relevant(item: &Item, changes: &[UpstreamChange]) -> bool {
-    let Some(id) = registry::upstream_id(&item.key) else { return true };
-    changes.iter().any(|change| match change {
-        UpstreamChange::Present(upstream) => upstream.id == id,
-        UpstreamChange::Gone(gone) => gone == id,
-    })
-}
-
 /// Sets the era of the view and removes the items of the router that the store does not list. Returns whether the store
 /// has returned from an older copy.
 fn begin_era(
@@ -359,78 +345,6 @@
     former.is_some()
 }
 
-/// Returns the id and the upstream of an item under a key of an upstream. The upstream is `None` if its entry cannot be
-/// used.
-fn upstream_entry(item: &Item) -> Option<(UpstreamId, Option<lw_catalog::Upstream>)> {
-    let id = registry::upstream_id(&item.key)?;
-    let value = item.value.as_deref().map_err(ToString::to_string);
-    let parsed =
-        value.and_then(|value| registry::decode_upstream(id, value).map_err(|e| e.to_string()));
-    let upstream = parsed.inspect_err(|e| {
-        log::warn!(target: "member", upstream = id, revision = item.revision, why = e.as_str();
-            "unusable entry of an upstream");
-    });
-    Some((id.to_owned(), upstream.ok()))
-}
-
-/// Applies an item of the router, a configuration or a target version of weights.
-fn apply_item(edge: &Edge, item: &Item) {
-    let value = match &item.value {
-        Ok(value) => value,
-        Err(e) => return log_unreadable(item, e),
-    };
-    if item.key.starts_with(keys::PREFIX) {
-        let read_at = edge.timer.now_including_suspend();
-        let router_item = RouterItem { value: value.clone(), revision: item.revision, read_at };
-        edge.store_view().set_router_item(&item.key, Some(router_item));
-    } else if item.key == config::CONFIG_KEY {
-        let started = edge.timer.now();
-        match config::decode_catalog(value) {
-            Ok(catalog) => {
-                let version = catalog.version;
-                if edge.install(catalog) {
-                    log::info!(target: "config", config = version, revision = item.revision,
-                        bytes = value.len(), ms = millis(edge.timer.now().saturating_sub(started));
-                        "configuration in force");
-                }
-            }
-            Err(e) => log_unreadable(item, &e),
-        }
-    } else if config::is_target_version(&item.key) {
-        match config::decode_target_version(value) {
-            Ok(target) => {
-                let dated = dated_target(edge, target.version);
-                if edge.store_view().add_target_version(&target.model, dated) {
-                    log::info!(target: "order", model = target.model.as_str(),
-                        weights = target.version, revision = item.revision,
-                        is_dated = dated.is_dated; "version named");
-                    edge.set_target_version(dated.since, &target.model, target.version);
-                }
-            }
-            Err(e) => log_unreadable(item, &e),
-        }
-    }
-}
-
-/// Returns a target version that the store lists now, with the earliest time at which it may have been set: when the
-/// last answered read was sent. If there is none, for instance after a restart, the version counts as old until another
-/// VM reports its age.
-fn dated_target(edge: &Edge, version: u64) -> TargetVersion {
-    let now = edge.timer.now_including_suspend();
-    let assumed_age = edge.bounds().version.mul_f64(UNDATED_AGE_FRACTION);
-    let age = edge.store_view().age(now).unwrap_or(Duration::MAX);
-    TargetVersion {
-        version,
-        since: now.saturating_sub(age.min(assumed_age)),
-        is_dated: age < assumed_age,
-    }
-}
-
-fn log_unreadable(item: &Item, e: &store::Error) {
-    log::error!(target: "config", key = item.key.as_str(), revision = item.revision,
-        why = e.to_string(); "unreadable item in the store");
-}
-
 /// Watches once for changes after a position: sleeps for `pause`, then waits for at most `wait`. Returns the position
 /// after which to watch next.
 async fn watch(
@@ -484,76 +398,3 @@
     let pause = pause.min(left);
     (pause, left.saturating_sub(pause).clamp(PROBE_WATCH_WAIT, wait))
 }
-
-/// Applies the changes of the store up to a revision, and distributes those that make a difference to other VMs.
-fn apply_events(edge: &Edge, events: Vec<Event>, revision: Revision) {
-    let changes = events.into_iter().filter(|event| apply(edge, event)).filter_map(to_change);
-    let changes = changes.collect();
-    edge.distribution.advance(revision, changes);
-}
-
-/// Applies the changes that another VM has passed on, and distributes those that make a difference.
-///
-/// # Errors
-///
-/// When a value cannot be decompressed. Then none is applied.
-fn apply_changes(edge: &Edge, changes: Vec<Change>, revision: Revision) -> std::io::Result<()> {
-    let events: Vec<_> = changes.iter().map(Event::try_from).collect::<Result<_, _>>()?;
-    let changes = changes.into_iter().zip(events).filter(|(_, event)| apply(edge, event));
-    let changes = changes.map(|(change, _)| change).collect();
-    edge.distribution.advance(revision, changes);
-    Ok(())
-}
-
-/// Applies one change; returns whether it makes a difference to other VMs. A heartbeat alone does not.
-fn apply(edge: &Edge, event: &Event) -> bool {
-    let now = edge.timer.now();
-    let mut view = edge.store_view();
-    let (has_previous_entry, changes) = match event {
-        Event::Written(item) => {
-            let Some((id, upstream)) = upstream_entry(item) else {
-                drop(view);
-                apply_item(edge, item);
-                return true;
-            };
-            let has_previous_entry = view.directory.is_expired(&id)
-                || upstream.is_none() && view.directory.get(&id).is_some();
-            (has_previous_entry, view.directory.put(now, &id, upstream))
-        }
-        Event::Removed { key, .. } => {
-            let Some(id) = registry::upstream_id(key) else {
-                view.set_router_item(key, None);
-                return true;
-            };
-            (view.directory.get(id).is_some(), view.directory.remove(now, id))
-        }
-    };
-    drop(view);
-    let is_relevant = has_previous_entry || !changes.is_empty();
-    edge.apply_upstream_changes(changes);
-    is_relevant
-}
-
-/// Returns the change that is distributed for an event.
-fn to_change(event: Event) -> Option<Change> {
-    match event {
-        // Other VMs cannot read this value either.
-        Event::Written(Item { value: Err(_), .. }) => None,
-        Event::Written(Item { key, value: Ok(value), revision }) => {
-            Some(Change { key, revision, value: Some(Value::new(value)) })
-        }
-        Event::Removed { key, revision } => Some(Change { key, revision, value: None }),
-    }
-}
-
-impl TryFrom<&Change> for Event {
-    type Error = std::io::Error;
-
-    fn try_from(change: &Change) -> Result<Self, std::io::Error> {
-        let (key, revision) = (change.key.clone(), change.revision);
-        Ok(match &change.value {
-            Some(value) => Self::Written(Item { key, value: Ok(value.inflate()?), revision }),
-            None => Self::Removed { key, revision },
-        })
-    }
-}
