lw-daemon: tests reserve both internal ports of a VM

The tests of lw-daemon took one free port for the other VMs, though the VM also listens on the next one since requests are passed on between VMs.

--- a/crates/lw-daemon/tests/platform/mod.rs
+++ b/crates/lw-daemon/tests/platform/mod.rs
@@ -7,11 +7,11 @@
 use lw_standin::{
     hosted::{
         caller::{get, request, send},
-        operator::{VmOptions, config},
+        operator::{INTERNAL_PORTS, VmOptions, config},
         store::Store,
         upstream::Upstream,
     },
-    loopback::free_address,
+    loopback::{free_address, free_addresses},
 };
 use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
@@ -91,7 +91,7 @@
         failure_domain: "kochi-a".to_owned(),
         callers: free_address(),
         readiness: free_address(),
-        peers: free_address(),
+        peers: free_addresses(INTERNAL_PORTS),
         store: store.addr(),
         revoke: Duration::from_secs(60),
         drain: Duration::from_secs(2),
--- a/crates/lw-daemon/tests/reload.rs
+++ b/crates/lw-daemon/tests/reload.rs
@@ -9,10 +9,10 @@
 use lw_soak::vm::Vm;
 use lw_standin::{
     hosted::{
-        operator::{VmOptions, config},
+        operator::{INTERNAL_PORTS, VmOptions, config},
         store::Store,
     },
-    loopback::free_address,
+    loopback::{free_address, free_addresses},
 };
 
 /// Longest wait for a log line.
@@ -43,7 +43,7 @@
         failure_domain: "kochi-a".into(),
         callers: free_address(),
         readiness: free_address(),
-        peers: free_address(),
+        peers: free_addresses(INTERNAL_PORTS),
         store: store.addr(),
         revoke: Duration::from_secs(5),
         drain: Duration::from_secs(2),
