lw-edge: a stream goes on only at an engine that is still the process that registered

An engine may start again under its id, as another version.

Before a stream that has begun goes on at an engine, the VM asks the engine for its report, and compares the start of the process with the registered one. An engine that has started again, or does not report within 0.3 s, is passed over. This needs no store, and costs one call for each attempt to resume.

--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -257,11 +257,11 @@
     async fn begin_attempt(&mut self, purpose: Purpose) -> Result<Attempt, Failure> {
         let may_have_run = self.may_have_run || purpose != Purpose::Serve;
         self.usage.acquire(&self.edge, &self.call, may_have_run).await?;
-        let mut placed = self.place_in_turn(purpose).await?;
+        let mut placed = self.place_as_registered(purpose).await?;
         // The wait for the turn of a limited upstream may take longer than the grant is valid.
         while !self.usage.is_ready(&self.call, may_have_run) {
             self.usage.acquire(&self.edge, &self.call, may_have_run).await?;
-            placed = self.place_in_turn(purpose).await?;
+            placed = self.place_as_registered(purpose).await?;
         }
         self.check_held()?;
         self.charge(purpose)?;
--- a/crates/lw-edge/src/serve/software.rs
+++ b/crates/lw-edge/src/serve/software.rs
@@ -1,11 +1,22 @@
 //! The software version whose engines may serve a stream that callers can take up again.
 
+use std::time::Duration;
+
+use lw_catalog::upstreams::Upstream;
 use lw_protocol::caller::Failure;
 use lw_types::prelude::*;
+use tokio::time::timeout;
 
-use super::{RETRY_AFTER_UNREADY, forward::Driver};
+use super::{
+    RETRY_AFTER_UNREADY,
+    forward::{Driver, Purpose},
+    place::Placed,
+};
 use crate::software::{self, OriginError, Relayer, StreamId};
 
+/// Longest wait for an engine's report on itself.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
 impl Driver {
     /// Binds a request that resumes a stream to the version that began it.
     ///
@@ -42,6 +53,48 @@
         })
     }
 
+    /// Selects the upstream of the next attempt, like [`Driver::place_in_turn`]. A stream that has begun goes on only at an engine
+    /// that is still the process that registered: it may have started again under its id as another version, of which this VM
+    /// has not heard yet.
+    pub async fn place_as_registered(&mut self, purpose: Purpose) -> Result<Placed, Failure> {
+        let mut confirmed: Vec<UpstreamId> = Vec::new();
+        loop {
+            let placed = self.place_in_turn(purpose).await?;
+            let upstream = &placed.placement.upstream;
+            if self.software.is_none() || confirmed.contains(&upstream.id) {
+                return Ok(placed);
+            }
+            // Limits and isolations may have changed during the call, so that the attempt is placed again.
+            if self.is_as_registered(upstream).await {
+                confirmed.push(upstream.id.clone());
+                continue;
+            }
+            self.tried.push(upstream.id.clone());
+            if purpose == Purpose::Return {
+                return Err(self.refusal("the upstream that the request left has started again"));
+            }
+        }
+    }
+
+    /// Whether an engine states that it is the process that registered under its id.
+    async fn is_as_registered(&self, upstream: &Upstream) -> bool {
+        let report = self.edge.engines.fetch_report(upstream.addr, &upstream.id);
+        let why = match timeout(REPORT_TIMEOUT, report).await {
+            Ok(Ok(report)) => {
+                if report.incarnation.is_none_or(|stated| stated == upstream.incarnation) {
+                    return true;
+                }
+                "it has started again".to_owned()
+            }
+            Ok(Err(e)) => e.to_string(),
+            Err(_) => "no report in time".to_owned(),
+        };
+        log::info!(target: "route", request = self.call.head.request.as_str(),
+            upstream = upstream.id.as_str(), why = why;
+            "the stream does not go on at the upstream");
+        false
+    }
+
     /// Binds the stream to the version whose first bytes go to the caller now. Other VMs are told if the id of the stream does not
     /// tell its version.
     pub fn bind_to(&mut self, software: &str) {
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -122,6 +122,8 @@
     received: Vec<ReceivedRequest>,
     /// Version of its software.
     software: String,
+    /// Times that it has started again.
+    restarts: u64,
     version: u64,
     loading: Option<(u64, tokio::time::Instant)>,
     orders: Vec<AcceptedOrder>,
@@ -172,6 +174,8 @@
 const HEALTH_PATH: &str = "/health";
 /// Version of the software of an upstream, unless another is set.
 pub const SOFTWARE: &str = "v1";
+/// When an upstream started first, in milliseconds since the Unix epoch.
+const FIRST_START_MS: u64 = 1_700_000_000_000;
 /// Time to load weights, unless another is set.
 const LOAD_TIME: Duration = Duration::from_millis(200);
 /// Time from the head of an answer to the crash that its request causes.
@@ -216,6 +220,7 @@
     #[must_use]
     pub fn registry_entry(&self, service: &str, zone: &str) -> Value {
         let version = self.version();
+        let born = lock(&self.state).born();
         json!({
             "Service": service,
             "Address": self.addr().to_string(),
@@ -227,7 +232,7 @@
             "Stage": "colocated",
             "Models": [{ "Name": MODEL, "Version": version, "Adapters": [] }],
             "Seq": 1,
-            "born": 1_700_000_000_000_u64,
+            "born": born,
         })
     }
 
@@ -242,6 +247,13 @@
         version.clone_into(&mut lock(&self.state).software);
     }
 
+    /// Lets it start again under its id, as another version of its software.
+    pub fn restart_as(&self, version: &str) {
+        let mut state = lock(&self.state);
+        version.clone_into(&mut state.software);
+        state.restarts += 1;
+    }
+
     /// Sets how it handles requests for which the queue has no behaviour.
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         lock(&self.state).behaviour = behaviour;
@@ -349,6 +361,11 @@
 }
 
 impl State {
+    /// Returns when its process started.
+    fn born(&self) -> u64 {
+        FIRST_START_MS + 1000 * self.restarts
+    }
+
     /// Completes a load whose time is over, and returns the version that is served.
     fn update_version(&mut self) -> u64 {
         if let Some((version, done)) = self.loading
@@ -399,6 +416,7 @@
         "Models": [{ "Name": MODEL, "Version": version, "Adapters": [] }],
         "Busy": state.loading.is_some(),
         "Seq": state.orders.len(),
+        "born": state.born(),
     });
     answer(200, &[], body.to_string().as_bytes())
 }
