lw-edge: requests stay at a VM while all upstreams may only be silent for a moment

Since VMs pass requests on when they have lost all paths, engines that all stand still for a moment look like lost paths: probes get no answer, and as every VM has lost them, new requests were refused at once, though the engines went on a second later.

If no other VM reaches an upstream, a request now stays and is sent to this VM's upstreams as before, until they have been out of reach for 2 s; from then on it is refused at once. VMs that are cut while others are not pass their requests on as they did.

--- a/crates/lw-edge/src/reach/mod.rs
+++ b/crates/lw-edge/src/reach/mod.rs
@@ -105,8 +105,10 @@
     });
     let reached = select_ok(probes).await;
     // A VM that was paused or overloaded meanwhile does not know.
-    let is_late = edge.timer.now() >= started + PROBE_TIMEOUT + OWN_PAUSE_MIN;
-    if reached.is_err() && is_late || !edge.reach.lock().record_probes(&service, reached.is_ok()) {
+    let now = edge.timer.now();
+    let is_late = now >= started + PROBE_TIMEOUT + OWN_PAUSE_MIN;
+    let record = || edge.reach.lock().record_probes(now, &service, reached.is_ok());
+    if reached.is_err() && is_late || !record() {
         return;
     }
     match reached {
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -81,6 +81,8 @@
     is_charged: bool,
     context: AttemptContext,
     may_have_run: bool,
+    /// Whether it is not passed on to other VMs, since they reach no upstream either.
+    pub stays: bool,
     /// Charges to the usage cap of the workspace.
     usage: Usage,
     /// When another attempt may next be made to take over from a silent upstream.
@@ -106,6 +108,7 @@
             is_charged: false,
             context,
             may_have_run: attempts_sent > 0,
+            stays: false,
             usage: Usage::new(),
             takeover_at: Now::ZERO,
             left: Vec::new(),
@@ -114,8 +117,10 @@
     }
 
     async fn run_attempts(&mut self) -> Result<Accepted, Failure> {
-        if self.may_pass_on() {
-            return self.pass_on().await.map(Accepted::Complete);
+        if self.may_pass_on()
+            && let Some(answer) = self.pass_on().await?
+        {
+            return Ok(Accepted::Complete(answer));
         }
         if self.call.forwarded.is_some() && self.edge.reach.is_lost(&self.call.service) {
             let text = "this VM reaches no upstream of the service either";
@@ -129,8 +134,10 @@
             admit::admit(&self.edge, &self.call)?;
         }
         loop {
-            if self.may_pass_on() {
-                return self.pass_on().await.map(Accepted::Complete);
+            if self.may_pass_on()
+                && let Some(answer) = self.pass_on().await?
+            {
+                return Ok(Accepted::Complete(answer));
             }
             let attempt = match self.next_attempt().await {
                 Ok(attempt) => attempt,
--- a/crates/lw-edge/src/serve/pass_on.rs
+++ b/crates/lw-edge/src/serve/pass_on.rs
@@ -52,11 +52,13 @@
         call.forwarded.is_none()
             && has_attempts
             && may_run
+            && !self.stays
             && self.edge.reach.is_lost(&call.service)
     }
 
-    /// Passes the request on to other VMs, until one gives the answer.
-    pub async fn pass_on(&mut self) -> Result<Answer, Failure> {
+    /// Passes the request on to other VMs, until one gives the answer. It is none if no other VM reaches an upstream either, but
+    /// they may all be silent for a moment: then the request stays at this VM.
+    pub async fn pass_on(&mut self) -> Result<Option<Answer>, Failure> {
         let candidates = candidates(&self.edge, &self.call.service);
         for candidate in candidates.into_iter().take(VMS_MAX) {
             if self.edge.timer.now() >= self.call.due {
@@ -67,7 +69,7 @@
                 "request passed on to another VM");
             self.record.count_attempt();
             match self.pass_on_to(&candidate).await {
-                Passed::Answer(answer) => return Ok(*answer),
+                Passed::Answer(answer) => return Ok(Some(*answer)),
                 Passed::Elsewhere(why) => {
                     log::warn!(target: "route", request = self.call.head.request.as_str(),
                         vm = candidate.vm.as_str(), why = why.as_str();
@@ -79,6 +81,11 @@
         if self.may_have_run() {
             return Err(self.refusal("no other VM has answered the request"));
         }
+        let now = self.edge.timer.now();
+        if self.edge.reach.lock().may_be_silent(now, &self.call.service) {
+            self.stays = true;
+            return Ok(None);
+        }
         let text = "neither this VM nor another one reaches an upstream of the service";
         Err(Failure::new(ResultCode::NoUpstream, text).retry_after(RETRY_AFTER_UNREADY))
     }
--- a/crates/lw-edge/tests/silence.rs
+++ b/crates/lw-edge/tests/silence.rs
@@ -4,7 +4,7 @@
 
 use std::time::Instant;
 
-use common::{CallerRequest, Reply, Simulation, ms, report_silence, request};
+use common::{CallerRequest, Reply, Simulation, ms, report_silence, request, send};
 use lw_standin::hosted::upstream::{Behaviour, STREAM_EVENTS, event};
 
 /// Pause before each event of a stream.
@@ -62,6 +62,24 @@
     );
 }
 
+/// Guards against new requests that are refused since all engines are silent for a moment, as if every VM had lost its paths to them.
+#[tokio::test]
+async fn requests_that_arrive_while_all_engines_are_silent_for_a_moment_are_served() {
+    let simulation = start().await;
+    let second = simulation.start_second().await;
+    let callers = [simulation.settings.callers, second.edge.settings.callers];
+    let stall = async {
+        simulation.engines.iter().for_each(|engine| engine.stall(ms(STALL_MS)));
+    };
+    let requests = (0..24_u64).map(|n| async move {
+        tokio::time::sleep(ms(n * 60)).await;
+        let id = format!("silent-{n}");
+        let callers = callers[usize::from(n % 2 == 1)];
+        assert_complete(&id, send(callers, &long_request(&id)).await);
+    });
+    tokio::join!(stall, futures::future::join_all(requests));
+}
+
 /// Guards against a stream that is cut since its engine was silent for a moment and the others did not run it.
 #[tokio::test]
 async fn a_stream_stays_at_its_silent_engine_while_the_others_refuse_it() {
