lw-limit, lw-edge: VMs share how many rejections an engine stands

A rejection by such an engine is announced to the other VMs, and each counts all of them. From half of N within a second on, no VM sends the engine requests until the count has fallen, and then VMs return at different times. Health checks may be rejected as well, so that probes of paths are fewer while a service has such engines.

--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -36,6 +36,8 @@
 use suspicion::SoundWire;
 pub use versions::VersionAgeQuery;
 
+/// Longest pause after which this VM sends requests again to an upstream that rejected some.
+const RETURN_PAUSE_MAX: Duration = Duration::from_millis(500);
 /// Time between two checks whether the key that authenticates messages has been read from the store, and pause after
 /// a socket error.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -154,6 +156,9 @@
             | Notice::Speeds(_)
             | Notice::VersionAgesRequest { .. }
             | Notice::VersionAges { .. } => {}
+            Notice::Rejected { upstream, max } => {
+                pool.record_rejection(now, upstream, *max, return_pause());
+            }
             Notice::Slowdown { upstream, percent } => {
                 pool.on_slowdown(now, upstream, *percent);
             }
@@ -179,6 +184,27 @@
     }
 }
 
+/// Applies the statement of an upstream that `max` rejections in a second make it fail. A rejection is announced to the other VMs.
+pub(crate) fn record_fragile(edge: &Edge, upstream: &Upstream, max: u32, is_rejection: bool) {
+    let now = edge.timer.now();
+    edge.with_upstream_pool(&upstream.service, |pool| {
+        if is_rejection {
+            pool.record_rejection(now, &upstream.id, max, return_pause());
+        } else {
+            pool.record_fragile(now, &upstream.id);
+        }
+    });
+    if is_rejection {
+        announce(edge, Announcement::Rejected(upstream, max));
+    }
+}
+
+/// Returns a pause after which this VM sends requests again to an upstream that rejected some. VMs that all return at once would
+/// be rejected again.
+fn return_pause() -> Duration {
+    RETURN_PAUSE_MAX.mul_f64(fastrand::f64())
+}
+
 /// What a VM announces to the others about an attempt or a prompt.
 #[derive(Debug, Clone, Copy)]
 pub enum Announcement<'a> {
@@ -193,6 +219,8 @@
     Slowdown(&'a Upstream, u32),
     /// An upstream stated that it is leaving.
     Leaving(&'a Upstream),
+    /// An upstream rejected a request, and so many rejections in a second make it fail.
+    Rejected(&'a Upstream, u32),
     /// Attempts broke when an engine went down.
     Crash(&'a CrashReport),
     /// Answers on these segments were sound, so long ago.
@@ -226,6 +254,10 @@
             let (upstream, incarnation) = (upstream.id.clone(), upstream.incarnation);
             (Notice::Leaving { upstream, incarnation }, Path::Direct)
         }
+        Announcement::Rejected(upstream, max) => {
+            let notice = Notice::Rejected { upstream: upstream.id.clone(), max };
+            (notice, Path::Relayed(fastrand::u64(..)))
+        }
         Announcement::Crash(report) => (report.into(), Path::Relayed(fastrand::u64(..))),
         Announcement::Sound(segments) => {
             let segments = segments.iter().map(SoundWire::from).collect();
--- a/crates/lw-edge/src/peers/notice.rs
+++ b/crates/lw-edge/src/peers/notice.rs
@@ -163,6 +163,13 @@
         /// Demand that the sender sees, by workspace and level.
         entries: Vec<DemandWire>,
     },
+    /// An upstream rejected a request of the sender, and too many rejections in a second make it fail.
+    Rejected {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Rejections in a second that it stands.
+        max: u32,
+    },
     /// The sender has no path to any upstream of these services, and the receivers pass no requests for them on to it. The list
     /// replaces that of the sender's last notice.
     PathsLost {
--- a/crates/lw-edge/src/reach/mod.rs
+++ b/crates/lw-edge/src/reach/mod.rs
@@ -22,10 +22,14 @@
 const PERIOD: Duration = Duration::from_millis(100);
 /// Time between two rounds of probes of a service of which an upstream was not reached.
 const PROBE_PERIOD: Duration = Duration::from_millis(300);
+/// The same for a service whose upstreams fail if they reject too many requests: an upstream may reject a probe.
+const FRAGILE_PROBE_PERIOD: Duration = Duration::from_secs(1);
 /// Time limit of a probe. Health checks are answered at once, and failure domains are a few milliseconds apart.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Upstreams that are probed in one round.
 const PROBES: usize = 5;
+/// The same for a service whose upstreams fail if they reject too many requests.
+const FRAGILE_PROBES: usize = 2;
 /// Time between two reports to the other VMs while paths are lost.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
@@ -68,7 +72,7 @@
             peers::report_lost(&edge, lost.clone());
             (reported, reported_at) = (lost, now);
         }
-        probed.retain(|_, at| now < *at + PROBE_PERIOD);
+        probed.retain(|service, at| now < *at + limits(&edge, service).0);
         for service in to_probe {
             if !probed.contains_key(&service) {
                 probed.insert(service.clone(), now);
@@ -78,6 +82,15 @@
     }
 }
 
+/// Returns the time between two rounds of probes of a service, and the upstreams that are probed in one.
+fn limits(edge: &Edge, service: &str) -> (Duration, usize) {
+    let now = edge.timer.now();
+    if edge.with_upstream_pool(service, |pool| pool.is_fragile(now)) == Some(true) {
+        return (FRAGILE_PROBE_PERIOD, FRAGILE_PROBES);
+    }
+    (PROBE_PERIOD, PROBES)
+}
+
 /// Checks whether any of a few upstreams of a service answers a health check on a new connection, whatever the answer says.
 async fn probe(edge: Arc<Edge>, service: String) {
     let path = {
@@ -88,7 +101,7 @@
     let mut upstreams: Vec<_> =
         edge.store_view().directory.ready_of(&service).map(Arc::clone).collect();
     fastrand::shuffle(&mut upstreams);
-    upstreams.truncate(PROBES);
+    upstreams.truncate(limits(&edge, &service).1);
     if upstreams.is_empty() {
         return;
     }
--- a/crates/lw-limit/src/upstream/mod.rs
+++ b/crates/lw-limit/src/upstream/mod.rs
@@ -12,9 +12,11 @@
 
 mod knowledge;
 mod loan;
+mod rejections;
 mod share;
 
 pub use knowledge::{Evidence, Origin};
+pub use rejections::Rejections;
 pub use share::{FleetSize, Position};
 
 use knowledge::Knowledge;
--- a/crates/lw-place/src/pool/mod.rs
+++ b/crates/lw-place/src/pool/mod.rs
@@ -42,6 +42,8 @@
 
 /// Target versions that are retained for each model.
 const TARGET_VERSIONS_MAX: usize = 64;
+/// Time for which a statement of an upstream that too many rejections make it fail is remembered. All its answers say so.
+const FRAGILE_TIME: Duration = Duration::from_secs(10);
 
 /// A request that is to be placed on an upstream.
 #[derive(Debug, Clone, Copy)]
@@ -273,6 +275,29 @@
         }
     }
 
+    /// Records that an upstream states that too many rejections make it fail.
+    pub fn record_fragile(&mut self, now: Now, id: &str) {
+        if let Some(state) = self.upstreams.get_mut(id) {
+            state.fragile_until = now + FRAGILE_TIME;
+        }
+    }
+
+    /// Whether too many rejections make any upstream fail, as far as is known.
+    #[must_use]
+    pub fn is_fragile(&self, now: Now) -> bool {
+        self.upstreams.values().any(|state| now < state.fragile_until)
+    }
+
+    /// Records that an upstream rejected a request of any VM, and that `max` rejections in a second make it fail. The upstream
+    /// gets no requests while further rejections could be too many, and for `pause` after that.
+    pub fn record_rejection(&mut self, now: Now, id: &str, max: u32, pause: Duration) {
+        self.record_fragile(now, id);
+        let Some(state) = self.upstreams.get_mut(id) else { return };
+        if let Some(until) = state.rejections.record(now, max) {
+            state.backoff_until = state.backoff_until.max(until + pause);
+        }
+    }
+
     /// Sends an upstream no requests until `until` while others can run them, since it does not answer.
     pub fn deprioritize(&mut self, id: &str, until: Now) {
         if let Some(state) = self.upstreams.get_mut(id) {
--- a/crates/lw-place/src/pool/upstream_state.rs
+++ b/crates/lw-place/src/pool/upstream_state.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use lw_catalog::{Stage, Upstream};
+use lw_limit::upstream::Rejections;
 use lw_types::prelude::*;
 
 use super::{InFlightId, slowdown::Slowdown};
@@ -71,6 +72,10 @@
     pub paused_until: Now,
     /// Gets no requests until then, as it requested when it rejected one.
     pub backoff_until: Now,
+    /// Its latest rejections, if too many of them make it fail.
+    pub rejections: Rejections,
+    /// Until when it counts as an upstream that too many rejections make fail.
+    pub fragile_until: Now,
     pub cache: CacheView,
     /// Version of the weights by model, the newest that any source reported.
     pub versions: HashMap<ModelId, u64>,
@@ -92,6 +97,8 @@
             deprioritized_until: Now::ZERO,
             paused_until: Now::ZERO,
             backoff_until: Now::ZERO,
+            rejections: Rejections::default(),
+            fragile_until: Now::ZERO,
             cache: CacheView::new(capacity_tokens),
             versions: upstream.models.iter().map(|m| (m.model.clone(), m.version)).collect(),
             speed: Speed::default(),
--- a/crates/lw-standin/src/hosted/upstream.rs
+++ b/crates/lw-standin/src/hosted/upstream.rs
@@ -133,6 +133,8 @@
     crashes: Vec<tokio::time::Instant>,
     /// `server-limit` of its answers, if it names one.
     limit: Option<String>,
+    /// `server-brittle` of its answers, if it states one.
+    brittle: Option<String>,
     /// When it began to name each limit, and ceased to.
     limits: Vec<(tokio::time::Instant, Option<f64>)>,
     /// When all calls arrived, those for reports, orders and cache events included.
@@ -310,6 +312,11 @@
         lock(&self.state).crashes.clone()
     }
 
+    /// Sets the `server-brittle` that its answers to requests state from now on.
+    pub fn set_brittle(&self, rejections_max: Option<u32>) {
+        lock(&self.state).brittle = rejections_max.map(|max| max.to_string());
+    }
+
     /// Sets the `server-limit` that its answers to requests name from now on.
     pub fn set_limit(&self, limit: Option<&str>) {
         let mut state = lock(&self.state);
@@ -471,7 +478,7 @@
         at: tokio::time::Instant::now(),
     });
     let deadly = state.deadly_segment;
-    let limit = state.limit.clone();
+    let (limit, brittle) = (state.limit.clone(), state.brittle.clone());
     if let Behaviour::HangThenCrash(hang, down) = behaviour {
         state.internal_behaviour = Some(Behaviour::NoAnswer);
         let hung = Arc::clone(shared_state);
@@ -482,6 +489,7 @@
     }
     drop(state);
     let limit = limit.iter().map(|limit| ("server-limit", limit.as_str()));
+    let limit = limit.chain(brittle.iter().map(|max| ("server-brittle", max.as_str())));
     let attempt = request.header("x-attempt-id").unwrap_or_default();
     if is_rejected {
         let mut headers = vec![("x-attempt-id", attempt), ("x-not-executed", "1")];
