lw-edge: a stream of a version that a VM has not heard of may be taken up again

A VM that was out of step with a release learned from the store or from another VM that a new version had begun a stream, knew no engine of it, and answered version_gone, without a time to come back: its caller was told that nobody could go on, though other VMs could.

A version that the view's history does not name has not left.

--- a/crates/lw-edge/src/serve/software.rs
+++ b/crates/lw-edge/src/serve/software.rs
@@ -38,7 +38,12 @@
             }
         })?;
         if !software::is_in_service(&self.edge, service, &origin) {
-            return Err(version_gone(&origin));
+            if software::has_been_in_service(&self.edge, service, &origin) {
+                return Err(version_gone(&origin));
+            }
+            let text = format!("no engine of the software version {origin} is known yet");
+            let failure = Failure::new(ResultCode::NotReady, text);
+            return Err(failure.retry_after(RETRY_AFTER_UNREADY));
         }
         self.software = Some(origin);
         Ok(())
--- a/crates/lw-edge/src/software/mod.rs
+++ b/crates/lw-edge/src/software/mod.rs
@@ -115,6 +115,11 @@
     history.is_none_or(|history| history.only_version() == Origin::Ambiguous)
 }
 
+/// Whether engines of a version have been ready, as far as the view of the store tells.
+pub(crate) fn has_been_in_service(edge: &Edge, service: &str, software: &str) -> bool {
+    edge.store_view().software(service).is_some_and(|history| history.has(software))
+}
+
 /// Whether engines of a version are ready for requests to a service.
 pub(crate) fn is_in_service(edge: &Edge, service: &str, software: &str) -> bool {
     edge.store_view().directory.ready_of(service).any(|upstream| upstream.software == software)
--- a/crates/lw-edge/tests/out_of_step.rs
+++ b/crates/lw-edge/tests/out_of_step.rs
@@ -119,6 +119,8 @@
                 continued += 1;
             } else {
                 assert_refused(&reply);
+                // Other VMs reach engines of its version.
+                assert!(reply.header("retry-after").is_some(), "{id}: {}", reply.head);
                 assert_eq!(self.simulation.run_count(&again), 0, "{id}");
             }
         }
--- a/crates/lw-place/src/software/mod.rs
+++ b/crates/lw-place/src/software/mod.rs
@@ -80,6 +80,21 @@
         if self.former.iter().all(is_same) { Origin::Version(version) } else { Origin::Ambiguous }
     }
 
+    /// Whether a version begins streams, or began some that may still go on.
+    ///
+    /// ```
+    /// use lw_place::software::{Assignment, Capacities, History};
+    /// let old = Assignment::new(&Capacities::from([("v1".into(), 8)])).unwrap();
+    /// let new = old.rebalanced(&Capacities::from([("v2".into(), 8)]));
+    /// let history = History::new(1, old).followed_by(new);
+    /// assert!(history.has("v1") && history.has("v2") && !history.has("v3"));
+    /// ```
+    #[must_use]
+    pub fn has(&self, version: &str) -> bool {
+        let former = self.former.iter().filter_map(|former| former.assignment.as_ref());
+        former.chain([&self.current]).any(|assignment| assignment.count(version) > 0)
+    }
+
     /// Returns which version began any stream, if one version has begun all that may still go on.
     #[must_use]
     pub fn only_version(&self) -> Origin<'_> {
