--- a/crates/lw-edge/src/peers/mod.rs
+++ b/crates/lw-edge/src/peers/mod.rs
@@ -17,6 +17,7 @@
 mod notice;
 mod origin;
 mod quota;
+pub(crate) mod rejections;
 pub mod route;
 mod speeds;
 mod suspicion;
@@ -36,8 +37,6 @@
 use suspicion::SoundWire;
 pub use versions::VersionAgeQuery;
 
-/// Longest pause after which this VM sends requests again to an upstream that rejected some.
-const RETURN_PAUSE_MAX: Duration = Duration::from_millis(500);
 /// Time between two checks whether the key that authenticates messages has been read from the store, and pause after
 /// a socket error.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -157,7 +156,7 @@
             | Notice::VersionAgesRequest { .. }
             | Notice::VersionAges { .. } => {}
             Notice::Rejected { upstream, max } => {
-                pool.record_rejection(now, upstream, *max, return_pause());
+                pool.record_rejection(now, upstream, *max, rejections::return_pause());
             }
             Notice::Slowdown { upstream, percent } => {
                 pool.on_slowdown(now, upstream, *percent);
@@ -184,27 +183,6 @@
     }
 }
 
-/// Applies the statement of an upstream that `max` rejections in a second make it fail. A rejection is announced to the other VMs.
-pub(crate) fn record_fragile(edge: &Edge, upstream: &Upstream, max: u32, is_rejection: bool) {
-    let now = edge.timer.now();
-    edge.with_upstream_pool(&upstream.service, |pool| {
-        if is_rejection {
-            pool.record_rejection(now, &upstream.id, max, return_pause());
-        } else {
-            pool.record_fragile(now, &upstream.id);
-        }
-    });
-    if is_rejection {
-        announce(edge, Announcement::Rejected(upstream, max));
-    }
-}
-
-/// Returns a pause after which this VM sends requests again to an upstream that rejected some. VMs that all return at once would
-/// be rejected again.
-fn return_pause() -> Duration {
-    RETURN_PAUSE_MAX.mul_f64(fastrand::f64())
-}
-
 /// What a VM announces to the others about an attempt or a prompt.
 #[derive(Debug, Clone, Copy)]
 pub enum Announcement<'a> {
--- a/crates/lw-edge/src/reach/mod.rs
+++ b/crates/lw-edge/src/reach/mod.rs
@@ -72,7 +72,10 @@
             peers::report_lost(&edge, lost.clone());
             (reported, reported_at) = (lost, now);
         }
-        probed.retain(|service, at| now < *at + limits(&edge, service).0);
+        probed.retain(|service, at| {
+            let (period, _) = probe_limits(&edge, service);
+            now < *at + period
+        });
         for service in to_probe {
             if !probed.contains_key(&service) {
                 probed.insert(service.clone(), now);
@@ -83,7 +86,7 @@
 }
 
 /// Returns the time between two rounds of probes of a service, and the upstreams that are probed in one.
-fn limits(edge: &Edge, service: &str) -> (Duration, usize) {
+fn probe_limits(edge: &Edge, service: &str) -> (Duration, usize) {
     let now = edge.timer.now();
     if edge.with_upstream_pool(service, |pool| pool.is_fragile(now)) == Some(true) {
         return (FRAGILE_PROBE_PERIOD, FRAGILE_PROBES);
@@ -101,7 +104,8 @@
     let mut upstreams: Vec<_> =
         edge.store_view().directory.ready_of(&service).map(Arc::clone).collect();
     fastrand::shuffle(&mut upstreams);
-    upstreams.truncate(limits(&edge, &service).1);
+    let (_, probes_max) = probe_limits(&edge, &service);
+    upstreams.truncate(probes_max);
     if upstreams.is_empty() {
         return;
     }
--- a/crates/lw-edge/src/serve/attempt.rs
+++ b/crates/lw-edge/src/serve/attempt.rs
@@ -400,7 +400,7 @@
         self.observe_limit(head, answer);
         let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE;
         if let Some(max) = answer.availability.rejections_max {
-            peers::record_fragile(&self.edge, upstream, max, is_refusal);
+            peers::rejections::observe(&self.edge, upstream, max, is_refusal);
         }
         if let Some(pause) = answer.availability.back_off.filter(|_| is_refusal) {
             let until = self.edge.timer.now() + pause;
--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -81,7 +81,7 @@
     is_charged: bool,
     context: AttemptContext,
     may_have_run: bool,
-    /// Whether it is not passed on to other VMs, since they reach no upstream either.
+    /// Whether the request stays at this VM although its paths are lost, since no other VM reaches an upstream either.
     pub stays: bool,
     /// Charges to the usage cap of the workspace.
     usage: Usage,
--- a/crates/lw-limit/src/upstream/rejections.rs
+++ b/crates/lw-limit/src/upstream/rejections.rs
@@ -6,8 +6,8 @@
 
 /// Time within which the upstream counts its rejections.
 const WINDOW: Duration = Duration::from_secs(1);
-/// Part of the rejections allowed that VMs use. Others are on their way while VMs tell each other.
-const USED_FRACTION: u32 = 2;
+/// VMs use one in so many of the rejections that an upstream stands: others are on their way while VMs tell each other.
+const RESERVE_FACTOR: u32 = 2;
 
 /// The latest rejections of one upstream, of requests of all VMs.
 ///
@@ -26,10 +26,10 @@
 }
 
 impl Rejections {
-    /// Records a rejection by an upstream that may reject at most `max` requests in a second. Returns until when it must get no
-    /// requests, if further rejections could be too many.
+    /// Records a rejection by an upstream that stands `max` rejections in a second. Returns until when it must get no requests, if
+    /// further rejections could be too many.
     pub fn record(&mut self, now: Now, max: u32) -> Option<Now> {
-        let used = usize::try_from(max / USED_FRACTION).unwrap_or(usize::MAX).max(1);
+        let used = usize::try_from(max / RESERVE_FACTOR).unwrap_or(usize::MAX).max(1);
         self.recent.push_back(now);
         while self.recent.front().is_some_and(|at| *at + WINDOW <= now) {
             self.recent.pop_front();
--- a/crates/lw-place/src/pool/upstream_state.rs
+++ b/crates/lw-place/src/pool/upstream_state.rs
@@ -72,7 +72,7 @@
     pub paused_until: Now,
     /// Gets no requests until then, as it requested when it rejected one.
     pub backoff_until: Now,
-    /// Its latest rejections, if too many of them make it fail.
+    /// Its latest rejections of requests of all VMs, if too many of them make it fail.
     pub rejections: Rejections,
     /// Until when it counts as an upstream that too many rejections make fail.
     pub fragile_until: Now,
