--- a/crates/lw-edge/tests/common/mod.rs
+++ b/crates/lw-edge/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only some of these")]
 
 use std::{
+    collections::BTreeSet,
     io::Write,
     sync::{Mutex, OnceLock},
     time::{Duration, Instant},
@@ -12,13 +13,12 @@
 use lw_edge::{
     peers::{self, Notice},
     run::Vm,
-    state::Edge,
 };
 use lw_observe::logs::{Logs, Options};
 use lw_standin::{
     hosted::{
         store::Store,
-        upstream::{BehaviourQueue, MODEL, ReceivedRequest, Upstream},
+        upstream::{BehaviourQueue, MODEL, ReceivedRequest, STREAM_EVENTS, Upstream, event},
     },
     loopback::free_address,
 };
@@ -37,6 +37,22 @@
     operator::config,
 };
 
+/// Events that a caller has before its stream breaks.
+pub const RECEIVED: u64 = 2;
+
+/// Returns a request that takes up a stream after these events. `origin` is the id of the stream's first request.
+pub fn resumption(id: &str, origin: Option<&str>) -> CallerRequest {
+    let req = request(id, "/long/x");
+    let origin = origin.map(|id| format!("Resumes: {id}\r\n")).unwrap_or_default();
+    let headers = format!("{}Last-Event-Id: {RECEIVED}\r\n{origin}", req.headers);
+    CallerRequest { headers, ..req }
+}
+
+/// Returns the events that follow in the stream.
+pub fn rest() -> Vec<u8> {
+    (RECEIVED + 1..=STREAM_EVENTS).flat_map(event).collect()
+}
+
 /// A VM and the stand-ins of the store and its upstreams. They run in this process and use real sockets.
 pub struct Simulation {
     pub store: Store,
@@ -188,10 +204,17 @@
 
     /// Waits until the first VM and this other one have each other's registration and can send messages.
     pub async fn wait_until_joined(&self, second: &Vm) {
-        let first = &self.vm.as_ref().expect("the first VM runs").edge;
+        self.wait_until_all_joined(std::slice::from_ref(second)).await;
+    }
+
+    /// Waits until the first VM and all these other ones have joined, likewise.
+    pub async fn wait_until_all_joined(&self, further: &[Vm]) {
+        let first = self.vm.as_ref().expect("the first VM runs");
+        let count = further.len() + 1;
         let is_joined =
-            |edge: &Edge| edge.datagrams().is_some() && edge.store_view().vms().count() == 2;
-        self.wait_until("both joined", async |_| is_joined(first) && is_joined(&second.edge)).await;
+            |vm: &Vm| vm.edge.datagrams().is_some() && vm.edge.store_view().vms().count() == count;
+        let are_joined = async |_: &Self| further.iter().chain([first]).all(is_joined);
+        self.wait_until("all joined", are_joined).await;
     }
 
     /// Returns the settings of a further VM.
@@ -199,6 +222,16 @@
         VmSettings { metrics: None, ..settings(vm, &self.store, self.settings.bounds) }
     }
 
+    /// Returns the software versions of the engines that ran any of these requests.
+    pub fn versions_of(&self, ids: &[&str]) -> BTreeSet<String> {
+        let ran = |engine: &&Upstream| {
+            let received = engine.received();
+            let mut ran = received.iter().filter(|got| got.is_executed);
+            ran.any(|got| got.request.header("x-attempt-id").is_some_and(|id| ids.contains(&id)))
+        };
+        self.engines.iter().filter(ran).map(Upstream::software).collect()
+    }
+
     /// Sends a request on a new connection.
     pub async fn send(&self, request: &CallerRequest) -> Option<Reply> {
         send(self.settings.callers, request).await
--- a/crates/lw-edge/tests/out_of_step.rs
+++ b/crates/lw-edge/tests/out_of_step.rs
@@ -4,21 +4,13 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use common::{CallerRequest, Reply, Simulation, request};
+use common::{Reply, Simulation, request, rest, resumption, send};
 use lw_catalog::VmSettings;
 use lw_edge::run::Vm;
-use lw_standin::{
-    hosted::{
-        caller::send,
-        upstream::{STREAM_EVENTS, Upstream, event},
-    },
-    proxy::{PathFault, Proxy},
-};
+use lw_standin::proxy::{PathFault, Proxy};
 
 /// Streams that are sent in a test. Each of two versions begins some of them.
 const STREAMS: usize = 16;
-/// Events that a caller has before its stream breaks.
-const RECEIVED: u64 = 2;
 
 /// Time that a process takes to start again.
 const RESTART_TIME: Duration = Duration::from_millis(500);
@@ -92,30 +84,20 @@
         begun
     }
 
-    /// Returns the versions of the engines that ran any of these requests.
-    fn versions_of(&self, ids: &[&str]) -> BTreeSet<String> {
-        let ran = |engine: &&Upstream| {
-            let received = engine.received();
-            let mut ran = received.iter().filter(|got| got.is_executed);
-            ran.any(|got| got.request.header("x-attempt-id").is_some_and(|id| ids.contains(&id)))
-        };
-        self.simulation.engines.iter().filter(ran).map(Upstream::software).collect()
-    }
-
     /// Takes streams up at a VM. Returns how many of them went on.
     async fn take_up(&self, vm: Place, begun: &[String], version: Option<&str>) -> usize {
         let mut continued = 0;
         for id in begun {
             let again = format!("again-{id}");
             let origin = version.map_or_else(
-                || self.versions_of(&[id]),
+                || self.simulation.versions_of(&[id]),
                 |version| BTreeSet::from([version.to_owned()]),
             );
-            let reply = send(self.callers(vm), &resumption(&again, id)).await;
+            let reply = send(self.callers(vm), &resumption(&again, Some(id))).await;
             let reply = reply.expect("an answer");
             if reply.status == 200 {
                 assert_eq!(reply.body, rest(), "{id}: {}", reply.head);
-                assert_eq!(self.versions_of(&[&again]), origin, "{id}");
+                assert_eq!(self.simulation.versions_of(&[&again]), origin, "{id}");
                 continued += 1;
             } else {
                 assert_refused(&reply);
@@ -128,16 +110,6 @@
     }
 }
 
-fn resumption(id: &str, origin: &str) -> CallerRequest {
-    let req = request(id, "/long/x");
-    let headers = format!("{}Last-Event-Id: {RECEIVED}\r\nResumes: {origin}\r\n", req.headers);
-    CallerRequest { headers, ..req }
-}
-
-fn rest() -> Vec<u8> {
-    (RECEIVED + 1..=STREAM_EVENTS).flat_map(event).collect()
-}
-
 fn assert_refused(reply: &Reply) {
     assert_eq!((reply.status, reply.is_complete), (503, true), "{}", reply.head);
 }
--- a/crates/lw-edge/tests/rejections.rs
+++ b/crates/lw-edge/tests/rejections.rs
@@ -37,11 +37,7 @@
         let settings = simulation.further_settings(&format!("vm-{n}"));
         further.push(Vm::start(settings, simulation.logs.clone()).await.expect("the VM starts"));
     }
-    let is_joined =
-        |vm: &Vm| vm.edge.datagrams().is_some() && vm.edge.store_view().vms().count() == VMS;
-    let first = simulation.vm.as_ref().expect("the first VM runs");
-    let are_joined = async |_: &Simulation| further.iter().chain([first]).all(is_joined);
-    simulation.wait_until("all VMs joined", are_joined).await;
+    simulation.wait_until_all_joined(&further).await;
     further
 }
 
--- a/crates/lw-edge/tests/software.rs
+++ b/crates/lw-edge/tests/software.rs
@@ -4,18 +4,16 @@
 
 use std::collections::BTreeSet;
 
-use common::{CallerRequest, Reply, Simulation, ms, request};
+use common::{RECEIVED, Reply, Simulation, ms, request, rest, resumption};
 use lw_edge::run::Vm;
 use lw_standin::hosted::{
     caller::send,
     store::StoreMode,
-    upstream::{Behaviour, STREAM_EVENTS, Upstream, event},
+    upstream::{Behaviour, Upstream},
 };
 
 /// Streams that are sent in a test. Each of two versions begins some of them.
 const STREAMS: usize = 16;
-/// Events that a caller has before its stream breaks.
-const RECEIVED: u64 = 2;
 
 /// Sets the version of an engine's software and registers it.
 fn register(simulation: &Simulation, engine: &Upstream, software: &str) {
@@ -57,27 +55,6 @@
     simulation.wait_until("the VM is ready", async |simulation| simulation.is_ready().await).await;
 }
 
-/// Returns the software versions of the engines that ran any of these requests.
-fn versions_of(simulation: &Simulation, ids: &[&str]) -> BTreeSet<String> {
-    let ran = |engine: &&Upstream| {
-        let received = engine.received();
-        let mut ran = received.iter().filter(|got| got.is_executed);
-        ran.any(|got| got.request.header("x-attempt-id").is_some_and(|id| ids.contains(&id)))
-    };
-    simulation.engines.iter().filter(ran).map(Upstream::software).collect()
-}
-
-fn resumption(id: &str, origin: Option<&str>) -> CallerRequest {
-    let req = request(id, "/long/x");
-    let origin = origin.map(|id| format!("Resumes: {id}\r\n")).unwrap_or_default();
-    let headers = format!("{}Last-Event-Id: {RECEIVED}\r\n{origin}", req.headers);
-    CallerRequest { headers, ..req }
-}
-
-fn rest() -> Vec<u8> {
-    (RECEIVED + 1..=STREAM_EVENTS).flat_map(event).collect()
-}
-
 fn assert_refused(reply: &Reply, code: &str) {
     assert_eq!((reply.status, reply.is_complete), (503, true), "{}", reply.head);
     assert!(reply.text().contains(code), "{}", reply.text());
@@ -90,7 +67,7 @@
         let id = format!("begun-{n}");
         let reply = simulation.send(&request(&id, "/long/x")).await.expect("an answer");
         assert!(reply.is_complete, "{}", reply.text());
-        let version = versions_of(simulation, &[&id]).pop_first().expect("an engine ran it");
+        let version = simulation.versions_of(&[&id]).pop_first().expect("an engine ran it");
         begun.push((id, version));
     }
     let versions: BTreeSet<_> = begun.iter().map(|(_, version)| version).collect();
@@ -114,7 +91,7 @@
         let reply = simulation.send(&req).await.expect("an answer");
         assert!(reply.is_complete, "{}", reply.text());
         assert_eq!(simulation.run_count(&id), 2);
-        assert_eq!(versions_of(&simulation, &[&id]).len(), 1, "{id}");
+        assert_eq!(simulation.versions_of(&[&id]).len(), 1, "{id}");
     }
 }
 
@@ -129,7 +106,7 @@
         let req = resumption(&again, Some(&id));
         let reply = simulation.send(&req).await.expect("an answer");
         assert_eq!((reply.status, reply.body), (200, rest()), "{id}: {}", reply.head);
-        assert_eq!(versions_of(&simulation, &[&again]), BTreeSet::from([version]), "{id}");
+        assert_eq!(simulation.versions_of(&[&again]), BTreeSet::from([version]), "{id}");
     }
 }
 
@@ -208,7 +185,7 @@
         let req = resumption(&again, Some(id));
         let reply = send(second.edge.settings.callers, &req).await.expect("an answer");
         assert_eq!((reply.status, reply.body), (200, rest()), "{id}: {}", reply.head);
-        assert_eq!(versions_of(&simulation, &[&again]), BTreeSet::from([version.clone()]), "{id}");
+        assert_eq!(simulation.versions_of(&[&again]), BTreeSet::from([version.clone()]), "{id}");
     }
     let reply = send(second.edge.settings.callers, &resumption("never", Some("begun"))).await;
     assert_refused(&reply.expect("an answer"), "origin_unknown");
@@ -239,7 +216,7 @@
         let id = format!("moving-{n}");
         let reply = simulation.send(&request(&id, "/long/x")).await.expect("an answer");
         assert!(reply.is_complete, "{}", reply.text());
-        let version = versions_of(&simulation, &[&id]).pop_first().expect("an engine ran it");
+        let version = simulation.versions_of(&[&id]).pop_first().expect("an engine ran it");
         begun.push((id, version));
     }
     tokio::time::sleep(ms(300)).await;
@@ -249,7 +226,7 @@
         let req = resumption(&again, Some(id));
         let reply = send(second.edge.settings.callers, &req).await.expect("an answer");
         assert_eq!((reply.status, reply.body), (200, rest()), "{id}: {}", reply.head);
-        assert_eq!(versions_of(&simulation, &[&again]), BTreeSet::from([version.clone()]), "{id}");
+        assert_eq!(simulation.versions_of(&[&again]), BTreeSet::from([version.clone()]), "{id}");
     }
 }
 
