lw-edge: passing a request on checks in one place whether it may be

Both callers of pass_on asked may_pass_on first, in the same words. needs_confirmation returns early for each case instead of testing one of them twice. Behaviour is the same; the edge tests of cut paths, silence, streams and software versions pass.

--- a/crates/lw-edge/src/serve/forward.rs
+++ b/crates/lw-edge/src/serve/forward.rs
@@ -117,9 +117,7 @@
     }
 
     async fn run_attempts(&mut self) -> Result<Accepted, Failure> {
-        if self.may_pass_on()
-            && let Some(answer) = self.pass_on().await?
-        {
+        if let Some(answer) = self.pass_on().await? {
             return Ok(Accepted::Complete(answer));
         }
         if self.call.forwarded.is_some() && self.edge.reach.is_lost(&self.call.service) {
@@ -134,9 +132,7 @@
             admit::admit(&self.edge, &self.call)?;
         }
         loop {
-            if self.may_pass_on()
-                && let Some(answer) = self.pass_on().await?
-            {
+            if let Some(answer) = self.pass_on().await? {
                 return Ok(Accepted::Complete(answer));
             }
             let attempt = match self.next_attempt().await {
--- a/crates/lw-edge/src/serve/pass_on.rs
+++ b/crates/lw-edge/src/serve/pass_on.rs
@@ -56,9 +56,12 @@
             && self.edge.reach.is_lost(&call.service)
     }
 
-    /// Passes the request on to other VMs, until one gives the answer. It is none if no other VM reaches an upstream either, but
-    /// they may all be silent for a moment: then the request stays at this VM.
+    /// Passes the request on to other VMs if it may be, until one gives the answer. It is none if the request stays at this VM, also
+    /// since no other VM reaches an upstream, but they may all be silent for a moment.
     pub async fn pass_on(&mut self) -> Result<Option<Answer>, Failure> {
+        if !self.may_pass_on() {
+            return Ok(None);
+        }
         let candidates = candidates(&self.edge, &self.call.service);
         for candidate in candidates.into_iter().take(VMS_MAX) {
             if self.edge.timer.now() >= self.call.due {
--- a/crates/lw-edge/src/serve/software.rs
+++ b/crates/lw-edge/src/serve/software.rs
@@ -86,8 +86,11 @@
     /// Whether to ask an engine if it is the process that registered. One whose connections are open has not started again, and a VM
     /// whose view is current hears of it.
     fn needs_confirmation(&self, upstream: &Upstream) -> bool {
-        if self.software.is_some() || !self.call.route.kind.is_resumable() {
-            return self.software.is_some();
+        if self.software.is_some() {
+            return true;
+        }
+        if !self.call.route.kind.is_resumable() {
+            return false;
         }
         let now = self.edge.timer.now_including_suspend();
         let is_current = self.edge.store_view().age(now).is_some_and(|age| age <= CURRENT_TIME);
